--- /dev/null
+++ b/bench/src/main/java/io/jacinthquay/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Experiments, load tool and benchmarks. */
+package io.jacinthquay.bench;
--- /dev/null
+++ b/controller/src/main/java/io/jacinthquay/controller/package-info.java
@@ -0,0 +1,2 @@
+/** Orders upstreams and reports usage under leases. */
+package io.jacinthquay.controller;
--- /dev/null
+++ b/ctl/src/main/java/io/jacinthquay/ctl/package-info.java
@@ -0,0 +1,2 @@
+/** Command line for operators. */
+package io.jacinthquay.ctl;
--- /dev/null
+++ b/decision/src/main/java/io/jacinthquay/decision/package-info.java
@@ -0,0 +1,2 @@
+/** Pure decisions: admission, fairness, placement, limits, capacity. */
+package io.jacinthquay.decision;
--- /dev/null
+++ b/keeper/src/main/java/io/jacinthquay/keeper/package-info.java
@@ -0,0 +1,2 @@
+/** Holds the durable replicated state. */
+package io.jacinthquay.keeper;
--- /dev/null
+++ b/model/src/main/java/io/jacinthquay/model/package-info.java
@@ -0,0 +1,2 @@
+/** Ids, values, the policy document and result codes. */
+package io.jacinthquay.model;
--- /dev/null
+++ b/router/src/main/java/io/jacinthquay/router/package-info.java
@@ -0,0 +1,2 @@
+/** Serves callers and sends requests to upstreams. */
+package io.jacinthquay.router;
--- /dev/null
+++ b/runtime/src/main/java/io/jacinthquay/runtime/package-info.java
@@ -0,0 +1,2 @@
+/** Settings, logging, TLS and service life cycle shared by the programs. */
+package io.jacinthquay.runtime;
--- /dev/null
+++ b/standalone/src/main/java/io/jacinthquay/standalone/package-info.java
@@ -0,0 +1,2 @@
+/** All programs in one process with the fakes. */
+package io.jacinthquay.standalone;
--- /dev/null
+++ b/testkit/src/main/java/io/jacinthquay/testkit/package-info.java
@@ -0,0 +1,2 @@
+/** Small fakes at the ports. */
+package io.jacinthquay.testkit;
--- /dev/null
+++ b/wire/src/main/java/io/jacinthquay/wire/package-info.java
@@ -0,0 +1,2 @@
+/** Thrift interface, generated code and converters. */
+package io.jacinthquay.wire;
