Publish the interfaces of the replicated log

The builder does not build yet: the runtime follows.

A replica is a member name with an incarnation, the identity of its data folder. Ruled out: ids without incarnation, since a wiped disk would then vote again in a term in which it has voted.

--- /dev/null
+++ b/consensus/src/main/java/io/jacinthquay/consensus/LogSettings.java
@@ -0,0 +1,23 @@
+package io.jacinthquay.consensus;
+
+import java.nio.file.Path;
+import java.util.Objects;
+import java.util.Set;
+
+/** Everything that a replicated log is built from. */
+record LogSettings(
+    MemberId member,
+    Set<MemberId> seeds,
+    Path folder,
+    PeerTransport transport,
+    StateMachine machine,
+    StatusListener listener,
+    LogOptions options) {
+  LogSettings {
+    Objects.requireNonNull(member, "member");
+    Objects.requireNonNull(folder, "folder");
+    Objects.requireNonNull(transport, "transport");
+    Objects.requireNonNull(machine, "stateMachine");
+    seeds = Set.copyOf(seeds);
+  }
+}
--- /dev/null
+++ b/consensus/src/main/java/io/jacinthquay/consensus/Membership.java
@@ -0,0 +1,89 @@
+package io.jacinthquay.consensus;
+
+import java.util.Collections;
+import java.util.NavigableSet;
+import java.util.Set;
+import java.util.TreeSet;
+
+/**
+ * The replicas that take part: voters count for every quorum, learners only receive the log.
+ *
+ * @param voters the voters
+ * @param learners the learners, disjoint from the voters
+ */
+public record Membership(NavigableSet<ReplicaId> voters, NavigableSet<ReplicaId> learners) {
+  /** No replicas: the membership of an empty data folder. */
+  public static final Membership EMPTY = new Membership(Set.of(), Set.of());
+
+  /**
+   * Copies the sets.
+   *
+   * @throws IllegalArgumentException if a replica is both voter and learner
+   */
+  public Membership {
+    voters = Collections.unmodifiableNavigableSet(new TreeSet<>(voters));
+    learners = Collections.unmodifiableNavigableSet(new TreeSet<>(learners));
+    if (!Collections.disjoint(voters, learners)) {
+      throw new IllegalArgumentException("a replica is both voter and learner");
+    }
+  }
+
+  /**
+   * Builds a membership from any sets.
+   *
+   * @param voters the voters
+   * @param learners the learners
+   */
+  public Membership(Set<ReplicaId> voters, Set<ReplicaId> learners) {
+    this(new TreeSet<>(voters), new TreeSet<>(learners));
+  }
+
+  /**
+   * Counts the voters that make a quorum.
+   *
+   * @return more than half of the voters
+   */
+  public int quorum() {
+    return voters.size() / 2 + 1;
+  }
+
+  /**
+   * Tells whether a replica is voter or learner.
+   *
+   * @param replica the replica
+   * @return whether it takes part
+   */
+  public boolean contains(ReplicaId replica) {
+    return voters.contains(replica) || learners.contains(replica);
+  }
+
+  /**
+   * Lists voters and learners.
+   *
+   * @return all replicas in order
+   */
+  public NavigableSet<ReplicaId> replicas() {
+    TreeSet<ReplicaId> all = new TreeSet<>(voters);
+    all.addAll(learners);
+    return all;
+  }
+
+  /**
+   * Applies one change.
+   *
+   * @param change the change
+   * @return the membership after it
+   */
+  public Membership with(MembershipChange change) {
+    TreeSet<ReplicaId> nextVoters = new TreeSet<>(voters);
+    TreeSet<ReplicaId> nextLearners = new TreeSet<>(learners);
+    nextVoters.remove(change.replica());
+    nextLearners.remove(change.replica());
+    if (change instanceof MembershipChange.AddLearner) {
+      nextLearners.add(change.replica());
+    } else if (change instanceof MembershipChange.Promote) {
+      nextVoters.add(change.replica());
+    }
+    return new Membership(nextVoters, nextLearners);
+  }
+}
--- /dev/null
+++ b/consensus/src/main/java/io/jacinthquay/consensus/ReplicatedLogBuilder.java
@@ -0,0 +1,108 @@
+package io.jacinthquay.consensus;
+
+import java.nio.file.Path;
+import java.util.Objects;
+import java.util.Set;
+
+/** Builds a {@link ReplicatedLog}. */
+public final class ReplicatedLogBuilder {
+  private MemberId member;
+  private Set<MemberId> seeds = Set.of();
+  private Path folder;
+  private PeerTransport transport;
+  private StateMachine machine;
+  private StatusListener listener = status -> {};
+  private LogOptions options = LogOptions.DEFAULT;
+
+  ReplicatedLogBuilder() {}
+
+  /**
+   * Names this member.
+   *
+   * @param value the member
+   * @return this builder
+   */
+  public ReplicatedLogBuilder member(MemberId value) {
+    member = Objects.requireNonNull(value, "member");
+    return this;
+  }
+
+  /**
+   * Names the members that form the cluster when all their data folders are empty, and that an
+   * empty data folder asks later on. The same set on each of them.
+   *
+   * @param value the seeds
+   * @return this builder
+   */
+  public ReplicatedLogBuilder seeds(Set<MemberId> value) {
+    seeds = Set.copyOf(value);
+    return this;
+  }
+
+  /**
+   * Sets the data folder; it is created if absent.
+   *
+   * @param value the folder
+   * @return this builder
+   */
+  public ReplicatedLogBuilder folder(Path value) {
+    folder = Objects.requireNonNull(value, "folder");
+    return this;
+  }
+
+  /**
+   * Sets the transport.
+   *
+   * @param value the transport
+   * @return this builder
+   */
+  public ReplicatedLogBuilder transport(PeerTransport value) {
+    transport = Objects.requireNonNull(value, "transport");
+    return this;
+  }
+
+  /**
+   * Sets the state machine.
+   *
+   * @param value the state machine
+   * @return this builder
+   */
+  public ReplicatedLogBuilder stateMachine(StateMachine value) {
+    machine = Objects.requireNonNull(value, "stateMachine");
+    return this;
+  }
+
+  /**
+   * Sets who hears about status changes.
+   *
+   * @param value the listener
+   * @return this builder
+   */
+  public ReplicatedLogBuilder listener(StatusListener value) {
+    listener = Objects.requireNonNull(value, "listener");
+    return this;
+  }
+
+  /**
+   * Sets timeouts and limits.
+   *
+   * @param value the options
+   * @return this builder
+   */
+  public ReplicatedLogBuilder options(LogOptions value) {
+    options = Objects.requireNonNull(value, "options");
+    return this;
+  }
+
+  /**
+   * Builds the log without starting it.
+   *
+   * @return the log
+   * @throws NullPointerException if member, folder, transport or state machine is missing
+   */
+  public ReplicatedLog build() {
+    LogSettings settings =
+        new LogSettings(member, seeds, folder, transport, machine, listener, options);
+    throw new UnsupportedOperationException("not yet runnable: " + settings.member());
+  }
+}
--- /dev/null
+++ b/consensus/src/main/java/io/jacinthquay/consensus/raft/HardState.java
@@ -0,0 +1,21 @@
+package io.jacinthquay.consensus.raft;
+
+import io.jacinthquay.consensus.ReplicaId;
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * What a replica must remember across restarts beside its log.
+ *
+ * @param term the highest term seen
+ * @param votedFor who got the vote in that term
+ */
+public record HardState(long term, Optional<ReplicaId> votedFor) {
+  /** The state of a new data folder. */
+  public static final HardState INITIAL = new HardState(0, Optional.empty());
+
+  /** Checks that the vote is present. */
+  public HardState {
+    Objects.requireNonNull(votedFor, "votedFor");
+  }
+}
--- /dev/null
+++ b/consensus/src/main/java/io/jacinthquay/consensus/raft/Message.java
@@ -0,0 +1,226 @@
+package io.jacinthquay.consensus.raft;
+
+import io.jacinthquay.consensus.ReplicaId;
+import java.util.List;
+import java.util.Objects;
+
+/** A message between replicas. Every message names both ends and the sender's term. */
+public sealed interface Message {
+  /**
+   * Names the sender.
+   *
+   * @return the replica that sent it
+   */
+  ReplicaId from();
+
+  /**
+   * Names the receiver; only {@link Announce} may use a wildcard incarnation.
+   *
+   * @return the replica that it is meant for
+   */
+  ReplicaId to();
+
+  /**
+   * Gives the sender's term.
+   *
+   * @return the term, 0 where it has no meaning
+   */
+  long term();
+
+  /**
+   * Asks whether an election in the given term could succeed; changes no state.
+   *
+   * @param from the sender
+   * @param to the receiver
+   * @param term the term that the election would have
+   * @param lastIndex the last index in the sender's log
+   * @param lastTerm the term of that entry
+   */
+  record PreVoteRequest(ReplicaId from, ReplicaId to, long term, long lastIndex, long lastTerm)
+      implements Message {}
+
+  /**
+   * Answers a {@link PreVoteRequest}.
+   *
+   * @param from the sender
+   * @param to the receiver
+   * @param term the term asked for if granted, else the sender's own
+   * @param granted whether the sender would vote
+   */
+  record PreVoteReply(ReplicaId from, ReplicaId to, long term, boolean granted)
+      implements Message {}
+
+  /**
+   * Asks for a vote.
+   *
+   * @param from the candidate
+   * @param to the receiver
+   * @param term the term of the election
+   * @param lastIndex the last index in the candidate's log
+   * @param lastTerm the term of that entry
+   * @param handover whether the leader asked for this election
+   */
+  record VoteRequest(
+      ReplicaId from, ReplicaId to, long term, long lastIndex, long lastTerm, boolean handover)
+      implements Message {}
+
+  /**
+   * Answers a {@link VoteRequest} after the vote is durable.
+   *
+   * @param from the sender
+   * @param to the candidate
+   * @param term the sender's term
+   * @param granted whether the candidate has the vote
+   */
+  record VoteReply(ReplicaId from, ReplicaId to, long term, boolean granted) implements Message {}
+
+  /**
+   * Carries entries, or none as a heartbeat.
+   *
+   * @param from the leader
+   * @param to the receiver
+   * @param term the leader's term
+   * @param prevIndex the index before the first entry
+   * @param prevTerm the term of the entry at {@code prevIndex}
+   * @param entries the entries, in order without gaps
+   * @param commitIndex the leader's commit index
+   * @param round the leader's latest read round, echoed in the reply
+   */
+  record AppendRequest(
+      ReplicaId from,
+      ReplicaId to,
+      long term,
+      long prevIndex,
+      long prevTerm,
+      List<Entry> entries,
+      long commitIndex,
+      long round)
+      implements Message {
+    /** Checks that the entries are present; the list must not be changed afterwards. */
+    public AppendRequest {
+      Objects.requireNonNull(entries, "entries");
+    }
+  }
+
+  /**
+   * Answers an {@link AppendRequest}; positive answers speak of durable entries only.
+   *
+   * @param from the sender
+   * @param to the leader
+   * @param term the sender's term
+   * @param success whether the logs agree at the request's previous index
+   * @param index the highest durable matching index, or the previous index that was refused
+   * @param hintIndex where to look for agreement after a refusal
+   * @param hintTerm the sender's term at {@code hintIndex}
+   * @param round the round of the request
+   */
+  record AppendReply(
+      ReplicaId from,
+      ReplicaId to,
+      long term,
+      boolean success,
+      long index,
+      long hintIndex,
+      long hintTerm,
+      long round)
+      implements Message {}
+
+  /**
+   * Carries a piece of a snapshot.
+   *
+   * @param from the leader
+   * @param to the receiver
+   * @param term the leader's term
+   * @param meta what the snapshot covers
+   * @param offset the position of the first byte
+   * @param data the bytes, not changed by anyone
+   * @param last whether the snapshot ends here
+   */
+  record SnapshotChunk(
+      ReplicaId from,
+      ReplicaId to,
+      long term,
+      SnapshotMeta meta,
+      long offset,
+      byte[] data,
+      boolean last)
+      implements Message {
+    /** Checks that meta and data are present. */
+    public SnapshotChunk {
+      Objects.requireNonNull(meta, "meta");
+      Objects.requireNonNull(data, "data");
+    }
+  }
+
+  /**
+   * Answers a {@link SnapshotChunk}.
+   *
+   * @param from the sender
+   * @param to the leader
+   * @param term the sender's term
+   * @param index the index that the snapshot covers
+   * @param nextOffset the next byte wanted
+   * @param installed whether the snapshot is durable and in force
+   */
+  record SnapshotReply(
+      ReplicaId from, ReplicaId to, long term, long index, long nextOffset, boolean installed)
+      implements Message {}
+
+  /**
+   * Asks the leader for a read index.
+   *
+   * @param from the sender
+   * @param to the leader
+   * @param term the sender's term
+   * @param requestId the sender's number for this request
+   */
+  record ReadRequest(ReplicaId from, ReplicaId to, long term, long requestId) implements Message {}
+
+  /**
+   * Answers a {@link ReadRequest}.
+   *
+   * @param from the leader
+   * @param to the receiver
+   * @param term the leader's term
+   * @param requestId the number of the request
+   * @param readIndex the index to wait for, or 0 if no quorum confirmed the leader
+   */
+  record ReadReply(ReplicaId from, ReplicaId to, long term, long requestId, long readIndex)
+      implements Message {}
+
+  /**
+   * Asks a follower to start an election at once.
+   *
+   * @param from the leader
+   * @param to the follower
+   * @param term the leader's term
+   */
+  record Handover(ReplicaId from, ReplicaId to, long term) implements Message {}
+
+  /**
+   * Tells that the sender holds an empty data folder and seeks a cluster.
+   *
+   * @param from the sender
+   * @param to a seed member, with a wildcard incarnation
+   */
+  record Announce(ReplicaId from, ReplicaId to) implements Message {
+    @Override
+    public long term() {
+      return 0;
+    }
+  }
+
+  /**
+   * Answers an {@link Announce}.
+   *
+   * @param from the sender
+   * @param to the announced replica
+   * @param formed whether the sender's data folder belongs to a cluster
+   */
+  record AnnounceReply(ReplicaId from, ReplicaId to, boolean formed) implements Message {
+    @Override
+    public long term() {
+      return 0;
+    }
+  }
+}
