Run the replicated log over file storage

Ruled out: repeating a failed fsync on the same file, since the kernel may have dropped the pages; the replica stops taking part until restarted. Ruled out: calling a command not run when the own log drops it, since another replica may still commit it; only an applied entry in its place proves that.

--- a/consensus/src/main/java/io/jacinthquay/consensus/LogSettings.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/LogSettings.java
@@ -18,6 +18,6 @@
     Objects.requireNonNull(folder, "folder");
     Objects.requireNonNull(transport, "transport");
     Objects.requireNonNull(machine, "stateMachine");
-    seeds = Set.copyOf(seeds);
+    seeds = seeds.isEmpty() ? Set.of(member) : Set.copyOf(seeds);
   }
 }
--- a/consensus/src/main/java/io/jacinthquay/consensus/ReplicatedLogBuilder.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/ReplicatedLogBuilder.java
@@ -1,5 +1,6 @@
 package io.jacinthquay.consensus;
 
+import io.jacinthquay.consensus.storage.FileLogStorage;
 import java.nio.file.Path;
 import java.util.Objects;
 import java.util.Set;
@@ -13,6 +14,7 @@
   private StateMachine machine;
   private StatusListener listener = status -> {};
   private LogOptions options = LogOptions.DEFAULT;
+  private StorageOpener storage = FileLogStorage::open;
 
   ReplicatedLogBuilder() {}
 
@@ -94,6 +96,12 @@
     return this;
   }
 
+  /** Puts another storage in place of the files. */
+  ReplicatedLogBuilder storage(StorageOpener value) {
+    storage = value;
+    return this;
+  }
+
   /**
    * Builds the log without starting it.
    *
@@ -103,6 +111,6 @@
   public ReplicatedLog build() {
     LogSettings settings =
         new LogSettings(member, seeds, folder, transport, machine, listener, options);
-    throw new UnsupportedOperationException("not yet runnable: " + settings.member());
+    return new LogRuntime(settings, storage);
   }
 }
--- /dev/null
+++ b/consensus/src/main/java/io/jacinthquay/consensus/raft/Reads.java
@@ -0,0 +1,117 @@
+package io.jacinthquay.consensus.raft;
+
+import io.jacinthquay.consensus.ReplicaId;
+import io.jacinthquay.consensus.raft.Message.ReadReply;
+import io.jacinthquay.consensus.raft.Message.ReadRequest;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Confirms read indexes: on the leader by a round of heartbeats, elsewhere by asking the leader.
+ */
+final class Reads {
+  private record Request(ReplicaId from, long id) {}
+
+  private record Round(long number, long index, List<Request> requests) {}
+
+  private final RaftState state;
+  private final Leadership leadership;
+  private final ArrayDeque<Round> rounds = new ArrayDeque<>();
+  private final Map<Long, Long> forwarded = new LinkedHashMap<>();
+  private List<Request> waiting = new ArrayList<>();
+  private long nextId;
+
+  Reads(RaftState state, Leadership leadership) {
+    this.state = state;
+    this.leadership = leadership;
+    // Starts at random, so that a late answer from before a restart finds no request.
+    nextId = state.random.nextLong();
+  }
+
+  /** Starts a read of this replica and gives its number. */
+  long request() {
+    long id = nextId++;
+    if (state.isLeader()) {
+      waiting.add(new Request(state.self, id));
+    } else if (state.leader.isPresent()) {
+      forwarded.put(id, state.now + state.options.readNanos());
+      ReplicaId leader = state.leader.get();
+      state.outbox.send(new ReadRequest(state.self, leader, state.term, id));
+    } else {
+      state.outbox.answer(id, Optional.empty());
+    }
+    return id;
+  }
+
+  void receive(ReadRequest request) {
+    if (state.isLeader()) {
+      waiting.add(new Request(request.from(), request.requestId()));
+    } else {
+      state.outbox.send(
+          new ReadReply(state.self, request.from(), state.term, request.requestId(), 0));
+    }
+  }
+
+  void receive(ReadReply reply) {
+    if (forwarded.remove(reply.requestId()) != null) {
+      Optional<Long> index =
+          reply.readIndex() > 0 ? Optional.of(reply.readIndex()) : Optional.empty();
+      state.outbox.answer(reply.requestId(), index);
+    }
+  }
+
+  /** Starts a round for new requests and answers those whose round a quorum has answered. */
+  void advance() {
+    if (!state.isLeader()) {
+      return;
+    }
+    boolean termCommitted = state.log.term(state.commitIndex) == state.term;
+    if (!waiting.isEmpty() && (termCommitted || !state.rules.readNeedsQuorum())) {
+      rounds.addLast(new Round(leadership.startRound(), state.commitIndex, waiting));
+      waiting = new ArrayList<>();
+    }
+    while (!rounds.isEmpty() && isConfirmed(rounds.peekFirst())) {
+      Round round = rounds.removeFirst();
+      round.requests().forEach(request -> answer(request, round.index()));
+    }
+  }
+
+  private boolean isConfirmed(Round round) {
+    return !state.rules.readNeedsQuorum() || leadership.isConfirmed(round.number());
+  }
+
+  private void answer(Request request, long index) {
+    if (!request.from().equals(state.self)) {
+      state.outbox.send(new ReadReply(state.self, request.from(), state.term, request.id(), index));
+    } else {
+      state.outbox.answer(request.id(), index > 0 ? Optional.of(index) : Optional.empty());
+    }
+  }
+
+  /** Fails forwarded reads that the leader has not answered in time. */
+  void tick() {
+    Iterator<Map.Entry<Long, Long>> entries = forwarded.entrySet().iterator();
+    while (entries.hasNext()) {
+      Map.Entry<Long, Long> entry = entries.next();
+      if (state.now >= entry.getValue()) {
+        state.outbox.answer(entry.getKey(), Optional.empty());
+        entries.remove();
+      }
+    }
+  }
+
+  /** Fails everything, since the leader or its term has changed. */
+  void failAll() {
+    rounds.forEach(round -> round.requests().forEach(request -> answer(request, 0)));
+    rounds.clear();
+    waiting.forEach(request -> answer(request, 0));
+    waiting = new ArrayList<>();
+    forwarded.keySet().forEach(id -> state.outbox.answer(id, Optional.empty()));
+    forwarded.clear();
+  }
+}
--- /dev/null
+++ b/consensus/src/main/java/io/jacinthquay/consensus/storage/Segment.java
@@ -0,0 +1,128 @@
+package io.jacinthquay.consensus.storage;
+
+import io.jacinthquay.consensus.raft.Entry;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * One file of consecutive log entries. It starts with a header of magic number, first index and
+ * checksum; each record has length, CRC-32C, the length of the synced part when it was written, and
+ * the entry.
+ */
+final class Segment implements AutoCloseable {
+  private static final int RECORD_HEADER_BYTES = SegmentScan.RECORD_HEADER_BYTES;
+
+  private final Path path;
+  private final long firstIndex;
+  private final FileChannel channel;
+  private final List<Long> offsets = new ArrayList<>();
+  private long size;
+  private long synced;
+
+  private Segment(Path path, long firstIndex, FileChannel channel, long size) {
+    this.path = path;
+    this.firstIndex = firstIndex;
+    this.channel = channel;
+    this.size = size;
+    this.synced = size;
+  }
+
+  static Path path(Path folder, long firstIndex) {
+    return folder.resolve(String.format("%020d%s", firstIndex, SegmentScan.SUFFIX));
+  }
+
+  /** Creates an empty segment; durable on return. */
+  static Segment create(Path folder, long firstIndex) throws IOException {
+    Path path = path(folder, firstIndex);
+    FileChannel channel =
+        FileChannel.open(
+            path,
+            StandardOpenOption.CREATE,
+            StandardOpenOption.TRUNCATE_EXISTING,
+            StandardOpenOption.WRITE);
+    AtomicFile.writeFully(channel, SegmentScan.header(firstIndex));
+    channel.force(true);
+    AtomicFile.syncFolder(folder);
+    return new Segment(path, firstIndex, channel, SegmentScan.HEADER_BYTES);
+  }
+
+  /** Opens a scanned segment for appending and cuts a torn tail off. */
+  static Segment open(SegmentScan scan) throws IOException {
+    FileChannel channel = FileChannel.open(scan.path(), StandardOpenOption.WRITE);
+    if (channel.size() > scan.validBytes()) {
+      channel.truncate(scan.validBytes());
+      channel.force(true);
+    }
+    channel.position(scan.validBytes());
+    Segment segment = new Segment(scan.path(), scan.firstIndex(), channel, scan.validBytes());
+    segment.offsets.addAll(scan.offsets());
+    return segment;
+  }
+
+  long firstIndex() {
+    return firstIndex;
+  }
+
+  long lastIndex() {
+    return firstIndex + offsets.size() - 1;
+  }
+
+  long size() {
+    return size;
+  }
+
+  void append(List<Entry> entries) throws IOException {
+    List<byte[]> bodies = new ArrayList<>();
+    int bytes = 0;
+    for (Entry entry : entries) {
+      byte[] body = Codec.bytes(out -> Codec.write(out, entry));
+      bodies.add(body);
+      bytes += RECORD_HEADER_BYTES + body.length;
+    }
+    ByteBuffer buffer = ByteBuffer.allocate(bytes);
+    for (byte[] body : bodies) {
+      offsets.add(size + buffer.position());
+      buffer.putInt(body.length).putInt(SegmentScan.checksum(synced, body));
+      buffer.putLong(synced).put(body);
+    }
+    buffer.flip();
+    AtomicFile.writeFully(channel, buffer);
+    size += bytes;
+  }
+
+  /** Gives the offset at which the record of an index starts. */
+  long offset(long index) {
+    return index > lastIndex() ? size : offsets.get((int) (index - firstIndex));
+  }
+
+  /** Cuts the records from an index on off; durable on return. */
+  void truncateFrom(long index) throws IOException {
+    size = offset(index);
+    offsets.subList((int) (index - firstIndex), offsets.size()).clear();
+    channel.truncate(size);
+    channel.position(size);
+    channel.force(true);
+    synced = size;
+  }
+
+  void sync() throws IOException {
+    channel.force(false);
+    synced = size;
+  }
+
+  void delete() throws IOException {
+    close();
+    Files.deleteIfExists(path);
+  }
+
+  @Override
+  public void close() throws IOException {
+    channel.close();
+  }
+}
--- /dev/null
+++ b/consensus/src/test/java/io/jacinthquay/consensus/JournalMachine.java
@@ -0,0 +1,53 @@
+package io.jacinthquay.consensus;
+
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Remembers all commands in order and answers with their count. */
+final class JournalMachine implements StateMachine {
+  private final List<String> commands = new ArrayList<>();
+  private int restores;
+
+  @Override
+  public synchronized byte[] apply(long index, byte[] command) {
+    commands.add(new String(command, StandardCharsets.UTF_8));
+    return Integer.toString(commands.size()).getBytes(StandardCharsets.UTF_8);
+  }
+
+  @Override
+  public synchronized SnapshotWriter snapshot() {
+    List<String> view = List.copyOf(commands);
+    return out -> {
+      DataOutputStream data = new DataOutputStream(out);
+      data.writeInt(view.size());
+      for (String command : view) {
+        data.writeUTF(command);
+      }
+      data.flush();
+    };
+  }
+
+  @Override
+  public synchronized void restore(long index, InputStream in) throws IOException {
+    DataInputStream data = new DataInputStream(in);
+    commands.clear();
+    int count = data.readInt();
+    for (int i = 0; i < count; i++) {
+      commands.add(data.readUTF());
+    }
+    restores++;
+  }
+
+  synchronized List<String> commands() {
+    return List.copyOf(commands);
+  }
+
+  synchronized int restores() {
+    return restores;
+  }
+}
--- /dev/null
+++ b/consensus/src/test/java/io/jacinthquay/consensus/LocalNetwork.java
@@ -0,0 +1,47 @@
+package io.jacinthquay.consensus;
+
+import io.jacinthquay.consensus.raft.Message;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** Delivers messages inside the process, except to and from members that are cut off. */
+final class LocalNetwork {
+  private final Map<MemberId, MessageReceiver> receivers = new ConcurrentHashMap<>();
+  private final Set<MemberId> cut = ConcurrentHashMap.newKeySet();
+
+  PeerTransport transport(MemberId self) {
+    return new PeerTransport() {
+      @Override
+      public void start(MessageReceiver receiver) {
+        receivers.put(self, receiver);
+      }
+
+      @Override
+      public void send(Message message) {
+        deliver(message);
+      }
+
+      @Override
+      public void stop() {
+        receivers.remove(self);
+      }
+    };
+  }
+
+  void cut(MemberId member) {
+    cut.add(member);
+  }
+
+  void heal() {
+    cut.clear();
+  }
+
+  private void deliver(Message message) {
+    MessageReceiver receiver = receivers.get(message.to().member());
+    boolean blocked = cut.contains(message.from().member()) || cut.contains(message.to().member());
+    if (receiver != null && !blocked) {
+      receiver.receive(message);
+    }
+  }
+}
--- /dev/null
+++ b/consensus/src/test/java/io/jacinthquay/consensus/ReplicatedLogTest.java
@@ -0,0 +1,205 @@
+package io.jacinthquay.consensus;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.jacinthquay.consensus.storage.FileLogStorage;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletionStage;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class ReplicatedLogTest {
+  private static final MemberId K1 = new MemberId("k1");
+  private static final MemberId K2 = new MemberId("k2");
+
+  @TempDir Path root;
+
+  private static List<String> numbered(String prefix, int count) {
+    List<String> commands = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      commands.add(prefix + i);
+    }
+    return commands;
+  }
+
+  private static void proposeAll(LogCluster cluster, List<String> commands) throws Exception {
+    for (String command : commands) {
+      cluster.propose(command);
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {1, 3, 5})
+  void answersWithTheResultAndReplicates(int members) throws Exception {
+    try (LogCluster cluster = new LogCluster(root, members).startAll()) {
+      assertEquals("1", new String(cluster.propose("a").result(), "UTF-8"));
+      assertEquals("2", new String(cluster.propose("b").result(), "UTF-8"));
+      for (int i = 1; i <= members; i++) {
+        assertEquals(List.of("a", "b"), cluster.read(new MemberId("k" + i)));
+      }
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {1, 3})
+  void keepsAcknowledgedCommandsOverRestart(int members) throws Exception {
+    List<String> commands = numbered("c", 300);
+    try (LogCluster cluster = new LogCluster(root, members).withSnapshots(100, 10).startAll()) {
+      proposeAll(cluster, commands);
+    }
+    try (LogCluster cluster = new LogCluster(root, members).withSnapshots(100, 10).startAll()) {
+      assertEquals(commands, cluster.read(K1));
+      assertEquals(1, cluster.machine(K1).restores());
+    }
+  }
+
+  @Test
+  void refusesProposalsOnFollowersWithAHint() throws Exception {
+    try (LogCluster cluster = new LogCluster(root, 3).startAll()) {
+      cluster.propose("a");
+      MemberId follower = cluster.follower();
+      cluster.read(follower);
+      Either<LogFailure, Applied> answer =
+          LogCluster.get(cluster.log(follower).propose(new byte[1]));
+      assertTrue(answer.getLeft().error().notRun());
+      assertEquals(cluster.leader(), answer.getLeft().leader().orElseThrow());
+    }
+  }
+
+  @Test
+  void survivesTheLossOfTheLeader() throws Exception {
+    try (LogCluster cluster = new LogCluster(root, 3).startAll()) {
+      cluster.propose("a");
+      MemberId old = cluster.leader();
+      cluster.network().cut(old);
+      cluster.await("step down", () -> !cluster.log(old).status().isLeader());
+      cluster.propose("b");
+      cluster.network().heal();
+      assertEquals(List.of("a", "b"), cluster.read(old));
+    }
+  }
+
+  @Test
+  void handsLeadershipOverWhenStopped() throws Exception {
+    try (LogCluster cluster = new LogCluster(root, 3).startAll()) {
+      cluster.propose("a");
+      MemberId old = cluster.leader();
+      long term = cluster.log(old).status().term();
+      cluster.stop(old);
+      assertEquals(term + 1, cluster.log(cluster.leader()).status().term());
+    }
+  }
+
+  @Test
+  void replacesAWipedMemberAndThenLosesAnother() throws Exception {
+    try (LogCluster cluster = new LogCluster(root, 3).withSnapshots(50, 5).startAll()) {
+      proposeAll(cluster, numbered("c", 120));
+      MemberId lost = cluster.follower();
+      final ReplicaId before = cluster.log(lost).status().self();
+      cluster.stop(lost);
+      cluster.wipe(lost);
+      cluster.propose("while away");
+      cluster.start(lost);
+      ReplicaId after = cluster.log(lost).status().self();
+      assertNotEquals(before, after);
+      cluster.await(
+          "replacement", () -> cluster.log(lost).status().membership().voters().contains(after));
+      assertEquals(121, cluster.read(lost).size());
+      assertEquals(1, cluster.machine(lost).restores());
+      cluster.stop(cluster.leader());
+      cluster.propose("after the second loss");
+      assertEquals(122, cluster.read(lost).size());
+      assertFalse(cluster.log(lost).status().membership().contains(before));
+    }
+  }
+
+  @ParameterizedTest
+  @EnumSource(FailingStorage.Fault.class)
+  void stepsDownOnStorageFailureAndLosesNothing(FailingStorage.Fault fault) throws Exception {
+    try (LogCluster cluster = new LogCluster(root, 3)) {
+      FailingStorage[] disk = new FailingStorage[1];
+      cluster.start(
+          K1,
+          (folder, member, bytes) ->
+              disk[0] = new FailingStorage(FileLogStorage.open(folder, member, bytes)));
+      cluster.start(K2);
+      cluster.start(new MemberId("k3"));
+      List<String> commands = numbered("c", 20);
+      proposeAll(cluster, commands);
+      disk[0].fail(fault);
+      cluster.log(cluster.leader()).propose("maybe".getBytes("UTF-8"));
+      cluster.await("step down", () -> cluster.log(K1).status().role() == Role.FAILED);
+      cluster.propose("after");
+      List<String> applied = new ArrayList<>(cluster.read(K2));
+      applied.remove("maybe");
+      commands.add("after");
+      assertEquals(commands, applied);
+      cluster.stop(K1);
+      cluster.start(K1);
+      assertTrue(cluster.read(K1).containsAll(commands));
+    }
+  }
+
+  @Test
+  void commitsConcurrentProposalsInGroups() throws Exception {
+    FailingStorage[] disk = new FailingStorage[1];
+    try (LogCluster cluster = new LogCluster(root, 1)) {
+      cluster.start(
+          K1,
+          (folder, member, bytes) ->
+              disk[0] = new FailingStorage(FileLogStorage.open(folder, member, bytes)));
+      cluster.propose("first");
+      int before = disk[0].syncs();
+      disk[0].holdNextSync();
+      List<CompletionStage<Either<LogFailure, Applied>>> answers = new ArrayList<>();
+      for (int i = 0; i < 200; i++) {
+        answers.add(cluster.log(K1).propose(new byte[] {'x'}));
+      }
+      cluster.await("all appended", () -> cluster.log(K1).status().lastIndex() >= 202);
+      disk[0].releaseSync();
+      for (CompletionStage<Either<LogFailure, Applied>> answer : answers) {
+        assertTrue(LogCluster.get(answer).isRight());
+      }
+      assertTrue(disk[0].syncs() - before <= 10, "syncs: " + (disk[0].syncs() - before));
+    }
+  }
+
+  @Test
+  void refusesASecondProcessOnTheSameFolder() throws Exception {
+    try (LogCluster cluster = new LogCluster(root, 1).startAll()) {
+      cluster.propose("a");
+      LogException refusal = assertThrows(LogException.class, () -> cluster.start(K1));
+      assertEquals(LogError.STORAGE_LOCKED, refusal.failure().error());
+    }
+  }
+
+  @Test
+  void refusesOversizedAndLateCommands() throws Exception {
+    LogCluster cluster = new LogCluster(root, 1).startAll();
+    cluster.propose("a");
+    ReplicatedLog log = cluster.log(K1);
+    byte[] large = new byte[LogOptions.DEFAULT.maxCommandBytes() + 1];
+    assertEquals(LogError.TOO_LARGE, LogCluster.get(log.propose(large)).getLeft().error());
+    cluster.close();
+    assertEquals(LogError.STOPPED, LogCluster.get(log.propose(new byte[1])).getLeft().error());
+  }
+
+  @Test
+  void reportsAReadableErrorForAFolderThatIsAFile() throws IOException {
+    Path file = java.nio.file.Files.writeString(root.resolve("k1"), "no folder");
+    LogCluster cluster = new LogCluster(root, 1);
+    LogException refusal = assertThrows(LogException.class, () -> cluster.start(K1));
+    assertTrue(refusal.getMessage().contains(file.toString()), refusal.getMessage());
+  }
+}
