Add ids, result codes, the policy document and the runtime

Cause: every module needs the same values, settings and identities. Ruled out: maps of strings as configuration, and validating by a schema library whose errors name no line. Before: nothing.

--- /dev/null
+++ b/model/src/main/java/io/jacinthquay/model/CustomerId.java
@@ -0,0 +1,36 @@
+package io.jacinthquay.model;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/**
+ * Names a customer, the tenant that owns keys and is billed.
+ *
+ * <pre>{@code
+ * CustomerId id = new CustomerId("lakeshore");
+ * }</pre>
+ *
+ * @param value the text form, 1 to 128 characters out of letters, digits and {@code ._:/-}
+ */
+public record CustomerId(@JsonValue String value) implements Comparable<CustomerId> {
+
+  /**
+   * Checks the text form.
+   *
+   * @throws IllegalArgumentException if {@code value} is no valid name
+   */
+  @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
+  public CustomerId {
+    Names.check("customer", value);
+  }
+
+  @Override
+  public int compareTo(CustomerId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/model/src/main/java/io/jacinthquay/model/LeaseName.java
@@ -0,0 +1,36 @@
+package io.jacinthquay.model;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/**
+ * Names one lease, such as {@code capacity/casablanca-a}.
+ *
+ * <pre>{@code
+ * LeaseName id = new LeaseName("usage/0");
+ * }</pre>
+ *
+ * @param value the text form, 1 to 128 characters out of letters, digits and {@code ._:/-}
+ */
+public record LeaseName(@JsonValue String value) implements Comparable<LeaseName> {
+
+  /**
+   * Checks the text form.
+   *
+   * @throws IllegalArgumentException if {@code value} is no valid name
+   */
+  @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
+  public LeaseName {
+    Names.check("lease", value);
+  }
+
+  @Override
+  public int compareTo(LeaseName other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/model/src/main/java/io/jacinthquay/model/ResultCode.java
@@ -0,0 +1,377 @@
+package io.jacinthquay.model;
+
+import java.util.Arrays;
+import java.util.Optional;
+
+/**
+ * Every numbered result of the system.
+ *
+ * <p>The table in {@code docs/RESULT-CODES.md} lists the same codes; a test compares the two.
+ */
+public enum ResultCode {
+  /** The request is malformed. */
+  BAD_REQUEST(1000, 400, Outcome.NOT_RUN, "The request is malformed.", "Correct the request."),
+  /** The body is not the JSON that the route expects. */
+  MALFORMED_JSON(
+      1001,
+      400,
+      Outcome.NOT_RUN,
+      "The body is not the JSON that the route expects.",
+      "Correct the body."),
+  /** The request head exceeds the limit. */
+  HEAD_TOO_LARGE(
+      1002,
+      431,
+      Outcome.NOT_RUN,
+      "The request head exceeds the limit.",
+      "Send fewer or shorter headers."),
+  /** The request body exceeds the limit. */
+  BODY_TOO_LARGE(
+      1003, 413, Outcome.NOT_RUN, "The request body exceeds the limit.", "Send a smaller body."),
+  /** No such model is configured. */
+  MODEL_UNKNOWN(
+      1004, 404, Outcome.NOT_RUN, "No such model is configured.", "Ask /v1/models for the names."),
+  /** No route matches the path. */
+  ROUTE_UNKNOWN(1005, 404, Outcome.NOT_RUN, "No route matches the path.", "Correct the path."),
+  /** The route does not take this method. */
+  METHOD_NOT_ALLOWED(
+      1006,
+      405,
+      Outcome.NOT_RUN,
+      "The route does not take this method.",
+      "Use a method that the route takes."),
+  /** The request did not arrive in time. */
+  SENDER_TOO_SLOW(
+      1007, 408, Outcome.NOT_RUN, "The request did not arrive in time.", "Send the request again."),
+  /** The router holds as many connections as it may. */
+  TOO_MANY_CONNECTIONS(
+      1008,
+      503,
+      Outcome.NOT_RUN,
+      "The router holds as many connections as it may.",
+      "Retry after a pause."),
+  /** The customer may not use this class. */
+  CLASS_NOT_ALLOWED(
+      1009,
+      403,
+      Outcome.NOT_RUN,
+      "The customer may not use this class.",
+      "Use a class of the customer."),
+  /** The presented key occurs in what would be forwarded. */
+  KEY_IN_REQUEST(
+      1010,
+      400,
+      Outcome.NOT_RUN,
+      "The presented key occurs in what would be forwarded.",
+      "Remove the key from target, headers and body."),
+  /** The route needs a key and none was presented. */
+  KEY_MISSING(
+      1100,
+      401,
+      Outcome.NOT_RUN,
+      "The route needs a key and none was presented.",
+      "Present a key."),
+  /** No customer holds this key. */
+  KEY_UNKNOWN(1101, 401, Outcome.NOT_RUN, "No customer holds this key.", "Use a valid key."),
+  /** The key was withdrawn. */
+  KEY_WITHDRAWN(1102, 401, Outcome.NOT_RUN, "The key was withdrawn.", "Use a new key."),
+  /** The key was withdrawn while the answer was sent. */
+  KEY_WITHDRAWN_DURING_RUN(
+      1103,
+      401,
+      Outcome.RAN,
+      "The key was withdrawn while the answer was sent.",
+      "Use a new key; part of the answer was delivered."),
+  /** The router is cut off and its key table has expired. */
+  KEYS_NOT_CURRENT(
+      1104,
+      503,
+      Outcome.NOT_RUN,
+      "The router is cut off and its key table has expired.",
+      "Retry through another router."),
+  /** Capacity went to work of equal or higher tier. */
+  SHED_OVERLOAD(
+      1200,
+      429,
+      Outcome.NOT_RUN,
+      "Capacity went to work of equal or higher tier.",
+      "Retry after the time in Retry-After."),
+  /** The target of the class can no longer be met. */
+  DEADLINE_UNREACHABLE(
+      1201,
+      503,
+      Outcome.NOT_RUN,
+      "The target of the class can no longer be met.",
+      "Retry later or use a class with a longer target."),
+  /** The customer has as many requests as it may. */
+  CUSTOMER_LIMIT(
+      1202,
+      429,
+      Outcome.NOT_RUN,
+      "The customer has as many requests as it may.",
+      "Wait for earlier requests to end."),
+  /** The router holds as many waiting requests as it may. */
+  QUEUE_FULL(
+      1203,
+      503,
+      Outcome.NOT_RUN,
+      "The router holds as many waiting requests as it may.",
+      "Retry after a pause."),
+  /** No upstream of the pool can take work. */
+  NO_UPSTREAM(
+      1204, 503, Outcome.NOT_RUN, "No upstream of the pool can take work.", "Retry after a pause."),
+  /** Work of a higher tier took the capacity and the request cannot resume. */
+  PREEMPTED(
+      1205,
+      503,
+      Outcome.UNKNOWN,
+      "Work of a higher tier took the capacity and the request cannot resume.",
+      "Retry if the request is idempotent."),
+  /** The router is shutting down. */
+  SHUTTING_DOWN(
+      1206,
+      503,
+      Outcome.NOT_RUN,
+      "The router is shutting down.",
+      "Retry; the balancer picks another router."),
+  /** The upstream refused the request before running it. */
+  UPSTREAM_REFUSED(
+      1300,
+      503,
+      Outcome.NOT_RUN,
+      "The upstream refused the request before running it.",
+      "Retry after a pause."),
+  /** No connection to an upstream could be opened. */
+  UPSTREAM_UNREACHABLE(
+      1301,
+      502,
+      Outcome.NOT_RUN,
+      "No connection to an upstream could be opened.",
+      "Retry after a pause."),
+  /** The upstream ended before the whole answer came. */
+  UPSTREAM_BROKE(
+      1302,
+      502,
+      Outcome.UNKNOWN,
+      "The upstream ended before the whole answer came.",
+      "Retry only if the request is idempotent."),
+  /** The upstream did not answer in time. */
+  UPSTREAM_TIMEOUT(
+      1303,
+      504,
+      Outcome.UNKNOWN,
+      "The upstream did not answer in time.",
+      "Retry only if the request is idempotent."),
+  /** The answer belonged to another request and was dropped. */
+  ANSWER_MISMATCH(
+      1304,
+      502,
+      Outcome.UNKNOWN,
+      "The answer belonged to another request and was dropped.",
+      "Retry only if the request is idempotent."),
+  /** The stream ended before its last event. */
+  STREAM_TRUNCATED(
+      1305,
+      502,
+      Outcome.RAN,
+      "The stream ended before its last event.",
+      "Retry if the rest is needed; what came is part of the answer."),
+  /** The attempt failed and the retry budget is spent. */
+  RETRY_BUDGET_SPENT(
+      1306,
+      503,
+      Outcome.UNKNOWN,
+      "The attempt failed and the retry budget is spent.",
+      "Retry after a pause if the request is idempotent."),
+  /** No quorum could record the idempotency key. */
+  CLAIM_UNAVAILABLE(
+      1400,
+      503,
+      Outcome.NOT_RUN,
+      "No quorum could record the idempotency key.",
+      "Retry with the same idempotency key."),
+  /** The idempotency key was used with another body. */
+  CLAIM_BODY_DIFFERS(
+      1401,
+      422,
+      Outcome.NOT_RUN,
+      "The idempotency key was used with another body.",
+      "Use a new idempotency key."),
+  /** An earlier request with this idempotency key has no recorded result. */
+  CLAIM_OUTCOME_UNKNOWN(
+      1402,
+      409,
+      Outcome.UNKNOWN,
+      "An earlier request with this idempotency key has no recorded result.",
+      "Check the effect before using a new key."),
+  /** An earlier request with this idempotency key still runs. */
+  CLAIM_IN_PROGRESS(
+      1403,
+      409,
+      Outcome.UNKNOWN,
+      "An earlier request with this idempotency key still runs.",
+      "Retry later with the same idempotency key."),
+  /** The router failed in an unexpected way. */
+  INTERNAL(
+      1500,
+      500,
+      Outcome.UNKNOWN,
+      "The router failed in an unexpected way.",
+      "Report the request id to the operators."),
+  /** The router has no configuration yet. */
+  NOT_READY(
+      1501,
+      503,
+      Outcome.NOT_RUN,
+      "The router has no configuration yet.",
+      "Retry through another router."),
+  /** The configuration document has errors. */
+  CONFIG_INVALID(
+      2000,
+      400,
+      Outcome.NOT_RUN,
+      "The configuration document has errors.",
+      "Correct every error listed."),
+  /** The expected version is not the current one. */
+  CONFIG_VERSION_CONFLICT(
+      2001,
+      409,
+      Outcome.NOT_RUN,
+      "The expected version is not the current one.",
+      "Read the current version and apply again."),
+  /** The change id belongs to another change. */
+  CHANGE_ID_REUSED(
+      2002,
+      409,
+      Outcome.NOT_RUN,
+      "The change id belongs to another change.",
+      "Use a new change id."),
+  /** This keeper does not lead. */
+  NOT_LEADER(
+      2003,
+      421,
+      Outcome.NOT_RUN,
+      "This keeper does not lead.",
+      "Ask the keeper named in the detail."),
+  /** The keepers could not commit in time. */
+  NO_QUORUM(
+      2004,
+      503,
+      Outcome.UNKNOWN,
+      "The keepers could not commit in time.",
+      "Send the same change with the same id again."),
+  /** The credential does not allow this call. */
+  NOT_AUTHORISED(
+      2005,
+      403,
+      Outcome.NOT_RUN,
+      "The credential does not allow this call.",
+      "Use a credential of the right role."),
+  /** No such entity exists. */
+  ENTITY_UNKNOWN(2006, 404, Outcome.NOT_RUN, "No such entity exists.", "Check the name."),
+  /** Another process holds the lease. */
+  LEASE_HELD(
+      2007, 409, Outcome.NOT_RUN, "Another process holds the lease.", "Try again after it lapses."),
+  /** The lease is no longer held under this fencing number. */
+  LEASE_LOST(
+      2008,
+      409,
+      Outcome.NOT_RUN,
+      "The lease is no longer held under this fencing number.",
+      "Acquire the lease again."),
+  /** Another order is recorded under this id. */
+  ORDER_CONFLICT(
+      2009,
+      409,
+      Outcome.NOT_RUN,
+      "Another order is recorded under this id.",
+      "Resend the recorded order."),
+  /** The usage window is sealed. */
+  WINDOW_SEALED(
+      2010,
+      409,
+      Outcome.NOT_RUN,
+      "The usage window is sealed.",
+      "Count into the next open window."),
+  /** The changes asked for were compacted away. */
+  CURSOR_TOO_OLD(
+      2011,
+      410,
+      Outcome.NOT_RUN,
+      "The changes asked for were compacted away.",
+      "Fetch a snapshot."),
+  /** The key digest is already known. */
+  KEY_EXISTS(2012, 409, Outcome.NOT_RUN, "The key digest is already known.", "Issue another key."),
+  /** The settings of the program have errors. */
+  SETTINGS_INVALID(
+      2013,
+      400,
+      Outcome.NOT_RUN,
+      "The settings of the program have errors.",
+      "Correct every error listed."),
+  /** A checksum of stored data does not match. */
+  STORAGE_CORRUPT(
+      3000,
+      500,
+      Outcome.NOT_RUN,
+      "A checksum of stored data does not match.",
+      "Replace this keeper as docs/operations/keeper-storage.md tells."),
+  /** Writing or syncing a file failed. */
+  STORAGE_FAILED(
+      3001,
+      500,
+      Outcome.UNKNOWN,
+      "Writing or syncing a file failed.",
+      "Check the disk; the keeper has stepped down."),
+  /** Another process holds the data folder. */
+  STORAGE_LOCKED(
+      3002,
+      500,
+      Outcome.NOT_RUN,
+      "Another process holds the data folder.",
+      "Stop the other process.");
+
+  private final int number;
+  private final int httpStatus;
+  private final Outcome outcome;
+  private final String meaning;
+  private final String advice;
+
+  ResultCode(int number, int httpStatus, Outcome outcome, String meaning, String advice) {
+    this.number = number;
+    this.httpStatus = httpStatus;
+    this.outcome = outcome;
+    this.meaning = meaning;
+    this.advice = advice;
+  }
+
+  /** Returns the number, 1000 to 3999. */
+  public int number() {
+    return number;
+  }
+
+  /** Returns the HTTP status that goes with the code. */
+  public int httpStatus() {
+    return httpStatus;
+  }
+
+  /** Returns whether an upstream ran the request. */
+  public Outcome outcome() {
+    return outcome;
+  }
+
+  /** Returns one sentence on what happened. */
+  public String meaning() {
+    return meaning;
+  }
+
+  /** Returns one sentence on what a caller should do. */
+  public String advice() {
+    return advice;
+  }
+
+  /** Returns the code with a number, or nothing if there is none. */
+  public static Optional<ResultCode> of(int number) {
+    return Arrays.stream(values()).filter(code -> code.number == number).findFirst();
+  }
+}
--- /dev/null
+++ b/model/src/main/java/io/jacinthquay/model/policy/EntityKind.java
@@ -0,0 +1,54 @@
+package io.jacinthquay.model.policy;
+
+import java.util.Arrays;
+import java.util.Optional;
+
+/** The kinds of entity that make up the configuration. */
+public enum EntityKind {
+  /** A {@link DomainPolicy}. */
+  DOMAIN("domains", DomainPolicy.class),
+  /** A {@link ClassPolicy}. */
+  CLASS("classes", ClassPolicy.class),
+  /** A {@link PoolPolicy}. */
+  POOL("pools", PoolPolicy.class),
+  /** A {@link ModelPolicy}. */
+  MODEL("models", ModelPolicy.class),
+  /** A {@link CustomerPolicy}. */
+  CUSTOMER("customers", CustomerPolicy.class),
+  /** A {@link RoutePolicy}. */
+  ROUTE("routes", RoutePolicy.class),
+  /** A {@link KeyRecord}, named by the key's digest; not part of the policy document. */
+  KEY("keys", KeyRecord.class),
+  /** A {@link DomainState}, named by the failure domain; not part of the policy document. */
+  DOMAIN_STATE("domain_states", DomainState.class),
+  /** A {@link VmState}, named by the VM or upstream; not part of the policy document. */
+  VM_STATE("vm_states", VmState.class);
+
+  private final String section;
+  private final Class<?> type;
+
+  EntityKind(String section, Class<?> type) {
+    this.section = section;
+    this.type = type;
+  }
+
+  /** Returns the name of the document's section. */
+  public String section() {
+    return section;
+  }
+
+  /** Returns the record that holds one entity of this kind. */
+  public Class<?> type() {
+    return type;
+  }
+
+  /** Returns whether entities of this kind stand in the policy document. */
+  public boolean inDocument() {
+    return this != KEY && this != DOMAIN_STATE && this != VM_STATE;
+  }
+
+  /** Returns the kind with a section name, or nothing if there is none. */
+  public static Optional<EntityKind> ofSection(String section) {
+    return Arrays.stream(values()).filter(kind -> kind.section.equals(section)).findFirst();
+  }
+}
--- /dev/null
+++ b/model/src/main/java/io/jacinthquay/model/policy/PolicyDocument.java
@@ -0,0 +1,24 @@
+package io.jacinthquay.model.policy;
+
+import java.util.Map;
+import java.util.Objects;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+/**
+ * A checked policy document, as the JSON form of each of its entities.
+ *
+ * <p>Obtained from {@link PolicyParser}.
+ */
+public final class PolicyDocument {
+  private final SortedMap<EntityKey, String> entities;
+
+  PolicyDocument(Map<EntityKey, String> entities) {
+    this.entities = new TreeMap<>(Objects.requireNonNull(entities, "entities"));
+  }
+
+  /** Returns the canonical JSON of each entity, in the order of their keys. */
+  public SortedMap<EntityKey, String> entities() {
+    return new TreeMap<>(entities);
+  }
+}
--- /dev/null
+++ b/model/src/main/java/io/jacinthquay/model/policy/PolicyError.java
@@ -0,0 +1,28 @@
+package io.jacinthquay.model.policy;
+
+import java.util.Objects;
+
+/**
+ * One error of a policy document.
+ *
+ * @param line the line, counted from 1; 0 where none is known
+ * @param column the column, counted from 1; 0 where none is known
+ * @param path the place, such as {@code /classes/0/tier}
+ * @param message what is wrong
+ */
+public record PolicyError(int line, int column, String path, String message) {
+  /**
+   * Checks that the texts are present.
+   *
+   * @throws NullPointerException if a text is missing
+   */
+  public PolicyError {
+    Objects.requireNonNull(path, "path");
+    Objects.requireNonNull(message, "message");
+  }
+
+  @Override
+  public String toString() {
+    return "line " + line + ", column " + column + ", " + path + ": " + message;
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/io/jacinthquay/runtime/Program.java
@@ -0,0 +1,87 @@
+package io.jacinthquay.runtime;
+
+import io.jacinthquay.model.ResultCode;
+import io.jacinthquay.runtime.settings.Settings;
+import io.jacinthquay.runtime.settings.SettingsParser;
+import io.vavr.control.Either;
+import java.io.PrintStream;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.function.Function;
+
+/**
+ * Runs a long-lived program: reads its settings, starts its service and stops it on SIGTERM.
+ *
+ * <pre>{@code
+ * System.exit(Program.run(PARSER, args, RouterService::create).number());
+ * }</pre>
+ */
+public final class Program {
+  private final SettingsParser parser;
+  private final PrintStream out;
+  private final PrintStream err;
+
+  private Program(SettingsParser parser, PrintStream out, PrintStream err) {
+    this.parser = parser;
+    this.out = out;
+    this.err = err;
+  }
+
+  /**
+   * Runs the program until it is told to stop.
+   *
+   * @param parser the settings of the program
+   * @param args the command line
+   * @param factory makes the service out of the settings
+   */
+  public static ExitCode run(
+      SettingsParser parser, String[] args, Function<Settings, Service> factory) {
+    return new Program(parser, System.out, System.err).run(args, System.getenv(), factory);
+  }
+
+  private ExitCode run(
+      String[] args, Map<String, String> environment, Function<Settings, Service> factory) {
+    Either<List<String>, Settings> parsed = parser.parse(args, environment);
+    if (parsed.isLeft()) {
+      printErrors(parsed.getLeft());
+      return ExitCode.SETTINGS_INVALID;
+    }
+    Settings settings = parsed.get();
+    if (settings.answer().isPresent()) {
+      out.println(settings.answer().get());
+      return ExitCode.OK;
+    }
+    return serve(factory.apply(settings));
+  }
+
+  private void printErrors(List<String> errors) {
+    for (String error : errors) {
+      err.println(ResultCode.SETTINGS_INVALID.number() + " " + error);
+    }
+  }
+
+  private ExitCode serve(Service service) {
+    CountDownLatch stopped = new CountDownLatch(1);
+    Thread hook =
+        new Thread(
+            () -> {
+              service.stop();
+              stopped.countDown();
+            },
+            "shutdown");
+    try {
+      service.start();
+    } catch (IllegalStateException e) {
+      err.println(e.getMessage());
+      return ExitCode.FAILURE;
+    }
+    Runtime.getRuntime().addShutdownHook(hook);
+    try {
+      stopped.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    return ExitCode.OK;
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/io/jacinthquay/runtime/settings/SettingsParser.java
@@ -0,0 +1,143 @@
+package io.jacinthquay.runtime.settings;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.impl.Arguments;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+
+/**
+ * Reads settings from flags and environment variables and reports all errors at once.
+ *
+ * <p>A flag goes before its environment variable, which goes before the default. Every program also
+ * has {@code --help}, {@code --version} and {@code --check}.
+ *
+ * <pre>{@code
+ * SettingsParser parser =
+ *     SettingsParser.of("jq-router", "Serves callers.", List.of(PORT, DOMAIN));
+ * Either<List<String>, Settings> settings = parser.parse(args, System.getenv());
+ * }</pre>
+ */
+public final class SettingsParser {
+  private static final String VERSION = "0.1.0";
+
+  private final String program;
+  private final List<Setting<?>> settings;
+  private final ArgumentParser parser;
+
+  private SettingsParser(String program, String description, List<Setting<?>> settings) {
+    this.program = program;
+    this.settings = List.copyOf(settings);
+    this.parser =
+        ArgumentParsers.newFor(program)
+            .addHelp(false)
+            .terminalWidthDetection(false)
+            .build()
+            .description(description);
+    addArguments();
+  }
+
+  /**
+   * Returns a parser.
+   *
+   * @param program the name of the program
+   * @param description one sentence for the help
+   * @param settings the settings of the program
+   */
+  public static SettingsParser of(String program, String description, List<Setting<?>> settings) {
+    return new SettingsParser(program, description, settings);
+  }
+
+  private void addArguments() {
+    for (Setting<?> setting : settings) {
+      parser.addArgument("--" + setting.name()).help(setting.description().replace("%", "%%"));
+    }
+    addSwitch("help", "print this text and exit");
+    addSwitch("version", "print the version and exit");
+    addSwitch("check", "check the settings and exit");
+  }
+
+  private void addSwitch(String name, String help) {
+    parser.addArgument("--" + name).action(Arguments.storeTrue()).help(help);
+  }
+
+  /**
+   * Reads the settings.
+   *
+   * @param args the command line
+   * @param environment the environment variables
+   * @return the settings, or every error
+   */
+  public Either<List<String>, Settings> parse(String[] args, Map<String, String> environment) {
+    Map<String, Object> flags = new HashMap<>();
+    List<String> unknown = new ArrayList<>();
+    try {
+      parser.parseKnownArgs(args, unknown, flags);
+    } catch (ArgumentParserException e) {
+      return Either.left(List.of(e.getMessage()));
+    }
+    if (isSet(flags, "help")) {
+      return Either.right(answer(parser.formatHelp()));
+    }
+    if (isSet(flags, "version")) {
+      return Either.right(answer(program + " " + VERSION));
+    }
+    return read(flags, unknown, environment);
+  }
+
+  private Either<List<String>, Settings> read(
+      Map<String, Object> flags, List<String> unknown, Map<String, String> environment) {
+    List<String> errors = new ArrayList<>();
+    unknown.forEach(word -> errors.add("unknown argument: " + word));
+    Map<Setting<?>, Object> values = new HashMap<>();
+    for (Setting<?> setting : settings) {
+      readOne(setting, flags, environment, values, errors);
+    }
+    if (!errors.isEmpty()) {
+      return Either.left(errors);
+    }
+    Optional<String> answer =
+        isSet(flags, "check") ? Optional.of("the settings are valid") : Optional.empty();
+    return Either.right(new Settings(values, answer));
+  }
+
+  private static void readOne(
+      Setting<?> setting,
+      Map<String, Object> flags,
+      Map<String, String> environment,
+      Map<Setting<?>, Object> values,
+      List<String> errors) {
+    Optional<String> text = text(setting, flags, environment);
+    if (text.isEmpty()) {
+      errors.add("--" + setting.name() + " (" + setting.environmentName() + ") is missing");
+      return;
+    }
+    try {
+      values.put(setting, setting.read(text.get()));
+    } catch (IllegalArgumentException e) {
+      errors.add("--" + setting.name() + " (" + setting.environmentName() + "): " + e.getMessage());
+    }
+  }
+
+  private static Optional<String> text(
+      Setting<?> setting, Map<String, Object> flags, Map<String, String> environment) {
+    Object flag = flags.get(setting.name().replace('-', '_'));
+    if (flag != null) {
+      return Optional.of(flag.toString());
+    }
+    return Optional.ofNullable(environment.get(setting.environmentName())).or(setting::defaultText);
+  }
+
+  private static boolean isSet(Map<String, Object> flags, String name) {
+    return Boolean.TRUE.equals(flags.get(name));
+  }
+
+  private static Settings answer(String text) {
+    return new Settings(Map.of(), Optional.of(text));
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/io/jacinthquay/runtime/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Settings of the programs, from flags and environment variables. */
+package io.jacinthquay.runtime.settings;
--- /dev/null
+++ b/runtime/src/test/java/io/jacinthquay/runtime/settings/SettingsParserTest.java
@@ -0,0 +1,55 @@
+package io.jacinthquay.runtime.settings;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class SettingsParserTest {
+  private static final Setting<Integer> PORT =
+      Setting.integer("port", "TCP port", "port number", 0, 65535).orElse("8080");
+  private static final Setting<String> DOMAIN = Setting.text("domain", "failure domain");
+  private static final SettingsParser PARSER =
+      SettingsParser.of("jq-x", "Tests.", List.of(PORT, DOMAIN));
+
+  private static String[] words(String line) {
+    return line.isEmpty() ? new String[0] : line.split(" ");
+  }
+
+  @ParameterizedTest
+  @CsvSource({"--domain a,8080", "--domain a --port 9,9", "--domain a --port 0,0"})
+  void flagsGoBeforeDefaults(String line, int port) {
+    assertEquals(port, PARSER.parse(words(line), Map.of()).get().value(PORT));
+  }
+
+  @Test
+  void flagsGoBeforeEnvironment() {
+    Map<String, String> environment = Map.of("JQ_PORT", "1", "JQ_DOMAIN", "b");
+    assertEquals(1, PARSER.parse(words(""), environment).get().value(PORT));
+    assertEquals(2, PARSER.parse(words("--port 2"), environment).get().value(PORT));
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "'',1,JQ_DOMAIN",
+    "--port x,2,--port",
+    "--port 70000 --bad 1,4,unknown",
+    "--port,1,port"
+  })
+  void allErrorsAreReportedAtOnce(String line, int count, String word) {
+    List<String> errors = PARSER.parse(words(line), Map.of()).getLeft();
+    assertEquals(count, errors.size(), errors.toString());
+    assertTrue(errors.toString().contains(word), errors.toString());
+  }
+
+  @ParameterizedTest
+  @CsvSource({"--help,JQ_PORT", "--version,jq-x", "--domain a --check,valid"})
+  void answersComeInsteadOfARun(String line, String word) {
+    String answer = PARSER.parse(words(line), Map.of()).get().answer().orElseThrow();
+    assertTrue(answer.contains(word), answer);
+  }
+}
--- /dev/null
+++ b/runtime/src/test/java/io/jacinthquay/runtime/tls/TlsIdentityTest.java
@@ -0,0 +1,72 @@
+package io.jacinthquay.runtime.tls;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.nio.file.Path;
+import java.security.cert.X509Certificate;
+import java.util.concurrent.CompletableFuture;
+import javax.net.ssl.SSLServerSocket;
+import javax.net.ssl.SSLSocket;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class TlsIdentityTest {
+  private static final PeerName ROUTER = new PeerName("entry-1", PeerRole.ROUTER);
+  private static final PeerName KEEPER = new PeerName("keeper-1", PeerRole.KEEPER);
+
+  @TempDir Path folder;
+
+  @Test
+  void serverSeesNameAndRoleOfItsClient() throws Exception {
+    TlsAuthority authority = TlsAuthority.create();
+    assertEquals(ROUTER, nameSeenByServer(authority, authority));
+  }
+
+  @Test
+  void clientOfAnotherAuthorityIsRefused() {
+    TlsAuthority own = TlsAuthority.create();
+    TlsAuthority other = TlsAuthority.create();
+    assertThrows(IOException.class, () -> nameSeenByServer(own, other));
+  }
+
+  @Test
+  void missingFilesAreAnError() {
+    assertThrows(IOException.class, () -> TlsIdentity.load(folder.resolve("none")));
+  }
+
+  private PeerName nameSeenByServer(TlsAuthority forServer, TlsAuthority forClient)
+      throws Exception {
+    forServer.issue(KEEPER, folder.resolve("server"));
+    forClient.issue(ROUTER, folder.resolve("client"));
+    TlsIdentity server = TlsIdentity.load(folder.resolve("server"));
+    TlsIdentity client = TlsIdentity.load(folder.resolve("client"));
+    InetAddress loopback = InetAddress.getLoopbackAddress();
+    try (SSLServerSocket listener =
+        (SSLServerSocket)
+            server.context().getServerSocketFactory().createServerSocket(0, 1, loopback)) {
+      listener.setNeedClientAuth(true);
+      CompletableFuture<Void> connecting =
+          CompletableFuture.runAsync(() -> connect(client, loopback, listener.getLocalPort()));
+      try (SSLSocket accepted = (SSLSocket) listener.accept()) {
+        accepted.startHandshake();
+        X509Certificate seen = (X509Certificate) accepted.getSession().getPeerCertificates()[0];
+        return PeerName.of(seen).orElseThrow();
+      } finally {
+        connecting.handle((done, failed) -> done).join();
+      }
+    }
+  }
+
+  private static void connect(TlsIdentity client, InetAddress address, int port) {
+    try (SSLSocket socket =
+        (SSLSocket) client.context().getSocketFactory().createSocket(address, port)) {
+      socket.startHandshake();
+      socket.getInputStream().read();
+    } catch (IOException e) {
+      throw new java.io.UncheckedIOException(e);
+    }
+  }
+}
