--- /dev/null
+++ b/bench/src/main/java/io/jacinthquay/bench/BenchMain.java
@@ -0,0 +1,58 @@
+package io.jacinthquay.bench;
+
+import io.jacinthquay.runtime.ExitCode;
+import java.io.PrintStream;
+import java.util.List;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.helper.HelpScreenException;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import net.sourceforge.argparse4j.inf.Subparsers;
+
+/** The program {@code jq-bench}: experiments, the load tool and benchmarks. */
+public final class BenchMain {
+  private static final String COMMAND = "command";
+
+  private static final List<BenchCommand> COMMANDS = List.of();
+
+  private BenchMain() {}
+
+  /** Runs the command that the arguments name and exits with its code. */
+  public static void main(String[] args) {
+    System.exit(run(args, COMMANDS, System.out, System.err).number());
+  }
+
+  /**
+   * Runs one command.
+   *
+   * @param args the command line
+   * @param commands the commands to choose from
+   * @param out receives the results
+   * @param err receives errors in the arguments
+   */
+  static ExitCode run(
+      String[] args, List<BenchCommand> commands, PrintStream out, PrintStream err) {
+    ArgumentParser parser =
+        ArgumentParsers.newFor("jq-bench")
+            .build()
+            .description("Experiments, the load tool and benchmarks.");
+    Subparsers subparsers = parser.addSubparsers().metavar("command");
+    for (BenchCommand command : commands) {
+      Subparser subparser = subparsers.addParser(command.name()).help(command.summary());
+      subparser.setDefault(COMMAND, command);
+      command.declare(subparser);
+    }
+    try {
+      Namespace namespace = parser.parseArgs(args);
+      return namespace.<BenchCommand>get(COMMAND).run(namespace, out);
+    } catch (HelpScreenException e) {
+      return ExitCode.OK;
+    } catch (ArgumentParserException e) {
+      err.println(e.getMessage());
+      err.print(parser.formatUsage());
+      return ExitCode.SETTINGS_INVALID;
+    }
+  }
+}
--- /dev/null
+++ b/decision/src/main/java/io/jacinthquay/decision/placement/UpstreamTable.java
@@ -0,0 +1,322 @@
+package io.jacinthquay.decision.placement;
+
+import io.jacinthquay.model.DomainId;
+import io.jacinthquay.model.UpstreamId;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+
+/**
+ * What one router knows of the upstreams of one pool, updated by events.
+ *
+ * <pre>{@code
+ * UpstreamTable table = UpstreamTable.create(domain, "entry-3", PlacementSettings.defaults());
+ * table.add(new UpstreamInfo(id, domain), now);
+ * Placer placer = Placers.expectedWait(table);
+ * }</pre>
+ *
+ * <p>Every time is read from one monotonic clock, in nanoseconds. Not thread-safe: guard a table
+ * and its placers by one lock.
+ */
+public final class UpstreamTable {
+  private final DomainId local;
+  private final long routerHash;
+  private final Map<UpstreamId, UpstreamState> upstreams = new HashMap<>();
+  private final Set<DomainId> domainsOut = new HashSet<>();
+  private final Map<DomainId, Long> domainLatency = new HashMap<>();
+  private final PrefixIndex index = new PrefixIndex();
+  private final CandidateSubset subset;
+  private final PoolModel model;
+  private final OutlierDetector detector;
+  private final PlacementSettings settings;
+
+  private UpstreamTable(DomainId local, String router, PlacementSettings settings) {
+    this.local = Objects.requireNonNull(local, "local");
+    this.routerHash = Hashing.of(router);
+    this.settings = Objects.requireNonNull(settings, "settings");
+    this.subset = new CandidateSubset(local, settings, index);
+    this.model = new PoolModel(settings);
+    this.detector = new OutlierDetector(settings);
+  }
+
+  /**
+   * Returns an empty table.
+   *
+   * @param local the failure domain of the router
+   * @param router the name of the router's VM, from which its stable subset follows
+   * @param settings the constants of placement
+   */
+  public static UpstreamTable create(DomainId local, String router, PlacementSettings settings) {
+    return new UpstreamTable(local, router, settings);
+  }
+
+  /** Adds an upstream, whose share then grows slowly; does nothing if it is known. */
+  public void add(UpstreamInfo info, long nowNanos) {
+    if (upstreams.containsKey(info.id())) {
+      return;
+    }
+    long rank = Hashing.rank(routerHash, Hashing.of(info.id().value()));
+    UpstreamState upstream = new UpstreamState(info, rank, nowNanos);
+    upstream.out = domainsOut.contains(info.domain());
+    upstreams.put(info.id(), upstream);
+    place(upstream);
+  }
+
+  /** Removes an upstream; attempts that run on it may still end. */
+  public void remove(UpstreamId id) {
+    UpstreamState upstream = upstreams.remove(id);
+    if (upstream != null && upstream.takesNewWork()) {
+      displace(upstream);
+    }
+  }
+
+  /** Marks an upstream as leaving, so that it gets no new work, or takes the mark away. */
+  public void leaving(UpstreamId id, boolean leaving, long nowNanos) {
+    UpstreamState upstream = upstreams.get(id);
+    if (upstream != null) {
+      change(upstream, leaving, upstream.out, nowNanos);
+    }
+  }
+
+  /**
+   * Takes a failure domain out, so that it gets no new work, or back, with slowly growing share.
+   */
+  public void domainOut(DomainId domain, boolean out, long nowNanos) {
+    boolean changed = out ? domainsOut.add(domain) : domainsOut.remove(domain);
+    if (!changed) {
+      return;
+    }
+    for (UpstreamState upstream : upstreams.values()) {
+      if (upstream.domain().equals(domain)) {
+        change(upstream, upstream.leaving, out, nowNanos);
+      }
+    }
+  }
+
+  private void change(UpstreamState upstream, boolean leaving, boolean out, long now) {
+    boolean before = upstream.takesNewWork();
+    upstream.leaving = leaving;
+    upstream.out = out;
+    if (before && !upstream.takesNewWork()) {
+      displace(upstream);
+    }
+    if (!before && upstream.takesNewWork()) {
+      upstream.enteredAt = now;
+      place(upstream);
+    }
+  }
+
+  private void place(UpstreamState upstream) {
+    if (upstream.takesNewWork()) {
+      subset.add(upstream);
+      model.invalidate();
+    }
+  }
+
+  private void displace(UpstreamState upstream) {
+    subset.remove(upstream);
+    model.invalidate();
+  }
+
+  /**
+   * Sets the usual round-trip time to a failure domain.
+   *
+   * @param nanos in nanoseconds, 0 or more
+   */
+  public void domainLatency(DomainId domain, long nanos) {
+    domainLatency.put(domain, nanos);
+  }
+
+  /** Takes a load report in; ignores one older than the last, and one of an unknown upstream. */
+  public void report(LoadReport report, long nowNanos) {
+    UpstreamState upstream = upstreams.get(report.upstream());
+    if (upstream == null) {
+      return;
+    }
+    LoadReport last = upstream.report;
+    if (last != null && report.takenAtNanos() - last.takenAtNanos() < 0) {
+      return;
+    }
+    upstream.report = report;
+    upstream.ownInFlightAtReport = upstream.inFlight;
+    upstream.others = upstream.others(nowNanos, model.meanOthers(), settings.reportHalfLifeNanos());
+  }
+
+  /** Takes a cache event in as a hint; ignores one that repeats, and one of an unknown upstream. */
+  public void cacheEvent(CacheEvent event) {
+    UpstreamState upstream = upstreams.get(event.upstream());
+    if (upstream == null || event.sequence() <= upstream.cacheSequence) {
+      return;
+    }
+    boolean gap = event.sequence() > upstream.cacheSequence + 1;
+    upstream.cacheSequence = event.sequence();
+    if (event.cleared()) {
+      upstream.hintTrust = 1;
+    } else if (gap) {
+      upstream.hintTrust = Math.min(upstream.hintTrust, UpstreamState.TRUST_AFTER_GAP);
+    }
+    if (upstream.slot >= 0) {
+      applyHints(event, upstream.slot);
+    }
+  }
+
+  private void applyHints(CacheEvent event, int slot) {
+    if (event.cleared()) {
+      index.clear(slot);
+    }
+    for (long hash : event.stored()) {
+      index.add(hash, slot);
+    }
+    for (long hash : event.removed()) {
+      index.remove(hash, slot);
+    }
+  }
+
+  /**
+   * Records that an attempt is sent.
+   *
+   * @return the handle for the later events of the attempt
+   * @throws IllegalArgumentException if the upstream is unknown
+   */
+  public Dispatch dispatched(UpstreamId id, PlacementRequest request, long nowNanos) {
+    UpstreamState upstream = upstreams.get(id);
+    if (upstream == null) {
+      throw new IllegalArgumentException("unknown upstream: " + id);
+    }
+    int cached = expectedCachedTokens(upstream, request.prefix());
+    int miss = Math.max(0, request.promptTokens() - cached);
+    Dispatch dispatch = new Dispatch(upstream, nowNanos, cached, model.firstToken(upstream, miss));
+    upstream.inFlight++;
+    upstream.pendingPromptTokens += miss;
+    rememberPrefix(upstream, request.prefix());
+    return dispatch;
+  }
+
+  private int expectedCachedTokens(UpstreamState upstream, PromptPrefix prefix) {
+    if (upstream.slot < 0) {
+      return 0;
+    }
+    long bit = 1L << upstream.slot;
+    int depth = 0;
+    while (depth < prefix.blocks() && (index.holders(prefix.hash(depth)) & bit) != 0) {
+      depth++;
+    }
+    return (int) (depth * prefix.blockTokens() * upstream.hintTrust);
+  }
+
+  private void rememberPrefix(UpstreamState upstream, PromptPrefix prefix) {
+    if (upstream.slot < 0) {
+      return;
+    }
+    for (int block = 0; block < prefix.blocks(); block++) {
+      index.add(prefix.hash(block), upstream.slot);
+    }
+  }
+
+  /** Records the first token, or the first byte of a plain answer. */
+  public void firstToken(Dispatch dispatch, long nowNanos) {
+    if (dispatch.ended || dispatch.hasFirstToken()) {
+      return;
+    }
+    dispatch.firstTokenAt = nowNanos;
+    dispatch.lastTokenAt = nowNanos;
+    dispatch.upstream.pendingPromptTokens -= dispatch.missTokens;
+    model.observeFirstToken(dispatch, nowNanos);
+  }
+
+  /**
+   * Records further tokens.
+   *
+   * @param count tokens since the last event of the attempt, at least 1
+   */
+  public void tokens(Dispatch dispatch, int count, long nowNanos) {
+    if (dispatch.ended || !dispatch.hasFirstToken()) {
+      return;
+    }
+    double each = (double) (nowNanos - dispatch.lastTokenAt) / count;
+    dispatch.upstream.observeInterToken(each, nowNanos);
+    dispatch.lastTokenAt = nowNanos;
+  }
+
+  /**
+   * Records how many prompt tokens the upstream says it had cached, by which hints are weighed.
+   *
+   * @param tokens 0 or more
+   */
+  public void cachedTokens(Dispatch dispatch, int tokens) {
+    if (dispatch.expectedCachedTokens > 0) {
+      double share = Math.min(1, (double) tokens / dispatch.expectedCachedTokens);
+      dispatch.upstream.observeHint(share);
+    }
+  }
+
+  /** Records the end of an attempt; a second end of the same attempt does nothing. */
+  public void ended(Dispatch dispatch, AttemptEnd end, long nowNanos) {
+    if (dispatch.ended) {
+      return;
+    }
+    dispatch.ended = true;
+    UpstreamState upstream = dispatch.upstream;
+    upstream.inFlight--;
+    if (!dispatch.hasFirstToken()) {
+      upstream.pendingPromptTokens -= dispatch.missTokens;
+    }
+    if (end == AttemptEnd.COMPLETED) {
+      upstream.failuresInRow = 0;
+      model.observeCompletion(dispatch, nowNanos);
+    }
+    if (end == AttemptEnd.FAILED) {
+      detector.failed(upstream, nowNanos);
+    }
+  }
+
+  /** Returns a view of every upstream, in the order of their names. */
+  public List<UpstreamView> views(long nowNanos) {
+    List<UpstreamView> views = new ArrayList<>(upstreams.size());
+    for (UpstreamState u : upstreams.values()) {
+      views.add(u.view(nowNanos));
+    }
+    views.sort((a, b) -> a.id().compareTo(b.id()));
+    return views;
+  }
+
+  /** Returns the failure domain of the router. */
+  public DomainId localDomain() {
+    return local;
+  }
+
+  /** Brings means and ejections up to date. */
+  void refresh(long now) {
+    if (model.refresh(subset.slots(), now)) {
+      detector.judge(subset.slots(), now);
+    }
+  }
+
+  UpstreamState[] candidates() {
+    return subset.slots();
+  }
+
+  boolean isLocal(UpstreamState upstream) {
+    return subset.isLocal(upstream);
+  }
+
+  double latencyNanos(UpstreamState upstream) {
+    return domainLatency.getOrDefault(upstream.domain(), 0L);
+  }
+
+  PoolModel model() {
+    return model;
+  }
+
+  PrefixIndex index() {
+    return index;
+  }
+
+  PlacementSettings settings() {
+    return settings;
+  }
+}
