--- /dev/null
+++ b/decision/src/main/java/io/jacinthquay/decision/admission/AdmissionBuilder.java
@@ -0,0 +1,47 @@
+package io.jacinthquay.decision.admission;
+
+import io.jacinthquay.decision.bearing.BearingOptions;
+import io.jacinthquay.decision.slots.ClassPolicies;
+import io.jacinthquay.decision.slots.DecisionListener;
+import io.jacinthquay.decision.slots.SlotOptions;
+import io.jacinthquay.model.VmId;
+import java.util.Objects;
+
+/** Builds an {@link Admission}. */
+public final class AdmissionBuilder {
+  private final VmId self;
+  private final long incarnation;
+  private final ClassPolicies classes;
+  private SlotOptions slots = SlotOptions.defaults();
+  private BearingOptions bearing = BearingOptions.defaults();
+  private DecisionListener listener = DecisionListener.NONE;
+
+  AdmissionBuilder(VmId self, long incarnation, ClassPolicies classes) {
+    this.self = Objects.requireNonNull(self, "self");
+    this.incarnation = incarnation;
+    this.classes = Objects.requireNonNull(classes, "classes");
+  }
+
+  /** Sets the time limits and sizes of the slot protocol. */
+  public AdmissionBuilder slots(SlotOptions options) {
+    this.slots = Objects.requireNonNull(options, "options");
+    return this;
+  }
+
+  /** Sets how limits of upstreams grow and shrink. */
+  public AdmissionBuilder bearing(BearingOptions options) {
+    this.bearing = Objects.requireNonNull(options, "options");
+    return this;
+  }
+
+  /** Sets who hears the decisions of owned scopes. */
+  public AdmissionBuilder listener(DecisionListener value) {
+    this.listener = Objects.requireNonNull(value, "value");
+    return this;
+  }
+
+  /** Returns the state machine. */
+  public Admission build() {
+    throw new UnsupportedOperationException("not built yet");
+  }
+}
--- /dev/null
+++ b/decision/src/main/java/io/jacinthquay/decision/bearing/UpstreamSpec.java
@@ -0,0 +1,34 @@
+package io.jacinthquay.decision.bearing;
+
+import io.jacinthquay.model.UpstreamId;
+import java.util.Objects;
+
+/**
+ * What is stated of an upstream before any work ran on it.
+ *
+ * @param upstream the upstream
+ * @param floor requests at a time that it can serve when fresh, 1 or more
+ * @param ceiling most requests at a time that may ever be tried, {@code floor} or more
+ */
+public record UpstreamSpec(UpstreamId upstream, int floor, int ceiling) {
+  /** Ceiling where neither the upstream nor its operators state one. */
+  public static final int DEFAULT_CEILING = 256;
+
+  /**
+   * Checks the ranges.
+   *
+   * @throws IllegalArgumentException if a number is out of range
+   * @throws NullPointerException if {@code upstream} is missing
+   */
+  public UpstreamSpec {
+    Objects.requireNonNull(upstream, "upstream");
+    if (floor < 1 || ceiling < floor) {
+      throw new IllegalArgumentException("floor is " + floor + " and ceiling is " + ceiling);
+    }
+  }
+
+  /** Returns the values for an upstream that states nothing. */
+  public static UpstreamSpec unstated(UpstreamId upstream) {
+    return new UpstreamSpec(upstream, 1, DEFAULT_CEILING);
+  }
+}
--- /dev/null
+++ b/decision/src/main/java/io/jacinthquay/decision/slots/ClassPolicies.java
@@ -0,0 +1,18 @@
+package io.jacinthquay.decision.slots;
+
+import io.jacinthquay.model.ClassName;
+import io.jacinthquay.model.policy.ClassPolicy;
+import java.util.Optional;
+
+/**
+ * Looks up the classes of the configuration in force.
+ *
+ * <pre>{@code
+ * ClassPolicies classes = name -> currentPolicy().classPolicy(name);
+ * }</pre>
+ */
+@FunctionalInterface
+public interface ClassPolicies {
+  /** Returns the class, or nothing if it is not configured. */
+  Optional<ClassPolicy> find(ClassName name);
+}
--- /dev/null
+++ b/decision/src/main/java/io/jacinthquay/decision/slots/Rendezvous.java
@@ -0,0 +1,51 @@
+package io.jacinthquay.decision.slots;
+
+import java.util.Collection;
+import java.util.Optional;
+
+/**
+ * Chooses one of several candidates for a key so that all who know the same candidates agree, and a
+ * lost candidate moves only its own keys.
+ */
+public final class Rendezvous {
+  private static final long MIX_1 = 0xbf58476d1ce4e5b9L;
+  private static final long MIX_2 = 0x94d049bb133111ebL;
+  private static final long GOLDEN = 0x9e3779b97f4a7c15L;
+  private static final long FNV_OFFSET = 0xcbf29ce484222325L;
+  private static final long FNV_PRIME = 0x100000001b3L;
+
+  private Rendezvous() {}
+
+  /** Returns the candidate with the highest weight, or nothing if there is none. */
+  public static <T extends Comparable<T>> Optional<T> choose(long key, Collection<T> candidates) {
+    T best = null;
+    long bestWeight = 0;
+    for (T candidate : candidates) {
+      long weight = mix(key ^ hash(candidate.toString()));
+      boolean heavier = best == null || Long.compareUnsigned(weight, bestWeight) > 0;
+      boolean tie = best != null && weight == bestWeight && candidate.compareTo(best) < 0;
+      if (heavier || tie) {
+        best = candidate;
+        bestWeight = weight;
+      }
+    }
+    return Optional.ofNullable(best);
+  }
+
+  /** Returns a hash of a text that is the same in every process. */
+  public static long hash(String text) {
+    long hash = FNV_OFFSET;
+    for (int i = 0; i < text.length(); i++) {
+      hash = (hash ^ text.charAt(i)) * FNV_PRIME;
+    }
+    return mix(hash);
+  }
+
+  /** Returns a value whose bits all depend on all bits of the argument. */
+  public static long mix(long value) {
+    long mixed = value + GOLDEN;
+    mixed = (mixed ^ (mixed >>> 30)) * MIX_1;
+    mixed = (mixed ^ (mixed >>> 27)) * MIX_2;
+    return mixed ^ (mixed >>> 31);
+  }
+}
