--- /dev/null
+++ b/wire/src/main/java/io/jacinthquay/wire/convert/package-info.java
@@ -0,0 +1,2 @@
+/** Converters between Thrift messages and the values of the model. */
+package io.jacinthquay.wire.convert;
--- /dev/null
+++ b/wire/src/main/java/io/jacinthquay/wire/transport/SecureChannel.java
@@ -0,0 +1,82 @@
+package io.jacinthquay.wire.transport;
+
+import io.jacinthquay.runtime.tls.TlsIdentity;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import javax.net.ssl.SSLSocket;
+import org.apache.thrift.protocol.TCompactProtocol;
+import org.apache.thrift.protocol.TProtocol;
+import org.apache.thrift.transport.TSocket;
+import org.apache.thrift.transport.TTransportException;
+import org.apache.thrift.transport.layered.TFramedTransport;
+
+/**
+ * One connection to a {@link SecureServer}; used by one thread at a time.
+ *
+ * <pre>{@code
+ * try (SecureChannel channel = SecureChannel.open(address, identity, 1_000)) {
+ *   new Keeper.Client(channel.protocol()).status();
+ * }
+ * }</pre>
+ */
+public final class SecureChannel implements AutoCloseable {
+  private final TSocket socket;
+  private final TProtocol protocol;
+
+  private SecureChannel(TSocket socket, TProtocol protocol) {
+    this.socket = socket;
+    this.protocol = protocol;
+  }
+
+  /**
+   * Opens a connection and completes the handshake.
+   *
+   * @param address the server
+   * @param identity the client's certificate and trusted authority
+   * @param timeoutMillis limit for connecting and for each read, in milliseconds
+   * @throws IOException if the server cannot be reached or refuses
+   */
+  public static SecureChannel open(
+      InetSocketAddress address, TlsIdentity identity, int timeoutMillis) throws IOException {
+    Socket plain = new Socket();
+    try {
+      plain.setTcpNoDelay(true);
+      plain.connect(address, timeoutMillis);
+      plain.setSoTimeout(timeoutMillis);
+      SSLSocket secure =
+          (SSLSocket)
+              identity
+                  .context()
+                  .getSocketFactory()
+                  .createSocket(plain, address.getHostString(), address.getPort(), true);
+      secure.startHandshake();
+      TSocket socket = new TSocket(secure);
+      socket.setTimeout(timeoutMillis);
+      TFramedTransport framed = new TFramedTransport(socket, SecureServer.MAX_MESSAGE_BYTES);
+      return new SecureChannel(socket, new TCompactProtocol(framed));
+    } catch (IOException | TTransportException e) {
+      plain.close();
+      throw e instanceof IOException io ? io : new IOException(e);
+    }
+  }
+
+  /**
+   * Sets the limit for each read.
+   *
+   * @param timeoutMillis the limit in milliseconds
+   */
+  public void readTimeout(int timeoutMillis) {
+    socket.setSocketTimeout(timeoutMillis);
+  }
+
+  /** Returns the protocol for a generated client. */
+  public TProtocol protocol() {
+    return protocol;
+  }
+
+  @Override
+  public void close() {
+    socket.close();
+  }
+}
--- /dev/null
+++ b/wire/src/main/java/io/jacinthquay/wire/transport/SecureServer.java
@@ -0,0 +1,175 @@
+package io.jacinthquay.wire.transport;
+
+import io.jacinthquay.runtime.Service;
+import io.jacinthquay.runtime.tls.PeerName;
+import io.jacinthquay.runtime.tls.TlsIdentity;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.security.cert.Certificate;
+import java.security.cert.X509Certificate;
+import java.util.Optional;
+import java.util.concurrent.SynchronousQueue;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import javax.net.ssl.SSLPeerUnverifiedException;
+import javax.net.ssl.SSLServerSocket;
+import javax.net.ssl.SSLSocket;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.apache.thrift.TProcessor;
+import org.apache.thrift.protocol.TCompactProtocol;
+import org.apache.thrift.server.TThreadPoolServer;
+import org.apache.thrift.transport.TServerSocket;
+import org.apache.thrift.transport.TSocket;
+import org.apache.thrift.transport.TTransport;
+import org.apache.thrift.transport.TTransportException;
+import org.apache.thrift.transport.layered.TFramedTransport;
+
+/**
+ * A Thrift server that admits only peers with a certificate of the same authority.
+ *
+ * <pre>{@code
+ * SecureServer server =
+ *     new SecureServer(address, identity, 64, peer -> new Keeper.Processor<>(handlerFor(peer)));
+ * server.start();
+ * }</pre>
+ *
+ * <p>One worker thread serves one connection.
+ */
+public final class SecureServer implements Service {
+  private static final Logger log = LogManager.getLogger();
+
+  /** Largest message in bytes. */
+  public static final int MAX_MESSAGE_BYTES = 16 * 1024 * 1024;
+
+  private static final int BACKLOG = 256;
+  private static final int STOP_TIMEOUT_SECONDS = 2;
+  private static final int CLIENT_TIMEOUT_MILLIS = 120_000;
+
+  private final InetSocketAddress address;
+  private final TlsIdentity identity;
+  private final int maxConnections;
+  private final Function<PeerName, TProcessor> processors;
+  private SSLServerSocket listener;
+  private TThreadPoolServer server;
+  private Thread acceptor;
+
+  /**
+   * Returns a server.
+   *
+   * @param address where to listen; port 0 takes a free one
+   * @param identity the server's certificate and trusted authority
+   * @param maxConnections most connections at one time; further ones are closed
+   * @param processors makes the processor for an authenticated peer
+   */
+  public SecureServer(
+      InetSocketAddress address,
+      TlsIdentity identity,
+      int maxConnections,
+      Function<PeerName, TProcessor> processors) {
+    this.address = address;
+    this.identity = identity;
+    this.maxConnections = maxConnections;
+    this.processors = processors;
+  }
+
+  @Override
+  public void start() {
+    try {
+      InetAddress host = address.getAddress();
+      listener =
+          (SSLServerSocket)
+              identity
+                  .context()
+                  .getServerSocketFactory()
+                  .createServerSocket(address.getPort(), BACKLOG, host);
+      listener.setNeedClientAuth(true);
+      server = newServer(listener);
+    } catch (IOException | TTransportException e) {
+      throw new IllegalStateException("cannot listen on " + address + ": " + e.getMessage(), e);
+    }
+    acceptor = new Thread(server::serve, "accept-" + port());
+    acceptor.setDaemon(true);
+    acceptor.start();
+  }
+
+  private TThreadPoolServer newServer(ServerSocket socket) throws TTransportException {
+    ThreadPoolExecutor workers =
+        new ThreadPoolExecutor(
+            1,
+            maxConnections,
+            60,
+            TimeUnit.SECONDS,
+            new SynchronousQueue<>(),
+            SecureServer::newWorker);
+    TThreadPoolServer.Args args =
+        new TThreadPoolServer.Args(new TServerSocket(socket, CLIENT_TIMEOUT_MILLIS))
+            .executorService(workers)
+            .stopTimeoutVal(STOP_TIMEOUT_SECONDS)
+            .transportFactory(new TFramedTransport.Factory(MAX_MESSAGE_BYTES))
+            .protocolFactory(new TCompactProtocol.Factory())
+            .processorFactory(new PeerProcessors());
+    return new TThreadPoolServer(args);
+  }
+
+  private static Thread newWorker(Runnable task) {
+    Thread thread = new Thread(task, "rpc-worker");
+    thread.setDaemon(true);
+    return thread;
+  }
+
+  /** Returns the port that the server listens on. */
+  public int port() {
+    return listener.getLocalPort();
+  }
+
+  @Override
+  public void stop() {
+    if (server == null) {
+      return;
+    }
+    server.stop();
+    try {
+      acceptor.join(TimeUnit.SECONDS.toMillis(STOP_TIMEOUT_SECONDS));
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** Makes one processor per connection, out of the peer's certificate. */
+  private final class PeerProcessors extends org.apache.thrift.TProcessorFactory {
+    PeerProcessors() {
+      super(null);
+    }
+
+    @Override
+    public TProcessor getProcessor(TTransport transport) {
+      Optional<PeerName> peer = peerOf(transport);
+      if (peer.isEmpty()) {
+        transport.close();
+        return (in, out) -> {
+          throw new TTransportException(
+              TTransportException.NOT_OPEN, "the peer's certificate names no role");
+        };
+      }
+      return processors.apply(peer.get());
+    }
+
+    private Optional<PeerName> peerOf(TTransport transport) {
+      SSLSocket socket = (SSLSocket) ((TSocket) transport).getSocket();
+      try {
+        socket.startHandshake();
+        Certificate[] chain = socket.getSession().getPeerCertificates();
+        return PeerName.of((X509Certificate) chain[0]);
+      } catch (SSLPeerUnverifiedException e) {
+        return Optional.empty();
+      } catch (IOException e) {
+        log.debug("handshake failed: {}", e.getMessage());
+        return Optional.empty();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/wire/src/main/java/io/jacinthquay/wire/transport/package-info.java
@@ -0,0 +1,2 @@
+/** Thrift servers and clients over mutual TLS. */
+package io.jacinthquay.wire.transport;
