--- /dev/null
+++ b/wire/src/test/java/io/jacinthquay/wire/client/KeeperClientTest.java
@@ -0,0 +1,99 @@
+package io.jacinthquay.wire.client;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.jacinthquay.model.Failure;
+import io.jacinthquay.model.ResultCode;
+import io.jacinthquay.runtime.tls.PeerName;
+import io.jacinthquay.runtime.tls.PeerRole;
+import io.jacinthquay.runtime.tls.TlsAuthority;
+import io.jacinthquay.runtime.tls.TlsIdentity;
+import io.jacinthquay.wire.gen.CallFailed;
+import io.jacinthquay.wire.gen.Keeper;
+import io.jacinthquay.wire.gen.KeeperStatus;
+import io.jacinthquay.wire.transport.SecureServer;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.lang.reflect.Proxy;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.apache.thrift.TException;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class KeeperClientTest {
+  private static final Duration TIMEOUT = Duration.ofSeconds(10);
+
+  @TempDir Path folder;
+  private TlsIdentity identity;
+  private final List<SecureServer> servers = new ArrayList<>();
+
+  @BeforeEach
+  void issueIdentity() throws IOException {
+    TlsAuthority.create().issue(new PeerName("all", PeerRole.OPERATOR), folder);
+    identity = TlsIdentity.load(folder);
+  }
+
+  @AfterEach
+  void stopServers() {
+    servers.forEach(SecureServer::stop);
+  }
+
+  private InetSocketAddress serve(KeeperCall<KeeperStatus> status) {
+    Keeper.Iface handler =
+        (Keeper.Iface)
+            Proxy.newProxyInstance(
+                getClass().getClassLoader(),
+                new Class<?>[] {Keeper.Iface.class},
+                (proxy, method, args) -> status.on(null));
+    InetAddress host = InetAddress.getLoopbackAddress();
+    SecureServer server =
+        new SecureServer(
+            new InetSocketAddress(host, 0), identity, 8, peer -> new Keeper.Processor<>(handler));
+    server.start();
+    servers.add(server);
+    return new InetSocketAddress(host, server.port());
+  }
+
+  private Either<Failure, KeeperStatus> status(InetSocketAddress... keepers) {
+    try (KeeperClient client = new KeeperClient(List.of(keepers), identity, TIMEOUT)) {
+      return client.call(Keeper.Iface::status);
+    }
+  }
+
+  private static KeeperStatus named(String name) {
+    return new KeeperStatus().setName(name);
+  }
+
+  private static KeeperStatus refuse(ResultCode code) throws TException {
+    throw new CallFailed(code.number(), "refused");
+  }
+
+  @Test
+  void goesOnToTheKeeperThatLeads() {
+    InetSocketAddress follower = serve(k -> refuse(ResultCode.NOT_LEADER));
+    InetSocketAddress leader = serve(k -> named("leader"));
+    assertEquals("leader", status(follower, leader).get().getName());
+  }
+
+  @Test
+  void passesOverKeepersThatAreDown() {
+    InetSocketAddress leader = serve(k -> named("leader"));
+    SecureServer gone = servers.get(0);
+    InetSocketAddress other = serve(k -> named("other"));
+    gone.stop();
+    assertEquals("other", status(leader, other).get().getName());
+  }
+
+  @Test
+  void otherFailuresAreFinal() {
+    InetSocketAddress keeper = serve(k -> refuse(ResultCode.NOT_AUTHORISED));
+    assertEquals(ResultCode.NOT_AUTHORISED, status(keeper).getLeft().code());
+  }
+}
