--- /dev/null
+++ b/runtime/src/test/java/io/jacinthquay/runtime/http/JsonHttpClientTest.java
@@ -0,0 +1,97 @@
+package io.jacinthquay.runtime.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.jacinthquay.model.ResultCode;
+import io.undertow.Undertow;
+import io.undertow.util.Headers;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class JsonHttpClientTest {
+  private static final Duration LONG = Duration.ofSeconds(20);
+
+  private final AtomicInteger calls = new AtomicInteger();
+  private final JsonHttpClient http = new JsonHttpClient("test");
+  private Undertow server;
+
+  @BeforeEach
+  void start() {
+    server =
+        Undertow.builder()
+            .addHttpListener(0, "127.0.0.1")
+            .setIoThreads(1)
+            .setWorkerThreads(1)
+            .setHandler(
+                exchange -> {
+                  calls.incrementAndGet();
+                  if (exchange.getRequestPath().equals("/silent")) {
+                    exchange.dispatch(() -> {});
+                    return;
+                  }
+                  exchange.setStatusCode(exchange.getRequestPath().equals("/bad") ? 409 : 200);
+                  exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+                  exchange
+                      .getRequestReceiver()
+                      .receiveFullString(
+                          (e, body) -> e.getResponseSender().send("<" + body + ">"),
+                          StandardCharsets.UTF_8);
+                })
+            .build();
+    server.start();
+    http.start();
+  }
+
+  @AfterEach
+  void stop() {
+    http.stop();
+    server.stop();
+  }
+
+  private InetSocketAddress address() {
+    InetSocketAddress bound = (InetSocketAddress) server.getListenerInfo().get(0).getAddress();
+    return new InetSocketAddress(InetAddress.getLoopbackAddress(), bound.getPort());
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"{}", "{\"a\":\"\u00e9\"}"})
+  void bodyGoesThereAndBack(String body) {
+    HttpAnswer answer = http.call(HttpCall.post(address(), "/x", body, LONG)).get();
+    assertEquals(new HttpAnswer(200, "<" + body + ">"), answer);
+  }
+
+  @Test
+  void anyStatusIsAnAnswer() {
+    assertEquals(409, http.call(HttpCall.read(address(), "/bad", LONG)).get().status());
+  }
+
+  @Test
+  void nothingIsSentWhereTheConditionFails() {
+    HttpCall call = HttpCall.post(address(), "/x", "{}", LONG).onlyWhile(() -> false);
+    assertEquals(ResultCode.UPSTREAM_UNREACHABLE, http.call(call).getLeft().code());
+    assertEquals(0, calls.get());
+  }
+
+  @Test
+  void silenceAfterTheRequestLeavesTheOutcomeUnknown() {
+    HttpCall call = HttpCall.read(address(), "/silent", Duration.ofMillis(300));
+    assertTrue(http.call(call).isLeft());
+  }
+
+  @Test
+  void closedPortIsUnreachable() {
+    InetSocketAddress closed = address();
+    server.stop();
+    HttpCall call = HttpCall.read(closed, "/x", LONG);
+    assertEquals(ResultCode.UPSTREAM_UNREACHABLE, http.call(call).getLeft().code());
+  }
+}
