--- a/decision/src/main/java/io/jacinthquay/decision/admission/AdmissionBuilder.java
+++ b/decision/src/main/java/io/jacinthquay/decision/admission/AdmissionBuilder.java
@@ -5,6 +5,7 @@
 import io.jacinthquay.decision.slots.DecisionListener;
 import io.jacinthquay.decision.slots.SlotOptions;
 import io.jacinthquay.model.VmId;
+import java.util.List;
 import java.util.Objects;
 
 /** Builds an {@link Admission}. */
@@ -42,6 +43,7 @@
 
   /** Returns the state machine. */
   public Admission build() {
-    throw new UnsupportedOperationException("not built yet");
+    throw new UnsupportedOperationException(
+        "not built yet: " + List.of(self, incarnation, classes, slots, bearing, listener));
   }
 }
