--- a/model/src/main/java/io/jacinthquay/model/policy/Policy.java
+++ b/model/src/main/java/io/jacinthquay/model/policy/Policy.java
@@ -95,6 +95,11 @@
     return json.get(key).toJavaOptional();
   }
 
+  /** Returns the record of one entity. */
+  Optional<Object> typed(EntityKey key) {
+    return typed.get(key).toJavaOptional();
+  }
+
   /** Returns a customer. */
   public Optional<CustomerPolicy> customer(CustomerId id) {
     return find(EntityKind.CUSTOMER, id.value(), CustomerPolicy.class);
--- a/model/src/main/java/io/jacinthquay/model/policy/ReferenceCheck.java
+++ b/model/src/main/java/io/jacinthquay/model/policy/ReferenceCheck.java
@@ -28,11 +28,12 @@
 
   private static List<EntityKey> targets(EntityKey key, String json) {
     return EntityJson.read(json, key.kind().type())
-        .map(ReferenceCheck::targetsOf)
+        .map(entity -> targetsOf(key, entity))
         .getOrElse(List.of());
   }
 
-  private static List<EntityKey> targetsOf(Object entity) {
+  /** Returns the entities that an entity needs; a withdrawn key needs none. */
+  static List<EntityKey> targetsOf(EntityKey key, Object entity) {
     List<EntityKey> targets = new ArrayList<>();
     if (entity instanceof ModelPolicy m) {
       targets.add(new EntityKey(EntityKind.POOL, m.pool().value()));
@@ -47,7 +48,10 @@
       targets.add(new EntityKey(EntityKind.POOL, r.pool().value()));
       r.className().ifPresent(c -> targets.add(new EntityKey(EntityKind.CLASS, c.value())));
     }
-    if (entity instanceof KeyRecord k) {
+    if (key.kind() == EntityKind.DOMAIN_STATE) {
+      targets.add(new EntityKey(EntityKind.DOMAIN, key.name()));
+    }
+    if (entity instanceof KeyRecord k && !k.withdrawn()) {
       targets.add(new EntityKey(EntityKind.CUSTOMER, k.customer().value()));
     }
     return targets;
--- a/wire/src/main/java/io/jacinthquay/wire/gen/ClaimAnswer.java
+++ b/wire/src/main/java/io/jacinthquay/wire/gen/ClaimAnswer.java
@@ -26,6 +26,9 @@
      * @see ClaimState
      */
     STATE((short)1, "state"),
+    /**
+     * Absent where the state is DONE and the result was too large to keep or has been dropped.
+     */
     RESULT((short)2, "result");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
@@ -167,11 +170,17 @@
     }
   }
 
+  /**
+   * Absent where the state is DONE and the result was too large to keep or has been dropped.
+   */
   @org.apache.thrift.annotation.Nullable
   public ClaimResult getResult() {
     return this.result;
   }
 
+  /**
+   * Absent where the state is DONE and the result was too large to keep or has been dropped.
+   */
   public ClaimAnswer setResult(@org.apache.thrift.annotation.Nullable ClaimResult result) {
     this.result = result;
     return this;
--- a/wire/src/main/java/io/jacinthquay/wire/gen/ClaimRequest.java
+++ b/wire/src/main/java/io/jacinthquay/wire/gen/ClaimRequest.java
@@ -36,9 +36,12 @@
      * SHA-256 of the body, hexadecimal.
      */
     BODY_DIGEST((short)4, "bodyDigest"),
+    /**
+     * Drawn by the claiming router for each attempt.
+     */
     REQUEST_ID((short)5, "requestId"),
     /**
-     * Name and incarnation of the claiming router.
+     * Name of the claiming router, a slash and its incarnation.
      */
     CLAIMANT((short)6, "claimant");
 
@@ -295,11 +298,17 @@
     }
   }
 
+  /**
+   * Drawn by the claiming router for each attempt.
+   */
   @org.apache.thrift.annotation.Nullable
   public java.lang.String getRequestId() {
     return this.requestId;
   }
 
+  /**
+   * Drawn by the claiming router for each attempt.
+   */
   public ClaimRequest setRequestId(@org.apache.thrift.annotation.Nullable java.lang.String requestId) {
     this.requestId = requestId;
     return this;
@@ -321,7 +330,7 @@
   }
 
   /**
-   * Name and incarnation of the claiming router.
+   * Name of the claiming router, a slash and its incarnation.
    */
   @org.apache.thrift.annotation.Nullable
   public java.lang.String getClaimant() {
@@ -329,7 +338,7 @@
   }
 
   /**
-   * Name and incarnation of the claiming router.
+   * Name of the claiming router, a slash and its incarnation.
    */
   public ClaimRequest setClaimant(@org.apache.thrift.annotation.Nullable java.lang.String claimant) {
     this.claimant = claimant;
--- a/wire/src/main/java/io/jacinthquay/wire/gen/ClaimState.java
+++ b/wire/src/main/java/io/jacinthquay/wire/gen/ClaimState.java
@@ -9,7 +9,7 @@
 
 public enum ClaimState implements org.apache.thrift.TEnum {
   /**
-   * The caller may send the request: nobody has.
+   * The caller may send the request: nobody has. Answered once per claim, also to a resend.
    */
   FRESH(1),
   /**
--- a/wire/src/main/java/io/jacinthquay/wire/gen/LeaseGrant.java
+++ b/wire/src/main/java/io/jacinthquay/wire/gen/LeaseGrant.java
@@ -26,6 +26,9 @@
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     NAME((short)1, "name"),
+    /**
+     * The name in the holder's certificate, a slash and its incarnation.
+     */
     HOLDER((short)2, "holder"),
     FENCING((short)3, "fencing"),
     /**
@@ -189,11 +192,17 @@
     }
   }
 
+  /**
+   * The name in the holder's certificate, a slash and its incarnation.
+   */
   @org.apache.thrift.annotation.Nullable
   public java.lang.String getHolder() {
     return this.holder;
   }
 
+  /**
+   * The name in the holder's certificate, a slash and its incarnation.
+   */
   public LeaseGrant setHolder(@org.apache.thrift.annotation.Nullable java.lang.String holder) {
     this.holder = holder;
     return this;
--- a/wire/src/main/thrift/keeper.thrift
+++ b/wire/src/main/thrift/keeper.thrift
@@ -80,6 +80,7 @@
 
 struct LeaseGrant {
   1: string name
+  /** The name in the holder's certificate, a slash and its incarnation. */
   2: string holder
   3: i64 fencing
   /** Length from when the holder sent its request, in ms, drift margin included. */
@@ -87,7 +88,7 @@
 }
 
 enum ClaimState {
-  /** The caller may send the request: nobody has. */
+  /** The caller may send the request: nobody has. Answered once per claim, also to a resend. */
   FRESH = 1
   /** Another request with this key runs. */
   IN_PROGRESS = 2
@@ -103,8 +104,9 @@
   3: string key
   /** SHA-256 of the body, hexadecimal. */
   4: string bodyDigest
+  /** Drawn by the claiming router for each attempt. */
   5: string requestId
-  /** Name and incarnation of the claiming router. */
+  /** Name of the claiming router, a slash and its incarnation. */
   6: string claimant
 }
 
@@ -116,6 +118,7 @@
 
 struct ClaimAnswer {
   1: ClaimState state
+  /** Absent where the state is DONE and the result was too large to keep or has been dropped. */
   2: optional ClaimResult result
 }
 
