--- a/consensus/src/main/java/io/jacinthquay/consensus/LogRuntime.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/LogRuntime.java
@@ -105,6 +105,7 @@
     try {
       applier.start(snapshot);
     } catch (IOException e) {
+      closeStorage();
       String detail = "snapshot " + snapshot.index() + " can't be loaded: " + e.getMessage();
       throw new LogException(LogFailure.of(LogError.STORAGE_CORRUPT, detail), e);
     }
--- a/model/src/main/java/io/jacinthquay/model/ResultCode.java
+++ b/model/src/main/java/io/jacinthquay/model/ResultCode.java
@@ -329,7 +329,35 @@
       500,
       Outcome.NOT_RUN,
       "Another process holds the data folder.",
-      "Stop the other process.");
+      "Stop the other process."),
+  /** The replicated log has as many commands under way as it may. */
+  LOG_OVERLOADED(
+      3003,
+      503,
+      Outcome.NOT_RUN,
+      "The replicated log has as many commands under way as it may.",
+      "Retry after a pause."),
+  /** The membership change is not possible now. */
+  MEMBERSHIP_REFUSED(
+      3004,
+      409,
+      Outcome.NOT_RUN,
+      "The membership change is not possible now.",
+      "Read the detail, then try again."),
+  /** The command exceeds the limit of the replicated log. */
+  COMMAND_TOO_LARGE(
+      3005,
+      413,
+      Outcome.NOT_RUN,
+      "The command exceeds the limit of the replicated log.",
+      "Split the change."),
+  /** The data folder belongs to another member. */
+  STORAGE_FOREIGN(
+      3006,
+      500,
+      Outcome.NOT_RUN,
+      "The data folder belongs to another member.",
+      "Correct the settings of this keeper.");
 
   private final int number;
   private final int httpStatus;
