Rank upstreams so that admission can grant a slot on one of several

Cause: the owner of a scope grants the slot and picks among upstreams that placement prefers, so one choice is too little.

Change: Placer.rank returns the best choices with their failure domains; placement uses the load report and the hash of the slot packages.

Conclusion: one load report type and one hash in the module.

--- a/decision/src/main/java/io/jacinthquay/decision/placement/ExpectedWaitPlacer.java
+++ b/decision/src/main/java/io/jacinthquay/decision/placement/ExpectedWaitPlacer.java
@@ -1,8 +1,10 @@
 package io.jacinthquay.decision.placement;
 
+import io.jacinthquay.decision.slots.Rendezvous;
 import io.jacinthquay.model.UpstreamId;
+import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.Optional;
+import java.util.List;
 import java.util.SplittableRandom;
 import java.util.function.Predicate;
 
@@ -20,9 +22,14 @@
   /** Share of the affinity blocks' compute time by which the affine upstream is preferred. */
   private static final double AFFINITY_SHARE = 0.5;
 
+  /** Cost added to ejected upstreams and those above their share, so that they come last. */
+  private static final double LAST_RESORT_NANOS = 1e15;
+
   private final UpstreamTable table;
   private final PoolModel model;
   private final int[] cachedBlocks = new int[PlacementSettings.MAX_CANDIDATES];
+  private final int[] ranked = new int[PlacementSettings.MAX_CANDIDATES];
+  private final double[] costs = new double[PlacementSettings.MAX_CANDIDATES];
 
   ExpectedWaitPlacer(UpstreamTable table) {
     this.table = table;
@@ -30,18 +37,22 @@
   }
 
   @Override
-  public Optional<Placement> place(
+  public List<Placement> rank(
       PlacementRequest request,
       Predicate<UpstreamId> usable,
+      int limit,
       long nowNanos,
       SplittableRandom random) {
     table.refresh(nowNanos);
+    int draws = Math.max(limit, table.settings().choices());
     long open = open(request, nowNanos, false);
-    Optional<Placement> choice = choose(request, usable, open, random);
-    if (choice.isPresent()) {
-      return choice;
+    Search search = new Search(request, usable, open);
+    search.draw(open, draws, random);
+    if (search.count < limit) {
+      search.handicapNanos = LAST_RESORT_NANOS;
+      search.draw(open(request, nowNanos, true) & ~open, limit - search.count, random);
     }
-    return choose(request, usable, open(request, nowNanos, true) & ~open, random);
+    return search.best(limit);
   }
 
   /** Returns the candidates that may get the request, as bits. */
@@ -64,28 +75,6 @@
     return !model.isAboveRamp(u, now);
   }
 
-  private Optional<Placement> choose(
-      PlacementRequest request, Predicate<UpstreamId> usable, long open, SplittableRandom random) {
-    if (open == 0) {
-      return Optional.empty();
-    }
-    long holders = longestHolders(request.prefix(), open);
-    int affine = affineSlot(request.prefix(), open);
-    Search search = new Search(request, affine);
-    long rest = open;
-    int drawn = 0;
-    while (rest != 0 && drawn < table.settings().choices()) {
-      int slot = randomBit(rest, random);
-      rest &= ~(1L << slot);
-      drawn += search.consider(slot, usable) ? 1 : 0;
-    }
-    long suggested = rest & (holders | (affine < 0 ? 0 : 1L << affine));
-    for (long left = suggested; left != 0; left &= left - 1) {
-      search.consider(Long.numberOfTrailingZeros(left), usable);
-    }
-    return search.result();
-  }
-
   /** Fills {@link #cachedBlocks} and returns the candidates with the longest cached prefix. */
   private long longestHolders(PromptPrefix prefix, long open) {
     Arrays.fill(cachedBlocks, 0);
@@ -115,7 +104,7 @@
     long bestRank = Long.MIN_VALUE;
     for (long left = open; left != 0; left &= left - 1) {
       int slot = Long.numberOfTrailingZeros(left);
-      long rank = Hashing.rank(key, table.candidates()[slot].hash);
+      long rank = Rendezvous.mix(key ^ table.candidates()[slot].hash);
       if (best < 0 || rank > bestRank) {
         best = slot;
         bestRank = rank;
@@ -134,41 +123,64 @@
     return Long.numberOfTrailingZeros(left);
   }
 
-  /** The best choices so far. */
+  /** The upstreams compared for one request and their costs. */
   private final class Search {
     private final PlacementRequest request;
+    private final Predicate<UpstreamId> usable;
+    private final long holders;
     private final int affine;
-    private UpstreamState bestLocal;
-    private UpstreamState bestRemote;
-    private double localCost = Double.MAX_VALUE;
-    private double remoteCost = Double.MAX_VALUE;
+    private int count;
+    private double handicapNanos;
 
-    Search(PlacementRequest request, int affine) {
+    Search(PlacementRequest request, Predicate<UpstreamId> usable, long open) {
       this.request = request;
-      this.affine = affine;
+      this.usable = usable;
+      this.holders = longestHolders(request.prefix(), open);
+      this.affine = affineSlot(request.prefix(), open);
+    }
+
+    /** Compares some candidates drawn at random and those that the prompt suggests. */
+    void draw(long from, int draws, SplittableRandom random) {
+      long rest = from;
+      int usableDrawn = 0;
+      while (rest != 0 && usableDrawn < draws) {
+        int slot = randomBit(rest, random);
+        rest &= ~(1L << slot);
+        usableDrawn += consider(slot) ? 1 : 0;
+      }
+      long suggested = rest & (holders | (affine < 0 ? 0 : 1L << affine));
+      for (long left = suggested; left != 0; left &= left - 1) {
+        consider(Long.numberOfTrailingZeros(left));
+      }
     }
 
     /** Returns whether the upstream could be used. */
-    boolean consider(int slot, Predicate<UpstreamId> usable) {
+    private boolean consider(int slot) {
       UpstreamState u = table.candidates()[slot];
       if (!usable.test(u.info.id())) {
         return false;
       }
-      double cost = cost(u, slot);
-      if (table.isLocal(u)) {
-        if (cost < localCost) {
-          localCost = cost;
-          bestLocal = u;
-        }
-      } else if (cost < remoteCost) {
-        remoteCost = cost;
-        bestRemote = u;
-      }
+      insert(slot, handicapNanos + cost(u, slot));
       return true;
     }
 
+    /** Keeps the considered candidates in the order of their costs. */
+    private void insert(int slot, double cost) {
+      int at = count++;
+      while (at > 0 && costs[at - 1] > cost) {
+        costs[at] = costs[at - 1];
+        ranked[at] = ranked[at - 1];
+        at--;
+      }
+      costs[at] = cost;
+      ranked[at] = slot;
+    }
+
     private double cost(UpstreamState u, int slot) {
       double cost = table.latencyNanos(u) + model.cost(u, missTokens(u, slot));
+      if (!table.isLocal(u)) {
+        cost += table.settings().spillMarginNanos();
+      }
       if (slot == affine && !model.isAboveLoadBound(u)) {
         int blocks = Math.min(request.prefix().blocks(), AFFINITY_BLOCKS);
         int tokens = blocks * request.prefix().blockTokens();
@@ -185,16 +197,15 @@
       return (int) (cachedBlocks[slot] * request.prefix().blockTokens() * u.hintTrust);
     }
 
-    Optional<Placement> result() {
-      boolean spill = remoteCost + table.settings().spillMarginNanos() < localCost;
-      UpstreamState chosen = bestLocal == null || spill ? bestRemote : bestLocal;
-      if (chosen == null) {
-        return Optional.empty();
+    List<Placement> best(int limit) {
+      List<Placement> best = new ArrayList<>(Math.min(limit, count));
+      for (int i = 0; i < count && i < limit; i++) {
+        UpstreamState u = table.candidates()[ranked[i]];
+        long wait = Math.max(0, (long) (costs[i] % LAST_RESORT_NANOS));
+        int cached = cachedTokens(u, u.slot);
+        best.add(new Placement(u.info.id(), u.domain(), wait, cached, table.isLocal(u)));
       }
-      long wait = (long) (chosen == bestLocal ? localCost : remoteCost);
-      int cached = cachedTokens(chosen, chosen.slot);
-      return Optional.of(
-          new Placement(chosen.info.id(), Math.max(0, wait), cached, chosen == bestLocal));
+      return best;
     }
   }
 }
--- a/decision/src/main/java/io/jacinthquay/decision/placement/LeastInFlightPlacer.java
+++ b/decision/src/main/java/io/jacinthquay/decision/placement/LeastInFlightPlacer.java
@@ -10,7 +10,7 @@
   }
 
   @Override
-  UpstreamState choose(List<UpstreamState> free, SplittableRandom random) {
+  UpstreamState choose(List<UpstreamState> free, boolean first, SplittableRandom random) {
     UpstreamState least = free.get(0);
     int ties = 1;
     for (UpstreamState u : free.subList(1, free.size())) {
--- a/decision/src/main/java/io/jacinthquay/decision/placement/Placement.java
+++ b/decision/src/main/java/io/jacinthquay/decision/placement/Placement.java
@@ -1,5 +1,6 @@
 package io.jacinthquay.decision.placement;
 
+import io.jacinthquay.model.DomainId;
 import io.jacinthquay.model.UpstreamId;
 import java.util.Objects;
 
@@ -7,20 +8,26 @@
  * The choice of an upstream.
  *
  * @param upstream the upstream
+ * @param domain the failure domain of the upstream
  * @param expectedFirstTokenNanos expected time until the first token, in nanoseconds, 0 or more
  * @param expectedCachedTokens leading prompt tokens that the upstream probably holds in its cache
  * @param local whether the upstream is in the router's own failure domain
  */
 public record Placement(
-    UpstreamId upstream, long expectedFirstTokenNanos, int expectedCachedTokens, boolean local) {
+    UpstreamId upstream,
+    DomainId domain,
+    long expectedFirstTokenNanos,
+    int expectedCachedTokens,
+    boolean local) {
   /**
    * Checks the ranges.
    *
    * @throws IllegalArgumentException if a number is negative
-   * @throws NullPointerException if {@code upstream} is missing
+   * @throws NullPointerException if a part is missing
    */
   public Placement {
     Objects.requireNonNull(upstream, "upstream");
+    Objects.requireNonNull(domain, "domain");
     if (expectedFirstTokenNanos < 0 || expectedCachedTokens < 0) {
       throw new IllegalArgumentException("expectations must not be negative");
     }
--- a/decision/src/main/java/io/jacinthquay/decision/placement/Placer.java
+++ b/decision/src/main/java/io/jacinthquay/decision/placement/Placer.java
@@ -1,6 +1,7 @@
 package io.jacinthquay.decision.placement;
 
 import io.jacinthquay.model.UpstreamId;
+import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.function.Predicate;
@@ -9,23 +10,35 @@
  * Chooses the upstream of a request.
  *
  * <pre>{@code
- * Optional<Placement> choice = placer.place(request, slots::hasFree, now, random);
- * choice.ifPresent(p -> dispatch = table.dispatched(p.upstream(), request, now));
+ * List<Placement> ranked = placer.rank(request, u -> true, 8, now, random);
+ * // admission grants a slot on one of them
+ * Dispatch dispatch = table.dispatched(granted, request, now);
  * }</pre>
  */
 public interface Placer {
   /**
-   * Returns the choice, or nothing if no upstream may take the request.
+   * Returns the best choices, best first; empty if no upstream may take the request.
    *
    * @param request what is known of the request
    * @param usable whether the caller can send to an upstream now, for instance because it holds a
    *     free slot
+   * @param limit most choices to return, at least 1
    * @param nowNanos the time on a monotonic clock, in nanoseconds
    * @param random the source of random choices
    */
-  Optional<Placement> place(
+  List<Placement> rank(
       PlacementRequest request,
       Predicate<UpstreamId> usable,
+      int limit,
       long nowNanos,
       SplittableRandom random);
+
+  /** Returns the best choice, or nothing if no upstream may take the request. */
+  default Optional<Placement> place(
+      PlacementRequest request,
+      Predicate<UpstreamId> usable,
+      long nowNanos,
+      SplittableRandom random) {
+    return rank(request, usable, 1, nowNanos, random).stream().findFirst();
+  }
 }
--- a/decision/src/main/java/io/jacinthquay/decision/placement/PrefixIndex.java
+++ b/decision/src/main/java/io/jacinthquay/decision/placement/PrefixIndex.java
@@ -1,5 +1,7 @@
 package io.jacinthquay.decision.placement;
 
+import io.jacinthquay.decision.slots.Rendezvous;
+
 /**
  * Tells which candidates probably hold a block in their prefix cache.
  *
@@ -77,6 +79,6 @@
   }
 
   private static int bucket(long hash) {
-    return (int) (Hashing.mix(hash) >>> 49) * WAYS;
+    return (int) (Rendezvous.mix(hash) >>> 49) * WAYS;
   }
 }
--- a/decision/src/main/java/io/jacinthquay/decision/placement/PromptPrefix.java
+++ b/decision/src/main/java/io/jacinthquay/decision/placement/PromptPrefix.java
@@ -1,5 +1,6 @@
 package io.jacinthquay.decision.placement;
 
+import io.jacinthquay.decision.slots.Rendezvous;
 import java.util.Arrays;
 import java.util.Objects;
 
@@ -70,7 +71,7 @@
     for (int i = from; i < from + length; i++) {
       hash = hash * 31 + prompt[i];
     }
-    return Hashing.mix(hash + 1);
+    return Rendezvous.mix(hash + 1);
   }
 
   /** Returns the number of blocks. */
--- a/decision/src/main/java/io/jacinthquay/decision/placement/RandomPlacer.java
+++ b/decision/src/main/java/io/jacinthquay/decision/placement/RandomPlacer.java
@@ -10,7 +10,7 @@
   }
 
   @Override
-  UpstreamState choose(List<UpstreamState> free, SplittableRandom random) {
+  UpstreamState choose(List<UpstreamState> free, boolean first, SplittableRandom random) {
     return free.get(random.nextInt(free.size()));
   }
 }
--- a/decision/src/main/java/io/jacinthquay/decision/placement/RoundRobinPlacer.java
+++ b/decision/src/main/java/io/jacinthquay/decision/placement/RoundRobinPlacer.java
@@ -12,7 +12,7 @@
   }
 
   @Override
-  UpstreamState choose(List<UpstreamState> free, SplittableRandom random) {
+  UpstreamState choose(List<UpstreamState> free, boolean first, SplittableRandom random) {
     UpstreamState chosen = free.get(0);
     for (UpstreamState u : free) {
       if (u.slot > lastSlot) {
@@ -20,7 +20,9 @@
         break;
       }
     }
-    lastSlot = chosen.slot;
+    if (first) {
+      lastSlot = chosen.slot;
+    }
     return chosen;
   }
 }
--- a/decision/src/main/java/io/jacinthquay/decision/placement/SimplePlacer.java
+++ b/decision/src/main/java/io/jacinthquay/decision/placement/SimplePlacer.java
@@ -3,7 +3,6 @@
 import io.jacinthquay.model.UpstreamId;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.function.Predicate;
 
@@ -16,9 +15,10 @@
   }
 
   @Override
-  public final Optional<Placement> place(
+  public final List<Placement> rank(
       PlacementRequest request,
       Predicate<UpstreamId> usable,
+      int limit,
       long nowNanos,
       SplittableRandom random) {
     List<UpstreamState> free = new ArrayList<>();
@@ -27,12 +27,19 @@
         free.add(u);
       }
     }
-    if (free.isEmpty()) {
-      return Optional.empty();
+    List<Placement> ranked = new ArrayList<>();
+    while (!free.isEmpty() && ranked.size() < limit) {
+      UpstreamState chosen = choose(free, ranked.isEmpty(), random);
+      free.remove(chosen);
+      ranked.add(new Placement(chosen.info.id(), chosen.domain(), 0, 0, table.isLocal(chosen)));
     }
-    UpstreamState chosen = choose(free, random);
-    return Optional.of(new Placement(chosen.info.id(), 0, 0, table.isLocal(chosen)));
+    return ranked;
   }
 
-  abstract UpstreamState choose(List<UpstreamState> free, SplittableRandom random);
+  /**
+   * Returns one of the free upstreams.
+   *
+   * @param first whether this is the first choice for the request
+   */
+  abstract UpstreamState choose(List<UpstreamState> free, boolean first, SplittableRandom random);
 }
--- a/decision/src/main/java/io/jacinthquay/decision/placement/UpstreamState.java
+++ b/decision/src/main/java/io/jacinthquay/decision/placement/UpstreamState.java
@@ -1,5 +1,7 @@
 package io.jacinthquay.decision.placement;
 
+import io.jacinthquay.decision.bearing.LoadReport;
+import io.jacinthquay.decision.slots.Rendezvous;
 import io.jacinthquay.model.DomainId;
 
 /** What the router knows of one upstream; mutable and owned by one {@link UpstreamTable}. */
@@ -55,7 +57,7 @@
 
   UpstreamState(UpstreamInfo info, long subsetRank, long nowNanos) {
     this.info = info;
-    this.hash = Hashing.of(info.id().value());
+    this.hash = Rendezvous.hash(info.id().value());
     this.subsetRank = subsetRank;
     this.enteredAt = nowNanos;
     this.observedAt = nowNanos;
@@ -78,17 +80,17 @@
     if (report == null) {
       return poolMean;
     }
-    double age = Math.max(0, now - report.takenAtNanos());
+    double age = Math.max(0, now - report.measuredAtNanos());
     double weight = Math.pow(0.5, age / halfLifeNanos);
     return weight * reportedOthers() + (1 - weight) * poolMean;
   }
 
   double reportedOthers() {
-    return Math.max(0, report.running() + report.waiting() - ownInFlightAtReport);
+    return Math.max(0, report.running() + report.queued() - ownInFlightAtReport);
   }
 
   int batchLimit(int defaultLimit) {
-    return report == null ? defaultLimit : report.batchLimit();
+    return report == null || report.stated() == 0 ? defaultLimit : report.stated();
   }
 
   void observeFirstToken(double ratio, long now) {
@@ -143,7 +145,7 @@
   }
 
   UpstreamView view(long now) {
-    long age = report == null ? Long.MAX_VALUE : now - report.takenAtNanos();
+    long age = report == null ? Long.MAX_VALUE : now - report.measuredAtNanos();
     return new UpstreamView(
         info.id(), domain(), inFlight, others, slowness, ejected, leaving, out, slot >= 0, age);
   }
--- a/decision/src/main/java/io/jacinthquay/decision/placement/UpstreamTable.java
+++ b/decision/src/main/java/io/jacinthquay/decision/placement/UpstreamTable.java
@@ -1,5 +1,7 @@
 package io.jacinthquay.decision.placement;
 
+import io.jacinthquay.decision.bearing.LoadReport;
+import io.jacinthquay.decision.slots.Rendezvous;
 import io.jacinthquay.model.DomainId;
 import io.jacinthquay.model.UpstreamId;
 import java.util.ArrayList;
@@ -36,7 +38,7 @@
 
   private UpstreamTable(DomainId local, String router, PlacementSettings settings) {
     this.local = Objects.requireNonNull(local, "local");
-    this.routerHash = Hashing.of(router);
+    this.routerHash = Rendezvous.hash(router);
     this.settings = Objects.requireNonNull(settings, "settings");
     this.subset = new CandidateSubset(local, settings, index);
     this.model = new PoolModel(settings);
@@ -59,7 +61,7 @@
     if (upstreams.containsKey(info.id())) {
       return;
     }
-    long rank = Hashing.rank(routerHash, Hashing.of(info.id().value()));
+    long rank = Rendezvous.mix(routerHash ^ Rendezvous.hash(info.id().value()));
     UpstreamState upstream = new UpstreamState(info, rank, nowNanos);
     upstream.out = domainsOut.contains(info.domain());
     upstreams.put(info.id(), upstream);
@@ -138,7 +140,7 @@
       return;
     }
     LoadReport last = upstream.report;
-    if (last != null && report.takenAtNanos() - last.takenAtNanos() < 0) {
+    if (last != null && report.measuredAtNanos() - last.measuredAtNanos() < 0) {
       return;
     }
     upstream.report = report;
