Fuzz the protocol against an oracle in virtual time

The second shrunk failure was a real fault: a leader that appended its own removal while cut off would neither campaign, not being a voter any more, nor vote for replicas with shorter logs, and with a lost disk beside it nobody could be elected. A replica now campaigns while its removal may be uncommitted. The first one was the history's own: it removed a healthy replica right after a disk was lost, which spends the last quorum; histories no longer do that.

--- a/consensus/src/main/java/io/jacinthquay/consensus/raft/Election.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/raft/Election.java
@@ -23,7 +23,7 @@
 
   /** Starts a pre-vote if no leader was heard of for long enough. */
   void tick() {
-    if (state.now >= state.electionDeadline && state.isVoter() && !state.installing) {
+    if (state.now >= state.electionDeadline && state.mayCampaign()) {
       startPreVote();
     }
   }
--- a/consensus/src/main/java/io/jacinthquay/consensus/raft/MembershipHistory.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/raft/MembershipHistory.java
@@ -1,6 +1,7 @@
 package io.jacinthquay.consensus.raft;
 
 import io.jacinthquay.consensus.Membership;
+import io.jacinthquay.consensus.ReplicaId;
 import java.util.TreeMap;
 
 /** The memberships by the log index at which each came into force. */
@@ -25,6 +26,13 @@
     return byIndex.lastKey();
   }
 
+  /** Tells whether a replica votes in the committed membership or one that may still replace it. */
+  boolean mayVote(ReplicaId replica, long commitIndex) {
+    Long committed = byIndex.floorKey(commitIndex);
+    return byIndex.tailMap(committed == null ? byIndex.firstKey() : committed).values().stream()
+        .anyMatch(membership -> membership.voters().contains(replica));
+  }
+
   void truncateFrom(long index) {
     byIndex.tailMap(index, true).clear();
   }
--- a/consensus/src/main/java/io/jacinthquay/consensus/raft/RaftNode.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/raft/RaftNode.java
@@ -215,7 +215,7 @@
   }
 
   private void takeOver() {
-    if (state.mode == Mode.FOLLOWER && state.isVoter() && !state.installing) {
+    if (state.mode == Mode.FOLLOWER && state.mayCampaign()) {
       election.campaign(true);
       reads.failAll();
     }
--- a/consensus/src/main/java/io/jacinthquay/consensus/raft/RaftState.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/raft/RaftState.java
@@ -85,6 +85,14 @@
     return membership().voters().contains(self);
   }
 
+  /**
+   * Tells whether this replica may lead. One that is removed by an entry not yet committed may have
+   * to, since its log can be the only one new enough.
+   */
+  boolean mayCampaign() {
+    return !installing && history.mayVote(self, commitIndex);
+  }
+
   boolean isLeader() {
     return mode == Mode.LEADER;
   }
--- /dev/null
+++ b/consensus/src/test/java/io/jacinthquay/consensus/raft/SimCluster.java
@@ -0,0 +1,285 @@
+package io.jacinthquay.consensus.raft;
+
+import io.jacinthquay.consensus.MemberId;
+import io.jacinthquay.consensus.Membership;
+import io.jacinthquay.consensus.MembershipChange;
+import io.jacinthquay.consensus.ReplicaId;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/** Plays a history in virtual time over a network that loses, repeats, delays and reorders. */
+final class SimCluster {
+  static final long TICK_NANOS = 20_000_000;
+
+  private static final long MILLI = 1_000_000;
+  private static final long SECOND = 1_000 * MILLI;
+  private static final long FORMATION_LIMIT = 10 * SECOND;
+  private static final long RECOVERY_LIMIT = 60 * SECOND;
+  private static final int MAX_MEMBERS = 7;
+
+  private record Event(long time, long order, Runnable action) implements Comparable<Event> {
+    @Override
+    public int compareTo(Event other) {
+      int byTime = Long.compare(time, other.time);
+      return byTime != 0 ? byTime : Long.compare(order, other.order);
+    }
+  }
+
+  private final Fault fault;
+  private final SplittableRandom random;
+  private final Oracle oracle = new Oracle();
+  private final PriorityQueue<Event> events = new PriorityQueue<>();
+  private final TreeMap<MemberId, SimNode> nodes = new TreeMap<>();
+  private final Set<MemberId> sideA = new HashSet<>();
+  private final Set<MemberId> mute = new HashSet<>();
+  private final Set<ReplicaId> lostDisks = new HashSet<>();
+  private final Set<MemberId> seeds = new TreeSet<>();
+  private long now;
+  private long order;
+  private long incarnations;
+  private int nextValue;
+  private boolean unreliable;
+
+  private SimCluster(History history, Fault fault) {
+    this.fault = fault;
+    random = new SplittableRandom(history.seed());
+    for (int i = 0; i < history.members(); i++) {
+      seeds.add(new MemberId("m" + i));
+    }
+    seeds.forEach(this::addNode);
+  }
+
+  /** Plays a history and fails if anything that must hold does not. */
+  static void play(History history, Fault fault) {
+    SimCluster cluster = new SimCluster(history, fault);
+    cluster.runUntilWritable(FORMATION_LIMIT);
+    cluster.unreliable = true;
+    for (Step step : history.steps()) {
+      cluster.take(step);
+      cluster.run(cluster.random.nextLong(60 * MILLI));
+    }
+    cluster.recoverAndCheck();
+  }
+
+  long now() {
+    return now;
+  }
+
+  Fault fault() {
+    return fault;
+  }
+
+  SplittableRandom random() {
+    return random;
+  }
+
+  Oracle oracle() {
+    return oracle;
+  }
+
+  void schedule(long delay, Runnable action) {
+    events.add(new Event(now + delay, order++, action));
+  }
+
+  private void run(long nanos) {
+    long end = now + nanos;
+    while (!events.isEmpty() && events.peek().time() <= end) {
+      Event event = events.poll();
+      now = event.time();
+      event.action().run();
+    }
+    now = end;
+  }
+
+  private void addNode(MemberId member) {
+    SimNode node = new SimNode(this, seeds, freshDisk(member));
+    nodes.put(member, node);
+    node.start();
+  }
+
+  private SimDisk freshDisk(MemberId member) {
+    return new SimDisk(new ReplicaId(member, ++incarnations));
+  }
+
+  void send(Message message) {
+    oracle.sent(message);
+    SimNode target = nodes.get(message.to().member());
+    MemberId from = message.from().member();
+    MemberId to = message.to().member();
+    int copies = 1;
+    if (unreliable && random.nextInt(25) == 0) {
+      copies = random.nextInt(3);
+    }
+    for (int i = 0; i < copies && target != null; i++) {
+      schedule(delay(), () -> deliver(from, to, message));
+    }
+  }
+
+  private long delay() {
+    boolean late = unreliable && random.nextInt(30) == 0;
+    return random.nextLong(200_000, late ? 800 * MILLI : 4 * MILLI);
+  }
+
+  private void deliver(MemberId from, MemberId to, Message message) {
+    boolean cut = sideA.contains(from) != sideA.contains(to) || mute.contains(from);
+    if (!cut) {
+      nodes.get(to).receive(message);
+    }
+  }
+
+  private SimNode pick(int target) {
+    return new ArrayList<>(nodes.values()).get(target % nodes.size());
+  }
+
+  private List<SimNode> leaders() {
+    return nodes.values().stream().filter(n -> n.isUp() && n.status().isLeader()).toList();
+  }
+
+  private void take(Step step) {
+    SimNode node = pick(step.target());
+    MemberId member = node.replica().member();
+    switch (step.kind()) {
+      case PROPOSE -> leaders().forEach(leader -> leader.propose(nextValue++));
+      case READ -> nodes.values().stream().filter(SimNode::isUp).forEach(SimNode::read);
+      case RUN -> run((step.amount() % 700) * MILLI);
+      case CRASH -> node.crash();
+      case RESTART -> restart(node);
+      case WIPE -> wipe(node);
+      case CUT -> cut(step.amount());
+      case CUT_OUTGOING -> mute.add(member);
+      case HEAL -> heal();
+      case PAUSE -> node.pause((step.amount() % 1000) * MILLI);
+      case CLOCK_RATE -> node.setClockRate(0.25 + (step.amount() % 100) / 25.0);
+      case DISK_FAILURE -> node.failDisk();
+      case ADD_MEMBER -> addMember();
+      case REMOVE_MEMBER -> remove(node);
+      case HAND_OVER -> leaders().forEach(SimNode::handOver);
+      default -> throw new IllegalArgumentException(step.toString());
+    }
+  }
+
+  private static void restart(SimNode node) {
+    node.crash();
+    node.start();
+  }
+
+  private void cut(int mask) {
+    sideA.clear();
+    int bit = 0;
+    for (MemberId member : nodes.keySet()) {
+      if ((mask >> bit++ & 1) == 1) {
+        sideA.add(member);
+      }
+    }
+  }
+
+  private void heal() {
+    sideA.clear();
+    mute.clear();
+  }
+
+  /** Wipes a disk if every membership that may be in force keeps a quorum of intact disks. */
+  private void wipe(SimNode node) {
+    Set<ReplicaId> lost = new HashSet<>(lostDisks);
+    lost.add(node.replica());
+    if (!possibleMemberships().stream().allMatch(m -> keepsQuorum(m, lost))) {
+      return;
+    }
+    lostDisks.add(node.replica());
+    SimDisk fresh =
+        fault == Fault.WIPED_DISK_KEEPS_IDENTITY
+            ? new SimDisk(node.replica())
+            : freshDisk(node.replica().member());
+    node.wipe(fresh);
+    node.start();
+  }
+
+  private static boolean keepsQuorum(Membership membership, Set<ReplicaId> lost) {
+    long intact = membership.voters().stream().filter(v -> !lost.contains(v)).count();
+    return intact >= membership.quorum();
+  }
+
+  private List<Membership> possibleMemberships() {
+    List<Membership> found = new ArrayList<>();
+    for (SimNode node : nodes.values()) {
+      found.addAll(node.disk().membershipsFrom(oracle.latestReconfiguration()));
+      if (node.isUp()) {
+        found.add(node.status().membership());
+      }
+    }
+    found.removeIf(Membership.EMPTY::equals);
+    return found;
+  }
+
+  private void addMember() {
+    if (nodes.size() < MAX_MEMBERS) {
+      addNode(new MemberId("x" + nodes.size()));
+    }
+    for (SimNode leader : leaders()) {
+      leader.status().waiting().stream()
+          .filter(replica -> !seeds.contains(replica.member()))
+          .findFirst()
+          .ifPresent(replica -> leader.change(new MembershipChange.AddLearner(replica)));
+    }
+  }
+
+  /** Removes a replica unless that spends the quorum that lost disks have left. */
+  private void remove(SimNode node) {
+    MembershipChange change = new MembershipChange.Remove(node.replica());
+    for (SimNode leader : leaders()) {
+      Membership after = leader.status().membership().with(change);
+      if (after.voters().size() > 1 && keepsQuorum(after, lostDisks)) {
+        leader.change(change);
+      }
+    }
+  }
+
+  private void runUntilWritable(long limit) {
+    long end = now + limit;
+    long acknowledged = oracle.highestAcknowledged();
+    while (oracle.highestAcknowledged() == acknowledged) {
+      if (now > end) {
+        throw Oracle.violation("no write is acknowledged with every replica running");
+      }
+      leaders().forEach(leader -> leader.propose(nextValue++));
+      run(100 * MILLI);
+    }
+  }
+
+  /** Ends all faults, then checks that writes work again and that nothing is missing anywhere. */
+  private void recoverAndCheck() {
+    unreliable = false;
+    heal();
+    for (Map.Entry<MemberId, SimNode> entry : nodes.entrySet()) {
+      entry.getValue().setClockRate(1);
+      entry.getValue().pause(0);
+      restart(entry.getValue());
+    }
+    runUntilWritable(RECOVERY_LIMIT);
+    long expected = oracle.highestAcknowledged();
+    Set<ReplicaId> voters = leaders().get(0).status().membership().voters();
+    run(2 * SECOND);
+    for (SimNode node : nodes.values()) {
+      if (voters.contains(node.replica())) {
+        check(node, expected);
+      }
+    }
+  }
+
+  private void check(SimNode node, long expected) {
+    if (node.appliedIndex() < expected) {
+      throw Oracle.violation(
+          node.replica() + " applied up to " + node.appliedIndex() + " of " + expected);
+    }
+    if (!node.state().equals(oracle.commandsTo(node.appliedIndex()))) {
+      throw Oracle.violation(node.replica() + " holds another state");
+    }
+  }
+}
