--- a/consensus/src/test/java/io/jacinthquay/consensus/raft/Oracle.java
+++ b/consensus/src/test/java/io/jacinthquay/consensus/raft/Oracle.java
@@ -1,6 +1,7 @@
 package io.jacinthquay.consensus.raft;
 
 import io.jacinthquay.consensus.LogStatus;
+import io.jacinthquay.consensus.Membership;
 import io.jacinthquay.consensus.ReplicaId;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -69,6 +70,11 @@
     return highestAcknowledged;
   }
 
+  /** Gives the last committed membership. */
+  Membership latestMembership() {
+    return ((Payload.Reconfiguration) committed.get(latestReconfiguration).payload()).membership();
+  }
+
   /** Gives the index of the last committed membership, 0 before the first. */
   long latestReconfiguration() {
     return latestReconfiguration;
--- a/consensus/src/test/java/io/jacinthquay/consensus/raft/SimCluster.java
+++ b/consensus/src/test/java/io/jacinthquay/consensus/raft/SimCluster.java
@@ -5,7 +5,9 @@
 import io.jacinthquay.consensus.MembershipChange;
 import io.jacinthquay.consensus.ReplicaId;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashSet;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
@@ -23,6 +25,7 @@
   private static final long FORMATION_LIMIT = 10 * SECOND;
   private static final long RECOVERY_LIMIT = 60 * SECOND;
   private static final int MAX_MEMBERS = 7;
+  private static final int MAX_SLOWNESS_BITS = 5;
 
   private record Event(long time, long order, Runnable action) implements Comparable<Event> {
     @Override
@@ -41,15 +44,19 @@
   private final Set<MemberId> mute = new HashSet<>();
   private final Set<ReplicaId> lostDisks = new HashSet<>();
   private final Set<MemberId> seeds = new TreeSet<>();
+  private final Set<Membership> seen = Collections.newSetFromMap(new IdentityHashMap<>());
+  private long seenSince;
   private long now;
   private long order;
   private long incarnations;
   private int nextValue;
+  private final int slowness;
   private boolean unreliable;
 
   private SimCluster(History history, Fault fault) {
     this.fault = fault;
     random = new SplittableRandom(history.seed());
+    slowness = 1 << random.nextInt(MAX_SLOWNESS_BITS);
     for (int i = 0; i < history.members(); i++) {
       seeds.add(new MemberId("m" + i));
     }
@@ -63,7 +70,7 @@
     cluster.unreliable = true;
     for (Step step : history.steps()) {
       cluster.take(step);
-      cluster.run(cluster.random.nextLong(60 * MILLI));
+      cluster.run(cluster.random.nextLong(cluster.random.nextBoolean() ? 6 * MILLI : 60 * MILLI));
     }
     cluster.recoverAndCheck();
   }
@@ -124,7 +131,12 @@
 
   private long delay() {
     boolean late = unreliable && random.nextInt(30) == 0;
-    return random.nextLong(200_000, late ? 800 * MILLI : 4 * MILLI);
+    return random.nextLong(200_000, late ? 800 * MILLI : slowness() * 4 * MILLI);
+  }
+
+  /** Stretches network and disk by a factor that is drawn for the whole history. */
+  int slowness() {
+    return unreliable ? slowness : 1;
   }
 
   private void deliver(MemberId from, MemberId to, Message message) {
@@ -134,7 +146,12 @@
     }
   }
 
+  /** Picks a leader for odd targets, if there is one, since faults there matter most. */
   private SimNode pick(int target) {
+    List<SimNode> leaders = leaders();
+    if (target % 2 == 1 && !leaders.isEmpty()) {
+      return leaders.get(target % leaders.size());
+    }
     return new ArrayList<>(nodes.values()).get(target % nodes.size());
   }
 
@@ -206,13 +223,19 @@
     return intact >= membership.quorum();
   }
 
+  /** Notes a membership that a replica holds, as a message under way may bring it to others. */
+  void saw(Membership membership) {
+    if (seenSince != oracle.latestReconfiguration()) {
+      seenSince = oracle.latestReconfiguration();
+      seen.clear();
+    }
+    seen.add(membership);
+  }
+
   private List<Membership> possibleMemberships() {
-    List<Membership> found = new ArrayList<>();
+    List<Membership> found = new ArrayList<>(seen);
     for (SimNode node : nodes.values()) {
       found.addAll(node.disk().membershipsFrom(oracle.latestReconfiguration()));
-      if (node.isUp()) {
-        found.add(node.status().membership());
-      }
     }
     found.removeIf(Membership.EMPTY::equals);
     return found;
@@ -241,12 +264,21 @@
     }
   }
 
+  private String describe() {
+    StringBuilder text = new StringBuilder();
+    for (SimNode node : nodes.values()) {
+      text.append("\n  ").append(node.status());
+    }
+    return text.append("\n  lost ").append(lostDisks).toString();
+  }
+
   private void runUntilWritable(long limit) {
     long end = now + limit;
     long acknowledged = oracle.highestAcknowledged();
     while (oracle.highestAcknowledged() == acknowledged) {
       if (now > end) {
-        throw Oracle.violation("no write is acknowledged with every replica running");
+        throw Oracle.violation(
+            "no write is acknowledged with every replica running: " + describe());
       }
       leaders().forEach(leader -> leader.propose(nextValue++));
       run(100 * MILLI);
@@ -264,8 +296,8 @@
     }
     runUntilWritable(RECOVERY_LIMIT);
     long expected = oracle.highestAcknowledged();
-    Set<ReplicaId> voters = leaders().get(0).status().membership().voters();
     run(2 * SECOND);
+    Set<ReplicaId> voters = oracle.latestMembership().voters();
     for (SimNode node : nodes.values()) {
       if (voters.contains(node.replica())) {
         check(node, expected);
--- a/consensus/src/test/java/io/jacinthquay/consensus/raft/SimNode.java
+++ b/consensus/src/test/java/io/jacinthquay/consensus/raft/SimNode.java
@@ -189,7 +189,9 @@
 
   private void process() {
     Ready ready = raft.drain();
-    cluster.oracle().observed(status());
+    LogStatus status = status();
+    cluster.oracle().observed(status);
+    cluster.saw(status.membership());
     ready.immediate().forEach(cluster::send);
     if (ready.needsStorage()) {
       queue(ready);
@@ -217,7 +219,7 @@
 
   private void scheduleStorage() {
     boolean slow = cluster.random().nextInt(20) == 0;
-    long delay = cluster.random().nextLong(slow ? 100_000_000 : 3_000_000);
+    long delay = cluster.random().nextLong(slow ? 100_000_000 : cluster.slowness() * 3_000_000);
     schedule(delay, this::runStorage);
   }
 
