Add a keeper that serves configuration, leases, claims, usage and orders

Time inside it comes from the leader's stamps: elapsed time counted on from the state that a term found, with stamps of older terms ignored, so that a lease can outlast its length after a change of leader but never fall short of it. Wall clocks and a wait of a fixed length after each election were ruled out: the first jump, the second needs the new leader to know which leases were granted before. The peer transport shares the keeper's port; the role in the certificate picks the service.

--- /dev/null
+++ b/keeper/src/main/java/io/jacinthquay/keeper/KeeperMain.java
@@ -0,0 +1,22 @@
+package io.jacinthquay.keeper;
+
+import io.jacinthquay.runtime.Program;
+
+/** Entry point of {@code jq-keeper}. */
+public final class KeeperMain {
+  private KeeperMain() {}
+
+  /**
+   * Runs a keeper until it is told to stop.
+   *
+   * @param args the command line
+   */
+  public static void main(String[] args) {
+    System.exit(
+        Program.run(
+                KeeperSettings.PARSER,
+                args,
+                settings -> new KeeperService(KeeperSettings.options(settings)))
+            .number());
+  }
+}
--- /dev/null
+++ b/keeper/src/main/java/io/jacinthquay/keeper/adapter/package-info.java
@@ -0,0 +1,2 @@
+/** Adapters of the keeper. */
+package io.jacinthquay.keeper.adapter;
--- /dev/null
+++ b/keeper/src/main/java/io/jacinthquay/keeper/adapter/thrift/KeeperHandler.java
@@ -0,0 +1,220 @@
+package io.jacinthquay.keeper.adapter.thrift;
+
+import static io.jacinthquay.runtime.tls.PeerRole.CONTROLLER;
+import static io.jacinthquay.runtime.tls.PeerRole.OPERATOR;
+import static io.jacinthquay.runtime.tls.PeerRole.ROUTER;
+
+import io.jacinthquay.keeper.service.KeeperCore;
+import io.jacinthquay.keeper.service.Refusal;
+import io.jacinthquay.keeper.state.Tables;
+import io.jacinthquay.runtime.tls.PeerName;
+import io.jacinthquay.wire.convert.ConfigMessages;
+import io.jacinthquay.wire.gen.ApplyAnswer;
+import io.jacinthquay.wire.gen.ApplyCommand;
+import io.jacinthquay.wire.gen.ApplyRequest;
+import io.jacinthquay.wire.gen.ApplyResult;
+import io.jacinthquay.wire.gen.CallFailed;
+import io.jacinthquay.wire.gen.ClaimAnswer;
+import io.jacinthquay.wire.gen.ClaimRequest;
+import io.jacinthquay.wire.gen.ClaimResult;
+import io.jacinthquay.wire.gen.CommandAnswer;
+import io.jacinthquay.wire.gen.CommandBody;
+import io.jacinthquay.wire.gen.CompleteClaimCommand;
+import io.jacinthquay.wire.gen.CompleteOrderCommand;
+import io.jacinthquay.wire.gen.ConfigPage;
+import io.jacinthquay.wire.gen.FeedPosition;
+import io.jacinthquay.wire.gen.HistoryLine;
+import io.jacinthquay.wire.gen.Keeper;
+import io.jacinthquay.wire.gen.KeeperStatus;
+import io.jacinthquay.wire.gen.LeaseCommand;
+import io.jacinthquay.wire.gen.LeaseGrant;
+import io.jacinthquay.wire.gen.LeaseProof;
+import io.jacinthquay.wire.gen.MarkReportedCommand;
+import io.jacinthquay.wire.gen.OrderRecord;
+import io.jacinthquay.wire.gen.ReleaseLeaseCommand;
+import io.jacinthquay.wire.gen.SealCommand;
+import io.jacinthquay.wire.gen.SealedWindow;
+import io.jacinthquay.wire.gen.ShipUsageCommand;
+import io.jacinthquay.wire.gen.UsageCounter;
+import io.vavr.control.Either;
+import java.util.List;
+
+/** Serves the calls of one authenticated peer. */
+public final class KeeperHandler implements Keeper.Iface {
+  private static final int MAX_CONFIRM_MILLIS = 60_000;
+  private static final int MAX_PAGE = 10_000;
+
+  private final KeeperCore core;
+  private final Access access;
+
+  /**
+   * Returns a handler.
+   *
+   * @param core the keeper
+   * @param peer whose calls are served
+   */
+  public KeeperHandler(KeeperCore core, PeerName peer) {
+    this.core = core;
+    this.access = new Access(peer);
+  }
+
+  @Override
+  public ConfigPage changes(FeedPosition position, int waitMillis) throws CallFailed {
+    access.require(ROUTER, CONTROLLER, OPERATOR);
+    return core.feed().changes(position, waitMillis);
+  }
+
+  @Override
+  public ApplyAnswer apply(ApplyRequest request) throws CallFailed {
+    access.require(OPERATOR);
+    ApplyCommand command =
+        new ApplyCommand(
+            request.getChangeId(),
+            request.getExpectedVersion(),
+            request.getEdits(),
+            access.peer().name());
+    ApplyResult result = propose(CommandBody.apply(command)).getApplied();
+    int wait = Math.min(request.getConfirmMillis(), MAX_CONFIRM_MILLIS);
+    return core.confirmations().await(result.getVersion(), wait).setResent(result.isResent());
+  }
+
+  @Override
+  public List<HistoryLine> history(int limit) throws CallFailed {
+    access.require(OPERATOR);
+    return readTables().config().history(Math.min(limit, MAX_PAGE));
+  }
+
+  @Override
+  public LeaseGrant acquireLease(String name, String holder, long lengthMillis) throws CallFailed {
+    return lease(new LeaseCommand(name, holder, lengthMillis));
+  }
+
+  @Override
+  public LeaseGrant renewLease(String name, String holder, long fencing, long lengthMillis)
+      throws CallFailed {
+    return lease(new LeaseCommand(name, holder, lengthMillis).setFencing(fencing));
+  }
+
+  private LeaseGrant lease(LeaseCommand command) throws CallFailed {
+    access.require(CONTROLLER);
+    access.requireOwn(command.getHolder());
+    return propose(CommandBody.lease(command)).getLease();
+  }
+
+  @Override
+  public void releaseLease(String name, String holder, long fencing) throws CallFailed {
+    access.require(CONTROLLER);
+    access.requireOwn(holder);
+    proposeDone(CommandBody.releaseLease(new ReleaseLeaseCommand(name, holder, fencing)));
+  }
+
+  @Override
+  public ClaimAnswer beginClaim(ClaimRequest request) throws CallFailed {
+    requireClaimant(request);
+    return propose(CommandBody.beginClaim(request)).getClaim();
+  }
+
+  @Override
+  public void completeClaim(ClaimRequest request, ClaimResult result) throws CallFailed {
+    requireClaimant(request);
+    proposeDone(CommandBody.completeClaim(new CompleteClaimCommand(request, result)));
+  }
+
+  @Override
+  public void releaseClaim(ClaimRequest request) throws CallFailed {
+    requireClaimant(request);
+    proposeDone(CommandBody.releaseClaim(request));
+  }
+
+  private void requireClaimant(ClaimRequest request) throws CallFailed {
+    access.require(ROUTER);
+    access.requireOwn(request.getClaimant());
+  }
+
+  @Override
+  public void shipUsage(List<UsageCounter> counters) throws CallFailed {
+    access.require(ROUTER);
+    if (!counters.isEmpty()) {
+      proposeDone(CommandBody.shipUsage(new ShipUsageCommand(counters)));
+    }
+  }
+
+  @Override
+  public SealedWindow sealWindow(int shard, long windowStartMillis, String lease, long fencing)
+      throws CallFailed {
+    access.require(CONTROLLER);
+    SealCommand command = new SealCommand(shard, windowStartMillis, new LeaseProof(lease, fencing));
+    return propose(CommandBody.seal(command)).getWindow();
+  }
+
+  @Override
+  public List<SealedWindow> sealedWindows(int shard, boolean unreportedOnly, int limit)
+      throws CallFailed {
+    access.require(CONTROLLER, OPERATOR);
+    return readTables().usage().windows(shard, unreportedOnly, Math.min(limit, MAX_PAGE));
+  }
+
+  @Override
+  public void markReported(int shard, long windowStartMillis, String lease, long fencing)
+      throws CallFailed {
+    access.require(CONTROLLER);
+    MarkReportedCommand command =
+        new MarkReportedCommand(shard, windowStartMillis, new LeaseProof(lease, fencing));
+    proposeDone(CommandBody.markReported(command));
+  }
+
+  @Override
+  public List<UsageCounter> openUsage() throws CallFailed {
+    access.require(CONTROLLER, OPERATOR);
+    return readTables().usage().pending();
+  }
+
+  @Override
+  public void recordOrder(OrderRecord order) throws CallFailed {
+    access.require(CONTROLLER);
+    proposeDone(CommandBody.recordOrder(order));
+  }
+
+  @Override
+  public void completeOrder(String orderId, String lease, long fencing) throws CallFailed {
+    access.require(CONTROLLER);
+    CompleteOrderCommand command =
+        new CompleteOrderCommand(orderId, new LeaseProof(lease, fencing));
+    proposeDone(CommandBody.completeOrder(command));
+  }
+
+  @Override
+  public List<OrderRecord> openOrders(String domain) throws CallFailed {
+    access.require(CONTROLLER, OPERATOR);
+    return readTables().orders().openIn(domain);
+  }
+
+  @Override
+  public KeeperStatus status() {
+    return core.status();
+  }
+
+  private Tables readTables() throws CallFailed {
+    orThrow(core.proposer().readIndex());
+    return core.tables();
+  }
+
+  private CommandAnswer propose(CommandBody body) throws CallFailed {
+    return orThrow(core.proposer().propose(body));
+  }
+
+  private void proposeDone(CommandBody body) throws CallFailed {
+    orThrow(core.proposer().propose(body).map(CommandAnswer::isSetDone));
+  }
+
+  @SuppressWarnings("CheckReturnValue")
+  private static <T> T orThrow(Either<Refusal, T> answer) throws CallFailed {
+    if (answer.isLeft()) {
+      Refusal refusal = answer.getLeft();
+      CallFailed failed = ConfigMessages.toMessage(refusal.failure());
+      refusal.leader().ifPresent(failed::setLeader);
+      throw failed;
+    }
+    return answer.get();
+  }
+}
--- /dev/null
+++ b/keeper/src/main/java/io/jacinthquay/keeper/adapter/thrift/PeerLink.java
@@ -0,0 +1,153 @@
+package io.jacinthquay.keeper.adapter.thrift;
+
+import io.jacinthquay.consensus.raft.Message;
+import io.jacinthquay.runtime.Service;
+import io.jacinthquay.runtime.tls.TlsIdentity;
+import io.jacinthquay.wire.gen.KeeperPeer;
+import io.jacinthquay.wire.gen.RaftMessage;
+import io.jacinthquay.wire.gen.ReaderReport;
+import io.jacinthquay.wire.transport.SecureChannel;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.apache.thrift.TException;
+
+/**
+ * Sends to one other keeper over one connection, from a bounded queue.
+ *
+ * <p>A message that finds the queue full is dropped; after a failure the link connects anew with
+ * growing pauses.
+ */
+final class PeerLink implements Service {
+  private static final Logger log = LogManager.getLogger();
+
+  private static final int QUEUE_MESSAGES = 1_024;
+  private static final int BATCH_MESSAGES = 64;
+  private static final int BATCH_BYTES = 4 << 20;
+  private static final int TIMEOUT_MILLIS = 2_000;
+  private static final long IDLE_POLL_MILLIS = 200;
+  private static final long MIN_PAUSE_MILLIS = 20;
+  private static final long MAX_PAUSE_MILLIS = 500;
+
+  private final String peer;
+  private final InetSocketAddress address;
+  private final TlsIdentity identity;
+  private final BlockingQueue<Message> queue = new ArrayBlockingQueue<>(QUEUE_MESSAGES);
+  private final AtomicReference<List<ReaderReport>> reports = new AtomicReference<>();
+  private final Thread sender;
+  private volatile boolean running;
+  private long pauseMillis = MIN_PAUSE_MILLIS;
+  private SecureChannel channel;
+
+  PeerLink(String peer, InetSocketAddress address, TlsIdentity identity) {
+    this.peer = peer;
+    this.address = address;
+    this.identity = identity;
+    this.sender = new Thread(this::run, "peer-" + peer);
+    this.sender.setDaemon(true);
+  }
+
+  @Override
+  public void start() {
+    running = true;
+    sender.start();
+  }
+
+  /** Queues a message, or drops it if the queue is full. */
+  void send(Message message) {
+    if (!queue.offer(message)) {
+      log.debug("the queue to keeper {} is full", peer);
+    }
+  }
+
+  /** Sends what readers confirmed; replaces a report that still waits. */
+  void send(List<ReaderReport> next) {
+    reports.set(next);
+  }
+
+  private void run() {
+    while (running) {
+      try {
+        Message first = queue.poll(IDLE_POLL_MILLIS, TimeUnit.MILLISECONDS);
+        List<ReaderReport> report = reports.getAndSet(null);
+        if (first != null || report != null) {
+          deliver(first, report);
+        }
+      } catch (InterruptedException e) {
+        break;
+      }
+    }
+    closeChannel();
+  }
+
+  private void deliver(Message first, List<ReaderReport> report) throws InterruptedException {
+    try {
+      KeeperPeer.Client client = connected();
+      if (first != null) {
+        client.deliver(batch(first));
+      }
+      if (report != null) {
+        client.readers(report);
+      }
+      pauseMillis = MIN_PAUSE_MILLIS;
+    } catch (IOException | TException e) {
+      log.debug("keeper {} at {} is not reachable: {}", peer, address, e.getMessage());
+      closeChannel();
+      queue.clear();
+      TimeUnit.MILLISECONDS.sleep(pauseMillis);
+      pauseMillis = Math.min(MAX_PAUSE_MILLIS, pauseMillis * 2);
+    }
+  }
+
+  private KeeperPeer.Client connected() throws IOException {
+    if (channel == null) {
+      channel = SecureChannel.open(address, identity, TIMEOUT_MILLIS);
+    }
+    return new KeeperPeer.Client(channel.protocol());
+  }
+
+  private List<RaftMessage> batch(Message first) {
+    List<RaftMessage> batch = new ArrayList<>();
+    long bytes = 0;
+    Message next = first;
+    while (next != null) {
+      batch.add(RaftMessages.toMessage(next));
+      bytes += size(next);
+      boolean full = batch.size() >= BATCH_MESSAGES || bytes >= BATCH_BYTES;
+      next = full ? null : queue.poll();
+    }
+    return batch;
+  }
+
+  private static long size(Message message) {
+    if (message instanceof Message.AppendRequest append) {
+      return append.entries().stream().mapToLong(entry -> entry.size()).sum();
+    }
+    return message instanceof Message.SnapshotChunk chunk ? chunk.data().length : 0;
+  }
+
+  private void closeChannel() {
+    if (channel != null) {
+      channel.close();
+      channel = null;
+    }
+  }
+
+  @Override
+  public void stop() {
+    running = false;
+    sender.interrupt();
+    try {
+      sender.join(TIMEOUT_MILLIS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/keeper/src/main/java/io/jacinthquay/keeper/service/Proposer.java
@@ -0,0 +1,70 @@
+package io.jacinthquay.keeper.service;
+
+import io.jacinthquay.consensus.Applied;
+import io.jacinthquay.consensus.ReplicatedLog;
+import io.jacinthquay.keeper.state.KeeperState;
+import io.jacinthquay.keeper.state.ThriftCodec;
+import io.jacinthquay.model.Failure;
+import io.jacinthquay.model.ResultCode;
+import io.jacinthquay.wire.gen.Command;
+import io.jacinthquay.wire.gen.CommandAnswer;
+import io.jacinthquay.wire.gen.CommandBody;
+import io.jacinthquay.wire.gen.Stamp;
+import io.vavr.control.Either;
+import java.time.Duration;
+import org.apache.thrift.TException;
+
+/**
+ * Proposes commands and reads the state linearizably; blocks the calling worker thread.
+ *
+ * <pre>{@code
+ * Either<Refusal, CommandAnswer> answer = proposer.propose(CommandBody.apply(command));
+ * }</pre>
+ */
+public final class Proposer {
+  private final ReplicatedLog log;
+  private final Duration timeout;
+  private final LeaderClock clock;
+
+  /**
+   * Returns a proposer.
+   *
+   * @param log the log
+   * @param state the state behind it
+   * @param timeout longest wait for one command or read
+   */
+  public Proposer(ReplicatedLog log, KeeperState state, Duration timeout) {
+    this.log = log;
+    this.timeout = timeout;
+    this.clock = new LeaderClock(log, state, System::nanoTime, System::currentTimeMillis, timeout);
+  }
+
+  /** Returns the state machine's answer, or why there is none; a failure in it is a refusal. */
+  public Either<Refusal, CommandAnswer> propose(CommandBody body) {
+    return clock.stamp().flatMap(stamp -> propose(stamp, body));
+  }
+
+  private Either<Refusal, CommandAnswer> propose(Stamp stamp, CommandBody body) {
+    byte[] command = ThriftCodec.encode(new Command(stamp, body));
+    return Completions.await(log.propose(command), timeout).flatMap(Proposer::answer);
+  }
+
+  private static Either<Refusal, CommandAnswer> answer(Applied applied) {
+    CommandAnswer answer;
+    try {
+      answer = ThriftCodec.decode(applied.result(), new CommandAnswer());
+    } catch (TException e) {
+      return Either.left(Refusal.of(Failure.of(ResultCode.INTERNAL, String.valueOf(e))));
+    }
+    if (!answer.isSetFailure()) {
+      return Either.right(answer);
+    }
+    ResultCode code = ResultCode.of(answer.getFailure().getCode()).orElse(ResultCode.INTERNAL);
+    return Either.left(Refusal.of(Failure.of(code, answer.getFailure().getDetail())));
+  }
+
+  /** Waits until the local state holds everything committed before the call. */
+  public Either<Refusal, Long> readIndex() {
+    return Completions.await(log.readIndex(), timeout);
+  }
+}
--- /dev/null
+++ b/keeper/src/main/java/io/jacinthquay/keeper/state/ClaimKey.java
@@ -0,0 +1,31 @@
+package io.jacinthquay.keeper.state;
+
+import io.jacinthquay.wire.gen.ClaimRequest;
+import java.util.Objects;
+
+/**
+ * Identifies a claim.
+ *
+ * @param customer the customer
+ * @param route the route
+ * @param key the caller's idempotency key
+ */
+record ClaimKey(String customer, String route, String key) {
+  /** Longest part in characters. */
+  static final int MAX_LENGTH = 512;
+
+  ClaimKey {
+    Objects.requireNonNull(customer, "customer");
+    Objects.requireNonNull(route, "route");
+    Objects.requireNonNull(key, "key");
+    if (customer.length() > MAX_LENGTH
+        || route.length() > MAX_LENGTH
+        || key.length() > MAX_LENGTH) {
+      throw new IllegalArgumentException("a part is longer than " + MAX_LENGTH + " characters");
+    }
+  }
+
+  static ClaimKey of(ClaimRequest request) {
+    return new ClaimKey(request.getCustomer(), request.getRoute(), request.getKey());
+  }
+}
--- a/wire/src/main/java/io/jacinthquay/wire/gen/ClaimState.java
+++ b/wire/src/main/java/io/jacinthquay/wire/gen/ClaimState.java
@@ -9,7 +9,7 @@
 
 public enum ClaimState implements org.apache.thrift.TEnum {
   /**
-   * The caller may send the request: nobody has. Answered once per claim, also to a resend.
+   * The caller may send the request: nobody has. Only one attempt of one router hears this, also on a resend.
    */
   FRESH(1),
   /**
--- a/wire/src/main/java/io/jacinthquay/wire/gen/StoredChange.java
+++ b/wire/src/main/java/io/jacinthquay/wire/gen/StoredChange.java
@@ -6,6 +6,9 @@
  */
 package io.jacinthquay.wire.gen;
 
+/**
+ * A line of the history, with the change itself while it is kept for readers.
+ */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class StoredChange implements org.apache.thrift.TBase<StoredChange, StoredChange._Fields>, java.io.Serializable, Cloneable, Comparable<StoredChange> {
   private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("StoredChange");
@@ -16,7 +19,7 @@
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new StoredChangeStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new StoredChangeTupleSchemeFactory();
 
-  private @org.apache.thrift.annotation.Nullable io.jacinthquay.wire.gen.ChangeMessage change; // required
+  private @org.apache.thrift.annotation.Nullable io.jacinthquay.wire.gen.ChangeMessage change; // optional
   private @org.apache.thrift.annotation.Nullable io.jacinthquay.wire.gen.HistoryLine line; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
@@ -85,10 +88,11 @@
   }
 
   // isset id assignments
+  private static final _Fields optionals[] = {_Fields.CHANGE};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-    tmpMap.put(_Fields.CHANGE, new org.apache.thrift.meta_data.FieldMetaData("change", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+    tmpMap.put(_Fields.CHANGE, new org.apache.thrift.meta_data.FieldMetaData("change", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, io.jacinthquay.wire.gen.ChangeMessage.class)));
     tmpMap.put(_Fields.LINE, new org.apache.thrift.meta_data.FieldMetaData("line", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, io.jacinthquay.wire.gen.HistoryLine.class)));
@@ -100,11 +104,9 @@
   }
 
   public StoredChange(
-    io.jacinthquay.wire.gen.ChangeMessage change,
     io.jacinthquay.wire.gen.HistoryLine line)
   {
     this();
-    this.change = change;
     this.line = line;
   }
 
@@ -334,13 +336,15 @@
     java.lang.StringBuilder sb = new java.lang.StringBuilder("StoredChange(");
     boolean first = true;
 
-    sb.append("change:");
-    if (this.change == null) {
-      sb.append("null");
-    } else {
-      sb.append(this.change);
+    if (isSetChange()) {
+      sb.append("change:");
+      if (this.change == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.change);
+      }
+      first = false;
     }
-    first = false;
     if (!first) sb.append(", ");
     sb.append("line:");
     if (this.line == null) {
@@ -435,9 +439,11 @@
 
       oprot.writeStructBegin(STRUCT_DESC);
       if (struct.change != null) {
-        oprot.writeFieldBegin(CHANGE_FIELD_DESC);
-        struct.change.write(oprot);
-        oprot.writeFieldEnd();
+        if (struct.isSetChange()) {
+          oprot.writeFieldBegin(CHANGE_FIELD_DESC);
+          struct.change.write(oprot);
+          oprot.writeFieldEnd();
+        }
       }
       if (struct.line != null) {
         oprot.writeFieldBegin(LINE_FIELD_DESC);
--- a/wire/src/main/thrift/commands.thrift
+++ b/wire/src/main/thrift/commands.thrift
@@ -105,8 +105,9 @@
   6: bool done
 }
 
+/** A line of the history, with the change itself while it is kept for readers. */
 struct StoredChange {
-  1: keeper.ChangeMessage change
+  1: optional keeper.ChangeMessage change
   2: keeper.HistoryLine line
 }
 
--- a/wire/src/main/thrift/keeper.thrift
+++ b/wire/src/main/thrift/keeper.thrift
@@ -88,7 +88,7 @@
 }
 
 enum ClaimState {
-  /** The caller may send the request: nobody has. Answered once per claim, also to a resend. */
+  /** The caller may send the request: nobody has. Only one attempt of one router hears this, also on a resend. */
   FRESH = 1
   /** Another request with this key runs. */
   IN_PROGRESS = 2
