Add controllers that report usage and send orders under leases

Cause: the platform must never hear two processes in charge, nor a window twice with other figures. Change: a lease holder that counts from before it asked, less drift; usage reporters that seal and report; an order sender that records before it sends and resends the same body, the fencing number travelling in a header so that a later holder's resend has the same bytes. Before: nothing. Weak: a pause between the last check and the write is bounded only by fencing at the receiver.

--- /dev/null
+++ b/controller/src/main/java/io/jacinthquay/controller/ControllerMain.java
@@ -0,0 +1,22 @@
+package io.jacinthquay.controller;
+
+import io.jacinthquay.runtime.Program;
+
+/** The program {@code jq-controller}. */
+public final class ControllerMain {
+  private ControllerMain() {}
+
+  /**
+   * Runs a controller until it is told to stop.
+   *
+   * @param args the command line; {@code --help} lists the flags
+   */
+  public static void main(String[] args) {
+    System.exit(
+        Program.run(
+                ControllerSettings.parser(),
+                args,
+                settings -> new ControllerService(ControllerSettings.from(settings)))
+            .number());
+  }
+}
--- /dev/null
+++ b/controller/src/main/java/io/jacinthquay/controller/adapter/http/package-info.java
@@ -0,0 +1,2 @@
+/** The platform over HTTP and JSON. */
+package io.jacinthquay.controller.adapter.http;
--- /dev/null
+++ b/controller/src/main/java/io/jacinthquay/controller/adapter/thrift/package-info.java
@@ -0,0 +1,2 @@
+/** The keepers over Thrift. */
+package io.jacinthquay.controller.adapter.thrift;
--- /dev/null
+++ b/controller/src/main/java/io/jacinthquay/controller/service/LeaseHolder.java
@@ -0,0 +1,130 @@
+package io.jacinthquay.controller.service;
+
+import io.jacinthquay.controller.port.Lease;
+import io.jacinthquay.controller.port.Leases;
+import io.jacinthquay.controller.port.Ticker;
+import io.jacinthquay.model.Failure;
+import io.jacinthquay.model.LeaseName;
+import io.jacinthquay.model.ResultCode;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * Keeps one lease on behalf of this process.
+ *
+ * <pre>{@code
+ * holder.step();
+ * if (holder.outlasts(timeout)) {
+ *   platform.order(order, timeout, () -> holder.outlasts(timeout));
+ * }
+ * }</pre>
+ *
+ * <p>The holder counts the length from before it asked, on its own monotonic clock, less the share
+ * by which clocks may drift. Safe for use by many threads.
+ */
+public final class LeaseHolder {
+  /** How often a lease that another process holds is asked for within one length. */
+  private static final int TRIES_PER_LENGTH = 4;
+
+  private final LeaseName name;
+  private final String owner;
+  private final Leases leases;
+  private final Ticker ticker;
+  private final LeaseTimes times;
+  private volatile Held held;
+  private long nextTryNanos;
+
+  /** A lease and the instant until which it may be used. */
+  private record Held(Lease lease, long fromNanos, long untilNanos) {}
+
+  /**
+   * Returns a holder that has no lease yet.
+   *
+   * @param name the lease
+   * @param owner names this process and its run; never used again by a later run
+   * @param leases grants leases
+   * @param ticker the clock of this VM
+   * @param times length and drift
+   */
+  public LeaseHolder(LeaseName name, String owner, Leases leases, Ticker ticker, LeaseTimes times) {
+    this.name = Objects.requireNonNull(name, "name");
+    this.owner = Objects.requireNonNull(owner, "owner");
+    this.leases = Objects.requireNonNull(leases, "leases");
+    this.ticker = Objects.requireNonNull(ticker, "ticker");
+    this.times = Objects.requireNonNull(times, "times");
+    this.nextTryNanos = ticker.nanos();
+  }
+
+  /** Acquires the lease if it is free, and renews it once half of it has passed. */
+  public synchronized void step() {
+    Held current = held;
+    long before = ticker.nanos();
+    if (current == null || before >= current.untilNanos()) {
+      tryToAcquire(before);
+      return;
+    }
+    long half = (current.untilNanos() - current.fromNanos()) / 2;
+    if (before - current.fromNanos() >= half) {
+      accept(before, leases.renew(current.lease(), owner, times.length()));
+    }
+  }
+
+  private void tryToAcquire(long now) {
+    if (now - nextTryNanos < 0) {
+      return;
+    }
+    Either<Failure, Lease> answer = leases.acquire(name, owner, times.length());
+    accept(now, answer);
+    if (answer.isLeft() && answer.getLeft().code() == ResultCode.LEASE_HELD) {
+      nextTryNanos = now + times.length().toNanos() / TRIES_PER_LENGTH;
+    }
+  }
+
+  private void accept(long before, Either<Failure, Lease> answer) {
+    if (answer.isRight()) {
+      Lease lease = answer.get();
+      held = new Held(lease, before, before + times.usableNanos(lease.length()));
+    } else if (answer.getLeft().code() == ResultCode.LEASE_LOST) {
+      held = null;
+    }
+  }
+
+  /** Returns the lease, if this process holds it now. */
+  public Optional<Lease> lease() {
+    return outlasts(Duration.ZERO) ? Optional.of(held.lease()) : Optional.empty();
+  }
+
+  /**
+   * Returns whether the lease lasts longer than a time from now.
+   *
+   * @param span the time that an action may take
+   */
+  public boolean outlasts(Duration span) {
+    Held current = held;
+    return current != null && ticker.nanos() + span.toNanos() < current.untilNanos();
+  }
+
+  /**
+   * Returns whether this very grant lasts longer than a time from now.
+   *
+   * @param lease the grant under which an action was begun
+   * @param span the time that the action may take
+   */
+  public boolean outlasts(Lease lease, Duration span) {
+    Held current = held;
+    return current != null
+        && current.lease().fencing().equals(lease.fencing())
+        && ticker.nanos() + span.toNanos() < current.untilNanos();
+  }
+
+  /** Gives the lease back, so that another process need not wait for its end. */
+  public synchronized void release() {
+    Held current = held;
+    held = null;
+    if (current != null) {
+      leases.release(current.lease(), owner);
+    }
+  }
+}
--- /dev/null
+++ b/controller/src/main/java/io/jacinthquay/controller/service/package-info.java
@@ -0,0 +1,2 @@
+/** Leases, usage reports and upstream orders. */
+package io.jacinthquay.controller.service;
--- /dev/null
+++ b/controller/src/test/java/io/jacinthquay/controller/service/SingleAuthorityProperties.java
@@ -0,0 +1,125 @@
+package io.jacinthquay.controller.service;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.jacinthquay.controller.port.Lease;
+import io.jacinthquay.controller.port.Order;
+import io.jacinthquay.controller.port.Ticker;
+import io.jacinthquay.controller.service.VirtualCluster.Fault;
+import io.jacinthquay.model.DomainId;
+import io.jacinthquay.model.LeaseName;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Two and three controllers on a bad network never break a promise towards the platform. */
+class SingleAuthorityProperties {
+  private static final Duration TIMEOUT = Duration.ofSeconds(2);
+  private static final LeaseTimes TIMES = new LeaseTimes(Duration.ofSeconds(10), 0.01);
+  private static final int STEPS = 300;
+
+  /** One controller; a crash replaces it by a new one with another owner name. */
+  private static final class Process {
+    final UsageReporting reporting;
+    final LeaseHolder capacity;
+    final OrderSender orders;
+    final String owner;
+    int sent;
+
+    Process(VirtualCluster cluster, String owner, double rateError) {
+      this.owner = owner;
+      Ticker ticker = cluster.ticker(rateError);
+      LeaseHolder usage = new LeaseHolder(new LeaseName("usage/0"), owner, cluster, ticker, TIMES);
+      UsageReporter.ReportTimes times =
+          new UsageReporter.ReportTimes(Duration.ofSeconds(1), Duration.ofSeconds(2), TIMEOUT);
+      UsageReporter reporter = new UsageReporter(0, usage, cluster, cluster, ticker, times);
+      reporting = new UsageReporting(cluster, List.of(reporter));
+      capacity = new LeaseHolder(new LeaseName("capacity/a"), owner, cluster, ticker, TIMES);
+      orders = new OrderSender(new DomainId("a"), capacity, cluster, cluster, TIMEOUT);
+    }
+
+    void step() {
+      reporting.step();
+      capacity.step();
+      capacity.lease().ifPresent(this::order);
+    }
+
+    private void order(Lease lease) {
+      if (orders.resendOpen(lease)) {
+        String id = owner + "-" + sent++;
+        Order order =
+            new Order(id, lease.name(), lease.fencing(), new DomainId("a"), "{\"n\":" + id + "}");
+        orders.send(order, lease);
+      }
+    }
+
+    void settle() {
+      reporting.step();
+      capacity.step();
+      capacity.lease().ifPresent(orders::resendOpen);
+    }
+  }
+
+  private static VirtualCluster run(long seed, int controllers, Fault fault) {
+    Random random = new Random(seed);
+    VirtualCluster cluster = new VirtualCluster(random, fault);
+    List<Process> processes = new ArrayList<>();
+    for (int i = 0; i < controllers; i++) {
+      processes.add(start(cluster, random, "p" + i));
+    }
+    for (int step = 0; step < STEPS; step++) {
+      cluster.advance(Duration.ofMillis(random.nextInt(random.nextInt(20) == 0 ? 15_000 : 1_000)));
+      cluster.cutOff(random.nextInt(10) == 0);
+      long window = cluster.ticker(0).wallMillis() / 1_000 * 1_000;
+      cluster.count(Math.max(0, window - 1_000L * random.nextInt(12)), 1 + random.nextInt(50));
+      int chosen = random.nextInt(controllers);
+      if (random.nextInt(40) == 0) {
+        processes.set(chosen, start(cluster, random, "p" + chosen + "-" + step));
+      }
+      processes.get(chosen).step();
+    }
+    settle(cluster, processes.get(0));
+    return cluster;
+  }
+
+  private static Process start(VirtualCluster cluster, Random random, String owner) {
+    double rateError = (random.nextDouble() - 0.5) * TIMES.driftShare();
+    return new Process(cluster, owner, rateError);
+  }
+
+  private static void settle(VirtualCluster cluster, Process survivor) {
+    cluster.cutOff(false);
+    for (int step = 0; step < STEPS; step++) {
+      cluster.advance(Duration.ofSeconds(1));
+      survivor.settle();
+    }
+  }
+
+  @Property(seed = "20261204", tries = 400)
+  void noBreachAndEveryCountIsBilledOnce(
+      @ForAll long seed, @ForAll @IntRange(min = 2, max = 3) int controllers) {
+    VirtualCluster cluster = run(seed, controllers, Fault.NONE);
+    assertEquals(List.of(), cluster.ledger.breaches());
+    assertEquals(cluster.totalCounted(), cluster.totalReported());
+    assertFalse(cluster.hasOpenOrders());
+    assertTrue(cluster.ledger.orders().size() > 10);
+  }
+
+  @ParameterizedTest
+  @EnumSource(mode = EnumSource.Mode.EXCLUDE, names = "NONE")
+  void oracleFindsPlantedFaults(Fault fault) {
+    boolean found = false;
+    for (long seed = 0; seed < 50 && !found; seed++) {
+      found = !run(seed, 3, fault).ledger.breaches().isEmpty();
+    }
+    assertTrue(found, fault.name());
+  }
+}
--- a/runtime/src/main/java/io/jacinthquay/runtime/http/JsonHttpClient.java
+++ b/runtime/src/main/java/io/jacinthquay/runtime/http/JsonHttpClient.java
@@ -152,6 +152,9 @@
           new ClientRequest().setMethod(new HttpString(call.method())).setPath(call.path());
       request.getRequestHeaders().put(Headers.HOST, call.server().getHostString());
       request.getRequestHeaders().put(Headers.CONNECTION, "close");
+      for (HttpHeader header : call.headers()) {
+        request.getRequestHeaders().put(new HttpString(header.name()), header.value());
+      }
       if (!call.body().isEmpty()) {
         int length = call.body().getBytes(StandardCharsets.UTF_8).length;
         request.getRequestHeaders().put(Headers.CONTENT_TYPE, "application/json");
