--- /dev/null
+++ b/decision/src/main/java/io/jacinthquay/decision/slo/SloKey.java
@@ -0,0 +1,32 @@
+package io.jacinthquay.decision.slo;
+
+import io.jacinthquay.model.ClassName;
+import io.jacinthquay.model.CustomerId;
+import java.util.Comparator;
+import java.util.Objects;
+
+/**
+ * What is counted apart: the requests of one customer in one class.
+ *
+ * @param className the class
+ * @param customer the customer
+ */
+public record SloKey(ClassName className, CustomerId customer) implements Comparable<SloKey> {
+  private static final Comparator<SloKey> ORDER =
+      Comparator.comparing(SloKey::className).thenComparing(SloKey::customer);
+
+  /**
+   * Checks that both parts are present.
+   *
+   * @throws NullPointerException if a part is missing
+   */
+  public SloKey {
+    Objects.requireNonNull(className, "className");
+    Objects.requireNonNull(customer, "customer");
+  }
+
+  @Override
+  public int compareTo(SloKey other) {
+    return ORDER.compare(this, other);
+  }
+}
--- /dev/null
+++ b/decision/src/main/java/io/jacinthquay/decision/slo/SloSample.java
@@ -0,0 +1,38 @@
+package io.jacinthquay.decision.slo;
+
+import io.jacinthquay.model.policy.ClassPolicy;
+
+/**
+ * What one request experienced.
+ *
+ * @param complete whether the caller got its whole answer
+ * @param firstTokenMicros time from arrival to the first token or byte, in microseconds; 0 where
+ *     none came
+ * @param interTokenMicros mean time between tokens, in microseconds; 0 where fewer than two came
+ */
+public record SloSample(boolean complete, long firstTokenMicros, long interTokenMicros) {
+  private static final double MICROS_PER_MILLI = 1_000;
+
+  /**
+   * Checks the ranges.
+   *
+   * @throws IllegalArgumentException if a time is negative
+   */
+  public SloSample {
+    if (firstTokenMicros < 0 || interTokenMicros < 0) {
+      throw new IllegalArgumentException("times must not be negative");
+    }
+  }
+
+  /** Returns the sample of a request that was shed or failed. */
+  public static SloSample failed() {
+    return new SloSample(false, 0, 0);
+  }
+
+  /** Returns whether the request met the targets of its class. */
+  public boolean meets(ClassPolicy policy) {
+    return complete
+        && firstTokenMicros <= policy.firstTokenMs() * MICROS_PER_MILLI
+        && interTokenMicros <= policy.interTokenMs() * MICROS_PER_MILLI;
+  }
+}
