Admit requests by slots that one owner per pool and domain grants

A router must not decide alone who waits: two routers would shed a high tier while the other runs a low one. The owner of a scope now keeps one queue for all routers (tier, earliest feasible deadline, fair share of tokens), grants slots, orders preemptions and sheds; routers hold a few slots ahead of demand. Messages may be lost, repeated or late: digests in the renewals repair that.

--- a/decision/src/main/java/io/jacinthquay/decision/admission/AdmissionBuilder.java
+++ b/decision/src/main/java/io/jacinthquay/decision/admission/AdmissionBuilder.java
@@ -4,8 +4,8 @@
 import io.jacinthquay.decision.slots.ClassPolicies;
 import io.jacinthquay.decision.slots.DecisionListener;
 import io.jacinthquay.decision.slots.SlotOptions;
+import io.jacinthquay.decision.slots.SlotOwner;
 import io.jacinthquay.model.VmId;
-import java.util.List;
 import java.util.Objects;
 
 /** Builds an {@link Admission}. */
@@ -43,7 +43,7 @@
 
   /** Returns the state machine. */
   public Admission build() {
-    throw new UnsupportedOperationException(
-        "not built yet: " + List.of(self, incarnation, classes, slots, bearing, listener));
+    SlotOwner.Settings settings = new SlotOwner.Settings(classes, slots, bearing);
+    return new AdmissionNode(self, incarnation, settings, listener);
   }
 }
--- /dev/null
+++ b/decision/src/main/java/io/jacinthquay/decision/admission/AdmissionNode.java
@@ -0,0 +1,289 @@
+package io.jacinthquay.decision.admission;
+
+import io.jacinthquay.decision.bearing.LoadReport;
+import io.jacinthquay.decision.bearing.UpstreamSpec;
+import io.jacinthquay.decision.slots.Completion;
+import io.jacinthquay.decision.slots.DecisionListener;
+import io.jacinthquay.decision.slots.DomainView;
+import io.jacinthquay.decision.slots.OwnerStatus;
+import io.jacinthquay.decision.slots.Rendezvous;
+import io.jacinthquay.decision.slots.SlotMessage;
+import io.jacinthquay.decision.slots.SlotOwner;
+import io.jacinthquay.decision.slots.SlotScope;
+import io.jacinthquay.model.ClassName;
+import io.jacinthquay.model.CustomerId;
+import io.jacinthquay.model.DomainId;
+import io.jacinthquay.model.RequestId;
+import io.jacinthquay.model.VmId;
+import io.jacinthquay.model.policy.ClassPolicy;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/** Joins the client's and the owner's side of every scope; messages to itself never leave. */
+final class AdmissionNode implements Admission, Outbox {
+  /** Most customers of which the place within their class is remembered. */
+  private static final int MAX_LAGS = 16_384;
+
+  private final VmId self;
+  private final long incarnation;
+  private final SlotOwner.Settings settings;
+  private final DecisionListener listener;
+  private final Map<SlotScope, ScopeClient> clients = new TreeMap<>();
+  private final Map<SlotScope, SlotOwner> owners = new TreeMap<>();
+  private final Map<SlotScope, List<UpstreamSpec>> specs = new HashMap<>();
+  private final Map<DomainId, DomainView> views = new HashMap<>();
+  private final Map<RequestId, ScopeClient> located = new HashMap<>();
+  private final ArrayDeque<SlotMessage> own = new ArrayDeque<>();
+  private final Map<CustomerClass, Double> lags =
+      new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<CustomerClass, Double> eldest) {
+          return size() > MAX_LAGS;
+        }
+      };
+  private List<AdmissionAction> actions = new ArrayList<>();
+  private boolean left;
+
+  private record CustomerClass(ClassName className, CustomerId customer) {}
+
+  AdmissionNode(
+      VmId self, long incarnation, SlotOwner.Settings settings, DecisionListener listener) {
+    this.self = self;
+    this.incarnation = incarnation;
+    this.settings = settings;
+    this.listener = listener;
+  }
+
+  @Override
+  public List<AdmissionAction> submit(long nowNanos, AdmissionRequest request) {
+    ScopeClient client = client(nowNanos, request.scope());
+    located.put(request.request(), client);
+    client.submit(nowNanos, request);
+    return drain(nowNanos);
+  }
+
+  @Override
+  public List<AdmissionAction> progress(
+      long nowNanos, RequestId request, long tokens, long expected) {
+    ScopeClient client = located.get(request);
+    if (client != null) {
+      client.progress(nowNanos, request, tokens, expected);
+    }
+    return drain(nowNanos);
+  }
+
+  @Override
+  public List<AdmissionAction> finish(long nowNanos, RequestId request, Completion completion) {
+    ScopeClient client = located.get(request);
+    if (client != null && client.finish(nowNanos, request, completion)) {
+      located.remove(request);
+    }
+    return drain(nowNanos);
+  }
+
+  @Override
+  public List<AdmissionAction> preempted(
+      long nowNanos, RequestId request, long tokens, long remaining) {
+    ScopeClient client = located.get(request);
+    if (client != null) {
+      client.preempted(nowNanos, request, tokens, remaining);
+    }
+    return drain(nowNanos);
+  }
+
+  @Override
+  public List<AdmissionAction> cancel(long nowNanos, RequestId request) {
+    ScopeClient client = located.get(request);
+    if (client != null && client.cancel(nowNanos, request)) {
+      located.remove(request);
+    }
+    return drain(nowNanos);
+  }
+
+  @Override
+  public List<AdmissionAction> receive(long nowNanos, SlotMessage message) {
+    own.add(message);
+    return drain(nowNanos);
+  }
+
+  @Override
+  public List<AdmissionAction> load(long nowNanos, SlotScope scope, LoadReport report) {
+    SlotOwner owner = owners.get(scope);
+    if (owner != null) {
+      owner.load(nowNanos, report);
+    }
+    return drain(nowNanos);
+  }
+
+  @Override
+  public List<AdmissionAction> view(long nowNanos, DomainId domain, DomainView view) {
+    views.put(domain, view);
+    clients.forEach(
+        (scope, client) -> {
+          if (scope.domain().equals(domain)) {
+            client.owner(nowNanos, ownerOf(scope));
+          }
+        });
+    owners.forEach(
+        (scope, owner) -> {
+          if (scope.domain().equals(domain)) {
+            owner.voters(nowNanos, view.voters());
+          }
+        });
+    return drain(nowNanos);
+  }
+
+  @Override
+  public List<AdmissionAction> upstreams(
+      long nowNanos, SlotScope scope, List<UpstreamSpec> upstreams) {
+    specs.put(scope, List.copyOf(upstreams));
+    SlotOwner owner = owners.get(scope);
+    if (owner != null) {
+      owner.upstreams(nowNanos, upstreams);
+    }
+    client(nowNanos, scope);
+    return drain(nowNanos);
+  }
+
+  @Override
+  public List<AdmissionAction> tick(long nowNanos) {
+    clients.values().forEach(client -> client.tick(nowNanos));
+    drainOwn(nowNanos);
+    owners.values().forEach(owner -> owner.tick(nowNanos));
+    drainOwn(nowNanos);
+    owners.values().removeIf(SlotOwner::idle);
+    return drain(nowNanos);
+  }
+
+  @Override
+  public long nextTickNanos() {
+    long next = Long.MAX_VALUE;
+    for (ScopeClient client : clients.values()) {
+      next = Math.min(next, client.nextTickNanos());
+    }
+    for (SlotOwner owner : owners.values()) {
+      next = Math.min(next, owner.nextTickNanos());
+    }
+    return next;
+  }
+
+  @Override
+  public List<AdmissionAction> leave(long nowNanos) {
+    clients.values().forEach(client -> client.leave(nowNanos));
+    List<AdmissionAction> last = drain(nowNanos);
+    left = true;
+    owners.clear();
+    return last;
+  }
+
+  @Override
+  public Map<SlotScope, ScopeStatus> status(long nowNanos) {
+    Map<SlotScope, ScopeStatus> all = new TreeMap<>();
+    clients.forEach(
+        (scope, client) -> {
+          Optional<OwnerStatus> owned =
+              Optional.ofNullable(owners.get(scope)).map(SlotOwner::status);
+          all.put(scope, client.status(nowNanos, owned));
+        });
+    return all;
+  }
+
+  @Override
+  public void act(AdmissionAction action) {
+    if (action instanceof AdmissionAction.Refuse refuse) {
+      located.remove(refuse.request());
+    }
+    actions.add(action);
+  }
+
+  @Override
+  public void toOwner(VmId owner, SlotMessage.ToOwner message) {
+    if (owner.equals(self)) {
+      own.add(message);
+    } else {
+      actions.add(new AdmissionAction.Send(owner, message));
+    }
+  }
+
+  private void toClient(VmId client, SlotMessage.ToClient message) {
+    if (client.equals(self)) {
+      own.add(message);
+    } else {
+      actions.add(new AdmissionAction.Send(client, message));
+    }
+  }
+
+  @Override
+  public void heard(ClassName className, CustomerId customer, double lag) {
+    lags.put(new CustomerClass(className, customer), lag);
+  }
+
+  @Override
+  public double lag(ClassName className, CustomerId customer) {
+    return lags.getOrDefault(new CustomerClass(className, customer), 0.0);
+  }
+
+  @Override
+  public boolean mustFinish(ClassName className) {
+    return settings.classes().find(className).map(ClassPolicy::mustFinish).orElse(false);
+  }
+
+  private ScopeClient client(long nowNanos, SlotScope scope) {
+    ScopeClient known = clients.get(scope);
+    if (known != null) {
+      return known;
+    }
+    ScopeClient made = new ScopeClient(scope, self, incarnation, settings.slots(), this);
+    clients.put(scope, made);
+    made.owner(nowNanos, ownerOf(scope));
+    return made;
+  }
+
+  private Optional<VmId> ownerOf(SlotScope scope) {
+    DomainView view = views.get(scope.domain());
+    if (view == null) {
+      return Optional.empty();
+    }
+    return Rendezvous.choose(Rendezvous.hash(scope.toString()), view.live());
+  }
+
+  private SlotOwner owner(long nowNanos, SlotScope scope) {
+    SlotOwner known = owners.get(scope);
+    if (known != null) {
+      return known;
+    }
+    SlotOwner made = new SlotOwner(scope, self, incarnation, settings, this::toClient, listener);
+    owners.put(scope, made);
+    DomainView view = views.get(scope.domain());
+    made.voters(nowNanos, view == null ? List.of() : view.voters());
+    made.upstreams(nowNanos, specs.getOrDefault(scope, List.of()));
+    return made;
+  }
+
+  private void drainOwn(long nowNanos) {
+    while (!own.isEmpty()) {
+      SlotMessage message = own.poll();
+      if (message instanceof SlotMessage.ToOwner request && !left) {
+        owner(nowNanos, request.scope()).receive(nowNanos, request);
+      } else if (message instanceof SlotMessage.ToClient answer) {
+        ScopeClient client = clients.get(answer.scope());
+        if (client != null) {
+          client.receive(nowNanos, answer);
+        }
+      }
+    }
+  }
+
+  private List<AdmissionAction> drain(long nowNanos) {
+    drainOwn(nowNanos);
+    List<AdmissionAction> drained = actions;
+    actions = new ArrayList<>();
+    return drained;
+  }
+}
--- a/decision/src/main/java/io/jacinthquay/decision/bearing/LoadReport.java
+++ b/decision/src/main/java/io/jacinthquay/decision/bearing/LoadReport.java
@@ -7,7 +7,7 @@
  * What an upstream reported of its load; it arrives late.
  *
  * @param upstream the upstream
- * @param measuredAtNanos when it was measured at the latest, on the receiver's monotonic clock
+ * @param measuredAtNanos earliest time at which it was measured, on the receiver's monotonic clock
  * @param running requests that it ran, 0 or more
  * @param queued requests that it held back, 0 or more
  * @param cold whether it says that caches or adapters are not loaded
--- a/decision/src/main/java/io/jacinthquay/decision/bearing/UpstreamSpec.java
+++ b/decision/src/main/java/io/jacinthquay/decision/bearing/UpstreamSpec.java
@@ -9,8 +9,10 @@
  * @param upstream the upstream
  * @param floor requests at a time that it can serve when fresh, 1 or more
  * @param ceiling most requests at a time that may ever be tried, {@code floor} or more
+ * @param reportsLoad whether load reports of it come; without them a new owner can't see what lost
+ *     routers still run on it
  */
-public record UpstreamSpec(UpstreamId upstream, int floor, int ceiling) {
+public record UpstreamSpec(UpstreamId upstream, int floor, int ceiling, boolean reportsLoad) {
   /** Ceiling where neither the upstream nor its operators state one. */
   public static final int DEFAULT_CEILING = 256;
 
@@ -27,8 +29,13 @@
     }
   }
 
-  /** Returns the values for an upstream that states nothing. */
+  /** Describes an upstream that reports its load. */
+  public UpstreamSpec(UpstreamId upstream, int floor, int ceiling) {
+    this(upstream, floor, ceiling, true);
+  }
+
+  /** Returns the values for an upstream that states nothing and sends no load reports. */
   public static UpstreamSpec unstated(UpstreamId upstream) {
-    return new UpstreamSpec(upstream, 1, DEFAULT_CEILING);
+    return new UpstreamSpec(upstream, 1, DEFAULT_CEILING, false);
   }
 }
--- a/decision/src/main/java/io/jacinthquay/decision/slots/SlotMessage.java
+++ b/decision/src/main/java/io/jacinthquay/decision/slots/SlotMessage.java
@@ -45,6 +45,7 @@
    * @param idle the unused slots
    * @param waiting the requests that wait
    * @param wanted how many unused slots the router would like to hold
+   * @param hints the limits that a former owner told
    * @param vouchFreeNanos how long a former owner may still count on this router, 0 or more
    */
   record State(
@@ -54,6 +55,7 @@
       List<SlotId> idle,
       List<SlotRequest> waiting,
       int wanted,
+      List<BearingHint> hints,
       long vouchFreeNanos)
       implements ToOwner {
     /** Copies the lists. */
@@ -61,6 +63,7 @@
       used = List.copyOf(used);
       idle = List.copyOf(idle);
       waiting = List.copyOf(waiting);
+      hints = List.copyOf(hints);
     }
   }
 
@@ -130,6 +133,8 @@
    * @param upstream the upstream that it is for
    * @param request the request that it is for; empty for a slot ahead of demand
    * @param lag how far the customer's counter is ahead of its class, in tokens
+   * @param limit requests at a time that the upstream is held to bear
+   * @param warming whether that limit is still in its fast start
    */
   record Grant(
       SlotScope scope,
@@ -137,7 +142,9 @@
       SlotId slot,
       UpstreamId upstream,
       Optional<RequestId> request,
-      double lag)
+      double lag,
+      int limit,
+      boolean warming)
       implements ToClient {}
 
   /**
--- /dev/null
+++ b/decision/src/main/java/io/jacinthquay/decision/slots/UpstreamSlots.java
@@ -0,0 +1,149 @@
+package io.jacinthquay.decision.slots;
+
+import io.jacinthquay.decision.bearing.BearingLimit;
+import io.jacinthquay.decision.bearing.BearingOptions;
+import io.jacinthquay.decision.bearing.LoadReport;
+import io.jacinthquay.decision.bearing.UpstreamSpec;
+import io.jacinthquay.model.UpstreamId;
+import java.util.ArrayDeque;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.Set;
+
+/**
+ * The slots of one upstream: its limit, the part of it that may be granted, and what is granted.
+ */
+final class UpstreamSlots {
+  final UpstreamId id;
+  final BearingLimit bearing;
+  final boolean reportsLoad;
+  final Set<Slot> orphans = new LinkedHashSet<>();
+  boolean leaving;
+
+  /** Age of the youngest hint that was taken in. */
+  long hintAgeNanos = Long.MAX_VALUE;
+
+  /** Slots granted, those of lost sessions included. */
+  int granted;
+
+  /** Slots granted and not in use. */
+  int idle;
+
+  /** The part of the limit that the vouching routers stand for. */
+  private int share;
+
+  /** Work of routers out of session, beyond the orphans; the whole limit while unknown. */
+  private int foreign;
+
+  /** Estimates of foreign work by the two latest reports, or -1. */
+  private int latestStrangers = -1;
+
+  private int earlierStrangers = -1;
+  private long earlierMeasuredNanos = Long.MIN_VALUE;
+  private long latestMeasuredNanos = Long.MIN_VALUE;
+
+  /** Lowest number of known running requests between the two latest reports, and since. */
+  private int lowBefore = Integer.MAX_VALUE;
+
+  private int lowSince;
+  private int loadAtInsert;
+
+  UpstreamSlots(UpstreamSpec spec, BearingOptions options) {
+    this.id = spec.upstream();
+    this.reportsLoad = spec.reportsLoad();
+    this.bearing = new BearingLimit(spec, options);
+  }
+
+  /** Returns how many slots may be granted in all. */
+  int usable() {
+    if (leaving) {
+      return 0;
+    }
+    return Math.max(0, Math.min(share, bearing.limit() - foreign));
+  }
+
+  /** Returns how many more slots may be granted now. */
+  int free() {
+    return Math.max(0, usable() - granted);
+  }
+
+  /** Returns the place in the order of load that was taken at the last insertion. */
+  int loadAtInsert() {
+    return loadAtInsert;
+  }
+
+  /** Notes the load, in thousandths of what may be granted, for the order of upstreams. */
+  void noteLoad() {
+    int usable = usable();
+    loadAtInsert = usable == 0 ? Integer.MAX_VALUE : granted * 1000 / usable;
+  }
+
+  void share(int units) {
+    share = units;
+  }
+
+  int foreign() {
+    return foreign;
+  }
+
+  void foreign(int load) {
+    foreign = load;
+  }
+
+  private int knownRunning() {
+    return granted - idle - orphans.size();
+  }
+
+  /** Notes the known load at the end of an event. */
+  void sample() {
+    lowSince = Math.min(lowSince, knownRunning());
+  }
+
+  /** Takes in a report and estimates the work that is not known here. */
+  void reported(LoadReport report) {
+    if (report.measuredAtNanos() <= latestMeasuredNanos) {
+      return;
+    }
+    sample();
+    int low = Math.min(lowBefore, lowSince);
+    earlierStrangers = latestStrangers;
+    earlierMeasuredNanos = latestMeasuredNanos;
+    latestMeasuredNanos = report.measuredAtNanos();
+    latestStrangers = Math.max(0, report.running() + report.queued() - low);
+    lowBefore = lowSince;
+    lowSince = knownRunning();
+  }
+
+  /**
+   * Returns the most unknown work that two reports since a moment leave room for, or -1 if there
+   * are not yet two.
+   */
+  int strangersSince(long sinceNanos) {
+    if (earlierStrangers < 0 || earlierMeasuredNanos < sinceNanos) {
+      return -1;
+    }
+    return Math.max(earlierStrangers, latestStrangers);
+  }
+
+  /** Returns whether the two latest reports both show unknown work. */
+  boolean strangersSeenTwice() {
+    return Math.min(earlierStrangers, latestStrangers) > 0;
+  }
+
+  /** Removes and returns the slots of lost sessions whose work is known to have ended. */
+  ArrayDeque<Slot> endedOrphans(long nowNanos) {
+    ArrayDeque<Slot> ended = new ArrayDeque<>();
+    int left = orphans.size();
+    for (Iterator<Slot> all = orphans.iterator(); all.hasNext(); ) {
+      Slot slot = all.next();
+      int strangers = strangersSince(slot.orphanSinceNanos);
+      boolean surplus = strangers >= 0 && left > strangers;
+      if (surplus || nowNanos >= slot.orphanUntilNanos) {
+        all.remove();
+        ended.add(slot);
+        left--;
+      }
+    }
+    return ended;
+  }
+}
--- /dev/null
+++ b/decision/src/test/java/io/jacinthquay/decision/admission/AdmissionTest.java
@@ -0,0 +1,112 @@
+package io.jacinthquay.decision.admission;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.jacinthquay.decision.bearing.UpstreamSpec;
+import io.jacinthquay.decision.slots.Completion;
+import io.jacinthquay.decision.slots.DomainView;
+import io.jacinthquay.decision.slots.SlotScope;
+import io.jacinthquay.model.ClassName;
+import io.jacinthquay.model.CustomerId;
+import io.jacinthquay.model.DomainId;
+import io.jacinthquay.model.PoolName;
+import io.jacinthquay.model.RequestId;
+import io.jacinthquay.model.ResultCode;
+import io.jacinthquay.model.Tier;
+import io.jacinthquay.model.UpstreamId;
+import io.jacinthquay.model.VmId;
+import io.jacinthquay.model.policy.ClassPolicy;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+/** One router alone, which owns its own slots. */
+class AdmissionTest {
+  private static final long MS = 1_000_000L;
+  private static final VmId SELF = new VmId("entry-1");
+  private static final DomainId DOMAIN = new DomainId("a");
+  private static final SlotScope SCOPE = new SlotScope(new PoolName("engines"), DOMAIN);
+  private static final UpstreamId ENGINE = new UpstreamId("engine-1");
+  private static final ClassName HIGH = new ClassName("high");
+  private static final ClassName LOW = new ClassName("low");
+
+  private final Admission admission = Admission.builder(SELF, 1, AdmissionTest::policy).build();
+
+  private static Optional<ClassPolicy> policy(ClassName name) {
+    int tier = name.equals(HIGH) ? 0 : 3;
+    return Optional.of(new ClassPolicy(name, new Tier(tier), 300, 50, 0.9, false, 60_000));
+  }
+
+  private static AdmissionRequest request(String id, ClassName name, long deadlineNanos) {
+    return new AdmissionRequest(
+        new RequestId(id),
+        SCOPE,
+        name,
+        new CustomerId("atlas"),
+        deadlineNanos,
+        10 * MS,
+        100,
+        true,
+        false,
+        List.of(),
+        List.of());
+  }
+
+  private void start(int floor) {
+    admission.view(0, DOMAIN, DomainView.alone(SELF));
+    admission.upstreams(0, SCOPE, List.of(new UpstreamSpec(ENGINE, floor, floor)));
+    admission.tick(0);
+  }
+
+  @Test
+  void dispatchesWhileThereIsRoomAndThenWaits() {
+    start(1);
+    var first = admission.submit(MS, request("r1", LOW, 300 * MS));
+    assertEquals(List.of(new AdmissionAction.Dispatch(new RequestId("r1"), ENGINE)), first);
+    assertEquals(List.of(), admission.submit(2 * MS, request("r2", LOW, 300 * MS)));
+    var next = admission.finish(9 * MS, new RequestId("r1"), Completion.done(100, 5 * MS, true));
+    assertEquals(List.of(new AdmissionAction.Dispatch(new RequestId("r2"), ENGINE)), next);
+  }
+
+  @Test
+  void refusesWhatCanNoLongerBeOnTime() {
+    start(1);
+    admission.submit(MS, request("r1", LOW, 300 * MS));
+    admission.submit(2 * MS, request("r2", LOW, 300 * MS));
+    assertEquals(List.of(), admission.tick(290 * MS));
+    var refused = assertInstanceOf(AdmissionAction.Refuse.class, admission.tick(291 * MS).get(0));
+    assertEquals(ResultCode.DEADLINE_UNREACHABLE, refused.code());
+  }
+
+  @Test
+  void preemptsLowerTierWhenTheTargetIsNear() {
+    start(1);
+    admission.submit(MS, request("low", LOW, 300 * MS));
+    admission.submit(2 * MS, request("high", HIGH, 302 * MS));
+    assertEquals(List.of(), admission.tick(251 * MS));
+    var order = admission.tick(253 * MS);
+    assertEquals(List.of(new AdmissionAction.Preempt(new RequestId("low"))), order);
+    var next = admission.preempted(255 * MS, new RequestId("low"), 60, 80);
+    assertEquals(List.of(new AdmissionAction.Dispatch(new RequestId("high"), ENGINE)), next);
+    var resumed = admission.finish(900 * MS, new RequestId("high"), Completion.done(9, MS, true));
+    assertEquals(List.of(new AdmissionAction.Dispatch(new RequestId("low"), ENGINE)), resumed);
+    var counts = admission.status(900 * MS).get(SCOPE).owned().orElseThrow().counts();
+    assertEquals(60, counts.wastedTokens());
+  }
+
+  @Test
+  void holdsUnusedSlotsOnceRequestsArriveRegularly() {
+    start(16);
+    for (int i = 0; i < 40; i++) {
+      long now = i * 50 * MS;
+      RequestId id = new RequestId("r" + i);
+      assertEquals(1, admission.submit(now, request(id.value(), LOW, now + 300 * MS)).size());
+      admission.tick(now + MS);
+      admission.finish(now + 20 * MS, id, Completion.done(100, 5 * MS, true));
+    }
+    ScopeStatus status = admission.status(2_000 * MS).get(SCOPE);
+    assertTrue(status.dispatchedAhead() > 20, status.toString());
+  }
+}
