Add membership by gossip

Cause: ownership of upstreams and spilling to other failure domains need to know which routers live.

Conclusion: interfaces stand; bytes and detection times are measured next.

--- /dev/null
+++ b/decision/src/main/java/io/jacinthquay/decision/membership/MemberLoad.java
@@ -0,0 +1,28 @@
+package io.jacinthquay.decision.membership;
+
+/**
+ * The load of one router or of a failure domain.
+ *
+ * @param running requests that run on upstreams, 0 or more
+ * @param waiting requests that wait, 0 or more
+ */
+public record MemberLoad(int running, int waiting) {
+  /** No load. */
+  public static final MemberLoad NONE = new MemberLoad(0, 0);
+
+  /**
+   * Checks the ranges.
+   *
+   * @throws IllegalArgumentException if a number is negative
+   */
+  public MemberLoad {
+    if (running < 0 || waiting < 0) {
+      throw new IllegalArgumentException("a load must not be negative");
+    }
+  }
+
+  /** Returns the sum of two loads. */
+  public MemberLoad plus(MemberLoad other) {
+    return new MemberLoad(running + other.running, waiting + other.waiting);
+  }
+}
--- /dev/null
+++ b/decision/src/main/java/io/jacinthquay/decision/membership/Outgoing.java
@@ -0,0 +1,24 @@
+package io.jacinthquay.decision.membership;
+
+import io.jacinthquay.model.VmId;
+import java.util.Objects;
+
+/**
+ * A message to send.
+ *
+ * @param to the receiver
+ * @param address where it is reached
+ * @param message the message
+ */
+public record Outgoing(VmId to, String address, GossipMessage message) {
+  /**
+   * Checks that the parts are present.
+   *
+   * @throws NullPointerException if a part is missing
+   */
+  public Outgoing {
+    Objects.requireNonNull(to, "to");
+    Objects.requireNonNull(address, "address");
+    Objects.requireNonNull(message, "message");
+  }
+}
