--- /dev/null
+++ b/decision/src/test/java/io/jacinthquay/decision/admission/BearingProperties.java
@@ -0,0 +1,148 @@
+package io.jacinthquay.decision.admission;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.jacinthquay.decision.slots.DecisionListener;
+import io.jacinthquay.model.VmId;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.constraints.LongRange;
+import net.jqwik.api.constraints.Size;
+
+/** Upstreams never get more than they bear, whatever happens to routers and messages. */
+class BearingProperties {
+  private static final int WARM = 8;
+  private static final int FRESH = 4;
+  private static final int SLOTS = 8;
+  private static final long SECOND = 1_000 * DomainBus.MS;
+
+  /** What may happen to a failure domain. */
+  enum Event {
+    /** One router is cut off from the others for a while. */
+    CUT,
+    /** Routers disagree on who is live for a while. */
+    DISAGREE,
+    /** The owner goes: all routers choose another one. */
+    OWNER_CHANGE,
+    /** A router is lost without warning. */
+    CRASH,
+    /** Messages are lost and repeated for a while. */
+    NOISE
+  }
+
+  @Provide
+  Arbitrary<Event> events() {
+    return Arbitraries.of(Event.class);
+  }
+
+  @Property(tries = 25, seed = "4711")
+  void neverExceedsWhatUpstreamsBear(
+      @ForAll @LongRange(min = 1, max = 1_000_000) long seed,
+      @ForAll @Size(min = 1, max = 4) List<@net.jqwik.api.From("events") Event> events) {
+    DomainBus bus = bus(seed);
+    for (int i = 0; i < events.size(); i++) {
+      Event event = events.get(i);
+      bus.at((2 + 4L * i) * SECOND, now -> happen(bus, event));
+    }
+    bus.runUntil(20 * SECOND);
+    assertEquals(0, bus.breaches());
+    bus.runUntil(60 * SECOND);
+    assertEquals(Set.of(), bus.unanswered());
+  }
+
+  @Property(tries = 5, seed = "4711")
+  void keepsWarmUpstreamsBusyThroughOwnerChangesAndCut(
+      @ForAll @LongRange(min = 1, max = 1_000_000) long seed) {
+    DomainBus bus = bus(seed);
+    bus.at(6 * SECOND, now -> happen(bus, Event.OWNER_CHANGE));
+    bus.at(10 * SECOND, now -> happen(bus, Event.CUT));
+    bus.at(14 * SECOND, now -> happen(bus, Event.OWNER_CHANGE));
+    bus.runUntil(2 * SECOND);
+    double before = busyWarm(bus);
+    bus.runUntil(20 * SECOND);
+    double utilisation = (busyWarm(bus) - before) / (18.0 * SECOND * WARM * SLOTS);
+    assertEquals(0, bus.breaches());
+    assertTrue(utilisation >= 0.9, "utilisation " + utilisation);
+  }
+
+  private static DomainBus bus(long seed) {
+    DomainBus bus = new DomainBus(seed, 3, Workload::policy, vm -> DecisionListener.NONE);
+    bus.engines(WARM, SLOTS, SLOTS).engines(FRESH, 1, SLOTS).start();
+    Workload workload = new Workload(bus);
+    double capacity = (WARM + FRESH) * SLOTS / Workload.meanServiceSeconds();
+    for (int tier = 0; tier < 5; tier++) {
+      workload.stream(tier, "c" + tier, (tier == 4 ? 0.1 : 0.4) * capacity, 20 * SECOND);
+    }
+    return bus;
+  }
+
+  private static double busyWarm(DomainBus bus) {
+    double busy = 0;
+    for (int i = 0; i < WARM; i++) {
+      FakeEngine engine = new ArrayList<>(bus.engines.values()).get(i);
+      busy += engine.busySlotNanos(bus.nowNanos);
+    }
+    return busy;
+  }
+
+  private static void happen(DomainBus bus, Event event) {
+    List<VmId> all = new ArrayList<>(bus.routers.keySet());
+    VmId one = all.get(bus.random.nextInt(all.size()));
+    List<VmId> others = all.stream().filter(vm -> !vm.equals(one)).toList();
+    List<VmId> voters = voters();
+    switch (event) {
+      case CUT -> {
+        bus.side.put(one, 1);
+        bus.at(
+            SECOND,
+            now -> {
+              bus.view(one, voters, List.of(one));
+              others.forEach(vm -> bus.view(vm, voters, others));
+            });
+        heal(bus, 3 * SECOND, one);
+      }
+      case DISAGREE -> {
+        bus.view(one, voters, List.of(one));
+        heal(bus, 2 * SECOND, one);
+      }
+      case OWNER_CHANGE -> {
+        bus.viewAll(voters, others.isEmpty() ? all : others);
+        heal(bus, 2 * SECOND, one);
+      }
+      case CRASH -> {
+        if (all.size() > 1) {
+          bus.crash(one);
+          bus.at(SECOND, now -> bus.viewAll(voters, others));
+        }
+      }
+      case NOISE -> {
+        bus.loss = 0.02;
+        bus.repetition = 0.1;
+        heal(bus, 3 * SECOND, one);
+      }
+      default -> throw new AssertionError(event);
+    }
+  }
+
+  private static List<VmId> voters() {
+    return List.of(new VmId("entry-0"), new VmId("entry-1"), new VmId("entry-2"));
+  }
+
+  private static void heal(DomainBus bus, long delayNanos, VmId one) {
+    bus.at(
+        delayNanos,
+        now -> {
+          bus.side.put(one, 0);
+          bus.loss = 0;
+          bus.repetition = 0;
+          bus.viewAll(voters(), new ArrayList<>(bus.routers.keySet()));
+        });
+  }
+}
