--- a/model/src/main/java/io/jacinthquay/model/ResultCode.java
+++ b/model/src/main/java/io/jacinthquay/model/ResultCode.java
@@ -89,6 +89,13 @@
       Outcome.NOT_RUN,
       "The router is cut off and its key table has expired.",
       "Retry through another router."),
+  /** The router was cut off while the answer was sent. */
+  KEYS_NOT_CURRENT_DURING_RUN(
+      1105,
+      503,
+      Outcome.RAN,
+      "The router was cut off and its key table expired while the answer was sent.",
+      "Retry through another router; part of the answer was delivered."),
   /** Capacity went to work of equal or higher tier. */
   SHED_OVERLOAD(
       1200,
--- /dev/null
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/CallerHandler.java
@@ -0,0 +1,98 @@
+package io.jacinthquay.router.adapter.http;
+
+import io.jacinthquay.model.Failure;
+import io.jacinthquay.model.RequestId;
+import io.jacinthquay.model.ResultCode;
+import io.jacinthquay.router.port.CallerHead;
+import io.jacinthquay.router.port.Header;
+import io.jacinthquay.router.port.RequestIntake;
+import io.jacinthquay.router.port.RequestIntake.AdmittedHead;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderValues;
+import io.undertow.util.SameThreadExecutor;
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Reads one request and hands it to the intake. */
+final class CallerHandler implements HttpHandler {
+  private final RequestIntake intake;
+  private final ListenerLimits limits;
+  private final BodyMemory memory;
+
+  CallerHandler(RequestIntake intake, ListenerLimits limits) {
+    this.intake = intake;
+    this.limits = limits;
+    this.memory = new BodyMemory(limits.maxBufferedBytes());
+  }
+
+  @Override
+  public void handleRequest(HttpServerExchange exchange) {
+    RequestId id = intake.nextId();
+    CallerHead head = head(exchange);
+    UndertowCaller caller = new UndertowCaller(exchange);
+    exchange.dispatch(SameThreadExecutor.INSTANCE, () -> start(exchange, id, head, caller));
+  }
+
+  private void start(
+      HttpServerExchange exchange, RequestId id, CallerHead head, UndertowCaller caller) {
+    if (headBytes(head) > limits.maxHeadBytes()) {
+      refuse(exchange, id, head, Failure.of(ResultCode.HEAD_TOO_LARGE), caller);
+      return;
+    }
+    Either<Failure, AdmittedHead> admitted = intake.admit(id, head);
+    if (admitted.isLeft()) {
+      refuse(exchange, id, head, admitted.getLeft(), caller);
+      return;
+    }
+    BodyReader reader = new BodyReader(exchange, limits, memory);
+    reader.read(
+        body -> admitted.get().run(body, caller),
+        failure -> refuse(exchange, id, head, failure, caller));
+  }
+
+  private void refuse(
+      HttpServerExchange exchange,
+      RequestId id,
+      CallerHead head,
+      Failure failure,
+      UndertowCaller caller) {
+    if (!exchange.isRequestComplete()) {
+      exchange.setPersistent(false);
+    }
+    intake.refuse(id, head, failure, caller);
+  }
+
+  private static CallerHead head(HttpServerExchange exchange) {
+    List<Header> headers = new ArrayList<>();
+    for (HeaderValues values : exchange.getRequestHeaders()) {
+      for (String value : values) {
+        headers.add(new Header(values.getHeaderName().toString(), value));
+      }
+    }
+    return new CallerHead(
+        exchange.getRequestMethod().toString(),
+        exchange.getRequestPath(),
+        rawPath(exchange),
+        exchange.getQueryString(),
+        headers);
+  }
+
+  private static String rawPath(HttpServerExchange exchange) {
+    String uri = exchange.getRequestURI();
+    if (!exchange.isHostIncludedInRequestURI()) {
+      return uri;
+    }
+    int slash = uri.indexOf('/', uri.indexOf("://") + 3);
+    return slash < 0 ? "/" : uri.substring(slash);
+  }
+
+  private static long headBytes(CallerHead head) {
+    long bytes = head.rawPath().length() + head.query().length();
+    for (Header header : head.headers()) {
+      bytes += header.name().length() + header.value().length() + 4;
+    }
+    return bytes;
+  }
+}
--- /dev/null
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/ConnectionPool.java
@@ -0,0 +1,153 @@
+package io.jacinthquay.router.adapter.http;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.UndertowClient;
+import io.undertow.connector.ByteBufferPool;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+
+/** The idle connections of one I/O thread; used on that thread only. */
+final class ConnectionPool {
+  /** Longest time since its last answer in which a connection counts as just having answered. */
+  private static final long JUST_ANSWERED_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+
+  /** Longest time that a connection is kept idle. */
+  private static final long MOST_IDLE_NANOS = TimeUnit.SECONDS.toNanos(15);
+
+  private static final int MOST_IDLE_PER_UPSTREAM = 64;
+  private static final OptionMap OPTIONS = OptionMap.create(Options.TCP_NODELAY, true);
+
+  private final XnioIoThread thread;
+  private final ByteBufferPool buffers;
+  private final Duration connectTimeout;
+  private final Map<InetSocketAddress, Deque<Idle>> idle = new HashMap<>();
+
+  ConnectionPool(XnioIoThread thread, ByteBufferPool buffers, Duration connectTimeout) {
+    this.thread = thread;
+    this.buffers = buffers;
+    this.connectTimeout = connectTimeout;
+  }
+
+  private record Idle(ClientConnection connection, long sinceNanos) {}
+
+  ByteBufferPool buffers() {
+    return buffers;
+  }
+
+  /**
+   * Hands out a connection.
+   *
+   * @param justAnswered whether a reused connection must have answered a moment ago, so that a
+   *     reset on it can't stem from the time before the request
+   */
+  void take(
+      InetSocketAddress address, boolean justAnswered, ClientCallback<ClientConnection> taker) {
+    ClientConnection reused = takeIdle(address, justAnswered);
+    if (reused != null) {
+      taker.completed(reused);
+      return;
+    }
+    connect(address, new FirstOf(taker));
+  }
+
+  private void connect(InetSocketAddress address, FirstOf first) {
+    URI uri = URI.create("http://" + hostText(address) + ":" + address.getPort());
+    XnioExecutor.Key timer =
+        thread.executeAfter(
+            () -> first.failed(new IOException("connecting took too long")),
+            connectTimeout.toMillis(),
+            TimeUnit.MILLISECONDS);
+    first.timer = timer;
+    UndertowClient.getInstance().connect(first, uri, thread, buffers, OPTIONS);
+  }
+
+  private static String hostText(InetSocketAddress address) {
+    String host = address.getAddress().getHostAddress();
+    return host.indexOf(':') >= 0 ? "[" + host + "]" : host;
+  }
+
+  private ClientConnection takeIdle(InetSocketAddress address, boolean justAnswered) {
+    Deque<Idle> connections = idle.get(address);
+    if (connections == null) {
+      return null;
+    }
+    long now = System.nanoTime();
+    long mostIdle = justAnswered ? JUST_ANSWERED_NANOS : MOST_IDLE_NANOS;
+    Idle next = connections.pollLast();
+    while (next != null) {
+      boolean fresh = now - next.sinceNanos() <= mostIdle;
+      if (fresh && next.connection().isOpen()) {
+        return next.connection();
+      }
+      IoUtils.safeClose(next.connection());
+      next = connections.pollLast();
+    }
+    return null;
+  }
+
+  /** Takes back a connection whose answer has wholly arrived. */
+  void giveBack(InetSocketAddress address, ClientConnection connection) {
+    Deque<Idle> connections = idle.computeIfAbsent(address, a -> new ArrayDeque<>());
+    if (connections.size() >= MOST_IDLE_PER_UPSTREAM) {
+      IoUtils.safeClose(connections.pollFirst().connection());
+    }
+    connections.addLast(new Idle(connection, System.nanoTime()));
+  }
+
+  void close() {
+    try {
+      thread.execute(
+          () -> idle.values().forEach(q -> q.forEach(i -> IoUtils.safeClose(i.connection()))));
+    } catch (RejectedExecutionException e) {
+      idle.clear();
+    }
+  }
+
+  /** Passes on the first result only; a connection that comes too late is closed. */
+  private static final class FirstOf implements ClientCallback<ClientConnection> {
+    private final ClientCallback<ClientConnection> taker;
+    private XnioExecutor.Key timer;
+    private boolean done;
+
+    FirstOf(ClientCallback<ClientConnection> taker) {
+      this.taker = taker;
+    }
+
+    @Override
+    public void completed(ClientConnection connection) {
+      if (done) {
+        IoUtils.safeClose(connection);
+        return;
+      }
+      finish();
+      taker.completed(connection);
+    }
+
+    @Override
+    public void failed(IOException e) {
+      if (!done) {
+        finish();
+        taker.failed(e);
+      }
+    }
+
+    private void finish() {
+      done = true;
+      timer.remove();
+    }
+  }
+}
--- /dev/null
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowCaller.java
@@ -0,0 +1,164 @@
+package io.jacinthquay.router.adapter.http;
+
+import io.jacinthquay.router.port.AnswerHead;
+import io.jacinthquay.router.port.Caller;
+import io.jacinthquay.router.port.CallerListener;
+import io.jacinthquay.router.port.EventThread;
+import io.jacinthquay.router.port.Header;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.OptionalLong;
+import org.xnio.IoUtils;
+import org.xnio.channels.StreamSinkChannel;
+
+/** The way back to a caller over one Undertow exchange. */
+final class UndertowCaller implements Caller {
+  private static final ByteBuffer EMPTY = ByteBuffer.allocate(0);
+
+  private final HttpServerExchange exchange;
+  private final EventThread thread;
+  private CallerListener listener;
+  private StreamSinkChannel sink;
+  private ByteBuffer pending = EMPTY;
+  private boolean begun;
+  private boolean ending;
+  private boolean finished;
+
+  UndertowCaller(HttpServerExchange exchange) {
+    this.exchange = exchange;
+    this.thread = new IoThread(exchange.getIoThread());
+    exchange.getConnection().addCloseListener(connection -> gone());
+  }
+
+  @Override
+  public EventThread thread() {
+    return thread;
+  }
+
+  @Override
+  public void listener(CallerListener newListener) {
+    listener = newListener;
+  }
+
+  @Override
+  public void begin(AnswerHead head, OptionalLong length) {
+    begun = true;
+    if (finished) {
+      return;
+    }
+    exchange.setStatusCode(head.status());
+    for (Header header : head.headers()) {
+      exchange.getResponseHeaders().add(new HttpString(header.name()), header.value());
+    }
+    length.ifPresent(bytes -> exchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, bytes));
+    sink = exchange.getResponseChannel();
+    sink.getWriteSetter().set(channel -> flushPending());
+  }
+
+  @Override
+  public boolean hasBegun() {
+    return begun;
+  }
+
+  @Override
+  public boolean write(ByteBuffer data) {
+    if (finished) {
+      return true;
+    }
+    if (pending.hasRemaining()) {
+      append(data);
+      return false;
+    }
+    try {
+      while (data.hasRemaining()) {
+        if (sink.write(data) == 0) {
+          append(data);
+          sink.resumeWrites();
+          return false;
+        }
+      }
+      return flushed();
+    } catch (IOException e) {
+      broken();
+      return true;
+    }
+  }
+
+  private boolean flushed() throws IOException {
+    if (sink.flush()) {
+      return true;
+    }
+    sink.resumeWrites();
+    return false;
+  }
+
+  private void append(ByteBuffer data) {
+    ByteBuffer joined = ByteBuffer.allocate(pending.remaining() + data.remaining());
+    joined.put(pending).put(data).flip();
+    pending = joined;
+  }
+
+  private void flushPending() {
+    try {
+      while (pending.hasRemaining()) {
+        if (sink.write(pending) == 0) {
+          return;
+        }
+      }
+      pending = EMPTY;
+      if (ending) {
+        finish();
+        return;
+      }
+      if (!sink.flush()) {
+        return;
+      }
+      sink.suspendWrites();
+    } catch (IOException e) {
+      broken();
+      return;
+    }
+    if (listener != null) {
+      listener.onWritable();
+    }
+  }
+
+  @Override
+  public void end() {
+    ending = true;
+    if (!pending.hasRemaining()) {
+      finish();
+    }
+  }
+
+  private void finish() {
+    if (!finished) {
+      finished = true;
+      exchange.endExchange();
+    }
+  }
+
+  private void broken() {
+    IoUtils.safeClose(exchange.getConnection());
+    gone();
+  }
+
+  private void gone() {
+    if (!finished) {
+      finished = true;
+      pending = EMPTY;
+      if (listener != null) {
+        listener.onGone();
+      }
+    }
+  }
+
+  @Override
+  public void abort() {
+    finished = true;
+    IoUtils.safeClose(exchange.getConnection());
+  }
+}
--- /dev/null
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP towards callers, upstreams and the platform, by Undertow's server and client. */
+package io.jacinthquay.router.adapter.http;
--- /dev/null
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/ThriftClaimStore.java
@@ -0,0 +1,111 @@
+package io.jacinthquay.router.adapter.thrift;
+
+import io.jacinthquay.model.Failure;
+import io.jacinthquay.model.ResultCode;
+import io.jacinthquay.router.port.Claim;
+import io.jacinthquay.router.port.ClaimStanding;
+import io.jacinthquay.router.port.ClaimStore;
+import io.jacinthquay.router.port.RecordedAnswer;
+import io.jacinthquay.wire.client.KeeperCall;
+import io.jacinthquay.wire.client.KeeperClient;
+import io.jacinthquay.wire.gen.ClaimAnswer;
+import io.jacinthquay.wire.gen.ClaimRequest;
+import io.jacinthquay.wire.gen.ClaimResult;
+import io.vavr.control.Either;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
+
+/** Records idempotency keys with the keepers; calls run on an executor of their own. */
+public final class ThriftClaimStore implements ClaimStore {
+  private final KeeperClient keepers;
+  private final String claimant;
+  private final Executor executor;
+
+  /**
+   * Returns a store.
+   *
+   * @param keepers the keepers
+   * @param claimant name and incarnation of the router
+   * @param executor runs the calls, which block; may refuse them
+   */
+  public ThriftClaimStore(KeeperClient keepers, String claimant, Executor executor) {
+    this.keepers = keepers;
+    this.claimant = claimant;
+    this.executor = executor;
+  }
+
+  @Override
+  public CompletionStage<Either<Failure, ClaimStanding>> begin(Claim claim) {
+    return call(keeper -> standing(keeper.beginClaim(request(claim))));
+  }
+
+  @Override
+  public CompletionStage<Either<Failure, Void>> complete(Claim claim, RecordedAnswer answer) {
+    ClaimResult result = new ClaimResult();
+    result.setStatus(answer.status());
+    result.setContentType(answer.contentType());
+    result.setBody(answer.body());
+    return call(
+        keeper -> {
+          keeper.completeClaim(request(claim), result);
+          return null;
+        });
+  }
+
+  @Override
+  public CompletionStage<Either<Failure, Void>> release(Claim claim) {
+    return call(
+        keeper -> {
+          keeper.releaseClaim(request(claim));
+          return null;
+        });
+  }
+
+  private <T> CompletionStage<Either<Failure, T>> call(KeeperCall<T> call) {
+    try {
+      return CompletableFuture.supplyAsync(() -> unavailable(keepers.call(call)), executor);
+    } catch (RejectedExecutionException e) {
+      return CompletableFuture.completedFuture(
+          Either.left(Failure.of(ResultCode.CLAIM_UNAVAILABLE)));
+    }
+  }
+
+  private static <T> Either<Failure, T> unavailable(Either<Failure, T> answer) {
+    return answer.mapLeft(
+        failure ->
+            failure.code() == ResultCode.CLAIM_BODY_DIFFERS
+                ? failure
+                : Failure.of(ResultCode.CLAIM_UNAVAILABLE));
+  }
+
+  private ClaimRequest request(Claim claim) {
+    return new ClaimRequest(
+        claim.customer().value(),
+        claim.route().value(),
+        claim.key(),
+        claim.bodyDigest(),
+        claim.request().value(),
+        claimant);
+  }
+
+  private static ClaimStanding standing(ClaimAnswer answer) {
+    return switch (answer.getState()) {
+      case FRESH -> new ClaimStanding(ClaimStanding.State.FRESH, Optional.empty());
+      case IN_PROGRESS -> new ClaimStanding(ClaimStanding.State.IN_PROGRESS, Optional.empty());
+      case DONE -> done(answer.getResult());
+      default -> new ClaimStanding(ClaimStanding.State.OUTCOME_UNKNOWN, Optional.empty());
+    };
+  }
+
+  private static ClaimStanding done(ClaimResult result) {
+    if (result == null) {
+      return new ClaimStanding(ClaimStanding.State.OUTCOME_UNKNOWN, Optional.empty());
+    }
+    RecordedAnswer answer =
+        new RecordedAnswer(result.getStatus(), result.getContentType(), result.getBody());
+    return new ClaimStanding(ClaimStanding.State.DONE, Optional.of(answer));
+  }
+}
--- /dev/null
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/ThriftConfigSource.java
@@ -0,0 +1,116 @@
+package io.jacinthquay.router.adapter.thrift;
+
+import io.jacinthquay.model.ConfigVersion;
+import io.jacinthquay.model.DomainId;
+import io.jacinthquay.model.Failure;
+import io.jacinthquay.model.ResultCode;
+import io.jacinthquay.model.VmId;
+import io.jacinthquay.model.policy.ConfigChange;
+import io.jacinthquay.router.port.ConfigPosition;
+import io.jacinthquay.router.port.ConfigSource;
+import io.jacinthquay.router.port.ConfigUpdate;
+import io.jacinthquay.runtime.tls.TlsIdentity;
+import io.jacinthquay.wire.convert.ConfigMessages;
+import io.jacinthquay.wire.gen.CallFailed;
+import io.jacinthquay.wire.gen.ChangeMessage;
+import io.jacinthquay.wire.gen.ConfigFeed;
+import io.jacinthquay.wire.gen.ConfigPage;
+import io.jacinthquay.wire.gen.FeedPosition;
+import io.jacinthquay.wire.transport.SecureChannel;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.apache.thrift.TException;
+
+/** Polls keepers and relays, one at a time; after a failure the next one is asked. */
+public final class ThriftConfigSource implements ConfigSource, AutoCloseable {
+  /** Time beyond the longest wait after which an answer is given up, in milliseconds. */
+  private static final int ANSWER_MILLIS = 1_000;
+
+  private final List<InetSocketAddress> sources;
+  private final TlsIdentity identity;
+  private final VmId self;
+  private final DomainId domain;
+  private SecureChannel channel;
+  private int next;
+
+  /**
+   * Returns a source.
+   *
+   * @param sources keepers and relays in order of preference, at least one
+   * @param identity the router's certificate and trusted authority
+   * @throws IllegalArgumentException if no source is given
+   */
+  public ThriftConfigSource(
+      List<InetSocketAddress> sources, TlsIdentity identity, VmId self, DomainId domain) {
+    if (sources.isEmpty()) {
+      throw new IllegalArgumentException("at least one source is needed");
+    }
+    this.sources = List.copyOf(sources);
+    this.identity = identity;
+    this.self = self;
+    this.domain = domain;
+  }
+
+  @Override
+  public synchronized Either<Failure, ConfigUpdate> poll(ConfigPosition position, Duration wait) {
+    try {
+      if (channel == null) {
+        channel = SecureChannel.open(sources.get(next), identity, ANSWER_MILLIS);
+      }
+      int waitMillis = Math.toIntExact(wait.toMillis());
+      channel.readTimeout(waitMillis + ANSWER_MILLIS);
+      ConfigFeed.Client client = new ConfigFeed.Client(channel.protocol());
+      return update(client.changes(message(position), waitMillis));
+    } catch (CallFailed failed) {
+      Failure failure = ConfigMessages.fromMessage(failed);
+      turnToNext();
+      return Either.left(failure);
+    } catch (TException | IOException e) {
+      String detail = sources.get(next) + " did not answer: " + e.getMessage();
+      turnToNext();
+      return Either.left(Failure.of(ResultCode.NO_QUORUM, detail));
+    }
+  }
+
+  private void turnToNext() {
+    close();
+    next = (next + 1) % sources.size();
+  }
+
+  private FeedPosition message(ConfigPosition position) {
+    Map<String, Long> relayed = new HashMap<>();
+    position.relayed().forEach((name, version) -> relayed.put(name, version.value()));
+    return new FeedPosition(self.value(), domain.value(), position.inForce().value(), relayed);
+  }
+
+  private static Either<Failure, ConfigUpdate> update(ConfigPage page) {
+    List<ConfigChange> changes = new ArrayList<>();
+    for (ChangeMessage message : page.getChanges()) {
+      Either<Failure, ConfigChange> change = ConfigMessages.fromMessage(message);
+      if (change.isLeft()) {
+        return Either.left(change.getLeft());
+      }
+      changes.add(change.get());
+    }
+    return Either.right(
+        new ConfigUpdate(
+            new ConfigVersion(page.getNewest()),
+            page.isSnapshot(),
+            changes,
+            Duration.ofMillis(page.getKeysCurrentMillis())));
+  }
+
+  @Override
+  public synchronized void close() {
+    if (channel != null) {
+      channel.close();
+      channel = null;
+    }
+  }
+}
--- /dev/null
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/package-info.java
@@ -0,0 +1,2 @@
+/** Thrift towards keepers and other routers. */
+package io.jacinthquay.router.adapter.thrift;
--- a/router/src/main/java/io/jacinthquay/router/package-info.java
+++ b/router/src/main/java/io/jacinthquay/router/package-info.java
@@ -1,2 +1,2 @@
-/** Serves callers and sends requests to upstreams. */
+/** The router: serves callers and sends their requests to upstreams. */
 package io.jacinthquay.router;
--- /dev/null
+++ b/router/src/main/java/io/jacinthquay/router/port/package-info.java
@@ -0,0 +1,2 @@
+/** What the router needs from the outside; {@code adapter} packages implement it. */
+package io.jacinthquay.router.port;
--- /dev/null
+++ b/router/src/main/java/io/jacinthquay/router/service/RouterOptions.java
@@ -0,0 +1,122 @@
+package io.jacinthquay.router.service;
+
+import io.jacinthquay.model.DomainId;
+import io.jacinthquay.model.VmId;
+import io.jacinthquay.router.adapter.http.ListenerLimits;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Objects;
+
+/**
+ * The settings of one router.
+ *
+ * @param self the name of its VM
+ * @param domain its failure domain
+ * @param listen where callers connect; port 0 takes a free one
+ * @param ioThreads threads that carry all requests, 1 or more
+ * @param limits protection against bad input
+ * @param usageWindow length of a usage window
+ * @param stall silence after which an upstream counts as stalled
+ * @param connectTimeout longest time to open a connection to an upstream
+ * @param drainDelay time between not being ready and refusing requests, for the balancer to notice
+ * @param drainLimit longest time for running requests to finish at a stop
+ * @param vmListInterval time between two readings of the platform's list
+ */
+public record RouterOptions(
+    VmId self,
+    DomainId domain,
+    InetSocketAddress listen,
+    int ioThreads,
+    ListenerLimits limits,
+    Duration usageWindow,
+    Duration stall,
+    Duration connectTimeout,
+    Duration drainDelay,
+    Duration drainLimit,
+    Duration vmListInterval) {
+  /**
+   * Checks that all parts are present.
+   *
+   * @throws IllegalArgumentException if {@code ioThreads} is below 1
+   * @throws NullPointerException if a part is missing
+   */
+  public RouterOptions {
+    Objects.requireNonNull(self, "self");
+    Objects.requireNonNull(domain, "domain");
+    Objects.requireNonNull(listen, "listen");
+    Objects.requireNonNull(limits, "limits");
+    Objects.requireNonNull(usageWindow, "usageWindow");
+    Objects.requireNonNull(stall, "stall");
+    Objects.requireNonNull(connectTimeout, "connectTimeout");
+    Objects.requireNonNull(drainDelay, "drainDelay");
+    Objects.requireNonNull(drainLimit, "drainLimit");
+    Objects.requireNonNull(vmListInterval, "vmListInterval");
+    if (ioThreads < 1) {
+      throw new IllegalArgumentException("ioThreads must be 1 or more");
+    }
+  }
+
+  /** Returns the usual settings of a router on a small VM. */
+  public static RouterOptions of(VmId self, DomainId domain, InetSocketAddress listen) {
+    return new RouterOptions(
+        self,
+        domain,
+        listen,
+        2,
+        ListenerLimits.defaults(),
+        Duration.ofMinutes(1),
+        Duration.ofSeconds(15),
+        Duration.ofSeconds(1),
+        Duration.ZERO,
+        Duration.ofSeconds(60),
+        Duration.ofMillis(500));
+  }
+
+  /** Returns these settings with other limits of the listener. */
+  public RouterOptions withLimits(ListenerLimits newLimits) {
+    return new RouterOptions(
+        self,
+        domain,
+        listen,
+        ioThreads,
+        newLimits,
+        usageWindow,
+        stall,
+        connectTimeout,
+        drainDelay,
+        drainLimit,
+        vmListInterval);
+  }
+
+  /** Returns these settings with another length of usage windows. */
+  public RouterOptions withUsageWindow(Duration window) {
+    return new RouterOptions(
+        self,
+        domain,
+        listen,
+        ioThreads,
+        limits,
+        window,
+        stall,
+        connectTimeout,
+        drainDelay,
+        drainLimit,
+        vmListInterval);
+  }
+
+  /** Returns these settings with another silence after which an upstream counts as stalled. */
+  public RouterOptions withStall(Duration newStall) {
+    return new RouterOptions(
+        self,
+        domain,
+        listen,
+        ioThreads,
+        limits,
+        usageWindow,
+        newStall,
+        connectTimeout,
+        drainDelay,
+        drainLimit,
+        vmListInterval);
+  }
+}
--- /dev/null
+++ b/router/src/main/java/io/jacinthquay/router/service/RouterPorts.java
@@ -0,0 +1,30 @@
+package io.jacinthquay.router.service;
+
+import io.jacinthquay.router.port.ClaimStore;
+import io.jacinthquay.router.port.ConfigSource;
+import io.jacinthquay.router.port.UsageSink;
+import io.jacinthquay.router.port.VmDirectory;
+import java.util.Objects;
+
+/**
+ * What one router talks to.
+ *
+ * @param config where configuration comes from
+ * @param claims records idempotency keys
+ * @param usage takes usage counters
+ * @param vms the platform's list of VMs
+ */
+public record RouterPorts(
+    ConfigSource config, ClaimStore claims, UsageSink usage, VmDirectory vms) {
+  /**
+   * Checks that all parts are present.
+   *
+   * @throws NullPointerException if a part is missing
+   */
+  public RouterPorts {
+    Objects.requireNonNull(config, "config");
+    Objects.requireNonNull(claims, "claims");
+    Objects.requireNonNull(usage, "usage");
+    Objects.requireNonNull(vms, "vms");
+  }
+}
--- /dev/null
+++ b/router/src/main/java/io/jacinthquay/router/service/config/package-info.java
@@ -0,0 +1,2 @@
+/** The configuration and the keys in force at this router. */
+package io.jacinthquay.router.service.config;
--- /dev/null
+++ b/router/src/main/java/io/jacinthquay/router/service/dispatch/PoolTables.java
@@ -0,0 +1,119 @@
+package io.jacinthquay.router.service.dispatch;
+
+import io.jacinthquay.decision.placement.Dispatch;
+import io.jacinthquay.decision.placement.PlacementSettings;
+import io.jacinthquay.decision.placement.Placer;
+import io.jacinthquay.decision.placement.Placers;
+import io.jacinthquay.decision.placement.UpstreamInfo;
+import io.jacinthquay.decision.placement.UpstreamTable;
+import io.jacinthquay.decision.retry.RetryBudget;
+import io.jacinthquay.model.DomainId;
+import io.jacinthquay.model.ModelName;
+import io.jacinthquay.model.PoolName;
+import io.jacinthquay.model.UpstreamId;
+import io.jacinthquay.model.VmId;
+import io.jacinthquay.model.policy.Policy;
+import io.jacinthquay.router.port.VmEntry;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/** The upstreams of every pool; guarded by the lock of its dispatcher. */
+final class PoolTables {
+  private final VmId self;
+  private final DomainId local;
+  private final PlacementSettings settings;
+  private final Map<PoolName, Pool> pools = new HashMap<>();
+
+  PoolTables(VmId self, DomainId local, PlacementSettings settings) {
+    this.self = self;
+    this.local = local;
+    this.settings = settings;
+  }
+
+  /** The upstreams of one pool. */
+  static final class Pool {
+    final UpstreamTable table;
+    final Placer placer;
+    final RetryBudget budget = new RetryBudget();
+    final Map<UpstreamId, VmEntry> entries = new LinkedHashMap<>();
+
+    Pool(UpstreamTable table) {
+      this.table = table;
+      this.placer = Placers.expectedWait(table);
+    }
+
+    boolean serves(UpstreamId id, Optional<ModelName> model) {
+      VmEntry entry = entries.get(id);
+      if (entry == null) {
+        return false;
+      }
+      return model.isEmpty() || entry.models().isEmpty() || entry.models().contains(model.get());
+    }
+
+    private void update(Map<UpstreamId, VmEntry> listed, Policy policy, long now) {
+      Set<UpstreamId> gone = new HashSet<>(entries.keySet());
+      gone.removeAll(listed.keySet());
+      gone.forEach(table::remove);
+      entries.keySet().removeAll(gone);
+      for (VmEntry entry : listed.values()) {
+        entries.put(entry.name(), entry);
+        table.add(new UpstreamInfo(entry.name(), entry.domain()), now);
+        boolean leaving = entry.leaving() || policy.isLeaving(entry.name().value());
+        table.leaving(entry.name(), leaving, now);
+        table.domainOut(entry.domain(), policy.isOut(entry.domain()), now);
+      }
+    }
+  }
+
+  /** Takes in the platform's list and what operators have taken out. */
+  void update(List<VmEntry> list, Policy policy, long nowNanos) {
+    Map<PoolName, Map<UpstreamId, VmEntry>> byPool = new HashMap<>();
+    pools.keySet().forEach(name -> byPool.put(name, new LinkedHashMap<>()));
+    for (VmEntry entry : list) {
+      if (entry.pool().isPresent() && entry.kind() != VmEntry.Kind.ENTRY) {
+        byPool
+            .computeIfAbsent(entry.pool().get(), name -> new LinkedHashMap<>())
+            .put(entry.name(), entry);
+      }
+    }
+    byPool.forEach(
+        (name, listed) ->
+            pools.computeIfAbsent(name, n -> newPool()).update(listed, policy, nowNanos));
+  }
+
+  private Pool newPool() {
+    return new Pool(UpstreamTable.create(local, self.value(), settings));
+  }
+
+  Optional<Pool> pool(PoolName name) {
+    return Optional.ofNullable(pools.get(name));
+  }
+
+  Collection<Pool> all() {
+    return pools.values();
+  }
+
+  Map<PoolName, Pool> byName() {
+    return pools;
+  }
+
+  /** One attempt with its place in the tables. */
+  record PlacedGrant(DispatchRequest request, VmEntry entry, Pool pool, Dispatch dispatch)
+      implements Grant {
+    @Override
+    public UpstreamId upstream() {
+      return entry.name();
+    }
+
+    @Override
+    public java.net.InetSocketAddress address() {
+      return entry.address();
+    }
+  }
+}
--- /dev/null
+++ b/router/src/main/java/io/jacinthquay/router/service/dispatch/UpstreamDirectory.java
@@ -0,0 +1,80 @@
+package io.jacinthquay.router.service.dispatch;
+
+import io.jacinthquay.model.Failure;
+import io.jacinthquay.router.port.VmDirectory;
+import io.jacinthquay.router.port.VmEntry;
+import io.jacinthquay.runtime.Service;
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/** Asks for the platform's list regularly and passes it on. */
+public final class UpstreamDirectory implements Service {
+  private static final Logger log = LogManager.getLogger();
+
+  private final VmDirectory directory;
+  private final Consumer<List<VmEntry>> listener;
+  private final long intervalMillis;
+  private volatile long heardNanos = System.nanoTime();
+  private ScheduledExecutorService executor;
+
+  /**
+   * Returns a reader of the list.
+   *
+   * @param directory the platform
+   * @param listener hears each list
+   * @param intervalMillis time between questions, in milliseconds
+   */
+  public UpstreamDirectory(
+      VmDirectory directory, Consumer<List<VmEntry>> listener, long intervalMillis) {
+    this.directory = directory;
+    this.listener = listener;
+    this.intervalMillis = intervalMillis;
+  }
+
+  @Override
+  public void start() {
+    executor =
+        Executors.newSingleThreadScheduledExecutor(
+            task -> {
+              Thread thread = new Thread(task, "vm-list");
+              thread.setDaemon(true);
+              return thread;
+            });
+    executor.execute(this::refresh);
+    var unused =
+        executor.scheduleWithFixedDelay(
+            this::refresh, intervalMillis, intervalMillis, TimeUnit.MILLISECONDS);
+  }
+
+  private void refresh() {
+    try {
+      Either<Failure, List<VmEntry>> list = directory.list();
+      if (list.isRight()) {
+        heardNanos = System.nanoTime();
+        listener.accept(list.get());
+      } else {
+        log.debug("the platform did not answer: {}", list.getLeft().detail());
+      }
+    } catch (RuntimeException e) {
+      log.error("reading the list of VMs failed", e);
+    }
+  }
+
+  /** Returns the time since the platform last answered, in nanoseconds. */
+  public long ageNanos(long nowNanos) {
+    return nowNanos - heardNanos;
+  }
+
+  @Override
+  public void stop() {
+    if (executor != null) {
+      List<Runnable> unused = executor.shutdownNow();
+    }
+  }
+}
--- /dev/null
+++ b/router/src/main/java/io/jacinthquay/router/service/package-info.java
@@ -0,0 +1,2 @@
+/** Puts the parts of the router together. */
+package io.jacinthquay.router.service;
--- /dev/null
+++ b/router/src/main/java/io/jacinthquay/router/service/report/RouterMetrics.java
@@ -0,0 +1,135 @@
+package io.jacinthquay.router.service.report;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import io.jacinthquay.model.ClassName;
+import io.jacinthquay.model.ResultCode;
+import io.jacinthquay.model.policy.ClassPolicy;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
+
+/** Counts requests and measures their latency by class and customer. */
+public final class RouterMetrics implements RequestReporter {
+  private static final int MAX_CLASSES = 256;
+  private static final int MAX_CUSTOMERS = 8_192;
+
+  /** Failures that are the caller's own and say nothing of the service. */
+  private static final int FIRST_SERVICE_CODE = ResultCode.KEYS_NOT_CURRENT.number();
+
+  private static final Set<ResultCode> CALLERS_OWN =
+      Set.of(
+          ResultCode.CUSTOMER_LIMIT,
+          ResultCode.KEY_WITHDRAWN_DURING_RUN,
+          ResultCode.CLAIM_BODY_DIFFERS,
+          ResultCode.CLAIM_IN_PROGRESS,
+          ResultCode.CLAIM_OUTCOME_UNKNOWN);
+
+  private final MetricRegistry registry;
+  private final Function<ClassName, Optional<ClassPolicy>> classes;
+  private final LatencyHistograms firstByClass;
+  private final LatencyHistograms tokenByClass;
+  private final LatencyHistograms wholeByClass;
+  private final LatencyHistograms firstByCustomer;
+  private final LatencyHistograms tokenByCustomer;
+  private final LatencyHistograms wholeByCustomer;
+
+  /**
+   * Returns metrics.
+   *
+   * @param registry receives them
+   * @param classes looks up the classes in force
+   */
+  public RouterMetrics(
+      MetricRegistry registry, Function<ClassName, Optional<ClassPolicy>> classes) {
+    this.registry = registry;
+    this.classes = classes;
+    this.firstByClass = byClass("jq_first_token_ms");
+    this.tokenByClass = byClass("jq_inter_token_ms");
+    this.wholeByClass = byClass("jq_whole_ms");
+    this.firstByCustomer = byCustomer("jq_customer_first_token_ms");
+    this.tokenByCustomer = byCustomer("jq_customer_inter_token_ms");
+    this.wholeByCustomer = byCustomer("jq_customer_whole_ms");
+  }
+
+  private LatencyHistograms byClass(String name) {
+    return new LatencyHistograms(registry, name, "class", MAX_CLASSES);
+  }
+
+  private LatencyHistograms byCustomer(String name) {
+    return new LatencyHistograms(registry, name, "customer", MAX_CUSTOMERS);
+  }
+
+  /** Shows a value that is read when the page is asked for. */
+  public void gauge(String name, LongSupplier value) {
+    Gauge<Long> gauge = value::getAsLong;
+    registry.gauge(name, () -> gauge);
+  }
+
+  @Override
+  public void report(RequestRecord entry) {
+    count("jq_requests_total", "code", entry.code().map(ResultCode::name).orElse("OK"));
+    count("jq_outcomes_total", "outcome", entry.outcome().text());
+    if (entry.className().isEmpty()) {
+      return;
+    }
+    String name = entry.className().get().value();
+    count("jq_class_requests_total", "class", name);
+    add("jq_class_output_tokens_total", "class", name, entry.outputTokens());
+    add("jq_class_attempts_total", "class", name, entry.attempts());
+    if (entry.code().isEmpty() && entry.firstByteNanos() >= 0) {
+      measure(entry, name);
+    }
+    countObjective(entry, name);
+  }
+
+  private void measure(RequestRecord entry, String name) {
+    String customer = entry.customer().orElseThrow().value();
+    firstByClass.record(name, entry.firstByteNanos());
+    firstByCustomer.record(customer, entry.firstByteNanos());
+    wholeByClass.record(name, entry.wholeNanos());
+    wholeByCustomer.record(customer, entry.wholeNanos());
+    if (entry.outputTokens() > 1) {
+      tokenByClass.record(name, interTokenNanos(entry));
+      tokenByCustomer.record(customer, interTokenNanos(entry));
+    }
+  }
+
+  private static long interTokenNanos(RequestRecord entry) {
+    long streaming = entry.wholeNanos() - entry.firstByteNanos();
+    return streaming / Math.max(1, entry.outputTokens() - 1);
+  }
+
+  private void countObjective(RequestRecord entry, String name) {
+    Optional<ClassPolicy> policy = classes.apply(entry.className().get());
+    boolean callerLeft = entry.code().isEmpty() && entry.firstByteNanos() < 0;
+    if (policy.isEmpty() || callerLeft || entry.code().map(this::isCallersOwn).orElse(false)) {
+      return;
+    }
+    count("jq_objective_requests_total", "class", name);
+    if (entry.code().isEmpty() && meetsTargets(entry, policy.get())) {
+      count("jq_objective_met_total", "class", name);
+    }
+  }
+
+  private boolean isCallersOwn(ResultCode code) {
+    return code.number() < FIRST_SERVICE_CODE || CALLERS_OWN.contains(code);
+  }
+
+  private static boolean meetsTargets(RequestRecord entry, ClassPolicy policy) {
+    long firstTarget = TimeUnit.MILLISECONDS.toNanos(policy.firstTokenMs());
+    double tokenTarget = policy.interTokenMs() * TimeUnit.MILLISECONDS.toNanos(1);
+    boolean paced = entry.outputTokens() < 2 || interTokenNanos(entry) <= tokenTarget;
+    return entry.firstByteNanos() <= firstTarget && paced;
+  }
+
+  private void count(String name, String label, String value) {
+    add(name, label, value, 1);
+  }
+
+  private void add(String name, String label, String value, long amount) {
+    registry.counter(MetricsPage.labelled(name, label, value)).inc(amount);
+  }
+}
--- /dev/null
+++ b/router/src/main/java/io/jacinthquay/router/service/report/package-info.java
@@ -0,0 +1,2 @@
+/** Metrics, the request log and usage counters. */
+package io.jacinthquay.router.service.report;
--- /dev/null
+++ b/router/src/main/java/io/jacinthquay/router/service/request/ErrorPass.java
@@ -0,0 +1,45 @@
+package io.jacinthquay.router.service.request;
+
+import io.jacinthquay.model.Outcome;
+import io.jacinthquay.model.ResultCode;
+import io.jacinthquay.router.port.AnswerHead;
+import io.jacinthquay.router.port.Header;
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/** Passes an engine's own error answer on once it has wholly arrived. */
+final class ErrorPass {
+  private static final int MAX_BYTES = 64 * 1024;
+
+  private final RelayContext context;
+  private final AnswerHead head;
+  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+
+  ErrorPass(RelayContext context, AnswerHead head) {
+    this.context = context;
+    this.head = head;
+  }
+
+  Optional<ResultCode> data(ByteBuffer data) {
+    if (body.size() + data.remaining() > MAX_BYTES) {
+      return Optional.of(ResultCode.UPSTREAM_BROKE);
+    }
+    byte[] bytes = new byte[data.remaining()];
+    data.get(bytes);
+    body.writeBytes(bytes);
+    return Optional.empty();
+  }
+
+  Optional<ResultCode> end() {
+    List<Header> headers = new ArrayList<>(ErrorAnswers.headers(context.id(), Outcome.UNKNOWN));
+    headers.addAll(HeaderRules.toCaller(head.headers()));
+    context.caller().begin(new AnswerHead(head.status(), headers), OptionalLong.of(body.size()));
+    context.caller().write(ByteBuffer.wrap(body.toByteArray()));
+    context.caller().end();
+    return Optional.empty();
+  }
+}
--- /dev/null
+++ b/router/src/main/java/io/jacinthquay/router/service/request/LocalPages.java
@@ -0,0 +1,72 @@
+package io.jacinthquay.router.service.request;
+
+import io.jacinthquay.router.port.Caller;
+import io.jacinthquay.router.port.CallerHead;
+import io.jacinthquay.router.port.RequestIntake.AdmittedHead;
+import io.jacinthquay.router.service.report.MetricsPage;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Supplier;
+
+/** Answers {@code /health}, {@code /ready} and {@code /metrics}, which need no key. */
+public final class LocalPages {
+  private static final int OK = 200;
+  private static final int UNAVAILABLE = 503;
+
+  private final Supplier<Optional<String>> unready;
+  private final MetricsPage metrics;
+
+  /**
+   * Returns the pages.
+   *
+   * @param unready why the router takes no requests; empty while it does
+   * @param metrics the page of metrics
+   */
+  public LocalPages(Supplier<Optional<String>> unready, MetricsPage metrics) {
+    this.unready = unready;
+    this.metrics = metrics;
+  }
+
+  Optional<AdmittedHead> page(CallerHead head) {
+    if (!head.method().equals("GET")) {
+      return Optional.empty();
+    }
+    return switch (head.path()) {
+      case "/health" -> Optional.of((body, caller) -> sendHealth(caller));
+      case "/ready" -> Optional.of((body, caller) -> sendReady(caller));
+      case "/metrics" -> Optional.of((body, caller) -> sendMetrics(head, caller));
+      default -> Optional.empty();
+    };
+  }
+
+  private static void sendHealth(Caller caller) {
+    sendStatus(caller, OK, "{\"status\":\"up\"}");
+  }
+
+  private void sendReady(Caller caller) {
+    Optional<String> reason = unready.get();
+    if (reason.isEmpty()) {
+      sendStatus(caller, OK, "{\"ready\":true}");
+    } else {
+      sendStatus(caller, UNAVAILABLE, "{\"ready\":false,\"reason\":\"" + reason.get() + "\"}");
+    }
+  }
+
+  private static void sendStatus(Caller caller, int status, String json) {
+    byte[] body = json.getBytes(StandardCharsets.UTF_8);
+    Pages.send(caller, status, "application/json", body, List.of());
+  }
+
+  private void sendMetrics(CallerHead head, Caller caller) {
+    boolean prometheus =
+        head.query().contains("format=prometheus")
+            || head.header("accept").map(accept -> accept.contains("text/plain")).orElse(false);
+    if (prometheus) {
+      byte[] body = metrics.prometheus().getBytes(StandardCharsets.UTF_8);
+      Pages.send(caller, OK, "text/plain; version=0.0.4; charset=utf-8", body, List.of());
+    } else {
+      Pages.send(caller, OK, "application/json", metrics.json(), List.of());
+    }
+  }
+}
--- /dev/null
+++ b/router/src/main/java/io/jacinthquay/router/service/request/ModelBody.java
@@ -0,0 +1,186 @@
+package io.jacinthquay.router.service.request;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import io.jacinthquay.model.Failure;
+import io.jacinthquay.model.ModelName;
+import io.jacinthquay.model.ResultCode;
+import io.vavr.control.Either;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Set;
+
+/** The body of a model request, read and copied in one pass. */
+final class ModelBody {
+  private static final JsonFactory JSON =
+      JsonFactory.builder().enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION).build();
+
+  /** Fields that only the router sets. */
+  private static final Set<String> OWN_FIELDS = Set.of("priority", "resume_from");
+
+  private static final Set<String> PROMPT_FIELDS = Set.of("messages", "prompt");
+
+  /** Bytes of text that count as one token in estimates. */
+  static final int BYTES_PER_TOKEN = 4;
+
+  /** Longest part of a prompt that is kept for prefix matching, in characters. */
+  private static final int MAX_PREFIX_CHARS = 64 * 1024;
+
+  private final StringBuilder prompt = new StringBuilder();
+  private long promptChars;
+  private ModelName model;
+  private boolean stream;
+  private long maxTokens = Long.MAX_VALUE;
+  private byte[] open;
+
+  private ModelBody() {}
+
+  /** Reads a body, or tells why it is malformed. */
+  static Either<Failure, ModelBody> parse(byte[] json) {
+    ModelBody body = new ModelBody();
+    try {
+      body.read(json);
+    } catch (IOException | IllegalArgumentException e) {
+      return malformed("the body is not a JSON object of the model interface");
+    }
+    if (body.model == null) {
+      return malformed("the field model is missing");
+    }
+    return Either.right(body);
+  }
+
+  private static Either<Failure, ModelBody> malformed(String detail) {
+    return Either.left(Failure.of(ResultCode.MALFORMED_JSON, detail));
+  }
+
+  private void read(byte[] json) throws IOException {
+    ByteArrayOutputStream copy = new ByteArrayOutputStream(json.length + 64);
+    try (JsonParser in = JSON.createParser(json);
+        JsonGenerator out = JSON.createGenerator(copy)) {
+      require(in.nextToken() == JsonToken.START_OBJECT);
+      out.writeStartObject();
+      while (in.nextToken() == JsonToken.FIELD_NAME) {
+        readField(in, out);
+      }
+      require(in.nextToken() == null);
+    }
+    byte[] whole = copy.toByteArray();
+    open = java.util.Arrays.copyOf(whole, whole.length - 1);
+  }
+
+  private void readField(JsonParser in, JsonGenerator out) throws IOException {
+    String name = in.currentName();
+    in.nextToken();
+    if (OWN_FIELDS.contains(name)) {
+      in.skipChildren();
+      return;
+    }
+    out.writeFieldName(name);
+    switch (name) {
+      case "model" -> model = new ModelName(in.getValueAsString(""));
+      case "stream" -> stream = readBoolean(in);
+      case "max_tokens", "max_completion_tokens" -> maxTokens = readLimit(in);
+      default -> {
+        // Other fields pass unread.
+      }
+    }
+    copyValue(in, out, PROMPT_FIELDS.contains(name));
+  }
+
+  private static boolean readBoolean(JsonParser in) {
+    require(in.currentToken().isBoolean() || in.currentToken() == JsonToken.VALUE_NULL);
+    return in.currentToken() == JsonToken.VALUE_TRUE;
+  }
+
+  private long readLimit(JsonParser in) throws IOException {
+    if (in.currentToken() == JsonToken.VALUE_NULL) {
+      return maxTokens;
+    }
+    require(in.currentToken() == JsonToken.VALUE_NUMBER_INT);
+    require(in.getLongValue() > 0);
+    return Math.min(maxTokens, in.getLongValue());
+  }
+
+  private void copyValue(JsonParser in, JsonGenerator out, boolean isPrompt) throws IOException {
+    int depth = 0;
+    do {
+      JsonToken token = in.currentToken();
+      require(token != null);
+      if (isPrompt && token == JsonToken.VALUE_STRING) {
+        addPrompt(in.getText());
+      }
+      out.copyCurrentEvent(in);
+      depth += token.isStructStart() ? 1 : token.isStructEnd() ? -1 : 0;
+    } while (depth > 0 && in.nextToken() != null);
+  }
+
+  private void addPrompt(String text) {
+    promptChars += text.length();
+    int room = MAX_PREFIX_CHARS - prompt.length();
+    prompt.append(text, 0, Math.min(room, text.length())).append('\n');
+  }
+
+  private static void require(boolean condition) {
+    if (!condition) {
+      throw new IllegalArgumentException("malformed");
+    }
+  }
+
+  ModelName model() {
+    return model;
+  }
+
+  boolean stream() {
+    return stream;
+  }
+
+  /** Returns the caller's limit of output tokens, at most {@code most}. */
+  long maxTokens(long most) {
+    return Math.min(maxTokens, most);
+  }
+
+  /** Returns the leading part of the prompt. */
+  byte[] promptBytes() {
+    return prompt.toString().getBytes(StandardCharsets.UTF_8);
+  }
+
+  /** Returns an estimate of the prompt's tokens. */
+  int promptTokens() {
+    return (int) Math.min(Integer.MAX_VALUE, 1 + promptChars / BYTES_PER_TOKEN);
+  }
+
+  /**
+   * Returns the body for an engine.
+   *
+   * @param priority smaller goes first
+   * @param delivered what the caller has already; nothing is repeated
+   */
+  byte[] forward(int priority, Delivered delivered) {
+    ByteArrayOutputStream out = new ByteArrayOutputStream(open.length + 64);
+    out.writeBytes(open);
+    out.writeBytes((",\"priority\":" + priority).getBytes(StandardCharsets.UTF_8));
+    if (delivered.tokens() > 0) {
+      out.writeBytes(resumeField(delivered));
+    }
+    out.write('}');
+    return out.toByteArray();
+  }
+
+  private static byte[] resumeField(Delivered delivered) {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    out.writeBytes(",\"resume_from\":".getBytes(StandardCharsets.UTF_8));
+    try (JsonGenerator json = JSON.createGenerator(out)) {
+      json.writeStartObject();
+      json.writeNumberField("tokens", delivered.tokens());
+      json.writeStringField("text", delivered.text());
+      json.writeEndObject();
+    } catch (IOException e) {
+      throw new IllegalStateException("writing to memory failed", e);
+    }
+    return out.toByteArray();
+  }
+}
--- /dev/null
+++ b/router/src/main/java/io/jacinthquay/router/service/request/RouterIntake.java
@@ -0,0 +1,163 @@
+package io.jacinthquay.router.service.request;
+
+import io.jacinthquay.model.ClassName;
+import io.jacinthquay.model.ConfigVersion;
+import io.jacinthquay.model.Failure;
+import io.jacinthquay.model.RequestId;
+import io.jacinthquay.model.ResultCode;
+import io.jacinthquay.model.policy.ClassPolicy;
+import io.jacinthquay.model.policy.CustomerPolicy;
+import io.jacinthquay.router.port.Caller;
+import io.jacinthquay.router.port.CallerHead;
+import io.jacinthquay.router.port.KeyAuthority;
+import io.jacinthquay.router.port.RequestIntake;
+import io.jacinthquay.router.service.config.PolicyHolder;
+import io.jacinthquay.router.service.config.PolicyView;
+import io.jacinthquay.router.service.report.RequestRecord;
+import io.vavr.control.Either;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
+
+/** Checks heads, authenticates every request anew and starts what is admitted. */
+public final class RouterIntake implements RequestIntake {
+  private static final String CLASS_HEADER = "x-jq-class";
+  private static final int RADIX = 36;
+
+  private final String incarnation;
+  private final PolicyHolder policies;
+  private final KeyAuthority keys;
+  private final LocalPages pages;
+  private final WorkStarter starter;
+  private final BooleanSupplier draining;
+  private final AtomicLong counter = new AtomicLong();
+
+  /**
+   * Returns an intake.
+   *
+   * @param incarnation names one run of one router; part of every request id
+   * @param draining whether the router is shutting down
+   */
+  public RouterIntake(
+      String incarnation,
+      PolicyHolder policies,
+      KeyAuthority keys,
+      LocalPages pages,
+      RunServices services,
+      BooleanSupplier draining) {
+    this.incarnation = incarnation;
+    this.policies = policies;
+    this.keys = keys;
+    this.pages = pages;
+    this.starter = new WorkStarter(policies, keys, services);
+    this.draining = draining;
+  }
+
+  @Override
+  public RequestId nextId() {
+    return new RequestId(incarnation + "-" + Long.toString(counter.incrementAndGet(), RADIX));
+  }
+
+  @Override
+  public Either<Failure, AdmittedHead> admit(RequestId id, CallerHead head) {
+    long now = System.nanoTime();
+    Optional<AdmittedHead> page = pages.page(head);
+    if (page.isPresent()) {
+      return Either.right(page.get());
+    }
+    if (draining.getAsBoolean()) {
+      return Either.left(Failure.of(ResultCode.SHUTTING_DOWN));
+    }
+    PolicyView view = policies.view();
+    if (view.policy().version().equals(ConfigVersion.NONE)) {
+      return Either.left(Failure.of(ResultCode.NOT_READY));
+    }
+    return TargetResolver.resolve(head, view)
+        .flatMap(target -> authenticate(id, head, target, view, now));
+  }
+
+  private Either<Failure, AdmittedHead> authenticate(
+      RequestId id, CallerHead head, Target target, PolicyView view, long now) {
+    Either<Failure, Credentials> read = Credentials.of(head);
+    if (read.isLeft()) {
+      return Either.left(read.getLeft());
+    }
+    Credentials credentials = read.get();
+    if (target.open()) {
+      return openContext(id, head, target, view, now)
+          .map(context -> starter.prepare(context, target, credentials, Optional.empty()));
+    }
+    if (credentials.digest().isEmpty()) {
+      return Either.left(Failure.of(ResultCode.KEY_MISSING));
+    }
+    Either<Failure, CustomerPolicy> owner = keys.authenticate(credentials.digest().get(), now);
+    if (owner.isLeft()) {
+      return Either.left(owner.getLeft());
+    }
+    CustomerPolicy customer = owner.get();
+    return classOf(head, target, customer, view)
+        .map(
+            policy ->
+                new RequestContext(id, head, customer.name(), credentials.digest(), policy, now))
+        .map(context -> starter.prepare(context, target, credentials, Optional.of(customer)));
+  }
+
+  private static Either<Failure, RequestContext> openContext(
+      RequestId id, CallerHead head, Target target, PolicyView view, long now) {
+    Target.Plain plain = (Target.Plain) target;
+    ClassName name = plain.route().className().orElseThrow();
+    return classPolicy(name, view)
+        .map(
+            policy ->
+                new RequestContext(
+                    id, head, RequestContext.OPEN_CUSTOMER, Optional.empty(), policy, now));
+  }
+
+  private static Either<Failure, ClassPolicy> classOf(
+      CallerHead head, Target target, CustomerPolicy customer, PolicyView view) {
+    Optional<String> asked = head.header(CLASS_HEADER);
+    if (asked.isPresent()) {
+      return customer.classes().stream()
+          .filter(name -> name.value().equals(asked.get()))
+          .findFirst()
+          .map(name -> classPolicy(name, view))
+          .orElse(Either.left(Failure.of(ResultCode.CLASS_NOT_ALLOWED)));
+    }
+    Optional<ClassName> ofRoute =
+        target instanceof Target.Plain plain ? plain.route().className() : Optional.empty();
+    return classPolicy(ofRoute.orElse(customer.defaultClass()), view);
+  }
+
+  private static Either<Failure, ClassPolicy> classPolicy(ClassName name, PolicyView view) {
+    return view.policy()
+        .classPolicy(name)
+        .map(Either::<Failure, ClassPolicy>right)
+        .orElse(Either.left(Failure.of(ResultCode.CLASS_NOT_ALLOWED)));
+  }
+
+  @Override
+  public void refuse(RequestId id, CallerHead head, Failure failure, Caller caller) {
+    starter.refuse(id, head, failure, caller);
+  }
+
+  /** Returns the record of a request that was refused before any work began. */
+  static RequestRecord refusal(RequestId id, CallerHead head, Failure failure) {
+    long now = System.nanoTime();
+    return new RequestRecord(
+        id,
+        head.method(),
+        head.path(),
+        Optional.empty(),
+        Optional.empty(),
+        "",
+        Optional.empty(),
+        0,
+        Optional.of(failure.code()),
+        failure.code().outcome(),
+        now,
+        -1,
+        0,
+        0,
+        0);
+  }
+}
--- /dev/null
+++ b/router/src/main/java/io/jacinthquay/router/service/request/package-info.java
@@ -0,0 +1,2 @@
+/** One request: checks of its head and body, its attempts and its answer. */
+package io.jacinthquay.router.service.request;
--- /dev/null
+++ b/router/src/test/java/io/jacinthquay/router/WholePathTest.java
@@ -0,0 +1,82 @@
+package io.jacinthquay.router;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.jacinthquay.router.RawCaller.Answer;
+import io.jacinthquay.testkit.engine.EngineRun;
+import io.jacinthquay.testkit.engine.EngineText;
+import java.io.IOException;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class WholePathTest {
+  static final String CHAT = "/v1/chat/completions";
+  static final String STREAM =
+      "{\"model\":\"mender\",\"stream\":true,\"max_tokens\":5,"
+          + "\"messages\":[{\"role\":\"user\",\"content\":\"the zip is stuck\"}]}";
+  static final String WHOLE = STREAM.replace("\"stream\":true,", "");
+
+  private RouterFixture fixture;
+  private RawCaller caller;
+
+  @BeforeEach
+  void start() throws IOException {
+    fixture = new RouterFixture();
+    caller = new RawCaller(fixture.address());
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    caller.close();
+    fixture.close();
+  }
+
+  @Test
+  void streamsAnAnswer() throws IOException {
+    Answer answer = caller.call(RawCaller.post(CHAT, RouterFixture.KEY, STREAM));
+    assertEquals(200, answer.status(), answer.head());
+    assertEquals("ran", answer.header("x-jq-outcome"));
+    for (int token = 0; token < 5; token++) {
+      assertTrue(answer.body().contains(EngineText.token(token)), answer.body());
+    }
+    assertTrue(answer.body().endsWith("data: [DONE]\n\n"), answer.body());
+    EngineRun run = fixture.engine.runs().get(0);
+    assertEquals(answer.header("x-request-id"), run.requestId());
+    assertFalse(run.headers().contains(RouterFixture.KEY));
+  }
+
+  @Test
+  void passesAWholeAnswerOn() throws IOException {
+    Answer answer = caller.call(RawCaller.post(CHAT, RouterFixture.KEY, WHOLE));
+    assertEquals(200, answer.status(), answer.body());
+    assertTrue(answer.body().contains(EngineText.tokens(0, 5)), answer.body());
+  }
+
+  @Test
+  void passesPlainRoutesOn() throws IOException {
+    Answer answer = caller.call(RawCaller.get("/tickets/7?page=2&key=", RouterFixture.KEY));
+    assertEquals(200, answer.status(), answer.body());
+    assertEquals("{\"run\":1}", answer.body());
+    assertEquals("/tickets/7?page=2", fixture.plain.runs().get(0).target());
+  }
+
+  @Test
+  void listsModels() throws IOException {
+    Answer answer = caller.call(RawCaller.get("/v1/models", RouterFixture.KEY));
+    assertTrue(answer.body().contains("\"id\":\"mender\""), answer.body());
+  }
+
+  @Test
+  void showsItsState() throws IOException {
+    assertEquals(200, caller.call(RawCaller.get("/health", "")).status());
+    assertEquals(200, caller.call(RawCaller.get("/ready", "")).status());
+    caller.call(RawCaller.post(CHAT, RouterFixture.KEY, STREAM));
+    Answer json = caller.call(RawCaller.get("/metrics", ""));
+    assertTrue(json.body().contains("jq_config_version"), json.body());
+    Answer text = caller.call(RawCaller.get("/metrics?format=prometheus", ""));
+    assertTrue(text.body().contains("jq_first_token_ms{class=\"quick\",quantile="), text.body());
+  }
+}
--- /dev/null
+++ b/testkit/src/main/java/io/jacinthquay/testkit/engine/CacheEvents.java
@@ -0,0 +1,65 @@
+package io.jacinthquay.testkit.engine;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** The prefix cache of an engine and the events about it, some of which are lost. */
+final class CacheEvents {
+  private static final int MAX_PREFIXES = 512;
+  private static final int BLOCK_BYTES = 256;
+
+  /** One event in this many is lost. */
+  private static final int LOST_ONE_IN = 10;
+
+  private static final int MAX_EVENTS = 4_096;
+
+  private final Map<String, Boolean> cached = new LinkedHashMap<>(16, 0.75f, true);
+  private final List<String> events = new ArrayList<>();
+  private long sequence;
+
+  synchronized void stored(String prompt) {
+    byte[] bytes = prompt.getBytes(StandardCharsets.UTF_8);
+    long hash = 0;
+    for (int from = 0; from + BLOCK_BYTES <= bytes.length; from += BLOCK_BYTES) {
+      for (int i = from; i < from + BLOCK_BYTES; i++) {
+        hash = hash * 31 + bytes[i];
+      }
+      store(Long.toHexString(hash));
+    }
+  }
+
+  private void store(String prefix) {
+    if (cached.put(prefix, true) == null) {
+      add("stored", prefix);
+    }
+    if (cached.size() > MAX_PREFIXES) {
+      String oldest = cached.keySet().iterator().next();
+      cached.remove(oldest);
+      add("evicted", oldest);
+    }
+  }
+
+  private void add(String kind, String prefix) {
+    sequence++;
+    if (sequence % LOST_ONE_IN == 0) {
+      return;
+    }
+    events.add(
+        "{\"seq\":" + sequence + ",\"kind\":\"" + kind + "\",\"prefix\":\"" + prefix + "\"}");
+    if (events.size() > MAX_EVENTS) {
+      events.remove(0);
+    }
+  }
+
+  synchronized String json(long since) {
+    List<String> shown = events.stream().filter(event -> sequenceOf(event) > since).toList();
+    return "{\"next\":" + sequence + ",\"events\":[" + String.join(",", shown) + "]}";
+  }
+
+  private static long sequenceOf(String event) {
+    return Long.parseLong(event.substring("{\"seq\":".length(), event.indexOf(',')));
+  }
+}
--- /dev/null
+++ b/testkit/src/main/java/io/jacinthquay/testkit/plain/FakePlainService.java
@@ -0,0 +1,176 @@
+package io.jacinthquay.testkit.plain;
+
+import io.jacinthquay.runtime.Service;
+import io.undertow.Undertow;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderValues;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import io.undertow.util.SameThreadExecutor;
+import io.undertow.util.StatusCodes;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.xnio.IoUtils;
+
+/**
+ * A small plain service over HTTP, which answers with the number of its run.
+ *
+ * <pre>{@code
+ * FakePlainService service = new FakePlainService();
+ * service.start();
+ * service.fault(PlainFault.DIE_BEFORE_ANSWER);
+ * }</pre>
+ */
+public final class FakePlainService implements Service {
+  private static final HttpString REQUEST_ID = new HttpString("x-request-id");
+  private static final HttpString NOT_RUN = new HttpString("x-not-run");
+  private static final int LONG_ANSWER = 1_000_000;
+
+  private final int port;
+  private final List<PlainRun> runs = new ArrayList<>();
+  private volatile PlainFault fault = PlainFault.NONE;
+  private volatile int answerBytes;
+  private Undertow server;
+
+  /** Returns a service that takes a free port. */
+  public FakePlainService() {
+    this(0);
+  }
+
+  /**
+   * Returns a service.
+   *
+   * @param port where it listens on the loopback address; 0 takes a free one
+   */
+  public FakePlainService(int port) {
+    this.port = port;
+  }
+
+  @Override
+  public void start() {
+    server =
+        Undertow.builder()
+            .addHttpListener(port, "127.0.0.1")
+            .setIoThreads(1)
+            .setWorkerThreads(1)
+            .setHandler(this::handle)
+            .build();
+    server.start();
+  }
+
+  /** Returns where the service listens. */
+  public InetSocketAddress address() {
+    return (InetSocketAddress) server.getListenerInfo().get(0).getAddress();
+  }
+
+  /** Sets what goes wrong with later requests. */
+  public void fault(PlainFault next) {
+    fault = next;
+  }
+
+  /** Pads later answers to a size in bytes. */
+  public void answerBytes(int bytes) {
+    answerBytes = bytes;
+  }
+
+  /** Returns what ran, in the order of arrival. */
+  public List<PlainRun> runs() {
+    synchronized (runs) {
+      return List.copyOf(runs);
+    }
+  }
+
+  private void handle(HttpServerExchange exchange) {
+    exchange
+        .getRequestReceiver()
+        .receiveFullBytes(
+            (received, body) ->
+                received.dispatch(SameThreadExecutor.INSTANCE, () -> answer(received, body)));
+  }
+
+  private void answer(HttpServerExchange exchange, byte[] body) {
+    PlainFault now = fault;
+    String id = exchange.getRequestHeaders().getFirst(REQUEST_ID);
+    if (now == PlainFault.REFUSE) {
+      exchange.getResponseHeaders().put(NOT_RUN, "true");
+      exchange.setStatusCode(StatusCodes.SERVICE_UNAVAILABLE);
+      exchange.endExchange();
+      return;
+    }
+    int number = run(exchange, id, body);
+    exchange
+        .getResponseHeaders()
+        .put(REQUEST_ID, now == PlainFault.CROSSED ? "another-request" : String.valueOf(id));
+    exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+    switch (now) {
+      case DIE_BEFORE_ANSWER -> IoUtils.safeClose(exchange.getConnection());
+      case DIE_WITHIN_ANSWER -> dieWithinAnswer(exchange);
+      case STALL -> {
+        // No answer follows.
+      }
+      default -> exchange.getResponseSender().send(text(number));
+    }
+  }
+
+  private int run(HttpServerExchange exchange, String id, byte[] body) {
+    String query = exchange.getQueryString();
+    String target = exchange.getRequestURI() + (query.isEmpty() ? "" : "?" + query);
+    PlainRun run =
+        new PlainRun(
+            String.valueOf(id),
+            exchange.getRequestMethod().toString(),
+            target,
+            headers(exchange),
+            new String(body, StandardCharsets.UTF_8));
+    synchronized (runs) {
+      runs.add(run);
+      return runs.size();
+    }
+  }
+
+  private String text(int number) {
+    String json = "{\"run\":" + number + "}";
+    return json + " ".repeat(Math.max(0, answerBytes - json.length()));
+  }
+
+  private static void dieWithinAnswer(HttpServerExchange exchange) {
+    exchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, LONG_ANSWER);
+    exchange
+        .getResponseSender()
+        .send(
+            "x".repeat(LONG_ANSWER / 2),
+            new io.undertow.io.IoCallback() {
+              @Override
+              public void onComplete(HttpServerExchange done, io.undertow.io.Sender sender) {
+                IoUtils.safeClose(done.getConnection());
+              }
+
+              @Override
+              public void onException(
+                  HttpServerExchange failed,
+                  io.undertow.io.Sender sender,
+                  java.io.IOException exception) {
+                IoUtils.safeClose(failed.getConnection());
+              }
+            });
+  }
+
+  private static String headers(HttpServerExchange exchange) {
+    StringBuilder text = new StringBuilder();
+    for (HeaderValues values : exchange.getRequestHeaders()) {
+      for (String value : values) {
+        text.append(values.getHeaderName()).append(": ").append(value).append('\n');
+      }
+    }
+    return text.toString();
+  }
+
+  @Override
+  public void stop() {
+    if (server != null) {
+      server.stop();
+    }
+  }
+}
--- /dev/null
+++ b/testkit/src/main/java/io/jacinthquay/testkit/platform/package-info.java
@@ -0,0 +1,2 @@
+/** The platform's interface, as far as the system uses it. */
+package io.jacinthquay.testkit.platform;
