--- a/testkit/src/main/java/io/jacinthquay/testkit/platform/package-info.java
+++ b/testkit/src/main/java/io/jacinthquay/testkit/platform/package-info.java
@@ -1,2 +1,2 @@
-/** The platform's interface, as far as the system uses it. */
+/** A small fake of the platform's orders and usage reports, with its own record. */
 package io.jacinthquay.testkit.platform;
