Add jqctl

A resend of apply derives its edits from a newer state than the first request, so that comparing edits would refuse it; the request now carries the digest of the document and the expected version, and the keepers compare that.

--- /dev/null
+++ b/ctl/src/main/java/io/jacinthquay/ctl/LazyKeepers.java
@@ -0,0 +1,74 @@
+package io.jacinthquay.ctl;
+
+import io.jacinthquay.ctl.command.CommandLine;
+import io.jacinthquay.ctl.command.Context;
+import io.jacinthquay.model.Failure;
+import io.jacinthquay.model.ResultCode;
+import io.jacinthquay.runtime.tls.TlsIdentity;
+import io.jacinthquay.wire.client.KeeperCall;
+import io.jacinthquay.wire.client.KeeperClient;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import net.sourceforge.argparse4j.inf.Namespace;
+
+/** Reads the identity and connects to the keepers with the first call. */
+final class LazyKeepers implements Context.Keepers, AutoCloseable {
+  private static final int CONFIRM_RESERVE_MILLIS = 60_000;
+
+  private final Namespace args;
+  private KeeperClient client;
+
+  LazyKeepers(Namespace args) {
+    this.args = args;
+  }
+
+  @Override
+  public <T> Either<Failure, T> call(KeeperCall<T> call) {
+    if (client == null) {
+      try {
+        client = open();
+      } catch (IOException | IllegalArgumentException e) {
+        return Either.left(Failure.of(ResultCode.SETTINGS_INVALID, e.getMessage()));
+      }
+    }
+    return client.call(call);
+  }
+
+  private KeeperClient open() throws IOException {
+    String keepers = args.getString(CommandLine.KEEPERS);
+    String tls = args.getString(CommandLine.TLS);
+    if (keepers == null || tls == null) {
+      throw new IllegalArgumentException("--keepers and --tls are needed");
+    }
+    int timeout = args.getInt(CommandLine.TIMEOUT_MILLIS);
+    Integer confirm = args.getInt("confirm_ms");
+    int reserve = confirm == null ? 0 : Math.min(confirm, CONFIRM_RESERVE_MILLIS);
+    TlsIdentity identity = TlsIdentity.load(Path.of(tls));
+    return new KeeperClient(addresses(keepers), identity, Duration.ofMillis(timeout + reserve));
+  }
+
+  private static List<InetSocketAddress> addresses(String text) {
+    List<InetSocketAddress> addresses = new ArrayList<>();
+    for (String address : text.split(",")) {
+      int colon = address.lastIndexOf(':');
+      if (colon < 1 || !address.substring(colon + 1).matches("[0-9]{1,5}")) {
+        throw new IllegalArgumentException("is not host:port: " + address);
+      }
+      int port = Integer.parseInt(address.substring(colon + 1));
+      addresses.add(new InetSocketAddress(address.substring(0, colon), port));
+    }
+    return addresses;
+  }
+
+  @Override
+  public void close() {
+    if (client != null) {
+      client.close();
+    }
+  }
+}
--- /dev/null
+++ b/ctl/src/main/java/io/jacinthquay/ctl/command/StatusCommand.java
@@ -0,0 +1,102 @@
+package io.jacinthquay.ctl.command;
+
+import io.jacinthquay.ctl.output.Table;
+import io.jacinthquay.runtime.ExitCode;
+import io.jacinthquay.wire.gen.KeeperStatus;
+import io.jacinthquay.wire.gen.LeaseGrant;
+import java.util.List;
+import java.util.Map;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import net.sourceforge.argparse4j.inf.Subparsers;
+
+/** Shows one keeper's view of the cluster, the readers and the leases. */
+final class StatusCommand implements Command {
+  /** One reader in JSON. */
+  record Reader(String name, long inForce, long heardMillisAgo) {}
+
+  /** One lease in JSON. */
+  record Held(String name, String holder, long fencing, long leftMillis) {}
+
+  /** The JSON form of the result. */
+  record Result(
+      String keeper,
+      String role,
+      String leader,
+      long term,
+      long commitIndex,
+      long appliedIndex,
+      long configVersion,
+      List<String> members,
+      List<Reader> readers,
+      List<Held> leases) {}
+
+  @Override
+  public void addTo(Subparsers subparsers) {
+    Subparser parser = subparsers.addParser("status").help("show keepers, readers and leases");
+    parser.setDefault(CommandLine.COMMAND, this);
+  }
+
+  @Override
+  public ExitCode run(Namespace args, Context context) {
+    return context
+        .keepers()
+        .call(keeper -> keeper.status())
+        .fold(context::fail, status -> print(context, status));
+  }
+
+  private static ExitCode print(Context context, KeeperStatus status) {
+    Map<String, Long> ages = status.getHeardMillisAgo();
+    List<Reader> readers =
+        status.getInForce().entrySet().stream()
+            .map(e -> new Reader(e.getKey(), e.getValue(), ages.getOrDefault(e.getKey(), -1L)))
+            .toList();
+    List<Held> leases = status.getLeases().stream().map(StatusCommand::held).toList();
+    Result result =
+        new Result(
+            status.getName(),
+            status.getRole(),
+            status.getLeader(),
+            status.getTerm(),
+            status.getCommitIndex(),
+            status.getAppliedIndex(),
+            status.getConfigVersion(),
+            status.getMembers(),
+            readers,
+            leases);
+    context.printer().print(result, table(result));
+    return ExitCode.OK;
+  }
+
+  private static Held held(LeaseGrant lease) {
+    return new Held(
+        lease.getName(), lease.getHolder(), lease.getFencing(), lease.getLengthMillis());
+  }
+
+  private static Table table(Result result) {
+    Table table =
+        Table.of("WHAT", "NAME", "STATE")
+            .row("keeper", result.keeper(), result.role() + " in term " + result.term())
+            .row("leader", result.leader(), "")
+            .row("log", "", "commit " + result.commitIndex() + ", applied " + result.appliedIndex())
+            .row("configuration", "", "version " + result.configVersion());
+    result.members().forEach(member -> table.row("member", member, ""));
+    result
+        .readers()
+        .forEach(
+            r ->
+                table.row(
+                    "reader",
+                    r.name(),
+                    "version " + r.inForce() + ", heard " + r.heardMillisAgo() + " ms ago"));
+    result
+        .leases()
+        .forEach(
+            l ->
+                table.row(
+                    "lease",
+                    l.name(),
+                    l.holder() + ", fencing " + l.fencing() + ", " + l.leftMillis() + " ms left"));
+    return table;
+  }
+}
--- /dev/null
+++ b/ctl/src/main/java/io/jacinthquay/ctl/command/package-info.java
@@ -0,0 +1,2 @@
+/** The subcommands of {@code jqctl}, one class each. */
+package io.jacinthquay.ctl.command;
--- /dev/null
+++ b/ctl/src/main/java/io/jacinthquay/ctl/output/package-info.java
@@ -0,0 +1,2 @@
+/** Tables and JSON on standard output, numbered errors on standard error. */
+package io.jacinthquay.ctl.output;
--- a/ctl/src/main/java/io/jacinthquay/ctl/package-info.java
+++ b/ctl/src/main/java/io/jacinthquay/ctl/package-info.java
@@ -1,2 +1,2 @@
-/** Command line for operators. */
+/** The operators' command line, {@code jqctl}. */
 package io.jacinthquay.ctl;
--- a/keeper/src/main/java/io/jacinthquay/keeper/adapter/thrift/KeeperHandler.java
+++ b/keeper/src/main/java/io/jacinthquay/keeper/adapter/thrift/KeeperHandler.java
@@ -73,6 +73,7 @@
             request.getExpectedVersion(),
             request.getEdits(),
             access.peer().name());
+    command.setContentDigest(request.getContentDigest());
     ApplyResult result = propose(CommandBody.apply(command)).getApplied();
     int wait = Math.min(request.getConfirmMillis(), MAX_CONFIRM_MILLIS);
     return core.confirmations().await(result.getVersion(), wait).setResent(result.isResent());
--- a/keeper/src/main/java/io/jacinthquay/keeper/state/ConfigTable.java
+++ b/keeper/src/main/java/io/jacinthquay/keeper/state/ConfigTable.java
@@ -132,6 +132,9 @@
   }
 
   private static String digest(ApplyCommand command) {
+    if (command.isSetContentDigest()) {
+      return command.getContentDigest();
+    }
     ApplyCommand content = new ApplyCommand(command);
     content.unsetAuthor();
     return ThriftCodec.digest(content);
--- a/wire/src/main/java/io/jacinthquay/wire/gen/ApplyCommand.java
+++ b/wire/src/main/java/io/jacinthquay/wire/gen/ApplyCommand.java
@@ -14,6 +14,7 @@
   private static final org.apache.thrift.protocol.TField EXPECTED_VERSION_FIELD_DESC = new org.apache.thrift.protocol.TField("expectedVersion", org.apache.thrift.protocol.TType.I64, (short)2);
   private static final org.apache.thrift.protocol.TField EDITS_FIELD_DESC = new org.apache.thrift.protocol.TField("edits", org.apache.thrift.protocol.TType.LIST, (short)3);
   private static final org.apache.thrift.protocol.TField AUTHOR_FIELD_DESC = new org.apache.thrift.protocol.TField("author", org.apache.thrift.protocol.TType.STRING, (short)4);
+  private static final org.apache.thrift.protocol.TField CONTENT_DIGEST_FIELD_DESC = new org.apache.thrift.protocol.TField("contentDigest", org.apache.thrift.protocol.TType.STRING, (short)5);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new ApplyCommandStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new ApplyCommandTupleSchemeFactory();
@@ -22,13 +23,15 @@
   private long expectedVersion; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<io.jacinthquay.wire.gen.EditMessage> edits; // required
   private @org.apache.thrift.annotation.Nullable java.lang.String author; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String contentDigest; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     CHANGE_ID((short)1, "changeId"),
     EXPECTED_VERSION((short)2, "expectedVersion"),
     EDITS((short)3, "edits"),
-    AUTHOR((short)4, "author");
+    AUTHOR((short)4, "author"),
+    CONTENT_DIGEST((short)5, "contentDigest");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -52,6 +55,8 @@
           return EDITS;
         case 4: // AUTHOR
           return AUTHOR;
+        case 5: // CONTENT_DIGEST
+          return CONTENT_DIGEST;
         default:
           return null;
       }
@@ -97,6 +102,7 @@
   // isset id assignments
   private static final int __EXPECTEDVERSION_ISSET_ID = 0;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.CONTENT_DIGEST};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -109,6 +115,8 @@
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, io.jacinthquay.wire.gen.EditMessage.class))));
     tmpMap.put(_Fields.AUTHOR, new org.apache.thrift.meta_data.FieldMetaData("author", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.CONTENT_DIGEST, new org.apache.thrift.meta_data.FieldMetaData("contentDigest", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ApplyCommand.class, metaDataMap);
   }
@@ -149,6 +157,9 @@
     if (other.isSetAuthor()) {
       this.author = other.author;
     }
+    if (other.isSetContentDigest()) {
+      this.contentDigest = other.contentDigest;
+    }
   }
 
   @Override
@@ -163,6 +174,7 @@
     this.expectedVersion = 0;
     this.edits = null;
     this.author = null;
+    this.contentDigest = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -279,6 +291,31 @@
     }
   }
 
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getContentDigest() {
+    return this.contentDigest;
+  }
+
+  public ApplyCommand setContentDigest(@org.apache.thrift.annotation.Nullable java.lang.String contentDigest) {
+    this.contentDigest = contentDigest;
+    return this;
+  }
+
+  public void unsetContentDigest() {
+    this.contentDigest = null;
+  }
+
+  /** Returns true if field contentDigest is set (has been assigned a value) and false otherwise */
+  public boolean isSetContentDigest() {
+    return this.contentDigest != null;
+  }
+
+  public void setContentDigestIsSet(boolean value) {
+    if (!value) {
+      this.contentDigest = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -314,6 +351,14 @@
       }
       break;
 
+    case CONTENT_DIGEST:
+      if (value == null) {
+        unsetContentDigest();
+      } else {
+        setContentDigest((java.lang.String)value);
+      }
+      break;
+
     }
   }
 
@@ -333,6 +378,9 @@
     case AUTHOR:
       return getAuthor();
 
+    case CONTENT_DIGEST:
+      return getContentDigest();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -353,6 +401,8 @@
       return isSetEdits();
     case AUTHOR:
       return isSetAuthor();
+    case CONTENT_DIGEST:
+      return isSetContentDigest();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -406,6 +456,15 @@
         return false;
     }
 
+    boolean this_present_contentDigest = true && this.isSetContentDigest();
+    boolean that_present_contentDigest = true && that.isSetContentDigest();
+    if (this_present_contentDigest || that_present_contentDigest) {
+      if (!(this_present_contentDigest && that_present_contentDigest))
+        return false;
+      if (!this.contentDigest.equals(that.contentDigest))
+        return false;
+    }
+
     return true;
   }
 
@@ -427,6 +486,10 @@
     if (isSetAuthor())
       hashCode = hashCode * 8191 + author.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetContentDigest()) ? 131071 : 524287);
+    if (isSetContentDigest())
+      hashCode = hashCode * 8191 + contentDigest.hashCode();
+
     return hashCode;
   }
 
@@ -478,6 +541,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetContentDigest(), other.isSetContentDigest());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetContentDigest()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.contentDigest, other.contentDigest);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -529,6 +602,16 @@
       sb.append(this.author);
     }
     first = false;
+    if (isSetContentDigest()) {
+      if (!first) sb.append(", ");
+      sb.append("contentDigest:");
+      if (this.contentDigest == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.contentDigest);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -619,6 +702,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 5: // CONTENT_DIGEST
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.contentDigest = iprot.readString();
+              struct.setContentDigestIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -660,6 +751,13 @@
         oprot.writeString(struct.author);
         oprot.writeFieldEnd();
       }
+      if (struct.contentDigest != null) {
+        if (struct.isSetContentDigest()) {
+          oprot.writeFieldBegin(CONTENT_DIGEST_FIELD_DESC);
+          oprot.writeString(struct.contentDigest);
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -691,7 +789,10 @@
       if (struct.isSetAuthor()) {
         optionals.set(3);
       }
-      oprot.writeBitSet(optionals, 4);
+      if (struct.isSetContentDigest()) {
+        optionals.set(4);
+      }
+      oprot.writeBitSet(optionals, 5);
       if (struct.isSetChangeId()) {
         oprot.writeString(struct.changeId);
       }
@@ -710,12 +811,15 @@
       if (struct.isSetAuthor()) {
         oprot.writeString(struct.author);
       }
+      if (struct.isSetContentDigest()) {
+        oprot.writeString(struct.contentDigest);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, ApplyCommand struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(4);
+      java.util.BitSet incoming = iprot.readBitSet(5);
       if (incoming.get(0)) {
         struct.changeId = iprot.readString();
         struct.setChangeIdIsSet(true);
@@ -742,6 +846,10 @@
         struct.author = iprot.readString();
         struct.setAuthorIsSet(true);
       }
+      if (incoming.get(4)) {
+        struct.contentDigest = iprot.readString();
+        struct.setContentDigestIsSet(true);
+      }
     }
   }
 
--- a/wire/src/main/java/io/jacinthquay/wire/gen/ApplyRequest.java
+++ b/wire/src/main/java/io/jacinthquay/wire/gen/ApplyRequest.java
@@ -14,6 +14,7 @@
   private static final org.apache.thrift.protocol.TField EXPECTED_VERSION_FIELD_DESC = new org.apache.thrift.protocol.TField("expectedVersion", org.apache.thrift.protocol.TType.I64, (short)2);
   private static final org.apache.thrift.protocol.TField EDITS_FIELD_DESC = new org.apache.thrift.protocol.TField("edits", org.apache.thrift.protocol.TType.LIST, (short)3);
   private static final org.apache.thrift.protocol.TField CONFIRM_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("confirmMillis", org.apache.thrift.protocol.TType.I32, (short)4);
+  private static final org.apache.thrift.protocol.TField CONTENT_DIGEST_FIELD_DESC = new org.apache.thrift.protocol.TField("contentDigest", org.apache.thrift.protocol.TType.STRING, (short)5);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new ApplyRequestStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new ApplyRequestTupleSchemeFactory();
@@ -22,6 +23,7 @@
   private long expectedVersion; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<EditMessage> edits; // required
   private int confirmMillis; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String contentDigest; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -34,7 +36,12 @@
     /**
      * How long to wait for routers to confirm, in ms; 0 answers at commit.
      */
-    CONFIRM_MILLIS((short)4, "confirmMillis");
+    CONFIRM_MILLIS((short)4, "confirmMillis"),
+    /**
+     * Digest of what the operator asked for, where the edits are derived from it and a resend may
+     * derive others; the edits themselves are compared where it is absent.
+     */
+    CONTENT_DIGEST((short)5, "contentDigest");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -58,6 +65,8 @@
           return EDITS;
         case 4: // CONFIRM_MILLIS
           return CONFIRM_MILLIS;
+        case 5: // CONTENT_DIGEST
+          return CONTENT_DIGEST;
         default:
           return null;
       }
@@ -104,6 +113,7 @@
   private static final int __EXPECTEDVERSION_ISSET_ID = 0;
   private static final int __CONFIRMMILLIS_ISSET_ID = 1;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.CONTENT_DIGEST};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -116,6 +126,8 @@
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, EditMessage.class))));
     tmpMap.put(_Fields.CONFIRM_MILLIS, new org.apache.thrift.meta_data.FieldMetaData("confirmMillis", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
+    tmpMap.put(_Fields.CONTENT_DIGEST, new org.apache.thrift.meta_data.FieldMetaData("contentDigest", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ApplyRequest.class, metaDataMap);
   }
@@ -155,6 +167,9 @@
       this.edits = __this__edits;
     }
     this.confirmMillis = other.confirmMillis;
+    if (other.isSetContentDigest()) {
+      this.contentDigest = other.contentDigest;
+    }
   }
 
   @Override
@@ -170,6 +185,7 @@
     this.edits = null;
     setConfirmMillisIsSet(false);
     this.confirmMillis = 0;
+    this.contentDigest = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -296,6 +312,39 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __CONFIRMMILLIS_ISSET_ID, value);
   }
 
+  /**
+   * Digest of what the operator asked for, where the edits are derived from it and a resend may
+   * derive others; the edits themselves are compared where it is absent.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getContentDigest() {
+    return this.contentDigest;
+  }
+
+  /**
+   * Digest of what the operator asked for, where the edits are derived from it and a resend may
+   * derive others; the edits themselves are compared where it is absent.
+   */
+  public ApplyRequest setContentDigest(@org.apache.thrift.annotation.Nullable java.lang.String contentDigest) {
+    this.contentDigest = contentDigest;
+    return this;
+  }
+
+  public void unsetContentDigest() {
+    this.contentDigest = null;
+  }
+
+  /** Returns true if field contentDigest is set (has been assigned a value) and false otherwise */
+  public boolean isSetContentDigest() {
+    return this.contentDigest != null;
+  }
+
+  public void setContentDigestIsSet(boolean value) {
+    if (!value) {
+      this.contentDigest = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -331,6 +380,14 @@
       }
       break;
 
+    case CONTENT_DIGEST:
+      if (value == null) {
+        unsetContentDigest();
+      } else {
+        setContentDigest((java.lang.String)value);
+      }
+      break;
+
     }
   }
 
@@ -350,6 +407,9 @@
     case CONFIRM_MILLIS:
       return getConfirmMillis();
 
+    case CONTENT_DIGEST:
+      return getContentDigest();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -370,6 +430,8 @@
       return isSetEdits();
     case CONFIRM_MILLIS:
       return isSetConfirmMillis();
+    case CONTENT_DIGEST:
+      return isSetContentDigest();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -423,6 +485,15 @@
         return false;
     }
 
+    boolean this_present_contentDigest = true && this.isSetContentDigest();
+    boolean that_present_contentDigest = true && that.isSetContentDigest();
+    if (this_present_contentDigest || that_present_contentDigest) {
+      if (!(this_present_contentDigest && that_present_contentDigest))
+        return false;
+      if (!this.contentDigest.equals(that.contentDigest))
+        return false;
+    }
+
     return true;
   }
 
@@ -442,6 +513,10 @@
 
     hashCode = hashCode * 8191 + confirmMillis;
 
+    hashCode = hashCode * 8191 + ((isSetContentDigest()) ? 131071 : 524287);
+    if (isSetContentDigest())
+      hashCode = hashCode * 8191 + contentDigest.hashCode();
+
     return hashCode;
   }
 
@@ -493,6 +568,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetContentDigest(), other.isSetContentDigest());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetContentDigest()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.contentDigest, other.contentDigest);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -540,6 +625,16 @@
     sb.append("confirmMillis:");
     sb.append(this.confirmMillis);
     first = false;
+    if (isSetContentDigest()) {
+      if (!first) sb.append(", ");
+      sb.append("contentDigest:");
+      if (this.contentDigest == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.contentDigest);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -630,6 +725,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 5: // CONTENT_DIGEST
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.contentDigest = iprot.readString();
+              struct.setContentDigestIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -669,6 +772,13 @@
       oprot.writeFieldBegin(CONFIRM_MILLIS_FIELD_DESC);
       oprot.writeI32(struct.confirmMillis);
       oprot.writeFieldEnd();
+      if (struct.contentDigest != null) {
+        if (struct.isSetContentDigest()) {
+          oprot.writeFieldBegin(CONTENT_DIGEST_FIELD_DESC);
+          oprot.writeString(struct.contentDigest);
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -700,7 +810,10 @@
       if (struct.isSetConfirmMillis()) {
         optionals.set(3);
       }
-      oprot.writeBitSet(optionals, 4);
+      if (struct.isSetContentDigest()) {
+        optionals.set(4);
+      }
+      oprot.writeBitSet(optionals, 5);
       if (struct.isSetChangeId()) {
         oprot.writeString(struct.changeId);
       }
@@ -719,12 +832,15 @@
       if (struct.isSetConfirmMillis()) {
         oprot.writeI32(struct.confirmMillis);
       }
+      if (struct.isSetContentDigest()) {
+        oprot.writeString(struct.contentDigest);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, ApplyRequest struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(4);
+      java.util.BitSet incoming = iprot.readBitSet(5);
       if (incoming.get(0)) {
         struct.changeId = iprot.readString();
         struct.setChangeIdIsSet(true);
@@ -751,6 +867,10 @@
         struct.confirmMillis = iprot.readI32();
         struct.setConfirmMillisIsSet(true);
       }
+      if (incoming.get(4)) {
+        struct.contentDigest = iprot.readString();
+        struct.setContentDigestIsSet(true);
+      }
     }
   }
 
--- a/wire/src/main/thrift/commands.thrift
+++ b/wire/src/main/thrift/commands.thrift
@@ -18,6 +18,7 @@
   2: i64 expectedVersion
   3: list<keeper.EditMessage> edits
   4: string author
+  5: optional string contentDigest
 }
 
 /** Acquires where fencing is absent, else renews. */
--- a/wire/src/main/thrift/keeper.thrift
+++ b/wire/src/main/thrift/keeper.thrift
@@ -59,6 +59,11 @@
   3: list<EditMessage> edits
   /** How long to wait for routers to confirm, in ms; 0 answers at commit. */
   4: i32 confirmMillis
+  /**
+   * Digest of what the operator asked for, where the edits are derived from it and a resend may
+   * derive others; the edits themselves are compared where it is absent.
+   */
+  5: optional string contentDigest
 }
 
 struct ApplyAnswer {
