Queue, shed and place requests by the pure decisions

Cause: requests went at once to the upstream with the least expected wait; nothing held to tiers, fair shares or what an upstream can bear.

Change: AdmissionDispatcher runs admission over slots, placement, output estimates and retries under one lock and calls requests back on their own threads. The listener now builds its own accept path: connections beyond the limit hear 1008, and a conduit reads ahead during an answer, so that a caller that goes away is noticed while its request waits. Refusals of unread bodies close the connection after a second.

Ruled out: writing to a quiet caller to find out whether it is there.

--- a/router/src/main/java/io/jacinthquay/router/RouterMain.java
+++ b/router/src/main/java/io/jacinthquay/router/RouterMain.java
@@ -1,5 +1,6 @@
 package io.jacinthquay.router;
 
+import io.jacinthquay.router.adapter.http.HttpEngineMonitor;
 import io.jacinthquay.router.adapter.http.HttpVmDirectory;
 import io.jacinthquay.router.adapter.http.JsonHttp;
 import io.jacinthquay.router.adapter.thrift.ThriftClaimStore;
@@ -57,6 +58,7 @@
             TimeUnit.MINUTES,
             new ArrayBlockingQueue<>(CLAIM_QUEUE),
             RouterMain::daemon);
+    JsonHttp http = new JsonHttp(PLATFORM_TIMEOUT);
     String claimant = options.self().value() + "-" + ProcessHandle.current().pid();
     return new RouterPorts(
         new ThriftConfigSource(
@@ -66,8 +68,8 @@
             options.domain()),
         new ThriftClaimStore(keepers, claimant, claims),
         new ThriftUsageSink(keepers),
-        new HttpVmDirectory(
-            new JsonHttp(PLATFORM_TIMEOUT), settings.value(RouterSettings.PLATFORM)));
+        new HttpVmDirectory(http, settings.value(RouterSettings.PLATFORM)),
+        new HttpEngineMonitor(http));
   }
 
   private static Thread daemon(Runnable task) {
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/CallerHandler.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/CallerHandler.java
@@ -14,9 +14,14 @@
 import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.xnio.IoUtils;
 
 /** Reads one request and hands it to the intake. */
 final class CallerHandler implements HttpHandler {
+  /** Time for which the rest of a refused body is read, in milliseconds. */
+  private static final long LINGER_MILLIS = 1_000;
+
   private final RequestIntake intake;
   private final ListenerLimits limits;
   private final BodyMemory memory;
@@ -59,11 +64,22 @@
       Failure failure,
       UndertowCaller caller) {
     if (!exchange.isRequestComplete()) {
-      exchange.setPersistent(false);
+      closeUnlessRead(exchange);
     }
     intake.refuse(id, head, failure, caller);
   }
 
+  /** What is left of a refused body is read for a moment, so that the refusal can be read too. */
+  private static void closeUnlessRead(HttpServerExchange exchange) {
+    Runnable close =
+        () -> {
+          if (!exchange.isRequestComplete()) {
+            IoUtils.safeClose(exchange.getConnection());
+          }
+        };
+    var unused = exchange.getIoThread().executeAfter(close, LINGER_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
   private static CallerHead head(HttpServerExchange exchange) {
     List<Header> headers = new ArrayList<>();
     for (HeaderValues values : exchange.getRequestHeaders()) {
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/CallerServer.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/CallerServer.java
@@ -2,24 +2,64 @@
 
 import io.jacinthquay.router.port.RequestIntake;
 import io.jacinthquay.runtime.Service;
-import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.DefaultByteBufferPool;
+import io.undertow.server.protocol.http.HttpOpenListener;
+import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.xnio.ChannelListener;
+import org.xnio.ChannelListeners;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
 import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+import org.xnio.channels.AcceptingChannel;
+import org.xnio.conduits.ConduitStreamSourceChannel;
+import org.xnio.conduits.ReadReadyHandler;
 
 /** Listens for callers over HTTP/1.1. */
 public final class CallerServer implements Service {
+  private static final Logger log = LogManager.getLogger();
+
   /** How much larger a head may be than the limit and still get a numbered refusal. */
   private static final int HEAD_ALLOWANCE = 4;
 
   private static final int BACKLOG = 1_024;
   private static final int MAX_HEADERS = 200;
+  private static final int BUFFER_BYTES = 16 * 1024;
+  private static final int STOP_SECONDS = 5;
+
+  private static final String TOO_MANY_BODY =
+      "{\"error\":{\"code\":1008,\"name\":\"TOO_MANY_CONNECTIONS\",\"message\":"
+          + "\"The router holds as many connections as it may.\",\"outcome\":\"not-run\"}}";
+
+  private static final byte[] TOO_MANY =
+      ("HTTP/1.1 503 Service Unavailable\r\ncontent-type: application/json\r\n"
+              + "x-jq-outcome: not-run\r\nconnection: close\r\ncontent-length: "
+              + TOO_MANY_BODY.length()
+              + "\r\n\r\n"
+              + TOO_MANY_BODY)
+          .getBytes(StandardCharsets.US_ASCII);
 
   private final InetSocketAddress address;
   private final int ioThreads;
   private final ListenerLimits limits;
   private final RequestIntake intake;
-  private Undertow server;
+  private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
+  private final AtomicInteger connections = new AtomicInteger();
+  private XnioWorker worker;
+  private HttpOpenListener http;
+  private AcceptingChannel<StreamConnection> listener;
 
   /**
    * Returns a server.
@@ -39,42 +79,101 @@
 
   @Override
   public void start() {
-    Undertow built =
-        Undertow.builder()
-            .addHttpListener(address.getPort(), address.getHostString())
-            .setIoThreads(ioThreads)
-            .setWorkerThreads(1)
-            .setWorkerOption(Options.WORKER_NAME, "caller")
-            .setSocketOption(Options.BACKLOG, BACKLOG)
-            .setSocketOption(Options.CONNECTION_HIGH_WATER, limits.maxConnections())
-            .setSocketOption(Options.CONNECTION_LOW_WATER, limits.maxConnections())
-            .setServerOption(
-                UndertowOptions.MAX_HEADER_SIZE, limits.maxHeadBytes() * HEAD_ALLOWANCE)
-            .setServerOption(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
-            .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, limits.headMillis())
-            .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, limits.idleMillis())
-            .setServerOption(UndertowOptions.ENABLE_HTTP2, false)
-            .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
-            .setHandler(new CallerHandler(intake, limits))
-            .build();
+    http = new HttpOpenListener(buffers, serverOptions());
+    http.setRootHandler(new CallerHandler(intake, limits));
     try {
-      built.start();
-    } catch (RuntimeException e) {
+      worker = Xnio.getInstance().createWorker(workerOptions());
+      listener =
+          worker.createStreamConnectionServer(
+              address, ChannelListeners.openListenerAdapter(this::accepted), socketOptions());
+      listener.resumeAccepts();
+    } catch (IOException e) {
       throw new IllegalStateException("cannot listen on " + address + ": " + e.getMessage(), e);
     }
-    server = built;
+  }
+
+  private OptionMap workerOptions() {
+    return OptionMap.builder()
+        .set(Options.WORKER_IO_THREADS, ioThreads)
+        .set(Options.WORKER_TASK_CORE_THREADS, 1)
+        .set(Options.WORKER_TASK_MAX_THREADS, 1)
+        .set(Options.WORKER_NAME, "caller")
+        .set(Options.TCP_NODELAY, true)
+        .getMap();
+  }
+
+  private static OptionMap socketOptions() {
+    return OptionMap.builder()
+        .set(Options.TCP_NODELAY, true)
+        .set(Options.REUSE_ADDRESSES, true)
+        .set(Options.BACKLOG, BACKLOG)
+        .getMap();
+  }
+
+  private OptionMap serverOptions() {
+    return OptionMap.builder()
+        .set(UndertowOptions.MAX_HEADER_SIZE, limits.maxHeadBytes() * HEAD_ALLOWANCE)
+        .set(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
+        .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, limits.headMillis())
+        .set(UndertowOptions.NO_REQUEST_TIMEOUT, limits.idleMillis())
+        .set(UndertowOptions.ALWAYS_SET_DATE, false)
+        .getMap();
+  }
+
+  private void accepted(StreamConnection connection) {
+    if (connections.incrementAndGet() > limits.maxConnections()) {
+      connections.decrementAndGet();
+      refuse(connection);
+      return;
+    }
+    ConduitStreamSourceChannel source = connection.getSourceChannel();
+    WatchedSource watched =
+        new WatchedSource(source.getConduit(), () -> IoUtils.safeClose(connection));
+    watched.setReadReadyHandler(new ReadReadyHandler.ChannelListenerHandler<>(source));
+    source.setConduit(watched);
+    http.handleEvent(connection);
+    ChannelListener<? super StreamConnection> onClose = connection.getCloseListener();
+    connection.setCloseListener(
+        closed -> {
+          connections.decrementAndGet();
+          ChannelListeners.invokeChannelListener(closed, onClose);
+        });
+  }
+
+  private static void refuse(StreamConnection connection) {
+    try {
+      int written = connection.getSinkChannel().write(ByteBuffer.wrap(TOO_MANY));
+      log.debug("a connection too many was refused with {} bytes", written);
+    } catch (IOException e) {
+      log.debug("a connection too many was closed: {}", e.getMessage());
+    }
+    IoUtils.safeClose(connection);
   }
 
   /** Returns the port that the server listens on. */
   public int port() {
-    InetSocketAddress bound = (InetSocketAddress) server.getListenerInfo().get(0).getAddress();
-    return bound.getPort();
+    return listener.getLocalAddress(InetSocketAddress.class).getPort();
+  }
+
+  /** Takes no further connections; those that are open go on. */
+  public void stopAccepting() {
+    IoUtils.safeClose(listener);
   }
 
   @Override
   public void stop() {
-    if (server != null) {
-      server.stop();
+    if (worker == null) {
+      return;
+    }
+    stopAccepting();
+    http.closeConnections();
+    List<Runnable> unused = worker.shutdownNow();
+    try {
+      boolean ended = worker.awaitTermination(STOP_SECONDS, TimeUnit.SECONDS);
+      log.debug("the I/O threads have ended: {}", ended);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
     }
+    buffers.close();
   }
 }
--- /dev/null
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/WatchedSource.java
@@ -0,0 +1,197 @@
+package io.jacinthquay.router.adapter.http;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.util.concurrent.TimeUnit;
+import org.xnio.XnioIoThread;
+import org.xnio.XnioWorker;
+import org.xnio.channels.StreamSinkChannel;
+import org.xnio.conduits.AbstractSourceConduit;
+import org.xnio.conduits.ConduitReadableByteChannel;
+import org.xnio.conduits.Conduits;
+import org.xnio.conduits.ReadReadyHandler;
+import org.xnio.conduits.StreamSourceConduit;
+
+/**
+ * Reads ahead while nobody reads, so that the end of a connection is noticed during an answer.
+ *
+ * <p>The server does not read from a connection between a request and the end of its answer. This
+ * conduit then reads up to {@link #AHEAD_BYTES} on its own and keeps them for the next reader.
+ */
+final class WatchedSource extends AbstractSourceConduit<StreamSourceConduit>
+    implements StreamSourceConduit {
+  /** Most bytes that are read ahead. */
+  private static final int AHEAD_BYTES = 4 * 1024;
+
+  private final Runnable onEnd;
+  private ByteBuffer ahead = ByteBuffer.allocate(0);
+  private ReadReadyHandler reader;
+  private boolean wanted;
+  private boolean ended;
+
+  /**
+   * Wraps a conduit.
+   *
+   * @param onEnd called when the connection ends while nobody reads
+   */
+  WatchedSource(StreamSourceConduit next, Runnable onEnd) {
+    super(next);
+    this.onEnd = onEnd;
+    next.setReadReadyHandler(new Watch());
+  }
+
+  private final class Watch implements ReadReadyHandler {
+    @Override
+    public void readReady() {
+      if (wanted) {
+        reader.readReady();
+      } else {
+        readAhead();
+      }
+    }
+
+    @Override
+    public void forceTermination() {
+      if (reader != null) {
+        reader.forceTermination();
+      }
+    }
+
+    @Override
+    public void terminated() {
+      if (reader != null) {
+        reader.terminated();
+      }
+    }
+  }
+
+  private void readAhead() {
+    ByteBuffer more = ByteBuffer.allocate(AHEAD_BYTES - ahead.remaining());
+    try {
+      int count = more.hasRemaining() ? next.read(more) : 0;
+      if (count < 0) {
+        end();
+        return;
+      }
+      append(more.flip());
+      if (ahead.remaining() >= AHEAD_BYTES) {
+        next.suspendReads();
+      }
+    } catch (IOException e) {
+      end();
+    }
+  }
+
+  private void append(ByteBuffer more) {
+    if (more.hasRemaining()) {
+      ByteBuffer joined = ByteBuffer.allocate(ahead.remaining() + more.remaining());
+      ahead = joined.put(ahead).put(more).flip();
+    }
+  }
+
+  private void end() {
+    ended = true;
+    next.suspendReads();
+    onEnd.run();
+  }
+
+  @Override
+  public int read(ByteBuffer dst) throws IOException {
+    if (!ahead.hasRemaining()) {
+      return ended ? -1 : next.read(dst);
+    }
+    int count = Math.min(dst.remaining(), ahead.remaining());
+    ByteBuffer part = ahead.slice().limit(count);
+    dst.put(part);
+    ahead.position(ahead.position() + count);
+    return count;
+  }
+
+  @Override
+  public long read(ByteBuffer[] dsts, int offs, int len) throws IOException {
+    for (int i = offs; i < offs + len; i++) {
+      if (dsts[i].hasRemaining()) {
+        return read(dsts[i]);
+      }
+    }
+    return 0;
+  }
+
+  @Override
+  public long transferTo(long position, long count, FileChannel target) throws IOException {
+    return target.transferFrom(new ConduitReadableByteChannel(this), position, count);
+  }
+
+  @Override
+  public long transferTo(long count, ByteBuffer throughBuffer, StreamSinkChannel target)
+      throws IOException {
+    return Conduits.transfer(this, count, throughBuffer, target);
+  }
+
+  @Override
+  public void setReadReadyHandler(ReadReadyHandler handler) {
+    reader = handler;
+  }
+
+  @Override
+  public void suspendReads() {
+    wanted = false;
+    next.resumeReads();
+  }
+
+  @Override
+  public void resumeReads() {
+    wanted = true;
+    if (ahead.hasRemaining() || ended) {
+      next.wakeupReads();
+    } else {
+      next.resumeReads();
+    }
+  }
+
+  @Override
+  public void wakeupReads() {
+    wanted = true;
+    next.wakeupReads();
+  }
+
+  @Override
+  public boolean isReadResumed() {
+    return wanted;
+  }
+
+  @Override
+  public void awaitReadable() throws IOException {
+    if (!ahead.hasRemaining() && !ended) {
+      next.awaitReadable();
+    }
+  }
+
+  @Override
+  public void awaitReadable(long time, TimeUnit unit) throws IOException {
+    if (!ahead.hasRemaining() && !ended) {
+      next.awaitReadable(time, unit);
+    }
+  }
+
+  @Override
+  public void terminateReads() throws IOException {
+    next.terminateReads();
+  }
+
+  @Override
+  public boolean isReadShutdown() {
+    return next.isReadShutdown();
+  }
+
+  @Override
+  public XnioIoThread getReadThread() {
+    return next.getReadThread();
+  }
+
+  @Override
+  public XnioWorker getWorker() {
+    return next.getWorker();
+  }
+}
--- a/router/src/main/java/io/jacinthquay/router/service/RouterPorts.java
+++ b/router/src/main/java/io/jacinthquay/router/service/RouterPorts.java
@@ -2,6 +2,7 @@
 
 import io.jacinthquay.router.port.ClaimStore;
 import io.jacinthquay.router.port.ConfigSource;
+import io.jacinthquay.router.port.EngineMonitor;
 import io.jacinthquay.router.port.UsageSink;
 import io.jacinthquay.router.port.VmDirectory;
 import java.util.Objects;
@@ -13,9 +14,14 @@
  * @param claims records idempotency keys
  * @param usage takes usage counters
  * @param vms the platform's list of VMs
+ * @param engines asks engines how they are
  */
 public record RouterPorts(
-    ConfigSource config, ClaimStore claims, UsageSink usage, VmDirectory vms) {
+    ConfigSource config,
+    ClaimStore claims,
+    UsageSink usage,
+    VmDirectory vms,
+    EngineMonitor engines) {
   /**
    * Checks that all parts are present.
    *
@@ -26,5 +32,6 @@
     Objects.requireNonNull(claims, "claims");
     Objects.requireNonNull(usage, "usage");
     Objects.requireNonNull(vms, "vms");
+    Objects.requireNonNull(engines, "engines");
   }
 }
--- a/router/src/main/java/io/jacinthquay/router/service/RouterService.java
+++ b/router/src/main/java/io/jacinthquay/router/service/RouterService.java
@@ -1,6 +1,7 @@
 package io.jacinthquay.router.service;
 
 import com.codahale.metrics.MetricRegistry;
+import io.jacinthquay.decision.slots.DomainView;
 import io.jacinthquay.model.ConfigVersion;
 import io.jacinthquay.model.Failure;
 import io.jacinthquay.model.ResultCode;
@@ -13,7 +14,8 @@
 import io.jacinthquay.router.service.config.LeasedKeyAuthority;
 import io.jacinthquay.router.service.config.PolicyHolder;
 import io.jacinthquay.router.service.config.WithdrawnKeys;
-import io.jacinthquay.router.service.dispatch.LocalDispatcher;
+import io.jacinthquay.router.service.dispatch.AdmissionDispatcher;
+import io.jacinthquay.router.service.dispatch.EngineWatcher;
 import io.jacinthquay.router.service.dispatch.UpstreamDirectory;
 import io.jacinthquay.router.service.report.MetricsPage;
 import io.jacinthquay.router.service.report.RequestLog;
@@ -55,6 +57,7 @@
   private static final Duration CONFIG_WAIT = Duration.ofSeconds(1);
 
   private static final long KEY_CHECK_MILLIS = 200;
+  private static final long TICK_MILLIS = 2;
   private static final long DRAIN_POLL_MILLIS = 10;
 
   private final RouterOptions options;
@@ -64,7 +67,8 @@
   private final ActiveRequests active = new ActiveRequests();
   private final MetricRegistry registry = new MetricRegistry();
   private final KeyAuthority keys;
-  private final LocalDispatcher dispatcher;
+  private final AdmissionDispatcher dispatcher;
+  private final EngineWatcher watcher;
   private final UpstreamDirectory directory;
   private final ConfigFollower follower;
   private final UsageShipper shipper;
@@ -81,7 +85,14 @@
         options.self().value() + "-" + Long.toHexString(new SecureRandom().nextLong());
     keys = new LeasedKeyAuthority(policies, lease, withdrawn);
     dispatcher =
-        new LocalDispatcher(options.self(), options.domain(), new SecureRandom().nextLong());
+        new AdmissionDispatcher(
+            options.self(),
+            System.currentTimeMillis(),
+            options.domain(),
+            name -> policies.view().policy().classPolicy(name),
+            (to, message) -> {},
+            new SecureRandom().nextLong());
+    watcher = new EngineWatcher(ports.engines(), dispatcher);
     directory =
         new UpstreamDirectory(ports.vms(), this::onVmList, options.vmListInterval().toMillis());
     follower = new ConfigFollower(ports.config(), policies, lease, Map::of, CONFIG_WAIT);
@@ -126,6 +137,8 @@
     metrics.gauge("jq_config_age_ms", () -> millis(follower.ageNanos(System.nanoTime())));
     metrics.gauge("jq_keys_left_ms", () -> millis(lease.leftNanos(System.nanoTime())));
     metrics.gauge("jq_vm_list_age_ms", () -> millis(directory.ageNanos(System.nanoTime())));
+    metrics.gauge("jq_load_age_ms", () -> millis(watcher.loadAgeNanos(System.nanoTime())));
+    metrics.gauge("jq_cache_events_age_ms", () -> millis(watcher.cacheAgeNanos(System.nanoTime())));
     metrics.gauge("jq_active_requests", active::count);
   }
 
@@ -135,6 +148,11 @@
 
   private void onVmList(List<VmEntry> list) {
     vms = list;
+    watcher.update(list);
+    list.stream()
+        .map(VmEntry::domain)
+        .distinct()
+        .forEach(domain -> dispatcher.view(domain, DomainView.alone(options.self())));
     dispatcher.update(list, policies.view().policy());
   }
 
@@ -166,11 +184,15 @@
   public void start() {
     server.start();
     directory.start();
+    watcher.start();
     follower.start();
     shipper.start();
     var unused =
         ticks.scheduleWithFixedDelay(
             this::recheckKeys, KEY_CHECK_MILLIS, KEY_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+    var unusedToo =
+        ticks.scheduleWithFixedDelay(
+            dispatcher::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
     log.info("router {} listens on port {}", options.self(), port());
   }
 
@@ -179,6 +201,21 @@
     return server.port();
   }
 
+  /** Returns the version of the configuration in force. */
+  public long configVersion() {
+    return policies.version().value();
+  }
+
+  /** Returns how many requests are in progress. */
+  public int activeRequests() {
+    return active.count();
+  }
+
+  /** Ends the key lease at once, as if no keeper had answered for its whole length. */
+  public void expireKeys() {
+    lease.expire();
+  }
+
   /** Returns how many upstreams the platform lists. */
   public int upstreams() {
     return vms.size();
@@ -194,11 +231,14 @@
     stopping = true;
     pause(options.drainDelay().toMillis());
     draining = true;
+    server.stopAccepting();
     awaitRequests();
+    dispatcher.leave();
     server.stop();
     List<Runnable> unused = ticks.shutdownNow();
     follower.stop();
     directory.stop();
+    watcher.stop();
     shipper.stop();
     upstreams.close();
     log.info("router {} stopped", options.self());
--- a/router/src/main/java/io/jacinthquay/router/service/config/KeyLease.java
+++ b/router/src/main/java/io/jacinthquay/router/service/config/KeyLease.java
@@ -21,6 +21,11 @@
     until.accumulateAndGet(untilNanos, (a, b) -> b - a > 0 ? b : a);
   }
 
+  /** Ends the lease at once. */
+  public void expire() {
+    renewed = false;
+  }
+
   /**
    * Returns whether the key table is current.
    *
--- a/router/src/main/java/io/jacinthquay/router/service/dispatch/PoolTables.java
+++ b/router/src/main/java/io/jacinthquay/router/service/dispatch/PoolTables.java
@@ -1,12 +1,13 @@
 package io.jacinthquay.router.service.dispatch;
 
-import io.jacinthquay.decision.placement.Dispatch;
+import io.jacinthquay.decision.bearing.UpstreamSpec;
 import io.jacinthquay.decision.placement.PlacementSettings;
 import io.jacinthquay.decision.placement.Placer;
 import io.jacinthquay.decision.placement.Placers;
 import io.jacinthquay.decision.placement.UpstreamInfo;
 import io.jacinthquay.decision.placement.UpstreamTable;
 import io.jacinthquay.decision.retry.RetryBudget;
+import io.jacinthquay.decision.slots.SlotScope;
 import io.jacinthquay.model.DomainId;
 import io.jacinthquay.model.ModelName;
 import io.jacinthquay.model.PoolName;
@@ -14,7 +15,7 @@
 import io.jacinthquay.model.VmId;
 import io.jacinthquay.model.policy.Policy;
 import io.jacinthquay.router.port.VmEntry;
-import java.util.Collection;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -22,6 +23,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 
 /** The upstreams of every pool; guarded by the lock of its dispatcher. */
 final class PoolTables {
@@ -29,6 +31,7 @@
   private final DomainId local;
   private final PlacementSettings settings;
   private final Map<PoolName, Pool> pools = new HashMap<>();
+  private final Set<SlotScope> announced = new HashSet<>();
 
   PoolTables(VmId self, DomainId local, PlacementSettings settings) {
     this.self = self;
@@ -64,13 +67,16 @@
       for (VmEntry entry : listed.values()) {
         entries.put(entry.name(), entry);
         table.add(new UpstreamInfo(entry.name(), entry.domain()), now);
-        boolean leaving = entry.leaving() || policy.isLeaving(entry.name().value());
-        table.leaving(entry.name(), leaving, now);
+        table.leaving(entry.name(), isLeaving(entry, policy), now);
         table.domainOut(entry.domain(), policy.isOut(entry.domain()), now);
       }
     }
   }
 
+  private static boolean isLeaving(VmEntry entry, Policy policy) {
+    return entry.leaving() || policy.isLeaving(entry.name().value());
+  }
+
   /** Takes in the platform's list and what operators have taken out. */
   void update(List<VmEntry> list, Policy policy, long nowNanos) {
     Map<PoolName, Map<UpstreamId, VmEntry>> byPool = new HashMap<>();
@@ -91,29 +97,28 @@
     return new Pool(UpstreamTable.create(local, self.value(), settings));
   }
 
-  Optional<Pool> pool(PoolName name) {
-    return Optional.ofNullable(pools.get(name));
+  /** Returns the upstreams that may get work, by pool and failure domain. */
+  Map<SlotScope, List<UpstreamSpec>> specs(Policy policy) {
+    Map<SlotScope, List<UpstreamSpec>> specs = new TreeMap<>();
+    announced.forEach(scope -> specs.put(scope, new ArrayList<>()));
+    pools.forEach((name, pool) -> addSpecs(specs, name, pool, policy));
+    announced.addAll(specs.keySet());
+    return specs;
   }
 
-  Collection<Pool> all() {
-    return pools.values();
-  }
-
-  Map<PoolName, Pool> byName() {
-    return pools;
-  }
-
-  /** One attempt with its place in the tables. */
-  record PlacedGrant(DispatchRequest request, VmEntry entry, Pool pool, Dispatch dispatch)
-      implements Grant {
-    @Override
-    public UpstreamId upstream() {
-      return entry.name();
+  private static void addSpecs(
+      Map<SlotScope, List<UpstreamSpec>> specs, PoolName name, Pool pool, Policy policy) {
+    for (VmEntry entry : pool.entries.values()) {
+      List<UpstreamSpec> ofScope =
+          specs.computeIfAbsent(new SlotScope(name, entry.domain()), s -> new ArrayList<>());
+      if (!isLeaving(entry, policy) && !policy.isOut(entry.domain())) {
+        int ceiling = Math.max(entry.floor(), UpstreamSpec.DEFAULT_CEILING);
+        ofScope.add(new UpstreamSpec(entry.name(), entry.floor(), ceiling));
+      }
     }
+  }
 
-    @Override
-    public java.net.InetSocketAddress address() {
-      return entry.address();
-    }
+  Optional<Pool> pool(PoolName name) {
+    return Optional.ofNullable(pools.get(name));
   }
 }
--- a/router/src/main/java/io/jacinthquay/router/service/request/RequestRun.java
+++ b/router/src/main/java/io/jacinthquay/router/service/request/RequestRun.java
@@ -146,12 +146,12 @@
             attempts,
             work.dispatchRequest().endNanos(),
             0);
-    follow(services.dispatcher().afterFailure(work.dispatchRequest(), facts));
+    follow(services.dispatcher().afterFailure(work.dispatchRequest(), facts), code);
   }
 
-  private void follow(RetryDecision decision) {
+  private void follow(RetryDecision decision, ResultCode cause) {
     if (decision instanceof RetryDecision.GiveUp giveUp) {
-      finishWith(Failure.of(giveUp.code()), giveUp.outcome(), 0);
+      finishWith(failure(giveUp.code(), cause), giveUp.outcome(), 0);
     } else if (decision instanceof RetryDecision.Retry retry) {
       submitAgain(retry.delayNanos());
     } else if (decision instanceof RetryDecision.Resume resume) {
@@ -159,6 +159,12 @@
     }
   }
 
+  private static Failure failure(ResultCode code, ResultCode cause) {
+    return code == cause
+        ? Failure.of(code)
+        : Failure.of(code, code.meaning() + " Last failure: " + cause.name() + ".");
+  }
+
   private void submitAgain(long delayNanos) {
     if (callerGone) {
       finishWith(Failure.of(ResultCode.UPSTREAM_BROKE), Outcome.UNKNOWN, 0);
@@ -188,6 +194,11 @@
     attempt = Optional.empty();
     current.cancel();
     mayHaveRun = true;
+    if (relay.started() && !relay.resumable()) {
+      services.dispatcher().finished(current.grant(), report(Completion.End.PREEMPTED, current));
+      finishWith(Failure.of(ResultCode.PREEMPTED), Outcome.RAN, 0);
+      return;
+    }
     DispatchRequest request = work.dispatchRequest();
     long remaining =
         request.placement().promptTokens()
--- a/router/src/test/java/io/jacinthquay/router/RouterFixture.java
+++ b/router/src/test/java/io/jacinthquay/router/RouterFixture.java
@@ -12,6 +12,7 @@
 import io.jacinthquay.model.policy.EntityKind;
 import io.jacinthquay.model.policy.PolicyDocument;
 import io.jacinthquay.model.policy.PolicyParser;
+import io.jacinthquay.router.adapter.http.HttpEngineMonitor;
 import io.jacinthquay.router.adapter.http.HttpVmDirectory;
 import io.jacinthquay.router.adapter.http.JsonHttp;
 import io.jacinthquay.router.port.ConfigPosition;
@@ -97,7 +98,12 @@
         RouterOptions.of(new VmId("entry-1"), new DomainId("a"), listen)
             .withUsageWindow(Duration.ofHours(24));
     RouterPorts ports =
-        new RouterPorts(config, claims, this::ship, new HttpVmDirectory(http, platform.address()));
+        new RouterPorts(
+            config,
+            claims,
+            this::ship,
+            new HttpVmDirectory(http, platform.address()),
+            new HttpEngineMonitor(http));
     router = RouterService.create(change.apply(options), ports);
     router.start();
     config.apply(List.of());
--- a/testkit/src/main/java/io/jacinthquay/testkit/engine/CacheEvents.java
+++ b/testkit/src/main/java/io/jacinthquay/testkit/engine/CacheEvents.java
@@ -1,5 +1,6 @@
 package io.jacinthquay.testkit.engine;
 
+import io.jacinthquay.decision.placement.PromptPrefix;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -22,12 +23,10 @@
 
   synchronized void stored(String prompt) {
     byte[] bytes = prompt.getBytes(StandardCharsets.UTF_8);
-    long hash = 0;
-    for (int from = 0; from + BLOCK_BYTES <= bytes.length; from += BLOCK_BYTES) {
-      for (int i = from; i < from + BLOCK_BYTES; i++) {
-        hash = hash * 31 + bytes[i];
-      }
-      store(Long.toHexString(hash));
+    PromptPrefix prefix =
+        PromptPrefix.ofBytes(bytes, BLOCK_BYTES, PromptPrefix.DEFAULT_BLOCK_TOKENS);
+    for (int block = 0; block < prefix.blocks(); block++) {
+      store(Long.toHexString(prefix.hash(block)));
     }
   }
 
--- a/testkit/src/main/java/io/jacinthquay/testkit/engine/EngineRequest.java
+++ b/testkit/src/main/java/io/jacinthquay/testkit/engine/EngineRequest.java
@@ -18,7 +18,17 @@
         json.path("max_tokens").asInt(defaultTokens),
         json.path("priority").asInt(0),
         json.path("resume_from").path("tokens").asInt(0),
-        prompt.toString());
+        text(prompt));
+  }
+
+  /** Returns all texts of a prompt, each with a line end. */
+  private static String text(JsonNode node) {
+    if (node.isTextual()) {
+      return node.asText() + "\n";
+    }
+    StringBuilder joined = new StringBuilder();
+    node.forEach(child -> joined.append(text(child)));
+    return joined.toString();
   }
 
   int promptTokens() {
--- a/testkit/src/main/java/io/jacinthquay/testkit/plain/FakePlainService.java
+++ b/testkit/src/main/java/io/jacinthquay/testkit/plain/FakePlainService.java
@@ -30,6 +30,7 @@
 
   private final int port;
   private final List<PlainRun> runs = new ArrayList<>();
+  private final List<Runnable> stalled = new ArrayList<>();
   private volatile PlainFault fault = PlainFault.NONE;
   private volatile int answerBytes;
   private Undertow server;
@@ -107,13 +108,29 @@
     switch (now) {
       case DIE_BEFORE_ANSWER -> IoUtils.safeClose(exchange.getConnection());
       case DIE_WITHIN_ANSWER -> dieWithinAnswer(exchange);
-      case STALL -> {
-        // No answer follows.
-      }
+      case STALL -> hold(exchange, number);
       default -> exchange.getResponseSender().send(text(number));
     }
   }
 
+  private void hold(HttpServerExchange exchange, int number) {
+    synchronized (runs) {
+      stalled.add(
+          () ->
+              exchange
+                  .getIoThread()
+                  .execute(() -> exchange.getResponseSender().send(text(number))));
+    }
+  }
+
+  /** Answers every request that was held back. */
+  public void answerStalled() {
+    synchronized (runs) {
+      stalled.forEach(Runnable::run);
+      stalled.clear();
+    }
+  }
+
   private int run(HttpServerExchange exchange, String id, byte[] body) {
     String query = exchange.getQueryString();
     String target = exchange.getRequestURI() + (query.isEmpty() ? "" : "?" + query);
