Run experiments with the real admission beside the baselines

Cause: overload and fairness can only be judged with admission in the loop.

Ruled out: reporting a request that joins the next step as waiting, which halved limits that were not exceeded.

--- a/bench/src/main/java/io/jacinthquay/bench/engine/ModelEngine.java
+++ b/bench/src/main/java/io/jacinthquay/bench/engine/ModelEngine.java
@@ -35,6 +35,7 @@
   private int epoch;
   private long cacheSequence;
   private boolean cacheCleared;
+  private boolean announcedCold;
   private long workedTokens;
   private long breaches;
 
@@ -63,6 +64,11 @@
     return domain;
   }
 
+  /** Returns its speed and size. */
+  public EngineSettings settings() {
+    return settings;
+  }
+
   /** Returns whether it runs. */
   public boolean isUp() {
     return up;
@@ -116,6 +122,7 @@
   public void restart() {
     up = true;
     cacheCleared = true;
+    announcedCold = true;
     warmSince = events.now();
   }
 
@@ -225,8 +232,9 @@
 
   /** Returns the load now. */
   public LoadReport report() {
-    return new LoadReport(
-        id, events.now(), running.size(), waiting.size(), false, settings.batchLimit());
+    int beyond = Math.max(0, load() - settings.batchLimit());
+    boolean cold = announcedCold && bears() < settings.batchLimit();
+    return new LoadReport(id, events.now(), load() - beyond, beyond, cold, settings.batchLimit());
   }
 
   /** Returns what changed in the cache since the last event. */
--- a/bench/src/main/java/io/jacinthquay/bench/experiment/Attempt.java
+++ b/bench/src/main/java/io/jacinthquay/bench/experiment/Attempt.java
@@ -19,6 +19,7 @@
   private final EngineJob job;
   private final int resumedFrom;
   private boolean over;
+  private long firstTokenNanos = SimRequest.NEVER;
 
   Attempt(RouterNode router, SimRequest request, ModelEngine engine) {
     this.router = router;
@@ -36,8 +37,9 @@
             this);
   }
 
-  long startedAt() {
-    return dispatch.startedAtNanos();
+  /** Returns the time from dispatch to the first token; negative if none came. */
+  long firstTokenNanos() {
+    return firstTokenNanos;
   }
 
   /** Returns prompt and output tokens whose computation was of use. */
@@ -68,6 +70,7 @@
             request.firstTokenAt = world.now();
           }
           request.delivered++;
+          firstTokenNanos = world.now() - dispatch.startedAtNanos();
         });
   }
 
@@ -77,6 +80,7 @@
         () -> {
           router.table.tokens(dispatch, 1, world.now());
           request.delivered++;
+          router.progressed(request);
         });
   }
 
--- a/bench/src/main/java/io/jacinthquay/bench/experiment/RouterNode.java
+++ b/bench/src/main/java/io/jacinthquay/bench/experiment/RouterNode.java
@@ -82,6 +82,9 @@
   /** Hears that an attempt ended and its place is free. */
   abstract void freed(Attempt attempt, AttemptEnd end);
 
+  /** Hears that a token was passed to the caller. */
+  void progressed(SimRequest request) {}
+
   /** Returns the priority that the engine is told. */
   abstract int priority(SimRequest request);
 
--- a/bench/src/main/java/io/jacinthquay/bench/experiment/Strategy.java
+++ b/bench/src/main/java/io/jacinthquay/bench/experiment/Strategy.java
@@ -12,6 +12,13 @@
 
 /** The ways of routing that are set side by side. */
 enum Strategy {
+  /** The whole: admission by slots and placement by expected wait. */
+  JACINTHQUAY {
+    @Override
+    RouterNode router(World world, VmId id, DomainId domain, int routers, int batchLimit) {
+      return new AdmissionRouter(world, id, domain, Placers::expectedWait);
+    }
+  },
   /** Placement by expected wait, without admission. */
   EXPECTED_WAIT {
     @Override
