--- /dev/null
+++ b/router/src/main/java/io/jacinthquay/router/service/dispatch/PoolTables.java
@@ -0,0 +1,124 @@
+package io.jacinthquay.router.service.dispatch;
+
+import io.jacinthquay.decision.bearing.UpstreamSpec;
+import io.jacinthquay.decision.placement.PlacementSettings;
+import io.jacinthquay.decision.placement.Placer;
+import io.jacinthquay.decision.placement.Placers;
+import io.jacinthquay.decision.placement.UpstreamInfo;
+import io.jacinthquay.decision.placement.UpstreamTable;
+import io.jacinthquay.decision.retry.RetryBudget;
+import io.jacinthquay.decision.slots.SlotScope;
+import io.jacinthquay.model.DomainId;
+import io.jacinthquay.model.ModelName;
+import io.jacinthquay.model.PoolName;
+import io.jacinthquay.model.UpstreamId;
+import io.jacinthquay.model.VmId;
+import io.jacinthquay.model.policy.Policy;
+import io.jacinthquay.router.port.VmEntry;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+
+/** The upstreams of every pool; guarded by the lock of its dispatcher. */
+final class PoolTables {
+  private final VmId self;
+  private final DomainId local;
+  private final PlacementSettings settings;
+  private final Map<PoolName, Pool> pools = new HashMap<>();
+  private final Set<SlotScope> announced = new HashSet<>();
+
+  PoolTables(VmId self, DomainId local, PlacementSettings settings) {
+    this.self = self;
+    this.local = local;
+    this.settings = settings;
+  }
+
+  /** The upstreams of one pool. */
+  static final class Pool {
+    final UpstreamTable table;
+    final Placer placer;
+    final RetryBudget budget = new RetryBudget();
+    final Map<UpstreamId, VmEntry> entries = new LinkedHashMap<>();
+
+    Pool(UpstreamTable table) {
+      this.table = table;
+      this.placer = Placers.expectedWait(table);
+    }
+
+    boolean serves(UpstreamId id, Optional<ModelName> model) {
+      VmEntry entry = entries.get(id);
+      if (entry == null) {
+        return false;
+      }
+      return model.isEmpty() || entry.models().isEmpty() || entry.models().contains(model.get());
+    }
+
+    private void update(Map<UpstreamId, VmEntry> listed, Policy policy, long now) {
+      Set<UpstreamId> gone = new HashSet<>(entries.keySet());
+      gone.removeAll(listed.keySet());
+      gone.forEach(table::remove);
+      entries.keySet().removeAll(gone);
+      for (VmEntry entry : listed.values()) {
+        entries.put(entry.name(), entry);
+        table.add(new UpstreamInfo(entry.name(), entry.domain()), now);
+        table.leaving(entry.name(), isLeaving(entry, policy), now);
+        table.domainOut(entry.domain(), policy.isOut(entry.domain()), now);
+      }
+    }
+  }
+
+  private static boolean isLeaving(VmEntry entry, Policy policy) {
+    return entry.leaving() || policy.isLeaving(entry.name().value());
+  }
+
+  /** Takes in the platform's list and what operators have taken out. */
+  void update(List<VmEntry> list, Policy policy, long nowNanos) {
+    Map<PoolName, Map<UpstreamId, VmEntry>> byPool = new HashMap<>();
+    pools.keySet().forEach(name -> byPool.put(name, new LinkedHashMap<>()));
+    for (VmEntry entry : list) {
+      if (entry.pool().isPresent() && entry.kind() != VmEntry.Kind.ENTRY) {
+        byPool
+            .computeIfAbsent(entry.pool().get(), name -> new LinkedHashMap<>())
+            .put(entry.name(), entry);
+      }
+    }
+    byPool.forEach(
+        (name, listed) ->
+            pools.computeIfAbsent(name, n -> newPool()).update(listed, policy, nowNanos));
+  }
+
+  private Pool newPool() {
+    return new Pool(UpstreamTable.create(local, self.value(), settings));
+  }
+
+  /** Returns the upstreams that may get work, by pool and failure domain. */
+  Map<SlotScope, List<UpstreamSpec>> specs(Policy policy) {
+    Map<SlotScope, List<UpstreamSpec>> specs = new TreeMap<>();
+    announced.forEach(scope -> specs.put(scope, new ArrayList<>()));
+    pools.forEach((name, pool) -> addSpecs(specs, name, pool, policy));
+    announced.addAll(specs.keySet());
+    return specs;
+  }
+
+  private static void addSpecs(
+      Map<SlotScope, List<UpstreamSpec>> specs, PoolName name, Pool pool, Policy policy) {
+    for (VmEntry entry : pool.entries.values()) {
+      List<UpstreamSpec> ofScope =
+          specs.computeIfAbsent(new SlotScope(name, entry.domain()), s -> new ArrayList<>());
+      if (!isLeaving(entry, policy) && !policy.isOut(entry.domain())) {
+        int ceiling = Math.max(entry.floor(), UpstreamSpec.DEFAULT_CEILING);
+        ofScope.add(new UpstreamSpec(entry.name(), entry.floor(), ceiling));
+      }
+    }
+  }
+
+  Optional<Pool> pool(PoolName name) {
+    return Optional.ofNullable(pools.get(name));
+  }
+}
--- a/wire/src/main/thrift/commands.thrift
+++ b/wire/src/main/thrift/commands.thrift
@@ -18,6 +18,7 @@
   2: i64 expectedVersion
   3: list<keeper.EditMessage> edits
   4: string author
+  5: optional string contentDigest
 }
 
 /** Acquires where fencing is absent, else renews. */
@@ -105,8 +106,9 @@
   6: bool done
 }
 
+/** A line of the history, with the change itself while it is kept for readers. */
 struct StoredChange {
-  1: keeper.ChangeMessage change
+  1: optional keeper.ChangeMessage change
   2: keeper.HistoryLine line
 }
 
