--- a/model/src/main/java/io/jacinthquay/model/UsageWindow.java
+++ b/model/src/main/java/io/jacinthquay/model/UsageWindow.java
@@ -12,7 +12,7 @@
  */
 public record UsageWindow(long startMillis) {
   /** Length of every window in milliseconds. */
-  public static final long LENGTH_MILLIS = 60_000;
+  public static final long LENGTH_MILLIS = 20_000;
 
   /** Number of shards over which customers are spread; each is sealed and reported on its own. */
   public static final int SHARDS = 16;
--- a/runtime/src/main/java/io/jacinthquay/runtime/http/JsonHttpClient.java
+++ b/runtime/src/main/java/io/jacinthquay/runtime/http/JsonHttpClient.java
@@ -12,7 +12,6 @@
 import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
-import io.undertow.util.StringReadChannelListener;
 import io.undertow.util.StringWriteChannelListener;
 import io.vavr.control.Either;
 import java.io.IOException;
@@ -24,6 +23,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -89,7 +89,17 @@
    *     outcome is not known
    */
   public Either<Failure, HttpAnswer> call(HttpCall call) {
-    OneCall one = new OneCall(call);
+    return call(call, piece -> {});
+  }
+
+  /**
+   * Makes a call whose answer is heard piece by piece as well.
+   *
+   * @param pieces hears each piece of the body as it arrives, on an I/O thread
+   * @return as {@link #call(HttpCall)}
+   */
+  public Either<Failure, HttpAnswer> call(HttpCall call, Consumer<String> pieces) {
+    OneCall one = new OneCall(call, pieces);
     one.connect(worker);
     try {
       return one.result.get(call.timeout().toMillis(), TimeUnit.MILLISECONDS);
@@ -110,13 +120,15 @@
   /** One call on its way. */
   private static final class OneCall implements ClientCallback<ClientConnection> {
     private final HttpCall call;
+    private final Consumer<String> pieces;
     private final CompletableFuture<Either<Failure, HttpAnswer>> result = new CompletableFuture<>();
     private final AtomicReference<ClientConnection> connection = new AtomicReference<>();
     private volatile boolean written;
     private volatile boolean abandoned;
 
-    OneCall(HttpCall call) {
+    OneCall(HttpCall call, Consumer<String> pieces) {
       this.call = call;
+      this.pieces = pieces;
     }
 
     void connect(XnioWorker worker) {
@@ -189,15 +201,15 @@
       @Override
       public void completed(ClientExchange exchange) {
         int status = exchange.getResponse().getResponseCode();
-        new StringReadChannelListener(BUFFERS) {
+        new BodyReader(BUFFERS, pieces) {
           @Override
-          protected void stringDone(String body) {
+          void done(String body) {
             result.complete(Either.right(new HttpAnswer(status, body)));
             IoUtils.safeClose(connection.get());
           }
 
           @Override
-          protected void error(IOException e) {
+          void failed(IOException e) {
             fail(ResultCode.UPSTREAM_BROKE, e.getMessage());
           }
         }.setup(exchange.getResponseChannel());
--- a/wire/src/main/java/io/jacinthquay/wire/transport/SecureServer.java
+++ b/wire/src/main/java/io/jacinthquay/wire/transport/SecureServer.java
@@ -10,6 +10,8 @@
 import java.security.cert.Certificate;
 import java.security.cert.X509Certificate;
 import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.SynchronousQueue;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
@@ -21,6 +23,9 @@
 import org.apache.logging.log4j.Logger;
 import org.apache.thrift.TProcessor;
 import org.apache.thrift.protocol.TCompactProtocol;
+import org.apache.thrift.protocol.TProtocol;
+import org.apache.thrift.server.ServerContext;
+import org.apache.thrift.server.TServerEventHandler;
 import org.apache.thrift.server.TThreadPoolServer;
 import org.apache.thrift.transport.TServerSocket;
 import org.apache.thrift.transport.TSocket;
@@ -37,7 +42,8 @@
  * server.start();
  * }</pre>
  *
- * <p>One worker thread serves one connection.
+ * <p>One worker thread serves one connection. {@link #stop()} closes all connections: a client
+ * makes a call again whose answer was lost.
  */
 public final class SecureServer implements Service {
   private static final Logger log = LogManager.getLogger();
@@ -53,6 +59,7 @@
   private final TlsIdentity identity;
   private final int maxConnections;
   private final Function<PeerName, TProcessor> processors;
+  private final Set<TTransport> connections = ConcurrentHashMap.newKeySet();
   private SSLServerSocket listener;
   private TThreadPoolServer server;
   private Thread acceptor;
@@ -112,7 +119,9 @@
             .transportFactory(new TFramedTransport.Factory(MAX_MESSAGE_BYTES))
             .protocolFactory(new TCompactProtocol.Factory())
             .processorFactory(new PeerProcessors());
-    return new TThreadPoolServer(args);
+    TThreadPoolServer made = new TThreadPoolServer(args);
+    made.setServerEventHandler(new ConnectionTracker());
+    return made;
   }
 
   private static Thread newWorker(Runnable task) {
@@ -132,6 +141,7 @@
       return;
     }
     server.stop();
+    connections.forEach(TTransport::close);
     try {
       acceptor.join(TimeUnit.SECONDS.toMillis(STOP_TIMEOUT_SECONDS));
     } catch (InterruptedException e) {
@@ -139,6 +149,40 @@
     }
   }
 
+  /** Knows the open connections, so that a stop can close them. */
+  private final class ConnectionTracker implements TServerEventHandler {
+    @Override
+    public void preServe() {}
+
+    @Override
+    public ServerContext createContext(TProtocol input, TProtocol output) {
+      connections.add(input.getTransport());
+      return new Connection(input.getTransport());
+    }
+
+    @Override
+    public void deleteContext(ServerContext context, TProtocol input, TProtocol output) {
+      connections.remove(input.getTransport());
+    }
+
+    @Override
+    public void processContext(
+        ServerContext context, TTransport inputTransport, TTransport outputTransport) {}
+  }
+
+  /** One open connection. */
+  private record Connection(TTransport transport) implements ServerContext {
+    @Override
+    public <T> T unwrap(Class<T> type) {
+      return type.cast(transport);
+    }
+
+    @Override
+    public boolean isWrapperFor(Class<?> type) {
+      return type.isInstance(transport);
+    }
+  }
+
   /** Makes one processor per connection, out of the peer's certificate. */
   private final class PeerProcessors extends org.apache.thrift.TProcessorFactory {
     PeerProcessors() {
