Run the whole path in one process

Cause: the first thing a newcomer runs must show a caller's answer, a refusal, a withdrawal and a reported usage window. Found on the way: the router named its claims and usage with a dash where the keeper, which checks the name against the certificate, expects a slash, so every claim was refused; now a slash.

--- a/controller/src/main/java/io/jacinthquay/controller/service/LeaseHolder.java
+++ b/controller/src/main/java/io/jacinthquay/controller/service/LeaseHolder.java
@@ -10,6 +10,9 @@
 import java.time.Duration;
 import java.util.Objects;
 import java.util.Optional;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.apache.logging.log4j.message.StringMapMessage;
 
 /**
  * Keeps one lease on behalf of this process.
@@ -25,6 +28,8 @@
  * by which clocks may drift. Safe for use by many threads.
  */
 public final class LeaseHolder {
+  private static final Logger log = LogManager.getLogger();
+
   /** How often a lease that another process holds is asked for within one length. */
   private static final int TRIES_PER_LENGTH = 4;
 
@@ -83,6 +88,7 @@
   }
 
   private void accept(long before, Either<Failure, Lease> answer) {
+    logAnswer(answer);
     if (answer.isRight()) {
       Lease lease = answer.get();
       held = new Held(lease, before, before + times.usableNanos(lease.length()));
@@ -91,6 +97,20 @@
     }
   }
 
+  private void logAnswer(Either<Failure, Lease> answer) {
+    StringMapMessage message = new StringMapMessage().with("lease", name.value());
+    if (answer.isLeft() && answer.getLeft().code() != ResultCode.LEASE_HELD) {
+      message
+          .with("event", "lease.refused")
+          .with("code", answer.getLeft().code().number())
+          .with("detail", answer.getLeft().detail());
+      log.warn(message);
+    } else if (answer.isRight() && held == null) {
+      message.with("event", "lease.held").with("fencing", answer.get().fencing().value());
+      log.info(message);
+    }
+  }
+
   /** Returns the lease, if this process holds it now. */
   public Optional<Lease> lease() {
     return outlasts(Duration.ZERO) ? Optional.of(held.lease()) : Optional.empty();
--- a/router/src/main/java/io/jacinthquay/router/service/RouterService.java
+++ b/router/src/main/java/io/jacinthquay/router/service/RouterService.java
@@ -82,7 +82,7 @@
   private RouterService(RouterOptions options, RouterPorts ports) {
     this.options = options;
     String incarnation =
-        options.self().value() + "-" + Long.toHexString(new SecureRandom().nextLong());
+        options.self().value() + "/" + Long.toHexString(new SecureRandom().nextLong());
     keys = new LeasedKeyAuthority(policies, lease, withdrawn);
     dispatcher =
         new AdmissionDispatcher(
--- a/standalone/src/main/java/io/jacinthquay/standalone/Identities.java
+++ b/standalone/src/main/java/io/jacinthquay/standalone/Identities.java
@@ -1,7 +1,6 @@
 package io.jacinthquay.standalone;
 
 import io.jacinthquay.runtime.tls.PeerName;
-import io.jacinthquay.runtime.tls.PeerRole;
 import io.jacinthquay.runtime.tls.TlsAuthority;
 import io.jacinthquay.runtime.tls.TlsIdentity;
 import java.io.IOException;
@@ -22,10 +21,10 @@
    *
    * @throws UncheckedIOException if the files cannot be written
    */
-  Path folder(PeerRole role) {
-    Path own = folder.resolve(role.text());
+  Path folder(PeerName peer) {
+    Path own = folder.resolve(peer.name());
     try {
-      authority.issue(new PeerName("standalone-" + role.text(), role), own);
+      authority.issue(peer, own);
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
@@ -37,9 +36,9 @@
    *
    * @throws UncheckedIOException if the files cannot be written
    */
-  TlsIdentity identity(PeerRole role) {
+  TlsIdentity identity(PeerName peer) {
     try {
-      return TlsIdentity.load(folder(role));
+      return TlsIdentity.load(folder(peer));
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
--- a/standalone/src/main/java/io/jacinthquay/standalone/StandaloneService.java
+++ b/standalone/src/main/java/io/jacinthquay/standalone/StandaloneService.java
@@ -7,17 +7,13 @@
 import io.jacinthquay.model.DomainId;
 import io.jacinthquay.model.UsageWindow;
 import io.jacinthquay.model.VmId;
-import io.jacinthquay.router.adapter.http.HttpVmDirectory;
-import io.jacinthquay.router.adapter.http.JsonHttp;
-import io.jacinthquay.router.adapter.thrift.ThriftClaimStore;
-import io.jacinthquay.router.adapter.thrift.ThriftConfigSource;
-import io.jacinthquay.router.adapter.thrift.ThriftUsageSink;
+import io.jacinthquay.router.RouterAssembly;
+import io.jacinthquay.router.RouterEndpoints;
 import io.jacinthquay.router.service.RouterOptions;
-import io.jacinthquay.router.service.RouterPorts;
 import io.jacinthquay.router.service.RouterService;
 import io.jacinthquay.runtime.Service;
+import io.jacinthquay.runtime.tls.PeerName;
 import io.jacinthquay.runtime.tls.PeerRole;
-import io.jacinthquay.runtime.tls.TlsIdentity;
 import io.jacinthquay.testkit.platform.PlatformLedger;
 import io.jacinthquay.wire.client.KeeperClient;
 import java.net.InetAddress;
@@ -26,8 +22,6 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
 
 /**
  * Runs a keeper, a router, a controller and the fakes in one process.
@@ -41,16 +35,16 @@
 final class StandaloneService implements Service {
   static final int WATERMARK_MILLIS = 2_000;
 
+  private static final PeerName KEEPER = new PeerName("keeper-1", PeerRole.KEEPER);
+  private static final PeerName ROUTER = new PeerName("entry-1", PeerRole.ROUTER);
+  private static final PeerName CONTROLLER = new PeerName("controller-1", PeerRole.CONTROLLER);
+  private static final PeerName OPERATOR = new PeerName("operator-1", PeerRole.OPERATOR);
   private static final Duration KEEPER_TIMEOUT = Duration.ofSeconds(5);
-  private static final Duration PLATFORM_TIMEOUT = Duration.ofSeconds(2);
-  private static final int CLAIM_THREADS = 4;
 
   private final StandaloneSettings settings;
   private final Identities identities;
   private final EmbeddedPlatform platform = new EmbeddedPlatform();
   private final Deque<Service> running = new ArrayDeque<>();
-  private final ExecutorService claims =
-      Executors.newFixedThreadPool(CLAIM_THREADS, StandaloneService::newThread);
   private InetSocketAddress keeperAddress;
   private KeeperClient operator;
   private RouterService router;
@@ -64,7 +58,7 @@
   public void start() {
     run(platform);
     startKeeper();
-    operator = client(PeerRole.OPERATOR);
+    operator = client(OPERATOR);
     new OperatorSession(operator).applyEmbeddedPolicy();
     router = newRouter();
     run(router);
@@ -80,44 +74,36 @@
     InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
     KeeperOptions options =
         KeeperOptions.single(
-            "keeper-1",
-            any,
-            settings.folder().resolve("keeper"),
-            identities.identity(PeerRole.KEEPER));
+            KEEPER.name(), any, settings.folder().resolve("keeper"), identities.identity(KEEPER));
     KeeperService keeper = new KeeperService(options);
     run(keeper);
     keeperAddress = new InetSocketAddress(any.getAddress(), keeper.port());
   }
 
-  private KeeperClient client(PeerRole role) {
-    return new KeeperClient(List.of(keeperAddress), identities.identity(role), KEEPER_TIMEOUT);
+  private KeeperClient client(PeerName peer) {
+    return new KeeperClient(List.of(keeperAddress), identities.identity(peer), KEEPER_TIMEOUT);
   }
 
   private RouterService newRouter() {
-    VmId self = new VmId("entry-1");
+    VmId self = new VmId(ROUTER.name());
     DomainId domain = new DomainId(EmbeddedPlatform.DOMAIN);
-    TlsIdentity identity = identities.identity(PeerRole.ROUTER);
-    KeeperClient keepers = new KeeperClient(List.of(keeperAddress), identity, KEEPER_TIMEOUT);
-    RouterPorts ports =
-        new RouterPorts(
-            new ThriftConfigSource(List.of(keeperAddress), identity, self, domain),
-            new ThriftClaimStore(keepers, self.value(), claims),
-            new ThriftUsageSink(keepers),
-            new HttpVmDirectory(new JsonHttp(PLATFORM_TIMEOUT), platform.address()));
     RouterOptions options =
         RouterOptions.of(self, domain, settings.listen())
             .withUsageWindow(Duration.ofMillis(UsageWindow.LENGTH_MILLIS));
-    return RouterService.create(options, ports);
+    RouterEndpoints endpoints =
+        new RouterEndpoints(
+            List.of(keeperAddress), List.of(), platform.address(), identities.identity(ROUTER));
+    return RouterAssembly.create(options, endpoints);
   }
 
   private ControllerService newController() {
     return new ControllerService(
         new ControllerSettings(
-            "controller-1",
+            CONTROLLER.name(),
             new DomainId(EmbeddedPlatform.DOMAIN),
             List.of(keeperAddress),
             platform.address(),
-            identities.folder(PeerRole.CONTROLLER),
+            identities.folder(CONTROLLER),
             WATERMARK_MILLIS));
   }
 
@@ -146,12 +132,5 @@
     if (operator != null) {
       operator.close();
     }
-    claims.shutdown();
-  }
-
-  private static Thread newThread(Runnable task) {
-    Thread thread = new Thread(task, "claims");
-    thread.setDaemon(true);
-    return thread;
   }
 }
