Keep every limit through owner changes, cuts, losses and repetition

The trace of a cut with three routers showed three faults: a lease that was counted from messages which only one side had seen, an owner that still took itself for informed after the others had come back from another one, and stale slots of earlier sessions. Leases now count from what the router has shown to have heard, by the owner's own clock; an owner that is joined by routers with a former owner grants only slots that they bring, until that owner's leases have lapsed and a load report bounds the rest; a router's own list ends the slots of its earlier sessions. A router that does not answer grants gets none.

--- a/decision/src/main/java/io/jacinthquay/decision/admission/ScopeClient.java
+++ b/decision/src/main/java/io/jacinthquay/decision/admission/ScopeClient.java
@@ -46,9 +46,11 @@
   private final Map<UpstreamId, Heard> limits = new HashMap<>();
   private VmId owner;
   private long ownerIncarnation;
-  private long basisNanos = Long.MIN_VALUE / 2;
-  private long lastSentNanos = Long.MIN_VALUE / 2;
-  private long formerFreeNanos = Long.MIN_VALUE / 2;
+  private long validUntilNanos = Long.MIN_VALUE;
+  private long heardNanos = Long.MIN_VALUE / 2;
+  private long unansweredSinceNanos = Long.MAX_VALUE;
+  private long lastHeardNanos = Long.MIN_VALUE / 2;
+  private long formerFreeNanos = -1;
   private long sequence;
   private long nextSyncNanos = Long.MIN_VALUE;
   private SlotDigest heldDigest = SlotDigest.EMPTY;
@@ -57,6 +59,9 @@
   private long dispatchedAsked;
   private boolean left;
 
+  /** Whether the present owner has answered and was told so. */
+  private boolean confirmed;
+
   /** A request that waits here; a resumed one keeps its deadline. */
   private static final class Local {
     final AdmissionRequest request;
@@ -103,7 +108,8 @@
     leaveOwner(nowNanos);
     owner = next.orElse(null);
     ownerIncarnation = 0;
-    basisNanos = Long.MIN_VALUE / 2;
+    validUntilNanos = Long.MIN_VALUE;
+    heardNanos = Long.MIN_VALUE / 2;
     if (owner != null && !left) {
       sendState(nowNanos);
     }
@@ -116,7 +122,7 @@
     }
     outbox.toOwner(owner, new SlotMessage.Leave(scope, stamp(nowNanos)));
     long lapse = options.leaseNanos() + 2 * options.marginNanos();
-    formerFreeNanos = Math.max(formerFreeNanos, lastSentNanos + lapse);
+    formerFreeNanos = Math.max(formerFreeNanos, lastHeardNanos + lapse);
   }
 
   void submit(long nowNanos, AdmissionRequest request) {
@@ -251,10 +257,20 @@
     }
     if (message.stamp().incarnation() > ownerIncarnation) {
       ownerIncarnation = message.stamp().incarnation();
-      basisNanos = Long.MIN_VALUE / 2;
+      validUntilNanos = Long.MIN_VALUE;
+      heardNanos = Long.MIN_VALUE / 2;
       dropIdle();
     }
-    basisNanos = Math.max(basisNanos, message.stamp().basisNanos());
+    validUntilNanos = Math.max(validUntilNanos, message.stamp().validUntilNanos());
+    lastHeardNanos = nowNanos;
+    heardNanos = Math.max(heardNanos, message.stamp().sentAtNanos());
+    if (message instanceof SlotMessage.Grant) {
+      unansweredSinceNanos = Math.min(unansweredSinceNanos, nowNanos);
+    }
+    if (!confirmed) {
+      confirmed = true;
+      sync(nowNanos);
+    }
     process(nowNanos, message);
   }
 
@@ -285,7 +301,7 @@
       send(nowNanos, stamp -> new SlotMessage.Release(scope, stamp, slot, earlier.get()));
       return;
     }
-    boolean valid = nowNanos < grant.stamp().basisNanos() + options.leaseNanos();
+    boolean valid = nowNanos < grant.stamp().validUntilNanos();
     heldDigest = heldDigest.with(slot);
     if (valid && grant.request().isEmpty()) {
       idle.put(slot, grant.upstream());
@@ -330,7 +346,8 @@
   }
 
   void tick(long nowNanos) {
-    if (owner != null && !left && nowNanos >= nextSyncNanos) {
+    boolean silent = nowNanos - options.resendNanos() >= unansweredSinceNanos;
+    if (owner != null && !left && (silent || nowNanos >= nextSyncNanos)) {
       if (sessionValid(nowNanos)) {
         sync(nowNanos);
       } else {
@@ -355,6 +372,7 @@
   }
 
   private void sendState(long nowNanos) {
+    confirmed = false;
     nextSyncNanos = nowNanos + Math.min(options.syncNanos(), 2 * options.resendNanos());
     List<SlotMessage.UsedSlot> used = new ArrayList<>();
     for (Running one : running.values()) {
@@ -363,7 +381,7 @@
     }
     List<SlotRequest> asked = new ArrayList<>();
     waiting.values().forEach(local -> asked.add(current(nowNanos, local)));
-    long vouchFree = Math.max(0, formerFreeNanos - nowNanos);
+    long vouchFree = formerFreeNanos < 0 ? -1 : Math.max(0, formerFreeNanos - nowNanos);
     int wanted = demand.wantedNow();
     List<SlotId> held = List.copyOf(idle.keySet());
     List<BearingHint> hints = hints(nowNanos);
@@ -416,7 +434,7 @@
   }
 
   boolean sessionValid(long nowNanos) {
-    return nowNanos < basisNanos + options.leaseNanos();
+    return nowNanos < validUntilNanos;
   }
 
   ScopeStatus status(long nowNanos, Optional<OwnerStatus> owned) {
@@ -442,8 +460,8 @@
   }
 
   private ClientStamp stamp(long nowNanos) {
-    lastSentNanos = nowNanos;
+    unansweredSinceNanos = Long.MAX_VALUE;
     sequence++;
-    return new ClientStamp(self, incarnation, sequence, nowNanos);
+    return new ClientStamp(self, incarnation, sequence, nowNanos, heardNanos);
   }
 }
--- a/decision/src/main/java/io/jacinthquay/decision/slots/ClientStamp.java
+++ b/decision/src/main/java/io/jacinthquay/decision/slots/ClientStamp.java
@@ -10,8 +10,10 @@
  * @param incarnation the start of the sender
  * @param sequence grows with every message of one sender and scope
  * @param sentAtNanos the sender's monotonic clock
+ * @param heardNanos the latest {@link OwnerStamp#sentAtNanos} that the sender has taken in
  */
-public record ClientStamp(VmId router, long incarnation, long sequence, long sentAtNanos) {
+public record ClientStamp(
+    VmId router, long incarnation, long sequence, long sentAtNanos, long heardNanos) {
   /**
    * Checks that the sender is present.
    *
--- a/decision/src/main/java/io/jacinthquay/decision/slots/OwnerStamp.java
+++ b/decision/src/main/java/io/jacinthquay/decision/slots/OwnerStamp.java
@@ -8,10 +8,12 @@
  *
  * @param owner the sender
  * @param incarnation the start of the sender
- * @param basisNanos the receiver's own clock at the latest message that the owner has taken in; the
- *     lease of the session counts from there
+ * @param basisNanos the receiver's own clock at the latest message that the owner has taken in
+ * @param leaseNanos how long after {@code basisNanos} the receiver may use its slots, 0 or more
+ * @param sentAtNanos the sender's monotonic clock
  */
-public record OwnerStamp(VmId owner, long incarnation, long basisNanos) {
+public record OwnerStamp(
+    VmId owner, long incarnation, long basisNanos, long leaseNanos, long sentAtNanos) {
   /**
    * Checks that the sender is present.
    *
@@ -20,4 +22,9 @@
   public OwnerStamp {
     Objects.requireNonNull(owner, "owner");
   }
+
+  /** Returns up to when the receiver may use its slots, on the receiver's clock. */
+  public long validUntilNanos() {
+    return basisNanos + leaseNanos;
+  }
 }
--- a/decision/src/main/java/io/jacinthquay/decision/slots/Session.java
+++ b/decision/src/main/java/io/jacinthquay/decision/slots/Session.java
@@ -9,6 +9,8 @@
 
 /** What an owner knows of one router that vouches for it. */
 final class Session {
+  private static final long NEVER = Long.MAX_VALUE;
+
   final VmId router;
   final long incarnation;
   final Map<RequestId, Waiting<Pending>> waiting = new HashMap<>();
@@ -16,9 +18,13 @@
   final Map<RequestId, Slot> running = new HashMap<>();
   private final ReplayWindow window = new ReplayWindow();
   private long stateSequence;
-  private long smallestDelay = Long.MAX_VALUE;
-  long basisNanos;
-  long expiresAtNanos;
+  private final SlotOptions options;
+  private final long openedAtNanos;
+  private long heardNanos = Long.MIN_VALUE;
+  long basisNanos = Long.MIN_VALUE / 2;
+
+  /** Slots that a former owner granted, by upstream. */
+  final Map<UpstreamSlots, Integer> inherited = new HashMap<>();
 
   /** When a former owner may no longer count on this router; the least value without one. */
   long vouchFreeAtNanos = Long.MIN_VALUE;
@@ -29,9 +35,20 @@
   int wanted;
   int mismatches;
 
-  Session(VmId router, long incarnation) {
+  /** When the earliest grant was sent that the router has not shown to have heard; or never. */
+  long unheardSinceNanos = NEVER;
+
+  /** When the latest grant was sent. */
+  private long latestGrantNanos = Long.MIN_VALUE;
+
+  /** Whether the router seems unreachable, so that it gets no grants. */
+  boolean suspect;
+
+  Session(VmId router, long incarnation, long openedAtNanos, SlotOptions options) {
     this.router = router;
     this.incarnation = incarnation;
+    this.openedAtNanos = openedAtNanos;
+    this.options = options;
   }
 
   /** Takes in the order of a message and returns whether it is to be processed. */
@@ -46,18 +63,41 @@
   }
 
   /**
-   * Extends the lease.
+   * Takes in when a message was sent, and up to which of the owner's messages its sender has heard.
    *
-   * <p>It counts from when the message was sent: delay above the smallest seen is taken off, so
-   * that a message that was held up does not extend the lease beyond what its sender counts with.
+   * <p>The lease counts from the latest message of the owner that the router has heard. So it is
+   * measured by one clock, and a message that was held up on its way extends nothing.
    */
-  void renew(long nowNanos, ClientStamp stamp, SlotOptions options) {
-    long delay = nowNanos - stamp.sentAtNanos();
-    smallestDelay = Math.min(smallestDelay, delay);
-    long sentAt = nowNanos - (delay - smallestDelay);
+  void renew(ClientStamp stamp) {
     basisNanos = Math.max(basisNanos, stamp.sentAtNanos());
-    expiresAtNanos =
-        Math.max(expiresAtNanos, sentAt + options.leaseNanos() + options.marginNanos());
+    long heard = stamp.heardNanos();
+    heardNanos = Math.max(heardNanos, heard);
+    if (heard >= latestGrantNanos) {
+      unheardSinceNanos = NEVER;
+    } else if (heard >= unheardSinceNanos) {
+      unheardSinceNanos = heard + 1;
+    }
+  }
+
+  /** Returns whether the router has answered within this session, so that its share counts. */
+  boolean confirmed() {
+    return heardNanos >= openedAtNanos;
+  }
+
+  /** Returns when the session ends unless it is renewed. */
+  long expiresAtNanos() {
+    return Math.max(openedAtNanos, heardNanos) + options.leaseNanos() + options.marginNanos();
+  }
+
+  /** Returns how long the router may go on using its slots. */
+  long leaseLeftNanos(long nowNanos) {
+    return Math.max(0, expiresAtNanos() - options.marginNanos() - nowNanos);
+  }
+
+  /** Notes that a grant was sent. */
+  void sentGrant(long nowNanos) {
+    latestGrantNanos = nowNanos;
+    unheardSinceNanos = Math.min(unheardSinceNanos, nowNanos);
   }
 
   void holds(Slot slot) {
--- a/decision/src/main/java/io/jacinthquay/decision/slots/ShareKeeper.java
+++ b/decision/src/main/java/io/jacinthquay/decision/slots/ShareKeeper.java
@@ -24,7 +24,6 @@
   private boolean complete;
   private boolean settled;
   private boolean hadFormerOwner;
-  private long firstSessionNanos = Long.MAX_VALUE / 2;
   private long settleAfterNanos = Long.MAX_VALUE;
 
   ShareKeeper(SlotOptions options, SlotTable table, Map<VmId, Session> sessions) {
@@ -47,6 +46,26 @@
     update(nowNanos);
   }
 
+  /**
+   * Takes in what a router in session told of its former owner.
+   *
+   * <p>A router that has just started has none, but its earlier start may have had one.
+   */
+  void joined(long nowNanos, Session session, long vouchFreeNanos) {
+    if (vouchFreeNanos < 0) {
+      session.vouchFreeAtNanos = Math.max(session.vouchFreeAtNanos, nowNanos + lapseNanos());
+      return;
+    }
+    hadFormerOwner = true;
+    if (vouchFreeNanos > 0) {
+      session.vouchFreeAtNanos = Math.max(session.vouchFreeAtNanos, nowNanos + vouchFreeNanos);
+      settled = false;
+      sessions.values().stream()
+          .filter(other -> other.vouchFreeAtNanos <= nowNanos)
+          .forEach(table::disinherit);
+    }
+  }
+
   /** Takes in that a session ended. */
   void lost(long nowNanos, VmId router) {
     silentSince.replace(router, nowNanos);
@@ -54,12 +73,12 @@
 
   /** Takes in that sessions, voters or time have changed. */
   void update(long nowNanos) {
-    complete = !voters().isEmpty() && sessions.keySet().containsAll(voters());
-    settled |= complete;
-    released.keySet().removeAll(sessions.keySet());
-    if (firstSessionNanos == Long.MAX_VALUE / 2 && !sessions.isEmpty()) {
-      firstSessionNanos = nowNanos;
+    complete = !voters().isEmpty() && voters().stream().allMatch(this::inSession);
+    if (complete) {
+      settled = true;
+      sessions.values().forEach(table::disinherit);
     }
+    released.keySet().removeAll(sessions.keySet());
     settleAfterNanos = settleAfter();
     for (UpstreamSlots upstream : table.upstreams()) {
       recount(nowNanos, upstream);
@@ -68,16 +87,18 @@
   }
 
   private long settleAfter() {
-    long after = firstSessionNanos + lapseNanos();
-    boolean former = false;
+    long after = Long.MIN_VALUE;
     for (Session session : sessions.values()) {
-      former |= session.vouchFreeAtNanos > Long.MIN_VALUE;
       after = Math.max(after, session.vouchFreeAtNanos);
     }
-    hadFormerOwner |= former;
     return after;
   }
 
+  private boolean inSession(VmId voter) {
+    Session session = sessions.get(voter);
+    return session != null && session.confirmed();
+  }
+
   private long lapseNanos() {
     return options.leaseNanos() + options.marginNanos();
   }
@@ -111,30 +132,35 @@
   /** Sets the share of an upstream; the caller keeps the sums of the table. */
   void recount(long nowNanos, UpstreamSlots upstream) {
     int limit = upstream.bearing.limit();
+    if (complete || limit == 0) {
+      upstream.foreign(0);
+      upstream.share(limit);
+      return;
+    }
+    if (!settled && nowNanos < settleAfterNanos) {
+      upstream.foreign(0);
+      upstream.share(upstream.inherited);
+      return;
+    }
     upstream.foreign(settled ? 0 : foreign(nowNanos, upstream, limit));
-    upstream.share(
-        complete ? limit : shares.share(upstream.id, limit, v -> counts(nowNanos, v, upstream)));
+    upstream.share(shares.share(upstream.id, limit, v -> counts(nowNanos, v, upstream)));
   }
 
+  /** Returns the work of a former owner beyond the shares of the routers in session here. */
   private int foreign(long nowNanos, UpstreamSlots upstream, int limit) {
-    if (nowNanos < settleAfterNanos) {
-      return limit;
-    }
-    if (!upstream.reportsLoad || !hadFormerOwner) {
+    boolean waitedOut = nowNanos - options.orphanNanos() >= settleAfterNanos;
+    if (!upstream.reportsLoad || !hadFormerOwner || waitedOut) {
       return 0;
     }
-    int strangers = upstream.strangersSince(settleAfterNanos);
-    if (strangers >= 0) {
-      return Math.max(0, strangers - upstream.orphans.size());
-    }
-    boolean waitedOut = nowNanos - options.orphanNanos() >= settleAfterNanos;
-    return waitedOut ? 0 : limit;
+    int strangers = upstream.latestStrangersSince(settleAfterNanos);
+    int most = limit - upstream.inherited;
+    return strangers < 0 ? most : Math.min(most, Math.max(0, strangers - upstream.orphans.size()));
   }
 
   private boolean counts(long nowNanos, VmId voter, UpstreamSlots upstream) {
     Session session = sessions.get(voter);
     if (session != null) {
-      return nowNanos >= session.vouchFreeAtNanos;
+      return session.confirmed() && nowNanos >= session.vouchFreeAtNanos;
     }
     if (released.getOrDefault(voter, Set.of()).contains(upstream.id)) {
       return true;
--- a/decision/src/main/java/io/jacinthquay/decision/slots/Slot.java
+++ b/decision/src/main/java/io/jacinthquay/decision/slots/Slot.java
@@ -6,7 +6,8 @@
 /** One granted slot as its owner sees it. */
 final class Slot {
   final SlotId id;
-  final VmId router;
+  private final VmId router;
+  private final long routerIncarnation;
   final UpstreamSlots upstream;
   final long order;
   long startedAtNanos;
@@ -30,14 +31,21 @@
   long orphanUntilNanos;
   long orphanSinceNanos;
 
-  Slot(SlotId id, VmId router, UpstreamSlots upstream, long order, long startedAtNanos) {
+  Slot(SlotId id, Session session, UpstreamSlots upstream, long order, long startedAtNanos) {
     this.id = id;
-    this.router = router;
+    this.session = session;
+    this.router = session.router;
+    this.routerIncarnation = session.incarnation;
     this.upstream = upstream;
     this.order = order;
     this.startedAtNanos = startedAtNanos;
   }
 
+  /** Returns whether the same start of the same router holds it. */
+  boolean heldBy(Session other) {
+    return router.equals(other.router) && routerIncarnation == other.incarnation;
+  }
+
   boolean idle() {
     return request == null;
   }
--- a/decision/src/main/java/io/jacinthquay/decision/slots/SlotDispatcher.java
+++ b/decision/src/main/java/io/jacinthquay/decision/slots/SlotDispatcher.java
@@ -23,6 +23,9 @@
   /** Share of the floor interval after which it gets the next slot in any case. */
   private static final double FLOOR_FORCE = 0.85;
 
+  /** Intervals of resending without an answer after which a router gets no more grants. */
+  private static final int SUSPECT_RESENDS = 4;
+
   /** Share of the usable slots that is never granted ahead of demand, as a divisor. */
   private static final int AHEAD_RESERVE = 8;
 
@@ -139,6 +142,14 @@
     checks.add(entry);
   }
 
+  /** Takes a router that does not answer out of the queue until it is heard again. */
+  private void suspect(long nowNanos, Session session) {
+    session.suspect = true;
+    for (Waiting<Pending> entry : new ArrayList<>(session.waiting.values())) {
+      withdraw(nowNanos, entry);
+    }
+  }
+
   /** Does everything that is due: preemptions, drops, grants, recalls. */
   void run(long nowNanos) {
     expire(nowNanos);
@@ -159,6 +170,11 @@
     Waiting<Pending> head = queue.head(nowNanos).orElseThrow();
     Optional<Waiting<Pending>> claim = floorClaim(nowNanos, head);
     Waiting<Pending> next = claim.orElse(head);
+    Session session = next.attachment().session;
+    if (nowNanos - session.unheardSinceNanos > SUSPECT_RESENDS * options.resendNanos()) {
+      suspect(nowNanos, session);
+      return;
+    }
     SlotRequest request = next.attachment().request;
     Optional<UpstreamSlots> upstream = table.choose(request.preferred(), request.avoided());
     if (upstream.isEmpty()) {
@@ -223,12 +239,13 @@
             request.preemptible(),
             floor ? Reason.FLOOR : Reason.ORDER,
             Optional.ofNullable(passedOver).map(Waiting::request)));
-    sendGrant(slot);
+    sendGrant(nowNanos, slot);
   }
 
   /** Sends the grant of a slot, for the first time or again. */
-  void sendGrant(Slot slot) {
+  void sendGrant(long nowNanos, Slot slot) {
     double lag = slot.idle() ? 0 : queue.lag(slot.policy.name(), slot.request.customer());
+    slot.session.sentGrant(nowNanos);
     outbox.send(
         slot.session,
         stamp ->
@@ -246,7 +263,10 @@
   /** Grants unused slots ahead of demand while there are plenty. */
   void grantAhead(long nowNanos, Session session) {
     int reserve = 1 + table.usable() / AHEAD_RESERVE;
-    while (queue.isEmpty() && session.idle < session.wanted && table.free() > reserve) {
+    while (queue.isEmpty()
+        && !session.suspect
+        && session.idle < session.wanted
+        && table.free() > reserve) {
       Optional<UpstreamSlots> upstream = table.choose(List.of(), List.of());
       if (upstream.isEmpty()) {
         return;
@@ -256,7 +276,7 @@
       outbox.decided(
           new SlotDecision.GrantedAhead(
               nowNanos, scope, session.router, slot.id, upstream.get().id));
-      sendGrant(slot);
+      sendGrant(nowNanos, slot);
     }
   }
 
--- a/decision/src/main/java/io/jacinthquay/decision/slots/SlotMessage.java
+++ b/decision/src/main/java/io/jacinthquay/decision/slots/SlotMessage.java
@@ -46,7 +46,8 @@
    * @param waiting the requests that wait
    * @param wanted how many unused slots the router would like to hold
    * @param hints the limits that a former owner told
-   * @param vouchFreeNanos how long a former owner may still count on this router, 0 or more
+   * @param vouchFreeNanos how long a former owner may still count on this router; negative if it
+   *     never had one
    */
   record State(
       SlotScope scope,
--- a/decision/src/main/java/io/jacinthquay/decision/slots/SlotOptions.java
+++ b/decision/src/main/java/io/jacinthquay/decision/slots/SlotOptions.java
@@ -47,7 +47,7 @@
   /** Returns the values for a failure domain whose VMs are under a millisecond apart. */
   public static SlotOptions defaults() {
     return new SlotOptions(
-        2_000 * MILLISECOND,
+        1_500 * MILLISECOND,
         100 * MILLISECOND,
         500 * MILLISECOND,
         50 * MILLISECOND,
--- a/decision/src/main/java/io/jacinthquay/decision/slots/SlotOwner.java
+++ b/decision/src/main/java/io/jacinthquay/decision/slots/SlotOwner.java
@@ -78,12 +78,14 @@
 
   /** Takes in which routers vouch for a share. */
   public void voters(long nowNanos, List<VmId> voters) {
+    outbox.now(nowNanos);
     shares.voters(nowNanos, voters);
     dispatcher.run(nowNanos);
   }
 
   /** Takes in which upstreams may get work; one that is missing gets no more. */
   public void upstreams(long nowNanos, List<UpstreamSpec> specs) {
+    outbox.now(nowNanos);
     table.upstreams(specs);
     shares.update(nowNanos);
     dispatcher.run(nowNanos);
@@ -91,6 +93,7 @@
 
   /** Takes in a load report. */
   public void load(long nowNanos, LoadReport report) {
+    outbox.now(nowNanos);
     for (UpstreamSlots upstream : table.upstreams()) {
       if (upstream.id.equals(report.upstream())) {
         upstream.reported(report);
@@ -104,11 +107,20 @@
 
   /** Takes in a message of a router. */
   public void receive(long nowNanos, SlotMessage.ToOwner message) {
+    outbox.now(nowNanos);
     Session session = sessionOf(nowNanos, message);
     if (session == null || !session.accept(message.stamp(), message instanceof SlotMessage.State)) {
       return;
     }
-    session.renew(nowNanos, message.stamp(), settings.slots());
+    boolean confirmed = session.confirmed();
+    session.renew(message.stamp());
+    if (!confirmed && session.confirmed()) {
+      shares.update(nowNanos);
+    }
+    if (session.suspect) {
+      session.suspect = false;
+      outbox.send(session, stamp -> new SlotMessage.Resync(scope, stamp));
+    }
     process(nowNanos, session, message);
     dispatcher.run(nowNanos);
     if (sessions.get(session.router) == session) {
@@ -118,6 +130,7 @@
 
   /** Does what is due. */
   public void tick(long nowNanos) {
+    outbox.now(nowNanos);
     if (nowNanos >= nextKeepNanos) {
       nextKeepNanos = nowNanos + settings.slots().syncNanos() / 4;
       keep(nowNanos);
@@ -135,9 +148,9 @@
     return table.ordered().isEmpty() ? next : Math.min(next, nextResendNanos);
   }
 
-  /** Returns whether no router is in session and no slot is out. */
+  /** Returns whether no router is in session, so that this owner may be forgotten. */
   public boolean idle() {
-    return sessions.isEmpty() && table.granted() == 0;
+    return sessions.isEmpty();
   }
 
   /** Returns the state for operators. */
@@ -181,7 +194,7 @@
     if (known != null) {
       end(nowNanos, known);
     }
-    Session opened = new Session(stamp.router(), stamp.incarnation());
+    Session opened = new Session(stamp.router(), stamp.incarnation(), nowNanos, settings.slots());
     sessions.put(stamp.router(), opened);
     return opened;
   }
@@ -314,11 +327,9 @@
   private void state(long nowNanos, Session session, SlotMessage.State state) {
     session.wanted = Math.min(state.wanted(), settings.slots().maxIdlePerRouter());
     session.mismatches = 0;
-    if (state.vouchFreeNanos() > 0) {
-      long freeAt = nowNanos + state.vouchFreeNanos();
-      session.vouchFreeAtNanos = Math.max(session.vouchFreeAtNanos, freeAt);
-    }
+    shares.joined(nowNanos, session, state.vouchFreeNanos());
     state.hints().forEach(table::restore);
+    table.dropOrphans(session);
     Set<SlotId> listed = new HashSet<>(state.idle());
     for (SlotMessage.UsedSlot used : state.used()) {
       listed.add(used.slot());
@@ -326,7 +337,7 @@
     }
     List<Slot> unlisted = new ArrayList<>(session.slots.values());
     unlisted.removeIf(slot -> listed.contains(slot.id));
-    unlisted.forEach(dispatcher::sendGrant);
+    unlisted.forEach(slot -> dispatcher.sendGrant(nowNanos, slot));
     for (SlotId id : state.idle()) {
       if (!session.slots.containsKey(id)) {
         outbox.send(session, stamp -> new SlotMessage.Recall(scope, stamp, id));
@@ -339,7 +350,6 @@
 
   private void adopt(long nowNanos, Session session, SlotMessage.UsedSlot used) {
     if (table.slot(used.slot()) == null) {
-      table.dropOrphan(used.slot(), used.upstream());
       table.adopt(used.slot(), nowNanos, session, used.upstream());
     }
     use(nowNanos, session, used.slot(), used.request());
@@ -356,7 +366,7 @@
 
   private void keep(long nowNanos) {
     for (Session session : new ArrayList<>(sessions.values())) {
-      if (nowNanos >= session.expiresAtNanos) {
+      if (nowNanos >= session.expiresAtNanos()) {
         end(nowNanos, session);
       }
     }
@@ -385,6 +395,7 @@
     for (Slot slot : new ArrayList<>(session.slots.values())) {
       table.orphan(slot, nowNanos, until);
     }
+    table.disinherit(session);
     shares.lost(nowNanos, session.router);
     shares.update(nowNanos);
   }
--- a/decision/src/main/java/io/jacinthquay/decision/slots/SlotTable.java
+++ b/decision/src/main/java/io/jacinthquay/decision/slots/SlotTable.java
@@ -6,6 +6,7 @@
 import io.jacinthquay.model.UpstreamId;
 import io.jacinthquay.model.VmId;
 import io.jacinthquay.model.policy.ClassPolicy;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -162,11 +163,6 @@
     }
   }
 
-  /** Returns all slots that count, those of lost sessions included. */
-  int granted() {
-    return upstreams.values().stream().mapToInt(upstream -> upstream.granted).sum();
-  }
-
   /** Grants a slot. */
   Slot grant(long nowNanos, Session session, UpstreamSlots upstream) {
     grants++;
@@ -178,6 +174,14 @@
     UpstreamSlots known = upstreams.computeIfAbsent(upstream, this::leavingUpstream);
     grants++;
     insert(id, nowNanos, session, known);
+    change(known, () -> known.inherited++);
+    session.inherited.merge(known, 1, Integer::sum);
+  }
+
+  /** Forgets what a router had from a former owner. */
+  void disinherit(Session session) {
+    session.inherited.forEach((upstream, count) -> upstream.inherited -= count);
+    session.inherited.clear();
   }
 
   /** Returns an upstream that counts what runs on it and gets no more. */
@@ -188,8 +192,7 @@
   }
 
   private Slot insert(SlotId id, long nowNanos, Session session, UpstreamSlots upstream) {
-    Slot slot = new Slot(id, session.router, upstream, grants, nowNanos);
-    slot.session = session;
+    Slot slot = new Slot(id, session, upstream, grants, nowNanos);
     slots.put(id, slot);
     session.holds(slot);
     session.idle++;
@@ -262,13 +265,13 @@
     change(slot.upstream, () -> slot.upstream.granted--);
   }
 
-  /** Stops counting a slot of a lost session, because its router is back with it. */
-  void dropOrphan(SlotId id, UpstreamId upstream) {
-    UpstreamSlots known = upstreams.get(upstream);
-    if (known == null) {
-      return;
+  /** Stops counting what a router ran in a lost session, because it now tells what it runs. */
+  void dropOrphans(Session session) {
+    for (UpstreamSlots upstream : upstreams.values()) {
+      List<Slot> known = new ArrayList<>(upstream.orphans);
+      known.removeIf(slot -> !slot.heldBy(session));
+      known.forEach(this::dropOrphan);
     }
-    known.orphans.stream().filter(o -> o.id.equals(id)).findFirst().ifPresent(this::dropOrphan);
   }
 
   private void detach(Slot slot) {
--- a/decision/src/main/java/io/jacinthquay/decision/slots/UpstreamSlots.java
+++ b/decision/src/main/java/io/jacinthquay/decision/slots/UpstreamSlots.java
@@ -26,6 +26,9 @@
   /** Slots granted, those of lost sessions included. */
   int granted;
 
+  /** Slots that routers now in session brought from a former owner. */
+  int inherited;
+
   /** Slots granted and not in use. */
   int idle;
 
@@ -56,10 +59,7 @@
 
   /** Returns how many slots may be granted in all. */
   int usable() {
-    if (leaving) {
-      return 0;
-    }
-    return Math.max(0, Math.min(share, bearing.limit() - foreign));
+    return leaving ? 0 : Math.max(0, Math.min(share, bearing.limit() - foreign));
   }
 
   /** Returns how many more slots may be granted now. */
@@ -90,6 +90,14 @@
     foreign = load;
   }
 
+  /**
+   * Returns the unknown work that the latest report leaves room for, or -1 if it was measured
+   * before a moment. Exact only while nothing is granted.
+   */
+  int latestStrangersSince(long sinceNanos) {
+    return latestMeasuredNanos < sinceNanos ? -1 : latestStrangers;
+  }
+
   private int knownRunning() {
     return granted - idle - orphans.size();
   }
