Grow log segments ahead of the data

Syncing a write that extends a file also commits its new size. Segments now grow by 256 KiB of zeros at a time; a tail of zeros is no torn record. Ruled out: allocating a whole segment at once, since writing 16 MiB holds up the commands behind it.

--- a/consensus/src/main/java/io/jacinthquay/consensus/storage/Segment.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/storage/Segment.java
@@ -21,16 +21,20 @@
   private final Path path;
   private final long firstIndex;
   private final FileChannel channel;
+  private final int growthBytes;
   private final List<Long> offsets = new ArrayList<>();
   private long size;
   private long synced;
+  private long allocated;
 
-  private Segment(Path path, long firstIndex, FileChannel channel, long size) {
+  private Segment(Path path, long firstIndex, FileChannel channel, int growthBytes, long size) {
     this.path = path;
     this.firstIndex = firstIndex;
     this.channel = channel;
+    this.growthBytes = growthBytes;
     this.size = size;
     this.synced = size;
+    this.allocated = size;
   }
 
   static Path path(Path folder, long firstIndex) {
@@ -38,7 +42,7 @@
   }
 
   /** Creates an empty segment; durable on return. */
-  static Segment create(Path folder, long firstIndex) throws IOException {
+  static Segment create(Path folder, long firstIndex, int growthBytes) throws IOException {
     Path path = path(folder, firstIndex);
     FileChannel channel =
         FileChannel.open(
@@ -49,18 +53,19 @@
     AtomicFile.writeFully(channel, SegmentScan.header(firstIndex));
     channel.force(true);
     AtomicFile.syncFolder(folder);
-    return new Segment(path, firstIndex, channel, SegmentScan.HEADER_BYTES);
+    return new Segment(path, firstIndex, channel, growthBytes, SegmentScan.HEADER_BYTES);
   }
 
   /** Opens a scanned segment for appending and cuts a torn tail off. */
-  static Segment open(SegmentScan scan) throws IOException {
+  static Segment open(SegmentScan scan, int growthBytes) throws IOException {
     FileChannel channel = FileChannel.open(scan.path(), StandardOpenOption.WRITE);
     if (channel.size() > scan.validBytes()) {
       channel.truncate(scan.validBytes());
       channel.force(true);
     }
     channel.position(scan.validBytes());
-    Segment segment = new Segment(scan.path(), scan.firstIndex(), channel, scan.validBytes());
+    Segment segment =
+        new Segment(scan.path(), scan.firstIndex(), channel, growthBytes, scan.validBytes());
     segment.offsets.addAll(scan.offsets());
     return segment;
   }
@@ -92,10 +97,26 @@
       buffer.putLong(synced).put(body);
     }
     buffer.flip();
-    AtomicFile.writeFully(channel, buffer);
+    growTo(size + bytes);
+    writeAt(size, buffer);
     size += bytes;
   }
 
+  private void growTo(long end) throws IOException {
+    if (end > allocated) {
+      long grown = end + growthBytes;
+      writeAt(allocated, ByteBuffer.allocate((int) (grown - allocated)));
+      allocated = grown;
+    }
+  }
+
+  private void writeAt(long offset, ByteBuffer buffer) throws IOException {
+    long position = offset;
+    while (buffer.hasRemaining()) {
+      position += channel.write(buffer, position);
+    }
+  }
+
   /** Gives the offset at which the record of an index starts. */
   long offset(long index) {
     return index > lastIndex() ? size : offsets.get((int) (index - firstIndex));
@@ -106,9 +127,9 @@
     size = offset(index);
     offsets.subList((int) (index - firstIndex), offsets.size()).clear();
     channel.truncate(size);
-    channel.position(size);
     channel.force(true);
     synced = size;
+    allocated = size;
   }
 
   void sync() throws IOException {
--- a/consensus/src/main/java/io/jacinthquay/consensus/storage/SegmentScan.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/storage/SegmentScan.java
@@ -25,6 +25,7 @@
   private final List<Entry> entries = new ArrayList<>();
   private final List<Long> offsets = new ArrayList<>();
   private boolean headerValid;
+  private boolean torn;
   private boolean syncedBeyondDamage;
   private int validBytes;
 
@@ -73,7 +74,17 @@
       validBytes += RECORD_HEADER_BYTES + body.length;
       body = body(buffer, validBytes);
     }
-    syncedBeyondDamage = isTorn() && findsRecordAfter(buffer, validBytes);
+    torn = hasContent(buffer, validBytes);
+    syncedBeyondDamage = torn && findsRecordAfter(buffer, validBytes);
+  }
+
+  private static boolean hasContent(ByteBuffer buffer, int from) {
+    for (int offset = from; offset < buffer.limit(); offset++) {
+      if (buffer.get(offset) != 0) {
+        return true;
+      }
+    }
+    return false;
   }
 
   private boolean add(Entry entry) {
@@ -150,9 +161,9 @@
     return validBytes;
   }
 
-  /** Tells whether bytes follow the valid part. */
+  /** Tells whether something other than space allocated ahead follows the valid part. */
   boolean isTorn() {
-    return fileBytes > validBytes;
+    return torn;
   }
 
   /** Tells whether a later record proves that the damaged place was synced, so is no torn tail. */
--- a/consensus/src/main/java/io/jacinthquay/consensus/storage/SegmentedLog.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/storage/SegmentedLog.java
@@ -14,17 +14,20 @@
 /** The log as a row of segments, of which only the last one grows. */
 final class SegmentedLog implements AutoCloseable {
   private static final String MARK_NAME = "synced";
+  private static final int MAX_GROWTH_BYTES = 256 << 10;
 
   private static final SyncMark.Position NOTHING_SYNCED = new SyncMark.Position(0, 0);
 
   private final Path folder;
   private final long segmentBytes;
+  private final int growthBytes;
   private final TreeMap<Long, Segment> segments = new TreeMap<>();
   private final SyncMark mark;
 
   private SegmentedLog(Path folder, long segmentBytes) throws IOException {
     this.folder = folder;
     this.segmentBytes = segmentBytes;
+    this.growthBytes = (int) Math.min(segmentBytes, MAX_GROWTH_BYTES);
     this.mark = SyncMark.open(folder.resolve(MARK_NAME));
   }
 
@@ -54,7 +57,7 @@
     SegmentedLog log = new SegmentedLog(folder, segmentBytes);
     for (SegmentScan scan : scans) {
       entries.addAll(scan.entries());
-      log.segments.put(scan.firstIndex(), Segment.open(scan));
+      log.segments.put(scan.firstIndex(), Segment.open(scan, log.growthBytes));
     }
     log.joinSnapshot(snapshot, entries);
     return log;
@@ -157,7 +160,7 @@
     }
     if (active().size() >= segmentBytes) {
       sync();
-      Segment next = Segment.create(folder, first);
+      Segment next = Segment.create(folder, first, growthBytes);
       segments.put(first, next);
     }
     active().append(entries);
@@ -193,7 +196,7 @@
       segment.close();
     }
     mark.writeDurably(NOTHING_SYNCED);
-    segments.put(firstIndex, Segment.create(folder, firstIndex));
+    segments.put(firstIndex, Segment.create(folder, firstIndex, growthBytes));
     mark.writeDurably(new SyncMark.Position(firstIndex, SegmentScan.HEADER_BYTES));
     for (Segment segment : old) {
       if (segment.firstIndex() != firstIndex) {
