Bound unknown work by load reports and let owners inherit what routers bring

Causes: a recall that overtook its grant; slot numbers reused when an owner took a scope up again; work of lost sessions written off by reports while its router could still replace it under another owner; a lowest count that was no true bound.

--- a/decision/src/main/java/io/jacinthquay/decision/admission/Admission.java
+++ b/decision/src/main/java/io/jacinthquay/decision/admission/Admission.java
@@ -29,7 +29,13 @@
  * }</pre>
  */
 public interface Admission {
-  /** Returns a builder. */
+  /**
+   * Returns a builder.
+   *
+   * @param incarnation grows with every start of the router, such as the wall clock in
+   *     milliseconds; 0 to 2^46
+   * @param classes the classes of the configuration in force
+   */
   static AdmissionBuilder builder(VmId self, long incarnation, ClassPolicies classes) {
     return new AdmissionBuilder(self, incarnation, classes);
   }
--- a/decision/src/main/java/io/jacinthquay/decision/admission/AdmissionBuilder.java
+++ b/decision/src/main/java/io/jacinthquay/decision/admission/AdmissionBuilder.java
@@ -10,6 +10,8 @@
 
 /** Builds an {@link Admission}. */
 public final class AdmissionBuilder {
+  private static final long MAX_INCARNATION = 1L << 46;
+
   private final VmId self;
   private final long incarnation;
   private final ClassPolicies classes;
@@ -19,6 +21,9 @@
 
   AdmissionBuilder(VmId self, long incarnation, ClassPolicies classes) {
     this.self = Objects.requireNonNull(self, "self");
+    if (incarnation < 0 || incarnation > MAX_INCARNATION) {
+      throw new IllegalArgumentException("incarnation is " + incarnation);
+    }
     this.incarnation = incarnation;
     this.classes = Objects.requireNonNull(classes, "classes");
   }
--- a/decision/src/main/java/io/jacinthquay/decision/admission/AdmissionNode.java
+++ b/decision/src/main/java/io/jacinthquay/decision/admission/AdmissionNode.java
@@ -30,6 +30,9 @@
   /** Most customers of which the place within their class is remembered. */
   private static final int MAX_LAGS = 16_384;
 
+  /** Bits of an owner's incarnation that count how often this start took up a scope. */
+  private static final int GENERATION_BITS = 16;
+
   private final VmId self;
   private final long incarnation;
   private final SlotOwner.Settings settings;
@@ -49,6 +52,7 @@
       };
   private List<AdmissionAction> actions = new ArrayList<>();
   private boolean left;
+  private long generations;
 
   private record CustomerClass(ClassName className, CustomerId customer) {}
 
@@ -258,7 +262,9 @@
     if (known != null) {
       return known;
     }
-    SlotOwner made = new SlotOwner(scope, self, incarnation, settings, this::toClient, listener);
+    generations++;
+    long start = (incarnation << GENERATION_BITS) + generations;
+    SlotOwner made = new SlotOwner(scope, self, start, settings, this::toClient, listener);
     owners.put(scope, made);
     DomainView view = views.get(scope.domain());
     made.voters(nowNanos, view == null ? List.of() : view.voters());
--- a/decision/src/main/java/io/jacinthquay/decision/admission/ReleasedSlots.java
+++ b/decision/src/main/java/io/jacinthquay/decision/admission/ReleasedSlots.java
@@ -28,6 +28,16 @@
     return Optional.ofNullable(completions.get(slot));
   }
 
+  /** Returns how a slot was given back, or notes that it is given back now. */
+  Completion findOrAdd(long nowNanos, SlotId slot, Completion otherwise) {
+    Completion known = completions.get(slot);
+    if (known != null) {
+      return known;
+    }
+    add(nowNanos, slot, otherwise);
+    return otherwise;
+  }
+
   void forget(long nowNanos) {
     while (!order.isEmpty() && order.peek().untilNanos() <= nowNanos) {
       completions.remove(order.poll().slot());
--- a/decision/src/main/java/io/jacinthquay/decision/admission/ScopeClient.java
+++ b/decision/src/main/java/io/jacinthquay/decision/admission/ScopeClient.java
@@ -96,7 +96,7 @@
     this.incarnation = incarnation;
     this.options = options;
     this.outbox = outbox;
-    this.released = new ReleasedSlots(options.leaseNanos() + 2 * options.marginNanos());
+    this.released = new ReleasedSlots(options.lapseNanos());
     this.demand = new DemandMeter(options.maxIdlePerRouter());
   }
 
@@ -121,8 +121,7 @@
       return;
     }
     outbox.toOwner(owner, new SlotMessage.Leave(scope, stamp(nowNanos)));
-    long lapse = options.leaseNanos() + 2 * options.marginNanos();
-    formerFreeNanos = Math.max(formerFreeNanos, lastHeardNanos + lapse);
+    formerFreeNanos = Math.max(formerFreeNanos, lastHeardNanos + options.lapseNanos());
   }
 
   void submit(long nowNanos, AdmissionRequest request) {
@@ -341,7 +340,8 @@
       release(nowNanos, slot, Completion.UNUSED);
       return;
     }
-    Completion earlier = released.find(slot).orElse(Completion.UNUSED);
+    // the grant may still be on its way: noted as given back, it is not taken up any more
+    Completion earlier = released.findOrAdd(nowNanos, slot, Completion.UNUSED);
     send(nowNanos, stamp -> new SlotMessage.Release(scope, stamp, slot, earlier));
   }
 
--- a/decision/src/main/java/io/jacinthquay/decision/slots/Session.java
+++ b/decision/src/main/java/io/jacinthquay/decision/slots/Session.java
@@ -29,6 +29,14 @@
   /** When a former owner may no longer count on this router; the least value without one. */
   long vouchFreeAtNanos = Long.MIN_VALUE;
 
+  /** Whether the router has told of its former owner, and whether it had one. */
+  boolean told;
+
+  boolean hadFormerOwner;
+
+  /** Whether no work of a former owner can be unknown. */
+  boolean settled;
+
   SlotDigest heldDigest = SlotDigest.EMPTY;
   SlotDigest waitingDigest = SlotDigest.EMPTY;
   int idle;
--- a/decision/src/main/java/io/jacinthquay/decision/slots/ShareKeeper.java
+++ b/decision/src/main/java/io/jacinthquay/decision/slots/ShareKeeper.java
@@ -22,9 +22,11 @@
   private final Map<VmId, Long> silentSince = new HashMap<>();
   private final Map<VmId, Set<UpstreamId>> released = new HashMap<>();
   private boolean complete;
-  private boolean settled;
-  private boolean hadFormerOwner;
-  private long settleAfterNanos = Long.MAX_VALUE;
+
+  /** Whether some routers came from a former owner whose work must be bounded. */
+  private boolean bounded;
+
+  private long settleAfterNanos = Long.MIN_VALUE;
 
   ShareKeeper(SlotOptions options, SlotTable table, Map<VmId, Session> sessions) {
     this.options = options;
@@ -52,18 +54,12 @@
    * <p>A router that has just started has none, but its earlier start may have had one.
    */
   void joined(long nowNanos, Session session, long vouchFreeNanos) {
-    if (vouchFreeNanos < 0) {
-      session.vouchFreeAtNanos = Math.max(session.vouchFreeAtNanos, nowNanos + lapseNanos());
+    if (session.told) {
       return;
     }
-    hadFormerOwner = true;
-    if (vouchFreeNanos > 0) {
-      session.vouchFreeAtNanos = Math.max(session.vouchFreeAtNanos, nowNanos + vouchFreeNanos);
-      settled = false;
-      sessions.values().stream()
-          .filter(other -> other.vouchFreeAtNanos <= nowNanos)
-          .forEach(table::disinherit);
-    }
+    session.told = true;
+    session.hadFormerOwner = vouchFreeNanos >= 0;
+    session.vouchFreeAtNanos = nowNanos + (vouchFreeNanos < 0 ? lapseNanos() : vouchFreeNanos);
   }
 
   /** Takes in that a session ended. */
@@ -74,24 +70,30 @@
   /** Takes in that sessions, voters or time have changed. */
   void update(long nowNanos) {
     complete = !voters().isEmpty() && voters().stream().allMatch(this::inSession);
-    if (complete) {
-      settled = true;
-      sessions.values().forEach(table::disinherit);
-    }
     released.keySet().removeAll(sessions.keySet());
-    settleAfterNanos = settleAfter();
+    settleAfterNanos = Long.MIN_VALUE;
+    bounded = false;
+    for (Session session : sessions.values()) {
+      settle(nowNanos, session);
+      if (!session.settled) {
+        settleAfterNanos = Math.max(settleAfterNanos, session.vouchFreeAtNanos);
+        bounded = true;
+      }
+    }
     for (UpstreamSlots upstream : table.upstreams()) {
       recount(nowNanos, upstream);
     }
     table.reindex();
   }
 
-  private long settleAfter() {
-    long after = Long.MIN_VALUE;
-    for (Session session : sessions.values()) {
-      after = Math.max(after, session.vouchFreeAtNanos);
+  /** Settles a session once nothing of its former owner can be unknown. */
+  private void settle(long nowNanos, Session session) {
+    long wait = session.hadFormerOwner ? options.orphanNanos() : 0;
+    boolean waited = session.told && nowNanos >= session.vouchFreeAtNanos + wait;
+    if (!session.settled && (complete || waited)) {
+      session.settled = true;
+      table.disinherit(session);
     }
-    return after;
   }
 
   private boolean inSession(VmId voter) {
@@ -100,7 +102,7 @@
   }
 
   private long lapseNanos() {
-    return options.leaseNanos() + options.marginNanos();
+    return options.lapseNanos();
   }
 
   /** Takes in that a load report of an upstream came. */
@@ -120,41 +122,55 @@
     if (nowNanos < since + options.silentReleaseNanos()) {
       return;
     }
-    int strangers = upstream.strangersSince(since + lapseNanos());
     Set<UpstreamId> free = released.computeIfAbsent(voter, key -> new HashSet<>());
-    if (strangers == 0) {
-      free.add(upstream.id);
-    } else if (upstream.strangersSeenTwice()) {
+    if (upstream.evidence.leastNow() > 0) {
       free.remove(upstream.id);
+    } else if (upstream.evidence.mostSince(since + lapseNanos()) == 0) {
+      free.add(upstream.id);
     }
   }
 
   /** Sets the share of an upstream; the caller keeps the sums of the table. */
   void recount(long nowNanos, UpstreamSlots upstream) {
     int limit = upstream.bearing.limit();
-    if (complete || limit == 0) {
+    if (complete) {
       upstream.foreign(0);
       upstream.share(limit);
       return;
     }
-    if (!settled && nowNanos < settleAfterNanos) {
-      upstream.foreign(0);
-      upstream.share(upstream.inherited);
+    int most = bounded ? mostForeign(nowNanos, upstream) : 0;
+    if (most >= 0) {
+      upstream.foreign(most);
+      upstream.share(all(nowNanos, upstream));
       return;
     }
-    upstream.foreign(settled ? 0 : foreign(nowNanos, upstream, limit));
-    upstream.share(shares.share(upstream.id, limit, v -> counts(nowNanos, v, upstream)));
+    int settled = shares.share(upstream.id, limit, v -> countsSettled(nowNanos, v, upstream));
+    int inherited = Math.min(limit, settled + upstream.inherited);
+    upstream.foreign(0);
+    upstream.share(
+        nowNanos < settleAfterNanos ? inherited : Math.min(inherited, all(nowNanos, upstream)));
+  }
+
+  private int all(long nowNanos, UpstreamSlots upstream) {
+    int limit = upstream.bearing.limit();
+    return shares.share(upstream.id, limit, v -> counts(nowNanos, v, upstream));
   }
 
-  /** Returns the work of a former owner beyond the shares of the routers in session here. */
-  private int foreign(long nowNanos, UpstreamSlots upstream, int limit) {
-    boolean waitedOut = nowNanos - options.orphanNanos() >= settleAfterNanos;
-    if (!upstream.reportsLoad || !hadFormerOwner || waitedOut) {
+  /** Returns a bound of the work that former owners granted beyond their share, or -1. */
+  private int mostForeign(long nowNanos, UpstreamSlots upstream) {
+    if (nowNanos < settleAfterNanos) {
+      return -1;
+    }
+    if (!upstream.reportsLoad) {
       return 0;
     }
-    int strangers = upstream.latestStrangersSince(settleAfterNanos);
-    int most = limit - upstream.inherited;
-    return strangers < 0 ? most : Math.min(most, Math.max(0, strangers - upstream.orphans.size()));
+    int most = upstream.evidence.mostSince(settleAfterNanos);
+    return most < 0 ? -1 : Math.max(0, most - upstream.orphans.size());
+  }
+
+  private boolean countsSettled(long nowNanos, VmId voter, UpstreamSlots upstream) {
+    Session session = sessions.get(voter);
+    return (session == null || session.settled) && counts(nowNanos, voter, upstream);
   }
 
   private boolean counts(long nowNanos, VmId voter, UpstreamSlots upstream) {
--- a/decision/src/main/java/io/jacinthquay/decision/slots/SlotOptions.java
+++ b/decision/src/main/java/io/jacinthquay/decision/slots/SlotOptions.java
@@ -44,6 +44,13 @@
     }
   }
 
+  /**
+   * Returns the time from the last word with a router after which neither side counts on the other.
+   */
+  public long lapseNanos() {
+    return leaseNanos + 2 * marginNanos;
+  }
+
   /** Returns the values for a failure domain whose VMs are under a millisecond apart. */
   public static SlotOptions defaults() {
     return new SlotOptions(
--- a/decision/src/main/java/io/jacinthquay/decision/slots/SlotOwner.java
+++ b/decision/src/main/java/io/jacinthquay/decision/slots/SlotOwner.java
@@ -96,7 +96,7 @@
     outbox.now(nowNanos);
     for (UpstreamSlots upstream : table.upstreams()) {
       if (upstream.id.equals(report.upstream())) {
-        upstream.reported(report);
+        upstream.evidence.reported(report, upstream.slots);
         bear(nowNanos, upstream, () -> upstream.bearing.reported(nowNanos, report));
         dropOrphans(nowNanos, upstream);
         shares.reported(nowNanos, upstream);
@@ -284,7 +284,7 @@
     if (completion.end() == Completion.End.PREEMPTED) {
       dispatcher.wasted(completion.tokens());
     }
-    table.release(slot);
+    table.release(nowNanos, slot);
     bear(nowNanos, upstream, () -> ended(nowNanos, upstream, completion, inFlight));
     outbox.decided(new SlotDecision.Released(nowNanos, scope, id, completion));
   }
@@ -391,9 +391,10 @@
     for (Waiting<Pending> entry : new ArrayList<>(session.waiting.values())) {
       dispatcher.withdraw(nowNanos, entry);
     }
+    long lapsed = nowNanos + settings.slots().lapseNanos();
     long until = nowNanos + settings.slots().orphanNanos();
     for (Slot slot : new ArrayList<>(session.slots.values())) {
-      table.orphan(slot, nowNanos, until);
+      table.orphan(slot, lapsed, until);
     }
     table.disinherit(session);
     shares.lost(nowNanos, session.router);
--- a/decision/src/main/java/io/jacinthquay/decision/slots/SlotTable.java
+++ b/decision/src/main/java/io/jacinthquay/decision/slots/SlotTable.java
@@ -194,6 +194,7 @@
   private Slot insert(SlotId id, long nowNanos, Session session, UpstreamSlots upstream) {
     Slot slot = new Slot(id, session, upstream, grants, nowNanos);
     slots.put(id, slot);
+    upstream.slots.add(slot);
     session.holds(slot);
     session.idle++;
     idle.add(slot);
@@ -233,11 +234,14 @@
   record Usage(ClassPolicy policy, boolean floor) {}
 
   /** Takes a slot back. */
-  void release(Slot slot) {
+  void release(long nowNanos, Slot slot) {
     boolean unused = slot.idle();
+    if (!unused) {
+      slot.upstream.evidence.ended(slot.startedAtNanos, nowNanos);
+    }
     detach(slot);
     slots.remove(slot.id);
-    slot.upstream.orphans.remove(slot);
+    slot.upstream.slots.remove(slot);
     change(
         slot.upstream,
         () -> {
@@ -246,16 +250,22 @@
         });
   }
 
-  /** Keeps counting a slot whose session is lost until its work is known to have ended. */
-  void orphan(Slot slot, long nowNanos, long untilNanos) {
+  /**
+   * Keeps counting a slot whose session is lost until its work is known to have ended.
+   *
+   * @param sinceNanos when its router can no longer replace the work by other work
+   * @param untilNanos when it counts no longer in any case
+   */
+  void orphan(Slot slot, long sinceNanos, long untilNanos) {
     if (slot.idle()) {
       slot.upstream.idle--;
     }
     detach(slot);
     slot.session = null;
-    slot.orphanSinceNanos = nowNanos;
+    slot.orphanSinceNanos = sinceNanos;
     slot.orphanUntilNanos = untilNanos;
     slots.remove(slot.id);
+    slot.upstream.slots.remove(slot);
     slot.upstream.orphans.add(slot);
   }
 
--- a/decision/src/main/java/io/jacinthquay/decision/slots/UpstreamSlots.java
+++ b/decision/src/main/java/io/jacinthquay/decision/slots/UpstreamSlots.java
@@ -2,7 +2,6 @@
 
 import io.jacinthquay.decision.bearing.BearingLimit;
 import io.jacinthquay.decision.bearing.BearingOptions;
-import io.jacinthquay.decision.bearing.LoadReport;
 import io.jacinthquay.decision.bearing.UpstreamSpec;
 import io.jacinthquay.model.UpstreamId;
 import java.util.ArrayDeque;
@@ -18,6 +17,8 @@
   final BearingLimit bearing;
   final boolean reportsLoad;
   final Set<Slot> orphans = new LinkedHashSet<>();
+  final Set<Slot> slots = new LinkedHashSet<>();
+  final LoadEvidence evidence = new LoadEvidence();
   boolean leaving;
 
   /** Age of the youngest hint that was taken in. */
@@ -38,17 +39,6 @@
   /** Work of routers out of session, beyond the orphans; the whole limit while unknown. */
   private int foreign;
 
-  /** Estimates of foreign work by the two latest reports, or -1. */
-  private int latestStrangers = -1;
-
-  private int earlierStrangers = -1;
-  private long earlierMeasuredNanos = Long.MIN_VALUE;
-  private long latestMeasuredNanos = Long.MIN_VALUE;
-
-  /** Lowest number of known running requests between the two latest reports, and since. */
-  private int lowBefore = Integer.MAX_VALUE;
-
-  private int lowSince;
   private int loadAtInsert;
 
   UpstreamSlots(UpstreamSpec spec, BearingOptions options) {
@@ -90,61 +80,13 @@
     foreign = load;
   }
 
-  /**
-   * Returns the unknown work that the latest report leaves room for, or -1 if it was measured
-   * before a moment. Exact only while nothing is granted.
-   */
-  int latestStrangersSince(long sinceNanos) {
-    return latestMeasuredNanos < sinceNanos ? -1 : latestStrangers;
-  }
-
-  private int knownRunning() {
-    return granted - idle - orphans.size();
-  }
-
-  /** Notes the known load at the end of an event. */
-  void sample() {
-    lowSince = Math.min(lowSince, knownRunning());
-  }
-
-  /** Takes in a report and estimates the work that is not known here. */
-  void reported(LoadReport report) {
-    if (report.measuredAtNanos() <= latestMeasuredNanos) {
-      return;
-    }
-    sample();
-    int low = Math.min(lowBefore, lowSince);
-    earlierStrangers = latestStrangers;
-    earlierMeasuredNanos = latestMeasuredNanos;
-    latestMeasuredNanos = report.measuredAtNanos();
-    latestStrangers = Math.max(0, report.running() + report.queued() - low);
-    lowBefore = lowSince;
-    lowSince = knownRunning();
-  }
-
-  /**
-   * Returns the most unknown work that two reports since a moment leave room for, or -1 if there
-   * are not yet two.
-   */
-  int strangersSince(long sinceNanos) {
-    if (earlierStrangers < 0 || earlierMeasuredNanos < sinceNanos) {
-      return -1;
-    }
-    return Math.max(earlierStrangers, latestStrangers);
-  }
-
-  /** Returns whether the two latest reports both show unknown work. */
-  boolean strangersSeenTwice() {
-    return Math.min(earlierStrangers, latestStrangers) > 0;
-  }
-
   /** Removes and returns the slots of lost sessions whose work is known to have ended. */
   ArrayDeque<Slot> endedOrphans(long nowNanos) {
     ArrayDeque<Slot> ended = new ArrayDeque<>();
     int left = orphans.size();
     for (Iterator<Slot> all = orphans.iterator(); all.hasNext(); ) {
       Slot slot = all.next();
-      int strangers = strangersSince(slot.orphanSinceNanos);
+      int strangers = evidence.mostSince(slot.orphanSinceNanos);
       boolean surplus = strangers >= 0 && left > strangers;
       if (surplus || nowNanos >= slot.orphanUntilNanos) {
         all.remove();
