--- a/consensus/src/test/java/io/jacinthquay/consensus/LogCluster.java
+++ b/consensus/src/test/java/io/jacinthquay/consensus/LogCluster.java
@@ -47,6 +47,18 @@
     return this;
   }
 
+  LogCluster withTimeouts(LogOptions source) {
+    options =
+        options.withTimeouts(
+            source.heartbeatInterval(), source.electionTimeout(), source.proposalTimeout());
+    return this;
+  }
+
+  boolean hasOtherLeader(MemberId old) {
+    return logs.entrySet().stream()
+        .anyMatch(log -> !log.getKey().equals(old) && log.getValue().status().isLeader());
+  }
+
   LogCluster startAll() {
     seeds.forEach(this::start);
     return this;
