--- a/decision/src/test/java/io/jacinthquay/decision/admission/DecisionOracle.java
+++ b/decision/src/test/java/io/jacinthquay/decision/admission/DecisionOracle.java
@@ -68,7 +68,7 @@
       granted(granted);
     } else if (decision instanceof SlotDecision.Used used) {
       boolean preemptible = used.preemptible();
-      Work work = new Work(used.request(), used.tier().value(), preemptible, false, false);
+      Work work = new Work(used.request(), tier(used.className()), preemptible, false, false);
       running.put(used.slot(), work);
       floorBase.computeIfPresent(used.className(), (name, base) -> latestNanos);
     } else if (decision instanceof SlotDecision.Shed shed) {
@@ -104,11 +104,11 @@
   }
 
   private void granted(SlotDecision.Granted granted) {
-    int tier = granted.tier().value();
+    int tier = tier(granted.className());
     boolean floor = granted.reason() == SlotDecision.Reason.FLOOR;
     floors += floor ? 1 : 0;
     for (SlotDecision.Queued other : waiting.values()) {
-      if (other.tier().value() < tier && !floor) {
+      if (tier(other.className()) < tier && !floor) {
         fault(granted.request() + " of tier " + tier + " was granted before " + other.request());
       }
     }
@@ -128,7 +128,8 @@
     if (latestNanos - base < interval / 2) {
       fault(granted.className() + " got a floor long before it was due");
     }
-    boolean higher = waiting.values().stream().anyMatch(w -> w.tier().isHigherThan(granted.tier()));
+    boolean higher =
+        waiting.values().stream().anyMatch(w -> tier(w.className()) < tier(granted.className()));
     if (higher && granted.passedOver().isEmpty()) {
       fault(granted.request() + " passed over a higher tier without naming it");
     }
@@ -137,14 +138,15 @@
   private void shed(SlotDecision.Shed shed) {
     sheds++;
     SlotDecision.Queued queued = waiting.get(shed.request());
-    if (queued != null && queued.mustFinish()) {
+    int tier = queued == null ? shed.tier().value() : tier(queued.className());
+    if (queued != null && classes.apply(queued.className()).mustFinish()) {
       fault(shed.request() + " must finish and was shed");
     }
     if (passedOver.contains(shed.request())) {
       fault(shed.request() + " was passed over for a lower tier and then shed");
     }
     for (Work work : running.values()) {
-      boolean lower = work.tier() > shed.tier().value();
+      boolean lower = work.tier() > tier;
       if (lower && work.preemptible() && !work.floor()) {
         fault(shed.request() + " was shed while " + work.request() + " could be preempted");
       }
@@ -154,7 +156,8 @@
 
   private void preempt(SlotDecision.PreemptOrdered order) {
     Work victim = running.get(order.slot());
-    if (victim == null || victim.tier() <= order.beneficiaryTier().value()) {
+    SlotDecision.Queued beneficiary = waiting.get(order.beneficiary());
+    if (victim == null || beneficiary == null || victim.tier() <= tier(beneficiary.className())) {
       fault(order.victim() + " was preempted for " + order.beneficiary());
       return;
     }
@@ -185,6 +188,10 @@
     return latestNanos - base > classes.apply(name).floorIntervalMs() * 1_000_000L;
   }
 
+  private int tier(ClassName name) {
+    return classes.apply(name).tier().value();
+  }
+
   private void fault(String text) {
     violations.add(latestNanos / 1_000_000 + " ms: " + text);
   }
