--- /dev/null
+++ b/bench/src/main/java/io/jacinthquay/bench/keeper/package-info.java
@@ -0,0 +1,2 @@
+/** Measures the keepers: commits, failover, restart and readers. */
+package io.jacinthquay.bench.keeper;
--- /dev/null
+++ b/testkit/src/main/java/io/jacinthquay/testkit/process/package-info.java
@@ -0,0 +1,2 @@
+/** Programs of the system in JVMs of their own, for tests and benchmarks. */
+package io.jacinthquay.testkit.process;
