--- a/keeper/src/test/java/io/jacinthquay/keeper/KeeperClusterTest.java
+++ b/keeper/src/test/java/io/jacinthquay/keeper/KeeperClusterTest.java
@@ -99,7 +99,9 @@
     String follower = follower();
     try (KeeperClient reader =
         client(List.of(addresses.get(follower)), "entry-1", PeerRole.ROUTER)) {
-      reader.call(k -> k.changes(position(0), 0)).get();
+      do {
+        reader.call(k -> k.changes(position(0), 0)).get();
+      } while (!operator.call(k -> k.status()).get().getInForce().containsKey("entry-2"));
       Thread following = new Thread(() -> follow(reader));
       following.start();
 
