--- a/decision/src/main/java/io/jacinthquay/decision/slots/ShareKeeper.java
+++ b/decision/src/main/java/io/jacinthquay/decision/slots/ShareKeeper.java
@@ -22,10 +22,11 @@
   private final Map<VmId, Long> silentSince = new HashMap<>();
   private final Map<VmId, Set<UpstreamId>> released = new HashMap<>();
   private boolean complete;
-  private boolean settled;
-  private boolean hadFormerOwner;
-  private long firstSessionNanos = Long.MAX_VALUE / 2;
-  private long settleAfterNanos = Long.MAX_VALUE;
+
+  /** Whether some routers came from a former owner whose work must be bounded. */
+  private boolean bounded;
+
+  private long settleAfterNanos = Long.MIN_VALUE;
 
   ShareKeeper(SlotOptions options, SlotTable table, Map<VmId, Session> sessions) {
     this.options = options;
@@ -47,6 +48,20 @@
     update(nowNanos);
   }
 
+  /**
+   * Takes in what a router in session told of its former owner.
+   *
+   * <p>A router that has just started has none, but its earlier start may have had one.
+   */
+  void joined(long nowNanos, Session session, long vouchFreeNanos) {
+    if (session.told) {
+      return;
+    }
+    session.told = true;
+    session.hadFormerOwner = vouchFreeNanos >= 0;
+    session.vouchFreeAtNanos = nowNanos + (vouchFreeNanos < 0 ? lapseNanos() : vouchFreeNanos);
+  }
+
   /** Takes in that a session ended. */
   void lost(long nowNanos, VmId router) {
     silentSince.replace(router, nowNanos);
@@ -54,32 +69,40 @@
 
   /** Takes in that sessions, voters or time have changed. */
   void update(long nowNanos) {
-    complete = !voters().isEmpty() && sessions.keySet().containsAll(voters());
-    settled |= complete;
+    complete = !voters().isEmpty() && voters().stream().allMatch(this::inSession);
     released.keySet().removeAll(sessions.keySet());
-    if (firstSessionNanos == Long.MAX_VALUE / 2 && !sessions.isEmpty()) {
-      firstSessionNanos = nowNanos;
+    settleAfterNanos = Long.MIN_VALUE;
+    bounded = false;
+    for (Session session : sessions.values()) {
+      settle(nowNanos, session);
+      if (!session.settled) {
+        settleAfterNanos = Math.max(settleAfterNanos, session.vouchFreeAtNanos);
+        bounded = true;
+      }
     }
-    settleAfterNanos = settleAfter();
     for (UpstreamSlots upstream : table.upstreams()) {
       recount(nowNanos, upstream);
     }
     table.reindex();
   }
 
-  private long settleAfter() {
-    long after = firstSessionNanos + lapseNanos();
-    boolean former = false;
-    for (Session session : sessions.values()) {
-      former |= session.vouchFreeAtNanos > Long.MIN_VALUE;
-      after = Math.max(after, session.vouchFreeAtNanos);
+  /** Settles a session once nothing of its former owner can be unknown. */
+  private void settle(long nowNanos, Session session) {
+    long wait = session.hadFormerOwner ? options.orphanNanos() : 0;
+    boolean waited = session.told && nowNanos >= session.vouchFreeAtNanos + wait;
+    if (!session.settled && (complete || waited)) {
+      session.settled = true;
+      table.disinherit(session);
     }
-    hadFormerOwner |= former;
-    return after;
+  }
+
+  private boolean inSession(VmId voter) {
+    Session session = sessions.get(voter);
+    return session != null && session.confirmed();
   }
 
   private long lapseNanos() {
-    return options.leaseNanos() + options.marginNanos();
+    return options.lapseNanos();
   }
 
   /** Takes in that a load report of an upstream came. */
@@ -99,42 +122,61 @@
     if (nowNanos < since + options.silentReleaseNanos()) {
       return;
     }
-    int strangers = upstream.strangersSince(since + lapseNanos());
     Set<UpstreamId> free = released.computeIfAbsent(voter, key -> new HashSet<>());
-    if (strangers == 0) {
-      free.add(upstream.id);
-    } else if (upstream.strangersSeenTwice()) {
+    if (upstream.evidence.leastNow() > 0) {
       free.remove(upstream.id);
+    } else if (upstream.evidence.mostSince(since + lapseNanos()) == 0) {
+      free.add(upstream.id);
     }
   }
 
   /** Sets the share of an upstream; the caller keeps the sums of the table. */
   void recount(long nowNanos, UpstreamSlots upstream) {
     int limit = upstream.bearing.limit();
-    upstream.foreign(settled ? 0 : foreign(nowNanos, upstream, limit));
+    if (complete) {
+      upstream.foreign(0);
+      upstream.share(limit);
+      return;
+    }
+    int most = bounded ? mostForeign(nowNanos, upstream) : 0;
+    if (most >= 0) {
+      upstream.foreign(most);
+      upstream.share(all(nowNanos, upstream));
+      return;
+    }
+    int settled = shares.share(upstream.id, limit, v -> countsSettled(nowNanos, v, upstream));
+    int inherited = Math.min(limit, settled + upstream.inherited);
+    upstream.foreign(0);
     upstream.share(
-        complete ? limit : shares.share(upstream.id, limit, v -> counts(nowNanos, v, upstream)));
+        nowNanos < settleAfterNanos ? inherited : Math.min(inherited, all(nowNanos, upstream)));
+  }
+
+  private int all(long nowNanos, UpstreamSlots upstream) {
+    int limit = upstream.bearing.limit();
+    return shares.share(upstream.id, limit, v -> counts(nowNanos, v, upstream));
   }
 
-  private int foreign(long nowNanos, UpstreamSlots upstream, int limit) {
+  /** Returns a bound of the work that former owners granted beyond their share, or -1. */
+  private int mostForeign(long nowNanos, UpstreamSlots upstream) {
     if (nowNanos < settleAfterNanos) {
-      return limit;
+      return -1;
     }
-    if (!upstream.reportsLoad || !hadFormerOwner) {
+    if (!upstream.reportsLoad) {
       return 0;
     }
-    int strangers = upstream.strangersSince(settleAfterNanos);
-    if (strangers >= 0) {
-      return Math.max(0, strangers - upstream.orphans.size());
-    }
-    boolean waitedOut = nowNanos - options.orphanNanos() >= settleAfterNanos;
-    return waitedOut ? 0 : limit;
+    int most = upstream.evidence.mostSince(settleAfterNanos);
+    return most < 0 ? -1 : Math.max(0, most - upstream.orphans.size());
+  }
+
+  private boolean countsSettled(long nowNanos, VmId voter, UpstreamSlots upstream) {
+    Session session = sessions.get(voter);
+    return (session == null || session.settled) && counts(nowNanos, voter, upstream);
   }
 
   private boolean counts(long nowNanos, VmId voter, UpstreamSlots upstream) {
     Session session = sessions.get(voter);
     if (session != null) {
-      return nowNanos >= session.vouchFreeAtNanos;
+      return session.confirmed() && nowNanos >= session.vouchFreeAtNanos;
     }
     if (released.getOrDefault(voter, Set.of()).contains(upstream.id)) {
       return true;
