--- a/consensus/src/main/java/io/jacinthquay/consensus/Applier.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/Applier.java
@@ -22,6 +22,7 @@
   private record WaitingRead(long index, Answer<Long> answer) {}
 
   private static final long IDLE_NANOS = 100_000_000;
+  private static final long SNAPSHOT_BYTES = 32 << 20;
 
   private final StateMachine machine;
   private final LogStorage storage;
@@ -34,6 +35,7 @@
       new PriorityQueue<>(Comparator.comparingLong(WaitingRead::index));
   private SnapshotMeta applied;
   private long lastSnapshot;
+  private long bytesSinceSnapshot;
   private boolean failed;
   private volatile long appliedIndex;
 
@@ -113,6 +115,7 @@
     }
     applied = new SnapshotMeta(entry.index(), entry.term(), membership);
     appliedIndex = entry.index();
+    bytesSinceSnapshot += entry.size();
     pending.applied(entry, result);
   }
 
@@ -135,8 +138,11 @@
   }
 
   private void takeSnapshotIfDue() {
-    if (appliedIndex - lastSnapshot >= snapshotEvery) {
+    boolean due =
+        appliedIndex - lastSnapshot >= snapshotEvery || bytesSinceSnapshot >= SNAPSHOT_BYTES;
+    if (due) {
       lastSnapshot = appliedIndex;
+      bytesSinceSnapshot = 0;
       snapshots.accept(applied, machine.snapshot());
     }
   }
--- a/consensus/src/main/java/io/jacinthquay/consensus/LogRuntime.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/LogRuntime.java
@@ -270,7 +270,12 @@
         || changed(before, LogStatus::term)
         || changed(before, LogStatus::leader)
         || changed(before, LogStatus::membership)) {
-      log.info("replica {} is {} in term {}", status.self(), status.role(), status.term());
+      log.info(
+          "replica {} is {} in term {} with {}",
+          status.self(),
+          status.role(),
+          status.term(),
+          status.membership());
       settings.listener().statusChanged(status);
     }
   }
--- a/consensus/src/main/java/io/jacinthquay/consensus/raft/RaftLog.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/raft/RaftLog.java
@@ -93,6 +93,17 @@
     return index;
   }
 
+  /** Finds the lowest index from a bound on whose following entries up to another fit a size. */
+  long lowestWithin(long bound, long to, long maxBytes) {
+    long index = to;
+    long bytes = 0;
+    while (index > Math.max(bound, baseIndex) && bytes + entry(index).size() <= maxBytes) {
+      bytes += entry(index).size();
+      index--;
+    }
+    return index;
+  }
+
   /** Forgets entries up to an index, whose term is kept. */
   void compactTo(long index) {
     if (index <= baseIndex) {
--- a/consensus/src/main/java/io/jacinthquay/consensus/raft/RaftNode.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/raft/RaftNode.java
@@ -32,6 +32,8 @@
  * threads.
  */
 public final class RaftNode {
+  private static final long MAX_RETAINED_BYTES = 16 << 20;
+
   private final RaftState state;
   private final Election election;
   private final Acceptor acceptor;
@@ -340,7 +342,8 @@
     if (meta.index() > state.snapshot.index()) {
       state.snapshot = meta;
       state.history.compactTo(meta.index());
-      state.log.compactTo(Math.max(0, meta.index() - retained));
+      long kept = Math.max(0, meta.index() - retained);
+      state.log.compactTo(state.log.lowestWithin(kept, meta.index(), MAX_RETAINED_BYTES));
     }
     return state.log.firstIndex() - 1;
   }
--- a/consensus/src/test/java/io/jacinthquay/consensus/JournalMachine.java
+++ b/consensus/src/test/java/io/jacinthquay/consensus/JournalMachine.java
@@ -26,7 +26,9 @@
       DataOutputStream data = new DataOutputStream(out);
       data.writeInt(view.size());
       for (String command : view) {
-        data.writeUTF(command);
+        byte[] bytes = command.getBytes(StandardCharsets.UTF_8);
+        data.writeInt(bytes.length);
+        data.write(bytes);
       }
       data.flush();
     };
@@ -38,7 +40,7 @@
     commands.clear();
     int count = data.readInt();
     for (int i = 0; i < count; i++) {
-      commands.add(data.readUTF());
+      commands.add(new String(data.readNBytes(data.readInt()), StandardCharsets.UTF_8));
     }
     restores++;
   }
--- a/consensus/src/test/java/io/jacinthquay/consensus/ReplicatedLogTest.java
+++ b/consensus/src/test/java/io/jacinthquay/consensus/ReplicatedLogTest.java
@@ -175,6 +175,20 @@
     }
   }
 
+  @Test
+  void takesSnapshotsBySizeToo() throws Exception {
+    try (LogCluster cluster = new LogCluster(root, 1).startAll()) {
+      cluster.leader();
+      byte[] large = new byte[LogOptions.DEFAULT.maxCommandBytes()];
+      for (int i = 0; i < 40; i++) {
+        assertTrue(LogCluster.get(cluster.log(K1).propose(large)).isRight());
+      }
+      cluster.await("compaction", () -> cluster.log(K1).status().firstIndex() > 1);
+      long held = cluster.log(K1).status().lastIndex() - cluster.log(K1).status().firstIndex();
+      assertTrue(held < 30, "entries held: " + held);
+    }
+  }
+
   @Test
   void refusesASecondProcessOnTheSameFolder() throws Exception {
     try (LogCluster cluster = new LogCluster(root, 1).startAll()) {
