--- a/consensus/src/test/java/io/jacinthquay/consensus/ReplicatedLogTest.java
+++ b/consensus/src/test/java/io/jacinthquay/consensus/ReplicatedLogTest.java
@@ -11,7 +11,9 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletionStage;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -175,6 +177,32 @@
     }
   }
 
+  @Test
+  void acknowledgesOnlyWhatAQuorumHasSynced() throws Exception {
+    try (LogCluster cluster = new LogCluster(root, 3)) {
+      Map<MemberId, FailingStorage> disks = new HashMap<>();
+      for (MemberId member : List.of(K1, K2, new MemberId("k3"))) {
+        cluster.start(
+            member,
+            (folder, self, bytes) ->
+                disks.computeIfAbsent(
+                    self, m -> new FailingStorage(FileLogStorage.open(folder, self, bytes))));
+      }
+      cluster.propose("before");
+      MemberId leader = cluster.leader();
+      disks.remove(leader);
+      disks.values().forEach(FailingStorage::holdNextSync);
+      CompletionStage<Either<LogFailure, Applied>> answer =
+          cluster.log(leader).propose(new byte[] {'x'});
+      for (int round = 0; round < 20; round++) {
+        assertTrue(LogCluster.get(cluster.log(leader).readIndex()).isRight());
+      }
+      assertFalse(answer.toCompletableFuture().isDone());
+      disks.values().forEach(FailingStorage::releaseSync);
+      assertTrue(LogCluster.get(answer).isRight());
+    }
+  }
+
   @Test
   void takesSnapshotsBySizeToo() throws Exception {
     try (LogCluster cluster = new LogCluster(root, 1).startAll()) {
