--- a/consensus/src/test/java/io/jacinthquay/consensus/ReplicatedLogTest.java
+++ b/consensus/src/test/java/io/jacinthquay/consensus/ReplicatedLogTest.java
@@ -194,11 +194,14 @@
       disks.values().forEach(FailingStorage::holdNextSync);
       CompletionStage<Either<LogFailure, Applied>> answer =
           cluster.log(leader).propose(new byte[] {'x'});
-      for (int round = 0; round < 20; round++) {
-        assertTrue(LogCluster.get(cluster.log(leader).readIndex()).isRight());
+      try {
+        for (int round = 0; round < 300; round++) {
+          assertTrue(LogCluster.get(cluster.log(leader).readIndex()).isRight());
+        }
+        assertFalse(answer.toCompletableFuture().isDone());
+      } finally {
+        disks.values().forEach(FailingStorage::releaseSync);
       }
-      assertFalse(answer.toCompletableFuture().isDone());
-      disks.values().forEach(FailingStorage::releaseSync);
       assertTrue(LogCluster.get(answer).isRight());
     }
   }
