--- /dev/null
+++ b/bench/src/main/java/io/jacinthquay/bench/jmh/package-info.java
@@ -0,0 +1,2 @@
+/** Benchmarks of single decisions. */
+package io.jacinthquay.bench.jmh;
--- a/decision/src/test/java/io/jacinthquay/decision/admission/BearingProperties.java
+++ b/decision/src/test/java/io/jacinthquay/decision/admission/BearingProperties.java
@@ -7,14 +7,13 @@
 import io.jacinthquay.model.VmId;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
 import java.util.Set;
-import net.jqwik.api.Arbitraries;
-import net.jqwik.api.Arbitrary;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
-import net.jqwik.api.Provide;
 import net.jqwik.api.constraints.LongRange;
-import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Upstreams never get more than they bear, whatever happens to routers and messages. */
 class BearingProperties {
@@ -37,19 +36,27 @@
     NOISE
   }
 
-  @Provide
-  Arbitrary<Event> events() {
-    return Arbitraries.of(Event.class);
+  @Property(tries = 40, seed = "4711")
+  void neverExceedsWhatUpstreamsBear(@ForAll @LongRange(min = 1, max = 1_000_000) long seed) {
+    runWithEvents(seed);
   }
 
-  @Property(tries = 25, seed = "4711")
-  void neverExceedsWhatUpstreamsBear(
-      @ForAll @LongRange(min = 1, max = 1_000_000) long seed,
-      @ForAll @Size(min = 1, max = 4) List<@net.jqwik.api.From("events") Event> events) {
+  /** Seeds that once led to a breach. */
+  @ParameterizedTest
+  @ValueSource(longs = {20, 122, 164, 172, 177, 185, 249, 283, 356})
+  void neverExceedsWhatUpstreamsBearAgain(long seed) {
+    runWithEvents(seed);
+  }
+
+  /** Runs one to five random events at random times. */
+  private static void runWithEvents(long seed) {
+    Random random = new Random(seed * 7919);
     DomainBus bus = bus(seed);
-    for (int i = 0; i < events.size(); i++) {
-      Event event = events.get(i);
-      bus.at((2 + 4L * i) * SECOND, now -> happen(bus, event));
+    int count = 1 + random.nextInt(5);
+    for (int i = 0; i < count; i++) {
+      Event event = Event.values()[random.nextInt(Event.values().length)];
+      long at = (1_000 + random.nextInt(14_000)) * DomainBus.MS;
+      bus.at(at, now -> happen(bus, event));
     }
     bus.runUntil(20 * SECOND);
     assertEquals(0, bus.breaches());
