--- a/keeper/src/main/java/io/jacinthquay/keeper/KeeperOptions.java
+++ b/keeper/src/main/java/io/jacinthquay/keeper/KeeperOptions.java
@@ -38,6 +38,9 @@
   /** Most bytes of one command: a whole policy document at the planned size. */
   private static final int MAX_COMMAND_BYTES = 4 << 20;
 
+  /** Entries between two snapshots; a restart replays no more than these. */
+  private static final int SNAPSHOT_EVERY_ENTRIES = 10_000;
+
   /**
    * Copies the map and checks the parts.
    *
@@ -83,7 +86,7 @@
         log.heartbeatInterval(),
         log.electionTimeout(),
         log.proposalTimeout(),
-        log.snapshotEveryEntries(),
+        SNAPSHOT_EVERY_ENTRIES,
         log.retainedEntries(),
         log.segmentBytes(),
         MAX_COMMAND_BYTES,
