--- a/router/src/main/java/io/jacinthquay/router/RouterSettings.java
+++ b/router/src/main/java/io/jacinthquay/router/RouterSettings.java
@@ -1,8 +1,11 @@
 package io.jacinthquay.router;
 
+import io.jacinthquay.decision.membership.Candidate;
 import io.jacinthquay.model.DomainId;
 import io.jacinthquay.model.VmId;
 import io.jacinthquay.router.adapter.http.ListenerLimits;
+import io.jacinthquay.router.adapter.thrift.Addresses;
+import io.jacinthquay.router.service.PeerOptions;
 import io.jacinthquay.router.service.RouterOptions;
 import io.jacinthquay.runtime.settings.Setting;
 import io.jacinthquay.runtime.settings.Settings;
@@ -19,19 +22,25 @@
   static final Setting<DomainId> DOMAIN =
       Setting.of("domain", "failure domain of this VM", "name", DomainId::new);
   static final Setting<InetSocketAddress> LISTEN =
-      Setting.of("listen", "where callers connect", "ip:port", RouterSettings::address)
+      Setting.of("listen", "where callers connect", "ip:port", Addresses::parse)
           .orElse("0.0.0.0:8080");
   static final Setting<List<InetSocketAddress>> KEEPERS =
-      Setting.list("keepers", "all keepers", "ip:port", RouterSettings::address);
-  static final Setting<List<InetSocketAddress>> CONFIG_SOURCES =
+      Setting.list("keepers", "all keepers", "ip:port", Addresses::parse);
+  static final Setting<InetSocketAddress> PEER_LISTEN =
+      Setting.of("peer-listen", "where other routers connect", "ip:port", Addresses::parse)
+          .orElse("0.0.0.0:7400");
+  static final Setting<String> PEER_ADDRESS =
+      Setting.of("peer-address", "where other routers reach this one", "ip:port", text -> text)
+          .orElse("");
+  static final Setting<List<Candidate>> PEERS =
       Setting.list(
-              "config-sources",
-              "relays and keepers to follow, nearest first; none means the keepers",
-              "ip:port",
-              RouterSettings::address)
+              "peers",
+              "other routers, beside those in the platform's list",
+              "name@domain@ip:port",
+              RouterSettings::peer)
           .orElse("");
   static final Setting<InetSocketAddress> PLATFORM =
-      Setting.of("platform", "the platform's interface", "ip:port", RouterSettings::address);
+      Setting.of("platform", "the platform's interface", "ip:port", Addresses::parse);
   static final Setting<Path> TLS = Setting.path("tls", "folder with ca.pem, cert.pem and key.pem");
   static final Setting<Integer> IO_THREADS =
       Setting.integer("io-threads", "threads that carry requests", "threads", 1, 256).orElse("2");
@@ -89,7 +98,9 @@
               DOMAIN,
               LISTEN,
               KEEPERS,
-              CONFIG_SOURCES,
+              PEER_LISTEN,
+              PEER_ADDRESS,
+              PEERS,
               PLATFORM,
               TLS,
               IO_THREADS,
@@ -129,19 +140,25 @@
         Duration.ofMillis(settings.value(CONNECT_TIMEOUT)),
         Duration.ofMillis(settings.value(DRAIN_DELAY)),
         Duration.ofMillis(settings.value(DRAIN_LIMIT)),
-        Duration.ofSeconds(1));
+        Duration.ofSeconds(1),
+        new PeerOptions(peerAddress(settings), settings.value(PEERS)));
+  }
+
+  private static String peerAddress(Settings settings) {
+    String address = settings.value(PEER_ADDRESS);
+    InetSocketAddress listen = settings.value(PEER_LISTEN);
+    return address.isEmpty() ? listen.getHostString() + ":" + listen.getPort() : address;
   }
 
-  static InetSocketAddress address(String text) {
-    int colon = text.lastIndexOf(':');
-    if (colon <= 0) {
-      throw new IllegalArgumentException("is not of the form ip:port: " + text);
+  private static Candidate peer(String text) {
+    String[] parts = text.split("@");
+    if (parts.length != 3) {
+      throw new IllegalArgumentException("is not of the form name@domain@ip:port: " + text);
     }
-    try {
-      int port = Integer.parseInt(text.substring(colon + 1));
-      return new InetSocketAddress(text.substring(0, colon), port);
-    } catch (NumberFormatException e) {
-      throw new IllegalArgumentException("is not of the form ip:port: " + text, e);
+    String address = parts[2];
+    if (Addresses.parse(address).isUnresolved()) {
+      throw new IllegalArgumentException("is no address: " + address);
     }
+    return new Candidate(new VmId(parts[0]), new DomainId(parts[1]), address, false);
   }
 }
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/CallerServer.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/CallerServer.java
@@ -157,12 +157,14 @@
 
   /** Takes no further connections; those that are open go on. */
   public void stopAccepting() {
-    IoUtils.safeClose(listener);
+    if (listener.isOpen()) {
+      IoUtils.safeClose(listener);
+    }
   }
 
   @Override
   public void stop() {
-    if (worker == null) {
+    if (worker == null || worker.isShutdown()) {
       return;
     }
     stopAccepting();
--- /dev/null
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/PeerServer.java
@@ -0,0 +1,199 @@
+package io.jacinthquay.router.adapter.thrift;
+
+import io.jacinthquay.model.ConfigVersion;
+import io.jacinthquay.model.CustomerId;
+import io.jacinthquay.model.DomainId;
+import io.jacinthquay.model.Failure;
+import io.jacinthquay.model.KeyDigest;
+import io.jacinthquay.model.ResultCode;
+import io.jacinthquay.model.VmId;
+import io.jacinthquay.router.port.ConfigPosition;
+import io.jacinthquay.router.port.ConfigUpdate;
+import io.jacinthquay.router.port.PeerReceiver;
+import io.jacinthquay.router.port.RouterAges;
+import io.jacinthquay.router.port.UsageCount;
+import io.jacinthquay.runtime.Service;
+import io.jacinthquay.runtime.tls.PeerName;
+import io.jacinthquay.runtime.tls.PeerRole;
+import io.jacinthquay.runtime.tls.TlsIdentity;
+import io.jacinthquay.wire.convert.ConfigMessages;
+import io.jacinthquay.wire.convert.GossipMessages;
+import io.jacinthquay.wire.convert.SloMessages;
+import io.jacinthquay.wire.convert.SlotMessages;
+import io.jacinthquay.wire.gen.CallFailed;
+import io.jacinthquay.wire.gen.ConfigPage;
+import io.jacinthquay.wire.gen.FeedPosition;
+import io.jacinthquay.wire.gen.GossipEnvelope;
+import io.jacinthquay.wire.gen.Peer;
+import io.jacinthquay.wire.gen.PeerBatch;
+import io.jacinthquay.wire.gen.SloReport;
+import io.jacinthquay.wire.gen.StalenessReport;
+import io.jacinthquay.wire.gen.ToClientMessage;
+import io.jacinthquay.wire.gen.ToOwnerMessage;
+import io.jacinthquay.wire.gen.UsageCounter;
+import io.jacinthquay.wire.transport.SecureServer;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/** Serves other routers; each may speak only for itself. */
+public final class PeerServer implements Service {
+  private static final Logger log = LogManager.getLogger();
+  private static final int MAX_CONNECTIONS = 1_024;
+  private static final int MAX_WAIT_MILLIS = 10_000;
+
+  private final SecureServer server;
+
+  /**
+   * Returns a server.
+   *
+   * @param address where to listen; port 0 takes a free one
+   * @param identity this router's certificate and trusted authority
+   * @param self the router's VM
+   * @param domain its failure domain
+   * @param receiver takes what arrives
+   */
+  public PeerServer(
+      InetSocketAddress address,
+      TlsIdentity identity,
+      VmId self,
+      DomainId domain,
+      PeerReceiver receiver) {
+    this.server =
+        new SecureServer(
+            address,
+            identity,
+            MAX_CONNECTIONS,
+            peer -> new Peer.Processor<>(new Handler(peer, self, domain, receiver)));
+  }
+
+  @Override
+  public void start() {
+    server.start();
+  }
+
+  /** Returns the port that the server listens on. */
+  public int port() {
+    return server.port();
+  }
+
+  @Override
+  public void stop() {
+    server.stop();
+  }
+
+  /** Serves one peer. */
+  private record Handler(PeerName peer, VmId self, DomainId domain, PeerReceiver receiver)
+      implements Peer.Iface {
+    @Override
+    public void deliver(PeerBatch batch) {
+      if (peer.role() != PeerRole.ROUTER) {
+        return;
+      }
+      try {
+        takeSlots(batch);
+        batch.getGossip().forEach(this::takeGossip);
+        takeUsage(batch.getUsage());
+        takeWithdrawn(batch.getWithdrawn());
+      } catch (IllegalArgumentException | NullPointerException e) {
+        log.warn("router {} sent a malformed message: {}", peer.name(), e.getMessage());
+      }
+    }
+
+    private void takeSlots(PeerBatch batch) {
+      for (ToOwnerMessage message : batch.getToOwner()) {
+        if (message.getStamp().getRouter().equals(peer.name())) {
+          receiver.slots(SlotMessages.fromMessage(message));
+        }
+      }
+      for (ToClientMessage message : batch.getToClient()) {
+        if (message.getStamp().getOwner().equals(peer.name())) {
+          receiver.slots(SlotMessages.fromMessage(message));
+        }
+      }
+    }
+
+    private void takeGossip(GossipEnvelope envelope) {
+      if (envelope.getSender().equals(peer.name())) {
+        receiver.gossip(GossipMessages.fromMessage(envelope));
+      }
+    }
+
+    private void takeUsage(List<UsageCounter> counters) {
+      if (!counters.isEmpty()) {
+        receiver.usage(new VmId(peer.name()), counters.stream().map(Handler::count).toList());
+      }
+    }
+
+    private static UsageCount count(UsageCounter c) {
+      return new UsageCount(
+          c.getIncarnation(),
+          new CustomerId(c.getCustomer()),
+          c.getModel(),
+          c.getWindowStartMillis(),
+          c.getRequests(),
+          c.getInputTokens(),
+          c.getOutputTokens());
+    }
+
+    private void takeWithdrawn(List<String> digests) {
+      if (!digests.isEmpty()) {
+        receiver.withdrawn(digests.stream().map(KeyDigest::new).toList());
+      }
+    }
+
+    @Override
+    public void withdraw(List<String> digests) throws CallFailed {
+      if (peer.role() != PeerRole.OPERATOR && peer.role() != PeerRole.KEEPER) {
+        throw ConfigMessages.toMessage(Failure.of(ResultCode.NOT_AUTHORISED));
+      }
+      try {
+        receiver.withdraw(digests.stream().map(KeyDigest::new).toList());
+      } catch (IllegalArgumentException e) {
+        throw ConfigMessages.toMessage(Failure.of(ResultCode.BAD_REQUEST, e.getMessage()));
+      }
+    }
+
+    @Override
+    public SloReport slo() throws CallFailed {
+      if (peer.role() != PeerRole.OPERATOR && peer.role() != PeerRole.CONTROLLER) {
+        throw ConfigMessages.toMessage(Failure.of(ResultCode.NOT_AUTHORISED));
+      }
+      RouterAges ages = receiver.ages();
+      StalenessReport staleness =
+          new StalenessReport(
+              ages.configMillis(),
+              ages.keysMillis(),
+              ages.loadMillis(),
+              ages.cacheEventsMillis(),
+              ages.configVersion());
+      return SloMessages.toMessage(self.value(), domain.value(), receiver.slo(), staleness);
+    }
+
+    @Override
+    public ConfigPage changes(FeedPosition position, int waitMillis) throws CallFailed {
+      if (peer.role() != PeerRole.ROUTER && peer.role() != PeerRole.CONTROLLER) {
+        throw ConfigMessages.toMessage(Failure.of(ResultCode.NOT_AUTHORISED));
+      }
+      Map<String, ConfigVersion> relayed = new HashMap<>();
+      position
+          .getRelayed()
+          .forEach((name, version) -> relayed.put(name, new ConfigVersion(version)));
+      ConfigPosition read = new ConfigPosition(new ConfigVersion(position.getInForce()), relayed);
+      Duration wait = Duration.ofMillis(Math.min(MAX_WAIT_MILLIS, Math.max(0, waitMillis)));
+      return page(receiver.changes(new VmId(peer.name()), read, wait));
+    }
+
+    private static ConfigPage page(ConfigUpdate update) {
+      return new ConfigPage(
+          update.newest().value(),
+          update.snapshot(),
+          update.changes().stream().map(ConfigMessages::toMessage).toList(),
+          update.keysCurrent().toMillis());
+    }
+  }
+}
--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/ThriftConfigSource.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/ThriftConfigSource.java
@@ -25,6 +25,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.apache.thrift.TException;
 
 /** Polls keepers and relays, one at a time; after a failure the next one is asked. */
@@ -32,26 +34,28 @@
   /** Time beyond the longest wait after which an answer is given up, in milliseconds. */
   private static final int ANSWER_MILLIS = 1_000;
 
-  private final List<InetSocketAddress> sources;
+  /** Time after which the order of preference is looked at again, in nanoseconds. */
+  private static final long REVIEW_NANOS = TimeUnit.SECONDS.toNanos(10);
+
+  private final Supplier<List<InetSocketAddress>> sources;
   private final TlsIdentity identity;
   private final VmId self;
   private final DomainId domain;
   private SecureChannel channel;
+  private InetSocketAddress address;
+  private long connectedNanos;
   private int next;
 
   /**
    * Returns a source.
    *
-   * @param sources keepers and relays in order of preference, at least one
+   * @param sources keepers and relays in order of preference, at least one; read again with each
+   *     connection, and after {@link #REVIEW_NANOS} the first is tried again
    * @param identity the router's certificate and trusted authority
-   * @throws IllegalArgumentException if no source is given
    */
   public ThriftConfigSource(
-      List<InetSocketAddress> sources, TlsIdentity identity, VmId self, DomainId domain) {
-    if (sources.isEmpty()) {
-      throw new IllegalArgumentException("at least one source is needed");
-    }
-    this.sources = List.copyOf(sources);
+      Supplier<List<InetSocketAddress>> sources, TlsIdentity identity, VmId self, DomainId domain) {
+    this.sources = sources;
     this.identity = identity;
     this.self = self;
     this.domain = domain;
@@ -60,9 +64,7 @@
   @Override
   public synchronized Either<Failure, ConfigUpdate> poll(ConfigPosition position, Duration wait) {
     try {
-      if (channel == null) {
-        channel = SecureChannel.open(sources.get(next), identity, ANSWER_MILLIS);
-      }
+      connect();
       int waitMillis = Math.toIntExact(wait.toMillis());
       channel.readTimeout(waitMillis + ANSWER_MILLIS);
       ConfigFeed.Client client = new ConfigFeed.Client(channel.protocol());
@@ -72,15 +74,29 @@
       turnToNext();
       return Either.left(failure);
     } catch (TException | IOException e) {
-      String detail = sources.get(next) + " did not answer: " + e.getMessage();
+      String detail = address + " did not answer: " + e.getMessage();
       turnToNext();
       return Either.left(Failure.of(ResultCode.NO_QUORUM, detail));
     }
   }
 
+  private void connect() throws IOException {
+    boolean due = System.nanoTime() - connectedNanos > REVIEW_NANOS;
+    if (channel != null && due) {
+      close();
+      next = 0;
+    }
+    if (channel == null) {
+      List<InetSocketAddress> known = sources.get();
+      address = known.get(next % known.size());
+      channel = SecureChannel.open(address, identity, ANSWER_MILLIS);
+      connectedNanos = System.nanoTime();
+    }
+  }
+
   private void turnToNext() {
     close();
-    next = (next + 1) % sources.size();
+    next++;
   }
 
   private FeedPosition message(ConfigPosition position) {
--- a/router/src/main/java/io/jacinthquay/router/service/RouterOptions.java
+++ b/router/src/main/java/io/jacinthquay/router/service/RouterOptions.java
@@ -21,6 +21,7 @@
  * @param drainDelay time between not being ready and refusing requests, for the balancer to notice
  * @param drainLimit longest time for running requests to finish at a stop
  * @param vmListInterval time between two readings of the platform's list
+ * @param peers how this router and others reach each other
  */
 public record RouterOptions(
     VmId self,
@@ -33,7 +34,8 @@
     Duration connectTimeout,
     Duration drainDelay,
     Duration drainLimit,
-    Duration vmListInterval) {
+    Duration vmListInterval,
+    PeerOptions peers) {
   /**
    * Checks that all parts are present.
    *
@@ -51,6 +53,7 @@
     Objects.requireNonNull(drainDelay, "drainDelay");
     Objects.requireNonNull(drainLimit, "drainLimit");
     Objects.requireNonNull(vmListInterval, "vmListInterval");
+    Objects.requireNonNull(peers, "peers");
     if (ioThreads < 1) {
       throw new IllegalArgumentException("ioThreads must be 1 or more");
     }
@@ -69,7 +72,8 @@
         Duration.ofSeconds(1),
         Duration.ZERO,
         Duration.ofSeconds(60),
-        Duration.ofMillis(500));
+        Duration.ofMillis(500),
+        PeerOptions.NONE);
   }
 
   /** Returns these settings with other limits of the listener. */
@@ -85,7 +89,8 @@
         connectTimeout,
         drainDelay,
         drainLimit,
-        vmListInterval);
+        vmListInterval,
+        peers);
   }
 
   /** Returns these settings with another length of usage windows. */
@@ -101,7 +106,8 @@
         connectTimeout,
         drainDelay,
         drainLimit,
-        vmListInterval);
+        vmListInterval,
+        peers);
   }
 
   /** Returns these settings with another silence after which an upstream counts as stalled. */
@@ -117,6 +123,24 @@
         connectTimeout,
         drainDelay,
         drainLimit,
-        vmListInterval);
+        vmListInterval,
+        peers);
+  }
+
+  /** Returns these settings with other routers. */
+  public RouterOptions withPeers(PeerOptions newPeers) {
+    return new RouterOptions(
+        self,
+        domain,
+        listen,
+        ioThreads,
+        limits,
+        usageWindow,
+        stall,
+        connectTimeout,
+        drainDelay,
+        drainLimit,
+        vmListInterval,
+        newPeers);
   }
 }
--- a/router/src/main/java/io/jacinthquay/router/service/RouterPorts.java
+++ b/router/src/main/java/io/jacinthquay/router/service/RouterPorts.java
@@ -3,6 +3,7 @@
 import io.jacinthquay.router.port.ClaimStore;
 import io.jacinthquay.router.port.ConfigSource;
 import io.jacinthquay.router.port.EngineMonitor;
+import io.jacinthquay.router.port.PeerMessenger;
 import io.jacinthquay.router.port.UsageSink;
 import io.jacinthquay.router.port.VmDirectory;
 import java.util.Objects;
@@ -15,13 +16,15 @@
  * @param usage takes usage counters
  * @param vms the platform's list of VMs
  * @param engines asks engines how they are
+ * @param peers carries messages to other routers; {@link PeerMessenger#NONE} for a router alone
  */
 public record RouterPorts(
     ConfigSource config,
     ClaimStore claims,
     UsageSink usage,
     VmDirectory vms,
-    EngineMonitor engines) {
+    EngineMonitor engines,
+    PeerMessenger peers) {
   /**
    * Checks that all parts are present.
    *
@@ -33,5 +36,16 @@
     Objects.requireNonNull(usage, "usage");
     Objects.requireNonNull(vms, "vms");
     Objects.requireNonNull(engines, "engines");
+    Objects.requireNonNull(peers, "peers");
+  }
+
+  /** Returns the ports of a router that knows no other. */
+  public static RouterPorts alone(
+      ConfigSource config,
+      ClaimStore claims,
+      UsageSink usage,
+      VmDirectory vms,
+      EngineMonitor engines) {
+    return new RouterPorts(config, claims, usage, vms, engines, PeerMessenger.NONE);
   }
 }
--- a/router/src/main/java/io/jacinthquay/router/service/RouterService.java
+++ b/router/src/main/java/io/jacinthquay/router/service/RouterService.java
@@ -1,13 +1,26 @@
 package io.jacinthquay.router.service;
 
 import com.codahale.metrics.MetricRegistry;
+import io.jacinthquay.decision.membership.GossipMessage;
+import io.jacinthquay.decision.membership.Member;
+import io.jacinthquay.decision.membership.MemberLoad;
+import io.jacinthquay.decision.slo.SloSnapshot;
 import io.jacinthquay.decision.slots.DomainView;
+import io.jacinthquay.decision.slots.SlotMessage;
 import io.jacinthquay.model.ConfigVersion;
 import io.jacinthquay.model.Failure;
+import io.jacinthquay.model.KeyDigest;
 import io.jacinthquay.model.ResultCode;
+import io.jacinthquay.model.VmId;
 import io.jacinthquay.router.adapter.http.CallerServer;
 import io.jacinthquay.router.adapter.http.UndertowUpstreamClient;
+import io.jacinthquay.router.port.ConfigPosition;
+import io.jacinthquay.router.port.ConfigUpdate;
 import io.jacinthquay.router.port.KeyAuthority;
+import io.jacinthquay.router.port.PeerMessenger;
+import io.jacinthquay.router.port.PeerReceiver;
+import io.jacinthquay.router.port.RouterAges;
+import io.jacinthquay.router.port.UsageCount;
 import io.jacinthquay.router.port.VmEntry;
 import io.jacinthquay.router.service.config.ConfigFollower;
 import io.jacinthquay.router.service.config.KeyLease;
@@ -17,6 +30,9 @@
 import io.jacinthquay.router.service.dispatch.AdmissionDispatcher;
 import io.jacinthquay.router.service.dispatch.EngineWatcher;
 import io.jacinthquay.router.service.dispatch.UpstreamDirectory;
+import io.jacinthquay.router.service.peer.ConfigRelay;
+import io.jacinthquay.router.service.peer.MembershipService;
+import io.jacinthquay.router.service.peer.PeerHub;
 import io.jacinthquay.router.service.report.MetricsPage;
 import io.jacinthquay.router.service.report.RequestLog;
 import io.jacinthquay.router.service.report.RequestReporter;
@@ -28,10 +44,11 @@
 import io.jacinthquay.router.service.request.RouterIntake;
 import io.jacinthquay.router.service.request.RunServices;
 import io.jacinthquay.runtime.Service;
+import java.net.InetSocketAddress;
 import java.security.SecureRandom;
 import java.time.Duration;
+import java.util.Collection;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -70,8 +87,11 @@
   private final AdmissionDispatcher dispatcher;
   private final EngineWatcher watcher;
   private final UpstreamDirectory directory;
+  private final ConfigRelay relay;
   private final ConfigFollower follower;
   private final UsageShipper shipper;
+  private final Optional<PeerHub> peers;
+  private final RouterMetrics metrics;
   private final UndertowUpstreamClient upstreams;
   private final CallerServer server;
   private final ScheduledExecutorService ticks;
@@ -90,19 +110,20 @@
             System.currentTimeMillis(),
             options.domain(),
             name -> policies.view().policy().classPolicy(name),
-            (to, message) -> {},
+            ports.peers()::slots,
             new SecureRandom().nextLong());
     watcher = new EngineWatcher(ports.engines(), dispatcher);
     directory =
         new UpstreamDirectory(ports.vms(), this::onVmList, options.vmListInterval().toMillis());
-    follower = new ConfigFollower(ports.config(), policies, lease, Map::of, CONFIG_WAIT);
+    relay = new ConfigRelay(policies, lease);
+    follower = new ConfigFollower(ports.config(), policies, lease, relay::relayed, CONFIG_WAIT);
     upstreams = new UndertowUpstreamClient(options.connectTimeout());
     UsageCounters usage =
         new UsageCounters(incarnation, options.usageWindow().toMillis(), System::currentTimeMillis);
     shipper = new UsageShipper(usage, ports.usage());
-    RouterMetrics metrics =
-        new RouterMetrics(registry, name -> policies.view().policy().classPolicy(name));
-    addGauges(metrics);
+    peers = newPeers(ports, usage);
+    metrics = new RouterMetrics(registry, name -> policies.view().policy().classPolicy(name));
+    addGauges();
     RequestLog requestLog = new RequestLog();
     RequestReporter reporter =
         entry -> {
@@ -127,12 +148,42 @@
     policies.onChange(view -> onChange());
   }
 
+  private Optional<PeerHub> newPeers(RouterPorts ports, UsageCounters usage) {
+    if (ports.peers() == PeerMessenger.NONE) {
+      return Optional.empty();
+    }
+    Member self =
+        Member.alive(
+            options.self(),
+            options.domain(),
+            options.peers().address(),
+            System.currentTimeMillis());
+    MembershipService membership =
+        new MembershipService(
+            self,
+            ports.peers(),
+            dispatcher::view,
+            () -> new MemberLoad(active.count(), 0),
+            new SecureRandom().nextLong());
+    return Optional.of(
+        new PeerHub(
+            options.self(),
+            ports.peers(),
+            membership,
+            dispatcher,
+            usage,
+            ports.usage(),
+            withdrawn,
+            options.peers().fixed(),
+            new SecureRandom().nextLong()));
+  }
+
   /** Returns a router that has not started. */
   public static RouterService create(RouterOptions options, RouterPorts ports) {
     return new RouterService(options, ports);
   }
 
-  private void addGauges(RouterMetrics metrics) {
+  private void addGauges() {
     metrics.gauge("jq_config_version", () -> policies.version().value());
     metrics.gauge("jq_config_age_ms", () -> millis(follower.ageNanos(System.nanoTime())));
     metrics.gauge("jq_keys_left_ms", () -> millis(lease.leftNanos(System.nanoTime())));
@@ -149,15 +200,18 @@
   private void onVmList(List<VmEntry> list) {
     vms = list;
     watcher.update(list);
-    list.stream()
-        .map(VmEntry::domain)
-        .distinct()
-        .forEach(domain -> dispatcher.view(domain, DomainView.alone(options.self())));
+    peers.ifPresentOrElse(hub -> hub.update(list), () -> tellAlone(list));
     dispatcher.update(list, policies.view().policy());
   }
 
+  private void tellAlone(List<VmEntry> list) {
+    DomainView alone = DomainView.alone(options.self());
+    list.stream().map(VmEntry::domain).distinct().forEach(domain -> dispatcher.view(domain, alone));
+  }
+
   private void onChange() {
     dispatcher.update(vms, policies.view().policy());
+    withdrawn.prune(policies.view().policy());
     recheckKeys();
   }
 
@@ -183,6 +237,7 @@
   @Override
   public void start() {
     server.start();
+    peers.ifPresent(PeerHub::start);
     directory.start();
     watcher.start();
     follower.start();
@@ -201,6 +256,21 @@
     return server.port();
   }
 
+  /** Returns what takes the messages of other routers. */
+  public PeerReceiver peerReceiver() {
+    return new Receiver();
+  }
+
+  /** Returns the relays to follow for configuration; empty if this router asks the keepers. */
+  public List<InetSocketAddress> configRelays() {
+    return peers.map(PeerHub::relays).orElse(List.of());
+  }
+
+  /** Returns whether the platform lists an upstream. */
+  public boolean lists(String upstream) {
+    return vms.stream().anyMatch(entry -> entry.name().value().equals(upstream));
+  }
+
   /** Returns the version of the configuration in force. */
   public long configVersion() {
     return policies.version().value();
@@ -227,7 +297,10 @@
   }
 
   @Override
-  public void stop() {
+  public synchronized void stop() {
+    if (stopping) {
+      return;
+    }
     stopping = true;
     pause(options.drainDelay().toMillis());
     draining = true;
@@ -240,6 +313,7 @@
     directory.stop();
     watcher.stop();
     shipper.stop();
+    peers.ifPresent(PeerHub::stop);
     upstreams.close();
     log.info("router {} stopped", options.self());
   }
@@ -262,4 +336,56 @@
       Thread.currentThread().interrupt();
     }
   }
+
+  /** Takes the messages of other routers. */
+  private final class Receiver implements PeerReceiver {
+    @Override
+    public void slots(SlotMessage message) {
+      dispatcher.receive(message);
+    }
+
+    @Override
+    public void gossip(GossipMessage message) {
+      peers.ifPresent(hub -> hub.gossip(message));
+    }
+
+    @Override
+    public void usage(VmId from, List<UsageCount> counts) {
+      peers.ifPresent(hub -> hub.keep(from, counts));
+    }
+
+    @Override
+    public void withdrawn(Collection<KeyDigest> keyDigests) {
+      if (withdrawn.add(keyDigests)) {
+        recheckKeys();
+      }
+    }
+
+    @Override
+    public void withdraw(Collection<KeyDigest> keyDigests) {
+      withdrawn(keyDigests);
+      peers.ifPresent(PeerHub::spreadWithdrawn);
+    }
+
+    @Override
+    public SloSnapshot slo() {
+      return metrics.slo();
+    }
+
+    @Override
+    public RouterAges ages() {
+      long now = System.nanoTime();
+      return new RouterAges(
+          millis(follower.ageNanos(now)),
+          lease.isCurrent(now, 0) ? millis(follower.ageNanos(now)) : -1,
+          millis(watcher.loadAgeNanos(now)),
+          millis(watcher.cacheAgeNanos(now)),
+          configVersion());
+    }
+
+    @Override
+    public ConfigUpdate changes(VmId reader, ConfigPosition position, Duration wait) {
+      return relay.changes(reader, position, wait);
+    }
+  }
 }
--- a/router/src/main/java/io/jacinthquay/router/service/config/PolicyHolder.java
+++ b/router/src/main/java/io/jacinthquay/router/service/config/PolicyHolder.java
@@ -20,6 +20,7 @@
  */
 public final class PolicyHolder {
   private final List<Consumer<PolicyView>> listeners = new CopyOnWriteArrayList<>();
+  private final ConfigHistory history = new ConfigHistory();
   private volatile PolicyView view = PolicyView.of(Policy.empty());
 
   /** Returns the configuration in force. */
@@ -32,6 +33,11 @@
     return view.policy().version();
   }
 
+  /** Returns the latest changes. */
+  public ConfigHistory history() {
+    return history;
+  }
+
   /** Adds a listener, which hears of every later change. */
   public void onChange(Consumer<PolicyView> listener) {
     listeners.add(listener);
@@ -57,6 +63,7 @@
     }
     boolean whole = snapshot || change.edits().stream().anyMatch(PolicyHolder::touchesLists);
     view = whole ? PolicyView.of(next.get()) : view.with(next.get());
+    history.add(change, snapshot);
     listeners.forEach(listener -> listener.accept(view));
     return Either.right(change.version());
   }
--- a/router/src/main/java/io/jacinthquay/router/service/config/WithdrawnKeys.java
+++ b/router/src/main/java/io/jacinthquay/router/service/config/WithdrawnKeys.java
@@ -1,6 +1,8 @@
 package io.jacinthquay.router.service.config;
 
 import io.jacinthquay.model.KeyDigest;
+import io.jacinthquay.model.policy.KeyRecord;
+import io.jacinthquay.model.policy.Policy;
 import java.util.Collection;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -8,7 +10,8 @@
 /**
  * Keys that were withdrawn on this side of a cut and are not yet in the configuration.
  *
- * <p>The set only grows, so that it can be merged in any order.
+ * <p>Withdrawals are final, so that sets can be merged in any order; a key is forgotten here once
+ * the configuration says the same.
  */
 public final class WithdrawnKeys {
   private final Set<KeyDigest> digests = ConcurrentHashMap.newKeySet();
@@ -27,6 +30,11 @@
     return digests.contains(digest);
   }
 
+  /** Forgets the keys that the configuration knows as withdrawn. */
+  public void prune(Policy policy) {
+    digests.removeIf(digest -> policy.key(digest).map(KeyRecord::withdrawn).orElse(false));
+  }
+
   /** Returns all digests. */
   public Set<KeyDigest> all() {
     return Set.copyOf(digests);
--- /dev/null
+++ b/router/src/main/java/io/jacinthquay/router/service/peer/ConfigRelay.java
@@ -0,0 +1,79 @@
+package io.jacinthquay.router.service.peer;
+
+import io.jacinthquay.model.ConfigVersion;
+import io.jacinthquay.model.VmId;
+import io.jacinthquay.model.policy.ConfigChange;
+import io.jacinthquay.model.policy.EntityEdit;
+import io.jacinthquay.model.policy.Policy;
+import io.jacinthquay.router.port.ConfigPosition;
+import io.jacinthquay.router.port.ConfigUpdate;
+import io.jacinthquay.router.service.config.KeyLease;
+import io.jacinthquay.router.service.config.PolicyHolder;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Serves the configuration in force to other routers.
+ *
+ * <p>A reader's key lease never outlasts the relay's own, because the reader counts from when it
+ * asked and the relay grants what is left when it answers.
+ */
+public final class ConfigRelay {
+  /** Silence after which a reader is no longer reported, in nanoseconds. */
+  private static final long FORGET_NANOS = TimeUnit.SECONDS.toNanos(10);
+
+  private final PolicyHolder policies;
+  private final KeyLease lease;
+  private final Map<VmId, Reader> readers = new ConcurrentHashMap<>();
+
+  private record Reader(ConfigPosition position, long heardNanos) {}
+
+  /** Returns a relay of what is in force. */
+  public ConfigRelay(PolicyHolder policies, KeyLease lease) {
+    this.policies = policies;
+    this.lease = lease;
+  }
+
+  /** Returns the versions in force at the readers, by name. */
+  public Map<String, ConfigVersion> relayed() {
+    long now = System.nanoTime();
+    Map<String, ConfigVersion> versions = new HashMap<>();
+    readers.values().removeIf(reader -> now - reader.heardNanos() > FORGET_NANOS);
+    readers.forEach(
+        (name, reader) -> {
+          versions.putAll(reader.position().relayed());
+          versions.put(name.value(), reader.position().inForce());
+        });
+    return versions;
+  }
+
+  /** Waits for something newer than the position and returns it. */
+  public ConfigUpdate changes(VmId reader, ConfigPosition position, Duration wait) {
+    readers.put(reader, new Reader(position, System.nanoTime()));
+    policies.history().awaitNewer(position.inForce(), wait);
+    Policy policy = policies.view().policy();
+    long left = Math.max(0, lease.leftNanos(System.nanoTime()));
+    Duration current = Duration.ofNanos(left);
+    if (policy.version().compareTo(position.inForce()) <= 0) {
+      return new ConfigUpdate(policy.version(), false, List.of(), current);
+    }
+    Optional<List<ConfigChange>> deltas =
+        policies.history().between(position.inForce(), policy.version());
+    return deltas
+        .map(changes -> new ConfigUpdate(policy.version(), false, changes, current))
+        .orElseGet(() -> snapshot(policy, current));
+  }
+
+  private static ConfigUpdate snapshot(Policy policy, Duration current) {
+    List<EntityEdit> edits = new ArrayList<>();
+    policy.entities().forEach((key, json) -> edits.add(EntityEdit.set(key, json)));
+    ConfigChange whole = new ConfigChange(policy.version(), edits);
+    return new ConfigUpdate(policy.version(), true, List.of(whole), current);
+  }
+}
--- a/router/src/main/java/io/jacinthquay/router/service/report/RouterMetrics.java
+++ b/router/src/main/java/io/jacinthquay/router/service/report/RouterMetrics.java
@@ -2,6 +2,10 @@
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
+import io.jacinthquay.decision.slo.SloKey;
+import io.jacinthquay.decision.slo.SloLedger;
+import io.jacinthquay.decision.slo.SloSample;
+import io.jacinthquay.decision.slo.SloSnapshot;
 import io.jacinthquay.model.ClassName;
 import io.jacinthquay.model.ResultCode;
 import io.jacinthquay.model.policy.ClassPolicy;
@@ -27,6 +31,7 @@
           ResultCode.CLAIM_IN_PROGRESS,
           ResultCode.CLAIM_OUTCOME_UNKNOWN);
 
+  private final SloLedger slo = new SloLedger();
   private final MetricRegistry registry;
   private final Function<ClassName, Optional<ClassPolicy>> classes;
   private final LatencyHistograms firstByClass;
@@ -108,21 +113,32 @@
     if (policy.isEmpty() || callerLeft || entry.code().map(this::isCallersOwn).orElse(false)) {
       return;
     }
+    SloKey key = new SloKey(entry.className().get(), entry.customer().orElseThrow());
+    boolean met = slo.record(key, policy.get(), sample(entry), System.currentTimeMillis());
     count("jq_objective_requests_total", "class", name);
-    if (entry.code().isEmpty() && meetsTargets(entry, policy.get())) {
+    if (met) {
       count("jq_objective_met_total", "class", name);
     }
   }
 
-  private boolean isCallersOwn(ResultCode code) {
-    return code.number() < FIRST_SERVICE_CODE || CALLERS_OWN.contains(code);
+  private static SloSample sample(RequestRecord entry) {
+    if (entry.code().isPresent()) {
+      return SloSample.failed();
+    }
+    long token = entry.outputTokens() < 2 ? 0 : interTokenNanos(entry);
+    return new SloSample(
+        true,
+        Math.max(1, TimeUnit.NANOSECONDS.toMicros(entry.firstByteNanos())),
+        TimeUnit.NANOSECONDS.toMicros(Math.max(0, token)));
   }
 
-  private static boolean meetsTargets(RequestRecord entry, ClassPolicy policy) {
-    long firstTarget = TimeUnit.MILLISECONDS.toNanos(policy.firstTokenMs());
-    double tokenTarget = policy.interTokenMs() * TimeUnit.MILLISECONDS.toNanos(1);
-    boolean paced = entry.outputTokens() < 2 || interTokenNanos(entry) <= tokenTarget;
-    return entry.firstByteNanos() <= firstTarget && paced;
+  /** Returns how requests met their targets. */
+  public SloSnapshot slo() {
+    return slo.snapshot(System.currentTimeMillis());
+  }
+
+  private boolean isCallersOwn(ResultCode code) {
+    return code.number() < FIRST_SERVICE_CODE || CALLERS_OWN.contains(code);
   }
 
   private void count(String name, String label, String value) {
--- a/router/src/main/java/io/jacinthquay/router/service/report/UsageCounters.java
+++ b/router/src/main/java/io/jacinthquay/router/service/report/UsageCounters.java
@@ -42,6 +42,7 @@
     private long inputTokens;
     private long outputTokens;
     private boolean changed;
+    private boolean copied;
   }
 
   @Override
@@ -58,6 +59,7 @@
       sum.inputTokens += entry.inputTokens();
       sum.outputTokens += entry.outputTokens();
       sum.changed = true;
+      sum.copied = false;
     }
   }
 
@@ -73,6 +75,19 @@
     return counts;
   }
 
+  /** Returns the counters that changed since this was last asked, for a copy elsewhere. */
+  public synchronized List<UsageCount> uncopied() {
+    List<UsageCount> counts = new ArrayList<>();
+    totals.forEach(
+        (key, sum) -> {
+          if (!sum.copied) {
+            sum.copied = true;
+            counts.add(count(key, sum));
+          }
+        });
+    return counts;
+  }
+
   private UsageCount count(Key key, Totals sum) {
     return new UsageCount(
         incarnation,
--- a/router/src/test/java/io/jacinthquay/router/FaultsTest.java
+++ b/router/src/test/java/io/jacinthquay/router/FaultsTest.java
@@ -151,7 +151,8 @@
   @Test
   void callerThatGoesAwayCancelsItsWork() throws IOException {
     fixture.engine.faults().stallAfterTokens(3);
-    caller.send(RawCaller.post(WholePathTest.CHAT, RouterFixture.KEY, WholePathTest.STREAM));
+    String body = WholePathTest.STREAM.replace("\"max_tokens\":5", "\"max_tokens\":100000");
+    caller.send(RawCaller.post(WholePathTest.CHAT, RouterFixture.KEY, body));
     caller.until("w2 ");
     caller.close();
     RouterFixture.await(() -> fixture.router.activeRequests() == 0);
--- a/router/src/test/java/io/jacinthquay/router/RouterFixture.java
+++ b/router/src/test/java/io/jacinthquay/router/RouterFixture.java
@@ -98,7 +98,7 @@
         RouterOptions.of(new VmId("entry-1"), new DomainId("a"), listen)
             .withUsageWindow(Duration.ofHours(24));
     RouterPorts ports =
-        new RouterPorts(
+        RouterPorts.alone(
             config,
             claims,
             this::ship,
--- a/testkit/src/main/java/io/jacinthquay/testkit/plain/FakePlainService.java
+++ b/testkit/src/main/java/io/jacinthquay/testkit/plain/FakePlainService.java
@@ -12,6 +12,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
 import org.xnio.IoUtils;
 
 /**
@@ -27,11 +28,13 @@
   private static final HttpString REQUEST_ID = new HttpString("x-request-id");
   private static final HttpString NOT_RUN = new HttpString("x-not-run");
   private static final int LONG_ANSWER = 1_000_000;
+  private static final int MAX_TEXT_BYTES = 1_000_000;
 
   private final int port;
   private final List<PlainRun> runs = new ArrayList<>();
   private final List<Runnable> stalled = new ArrayList<>();
   private volatile PlainFault fault = PlainFault.NONE;
+  private final AtomicLong sentBytes = new AtomicLong();
   private volatile int answerBytes;
   private Undertow server;
 
@@ -109,10 +112,23 @@
       case DIE_BEFORE_ANSWER -> IoUtils.safeClose(exchange.getConnection());
       case DIE_WITHIN_ANSWER -> dieWithinAnswer(exchange);
       case STALL -> hold(exchange, number);
-      default -> exchange.getResponseSender().send(text(number));
+      default -> send(exchange, number);
     }
   }
 
+  private void send(HttpServerExchange exchange, int number) {
+    if (answerBytes > MAX_TEXT_BYTES) {
+      new BulkAnswer(exchange, answerBytes, sentBytes).start();
+    } else {
+      exchange.getResponseSender().send(text(number));
+    }
+  }
+
+  /** Returns how many bytes of large answers were sent. */
+  public long sentBytes() {
+    return sentBytes.get();
+  }
+
   private void hold(HttpServerExchange exchange, int number) {
     synchronized (runs) {
       stalled.add(
--- a/wire/src/main/java/io/jacinthquay/wire/gen/RouterReport.java
+++ b/wire/src/main/java/io/jacinthquay/wire/gen/RouterReport.java
@@ -12,19 +12,19 @@
   /**
    * Served by every router on its inner address, for operators.
    */
-  public interface Iface {
+  public interface Iface extends io.jacinthquay.wire.gen.ConfigFeed.Iface {
 
     public SloReport slo() throws io.jacinthquay.wire.gen.CallFailed, org.apache.thrift.TException;
 
   }
 
-  public interface AsyncIface {
+  public interface AsyncIface extends io.jacinthquay.wire.gen.ConfigFeed .AsyncIface {
 
     public void slo(org.apache.thrift.async.AsyncMethodCallback<SloReport> resultHandler) throws org.apache.thrift.TException;
 
   }
 
-  public static class Client extends org.apache.thrift.TServiceClient implements Iface {
+  public static class Client extends io.jacinthquay.wire.gen.ConfigFeed.Client implements Iface {
     public static class Factory implements org.apache.thrift.TServiceClientFactory<Client> {
       public Factory() {}
       @Override
@@ -73,7 +73,7 @@
     }
 
   }
-  public static class AsyncClient extends org.apache.thrift.async.TAsyncClient implements AsyncIface {
+  public static class AsyncClient extends io.jacinthquay.wire.gen.ConfigFeed.AsyncClient implements AsyncIface {
     public static class Factory implements org.apache.thrift.async.TAsyncClientFactory<AsyncClient> {
       private org.apache.thrift.async.TAsyncClientManager clientManager;
       private org.apache.thrift.protocol.TProtocolFactory protocolFactory;
@@ -125,7 +125,7 @@
 
   }
 
-  public static class Processor<I extends Iface> extends org.apache.thrift.TBaseProcessor<I> implements org.apache.thrift.TProcessor {
+  public static class Processor<I extends Iface> extends io.jacinthquay.wire.gen.ConfigFeed.Processor<I> implements org.apache.thrift.TProcessor {
     private static final org.slf4j.Logger _LOGGER = org.slf4j.LoggerFactory.getLogger(Processor.class.getName());
     public Processor(I iface) {
       super(iface, getProcessMap(new java.util.HashMap<java.lang.String, org.apache.thrift.ProcessFunction<I, ? extends org.apache.thrift.TBase>>()));
@@ -174,7 +174,7 @@
 
   }
 
-  public static class AsyncProcessor<I extends AsyncIface> extends org.apache.thrift.TBaseAsyncProcessor<I> {
+  public static class AsyncProcessor<I extends AsyncIface> extends io.jacinthquay.wire.gen.ConfigFeed.AsyncProcessor<I> {
     private static final org.slf4j.Logger _LOGGER = org.slf4j.LoggerFactory.getLogger(AsyncProcessor.class.getName());
     public AsyncProcessor(I iface) {
       super(iface, getProcessMap(new java.util.HashMap<java.lang.String, org.apache.thrift.AsyncProcessFunction<I, ? extends org.apache.thrift.TBase, ?>>()));
--- a/wire/src/main/thrift/report.thrift
+++ b/wire/src/main/thrift/report.thrift
@@ -36,6 +36,6 @@
 }
 
 /** Served by every router on its inner address, for operators. */
-service RouterReport {
+service RouterReport extends keeper.ConfigFeed {
   SloReport slo() throws (1: keeper.CallFailed failed)
 }
