--- a/decision/src/main/java/io/jacinthquay/decision/slots/SlotOptions.java
+++ b/decision/src/main/java/io/jacinthquay/decision/slots/SlotOptions.java
@@ -44,10 +44,17 @@
     }
   }
 
+  /**
+   * Returns the time from the last word with a router after which neither side counts on the other.
+   */
+  public long lapseNanos() {
+    return leaseNanos + 2 * marginNanos;
+  }
+
   /** Returns the values for a failure domain whose VMs are under a millisecond apart. */
   public static SlotOptions defaults() {
     return new SlotOptions(
-        2_000 * MILLISECOND,
+        1_500 * MILLISECOND,
         100 * MILLISECOND,
         500 * MILLISECOND,
         50 * MILLISECOND,
--- a/decision/src/main/java/io/jacinthquay/decision/slots/SlotTable.java
+++ b/decision/src/main/java/io/jacinthquay/decision/slots/SlotTable.java
@@ -6,6 +6,7 @@
 import io.jacinthquay.model.UpstreamId;
 import io.jacinthquay.model.VmId;
 import io.jacinthquay.model.policy.ClassPolicy;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -162,11 +163,6 @@
     }
   }
 
-  /** Returns all slots that count, those of lost sessions included. */
-  int granted() {
-    return upstreams.values().stream().mapToInt(upstream -> upstream.granted).sum();
-  }
-
   /** Grants a slot. */
   Slot grant(long nowNanos, Session session, UpstreamSlots upstream) {
     grants++;
@@ -178,6 +174,14 @@
     UpstreamSlots known = upstreams.computeIfAbsent(upstream, this::leavingUpstream);
     grants++;
     insert(id, nowNanos, session, known);
+    change(known, () -> known.inherited++);
+    session.inherited.merge(known, 1, Integer::sum);
+  }
+
+  /** Forgets what a router had from a former owner. */
+  void disinherit(Session session) {
+    session.inherited.forEach((upstream, count) -> upstream.inherited -= count);
+    session.inherited.clear();
   }
 
   /** Returns an upstream that counts what runs on it and gets no more. */
@@ -188,9 +192,9 @@
   }
 
   private Slot insert(SlotId id, long nowNanos, Session session, UpstreamSlots upstream) {
-    Slot slot = new Slot(id, session.router, upstream, grants, nowNanos);
-    slot.session = session;
+    Slot slot = new Slot(id, session, upstream, grants, nowNanos);
     slots.put(id, slot);
+    upstream.slots.add(slot);
     session.holds(slot);
     session.idle++;
     idle.add(slot);
@@ -230,11 +234,14 @@
   record Usage(ClassPolicy policy, boolean floor) {}
 
   /** Takes a slot back. */
-  void release(Slot slot) {
+  void release(long nowNanos, Slot slot) {
     boolean unused = slot.idle();
+    if (!unused) {
+      slot.upstream.evidence.ended(slot.startedAtNanos, nowNanos);
+    }
     detach(slot);
     slots.remove(slot.id);
-    slot.upstream.orphans.remove(slot);
+    slot.upstream.slots.remove(slot);
     change(
         slot.upstream,
         () -> {
@@ -243,16 +250,22 @@
         });
   }
 
-  /** Keeps counting a slot whose session is lost until its work is known to have ended. */
-  void orphan(Slot slot, long nowNanos, long untilNanos) {
+  /**
+   * Keeps counting a slot whose session is lost until its work is known to have ended.
+   *
+   * @param sinceNanos when its router can no longer replace the work by other work
+   * @param untilNanos when it counts no longer in any case
+   */
+  void orphan(Slot slot, long sinceNanos, long untilNanos) {
     if (slot.idle()) {
       slot.upstream.idle--;
     }
     detach(slot);
     slot.session = null;
-    slot.orphanSinceNanos = nowNanos;
+    slot.orphanSinceNanos = sinceNanos;
     slot.orphanUntilNanos = untilNanos;
     slots.remove(slot.id);
+    slot.upstream.slots.remove(slot);
     slot.upstream.orphans.add(slot);
   }
 
@@ -262,13 +275,13 @@
     change(slot.upstream, () -> slot.upstream.granted--);
   }
 
-  /** Stops counting a slot of a lost session, because its router is back with it. */
-  void dropOrphan(SlotId id, UpstreamId upstream) {
-    UpstreamSlots known = upstreams.get(upstream);
-    if (known == null) {
-      return;
+  /** Stops counting what a router ran in a lost session, because it now tells what it runs. */
+  void dropOrphans(Session session) {
+    for (UpstreamSlots upstream : upstreams.values()) {
+      List<Slot> known = new ArrayList<>(upstream.orphans);
+      known.removeIf(slot -> !slot.heldBy(session));
+      known.forEach(this::dropOrphan);
     }
-    known.orphans.stream().filter(o -> o.id.equals(id)).findFirst().ifPresent(this::dropOrphan);
   }
 
   private void detach(Slot slot) {
--- /dev/null
+++ b/standalone/src/main/java/io/jacinthquay/standalone/StandaloneService.java
@@ -0,0 +1,136 @@
+package io.jacinthquay.standalone;
+
+import io.jacinthquay.controller.ControllerService;
+import io.jacinthquay.controller.ControllerSettings;
+import io.jacinthquay.keeper.KeeperOptions;
+import io.jacinthquay.keeper.KeeperService;
+import io.jacinthquay.model.DomainId;
+import io.jacinthquay.model.UsageWindow;
+import io.jacinthquay.model.VmId;
+import io.jacinthquay.router.RouterAssembly;
+import io.jacinthquay.router.RouterEndpoints;
+import io.jacinthquay.router.service.RouterOptions;
+import io.jacinthquay.router.service.RouterService;
+import io.jacinthquay.runtime.Service;
+import io.jacinthquay.runtime.tls.PeerName;
+import io.jacinthquay.runtime.tls.PeerRole;
+import io.jacinthquay.testkit.platform.PlatformLedger;
+import io.jacinthquay.wire.client.KeeperClient;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+
+/**
+ * Runs a keeper, a router, a controller and the fakes in one process.
+ *
+ * <pre>{@code
+ * StandaloneService service = new StandaloneService(settings);
+ * service.start();
+ * int port = service.routerPort();
+ * }</pre>
+ */
+final class StandaloneService implements Service {
+  static final int WATERMARK_MILLIS = 2_000;
+
+  private static final PeerName KEEPER = new PeerName("keeper-1", PeerRole.KEEPER);
+  private static final PeerName ROUTER = new PeerName("entry-1", PeerRole.ROUTER);
+  private static final PeerName CONTROLLER = new PeerName("controller-1", PeerRole.CONTROLLER);
+  private static final PeerName OPERATOR = new PeerName("operator-1", PeerRole.OPERATOR);
+  private static final Duration KEEPER_TIMEOUT = Duration.ofSeconds(5);
+
+  private final StandaloneSettings settings;
+  private final Identities identities;
+  private final EmbeddedPlatform platform = new EmbeddedPlatform();
+  private final Deque<Service> running = new ArrayDeque<>();
+  private InetSocketAddress keeperAddress;
+  private KeeperClient operator;
+  private RouterService router;
+
+  StandaloneService(StandaloneSettings settings) {
+    this.settings = settings;
+    this.identities = new Identities(settings.folder().resolve("tls"));
+  }
+
+  @Override
+  public void start() {
+    run(platform);
+    startKeeper();
+    operator = client(OPERATOR);
+    new OperatorSession(operator).applyEmbeddedPolicy();
+    router = newRouter();
+    run(router);
+    run(newController());
+  }
+
+  private void run(Service service) {
+    service.start();
+    running.push(service);
+  }
+
+  private void startKeeper() {
+    InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+    KeeperOptions options =
+        KeeperOptions.single(
+            KEEPER.name(), any, settings.folder().resolve("keeper"), identities.identity(KEEPER));
+    KeeperService keeper = new KeeperService(options);
+    run(keeper);
+    keeperAddress = new InetSocketAddress(any.getAddress(), keeper.port());
+  }
+
+  private KeeperClient client(PeerName peer) {
+    return new KeeperClient(List.of(keeperAddress), identities.identity(peer), KEEPER_TIMEOUT);
+  }
+
+  private RouterService newRouter() {
+    VmId self = new VmId(ROUTER.name());
+    DomainId domain = new DomainId(EmbeddedPlatform.DOMAIN);
+    RouterOptions options =
+        RouterOptions.of(self, domain, settings.listen())
+            .withUsageWindow(Duration.ofMillis(UsageWindow.LENGTH_MILLIS));
+    RouterEndpoints endpoints =
+        new RouterEndpoints(
+            List.of(keeperAddress), platform.address(), identities.identity(ROUTER));
+    return RouterAssembly.create(options, endpoints);
+  }
+
+  private ControllerService newController() {
+    return new ControllerService(
+        new ControllerSettings(
+            CONTROLLER.name(),
+            new DomainId(EmbeddedPlatform.DOMAIN),
+            List.of(keeperAddress),
+            platform.address(),
+            identities.folder(CONTROLLER),
+            WATERMARK_MILLIS));
+  }
+
+  int routerPort() {
+    return router.port();
+  }
+
+  boolean isReady() {
+    return router.isReady() && router.upstreams() > 0;
+  }
+
+  OperatorSession operator() {
+    return new OperatorSession(operator);
+  }
+
+  PlatformLedger ledger() {
+    return platform.ledger();
+  }
+
+  @Override
+  public void stop() {
+    while (!running.isEmpty()) {
+      Service service = running.pop();
+      service.stop();
+    }
+    if (operator != null) {
+      operator.close();
+    }
+  }
+}
--- a/wire/src/main/java/io/jacinthquay/wire/convert/SlotMessages.java
+++ b/wire/src/main/java/io/jacinthquay/wire/convert/SlotMessages.java
@@ -61,7 +61,11 @@
     return new ToOwnerMessage(
         scope(message.scope()),
         new ClientStampMessage(
-            stamp.router().value(), stamp.incarnation(), stamp.sequence(), stamp.sentAtNanos()),
+            stamp.router().value(),
+            stamp.incarnation(),
+            stamp.sequence(),
+            stamp.sentAtNanos(),
+            stamp.heardNanos()),
         body(message));
   }
 
@@ -118,7 +122,12 @@
     OwnerStamp stamp = message.stamp();
     return new ToClientMessage(
         scope(message.scope()),
-        new OwnerStampMessage(stamp.owner().value(), stamp.incarnation(), stamp.basisNanos()),
+        new OwnerStampMessage(
+            stamp.owner().value(),
+            stamp.incarnation(),
+            stamp.basisNanos(),
+            stamp.leaseNanos(),
+            stamp.sentAtNanos()),
         body(message));
   }
 
@@ -154,7 +163,11 @@
     ClientStampMessage s = message.getStamp();
     ClientStamp stamp =
         new ClientStamp(
-            new VmId(s.getRouter()), s.getIncarnation(), s.getSequence(), s.getSentAtNanos());
+            new VmId(s.getRouter()),
+            s.getIncarnation(),
+            s.getSequence(),
+            s.getSentAtNanos(),
+            s.getHeardNanos());
     ToOwnerBody body = message.getBody();
     return switch (body.getSetField()) {
       case SYNC -> sync(scope, stamp, body.getSync());
@@ -217,7 +230,12 @@
     SlotScope scope = scope(message.getScope());
     OwnerStampMessage s = message.getStamp();
     OwnerStamp stamp =
-        new OwnerStamp(new VmId(s.getOwner()), s.getIncarnation(), s.getBasisNanos());
+        new OwnerStamp(
+            new VmId(s.getOwner()),
+            s.getIncarnation(),
+            s.getBasisNanos(),
+            s.getLeaseNanos(),
+            s.getSentAtNanos());
     ToClientBody body = message.getBody();
     return switch (body.getSetField()) {
       case GRANT -> grant(scope, stamp, body.getGrant());
--- a/wire/src/main/java/io/jacinthquay/wire/gen/ClientStampMessage.java
+++ b/wire/src/main/java/io/jacinthquay/wire/gen/ClientStampMessage.java
@@ -17,6 +17,7 @@
   private static final org.apache.thrift.protocol.TField INCARNATION_FIELD_DESC = new org.apache.thrift.protocol.TField("incarnation", org.apache.thrift.protocol.TType.I64, (short)2);
   private static final org.apache.thrift.protocol.TField SEQUENCE_FIELD_DESC = new org.apache.thrift.protocol.TField("sequence", org.apache.thrift.protocol.TType.I64, (short)3);
   private static final org.apache.thrift.protocol.TField SENT_AT_NANOS_FIELD_DESC = new org.apache.thrift.protocol.TField("sentAtNanos", org.apache.thrift.protocol.TType.I64, (short)4);
+  private static final org.apache.thrift.protocol.TField HEARD_NANOS_FIELD_DESC = new org.apache.thrift.protocol.TField("heardNanos", org.apache.thrift.protocol.TType.I64, (short)5);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new ClientStampMessageStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new ClientStampMessageTupleSchemeFactory();
@@ -25,13 +26,18 @@
   private long incarnation; // required
   private long sequence; // required
   private long sentAtNanos; // required
+  private long heardNanos; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     ROUTER((short)1, "router"),
     INCARNATION((short)2, "incarnation"),
     SEQUENCE((short)3, "sequence"),
-    SENT_AT_NANOS((short)4, "sentAtNanos");
+    SENT_AT_NANOS((short)4, "sentAtNanos"),
+    /**
+     * The latest clock reading of the owner that the sender has taken in.
+     */
+    HEARD_NANOS((short)5, "heardNanos");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -55,6 +61,8 @@
           return SEQUENCE;
         case 4: // SENT_AT_NANOS
           return SENT_AT_NANOS;
+        case 5: // HEARD_NANOS
+          return HEARD_NANOS;
         default:
           return null;
       }
@@ -101,6 +109,7 @@
   private static final int __INCARNATION_ISSET_ID = 0;
   private static final int __SEQUENCE_ISSET_ID = 1;
   private static final int __SENTATNANOS_ISSET_ID = 2;
+  private static final int __HEARDNANOS_ISSET_ID = 3;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
@@ -113,6 +122,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.SENT_AT_NANOS, new org.apache.thrift.meta_data.FieldMetaData("sentAtNanos", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.HEARD_NANOS, new org.apache.thrift.meta_data.FieldMetaData("heardNanos", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ClientStampMessage.class, metaDataMap);
   }
@@ -124,7 +135,8 @@
     java.lang.String router,
     long incarnation,
     long sequence,
-    long sentAtNanos)
+    long sentAtNanos,
+    long heardNanos)
   {
     this();
     this.router = router;
@@ -134,6 +146,8 @@
     setSequenceIsSet(true);
     this.sentAtNanos = sentAtNanos;
     setSentAtNanosIsSet(true);
+    this.heardNanos = heardNanos;
+    setHeardNanosIsSet(true);
   }
 
   /**
@@ -147,6 +161,7 @@
     this.incarnation = other.incarnation;
     this.sequence = other.sequence;
     this.sentAtNanos = other.sentAtNanos;
+    this.heardNanos = other.heardNanos;
   }
 
   @Override
@@ -163,6 +178,8 @@
     this.sequence = 0;
     setSentAtNanosIsSet(false);
     this.sentAtNanos = 0;
+    setHeardNanosIsSet(false);
+    this.heardNanos = 0;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -259,6 +276,35 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SENTATNANOS_ISSET_ID, value);
   }
 
+  /**
+   * The latest clock reading of the owner that the sender has taken in.
+   */
+  public long getHeardNanos() {
+    return this.heardNanos;
+  }
+
+  /**
+   * The latest clock reading of the owner that the sender has taken in.
+   */
+  public ClientStampMessage setHeardNanos(long heardNanos) {
+    this.heardNanos = heardNanos;
+    setHeardNanosIsSet(true);
+    return this;
+  }
+
+  public void unsetHeardNanos() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __HEARDNANOS_ISSET_ID);
+  }
+
+  /** Returns true if field heardNanos is set (has been assigned a value) and false otherwise */
+  public boolean isSetHeardNanos() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __HEARDNANOS_ISSET_ID);
+  }
+
+  public void setHeardNanosIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __HEARDNANOS_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -294,6 +340,14 @@
       }
       break;
 
+    case HEARD_NANOS:
+      if (value == null) {
+        unsetHeardNanos();
+      } else {
+        setHeardNanos((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -313,6 +367,9 @@
     case SENT_AT_NANOS:
       return getSentAtNanos();
 
+    case HEARD_NANOS:
+      return getHeardNanos();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -333,6 +390,8 @@
       return isSetSequence();
     case SENT_AT_NANOS:
       return isSetSentAtNanos();
+    case HEARD_NANOS:
+      return isSetHeardNanos();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -386,6 +445,15 @@
         return false;
     }
 
+    boolean this_present_heardNanos = true;
+    boolean that_present_heardNanos = true;
+    if (this_present_heardNanos || that_present_heardNanos) {
+      if (!(this_present_heardNanos && that_present_heardNanos))
+        return false;
+      if (this.heardNanos != that.heardNanos)
+        return false;
+    }
+
     return true;
   }
 
@@ -403,6 +471,8 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(sentAtNanos);
 
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(heardNanos);
+
     return hashCode;
   }
 
@@ -454,6 +524,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetHeardNanos(), other.isSetHeardNanos());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetHeardNanos()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.heardNanos, other.heardNanos);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -497,6 +577,10 @@
     sb.append("sentAtNanos:");
     sb.append(this.sentAtNanos);
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("heardNanos:");
+    sb.append(this.heardNanos);
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -576,6 +660,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 5: // HEARD_NANOS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.heardNanos = iprot.readI64();
+              struct.setHeardNanosIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -606,6 +698,9 @@
       oprot.writeFieldBegin(SENT_AT_NANOS_FIELD_DESC);
       oprot.writeI64(struct.sentAtNanos);
       oprot.writeFieldEnd();
+      oprot.writeFieldBegin(HEARD_NANOS_FIELD_DESC);
+      oprot.writeI64(struct.heardNanos);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -637,7 +732,10 @@
       if (struct.isSetSentAtNanos()) {
         optionals.set(3);
       }
-      oprot.writeBitSet(optionals, 4);
+      if (struct.isSetHeardNanos()) {
+        optionals.set(4);
+      }
+      oprot.writeBitSet(optionals, 5);
       if (struct.isSetRouter()) {
         oprot.writeString(struct.router);
       }
@@ -650,12 +748,15 @@
       if (struct.isSetSentAtNanos()) {
         oprot.writeI64(struct.sentAtNanos);
       }
+      if (struct.isSetHeardNanos()) {
+        oprot.writeI64(struct.heardNanos);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, ClientStampMessage struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(4);
+      java.util.BitSet incoming = iprot.readBitSet(5);
       if (incoming.get(0)) {
         struct.router = iprot.readString();
         struct.setRouterIsSet(true);
@@ -672,6 +773,10 @@
         struct.sentAtNanos = iprot.readI64();
         struct.setSentAtNanosIsSet(true);
       }
+      if (incoming.get(4)) {
+        struct.heardNanos = iprot.readI64();
+        struct.setHeardNanosIsSet(true);
+      }
     }
   }
 
--- a/wire/src/main/java/io/jacinthquay/wire/gen/OwnerStampMessage.java
+++ b/wire/src/main/java/io/jacinthquay/wire/gen/OwnerStampMessage.java
@@ -16,6 +16,8 @@
   private static final org.apache.thrift.protocol.TField OWNER_FIELD_DESC = new org.apache.thrift.protocol.TField("owner", org.apache.thrift.protocol.TType.STRING, (short)1);
   private static final org.apache.thrift.protocol.TField INCARNATION_FIELD_DESC = new org.apache.thrift.protocol.TField("incarnation", org.apache.thrift.protocol.TType.I64, (short)2);
   private static final org.apache.thrift.protocol.TField BASIS_NANOS_FIELD_DESC = new org.apache.thrift.protocol.TField("basisNanos", org.apache.thrift.protocol.TType.I64, (short)3);
+  private static final org.apache.thrift.protocol.TField LEASE_NANOS_FIELD_DESC = new org.apache.thrift.protocol.TField("leaseNanos", org.apache.thrift.protocol.TType.I64, (short)4);
+  private static final org.apache.thrift.protocol.TField SENT_AT_NANOS_FIELD_DESC = new org.apache.thrift.protocol.TField("sentAtNanos", org.apache.thrift.protocol.TType.I64, (short)5);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new OwnerStampMessageStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new OwnerStampMessageTupleSchemeFactory();
@@ -23,12 +25,16 @@
   private @org.apache.thrift.annotation.Nullable java.lang.String owner; // required
   private long incarnation; // required
   private long basisNanos; // required
+  private long leaseNanos; // required
+  private long sentAtNanos; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     OWNER((short)1, "owner"),
     INCARNATION((short)2, "incarnation"),
-    BASIS_NANOS((short)3, "basisNanos");
+    BASIS_NANOS((short)3, "basisNanos"),
+    LEASE_NANOS((short)4, "leaseNanos"),
+    SENT_AT_NANOS((short)5, "sentAtNanos");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -50,6 +56,10 @@
           return INCARNATION;
         case 3: // BASIS_NANOS
           return BASIS_NANOS;
+        case 4: // LEASE_NANOS
+          return LEASE_NANOS;
+        case 5: // SENT_AT_NANOS
+          return SENT_AT_NANOS;
         default:
           return null;
       }
@@ -95,6 +105,8 @@
   // isset id assignments
   private static final int __INCARNATION_ISSET_ID = 0;
   private static final int __BASISNANOS_ISSET_ID = 1;
+  private static final int __LEASENANOS_ISSET_ID = 2;
+  private static final int __SENTATNANOS_ISSET_ID = 3;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
@@ -105,6 +117,10 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.BASIS_NANOS, new org.apache.thrift.meta_data.FieldMetaData("basisNanos", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.LEASE_NANOS, new org.apache.thrift.meta_data.FieldMetaData("leaseNanos", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.SENT_AT_NANOS, new org.apache.thrift.meta_data.FieldMetaData("sentAtNanos", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(OwnerStampMessage.class, metaDataMap);
   }
@@ -115,7 +131,9 @@
   public OwnerStampMessage(
     java.lang.String owner,
     long incarnation,
-    long basisNanos)
+    long basisNanos,
+    long leaseNanos,
+    long sentAtNanos)
   {
     this();
     this.owner = owner;
@@ -123,6 +141,10 @@
     setIncarnationIsSet(true);
     this.basisNanos = basisNanos;
     setBasisNanosIsSet(true);
+    this.leaseNanos = leaseNanos;
+    setLeaseNanosIsSet(true);
+    this.sentAtNanos = sentAtNanos;
+    setSentAtNanosIsSet(true);
   }
 
   /**
@@ -135,6 +157,8 @@
     }
     this.incarnation = other.incarnation;
     this.basisNanos = other.basisNanos;
+    this.leaseNanos = other.leaseNanos;
+    this.sentAtNanos = other.sentAtNanos;
   }
 
   @Override
@@ -149,6 +173,10 @@
     this.incarnation = 0;
     setBasisNanosIsSet(false);
     this.basisNanos = 0;
+    setLeaseNanosIsSet(false);
+    this.leaseNanos = 0;
+    setSentAtNanosIsSet(false);
+    this.sentAtNanos = 0;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -222,6 +250,52 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __BASISNANOS_ISSET_ID, value);
   }
 
+  public long getLeaseNanos() {
+    return this.leaseNanos;
+  }
+
+  public OwnerStampMessage setLeaseNanos(long leaseNanos) {
+    this.leaseNanos = leaseNanos;
+    setLeaseNanosIsSet(true);
+    return this;
+  }
+
+  public void unsetLeaseNanos() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __LEASENANOS_ISSET_ID);
+  }
+
+  /** Returns true if field leaseNanos is set (has been assigned a value) and false otherwise */
+  public boolean isSetLeaseNanos() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __LEASENANOS_ISSET_ID);
+  }
+
+  public void setLeaseNanosIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __LEASENANOS_ISSET_ID, value);
+  }
+
+  public long getSentAtNanos() {
+    return this.sentAtNanos;
+  }
+
+  public OwnerStampMessage setSentAtNanos(long sentAtNanos) {
+    this.sentAtNanos = sentAtNanos;
+    setSentAtNanosIsSet(true);
+    return this;
+  }
+
+  public void unsetSentAtNanos() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SENTATNANOS_ISSET_ID);
+  }
+
+  /** Returns true if field sentAtNanos is set (has been assigned a value) and false otherwise */
+  public boolean isSetSentAtNanos() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SENTATNANOS_ISSET_ID);
+  }
+
+  public void setSentAtNanosIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SENTATNANOS_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -249,6 +323,22 @@
       }
       break;
 
+    case LEASE_NANOS:
+      if (value == null) {
+        unsetLeaseNanos();
+      } else {
+        setLeaseNanos((java.lang.Long)value);
+      }
+      break;
+
+    case SENT_AT_NANOS:
+      if (value == null) {
+        unsetSentAtNanos();
+      } else {
+        setSentAtNanos((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -265,6 +355,12 @@
     case BASIS_NANOS:
       return getBasisNanos();
 
+    case LEASE_NANOS:
+      return getLeaseNanos();
+
+    case SENT_AT_NANOS:
+      return getSentAtNanos();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -283,6 +379,10 @@
       return isSetIncarnation();
     case BASIS_NANOS:
       return isSetBasisNanos();
+    case LEASE_NANOS:
+      return isSetLeaseNanos();
+    case SENT_AT_NANOS:
+      return isSetSentAtNanos();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -327,6 +427,24 @@
         return false;
     }
 
+    boolean this_present_leaseNanos = true;
+    boolean that_present_leaseNanos = true;
+    if (this_present_leaseNanos || that_present_leaseNanos) {
+      if (!(this_present_leaseNanos && that_present_leaseNanos))
+        return false;
+      if (this.leaseNanos != that.leaseNanos)
+        return false;
+    }
+
+    boolean this_present_sentAtNanos = true;
+    boolean that_present_sentAtNanos = true;
+    if (this_present_sentAtNanos || that_present_sentAtNanos) {
+      if (!(this_present_sentAtNanos && that_present_sentAtNanos))
+        return false;
+      if (this.sentAtNanos != that.sentAtNanos)
+        return false;
+    }
+
     return true;
   }
 
@@ -342,6 +460,10 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(basisNanos);
 
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(leaseNanos);
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(sentAtNanos);
+
     return hashCode;
   }
 
@@ -383,6 +505,26 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetLeaseNanos(), other.isSetLeaseNanos());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetLeaseNanos()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.leaseNanos, other.leaseNanos);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetSentAtNanos(), other.isSetSentAtNanos());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetSentAtNanos()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.sentAtNanos, other.sentAtNanos);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -422,6 +564,14 @@
     sb.append("basisNanos:");
     sb.append(this.basisNanos);
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("leaseNanos:");
+    sb.append(this.leaseNanos);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("sentAtNanos:");
+    sb.append(this.sentAtNanos);
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -493,6 +643,22 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 4: // LEASE_NANOS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.leaseNanos = iprot.readI64();
+              struct.setLeaseNanosIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 5: // SENT_AT_NANOS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.sentAtNanos = iprot.readI64();
+              struct.setSentAtNanosIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -520,6 +686,12 @@
       oprot.writeFieldBegin(BASIS_NANOS_FIELD_DESC);
       oprot.writeI64(struct.basisNanos);
       oprot.writeFieldEnd();
+      oprot.writeFieldBegin(LEASE_NANOS_FIELD_DESC);
+      oprot.writeI64(struct.leaseNanos);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(SENT_AT_NANOS_FIELD_DESC);
+      oprot.writeI64(struct.sentAtNanos);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -548,7 +720,13 @@
       if (struct.isSetBasisNanos()) {
         optionals.set(2);
       }
-      oprot.writeBitSet(optionals, 3);
+      if (struct.isSetLeaseNanos()) {
+        optionals.set(3);
+      }
+      if (struct.isSetSentAtNanos()) {
+        optionals.set(4);
+      }
+      oprot.writeBitSet(optionals, 5);
       if (struct.isSetOwner()) {
         oprot.writeString(struct.owner);
       }
@@ -558,12 +736,18 @@
       if (struct.isSetBasisNanos()) {
         oprot.writeI64(struct.basisNanos);
       }
+      if (struct.isSetLeaseNanos()) {
+        oprot.writeI64(struct.leaseNanos);
+      }
+      if (struct.isSetSentAtNanos()) {
+        oprot.writeI64(struct.sentAtNanos);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, OwnerStampMessage struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(3);
+      java.util.BitSet incoming = iprot.readBitSet(5);
       if (incoming.get(0)) {
         struct.owner = iprot.readString();
         struct.setOwnerIsSet(true);
@@ -576,6 +760,14 @@
         struct.basisNanos = iprot.readI64();
         struct.setBasisNanosIsSet(true);
       }
+      if (incoming.get(3)) {
+        struct.leaseNanos = iprot.readI64();
+        struct.setLeaseNanosIsSet(true);
+      }
+      if (incoming.get(4)) {
+        struct.sentAtNanos = iprot.readI64();
+        struct.setSentAtNanosIsSet(true);
+      }
     }
   }
 
--- a/wire/src/main/thrift/peer.thrift
+++ b/wire/src/main/thrift/peer.thrift
@@ -22,6 +22,8 @@
   2: i64 incarnation
   3: i64 sequence
   4: i64 sentAtNanos
+  /** The latest clock reading of the owner that the sender has taken in. */
+  5: i64 heardNanos
 }
 
 /** Which owner sent a message, and the receiver's clock that its session counts from. */
@@ -29,6 +31,8 @@
   1: string owner
   2: i64 incarnation
   3: i64 basisNanos
+  4: i64 leaseNanos
+  5: i64 sentAtNanos
 }
 
 struct SlotRequestMessage {
