--- /dev/null
+++ b/bench/src/main/java/io/jacinthquay/bench/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Trials of the membership with many members in one process and virtual time. */
+package io.jacinthquay.bench.membership;
