Spill by the wait for slots and move requests that wait long

Cause: with one straggler or a shrunken failure domain, requests queued for local slots while other domains had room; placement saw only what ran.

Change: the table learns the wait for slots per domain and tier, and the router of the experiments ranks waiting requests anew after 200 ms.

Ruled out: one wait for all tiers, which would send the highest tier away because the lowest waits.

--- a/bench/src/main/java/io/jacinthquay/bench/experiment/AdmissionRouter.java
+++ b/bench/src/main/java/io/jacinthquay/bench/experiment/AdmissionRouter.java
@@ -37,15 +37,23 @@
   private static final ModelName MODEL = new ModelName("model");
   private static final long TICK_NANOS = 5 * World.MILLISECOND;
   private static final long HEALTH_NANOS = 100 * World.MILLISECOND;
+
+  /** Wait after which a request is ranked anew, in nanoseconds. */
+  private static final long REVIEW_NANOS = 200 * World.MILLISECOND;
+
   private static final int MAX_OUTPUT_TOKENS = 4_096;
   private static final int PREFERRED = 8;
 
   /** Output tokens between two corrections of what a request costs. */
   private static final int PROGRESS_TOKENS = 64;
 
+  /** Where and when a slot was asked for. */
+  private record Asked(DomainId domain, long at) {}
+
   private final Admission admission;
   private final OutputEstimator estimator = new OutputEstimator();
   private final Map<RequestId, SimRequest> requests = new HashMap<>();
+  private final Map<RequestId, Asked> asked = new HashMap<>();
 
   AdmissionRouter(World world, VmId id, DomainId domain, Function<UpstreamTable, Placer> placers) {
     super(world, id, domain, placers);
@@ -64,9 +72,31 @@
       run(admission.upstreams(world.now(), new SlotScope(POOL, domain), specs(domain)));
     }
     world.events.every(HEALTH_NANOS, this::updateUpstreams);
+    world.events.every(HEALTH_NANOS, this::reviewWaiting);
     world.events.every(TICK_NANOS, () -> run(admission.tick(world.now())));
   }
 
+  /** Tells placement of requests that wait for long, and moves them where a slot comes sooner. */
+  private void reviewWaiting() {
+    for (RequestId id : List.copyOf(asked.keySet())) {
+      SimRequest request = requests.get(id);
+      Asked ask = asked.get(id);
+      long waited = world.now() - ask.at();
+      if (waited >= REVIEW_NANOS) {
+        table.slotWait(ask.domain(), request.classPolicy.tier(), waited, world.now());
+        move(request, ask);
+      }
+    }
+  }
+
+  private void move(SimRequest request, Asked ask) {
+    List<Placement> ranked = placer.rank(placement(request), u -> true, 1, world.now(), random);
+    if (!ranked.isEmpty() && !ranked.get(0).domain().equals(ask.domain())) {
+      run(admission.cancel(world.now(), request.id));
+      enqueue(request);
+    }
+  }
+
   /** Takes ejected upstreams out of the scope that this router may own. */
   private void updateUpstreams() {
     Set<UpstreamId> closed = table.closed(world.now());
@@ -105,6 +135,7 @@
       return;
     }
     requests.put(request.id, request);
+    asked.put(request.id, new Asked(preference.domain(), world.now()));
     run(
         admission.submit(
             world.now(),
@@ -133,8 +164,10 @@
   private void run(List<AdmissionAction> actions) {
     for (AdmissionAction action : actions) {
       if (action instanceof AdmissionAction.Dispatch dispatch) {
+        granted(requests.get(dispatch.request()));
         send(requests.get(dispatch.request()), dispatch.upstream());
       } else if (action instanceof AdmissionAction.Refuse refuse) {
+        granted(requests.get(refuse.request()));
         refused(requests.remove(refuse.request()));
       } else if (action instanceof AdmissionAction.Preempt preempt) {
         preempt(requests.get(preempt.request()));
@@ -144,6 +177,15 @@
     }
   }
 
+  /** Records how long a request waited for its slot or its refusal. */
+  private void granted(SimRequest request) {
+    Asked ask = asked.remove(request.id);
+    if (ask != null) {
+      long waited = world.now() - ask.at();
+      table.slotWait(ask.domain(), request.classPolicy.tier(), waited, world.now());
+    }
+  }
+
   private void deliver(AdmissionAction.Send send) {
     for (RouterNode router : world.routers) {
       if (router.id.equals(send.to()) && world.reachable(domain(), router.domain())) {
@@ -178,6 +220,7 @@
   @Override
   void withdraw(SimRequest request) {
     requests.remove(request.id);
+    asked.remove(request.id);
     run(admission.cancel(world.now(), request.id));
   }
 
--- a/bench/src/main/java/io/jacinthquay/bench/experiment/RouterNode.java
+++ b/bench/src/main/java/io/jacinthquay/bench/experiment/RouterNode.java
@@ -99,7 +99,8 @@
   PlacementRequest placement(SimRequest r) {
     Set<UpstreamId> excluded = failedOn.getOrDefault(r, Set.of());
     int prompt = r.promptTokens + r.delivered;
-    return new PlacementRequest(r.prefix, prompt, r.outputTokens - r.delivered, excluded);
+    return new PlacementRequest(
+        r.prefix, prompt, r.outputTokens - r.delivered, r.classPolicy.tier(), excluded);
   }
 
   final void send(SimRequest request, UpstreamId upstream) {
--- a/decision/src/main/java/io/jacinthquay/decision/placement/ExpectedWaitPlacer.java
+++ b/decision/src/main/java/io/jacinthquay/decision/placement/ExpectedWaitPlacer.java
@@ -46,7 +46,7 @@
     table.refresh(nowNanos);
     int draws = Math.max(limit, table.settings().choices());
     long open = open(request, nowNanos, false);
-    Search search = new Search(request, usable, open);
+    Search search = new Search(request, usable, open, nowNanos);
     search.draw(open, draws, random);
     if (search.count < limit) {
       search.handicapNanos = LAST_RESORT_NANOS;
@@ -129,10 +129,12 @@
     private final Predicate<UpstreamId> usable;
     private final long holders;
     private final int affine;
+    private final long now;
     private int count;
     private double handicapNanos;
 
-    Search(PlacementRequest request, Predicate<UpstreamId> usable, long open) {
+    Search(PlacementRequest request, Predicate<UpstreamId> usable, long open, long now) {
+      this.now = now;
       this.request = request;
       this.usable = usable;
       this.holders = longestHolders(request.prefix(), open);
@@ -177,7 +179,8 @@
     }
 
     private double cost(UpstreamState u, int slot) {
-      double cost = table.latencyNanos(u) + model.cost(u, missTokens(u, slot));
+      double cost = u.domainCosts.latencyNanos + model.cost(u, missTokens(u, slot));
+      cost += u.domainCosts.slotWaitNanos(request.tier(), now);
       if (!table.isLocal(u)) {
         cost += table.settings().spillMarginNanos();
       }
--- a/decision/src/main/java/io/jacinthquay/decision/placement/UpstreamState.java
+++ b/decision/src/main/java/io/jacinthquay/decision/placement/UpstreamState.java
@@ -19,6 +19,7 @@
   private static final double MAX_SLOWNESS = 50;
 
   final UpstreamInfo info;
+  final DomainCosts domainCosts;
   final long hash;
   final long subsetRank;
   boolean leaving;
@@ -55,7 +56,8 @@
 
   long cacheSequence;
 
-  UpstreamState(UpstreamInfo info, long subsetRank, long nowNanos) {
+  UpstreamState(UpstreamInfo info, DomainCosts domainCosts, long subsetRank, long nowNanos) {
+    this.domainCosts = domainCosts;
     this.info = info;
     this.hash = Rendezvous.hash(info.id().value());
     this.subsetRank = subsetRank;
--- a/decision/src/main/java/io/jacinthquay/decision/placement/UpstreamTable.java
+++ b/decision/src/main/java/io/jacinthquay/decision/placement/UpstreamTable.java
@@ -3,6 +3,7 @@
 import io.jacinthquay.decision.bearing.LoadReport;
 import io.jacinthquay.decision.slots.Rendezvous;
 import io.jacinthquay.model.DomainId;
+import io.jacinthquay.model.Tier;
 import io.jacinthquay.model.UpstreamId;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -29,7 +30,7 @@
   private final long routerHash;
   private final Map<UpstreamId, UpstreamState> upstreams = new HashMap<>();
   private final Set<DomainId> domainsOut = new HashSet<>();
-  private final Map<DomainId, Long> domainLatency = new HashMap<>();
+  private final Map<DomainId, DomainCosts> domainCosts = new HashMap<>();
   private final PrefixIndex index = new PrefixIndex();
   private final CandidateSubset subset;
   private final PoolModel model;
@@ -62,7 +63,7 @@
       return;
     }
     long rank = Rendezvous.mix(routerHash ^ Rendezvous.hash(info.id().value()));
-    UpstreamState upstream = new UpstreamState(info, rank, nowNanos);
+    UpstreamState upstream = new UpstreamState(info, costs(info.domain()), rank, nowNanos);
     upstream.out = domainsOut.contains(info.domain());
     upstreams.put(info.id(), upstream);
     place(upstream);
@@ -130,7 +131,21 @@
    * @param nanos in nanoseconds, 0 or more
    */
   public void domainLatency(DomainId domain, long nanos) {
-    domainLatency.put(domain, nanos);
+    costs(domain).latencyNanos = nanos;
+  }
+
+  /**
+   * Records how long a request waited for a slot in a failure domain, so that others of its tier
+   * spill when the wait is long.
+   *
+   * @param nanos time from asking to the grant, in nanoseconds, 0 or more
+   */
+  public void slotWait(DomainId domain, Tier tier, long nanos, long nowNanos) {
+    costs(domain).observeSlotWait(tier, nanos, nowNanos);
+  }
+
+  private DomainCosts costs(DomainId domain) {
+    return domainCosts.computeIfAbsent(domain, d -> new DomainCosts());
   }
 
   /** Takes a load report in; ignores one older than the last, and one of an unknown upstream. */
@@ -321,10 +336,6 @@
     return subset.isLocal(upstream);
   }
 
-  double latencyNanos(UpstreamState upstream) {
-    return domainLatency.getOrDefault(upstream.domain(), 0L);
-  }
-
   PoolModel model() {
     return model;
   }
