Measure the time of a placement by JMH

Cause: deciding must cost at most 5 us at 64 candidates and grow no more than logarithmically with the upstreams.

Change: jq-bench decide runs the benchmark of placement with its allocation.

--- a/bench/src/main/java/io/jacinthquay/bench/BenchMain.java
+++ b/bench/src/main/java/io/jacinthquay/bench/BenchMain.java
@@ -1,5 +1,6 @@
 package io.jacinthquay.bench;
 
+import io.jacinthquay.bench.experiment.DecideCommand;
 import io.jacinthquay.bench.experiment.RunCommand;
 import io.jacinthquay.runtime.ExitCode;
 import java.io.PrintStream;
@@ -16,7 +17,7 @@
 public final class BenchMain {
   private static final String COMMAND = "command";
 
-  private static final List<BenchCommand> COMMANDS = List.of(new RunCommand());
+  private static final List<BenchCommand> COMMANDS = List.of(new RunCommand(), new DecideCommand());
 
   private BenchMain() {}
 
