--- a/standalone/src/main/java/io/jacinthquay/standalone/StandaloneService.java
+++ b/standalone/src/main/java/io/jacinthquay/standalone/StandaloneService.java
@@ -92,7 +92,7 @@
             .withUsageWindow(Duration.ofMillis(UsageWindow.LENGTH_MILLIS));
     RouterEndpoints endpoints =
         new RouterEndpoints(
-            List.of(keeperAddress), List.of(), platform.address(), identities.identity(ROUTER));
+            List.of(keeperAddress), platform.address(), identities.identity(ROUTER));
     return RouterAssembly.create(options, endpoints);
   }
 
