--- a/decision/src/test/java/io/jacinthquay/decision/admission/AdmissionTest.java
+++ b/decision/src/test/java/io/jacinthquay/decision/admission/AdmissionTest.java
@@ -96,6 +96,21 @@
     assertEquals(60, counts.wastedTokens());
   }
 
+  @Test
+  void refusesByItselfOnlyWhileNoOwnerAnswers() {
+    admission.view(0, DOMAIN, new DomainView(List.of(SELF), List.of(new VmId("entry-9"))));
+    admission.submit(MS, request("r1", LOW, 300 * MS));
+    var before = admission.tick(289 * MS);
+    assertTrue(before.stream().noneMatch(AdmissionAction.Refuse.class::isInstance));
+    var after = admission.tick(291 * MS);
+    assertTrue(
+        after.stream()
+            .anyMatch(
+                action ->
+                    action instanceof AdmissionAction.Refuse refuse
+                        && refuse.code() == ResultCode.NO_UPSTREAM));
+  }
+
   @Test
   void holdsUnusedSlotsOnceRequestsArriveRegularly() {
     start(16);
--- a/decision/src/test/java/io/jacinthquay/decision/admission/FloodProperties.java
+++ b/decision/src/test/java/io/jacinthquay/decision/admission/FloodProperties.java
@@ -12,7 +12,7 @@
 /** One customer sends ten times as much as any other, through all routers. */
 class FloodProperties {
   private static final int OTHERS = 8;
-  private static final String FLOODER = "flooder";
+  private static final String FLOODER = "a-flooder";
 
   @Property(tries = 8, seed = "4711")
   void worstOtherCustomerKeepsItsAttainment(
