--- a/decision/src/main/java/io/jacinthquay/decision/admission/Admission.java
+++ b/decision/src/main/java/io/jacinthquay/decision/admission/Admission.java
@@ -82,7 +82,10 @@
   /** Does what is due; call it at {@link #nextTickNanos} or every few milliseconds. */
   List<AdmissionAction> tick(long nowNanos);
 
-  /** Returns when {@link #tick} has something to do; {@code Long.MAX_VALUE} for never. */
+  /**
+   * Returns when {@link #tick} has something to do; {@code Long.MAX_VALUE} for never and {@code
+   * Long.MIN_VALUE} for at once, so that it must be compared and not subtracted.
+   */
   long nextTickNanos();
 
   /** Gives up every unused slot and session, so that other routers take over at once. */
--- a/decision/src/main/java/io/jacinthquay/decision/slots/SlotDispatcher.java
+++ b/decision/src/main/java/io/jacinthquay/decision/slots/SlotDispatcher.java
@@ -324,7 +324,8 @@
       critical++;
     }
     boolean late = nowNanos > entry.latestStartNanos();
-    if (late && entry.sheddable()) {
+    boolean roomForAll = table.free() >= queue.size();
+    if (late && entry.sheddable() && !roomForAll) {
       boolean lowerGoes = table.orderedBelow(entry.tier()) || preemptFor(nowNanos, entry);
       if (!lowerGoes) {
         shed(nowNanos, entry, shedCode());
--- a/decision/src/test/java/io/jacinthquay/decision/admission/AdmissionTest.java
+++ b/decision/src/test/java/io/jacinthquay/decision/admission/AdmissionTest.java
@@ -80,6 +80,13 @@
     assertEquals(ResultCode.DEADLINE_UNREACHABLE, refused.code());
   }
 
+  @Test
+  void dispatchesLateRequestsWhileSlotsAreFree() {
+    start(2);
+    var late = admission.submit(400 * MS, request("late", LOW, 300 * MS));
+    assertEquals(List.of(new AdmissionAction.Dispatch(new RequestId("late"), ENGINE)), late);
+  }
+
   @Test
   void preemptsLowerTierWhenTheTargetIsNear() {
     start(1);
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowCaller.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowCaller.java
@@ -146,11 +146,12 @@
     gone();
   }
 
+  /** Hears that the connection closed, which is the usual end where the caller asked for that. */
   private void gone() {
     if (!finished) {
       finished = true;
       pending = EMPTY;
-      if (listener != null) {
+      if (listener != null && !exchange.isResponseComplete()) {
         listener.onGone();
       }
     }
--- a/router/src/main/java/io/jacinthquay/router/service/request/AnswerRelay.java
+++ b/router/src/main/java/io/jacinthquay/router/service/request/AnswerRelay.java
@@ -32,6 +32,11 @@
   /** The caller took everything written so far. */
   void drained();
 
+  /** Returns whether the first data of an answer tells when its first token came. */
+  default boolean timesFirstToken() {
+    return true;
+  }
+
   /** Returns whether any byte of the answer was passed on. */
   boolean started();
 
--- a/router/src/main/java/io/jacinthquay/router/service/request/JsonRelay.java
+++ b/router/src/main/java/io/jacinthquay/router/service/request/JsonRelay.java
@@ -93,6 +93,12 @@
     // The whole answer is written at once.
   }
 
+  /** An answer that is not streamed arrives with its last token. */
+  @Override
+  public boolean timesFirstToken() {
+    return false;
+  }
+
   @Override
   public boolean started() {
     return context.caller().hasBegun();
--- a/router/src/main/java/io/jacinthquay/router/service/request/RequestRun.java
+++ b/router/src/main/java/io/jacinthquay/router/service/request/RequestRun.java
@@ -8,6 +8,7 @@
 import io.jacinthquay.model.Outcome;
 import io.jacinthquay.model.ResultCode;
 import io.jacinthquay.model.UpstreamId;
+import io.jacinthquay.model.policy.ClassPolicy;
 import io.jacinthquay.router.port.Caller;
 import io.jacinthquay.router.port.CallerListener;
 import io.jacinthquay.router.port.EventThread;
@@ -108,7 +109,9 @@
   }
 
   private void noteFirstByte(Attempt current) {
-    services.dispatcher().firstToken(current.grant());
+    if (relay.timesFirstToken()) {
+      services.dispatcher().firstToken(current.grant());
+    }
     if (firstByteNanos < 0) {
       firstByteNanos = System.nanoTime() - context.arrivedNanos();
     }
@@ -308,15 +311,20 @@
   }
 
   private AttemptReport report(Completion.End how, Attempt current) {
-    return report(how, current.firstDataNanos());
+    return report(how, relay.timesFirstToken() ? current.firstDataNanos() : -1);
   }
 
   private AttemptReport report(Completion.End how, long firstTokenNanos) {
     long input = work.dispatchRequest().placement().promptTokens();
-    boolean onTarget =
-        firstByteNanos >= 0
-            && firstByteNanos
-                <= TimeUnit.MILLISECONDS.toNanos(context.classPolicy().firstTokenMs());
+    boolean onTarget = firstByteNanos >= 0 && firstByteNanos <= allowedFirstByteNanos();
     return new AttemptReport(how, input, relay.usage().outputTokens(), firstTokenNanos, onTarget);
   }
+
+  /** Returns how long the first byte may take; a whole answer may take the time of its tokens. */
+  private long allowedFirstByteNanos() {
+    ClassPolicy policy = context.classPolicy();
+    double tokens = relay.timesFirstToken() ? 0 : relay.usage().outputTokens();
+    double millis = policy.firstTokenMs() + tokens * policy.interTokenMs();
+    return (long) (millis * TimeUnit.MILLISECONDS.toNanos(1));
+  }
 }
--- a/router/src/test/java/io/jacinthquay/router/WholePathTest.java
+++ b/router/src/test/java/io/jacinthquay/router/WholePathTest.java
@@ -8,6 +8,7 @@
 import io.jacinthquay.testkit.engine.EngineRun;
 import io.jacinthquay.testkit.engine.EngineText;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -55,6 +56,24 @@
     assertTrue(answer.body().contains(EngineText.tokens(0, 5)), answer.body());
   }
 
+  /** The connection closes with the last byte, before the router is done with the request. */
+  @Test
+  void wholeAnswerOnAClosingConnectionRan() throws IOException {
+    Answer answer =
+        caller.call(RawCaller.post(CHAT, RouterFixture.KEY, WHOLE, "Connection: close"));
+    assertEquals(200, answer.status(), answer.body());
+    RouterFixture.await(() -> metrics().contains("jq_outcomes_total{outcome="));
+    assertTrue(metrics().contains("jq_outcomes_total{outcome=\"ran\"} 1"), this::metrics);
+  }
+
+  private String metrics() {
+    try (RawCaller reader = new RawCaller(fixture.address())) {
+      return reader.call(RawCaller.get("/metrics?format=prometheus", "")).body();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
   @Test
   void passesPlainRoutesOn() throws IOException {
     Answer answer = caller.call(RawCaller.get("/tickets/7?page=2&key=", RouterFixture.KEY));
--- /dev/null
+++ b/router/src/test/java/io/jacinthquay/router/service/dispatch/AdmissionDispatcherTest.java
@@ -0,0 +1,78 @@
+package io.jacinthquay.router.service.dispatch;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.jacinthquay.decision.slots.DomainView;
+import io.jacinthquay.decision.slots.SlotOptions;
+import io.jacinthquay.decision.slots.SlotScope;
+import io.jacinthquay.model.ConfigVersion;
+import io.jacinthquay.model.DomainId;
+import io.jacinthquay.model.PoolName;
+import io.jacinthquay.model.UpstreamId;
+import io.jacinthquay.model.VmId;
+import io.jacinthquay.model.policy.ConfigChange;
+import io.jacinthquay.model.policy.EntityEdit;
+import io.jacinthquay.model.policy.EntityKey;
+import io.jacinthquay.model.policy.EntityKind;
+import io.jacinthquay.model.policy.Policy;
+import io.jacinthquay.router.port.VmEntry;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.Test;
+
+class AdmissionDispatcherTest {
+  private static final VmId SELF = new VmId("entry-1");
+  private static final DomainId DOMAIN = new DomainId("a");
+  private static final PoolName POOL = new PoolName("engines");
+  private static final long LEASES_NANOS = 2 * SlotOptions.defaults().leaseNanos();
+  private static final long LIMIT_NANOS = TimeUnit.SECONDS.toNanos(10);
+
+  private final AdmissionDispatcher dispatcher =
+      new AdmissionDispatcher(SELF, 1, DOMAIN, name -> Optional.empty(), (to, message) -> {}, 1);
+
+  private static Policy policy() {
+    EntityKey key = new EntityKey(EntityKind.POOL, POOL.value());
+    List<EntityEdit> edits =
+        List.of(EntityEdit.set(key, "{\"name\":\"engines\",\"kind\":\"engine\"}"));
+    return Policy.empty().apply(new ConfigChange(new ConfigVersion(1), edits)).get();
+  }
+
+  private static VmEntry engine() {
+    return new VmEntry(
+        new UpstreamId("engine-1"),
+        DOMAIN,
+        new InetSocketAddress(InetAddress.getLoopbackAddress(), 1),
+        VmEntry.Kind.ENGINE,
+        Optional.of(POOL),
+        false,
+        false,
+        List.of(),
+        4);
+  }
+
+  /** A first tick that is due at once was taken for one that is never due. */
+  @Test
+  void ticksAloneRenewTheSessionWithTheOwner() {
+    dispatcher.update(List.of(engine()), policy());
+    dispatcher.view(DOMAIN, DomainView.alone(SELF));
+    tickUntil(() -> !isSessionValid(), LEASES_NANOS);
+    tickUntil(this::isSessionValid, LIMIT_NANOS);
+    assertTrue(isSessionValid());
+  }
+
+  private boolean isSessionValid() {
+    return dispatcher.status().get(new SlotScope(POOL, DOMAIN)).sessionValid();
+  }
+
+  private void tickUntil(BooleanSupplier condition, long limitNanos) {
+    long end = System.nanoTime() + limitNanos;
+    while (!condition.getAsBoolean() && System.nanoTime() < end) {
+      dispatcher.tick();
+      Thread.onSpinWait();
+    }
+  }
+}
