--- a/bench/src/main/java/io/jacinthquay/bench/experiment/AdmissionRouter.java
+++ b/bench/src/main/java/io/jacinthquay/bench/experiment/AdmissionRouter.java
@@ -11,6 +11,7 @@
 import io.jacinthquay.decision.placement.Placement;
 import io.jacinthquay.decision.placement.PlacementRequest;
 import io.jacinthquay.decision.placement.Placer;
+import io.jacinthquay.decision.placement.SlotPreference;
 import io.jacinthquay.decision.placement.UpstreamTable;
 import io.jacinthquay.decision.slots.ClassPolicies;
 import io.jacinthquay.decision.slots.Completion;
@@ -27,6 +28,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Function;
 
 /** A router with the real admission: slots granted by owners, and the real placement. */
@@ -34,15 +36,24 @@
   private static final PoolName POOL = new PoolName("engines");
   private static final ModelName MODEL = new ModelName("model");
   private static final long TICK_NANOS = 5 * World.MILLISECOND;
+  private static final long HEALTH_NANOS = 100 * World.MILLISECOND;
+
+  /** Wait after which a request is ranked anew, in nanoseconds. */
+  private static final long REVIEW_NANOS = 200 * World.MILLISECOND;
+
   private static final int MAX_OUTPUT_TOKENS = 4_096;
   private static final int PREFERRED = 8;
 
   /** Output tokens between two corrections of what a request costs. */
   private static final int PROGRESS_TOKENS = 64;
 
+  /** Where and when a slot was asked for. */
+  private record Asked(DomainId domain, long at) {}
+
   private final Admission admission;
   private final OutputEstimator estimator = new OutputEstimator();
   private final Map<RequestId, SimRequest> requests = new HashMap<>();
+  private final Map<RequestId, Asked> asked = new HashMap<>();
 
   AdmissionRouter(World world, VmId id, DomainId domain, Function<UpstreamTable, Placer> placers) {
     super(world, id, domain, placers);
@@ -60,9 +71,40 @@
       run(admission.view(world.now(), domain, new DomainView(members, members)));
       run(admission.upstreams(world.now(), new SlotScope(POOL, domain), specs(domain)));
     }
+    world.events.every(HEALTH_NANOS, this::updateUpstreams);
+    world.events.every(HEALTH_NANOS, this::reviewWaiting);
     world.events.every(TICK_NANOS, () -> run(admission.tick(world.now())));
   }
 
+  /** Tells placement of requests that wait for long, and moves them where a slot comes sooner. */
+  private void reviewWaiting() {
+    for (RequestId id : List.copyOf(asked.keySet())) {
+      SimRequest request = requests.get(id);
+      Asked ask = asked.get(id);
+      long waited = world.now() - ask.at();
+      if (waited >= REVIEW_NANOS) {
+        table.slotWait(ask.domain(), request.classPolicy.tier(), waited, world.now());
+        move(request, ask);
+      }
+    }
+  }
+
+  private void move(SimRequest request, Asked ask) {
+    List<Placement> ranked = placer.rank(placement(request), u -> true, 1, world.now(), random);
+    if (!ranked.isEmpty() && !ranked.get(0).domain().equals(ask.domain())) {
+      run(admission.cancel(world.now(), request.id));
+      enqueue(request);
+    }
+  }
+
+  /** Takes ejected upstreams out of the scope that this router may own. */
+  private void updateUpstreams() {
+    Set<UpstreamId> closed = table.closed(world.now());
+    List<UpstreamSpec> open = new ArrayList<>(specs(domain()));
+    open.removeIf(s -> closed.contains(s.upstream()));
+    run(admission.upstreams(world.now(), new SlotScope(POOL, domain()), open));
+  }
+
   private List<UpstreamSpec> specs(DomainId domain) {
     List<UpstreamSpec> specs = new ArrayList<>();
     for (ModelEngine engine : world.engineList) {
@@ -86,31 +128,29 @@
   void enqueue(SimRequest request) {
     PlacementRequest facts = placement(request);
     List<Placement> ranked = placer.rank(facts, u -> true, PREFERRED, world.now(), random);
-    if (ranked.isEmpty()) {
+    SlotPreference preference =
+        SlotPreference.of(ranked, facts.excluded(), table.closed(world.now())).orElse(null);
+    if (preference == null) {
       refused(request);
       return;
     }
-    DomainId domain = ranked.get(0).domain();
-    List<UpstreamId> preferred = new ArrayList<>();
-    ranked.stream()
-        .filter(p -> p.domain().equals(domain))
-        .forEach(p -> preferred.add(p.upstream()));
     requests.put(request.id, request);
+    asked.put(request.id, new Asked(preference.domain(), world.now()));
     run(
         admission.submit(
             world.now(),
             new AdmissionRequest(
                 request.id,
-                new SlotScope(POOL, domain),
+                new SlotScope(POOL, preference.domain()),
                 request.classPolicy.name(),
                 request.customer,
                 request.deadline(),
-                ranked.get(0).expectedFirstTokenNanos(),
+                preference.expectedFirstTokenNanos(),
                 request.promptTokens + expectedOutput(request),
                 true,
                 request.delivered > 0,
-                preferred,
-                List.copyOf(facts.excluded()))));
+                preference.preferred(),
+                preference.avoided())));
   }
 
   private long expectedOutput(SimRequest request) {
@@ -124,8 +164,10 @@
   private void run(List<AdmissionAction> actions) {
     for (AdmissionAction action : actions) {
       if (action instanceof AdmissionAction.Dispatch dispatch) {
+        granted(requests.get(dispatch.request()));
         send(requests.get(dispatch.request()), dispatch.upstream());
       } else if (action instanceof AdmissionAction.Refuse refuse) {
+        granted(requests.get(refuse.request()));
         refused(requests.remove(refuse.request()));
       } else if (action instanceof AdmissionAction.Preempt preempt) {
         preempt(requests.get(preempt.request()));
@@ -135,6 +177,15 @@
     }
   }
 
+  /** Records how long a request waited for its slot or its refusal. */
+  private void granted(SimRequest request) {
+    Asked ask = asked.remove(request.id);
+    if (ask != null) {
+      long waited = world.now() - ask.at();
+      table.slotWait(ask.domain(), request.classPolicy.tier(), waited, world.now());
+    }
+  }
+
   private void deliver(AdmissionAction.Send send) {
     for (RouterNode router : world.routers) {
       if (router.id.equals(send.to()) && world.reachable(domain(), router.domain())) {
@@ -169,6 +220,7 @@
   @Override
   void withdraw(SimRequest request) {
     requests.remove(request.id);
+    asked.remove(request.id);
     run(admission.cancel(world.now(), request.id));
   }
 
--- a/router/src/main/java/io/jacinthquay/router/RouterMain.java
+++ b/router/src/main/java/io/jacinthquay/router/RouterMain.java
@@ -20,10 +20,10 @@
       RouterEndpoints endpoints =
           new RouterEndpoints(
               settings.value(RouterSettings.KEEPERS),
-              settings.value(RouterSettings.CONFIG_SOURCES),
               settings.value(RouterSettings.PLATFORM),
               TlsIdentity.load(settings.value(RouterSettings.TLS)));
-      return RouterAssembly.create(RouterSettings.options(settings), endpoints);
+      return RouterAssembly.withPeers(
+          RouterSettings.options(settings), endpoints, settings.value(RouterSettings.PEER_LISTEN));
     } catch (IOException e) {
       throw new IllegalStateException(e.getMessage(), e);
     }
