--- a/ctl/src/main/java/io/jacinthquay/ctl/command/CommandLine.java
+++ b/ctl/src/main/java/io/jacinthquay/ctl/command/CommandLine.java
@@ -76,6 +76,7 @@
         new DrainCommand(),
         new StatusCommand(),
         new UsageCommand(),
+        new ReportCommand(),
         new TlsInitCommand());
   }
 }
--- /dev/null
+++ b/ctl/src/main/java/io/jacinthquay/ctl/command/ReportCommand.java
@@ -0,0 +1,90 @@
+package io.jacinthquay.ctl.command;
+
+import io.jacinthquay.ctl.report.BurnDocument;
+import io.jacinthquay.ctl.report.BurnPage;
+import io.jacinthquay.ctl.report.BurnTable;
+import io.jacinthquay.ctl.report.RouterReports;
+import io.jacinthquay.ctl.report.RouterView;
+import io.jacinthquay.model.Failure;
+import io.jacinthquay.model.ResultCode;
+import io.jacinthquay.runtime.ExitCode;
+import io.jacinthquay.runtime.settings.SocketAddresses;
+import io.jacinthquay.runtime.tls.TlsIdentity;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import net.sourceforge.argparse4j.inf.Subparsers;
+
+/** Shows how service levels and error budgets stand, over all routers. */
+final class ReportCommand implements Command {
+  private static final String ROUTERS = "routers";
+  private static final String HTML = "html";
+
+  @Override
+  public void addTo(Subparsers subparsers) {
+    Subparser parser = subparsers.addParser("report").help("show service-level burn");
+    parser
+        .addArgument("--routers")
+        .dest(ROUTERS)
+        .required(true)
+        .help("inner addresses of the routers, ip:port with commas between");
+    parser.addArgument("--html").dest(HTML).help("also write one HTML page to this file");
+    parser.setDefault(CommandLine.COMMAND, this);
+  }
+
+  @Override
+  public ExitCode run(Namespace args, Context context) {
+    return PolicyFetch.fetch(context)
+        .flatMap(policy -> views(args, context).map(views -> BurnDocument.of(views, policy)))
+        .flatMap(document -> writePage(args, document))
+        .fold(context::fail, document -> print(context, document));
+  }
+
+  /** Asks every router; those that do not answer are named and left out. */
+  private static Either<Failure, List<RouterView>> views(Namespace args, Context context) {
+    try {
+      TlsIdentity identity = TlsIdentity.load(Path.of(args.getString(CommandLine.TLS)));
+      RouterReports reports = new RouterReports(identity, args.getInt(CommandLine.TIMEOUT_MILLIS));
+      List<RouterView> views = new ArrayList<>();
+      for (InetSocketAddress router : addresses(args.getString(ROUTERS))) {
+        reports
+            .ask(router)
+            .peek(views::add)
+            .peekLeft(failure -> context.printer().note(failure.detail()));
+      }
+      return Either.right(views);
+    } catch (IOException | IllegalArgumentException e) {
+      return Either.left(Failure.of(ResultCode.SETTINGS_INVALID, e.getMessage()));
+    }
+  }
+
+  private static List<InetSocketAddress> addresses(String text) {
+    return Arrays.stream(text.split(",")).map(SocketAddresses::parse).toList();
+  }
+
+  private static Either<Failure, BurnDocument> writePage(Namespace args, BurnDocument document) {
+    String file = args.getString(HTML);
+    if (file == null) {
+      return Either.right(document);
+    }
+    try {
+      Files.writeString(Path.of(file), BurnPage.write(document));
+      return Either.right(document);
+    } catch (IOException e) {
+      return Either.left(
+          Failure.of(ResultCode.SETTINGS_INVALID, "cannot write " + file + ": " + e.getMessage()));
+    }
+  }
+
+  private static ExitCode print(Context context, BurnDocument document) {
+    context.printer().print(document, BurnTable.write(document));
+    return ExitCode.OK;
+  }
+}
--- a/ctl/src/main/java/io/jacinthquay/ctl/output/Printer.java
+++ b/ctl/src/main/java/io/jacinthquay/ctl/output/Printer.java
@@ -33,8 +33,18 @@
    * @param table its form for people
    */
   public void print(Object value, Table table) {
+    print(value, table.toString());
+  }
+
+  /**
+   * Prints a result.
+   *
+   * @param value its JSON form, a record
+   * @param text its form for people, which ends with a line break
+   */
+  public void print(Object value, String text) {
     if (!json) {
-      out.print(table);
+      out.print(text);
       return;
     }
     try {
