Measure what the router adds, and let the clocks of both state machines tick

Cause: the dispatcher and the membership compared the time with a next tick of Long.MIN_VALUE by a difference, which overflows: neither ever ticked.

--- /dev/null
+++ b/bench/src/main/java/io/jacinthquay/bench/overhead/package-info.java
@@ -0,0 +1,2 @@
+/** Measures what the router adds to a request, against calling the engine directly. */
+package io.jacinthquay.bench.overhead;
--- a/router/src/main/java/io/jacinthquay/router/service/RouterOptions.java
+++ b/router/src/main/java/io/jacinthquay/router/service/RouterOptions.java
@@ -127,6 +127,23 @@
         peers);
   }
 
+  /** Returns these settings with another number of I/O threads. */
+  public RouterOptions withIoThreads(int threads) {
+    return new RouterOptions(
+        self,
+        domain,
+        listen,
+        threads,
+        limits,
+        usageWindow,
+        stall,
+        connectTimeout,
+        drainDelay,
+        drainLimit,
+        vmListInterval,
+        peers);
+  }
+
   /** Returns these settings with other routers. */
   public RouterOptions withPeers(PeerOptions newPeers) {
     return new RouterOptions(
--- a/router/src/main/java/io/jacinthquay/router/service/RouterService.java
+++ b/router/src/main/java/io/jacinthquay/router/service/RouterService.java
@@ -266,6 +266,11 @@
     return peers.map(PeerHub::relays).orElse(List.of());
   }
 
+  /** Returns how many other routers of the failure domain live. */
+  public int livePeers() {
+    return peers.map(PeerHub::livePeers).orElse(0);
+  }
+
   /** Returns whether the platform lists an upstream. */
   public boolean lists(String upstream) {
     return vms.stream().anyMatch(entry -> entry.name().value().equals(upstream));
--- a/router/src/main/java/io/jacinthquay/router/service/dispatch/AdmissionDispatcher.java
+++ b/router/src/main/java/io/jacinthquay/router/service/dispatch/AdmissionDispatcher.java
@@ -107,7 +107,7 @@
   public void tick() {
     synchronized (lock) {
       long now = System.nanoTime();
-      if (now - admission.nextTickNanos() >= 0) {
+      if (now >= admission.nextTickNanos()) {
         perform(admission.tick(now), null);
       }
     }
--- a/router/src/main/java/io/jacinthquay/router/service/peer/MembershipService.java
+++ b/router/src/main/java/io/jacinthquay/router/service/peer/MembershipService.java
@@ -103,7 +103,7 @@
         if (due) {
           node.load(reading, time);
         }
-        out = time - node.nextTickNanos() >= 0 ? node.tick(time) : List.of();
+        out = isDue(node.nextTickNanos(), time) ? node.tick(time) : List.of();
       }
       out.forEach(messenger::gossip);
       tellViews();
@@ -112,6 +112,11 @@
     }
   }
 
+  /** The first tick is due at {@code Long.MIN_VALUE}, from which no difference can be taken. */
+  private static boolean isDue(long nextNanos, long nowNanos) {
+    return nextNanos == Long.MIN_VALUE || nowNanos - nextNanos >= 0;
+  }
+
   /** Takes in a message of another router. */
   public void receive(GossipMessage message) {
     List<Outgoing> out;
--- a/router/src/main/java/io/jacinthquay/router/service/peer/PeerHub.java
+++ b/router/src/main/java/io/jacinthquay/router/service/peer/PeerHub.java
@@ -200,6 +200,11 @@
     membership.receive(message);
   }
 
+  /** Returns how many other routers of the failure domain live. */
+  public int livePeers() {
+    return membership.livePeers().size();
+  }
+
   /** Keeps usage counters of another router. */
   public void keep(VmId from, List<UsageCount> counts) {
     held.keep(from, counts);
--- /dev/null
+++ b/router/src/test/java/io/jacinthquay/router/PeersTest.java
@@ -0,0 +1,170 @@
+package io.jacinthquay.router;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.jacinthquay.model.DomainId;
+import io.jacinthquay.model.KeyDigest;
+import io.jacinthquay.model.VmId;
+import io.jacinthquay.router.adapter.http.HttpEngineMonitor;
+import io.jacinthquay.router.adapter.http.HttpVmDirectory;
+import io.jacinthquay.router.adapter.http.JsonHttp;
+import io.jacinthquay.router.adapter.thrift.PeerChannels;
+import io.jacinthquay.router.adapter.thrift.PeerServer;
+import io.jacinthquay.router.adapter.thrift.ThriftConfigSource;
+import io.jacinthquay.router.port.ConfigSource;
+import io.jacinthquay.router.service.PeerOptions;
+import io.jacinthquay.router.service.RouterOptions;
+import io.jacinthquay.router.service.RouterPorts;
+import io.jacinthquay.router.service.RouterService;
+import io.jacinthquay.runtime.tls.PeerName;
+import io.jacinthquay.runtime.tls.PeerRole;
+import io.jacinthquay.runtime.tls.TlsAuthority;
+import io.jacinthquay.runtime.tls.TlsIdentity;
+import io.jacinthquay.testkit.engine.EngineOptions;
+import io.jacinthquay.testkit.engine.FakeEngine;
+import io.jacinthquay.testkit.platform.FakePlatform;
+import io.jacinthquay.testkit.platform.FakeVm;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Three routers of one failure domain over mutual TLS. */
+class PeersTest {
+  private static final int ROUTERS = 3;
+  private static final int BEARABLE = 2;
+
+  @TempDir Path folder;
+  private final TlsAuthority authority = TlsAuthority.create();
+  private final JsonHttp http = new JsonHttp(Duration.ofSeconds(5));
+  private final FakePlatform platform = new FakePlatform(0);
+  private final RouterFixture.TestConfig config = new RouterFixture.TestConfig();
+  private final FakeEngine engine =
+      new FakeEngine(EngineOptions.quick("engine-1").withLimits(BEARABLE, BEARABLE, 0));
+  private final List<RouterService> routers = new ArrayList<>();
+  private final List<PeerServer> servers = new ArrayList<>();
+  private final List<PeerChannels> channels = new ArrayList<>();
+
+  @BeforeEach
+  void start() throws IOException {
+    engine.start();
+    platform.start();
+    for (int number = 0; number < ROUTERS; number++) {
+      add(number, number == 0 ? config : relayed(number));
+    }
+    List<FakeVm> vms = new ArrayList<>();
+    vms.add(FakeVm.engine("engine-1", "a", "engines", engine.address()).withFloor(BEARABLE));
+    for (int number = 0; number < ROUTERS; number++) {
+      vms.add(entry(number));
+    }
+    platform.vms(vms);
+    routers.forEach(RouterService::start);
+    RouterFixture.await(() -> routers.stream().allMatch(RouterService::isReady));
+    RouterFixture.await(() -> routers.stream().allMatch(r -> r.livePeers() == ROUTERS - 1));
+  }
+
+  private TlsIdentity identity(int number) throws IOException {
+    Path own = folder.resolve("entry-" + number);
+    authority.issue(new PeerName("entry-" + number, PeerRole.ROUTER), own);
+    return TlsIdentity.load(own);
+  }
+
+  /** All but the first router follow the configuration through the first. */
+  private ConfigSource relayed(int number) throws IOException {
+    InetSocketAddress relay =
+        new InetSocketAddress(InetAddress.getLoopbackAddress(), servers.get(0).port());
+    return new ThriftConfigSource(
+        () -> List.of(relay), identity(number), new VmId("entry-" + number), new DomainId("a"));
+  }
+
+  private void add(int number, ConfigSource source) throws IOException {
+    TlsIdentity identity = identity(number);
+    InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+    VmId self = new VmId("entry-" + number);
+    DomainId domain = new DomainId("a");
+    PeerChannels messenger = new PeerChannels(identity);
+    RouterOptions options =
+        RouterOptions.of(self, domain, any)
+            .withPeers(new PeerOptions("127.0.0.1:" + (number + 1), List.of()));
+    RouterPorts ports =
+        new RouterPorts(
+            source,
+            new TestClaims(),
+            counts -> Either.right(null),
+            new HttpVmDirectory(http, platform.address()),
+            new HttpEngineMonitor(http),
+            messenger);
+    RouterService router = RouterService.create(options, ports);
+    PeerServer server = new PeerServer(any, identity, self, domain, router.peerReceiver());
+    server.start();
+    routers.add(router);
+    servers.add(server);
+    channels.add(messenger);
+  }
+
+  private FakeVm entry(int number) {
+    InetSocketAddress address =
+        new InetSocketAddress(InetAddress.getLoopbackAddress(), servers.get(number).port());
+    return new FakeVm("entry-" + number, "a", address, "entry", "", false, false, List.of(), 1);
+  }
+
+  @AfterEach
+  void stop() {
+    routers.forEach(RouterService::stop);
+    servers.forEach(PeerServer::stop);
+    channels.forEach(PeerChannels::close);
+    engine.stop();
+    platform.stop();
+    http.close();
+  }
+
+  private int status(int router) {
+    InetSocketAddress address =
+        new InetSocketAddress(
+            InetAddress.getLoopbackAddress(), routers.get(router % ROUTERS).port());
+    String request = RawCaller.post(WholePathTest.CHAT, RouterFixture.KEY, WholePathTest.STREAM);
+    try (RawCaller caller = new RawCaller(address)) {
+      return caller.call(request).status();
+    } catch (IOException e) {
+      return 0;
+    }
+  }
+
+  @Test
+  void shareWhatAnUpstreamBears() {
+    List<CompletableFuture<Integer>> answers = new ArrayList<>();
+    for (int request = 0; request < 60; request++) {
+      int router = request;
+      answers.add(CompletableFuture.supplyAsync(() -> status(router)));
+    }
+    answers.forEach(answer -> assertEquals(200, answer.join()));
+    assertEquals(0, engine.breaches());
+    assertEquals(60, engine.runs().size());
+  }
+
+  @Test
+  void passWithdrawalsOfTheirSideOn() {
+    routers.get(2).peerReceiver().withdraw(List.of(KeyDigest.ofKey(RouterFixture.KEY)));
+    for (int router = 0; router < ROUTERS; router++) {
+      int number = router;
+      RouterFixture.await(() -> status(number) == 401);
+    }
+  }
+
+  @Test
+  void changesReachEveryRouterThroughTheRelay() {
+    config.withdraw(RouterFixture.OTHER_KEY, "lakeshore");
+    RouterFixture.await(() -> routers.stream().allMatch(r -> r.configVersion() == 2));
+    assertTrue(routers.stream().allMatch(RouterService::isReady));
+  }
+}
