Test refusal and waiting behind one busy slot

Cause: nothing tested the router's admission over sockets: whether a hopeless request is refused without running, and whether a waiting one runs later.

Conclusion: DispatchTest, PeersTest and WholePathTest pass (11 tests). Not seen to fail first: DispatchTest.

--- a/router/src/test/java/io/jacinthquay/router/RouterFixture.java
+++ b/router/src/test/java/io/jacinthquay/router/RouterFixture.java
@@ -51,6 +51,7 @@
         "domains": [{"name": "a", "region": "r"}],
         "classes": [
           {"name": "quick", "tier": 0, "first_token_ms": 20000},
+          {"name": "brief", "tier": 0, "first_token_ms": 300},
           {"name": "patient", "tier": 3, "first_token_ms": 60000, "must_finish": true}
         ],
         "pools": [
@@ -59,7 +60,7 @@
         ],
         "models": [{"name": "mender", "pool": "engines", "max_output_tokens": 100000}],
         "customers": [
-          {"name": "atlas", "default_class": "quick", "classes": ["quick", "patient"]},
+          {"name": "atlas", "default_class": "quick", "classes": ["quick", "brief", "patient"]},
           {"name": "lakeshore", "default_class": "patient"}
         ],
         "routes": [
