--- a/ctl/src/main/java/io/jacinthquay/ctl/CtlMain.java
+++ b/ctl/src/main/java/io/jacinthquay/ctl/CtlMain.java
@@ -27,8 +27,16 @@
     System.exit(run(args, System.getenv(), System.out, System.err).number());
   }
 
-  /** Runs one subcommand and returns its exit code. */
-  static ExitCode run(
+  /**
+   * Runs one subcommand.
+   *
+   * @param args the command line
+   * @param environment the environment variables, which flags override
+   * @param out receives results
+   * @param err receives errors
+   * @return the exit code
+   */
+  public static ExitCode run(
       String[] args, Map<String, String> environment, PrintStream out, PrintStream err) {
     ArgumentParser parser = CommandLine.parser(environment);
     Namespace parsed;
--- a/standalone/src/main/java/io/jacinthquay/standalone/DemoSession.java
+++ b/standalone/src/main/java/io/jacinthquay/standalone/DemoSession.java
@@ -1,5 +1,6 @@
 package io.jacinthquay.standalone;
 
+import io.jacinthquay.runtime.ExitCode;
 import io.jacinthquay.runtime.http.HttpAnswer;
 import io.jacinthquay.standalone.DemoCaller.Question;
 import java.io.PrintStream;
@@ -44,6 +45,10 @@
       showWithdrawal(caller, atlas);
     }
     showUsage();
+    heading("service-level burn, as jqctl report shows it");
+    if (service.printReport(out) != ExitCode.OK) {
+      throw new IllegalStateException("the report failed");
+    }
   }
 
   private static int status(DemoCaller caller, String key) {
--- a/standalone/src/main/java/io/jacinthquay/standalone/StandaloneService.java
+++ b/standalone/src/main/java/io/jacinthquay/standalone/StandaloneService.java
@@ -2,6 +2,7 @@
 
 import io.jacinthquay.controller.ControllerService;
 import io.jacinthquay.controller.ControllerSettings;
+import io.jacinthquay.ctl.CtlMain;
 import io.jacinthquay.keeper.KeeperOptions;
 import io.jacinthquay.keeper.KeeperService;
 import io.jacinthquay.model.DomainId;
@@ -9,19 +10,23 @@
 import io.jacinthquay.model.VmId;
 import io.jacinthquay.router.RouterAssembly;
 import io.jacinthquay.router.RouterEndpoints;
+import io.jacinthquay.router.adapter.thrift.PeerServer;
 import io.jacinthquay.router.service.RouterOptions;
 import io.jacinthquay.router.service.RouterService;
+import io.jacinthquay.runtime.ExitCode;
 import io.jacinthquay.runtime.Service;
 import io.jacinthquay.runtime.tls.PeerName;
 import io.jacinthquay.runtime.tls.PeerRole;
 import io.jacinthquay.testkit.platform.PlatformLedger;
 import io.jacinthquay.wire.client.KeeperClient;
+import java.io.PrintStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import java.util.Map;
 
 /**
  * Runs a keeper, a router, a controller and the fakes in one process.
@@ -48,6 +53,7 @@
   private InetSocketAddress keeperAddress;
   private KeeperClient operator;
   private RouterService router;
+  private PeerServer inner;
 
   StandaloneService(StandaloneSettings settings) {
     this.settings = settings;
@@ -62,6 +68,8 @@
     new OperatorSession(operator).applyEmbeddedPolicy();
     router = newRouter();
     run(router);
+    inner = newInnerServer();
+    run(inner);
     run(newController());
   }
 
@@ -96,6 +104,15 @@
     return RouterAssembly.create(options, endpoints);
   }
 
+  private PeerServer newInnerServer() {
+    return new PeerServer(
+        new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+        identities.identity(ROUTER),
+        new VmId(ROUTER.name()),
+        new DomainId(EmbeddedPlatform.DOMAIN),
+        router.peerReceiver());
+  }
+
   private ControllerService newController() {
     return new ControllerService(
         new ControllerSettings(
@@ -119,6 +136,20 @@
     return new OperatorSession(operator);
   }
 
+  /** Runs {@code jqctl report} against this process and prints what it prints. */
+  ExitCode printReport(PrintStream out) {
+    String[] args = {
+      "--keepers",
+      "127.0.0.1:" + keeperAddress.getPort(),
+      "--tls",
+      identities.folder(OPERATOR).toString(),
+      "report",
+      "--routers",
+      "127.0.0.1:" + inner.port()
+    };
+    return CtlMain.run(args, Map.of(), out, out);
+  }
+
   PlatformLedger ledger() {
     return platform.ledger();
   }
