--- a/bench/src/main/java/io/jacinthquay/bench/BenchMain.java
+++ b/bench/src/main/java/io/jacinthquay/bench/BenchMain.java
@@ -3,6 +3,7 @@
 import io.jacinthquay.bench.experiment.DecideCommand;
 import io.jacinthquay.bench.experiment.RunCommand;
 import io.jacinthquay.bench.keeper.KeeperCommand;
+import io.jacinthquay.bench.membership.MembershipCommand;
 import io.jacinthquay.bench.report.PlotCommand;
 import io.jacinthquay.runtime.ExitCode;
 import java.io.PrintStream;
@@ -20,7 +21,12 @@
   private static final String COMMAND = "command";
 
   private static final List<BenchCommand> COMMANDS =
-      List.of(new RunCommand(), new DecideCommand(), new PlotCommand(), new KeeperCommand());
+      List.of(
+          new RunCommand(),
+          new DecideCommand(),
+          new PlotCommand(),
+          new MembershipCommand(),
+          new KeeperCommand());
 
   private BenchMain() {}
 
--- a/decision/src/main/java/io/jacinthquay/decision/membership/GossipNode.java
+++ b/decision/src/main/java/io/jacinthquay/decision/membership/GossipNode.java
@@ -31,6 +31,12 @@
   /** Shortest time between two readings of the own load that are passed on, in nanoseconds. */
   private static final long LOAD_NANOS = 1_000_000_000;
 
+  /** The same for each member of the domain, so that messages keep their size, in nanoseconds. */
+  private static final long LOAD_NANOS_PER_MEMBER = 70_000_000;
+
+  /** How often a load or a summary is passed on; the next reading makes up for who missed it. */
+  private static final int READINGS_TOLD = 3;
+
   /** Members up to which everything known is exchanged at the usual interval. */
   private static final int SYNC_MEMBERS = 64;
 
@@ -106,7 +112,8 @@
 
   /** Sets the own load. */
   public void load(MemberLoad reading, long nowNanos) {
-    boolean due = load.version() == 0 || nowNanos - loadSetAt >= LOAD_NANOS;
+    long interval = Math.max(LOAD_NANOS, LOAD_NANOS_PER_MEMBER * table.all().size());
+    boolean due = load.version() == 0 || nowNanos - loadSetAt >= interval;
     if (due) {
       loadSetAt = nowNanos;
       load = new LoadUpdate(self.id(), self.incarnation(), load.version() + 1, 0, reading);
@@ -298,12 +305,12 @@
         members.add(table.find(id).member);
       }
     }
-    return new GossipPayload(members, loads(times, now), summariesToTell(times, now));
+    return new GossipPayload(members, loads(now), summariesToTell(now));
   }
 
-  private List<LoadUpdate> loads(int times, long now) {
+  private List<LoadUpdate> loads(long now) {
     List<LoadUpdate> loads = new ArrayList<>();
-    for (VmId id : loadRumors.next(settings.loadsPerMessage(), times)) {
+    for (VmId id : loadRumors.next(settings.loadsPerMessage(), READINGS_TOLD)) {
       Entry entry = table.find(id);
       if (id.equals(self.id())) {
         loads.add(load.aged((now - loadSetAt) / MILLISECOND));
@@ -314,9 +321,9 @@
     return loads;
   }
 
-  private List<DomainSummary> summariesToTell(int times, long now) {
+  private List<DomainSummary> summariesToTell(long now) {
     List<DomainSummary> tell = new ArrayList<>();
-    for (VmId origin : summaryRumors.next(settings.summariesPerMessage(), times)) {
+    for (VmId origin : summaryRumors.next(settings.summariesPerMessage(), READINGS_TOLD)) {
       DomainSummary summary = summaries.find(origin, now);
       if (summary != null) {
         tell.add(summary);
--- a/decision/src/main/java/io/jacinthquay/decision/membership/GossipSettings.java
+++ b/decision/src/main/java/io/jacinthquay/decision/membership/GossipSettings.java
@@ -54,6 +54,6 @@
         Duration.ofMinutes(10).toNanos(),
         6,
         4,
-        1);
+        2);
   }
 }
--- a/decision/src/main/java/io/jacinthquay/decision/membership/SummaryExchange.java
+++ b/decision/src/main/java/io/jacinthquay/decision/membership/SummaryExchange.java
@@ -23,6 +23,9 @@
   /** Age above which a summary is dropped, in milliseconds. */
   private static final long EXPIRY_MILLIS = 30_000;
 
+  /** Age below which a failure domain's summary is not replaced in gossip, in milliseconds. */
+  private static final long FRESH_MILLIS = 1_500;
+
   private static final class Held {
     private final DomainSummary summary;
     private final long heardAt;
@@ -62,7 +65,7 @@
     }
   }
 
-  /** Takes a summary in. Returns whether it is news. */
+  /** Takes a summary in. Returns whether it is worth passing on. */
   boolean merge(DomainSummary summary, long now) {
     if (summary.domain().equals(own)) {
       return false;
@@ -71,8 +74,17 @@
     if (!summary.replaces(held == null ? null : held.summary)) {
       return false;
     }
+    boolean fresh = youngestMillis(summary.domain(), now) < FRESH_MILLIS;
     byOrigin.put(summary.origin(), new Held(summary, now));
-    return true;
+    return !fresh;
+  }
+
+  private long youngestMillis(DomainId domain, long now) {
+    return byOrigin.values().stream()
+        .filter(h -> h.summary.domain().equals(domain))
+        .mapToLong(h -> h.ageMillis(now))
+        .min()
+        .orElse(Long.MAX_VALUE);
   }
 
   /** Returns a summary with its present age, or null. */
--- a/decision/src/main/java/io/jacinthquay/decision/placement/OutlierDetector.java
+++ b/decision/src/main/java/io/jacinthquay/decision/placement/OutlierDetector.java
@@ -73,6 +73,15 @@
     u.failuresInRow++;
     if (u.failuresInRow >= MAX_FAILURES || u.isProbing(now)) {
       eject(u, now);
+      u.ejectedForFailure = true;
+    }
+  }
+
+  /** A whole answer takes back an ejection for failures; one for latency needs its probes. */
+  void succeeded(UpstreamState u, long now) {
+    u.failuresInRow = 0;
+    if (u.ejected && u.ejectedForFailure) {
+      restore(u, now);
     }
   }
 
@@ -82,6 +91,7 @@
     u.ejectedUntil = now + length;
     u.ejections++;
     u.failuresInRow = 0;
+    u.ejectedForFailure = false;
     u.forgetLatency(now);
   }
 
--- a/decision/src/main/java/io/jacinthquay/decision/placement/UpstreamState.java
+++ b/decision/src/main/java/io/jacinthquay/decision/placement/UpstreamState.java
@@ -49,6 +49,7 @@
   int failuresInRow;
   int ejections;
   boolean ejected;
+  boolean ejectedForFailure;
   long ejectedUntil;
 
   /** Confidence that a hinted block is cached, 0 to 1. */
--- a/decision/src/main/java/io/jacinthquay/decision/placement/UpstreamTable.java
+++ b/decision/src/main/java/io/jacinthquay/decision/placement/UpstreamTable.java
@@ -283,7 +283,7 @@
       upstream.pendingPromptTokens -= dispatch.missTokens;
     }
     if (end == AttemptEnd.COMPLETED) {
-      upstream.failuresInRow = 0;
+      detector.succeeded(upstream, nowNanos);
       model.observeCompletion(dispatch, nowNanos);
     }
     if (end == AttemptEnd.FAILED) {
@@ -298,8 +298,14 @@
   public Set<UpstreamId> closed(long nowNanos) {
     refresh(nowNanos);
     Set<UpstreamId> closed = new HashSet<>();
+    Set<DomainId> open = new HashSet<>();
     for (UpstreamState u : subset.slots()) {
-      if (u != null && u.ejected && !u.isProbing(nowNanos)) {
+      if (u != null && (!u.ejected || u.isProbing(nowNanos))) {
+        open.add(u.domain());
+      }
+    }
+    for (UpstreamState u : subset.slots()) {
+      if (u != null && u.ejected && !u.isProbing(nowNanos) && open.contains(u.domain())) {
         closed.add(u.info.id());
       }
     }
