--- a/bench/src/main/java/io/jacinthquay/bench/BenchMain.java
+++ b/bench/src/main/java/io/jacinthquay/bench/BenchMain.java
@@ -4,6 +4,7 @@
 import io.jacinthquay.bench.experiment.RunCommand;
 import io.jacinthquay.bench.keeper.KeeperCommand;
 import io.jacinthquay.bench.membership.MembershipCommand;
+import io.jacinthquay.bench.overhead.OverheadCommand;
 import io.jacinthquay.bench.report.PlotCommand;
 import io.jacinthquay.runtime.ExitCode;
 import java.io.PrintStream;
@@ -26,7 +27,8 @@
           new DecideCommand(),
           new PlotCommand(),
           new MembershipCommand(),
-          new KeeperCommand());
+          new KeeperCommand(),
+          new OverheadCommand());
 
   private BenchMain() {}
 
