Judge answers that are not streamed by their whole time

Cause: the burn report showed 33 % attainment for answers that came on time, because their only byte was taken for a first token. Change: such an answer may take the first-token target plus the time of its tokens, and is left out of the first-token and between-token histograms.

--- a/decision/src/main/java/io/jacinthquay/decision/slo/SloSample.java
+++ b/decision/src/main/java/io/jacinthquay/decision/slo/SloSample.java
@@ -29,6 +29,15 @@
     return new SloSample(false, 0, 0);
   }
 
+  /**
+   * Returns the sample of a whole answer whose first token was not timed.
+   *
+   * @param onTime whether it came in the time that the targets allow for all of it
+   */
+  public static SloSample untimed(boolean onTime) {
+    return new SloSample(onTime, 0, 0);
+  }
+
   /** Returns whether the request met the targets of its class. */
   public boolean meets(ClassPolicy policy) {
     return complete
--- a/router/src/main/java/io/jacinthquay/router/service/report/RequestRecord.java
+++ b/router/src/main/java/io/jacinthquay/router/service/report/RequestRecord.java
@@ -24,6 +24,7 @@
  * @param outcome whether an upstream ran it
  * @param arrivedNanos when it arrived, on the monotonic clock
  * @param firstByteNanos time to the first byte of the answer; negative if there was none
+ * @param firstTokenTimed whether the first byte came with the first token, as in a streamed answer
  * @param wholeNanos time to the end
  * @param inputTokens prompt tokens
  * @param outputTokens tokens that the caller was given
@@ -41,6 +42,7 @@
     Outcome outcome,
     long arrivedNanos,
     long firstByteNanos,
+    boolean firstTokenTimed,
     long wholeNanos,
     long inputTokens,
     long outputTokens) {
--- a/router/src/main/java/io/jacinthquay/router/service/report/RouterMetrics.java
+++ b/router/src/main/java/io/jacinthquay/router/service/report/RouterMetrics.java
@@ -92,11 +92,13 @@
 
   private void measure(RequestRecord entry, String name) {
     String customer = entry.customer().orElseThrow().value();
-    firstByClass.record(name, entry.firstByteNanos());
-    firstByCustomer.record(customer, entry.firstByteNanos());
+    if (entry.firstTokenTimed()) {
+      firstByClass.record(name, entry.firstByteNanos());
+      firstByCustomer.record(customer, entry.firstByteNanos());
+    }
     wholeByClass.record(name, entry.wholeNanos());
     wholeByCustomer.record(customer, entry.wholeNanos());
-    if (entry.outputTokens() > 1) {
+    if (entry.firstTokenTimed() && entry.outputTokens() > 1) {
       tokenByClass.record(name, interTokenNanos(entry));
       tokenByCustomer.record(customer, interTokenNanos(entry));
     }
@@ -114,17 +116,21 @@
       return;
     }
     SloKey key = new SloKey(entry.className().get(), entry.customer().orElseThrow());
-    boolean met = slo.record(key, policy.get(), sample(entry), System.currentTimeMillis());
+    boolean met =
+        slo.record(key, policy.get(), sample(entry, policy.get()), System.currentTimeMillis());
     count("jq_objective_requests_total", "class", name);
     if (met) {
       count("jq_objective_met_total", "class", name);
     }
   }
 
-  private static SloSample sample(RequestRecord entry) {
+  private static SloSample sample(RequestRecord entry, ClassPolicy policy) {
     if (entry.code().isPresent()) {
       return SloSample.failed();
     }
+    if (!entry.firstTokenTimed()) {
+      return SloSample.untimed(entry.wholeNanos() <= allowedWholeNanos(entry, policy));
+    }
     long token = entry.outputTokens() < 2 ? 0 : interTokenNanos(entry);
     return new SloSample(
         true,
@@ -132,6 +138,12 @@
         TimeUnit.NANOSECONDS.toMicros(Math.max(0, token)));
   }
 
+  /** Returns how long an answer may take that is not streamed. */
+  private static double allowedWholeNanos(RequestRecord entry, ClassPolicy policy) {
+    double millis = policy.firstTokenMs() + entry.outputTokens() * policy.interTokenMs();
+    return millis * TimeUnit.MILLISECONDS.toNanos(1);
+  }
+
   /** Returns how requests met their targets. */
   public SloSnapshot slo() {
     return slo.snapshot(System.currentTimeMillis());
--- a/router/src/main/java/io/jacinthquay/router/service/request/RouterIntake.java
+++ b/router/src/main/java/io/jacinthquay/router/service/request/RouterIntake.java
@@ -156,6 +156,7 @@
         failure.code().outcome(),
         now,
         -1,
+        false,
         0,
         0,
         0);
--- a/router/src/main/java/io/jacinthquay/router/service/request/RunEnd.java
+++ b/router/src/main/java/io/jacinthquay/router/service/request/RunEnd.java
@@ -39,6 +39,7 @@
                 facts.outcome(),
                 context.arrivedNanos(),
                 facts.firstByteNanos(),
+                relay == null || relay.timesFirstToken(),
                 System.nanoTime() - context.arrivedNanos(),
                 facts.inputTokens(),
                 facts.outputTokens()));
