--- a/runtime/src/main/java/io/jacinthquay/runtime/Program.java
+++ b/runtime/src/main/java/io/jacinthquay/runtime/Program.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.Function;
+import org.apache.logging.log4j.LogManager;
 
 /**
  * Runs a long-lived program: reads its settings, starts its service and stops it on SIGTERM.
@@ -67,6 +68,7 @@
         new Thread(
             () -> {
               service.stop();
+              LogManager.shutdown();
               stopped.countDown();
             },
             "shutdown");
