Replay golden sessions through the real router

Cause: whole exchanges were tested piece by piece only. Change: six readable sessions (streamed answer, refusal, broken stream, withdrawn key, crossed answer, upstream that dies) with what the caller sends, the upstream sees, the caller gets and the log says; values that differ between runs are replaced, among them lengths, which depend on the request id.

--- /dev/null
+++ b/router/src/test/java/io/jacinthquay/router/GoldenSessionTest.java
@@ -0,0 +1,165 @@
+package io.jacinthquay.router;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.jacinthquay.router.RawCaller.Answer;
+import io.jacinthquay.testkit.engine.EngineRun;
+import io.jacinthquay.testkit.plain.PlainFault;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.apache.logging.log4j.Level;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.core.LogEvent;
+import org.apache.logging.log4j.core.Logger;
+import org.apache.logging.log4j.core.appender.AbstractAppender;
+import org.apache.logging.log4j.core.config.Property;
+import org.apache.logging.log4j.message.StringMapMessage;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * Replays whole sessions through the real router.
+ *
+ * <p>With the system property {@code golden.write} the files are written anew instead of compared;
+ * read the difference before it is committed.
+ */
+class GoldenSessionTest {
+  private static final boolean WRITE = Boolean.getBoolean("golden.write");
+
+  /** Fields of the log that differ between runs. */
+  private static final List<String> VARYING = List.of("request_id", "first_byte_us", "whole_us");
+
+  static Stream<String> names() throws IOException {
+    return GoldenSession.names();
+  }
+
+  @ParameterizedTest
+  @MethodSource("names")
+  void sessionIsAsRecorded(String name) throws IOException {
+    GoldenSession recorded = GoldenSession.read(name);
+    GoldenSession replayed = replay(recorded);
+    if (WRITE) {
+      replayed.write(name);
+    } else {
+      assertEquals(recorded, replayed);
+    }
+  }
+
+  private static GoldenSession replay(GoldenSession session) throws IOException {
+    RequestLines lines = new RequestLines(session.path());
+    lines.start();
+    try (RouterFixture fixture = new RouterFixture()) {
+      setUp(session.setup(), fixture);
+      Answer answer;
+      try (RawCaller caller = new RawCaller(fixture.address())) {
+        answer = caller.call(session.request());
+      }
+      RouterFixture.await(() -> !lines.seen().isEmpty());
+      String gets = constantLength(answer.head().strip() + "\n\n" + answer.body());
+      String logs = String.join("\n", lines.seen());
+      return new GoldenSession(session.setup(), session.sends(), seen(fixture), gets, logs);
+    } finally {
+      lines.stop();
+    }
+  }
+
+  private static void setUp(String setup, RouterFixture fixture) throws IOException {
+    switch (setup) {
+      case "none" -> {}
+      case "die-after-2-tokens" -> fixture.engine.faults().dieAfterTokens(2);
+      case "cross-events" -> fixture.engine.faults().crossEvents(true);
+      case "plain-dies-before-answer" -> fixture.plain.fault(PlainFault.DIE_BEFORE_ANSWER);
+      case "withdraw-key" -> withdraw(fixture);
+      default -> throw new IllegalArgumentException("no such setup: " + setup);
+    }
+  }
+
+  private static void withdraw(RouterFixture fixture) {
+    fixture.config.withdraw(RouterFixture.KEY, "atlas");
+    RouterFixture.await(() -> status(fixture) == 401);
+  }
+
+  private static int status(RouterFixture fixture) {
+    try (RawCaller caller = new RawCaller(fixture.address())) {
+      return caller.call(RawCaller.get("/tickets/1", RouterFixture.KEY)).status();
+    } catch (IOException e) {
+      throw new java.io.UncheckedIOException(e);
+    }
+  }
+
+  private static String seen(RouterFixture fixture) {
+    List<String> requests = new ArrayList<>();
+    for (EngineRun run : fixture.engine.runs()) {
+      requests.add(headers(run.headers()) + "\n\n" + run.body());
+    }
+    fixture.plain.runs().forEach(run -> requests.add(run.method() + " " + run.target()));
+    return constant(String.join("\n\n", requests)).strip();
+  }
+
+  private static String headers(String text) {
+    return Arrays.stream(text.split("\n"))
+        .map(line -> line.toLowerCase(Locale.ROOT).startsWith("host") ? "Host: <upstream>" : line)
+        .sorted(String.CASE_INSENSITIVE_ORDER)
+        .collect(Collectors.joining("\n"));
+  }
+
+  /** Replaces what differs between runs. */
+  private static String constant(String text) {
+    return text.replace("\r\n", "\n")
+        .replaceAll("entry-1/[0-9a-f]+-[0-9a-z]+", "<request>")
+        .replaceAll("(?m)^(?i)date:.*\n", "")
+        .replaceAll("(?m)^(?i)retry-after:.*\n", "Retry-After: <seconds>\n");
+  }
+
+  /** Replaces what differs in an answer, whose length depends on that of the request's name. */
+  private static String constantLength(String text) {
+    return constant(text)
+        .replaceAll("(?m)^Content-Length: .*$", "Content-Length: <length>")
+        .strip();
+  }
+
+  /** Gathers the lines of the request log for one path. */
+  private static final class RequestLines extends AbstractAppender {
+    private final String path;
+    private final List<String> lines = new ArrayList<>();
+    private final Logger logger = (Logger) LogManager.getLogger("io.jacinthquay.request");
+
+    RequestLines(String path) {
+      super("request-lines", null, null, false, Property.EMPTY_ARRAY);
+      this.path = path;
+    }
+
+    @Override
+    public void start() {
+      super.start();
+      logger.setLevel(Level.INFO);
+      logger.addAppender(this);
+    }
+
+    @Override
+    public void stop() {
+      logger.removeAppender(this);
+      super.stop();
+    }
+
+    @Override
+    public synchronized void append(LogEvent event) {
+      Map<String, String> fields = new TreeMap<>(((StringMapMessage) event.getMessage()).getData());
+      VARYING.forEach(fields::remove);
+      if (path.equals(fields.get("path"))) {
+        lines.add(fields.toString());
+      }
+    }
+
+    synchronized List<String> seen() {
+      return List.copyOf(lines);
+    }
+  }
+}
