--- a/bench/src/main/java/io/jacinthquay/bench/BenchMain.java
+++ b/bench/src/main/java/io/jacinthquay/bench/BenchMain.java
@@ -1,5 +1,7 @@
 package io.jacinthquay.bench;
 
+import io.jacinthquay.bench.capacity.CapacityCommand;
+import io.jacinthquay.bench.capacity.StateCommand;
 import io.jacinthquay.bench.experiment.DecideCommand;
 import io.jacinthquay.bench.experiment.RunCommand;
 import io.jacinthquay.bench.keeper.KeeperCommand;
@@ -28,7 +30,9 @@
           new PlotCommand(),
           new MembershipCommand(),
           new KeeperCommand(),
-          new OverheadCommand());
+          new OverheadCommand(),
+          new StateCommand(),
+          new CapacityCommand());
 
   private BenchMain() {}
 
--- a/ctl/src/main/java/io/jacinthquay/ctl/LazyKeepers.java
+++ b/ctl/src/main/java/io/jacinthquay/ctl/LazyKeepers.java
@@ -4,6 +4,7 @@
 import io.jacinthquay.ctl.command.Context;
 import io.jacinthquay.model.Failure;
 import io.jacinthquay.model.ResultCode;
+import io.jacinthquay.runtime.settings.SocketAddresses;
 import io.jacinthquay.runtime.tls.TlsIdentity;
 import io.jacinthquay.wire.client.KeeperCall;
 import io.jacinthquay.wire.client.KeeperClient;
@@ -12,7 +13,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.time.Duration;
-import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import net.sourceforge.argparse4j.inf.Namespace;
 
@@ -53,16 +54,7 @@
   }
 
   private static List<InetSocketAddress> addresses(String text) {
-    List<InetSocketAddress> addresses = new ArrayList<>();
-    for (String address : text.split(",")) {
-      int colon = address.lastIndexOf(':');
-      if (colon < 1 || !address.substring(colon + 1).matches("[0-9]{1,5}")) {
-        throw new IllegalArgumentException("is not host:port: " + address);
-      }
-      int port = Integer.parseInt(address.substring(colon + 1));
-      addresses.add(new InetSocketAddress(address.substring(0, colon), port));
-    }
-    return addresses;
+    return Arrays.stream(text.split(",")).map(SocketAddresses::parse).toList();
   }
 
   @Override
--- a/ctl/src/main/java/io/jacinthquay/ctl/command/CommandLine.java
+++ b/ctl/src/main/java/io/jacinthquay/ctl/command/CommandLine.java
@@ -43,7 +43,7 @@
         .addArgument("--keepers")
         .dest(KEEPERS)
         .setDefault(environment.get("JQ_KEEPERS"))
-        .help("addresses of the keepers, host:port with commas between [JQ_KEEPERS]");
+        .help("addresses of the keepers, ip:port with commas between [JQ_KEEPERS]");
     parser
         .addArgument("--tls")
         .dest(TLS)
--- a/decision/src/main/java/io/jacinthquay/decision/slo/SloLedger.java
+++ b/decision/src/main/java/io/jacinthquay/decision/slo/SloLedger.java
@@ -16,7 +16,7 @@
  * }</pre>
  *
  * <p>Requests that are the caller's own fault, or that the caller abandoned, are not recorded. A
- * key takes about 1.1 KB, a class with its histograms about 50 KB. Safe for use by many threads.
+ * key takes about 1.5 KB, a class with its histograms about 50 KB. Safe for use by many threads.
  */
 public final class SloLedger {
   private static final int HISTOGRAM_DIGITS = 2;
--- a/keeper/src/main/java/io/jacinthquay/keeper/KeeperSettings.java
+++ b/keeper/src/main/java/io/jacinthquay/keeper/KeeperSettings.java
@@ -5,6 +5,7 @@
 import io.jacinthquay.runtime.settings.Setting;
 import io.jacinthquay.runtime.settings.Settings;
 import io.jacinthquay.runtime.settings.SettingsParser;
+import io.jacinthquay.runtime.settings.SocketAddresses;
 import io.jacinthquay.runtime.tls.TlsIdentity;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -21,12 +22,12 @@
   static final Setting<DomainId> DOMAIN =
       Setting.of("domain", "failure domain of this VM", "name", DomainId::new);
   static final Setting<InetSocketAddress> LISTEN =
-      Setting.of("listen", "where to serve calls", "host:port", KeeperSettings::address);
+      Setting.of("listen", "where to serve calls", "ip:port", SocketAddresses::parse);
   static final Setting<Path> DATA = Setting.path("data", "data folder, made if missing");
   static final Setting<Path> TLS =
       Setting.path("tls", "folder with ca.pem, cert.pem and key.pem of this keeper");
   static final Setting<List<Peer>> PEERS =
-      Setting.list("peers", "all other keepers", "name=host:port", KeeperSettings::peer).orElse("");
+      Setting.list("peers", "all other keepers", "name=ip:port", KeeperSettings::peer).orElse("");
   static final Setting<Integer> KEY_LEASE =
       Setting.integer(
               "key-lease-ms", "how long a key table stays current", "milliseconds", 500, 600_000)
@@ -49,22 +50,10 @@
   private static Peer peer(String text) {
     int sign = text.indexOf('=');
     if (sign < 1) {
-      throw new IllegalArgumentException("is not name=host:port: " + text);
-    }
-    return new Peer(new VmId(text.substring(0, sign)).value(), address(text.substring(sign + 1)));
-  }
-
-  private static InetSocketAddress address(String text) {
-    int colon = text.lastIndexOf(':');
-    if (colon < 1) {
-      throw new IllegalArgumentException("is not host:port: " + text);
-    }
-    try {
-      int port = Integer.parseInt(text.substring(colon + 1));
-      return new InetSocketAddress(text.substring(0, colon), port);
-    } catch (NumberFormatException e) {
-      throw new IllegalArgumentException("has no port number: " + text, e);
+      throw new IllegalArgumentException("is not name=ip:port: " + text);
     }
+    return new Peer(
+        new VmId(text.substring(0, sign)).value(), SocketAddresses.parse(text.substring(sign + 1)));
   }
 
   /**
--- a/router/src/main/java/io/jacinthquay/router/RouterSettings.java
+++ b/router/src/main/java/io/jacinthquay/router/RouterSettings.java
@@ -4,12 +4,12 @@
 import io.jacinthquay.model.DomainId;
 import io.jacinthquay.model.VmId;
 import io.jacinthquay.router.adapter.http.ListenerLimits;
-import io.jacinthquay.router.adapter.thrift.Addresses;
 import io.jacinthquay.router.service.PeerOptions;
 import io.jacinthquay.router.service.RouterOptions;
 import io.jacinthquay.runtime.settings.Setting;
 import io.jacinthquay.runtime.settings.Settings;
 import io.jacinthquay.runtime.settings.SettingsParser;
+import io.jacinthquay.runtime.settings.SocketAddresses;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -22,12 +22,12 @@
   static final Setting<DomainId> DOMAIN =
       Setting.of("domain", "failure domain of this VM", "name", DomainId::new);
   static final Setting<InetSocketAddress> LISTEN =
-      Setting.of("listen", "where callers connect", "ip:port", Addresses::parse)
+      Setting.of("listen", "where callers connect", "ip:port", SocketAddresses::parse)
           .orElse("0.0.0.0:8080");
   static final Setting<List<InetSocketAddress>> KEEPERS =
-      Setting.list("keepers", "all keepers", "ip:port", Addresses::parse);
+      Setting.list("keepers", "all keepers", "ip:port", SocketAddresses::parse);
   static final Setting<InetSocketAddress> PEER_LISTEN =
-      Setting.of("peer-listen", "where other routers connect", "ip:port", Addresses::parse)
+      Setting.of("peer-listen", "where other routers connect", "ip:port", SocketAddresses::parse)
           .orElse("0.0.0.0:7400");
   static final Setting<String> PEER_ADDRESS =
       Setting.of("peer-address", "where other routers reach this one", "ip:port", text -> text)
@@ -40,7 +40,7 @@
               RouterSettings::peer)
           .orElse("");
   static final Setting<InetSocketAddress> PLATFORM =
-      Setting.of("platform", "the platform's interface", "ip:port", Addresses::parse);
+      Setting.of("platform", "the platform's interface", "ip:port", SocketAddresses::parse);
   static final Setting<Path> TLS = Setting.path("tls", "folder with ca.pem, cert.pem and key.pem");
   static final Setting<Integer> IO_THREADS =
       Setting.integer("io-threads", "threads that carry requests", "threads", 1, 256).orElse("2");
@@ -156,7 +156,7 @@
       throw new IllegalArgumentException("is not of the form name@domain@ip:port: " + text);
     }
     String address = parts[2];
-    if (Addresses.parse(address).isUnresolved()) {
+    if (SocketAddresses.parse(address).isUnresolved()) {
       throw new IllegalArgumentException("is no address: " + address);
     }
     return new Candidate(new VmId(parts[0]), new DomainId(parts[1]), address, false);
--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/PeerChannels.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/PeerChannels.java
@@ -6,6 +6,7 @@
 import io.jacinthquay.model.VmId;
 import io.jacinthquay.router.port.PeerMessenger;
 import io.jacinthquay.router.port.UsageCount;
+import io.jacinthquay.runtime.settings.SocketAddresses;
 import io.jacinthquay.runtime.tls.TlsIdentity;
 import io.jacinthquay.wire.convert.GossipMessages;
 import io.jacinthquay.wire.convert.SlotMessages;
@@ -113,7 +114,7 @@
 
   private Optional<PeerOutbox> outbox(VmId to, String address) {
     InetSocketAddress known = addresses.get(to);
-    return Optional.of(outbox(to, known == null ? Addresses.parse(address) : known));
+    return Optional.of(outbox(to, known == null ? SocketAddresses.parse(address) : known));
   }
 
   private PeerOutbox outbox(VmId to, InetSocketAddress address) {
