Close ejected upstreams to slots in the router

Change: the upstreams announced to admission leave out those that placement has ejected. Weak: an upstream that is left out and comes back starts from its floor again.

--- a/router/src/main/java/io/jacinthquay/router/service/dispatch/AdmissionDispatcher.java
+++ b/router/src/main/java/io/jacinthquay/router/service/dispatch/AdmissionDispatcher.java
@@ -84,7 +84,7 @@
       long now = System.nanoTime();
       tables.update(list, policy, now);
       tables
-          .specs(policy)
+          .specs(policy, now)
           .forEach((scope, specs) -> perform(admission.upstreams(now, scope, specs), null));
     }
   }
--- a/router/src/main/java/io/jacinthquay/router/service/dispatch/PoolTables.java
+++ b/router/src/main/java/io/jacinthquay/router/service/dispatch/PoolTables.java
@@ -98,20 +98,26 @@
   }
 
   /** Returns the upstreams that may get work, by pool and failure domain. */
-  Map<SlotScope, List<UpstreamSpec>> specs(Policy policy) {
+  Map<SlotScope, List<UpstreamSpec>> specs(Policy policy, long nowNanos) {
     Map<SlotScope, List<UpstreamSpec>> specs = new TreeMap<>();
     announced.forEach(scope -> specs.put(scope, new ArrayList<>()));
-    pools.forEach((name, pool) -> addSpecs(specs, name, pool, policy));
+    pools.forEach((name, pool) -> addSpecs(specs, name, pool, policy, nowNanos));
     announced.addAll(specs.keySet());
     return specs;
   }
 
   private static void addSpecs(
-      Map<SlotScope, List<UpstreamSpec>> specs, PoolName name, Pool pool, Policy policy) {
+      Map<SlotScope, List<UpstreamSpec>> specs,
+      PoolName name,
+      Pool pool,
+      Policy policy,
+      long nowNanos) {
+    Set<UpstreamId> closed = pool.table.closed(nowNanos);
     for (VmEntry entry : pool.entries.values()) {
       List<UpstreamSpec> ofScope =
           specs.computeIfAbsent(new SlotScope(name, entry.domain()), s -> new ArrayList<>());
-      if (!isLeaving(entry, policy) && !policy.isOut(entry.domain())) {
+      boolean open = !closed.contains(entry.name());
+      if (open && !isLeaving(entry, policy) && !policy.isOut(entry.domain())) {
         int ceiling = Math.max(entry.floor(), UpstreamSpec.DEFAULT_CEILING);
         ofScope.add(new UpstreamSpec(entry.name(), entry.floor(), ceiling));
       }
