Count usage in the windows of the keepers only

Cause: the router had a window length of its own, 60 s by default, while keepers take counters of their 20 s windows only; most other lengths would have had every counter refused. Change: no such setting; the length stands once, in the model.

--- a/router/src/main/java/io/jacinthquay/router/RouterSettings.java
+++ b/router/src/main/java/io/jacinthquay/router/RouterSettings.java
@@ -2,6 +2,7 @@
 
 import io.jacinthquay.decision.membership.Candidate;
 import io.jacinthquay.model.DomainId;
+import io.jacinthquay.model.UsageWindow;
 import io.jacinthquay.model.VmId;
 import io.jacinthquay.router.adapter.http.ListenerLimits;
 import io.jacinthquay.router.service.PeerOptions;
@@ -70,9 +71,6 @@
   static final Setting<Integer> IDLE_TIMEOUT =
       Setting.integer("idle-timeout-ms", "time that a connection may be idle", "ms", 10, 3_600_000)
           .orElse("60000");
-  static final Setting<Integer> USAGE_WINDOW =
-      Setting.integer("usage-window-ms", "length of a usage window", "ms", 1_000, 86_400_000)
-          .orElse("60000");
   static final Setting<Integer> STALL =
       Setting.integer(
               "stall-ms", "silence after which an upstream is given up", "ms", 10, 3_600_000)
@@ -111,7 +109,6 @@
               HEAD_TIMEOUT,
               BODY_TIMEOUT,
               IDLE_TIMEOUT,
-              USAGE_WINDOW,
               STALL,
               CONNECT_TIMEOUT,
               DRAIN_DELAY,
@@ -135,7 +132,7 @@
         settings.value(LISTEN),
         settings.value(IO_THREADS),
         limits,
-        Duration.ofMillis(settings.value(USAGE_WINDOW)),
+        Duration.ofMillis(UsageWindow.LENGTH_MILLIS),
         Duration.ofMillis(settings.value(STALL)),
         Duration.ofMillis(settings.value(CONNECT_TIMEOUT)),
         Duration.ofMillis(settings.value(DRAIN_DELAY)),
--- a/router/src/main/java/io/jacinthquay/router/service/RouterOptions.java
+++ b/router/src/main/java/io/jacinthquay/router/service/RouterOptions.java
@@ -1,6 +1,7 @@
 package io.jacinthquay.router.service;
 
 import io.jacinthquay.model.DomainId;
+import io.jacinthquay.model.UsageWindow;
 import io.jacinthquay.model.VmId;
 import io.jacinthquay.router.adapter.http.ListenerLimits;
 import java.net.InetSocketAddress;
@@ -67,7 +68,7 @@
         listen,
         2,
         ListenerLimits.defaults(),
-        Duration.ofMinutes(1),
+        Duration.ofMillis(UsageWindow.LENGTH_MILLIS),
         Duration.ofSeconds(15),
         Duration.ofSeconds(1),
         Duration.ZERO,
--- a/standalone/src/main/java/io/jacinthquay/standalone/StandaloneService.java
+++ b/standalone/src/main/java/io/jacinthquay/standalone/StandaloneService.java
@@ -6,7 +6,6 @@
 import io.jacinthquay.keeper.KeeperOptions;
 import io.jacinthquay.keeper.KeeperService;
 import io.jacinthquay.model.DomainId;
-import io.jacinthquay.model.UsageWindow;
 import io.jacinthquay.model.VmId;
 import io.jacinthquay.router.RouterAssembly;
 import io.jacinthquay.router.RouterEndpoints;
@@ -95,9 +94,7 @@
   private RouterService newRouter() {
     VmId self = new VmId(ROUTER.name());
     DomainId domain = new DomainId(EmbeddedPlatform.DOMAIN);
-    RouterOptions options =
-        RouterOptions.of(self, domain, settings.listen())
-            .withUsageWindow(Duration.ofMillis(UsageWindow.LENGTH_MILLIS));
+    RouterOptions options = RouterOptions.of(self, domain, settings.listen());
     RouterEndpoints endpoints =
         new RouterEndpoints(
             List.of(keeperAddress), platform.address(), identities.identity(ROUTER));
