--- /dev/null
+++ b/control/src/main/java/io/jacinthquay/control/ControlService.java
@@ -0,0 +1,203 @@
+package io.jacinthquay.control;
+
+import io.jacinthquay.consensus.LogException;
+import io.jacinthquay.consensus.LogOptions;
+import io.jacinthquay.consensus.LogStatus;
+import io.jacinthquay.consensus.MemberId;
+import io.jacinthquay.consensus.ReplicatedLog;
+import io.jacinthquay.control.adapter.ControlHandler;
+import io.jacinthquay.control.port.Fleet;
+import io.jacinthquay.control.service.ControlStore;
+import io.jacinthquay.control.service.Leadership;
+import io.jacinthquay.control.service.RouterRegistry;
+import io.jacinthquay.control.service.UpstreamFeed;
+import io.jacinthquay.control.service.UsageDuty;
+import io.jacinthquay.control.state.ControlState;
+import io.jacinthquay.keeper.adapter.thrift.ThriftPeerTransport;
+import io.jacinthquay.runtime.Service;
+import io.jacinthquay.runtime.settings.SocketAddresses;
+import io.jacinthquay.wire.gen.Control;
+import io.jacinthquay.wire.transport.PlainChannel;
+import io.jacinthquay.wire.transport.PlainServer;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.apache.thrift.TMultiplexedProcessor;
+
+/** One control VM: its part of the replicated log, the feed to routers, and the leader's duties. */
+public final class ControlService implements Service {
+  /** Name of the service that routers call, within the one port of a control VM. */
+  public static final String ROUTERS = "control";
+
+  private static final Logger log = LogManager.getLogger();
+
+  /** Time between two confirmations of leadership, in milliseconds. */
+  private static final int CONFIRM_MILLIS = 150;
+
+  /** Time between two readings of the platform's list, in milliseconds. */
+  private static final int LIST_MILLIS = 400;
+
+  /** Time between two looks at the duties, in milliseconds. */
+  private static final int DUTY_MILLIS = 500;
+
+  /** Limits for connecting to and hearing from another member, in milliseconds. */
+  private static final int CONNECT_MILLIS = 400;
+
+  private static final int READ_MILLIS = 800;
+
+  private static final int SNAPSHOT_EVERY_ENTRIES = 400;
+  private static final int RETAINED_ENTRIES = 100;
+  private static final int SEGMENT_BYTES = 2 << 20;
+  private static final int MAX_COMMAND_BYTES = 8 << 20;
+
+  private final ControlOptions options;
+  private final ThriftPeerTransport transport;
+  private final ReplicatedLog replicatedLog;
+  private final ControlStore store;
+  private final Leadership leadership;
+  private final RouterRegistry routers = new RouterRegistry(System::nanoTime);
+  private final UpstreamFeed feed = new UpstreamFeed();
+  private final Fleet fleet;
+  private final UsageDuty usage;
+  private final PlainServer server;
+  private ScheduledExecutorService scheduler;
+
+  /**
+   * Returns a control VM.
+   *
+   * @param options its settings
+   * @param fleet the platform below
+   */
+  public ControlService(ControlOptions options, Fleet fleet) {
+    this.options = options;
+    this.fleet = fleet;
+    ControlState state = new ControlState();
+    transport =
+        ThriftPeerTransport.resolving(
+            address -> PlainChannel.open(address, CONNECT_MILLIS, READ_MILLIS),
+            name -> Optional.of(SocketAddresses.parse(name)));
+    replicatedLog = newLog(state);
+    store = new ControlStore(replicatedLog, state);
+    leadership = new Leadership(options.name(), options.dutyHold(), System::nanoTime);
+    usage = new UsageDuty(options.usageWindow(), store, routers, fleet);
+    TMultiplexedProcessor processor = new TMultiplexedProcessor();
+    processor.registerProcessor(
+        ROUTERS, new Control.Processor<>(new ControlHandler(store, leadership, routers, feed)));
+    processor.registerDefault(transport.openProcessor());
+    server = new PlainServer(options.listen(), processor);
+  }
+
+  private static MemberId member(InetSocketAddress address) {
+    return new MemberId(address.getAddress().getHostAddress() + ":" + address.getPort());
+  }
+
+  private ReplicatedLog newLog(ControlState state) {
+    Set<MemberId> seeds =
+        options.seeds().stream().map(ControlService::member).collect(Collectors.toSet());
+    LogOptions defaults = LogOptions.DEFAULT;
+    return ReplicatedLog.builder()
+        .member(member(options.listen()))
+        .seeds(seeds)
+        .folder(options.folder())
+        .transport(transport)
+        .stateMachine(state)
+        .options(
+            new LogOptions(
+                defaults.heartbeatInterval(),
+                defaults.electionTimeout(),
+                Duration.ofSeconds(3),
+                SNAPSHOT_EVERY_ENTRIES,
+                RETAINED_ENTRIES,
+                SEGMENT_BYTES,
+                MAX_COMMAND_BYTES,
+                true))
+        .build();
+  }
+
+  /** Returns the replicated state. */
+  public ControlStore store() {
+    return store;
+  }
+
+  @Override
+  public void start() {
+    server.start();
+    try {
+      replicatedLog.start();
+    } catch (LogException e) {
+      server.stop();
+      throw new IllegalStateException(e.getMessage(), e);
+    }
+    scheduler = Executors.newScheduledThreadPool(2);
+    every(CONFIRM_MILLIS, this::confirm);
+    every(LIST_MILLIS, this::readList);
+    every(DUTY_MILLIS, this::actForAll);
+    log.info("control VM {} started with seeds {}", options.name(), options.seeds());
+  }
+
+  private void every(int millis, Runnable task) {
+    var unused =
+        scheduler.scheduleWithFixedDelay(
+            () -> runGuarded(task), millis, millis, TimeUnit.MILLISECONDS);
+  }
+
+  /** A task that throws would never run again. */
+  private static void runGuarded(Runnable task) {
+    try {
+      task.run();
+    } catch (RuntimeException e) {
+      log.error("a task of the control VM failed", e);
+    }
+  }
+
+  private void confirm() {
+    LogStatus before = replicatedLog.status();
+    if (!before.isLeader()) {
+      leadership.lost();
+      return;
+    }
+    long asked = System.nanoTime();
+    var unused =
+        store
+            .read()
+            .thenAccept(
+                answer -> {
+                  LogStatus after = replicatedLog.status();
+                  if (answer.isRight() && after.isLeader() && after.term() == before.term()) {
+                    leadership.confirmed(before, asked);
+                  }
+                });
+  }
+
+  private void readList() {
+    if (!leadership.isConfirmed()) {
+      return;
+    }
+    long asked = System.nanoTime();
+    fleet
+        .list()
+        .peek(list -> feed.read(list, asked))
+        .peekLeft(failure -> log.warn("the list was not read: {}", failure.detail()));
+  }
+
+  private void actForAll() {
+    leadership.fence().ifPresent(fence -> usage.run(fence, System.currentTimeMillis()));
+  }
+
+  @Override
+  public void stop() {
+    if (scheduler != null) {
+      scheduler.shutdownNow();
+      replicatedLog.stop();
+      server.stop();
+    }
+    log.info("control VM {} stopped", options.name());
+  }
+}
--- /dev/null
+++ b/control/src/main/java/io/jacinthquay/control/adapter/package-info.java
@@ -0,0 +1,2 @@
+/** Thrift towards routers. */
+package io.jacinthquay.control.adapter;
--- /dev/null
+++ b/control/src/main/java/io/jacinthquay/control/port/Fleet.java
@@ -0,0 +1,28 @@
+package io.jacinthquay.control.port;
+
+import io.jacinthquay.decision.dispatch.Listing;
+import io.jacinthquay.model.CustomerId;
+import io.jacinthquay.model.Failure;
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.Map;
+
+/** The platform below: its list of upstreams, and the calls that one VM at a time may make. */
+public interface Fleet {
+  /** Returns the list of upstreams, or why it could not be read. */
+  Either<Failure, List<Listing>> list();
+
+  /**
+   * Reports how many requests of each customer began in a window.
+   *
+   * @return nothing, or a failure after which the same report is sent again
+   */
+  Either<Failure, Void> report(Fence fence, long window, Map<CustomerId, Long> counts);
+
+  /**
+   * Orders upstreams.
+   *
+   * @return nothing, or why the order was not taken
+   */
+  Either<Failure, Void> order(Fence fence, UpstreamOrder order);
+}
--- /dev/null
+++ b/control/src/main/java/io/jacinthquay/control/port/package-info.java
@@ -0,0 +1,2 @@
+/** What the control program needs from the outside. */
+package io.jacinthquay.control.port;
--- /dev/null
+++ b/control/src/main/java/io/jacinthquay/control/service/ControlStore.java
@@ -0,0 +1,60 @@
+package io.jacinthquay.control.service;
+
+import io.jacinthquay.consensus.LogFailure;
+import io.jacinthquay.consensus.LogStatus;
+import io.jacinthquay.consensus.MemberId;
+import io.jacinthquay.consensus.ReplicatedLog;
+import io.jacinthquay.control.state.ControlState;
+import io.jacinthquay.control.state.ControlTables;
+import io.jacinthquay.model.Failure;
+import io.jacinthquay.model.ResultCode;
+import io.vavr.control.Either;
+import java.util.Optional;
+import java.util.concurrent.CompletionStage;
+
+/** Changes and reads the replicated state. */
+public final class ControlStore {
+  private final ReplicatedLog log;
+  private final ControlState state;
+
+  /** Returns a store over a log and the state behind it. */
+  public ControlStore(ReplicatedLog log, ControlState state) {
+    this.log = log;
+    this.state = state;
+  }
+
+  /** Returns the newest local state, which may be behind. */
+  public ControlTables tables() {
+    return state.tables();
+  }
+
+  /** Returns this VM's view of the log. */
+  public LogStatus status() {
+    return log.status();
+  }
+
+  /** Returns the member that leads, if known. */
+  public Optional<MemberId> leader() {
+    return log.status().leader().map(replica -> replica.member());
+  }
+
+  /**
+   * Commits a command.
+   *
+   * @return completes once the command is durable on a quorum and in force here, or with a failure
+   */
+  public CompletionStage<Either<Failure, Void>> propose(byte[] command) {
+    return log.propose(command).thenApply(answer -> answer.bimap(ControlStore::failure, a -> null));
+  }
+
+  /** Returns the state after everything that was committed before this call. */
+  public CompletionStage<Either<Failure, ControlTables>> read() {
+    return log.readIndex()
+        .thenApply(answer -> answer.bimap(ControlStore::failure, index -> state.tables()));
+  }
+
+  private static Failure failure(LogFailure failure) {
+    ResultCode code = failure.error().resultCode();
+    return Failure.of(code, failure.detail());
+  }
+}
--- /dev/null
+++ b/control/src/main/java/io/jacinthquay/control/service/RouterRegistry.java
@@ -0,0 +1,95 @@
+package io.jacinthquay.control.service;
+
+import io.jacinthquay.decision.dispatch.LoadFigures;
+import io.jacinthquay.wire.gen.CustomerCountMessage;
+import io.jacinthquay.wire.gen.PoolDemandMessage;
+import io.jacinthquay.wire.gen.RouterReportMessage;
+import io.jacinthquay.wire.gen.UpstreamLoadMessage;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.LongSupplier;
+
+/** What routers reported last, summed. */
+public final class RouterRegistry {
+  /** A router that was silent for this long has nothing under way, in nanoseconds. */
+  private static final long LOAD_NANOS = 1_500_000_000L;
+
+  /** A router that was silent for this long no longer takes part in shared bounds. */
+  private static final long MEMBER_NANOS = 6_000_000_000L;
+
+  /** Usage windows that are kept. */
+  private static final int KEPT_WINDOWS = 16;
+
+  private record Heard(RouterReportMessage report, long atNanos) {}
+
+  private final LongSupplier clock;
+  private final Map<String, Heard> routers = new HashMap<>();
+  private final TreeMap<Long, Map<String, Map<String, Long>>> windows = new TreeMap<>();
+
+  /** Returns an empty registry over a monotonic clock in nanoseconds. */
+  public RouterRegistry(LongSupplier clock) {
+    this.clock = clock;
+  }
+
+  /** Takes in a report. */
+  public synchronized void heard(RouterReportMessage report) {
+    long now = clock.getAsLong();
+    routers.put(report.getRouter(), new Heard(report, now));
+    routers.values().removeIf(heard -> now - heard.atNanos() > MEMBER_NANOS);
+    String source = report.getRouter() + "/" + report.getIncarnation();
+    for (CustomerCountMessage count : report.getCounts()) {
+      windows
+          .computeIfAbsent(count.getWindow(), window -> new HashMap<>())
+          .computeIfAbsent(count.getCustomer(), customer -> new HashMap<>())
+          .merge(source, count.getRequests(), Math::max);
+    }
+    while (windows.size() > KEPT_WINDOWS) {
+      windows.pollFirstEntry();
+    }
+  }
+
+  /** Returns how many routers take part. */
+  public synchronized int count() {
+    return routers.size();
+  }
+
+  /** Returns the sum of what all routers but one have under way. */
+  public synchronized Map<String, LoadFigures> loadsBeside(String router) {
+    long now = clock.getAsLong();
+    Map<String, LoadFigures> sum = new HashMap<>();
+    routers.forEach(
+        (name, heard) -> {
+          if (!name.equals(router) && now - heard.atNanos() <= LOAD_NANOS) {
+            for (UpstreamLoadMessage load : heard.report().getLoads()) {
+              LoadFigures figures =
+                  new LoadFigures(
+                      load.getInFlight(), load.getPromptTokens(), load.getMemoryTokens());
+              sum.merge(load.getUpstream(), figures, LoadFigures::plus);
+            }
+          }
+        });
+    return sum;
+  }
+
+  /** Returns the requests of each customer that began in a window. */
+  public synchronized Map<String, Long> counts(long window) {
+    Map<String, Long> sums = new HashMap<>();
+    windows
+        .getOrDefault(window, Map.of())
+        .forEach(
+            (customer, sources) ->
+                sums.put(customer, sources.values().stream().mapToLong(n -> n).sum()));
+    return sums;
+  }
+
+  /** Returns the latest demand reports of all routers, by router and incarnation. */
+  public synchronized Map<String, List<PoolDemandMessage>> demand() {
+    Map<String, List<PoolDemandMessage>> all = new HashMap<>();
+    routers.forEach(
+        (name, heard) ->
+            all.put(name + "/" + heard.report().getIncarnation(), heard.report().getDemand()));
+    return all;
+  }
+}
--- /dev/null
+++ b/control/src/main/java/io/jacinthquay/control/service/UsageDuty.java
@@ -0,0 +1,112 @@
+package io.jacinthquay.control.service;
+
+import io.jacinthquay.control.port.Fence;
+import io.jacinthquay.control.port.Fleet;
+import io.jacinthquay.control.state.ControlState;
+import io.jacinthquay.control.state.ControlTables;
+import io.jacinthquay.model.CustomerId;
+import io.jacinthquay.model.Failure;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * Reports the usage of each window once it is complete.
+ *
+ * <p>The counts of a window are committed before they are first sent, so that every report of it is
+ * the same, whoever sends it.
+ */
+public final class UsageDuty {
+  private static final Logger log = LogManager.getLogger();
+
+  /** Time after the end of a window until all routers have told of it, in milliseconds. */
+  private static final long SETTLE_MILLIS = 2_500;
+
+  /** Windows before the newest that a new leader reports again. */
+  private static final int REPEATED_WINDOWS = 3;
+
+  private static final long SEAL_SECONDS = 2;
+
+  private final long windowMillis;
+  private final ControlStore store;
+  private final RouterRegistry routers;
+  private final Fleet fleet;
+  private long reportedTerm = -1;
+  private long reportedThrough = Long.MAX_VALUE;
+
+  /** Returns a duty for windows of a length. */
+  public UsageDuty(Duration window, ControlStore store, RouterRegistry routers, Fleet fleet) {
+    this.windowMillis = window.toMillis();
+    this.store = store;
+    this.routers = routers;
+    this.fleet = fleet;
+  }
+
+  /**
+   * Reports the windows that are complete and not reported yet.
+   *
+   * @param fence the right to act
+   * @param wallMillis the time of day, ms since the epoch
+   */
+  public void run(Fence fence, long wallMillis) {
+    long complete = Math.floorDiv(wallMillis - SETTLE_MILLIS, windowMillis) - 1;
+    if (fence.number() != reportedTerm) {
+      reportedTerm = fence.number();
+      reportedThrough = complete - REPEATED_WINDOWS;
+    }
+    while (reportedThrough < complete && fence.holds().getAsBoolean()) {
+      if (!report(fence, reportedThrough + 1)) {
+        return;
+      }
+      reportedThrough++;
+    }
+  }
+
+  private boolean report(Fence fence, long window) {
+    ControlTables tables = store.tables();
+    if (!tables.sealed().containsKey(window)) {
+      Map<String, Long> counts = routers.counts(window);
+      if (counts.isEmpty()) {
+        return true;
+      }
+      if (!seal(window, counts)) {
+        return false;
+      }
+      tables = store.tables();
+    }
+    if (!tables.sealed().containsKey(window)) {
+      return true;
+    }
+    Map<CustomerId, Long> counts = new HashMap<>();
+    tables.sealed().get(window).get().forEach((name, n) -> counts.put(new CustomerId(name), n));
+    Either<Failure, Void> sent = fleet.report(fence, window, counts);
+    log.info("usage of window {} fence={} counts={} sent={}", window, fence.number(), counts, sent);
+    return sent.isRight();
+  }
+
+  private boolean seal(long window, Map<String, Long> counts) {
+    try {
+      Either<Failure, Void> sealed =
+          store
+              .propose(ControlState.seal(window, counts))
+              .toCompletableFuture()
+              .get(SEAL_SECONDS, TimeUnit.SECONDS);
+      if (sealed.isLeft()) {
+        log.warn("usage of window {} is not sealed: {}", window, sealed.getLeft().detail());
+      }
+      return sealed.isRight();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return false;
+    } catch (ExecutionException | TimeoutException e) {
+      log.warn("usage of window {} is not sealed: {}", window, String.valueOf(e));
+      return false;
+    }
+  }
+}
--- /dev/null
+++ b/control/src/main/java/io/jacinthquay/control/state/ControlState.java
@@ -0,0 +1,109 @@
+package io.jacinthquay.control.state;
+
+import io.jacinthquay.consensus.SnapshotWriter;
+import io.jacinthquay.consensus.StateMachine;
+import io.jacinthquay.keeper.state.ThriftCodec;
+import io.jacinthquay.wire.gen.CloseDomainCommand;
+import io.jacinthquay.wire.gen.ControlCommand;
+import io.jacinthquay.wire.gen.ControlSnapshot;
+import io.jacinthquay.wire.gen.DocumentCommand;
+import io.jacinthquay.wire.gen.SealCountsCommand;
+import io.vavr.collection.HashMap;
+import io.vavr.collection.Map;
+import io.vavr.collection.TreeMap;
+import io.vavr.collection.TreeSet;
+import java.io.IOException;
+import java.io.InputStream;
+import java.util.ArrayList;
+import java.util.Optional;
+import org.apache.thrift.TException;
+
+/** Applies commands to the tables, in log order. */
+public final class ControlState implements StateMachine {
+  private static final byte[] DONE = new byte[0];
+
+  private volatile ControlTables tables = ControlTables.EMPTY;
+
+  /** Returns the newest local state. */
+  public ControlTables tables() {
+    return tables;
+  }
+
+  /** Returns the command that puts a document into force. */
+  public static byte[] document(long version, byte[] content) {
+    DocumentCommand command = new DocumentCommand();
+    command.setVersion(version).setContent(content);
+    return ThriftCodec.encode(ControlCommand.document(command));
+  }
+
+  /** Returns the command that closes or opens a failure domain. */
+  public static byte[] domain(String domain, boolean closed) {
+    return ThriftCodec.encode(ControlCommand.closeDomain(new CloseDomainCommand(domain, closed)));
+  }
+
+  /** Returns the command that fixes the counts of a window. */
+  public static byte[] seal(long window, java.util.Map<String, Long> counts) {
+    return ThriftCodec.encode(ControlCommand.sealCounts(new SealCountsCommand(window, counts)));
+  }
+
+  @Override
+  public byte[] apply(long index, byte[] bytes) {
+    ControlCommand command;
+    try {
+      command = ThriftCodec.decode(bytes, new ControlCommand());
+    } catch (TException e) {
+      throw new IllegalStateException("command " + index + " can't be read", e);
+    }
+    if (command.isSetDocument()) {
+      DocumentCommand document = command.getDocument();
+      tables = tables.withDocument(document.getVersion(), document.getContent());
+    } else if (command.isSetCloseDomain()) {
+      CloseDomainCommand close = command.getCloseDomain();
+      tables = tables.withDomain(close.getDomain(), close.isClosed(), index);
+    } else if (command.isSetSealCounts()) {
+      SealCountsCommand seal = command.getSealCounts();
+      tables = tables.withSealed(seal.getWindow(), seal.getCounts());
+    }
+    return DONE;
+  }
+
+  @Override
+  public SnapshotWriter snapshot() {
+    ControlTables captured = tables;
+    return out -> out.write(ThriftCodec.encode(toMessage(captured)));
+  }
+
+  private static ControlSnapshot toMessage(ControlTables tables) {
+    java.util.Map<Long, java.util.Map<String, Long>> sealed = new java.util.HashMap<>();
+    tables.sealed().forEach((window, counts) -> sealed.put(window, counts.toJavaMap()));
+    ControlSnapshot message =
+        new ControlSnapshot(
+            tables.version(),
+            new ArrayList<>(tables.closedDomains().toJavaList()),
+            tables.closedIndex(),
+            sealed);
+    tables.document().ifPresent(message::setDocument);
+    return message;
+  }
+
+  @Override
+  public void restore(long index, InputStream in) throws IOException {
+    ControlSnapshot message;
+    try {
+      message = ThriftCodec.decode(in.readAllBytes(), new ControlSnapshot());
+    } catch (TException e) {
+      throw new IOException("the snapshot can't be read", e);
+    }
+    TreeMap<Long, Map<String, Long>> sealed = TreeMap.empty();
+    for (var entry : message.getSealed().entrySet()) {
+      sealed = sealed.put(entry.getKey(), HashMap.ofAll(entry.getValue()));
+    }
+    tables =
+        new ControlTables(
+            message.getVersion(),
+            Optional.ofNullable(message.getDocument()),
+            TreeSet.ofAll(message.getClosedDomains()),
+            message.getClosedIndex(),
+            sealed);
+  }
+}
--- /dev/null
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/EngineRule.java
@@ -0,0 +1,54 @@
+package io.jacinthquay.decision.dispatch;
+
+import io.jacinthquay.model.DomainId;
+
+/**
+ * Places requests at model engines by the prompt that is still to be read.
+ *
+ * <p>Answers the load of long prompts that share beginnings: a shared beginning stays at one engine
+ * and moves only when reading it anew elsewhere is faster than waiting there.
+ */
+final class EngineRule implements PlacementRule {
+  /** Prompt tokens that an engine reads in a millisecond, of the order of both users' engines. */
+  private static final double TOKENS_PER_MILLI = 50;
+
+  /** What each request under way adds to the step that the next one waits for, in milliseconds. */
+  private static final double MILLIS_PER_REQUEST = 1.2;
+
+  /** Share of a shared beginning that its home engine is expected to hold without proof. */
+  private static final double HOME_CONFIDENCE = 0.8;
+
+  /** What bytes between failure domains weigh against time, in milliseconds. */
+  private static final double REMOTE_MILLIS = 6;
+
+  /** Share of the memory that may be in use before running requests risk preemption. */
+  private static final double MEMORY_SHARE = 0.9;
+
+  /** What a likely preemption weighs, in milliseconds. */
+  private static final double PREEMPTION_MILLIS = 1_000;
+
+  private final long memoryTokens;
+
+  EngineRule(long memoryTokens) {
+    this.memoryTokens = memoryTokens;
+  }
+
+  @Override
+  public double cost(Work work, UpstreamState upstream, boolean home, DomainId local) {
+    LoadFigures load = upstream.load();
+    if (load.inFlight() >= upstream.listing().slots()) {
+      return UNFIT;
+    }
+    double cached = upstream.prefixes().cachedTokens(work.parts());
+    if (home) {
+      int own = work.parts().isEmpty() ? 0 : work.parts().get(work.parts().size() - 1).tokens();
+      cached = Math.max(cached, HOME_CONFIDENCE * (work.promptTokens() - own));
+    }
+    double cost = (load.promptTokens() + work.promptTokens() - cached) / TOKENS_PER_MILLI;
+    cost += load.inFlight() * MILLIS_PER_REQUEST;
+    if (load.memoryTokens() + work.memoryTokens() > MEMORY_SHARE * memoryTokens) {
+      cost += PREEMPTION_MILLIS;
+    }
+    return upstream.listing().domain().equals(local) ? cost : cost + REMOTE_MILLIS;
+  }
+}
--- /dev/null
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamBoard.java
@@ -0,0 +1,228 @@
+package io.jacinthquay.decision.dispatch;
+
+import io.jacinthquay.model.DomainId;
+import io.jacinthquay.model.PoolName;
+import io.jacinthquay.model.UpstreamId;
+import io.jacinthquay.model.routing.EngineSpec;
+import io.jacinthquay.model.routing.PoolSpec;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * All upstreams that this router knows, and the choice among them.
+ *
+ * <pre>{@code
+ * board.choose(work, Set.of(), now).ifPresent(upstream -> board.sent(upstream, work, now));
+ * }</pre>
+ */
+public final class UpstreamBoard {
+  /** Share of the cold bound that is used, so that sends that meet on the way stay within it. */
+  private static final double COLD_SHARE = 0.7;
+
+  /** What a cold upstream weighs against a warm one, in milliseconds. */
+  private static final double COLD_MILLIS = 400;
+
+  /** What an upstream on trial weighs against one that serves, in milliseconds. */
+  private static final double TRIAL_MILLIS = -1;
+
+  private final DomainId local;
+  private final double coldOverage;
+  private final double coldTolerance;
+  private final Map<UpstreamId, UpstreamState> states = new HashMap<>();
+  private Map<PoolName, PoolSpec> pools = Map.of();
+  private Map<PoolName, PlacementRule> rules = Map.of();
+  private Map<PoolName, List<UpstreamState>> members = Map.of();
+  private Set<DomainId> closed = Set.of();
+  private int routers = 1;
+
+  /**
+   * Returns an empty board.
+   *
+   * @param local the failure domain of this router
+   * @param coldOverage factor on the stated rate of a cold upstream up to which sends are allowed
+   * @param coldTolerance sends a second allowed beside
+   */
+  public UpstreamBoard(DomainId local, double coldOverage, double coldTolerance) {
+    this.local = local;
+    this.coldOverage = coldOverage;
+    this.coldTolerance = coldTolerance;
+  }
+
+  /** Takes in the pools of a routing document. */
+  public void pools(Map<PoolName, PoolSpec> newPools) {
+    pools = Map.copyOf(newPools);
+    Map<PoolName, PlacementRule> newRules = new HashMap<>();
+    pools.forEach((name, pool) -> newRules.put(name, rule(pool)));
+    rules = newRules;
+  }
+
+  private static PlacementRule rule(PoolSpec pool) {
+    return pool.engine()
+        .<PlacementRule>map((EngineSpec engine) -> new EngineRule(engine.memoryTokens()))
+        .orElseGet(PlainRule::new);
+  }
+
+  /** Takes in a new list; upstreams that it no longer names get nothing more. */
+  public void listed(Collection<Listing> listings, long now) {
+    Map<PoolName, List<UpstreamState>> next = new HashMap<>();
+    Set<UpstreamId> named = new java.util.HashSet<>();
+    for (Listing listing : listings) {
+      PoolSpec pool = pools.get(listing.pool());
+      if (pool == null) {
+        continue;
+      }
+      named.add(listing.upstream());
+      UpstreamState state = states.get(listing.upstream());
+      if (state == null) {
+        state = new UpstreamState(listing, pool, now);
+        states.put(listing.upstream(), state);
+      } else {
+        state.listed(listing, now);
+      }
+      next.computeIfAbsent(listing.pool(), name -> new ArrayList<>()).add(state);
+    }
+    states
+        .values()
+        .removeIf(s -> !named.contains(s.listing().upstream()) && s.own().inFlight() <= 0);
+    members = next;
+  }
+
+  /** Takes in the failure domains that get nothing new. */
+  public void closed(Set<DomainId> domains) {
+    closed = Set.copyOf(domains);
+  }
+
+  /** Takes in how many routers share the bounds, this one included. */
+  public void routers(int count) {
+    routers = Math.max(1, count);
+  }
+
+  /** Takes in what other routers have under way. */
+  public void others(Map<UpstreamId, LoadFigures> figures) {
+    states.forEach((id, state) -> state.others(figures.getOrDefault(id, LoadFigures.NONE)));
+  }
+
+  /** Returns all upstreams with requests of this router under way. */
+  public Collection<UpstreamState> states() {
+    return states.values();
+  }
+
+  /** Returns whether the pool has an upstream that may be used at all. */
+  public boolean isServed(PoolName pool) {
+    return members.getOrDefault(pool, List.of()).stream().anyMatch(this::isUsable);
+  }
+
+  private boolean isUsable(UpstreamState state) {
+    return !state.listing().draining() && !closed.contains(state.listing().domain());
+  }
+
+  /**
+   * Chooses the upstream with the least cost.
+   *
+   * @param avoided upstreams that this request was sent to before
+   * @return nothing if no upstream has a free place now
+   */
+  public Optional<UpstreamState> choose(Work work, Set<UpstreamId> avoided, long now) {
+    List<UpstreamState> candidates = members.getOrDefault(work.pool(), List.of());
+    PlacementRule rule = rules.get(work.pool());
+    if (rule == null || candidates.isEmpty()) {
+      return Optional.empty();
+    }
+    UpstreamState home = home(work, candidates);
+    UpstreamState best = null;
+    double least = PlacementRule.UNFIT;
+    for (UpstreamState state : candidates) {
+      if (!isUsable(state)
+          || !state.health().isOpen(now)
+          || avoided.contains(state.listing().upstream())) {
+        continue;
+      }
+      double cost = rule.cost(work, state, state == home, local) + condition(work, state, now);
+      if (cost < least) {
+        least = cost;
+        best = state;
+      }
+    }
+    return Optional.ofNullable(best);
+  }
+
+  private double condition(Work work, UpstreamState state, long now) {
+    if (state.isCold(now)) {
+      return state.coldShare().available(coldRate(work.pool()), now)
+          ? COLD_MILLIS
+          : PlacementRule.UNFIT;
+    }
+    return state.health().isOnTrial() ? TRIAL_MILLIS : 0;
+  }
+
+  /** Sends a second that this router may make to one cold upstream. */
+  private double coldRate(PoolName pool) {
+    double stated = pools.get(pool).coldPerSecond();
+    return stated <= 0
+        ? Double.MAX_VALUE
+        : COLD_SHARE * (stated * coldOverage + coldTolerance) / routers;
+  }
+
+  /** The upstream to which a shared beginning belongs, the same at every router. */
+  private UpstreamState home(Work work, List<UpstreamState> candidates) {
+    long shared = work.sharedId();
+    if (shared == 0) {
+      return null;
+    }
+    UpstreamState home = null;
+    long highest = Long.MIN_VALUE;
+    for (UpstreamState state : candidates) {
+      if (isUsable(state)) {
+        long score = mix(shared * 0x9E3779B97F4A7C15L ^ state.listing().upstream().hashCode());
+        if (home == null || score > highest) {
+          highest = score;
+          home = state;
+        }
+      }
+    }
+    return home;
+  }
+
+  private static long mix(long value) {
+    long mixed = (value ^ (value >>> 32)) * 0xD6E8FEB86659FD93L;
+    mixed = (mixed ^ (mixed >>> 32)) * 0xD6E8FEB86659FD93L;
+    return mixed ^ (mixed >>> 32);
+  }
+
+  /** Records that a request is sent. */
+  public void sent(UpstreamState state, Work work, long now) {
+    if (state.isCold(now)) {
+      boolean within = state.coldShare().tryTake(coldRate(work.pool()), now);
+      assert within : "a cold upstream was chosen beyond its share";
+    }
+    state.health().sent();
+    state.add(new LoadFigures(1, work.promptTokens(), work.memoryTokens()));
+    state.prefixes().read(work.parts());
+  }
+
+  /** Records that the upstream has read the prompt of a request. */
+  public void begun(UpstreamState state, Work work) {
+    state.add(new LoadFigures(0, -work.promptTokens(), 0));
+  }
+
+  /**
+   * Records that a request ended.
+   *
+   * @param begun whether {@link #begun} was called for it
+   * @param end what it says of the upstream
+   */
+  public void ended(UpstreamState state, Work work, boolean begun, SendEnd end, long now) {
+    state.add(new LoadFigures(-1, begun ? 0 : -work.promptTokens(), -work.memoryTokens()));
+    switch (end) {
+      case SUCCEEDED -> state.health().succeeded();
+      case UNREACHABLE -> state.health().failed(true, now);
+      case FAILED -> state.health().failed(false, now);
+      default -> state.health().undecided();
+    }
+  }
+}
--- /dev/null
+++ b/keeper/src/main/java/io/jacinthquay/keeper/adapter/thrift/Dialer.java
@@ -0,0 +1,16 @@
+package io.jacinthquay.keeper.adapter.thrift;
+
+import io.jacinthquay.wire.transport.Channel;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+
+/** Opens connections to other members. */
+@FunctionalInterface
+public interface Dialer {
+  /**
+   * Opens a connection.
+   *
+   * @throws IOException if the member can't be reached
+   */
+  Channel open(InetSocketAddress address) throws IOException;
+}
--- a/keeper/src/main/java/io/jacinthquay/keeper/adapter/thrift/PeerLink.java
+++ b/keeper/src/main/java/io/jacinthquay/keeper/adapter/thrift/PeerLink.java
@@ -2,11 +2,10 @@
 
 import io.jacinthquay.consensus.raft.Message;
 import io.jacinthquay.runtime.Service;
-import io.jacinthquay.runtime.tls.TlsIdentity;
 import io.jacinthquay.wire.gen.KeeperPeer;
 import io.jacinthquay.wire.gen.RaftMessage;
 import io.jacinthquay.wire.gen.ReaderReport;
-import io.jacinthquay.wire.transport.SecureChannel;
+import io.jacinthquay.wire.transport.Channel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -31,25 +30,25 @@
   private static final int QUEUE_MESSAGES = 1_024;
   private static final int BATCH_MESSAGES = 64;
   private static final int BATCH_BYTES = 4 << 20;
-  private static final int TIMEOUT_MILLIS = 2_000;
+  private static final int STOP_MILLIS = 2_000;
   private static final long IDLE_POLL_MILLIS = 200;
   private static final long MIN_PAUSE_MILLIS = 20;
   private static final long MAX_PAUSE_MILLIS = 500;
 
   private final String peer;
   private final InetSocketAddress address;
-  private final TlsIdentity identity;
+  private final Dialer dialer;
   private final BlockingQueue<Message> queue = new ArrayBlockingQueue<>(QUEUE_MESSAGES);
   private final AtomicReference<List<ReaderReport>> reports = new AtomicReference<>();
   private final Thread sender;
   private volatile boolean running;
   private long pauseMillis = MIN_PAUSE_MILLIS;
-  private SecureChannel channel;
+  private Channel channel;
 
-  PeerLink(String peer, InetSocketAddress address, TlsIdentity identity) {
+  PeerLink(String peer, InetSocketAddress address, Dialer dialer) {
     this.peer = peer;
     this.address = address;
-    this.identity = identity;
+    this.dialer = dialer;
     this.sender = new Thread(this::run, "peer-" + peer);
     this.sender.setDaemon(true);
   }
@@ -108,7 +107,7 @@
 
   private KeeperPeer.Client connected() throws IOException {
     if (channel == null) {
-      channel = SecureChannel.open(address, identity, TIMEOUT_MILLIS);
+      channel = dialer.open(address);
     }
     return new KeeperPeer.Client(channel.protocol());
   }
@@ -145,7 +144,7 @@
     running = false;
     sender.interrupt();
     try {
-      sender.join(TIMEOUT_MILLIS);
+      sender.join(STOP_MILLIS);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/CallerServer.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/CallerServer.java
@@ -1,5 +1,6 @@
 package io.jacinthquay.router.adapter.http;
 
+import io.jacinthquay.router.port.EventThread;
 import io.jacinthquay.router.port.RequestIntake;
 import io.jacinthquay.runtime.Service;
 import io.undertow.UndertowOptions;
@@ -155,6 +156,31 @@
     return listener.getLocalAddress(InetSocketAddress.class).getPort();
   }
 
+  /** Returns the first I/O thread; the only one where the server has one. */
+  public EventThread thread() {
+    return new IoThread(worker.getIoThread(0));
+  }
+
+  /**
+   * Serves a second address on the same threads.
+   *
+   * @param second where to listen
+   * @param other takes the requests of that address
+   * @throws IllegalStateException if the address can't be listened on
+   */
+  public void alsoServe(InetSocketAddress second, RequestIntake other) {
+    HttpOpenListener open = new HttpOpenListener(buffers, serverOptions());
+    open.setRootHandler(new CallerHandler(other, limits));
+    try {
+      worker
+          .createStreamConnectionServer(
+              second, ChannelListeners.openListenerAdapter(open::handleEvent), socketOptions())
+          .resumeAccepts();
+    } catch (IOException e) {
+      throw new IllegalStateException("cannot listen on " + second + ": " + e.getMessage(), e);
+    }
+  }
+
   /** Takes no further connections; those that are open go on. */
   public void stopAccepting() {
     if (listener.isOpen()) {
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/ConnectionPool.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/ConnectionPool.java
@@ -4,6 +4,7 @@
 import io.undertow.client.ClientConnection;
 import io.undertow.client.UndertowClient;
 import io.undertow.connector.ByteBufferPool;
+import io.undertow.util.HttpString;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.URI;
@@ -14,6 +15,8 @@
 import java.util.Map;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -22,27 +25,37 @@
 
 /** The idle connections of one I/O thread; used on that thread only. */
 final class ConnectionPool {
-  /** Longest time since its last answer in which a connection counts as just having answered. */
-  private static final long JUST_ANSWERED_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
-
   /** Longest time that a connection is kept idle. */
   private static final long MOST_IDLE_NANOS = TimeUnit.SECONDS.toNanos(15);
 
+  /** Share of the idle time that an upstream states after which its connection is not reused. */
+  private static final double STATED_SHARE = 0.6;
+
+  private static final Pattern TIMEOUT = Pattern.compile("timeout=(\\d{1,6})");
+
   private static final int MOST_IDLE_PER_UPSTREAM = 64;
   private static final OptionMap OPTIONS = OptionMap.create(Options.TCP_NODELAY, true);
 
   private final XnioIoThread thread;
   private final ByteBufferPool buffers;
   private final Duration connectTimeout;
+  private final ReusePolicy reuse;
   private final Map<InetSocketAddress, Deque<Idle>> idle = new HashMap<>();
 
-  ConnectionPool(XnioIoThread thread, ByteBufferPool buffers, Duration connectTimeout) {
+  ConnectionPool(
+      XnioIoThread thread, ByteBufferPool buffers, Duration connectTimeout, ReusePolicy reuse) {
+    this.reuse = reuse;
     this.thread = thread;
     this.buffers = buffers;
     this.connectTimeout = connectTimeout;
   }
 
-  private record Idle(ClientConnection connection, long sinceNanos) {}
+  private record Idle(ClientConnection connection, long sinceNanos, long mostIdleNanos) {}
+
+  /** Returns the header that names a request towards upstreams and in their answers. */
+  HttpString idHeader() {
+    return reuse.idHeader();
+  }
 
   ByteBufferPool buffers() {
     return buffers;
@@ -86,10 +99,10 @@
       return null;
     }
     long now = System.nanoTime();
-    long mostIdle = justAnswered ? JUST_ANSWERED_NANOS : MOST_IDLE_NANOS;
+    long mostIdle = justAnswered ? reuse.onceIdleNanos() : MOST_IDLE_NANOS;
     Idle next = connections.pollLast();
     while (next != null) {
-      boolean fresh = now - next.sinceNanos() <= mostIdle;
+      boolean fresh = now - next.sinceNanos() <= Math.min(mostIdle, next.mostIdleNanos());
       if (fresh && next.connection().isOpen()) {
         return next.connection();
       }
@@ -99,13 +112,24 @@
     return null;
   }
 
+  /** The upstream closes after the time that it states, so less than that is used. */
+  private static long mostIdleNanos(String keepAlive) {
+    if (keepAlive == null) {
+      return MOST_IDLE_NANOS;
+    }
+    Matcher stated = TIMEOUT.matcher(keepAlive);
+    return stated.find()
+        ? (long) (Integer.parseInt(stated.group(1)) * STATED_SHARE * 1e9)
+        : MOST_IDLE_NANOS;
+  }
+
   /** Takes back a connection whose answer has wholly arrived. */
-  void giveBack(InetSocketAddress address, ClientConnection connection) {
+  void giveBack(InetSocketAddress address, ClientConnection connection, String keepAlive) {
     Deque<Idle> connections = idle.computeIfAbsent(address, a -> new ArrayDeque<>());
     if (connections.size() >= MOST_IDLE_PER_UPSTREAM) {
       IoUtils.safeClose(connections.pollFirst().connection());
     }
-    connections.addLast(new Idle(connection, System.nanoTime()));
+    connections.addLast(new Idle(connection, System.nanoTime(), mostIdleNanos(keepAlive)));
   }
 
   void close() {
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/HttpCall.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/HttpCall.java
@@ -27,7 +27,7 @@
 
 /** One request and its answer on one connection; used on one I/O thread. */
 final class HttpCall implements UpstreamCall {
-  static final HttpString REQUEST_ID = new HttpString("x-request-id");
+  private static final HttpString KEEP_ALIVE = new HttpString("Keep-Alive");
 
   /** Reads in a row before other work of the thread gets a turn. */
   private static final int READS_PER_TURN = 8;
@@ -69,7 +69,7 @@
 
   private void connected(ClientConnection opened) {
     if (done) {
-      pool.giveBack(request.address(), opened);
+      pool.giveBack(request.address(), opened, null);
       return;
     }
     connection = opened;
@@ -84,9 +84,11 @@
     for (Header header : request.headers()) {
       headers.add(new HttpString(header.name()), header.value());
     }
-    headers.put(REQUEST_ID, request.id().value());
-    headers.put(
-        Headers.HOST, request.address().getHostString() + ":" + request.address().getPort());
+    headers.put(pool.idHeader(), request.id().value());
+    if (!headers.contains(Headers.HOST)) {
+      headers.put(
+          Headers.HOST, request.address().getHostString() + ":" + request.address().getPort());
+    }
     if (request.body().length > 0 || takesBody(request.method())) {
       headers.put(Headers.CONTENT_LENGTH, request.body().length);
     }
@@ -138,7 +140,7 @@
       return;
     }
     ClientResponse response = exchange.getResponse();
-    String echoed = response.getResponseHeaders().getFirst(REQUEST_ID);
+    String echoed = response.getResponseHeaders().getFirst(pool.idHeader());
     boolean matches =
         echoed == null ? !request.echoRequired() : echoed.equals(request.id().value());
     if (!matches) {
@@ -209,7 +211,8 @@
     String close = exchange.getResponse().getResponseHeaders().getFirst(Headers.CONNECTION);
     boolean keep = sent && connection.isOpen() && !"close".equalsIgnoreCase(close);
     if (keep) {
-      pool.giveBack(request.address(), connection);
+      String alive = exchange.getResponse().getResponseHeaders().getFirst(KEEP_ALIVE);
+      pool.giveBack(request.address(), connection, alive);
     } else {
       IoUtils.safeClose(connection);
     }
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowUpstreamClient.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowUpstreamClient.java
@@ -23,6 +23,7 @@
   private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
   private final Map<XnioIoThread, ConnectionPool> pools = new ConcurrentHashMap<>();
   private final Duration connectTimeout;
+  private final ReusePolicy reuse;
 
   /**
    * Returns a client.
@@ -30,7 +31,18 @@
    * @param connectTimeout longest time to open a connection
    */
   public UndertowUpstreamClient(Duration connectTimeout) {
+    this(connectTimeout, ReusePolicy.DEFAULT);
+  }
+
+  /**
+   * Returns a client.
+   *
+   * @param connectTimeout longest time to open a connection
+   * @param reuse how connections are reused and requests are named
+   */
+  public UndertowUpstreamClient(Duration connectTimeout, ReusePolicy reuse) {
     this.connectTimeout = connectTimeout;
+    this.reuse = reuse;
   }
 
   /**
@@ -51,7 +63,7 @@
   }
 
   private ConnectionPool newPool(XnioIoThread thread) {
-    return new ConnectionPool(thread, buffers, connectTimeout);
+    return new ConnectionPool(thread, buffers, connectTimeout, reuse);
   }
 
   @Override
--- /dev/null
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/ControlLink.java
@@ -0,0 +1,285 @@
+package io.jacinthquay.router.adapter.thrift;
+
+import io.jacinthquay.decision.dispatch.Listing;
+import io.jacinthquay.decision.dispatch.LoadFigures;
+import io.jacinthquay.decision.routing.RouteTable;
+import io.jacinthquay.model.DomainId;
+import io.jacinthquay.model.Failure;
+import io.jacinthquay.model.PoolName;
+import io.jacinthquay.model.UpstreamId;
+import io.jacinthquay.model.routing.RoutingDocument;
+import io.jacinthquay.router.service.forward.ForwardCore;
+import io.jacinthquay.router.service.forward.ForwardReport;
+import io.jacinthquay.runtime.Service;
+import io.jacinthquay.runtime.settings.SocketAddresses;
+import io.jacinthquay.wire.gen.Control;
+import io.jacinthquay.wire.gen.ControlViewMessage;
+import io.jacinthquay.wire.gen.CustomerCountMessage;
+import io.jacinthquay.wire.gen.ListedUpstreamMessage;
+import io.jacinthquay.wire.gen.PoolDemandMessage;
+import io.jacinthquay.wire.gen.RouterReportMessage;
+import io.jacinthquay.wire.gen.UpstreamLoadMessage;
+import io.jacinthquay.wire.transport.Channel;
+import io.jacinthquay.wire.transport.PlainChannel;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Function;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.apache.thrift.TException;
+import org.apache.thrift.protocol.TMultiplexedProtocol;
+
+/**
+ * Exchanges reports for views with the control VM that leads, in a thread of its own.
+ *
+ * <p>It asks the members in turn until one leads. What it learns is applied on the I/O thread.
+ */
+public final class ControlLink implements Service {
+  private static final Logger log = LogManager.getLogger();
+
+  /** Name of the service within the one port of a control VM. */
+  private static final String SERVICE = "control";
+
+  /** Time between two exchanges; well below the seconds in which a change must be in force. */
+  private static final long EXCHANGE_MILLIS = 120;
+
+  /** Pause after an exchange that found no leader. */
+  private static final long SEARCH_MILLIS = 60;
+
+  /** Limits for connecting to and hearing from a control VM. */
+  private static final int CONNECT_MILLIS = 300;
+
+  private static final int READ_MILLIS = 700;
+
+  /** Limit for the I/O thread to take in a view. */
+  private static final long APPLY_MILLIS = 5_000;
+
+  private final String router;
+  private final DomainId domain;
+  private final ForwardCore core;
+  private final Function<byte[], Either<Failure, RoutingDocument>> decoder;
+  private final long incarnation = ThreadLocalRandom.current().nextLong(1, Long.MAX_VALUE);
+  private final Set<String> members = new LinkedHashSet<>();
+  private final Thread thread = new Thread(this::run, "control-link");
+  private String target;
+  private Channel channel;
+  private long closedIndex = -1;
+  private long listNumber = -1;
+  private String listSource = "";
+  private volatile boolean running;
+
+  /**
+   * Returns a link.
+   *
+   * @param router name of this router
+   * @param domain its failure domain
+   * @param seeds control VMs that are known at the start
+   * @param core takes what is learned
+   * @param decoder reads documents
+   */
+  public ControlLink(
+      String router,
+      DomainId domain,
+      List<InetSocketAddress> seeds,
+      ForwardCore core,
+      Function<byte[], Either<Failure, RoutingDocument>> decoder) {
+    this.router = router;
+    this.domain = domain;
+    this.core = core;
+    this.decoder = decoder;
+    seeds.forEach(seed -> members.add(seed.getAddress().getHostAddress() + ":" + seed.getPort()));
+    thread.setDaemon(true);
+  }
+
+  @Override
+  public void start() {
+    running = true;
+    thread.start();
+  }
+
+  @Override
+  public void stop() {
+    running = false;
+    thread.interrupt();
+  }
+
+  private void run() {
+    while (running) {
+      try {
+        boolean led = exchange();
+        TimeUnit.MILLISECONDS.sleep(led ? EXCHANGE_MILLIS : SEARCH_MILLIS);
+      } catch (InterruptedException e) {
+        break;
+      } catch (RuntimeException e) {
+        log.error("an exchange with the control VMs failed", e);
+        disconnect();
+      }
+    }
+    disconnect();
+  }
+
+  private boolean exchange() throws InterruptedException {
+    if (target == null) {
+      target = next("");
+    }
+    ControlViewMessage view;
+    try {
+      if (channel == null) {
+        channel = PlainChannel.open(SocketAddresses.parse(target), CONNECT_MILLIS, READ_MILLIS);
+      }
+      Control.Client client =
+          new Control.Client(new TMultiplexedProtocol(channel.protocol(), SERVICE));
+      view = client.exchange(report());
+    } catch (IOException | TException e) {
+      log.info("control VM {} is not reachable: {}", target, e.getMessage());
+      disconnect();
+      target = next(target);
+      return false;
+    }
+    members.addAll(view.getMembers());
+    if (view.isLeads()) {
+      members.retainAll(view.getMembers());
+      apply(view);
+      return true;
+    }
+    disconnect();
+    target =
+        !view.getLeader().isEmpty() && !view.getLeader().equals(target)
+            ? view.getLeader()
+            : next(target);
+    return false;
+  }
+
+  private String next(String after) {
+    List<String> all = new ArrayList<>(members);
+    int at = after.isEmpty() ? ThreadLocalRandom.current().nextInt(all.size()) : all.indexOf(after);
+    return all.get((at + 1) % all.size());
+  }
+
+  private void disconnect() {
+    if (channel != null) {
+      channel.close();
+      channel = null;
+    }
+  }
+
+  /** Runs a task on the I/O thread and waits for its result. */
+  private <T> T onThread(java.util.function.Supplier<T> task) throws InterruptedException {
+    CompletableFuture<T> result = new CompletableFuture<>();
+    core.thread()
+        .execute(
+            () -> {
+              try {
+                result.complete(task.get());
+              } catch (RuntimeException e) {
+                result.completeExceptionally(e);
+              }
+            });
+    try {
+      return result.get(APPLY_MILLIS, TimeUnit.MILLISECONDS);
+    } catch (ExecutionException | TimeoutException e) {
+      throw new IllegalStateException("the I/O thread did not take a task", e);
+    }
+  }
+
+  private RouterReportMessage report() throws InterruptedException {
+    ForwardReport report = onThread(core::report);
+    RouterReportMessage message = new RouterReportMessage();
+    message.setRouter(router);
+    message.setIncarnation(incarnation);
+    message.setDomain(domain.value());
+    message.setDocumentVersion(core.version());
+    message.setClosedIndex(closedIndex);
+    message.setListNumber(target.equals(listSource) ? listNumber : -1);
+    message.setWallMillis(System.currentTimeMillis());
+    message.setLeaving(core.isLeaving());
+    List<UpstreamLoadMessage> loads = new ArrayList<>();
+    report
+        .loads()
+        .forEach(
+            (id, load) ->
+                loads.add(
+                    new UpstreamLoadMessage(
+                        id.value(), load.inFlight(), load.promptTokens(), load.memoryTokens())));
+    message.setLoads(loads);
+    List<CustomerCountMessage> counts = new ArrayList<>();
+    report
+        .counts()
+        .forEach(
+            (window, customers) ->
+                customers.forEach(
+                    (customer, count) ->
+                        counts.add(new CustomerCountMessage(window, customer.value(), count))));
+    message.setCounts(counts);
+    List<PoolDemandMessage> demand = new ArrayList<>();
+    report.demand().forEach((pool, d) -> demand.add(toMessage(pool, d)));
+    message.setDemand(demand);
+    return message;
+  }
+
+  private static PoolDemandMessage toMessage(PoolName pool, ForwardReport.PoolDemand demand) {
+    return new PoolDemandMessage(
+        pool.value(),
+        demand.requests(),
+        demand.promptTokens(),
+        demand.outputTokens(),
+        demand.refused(),
+        demand.waiting(),
+        demand.late());
+  }
+
+  private void apply(ControlViewMessage view) throws InterruptedException {
+    if (view.isSetDocument() && view.getDocumentVersion() > core.version()) {
+      decoder
+          .apply(view.getDocument())
+          .peek(document -> core.thread().execute(() -> core.apply(new RouteTable(document))))
+          .peekLeft(failure -> log.error("a stored document can't be read: {}", failure.detail()));
+    }
+    if (view.isSetClosedDomains() && view.getClosedIndex() > closedIndex) {
+      closedIndex = view.getClosedIndex();
+      Set<DomainId> closed = new HashSet<>();
+      view.getClosedDomains().forEach(name -> closed.add(new DomainId(name)));
+      core.thread().execute(() -> core.closed(closed));
+    }
+    if (view.isSetUpstreams()) {
+      listNumber = view.getListNumber();
+      listSource = target;
+      List<Listing> listings =
+          view.getUpstreams().getUpstreams().stream().map(ControlLink::listing).toList();
+      core.thread().execute(() -> core.listed(listings));
+    }
+    Map<UpstreamId, LoadFigures> others = new HashMap<>();
+    for (UpstreamLoadMessage load : view.getOtherLoads()) {
+      others.put(
+          new UpstreamId(load.getUpstream()),
+          new LoadFigures(load.getInFlight(), load.getPromptTokens(), load.getMemoryTokens()));
+    }
+    int routers = view.getRouters();
+    core.thread().execute(() -> core.peers(routers, others));
+  }
+
+  private static Listing listing(ListedUpstreamMessage message) {
+    return new Listing(
+        new UpstreamId(message.getUpstream()),
+        new PoolName(message.getPool()),
+        new DomainId(message.getDomain()),
+        SocketAddresses.parse(message.getAddress()),
+        message.isDraining(),
+        message.isCheap(),
+        message.getSlots(),
+        message.getColdMillis());
+  }
+}
--- /dev/null
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardAttempt.java
@@ -0,0 +1,143 @@
+package io.jacinthquay.router.service.forward;
+
+import io.jacinthquay.decision.dispatch.SendEnd;
+import io.jacinthquay.decision.dispatch.UpstreamState;
+import io.jacinthquay.decision.dispatch.Work;
+import io.jacinthquay.router.port.AnswerHead;
+import io.jacinthquay.router.port.ForwardProtocol.AnswerKind;
+import io.jacinthquay.router.port.UpstreamCall;
+import io.jacinthquay.router.port.UpstreamFailure;
+import io.jacinthquay.router.port.UpstreamListener;
+import io.jacinthquay.router.port.UpstreamRequest;
+import java.nio.ByteBuffer;
+
+/** One send of a request to one upstream. */
+final class ForwardAttempt implements UpstreamListener {
+  private static final int MISDIRECTED = 421;
+
+  private final ForwardRun run;
+  private final ForwardCore core;
+  private final UpstreamState upstream;
+  private final Work work;
+  private final long sentNanos = System.nanoTime();
+  private UpstreamCall call;
+  private boolean begun;
+  private boolean counted = true;
+  private boolean ignored;
+
+  ForwardAttempt(ForwardRun run, ForwardCore core, UpstreamState upstream, Work work) {
+    this.run = run;
+    this.core = core;
+    this.upstream = upstream;
+    this.work = work;
+  }
+
+  void send(UpstreamRequest request) {
+    core.board().sent(upstream, work, sentNanos);
+    call = core.client().send(request, this);
+  }
+
+  UpstreamState upstream() {
+    return upstream;
+  }
+
+  long sentNanos() {
+    return sentNanos;
+  }
+
+  boolean mayHaveRun() {
+    return call == null || call.mayHaveRun();
+  }
+
+  /** The upstream began to answer, so it has read the prompt. */
+  void begun() {
+    if (!begun) {
+      begun = true;
+      core.board().begun(upstream, work);
+    }
+  }
+
+  /** Ends the send early; the upstream notices by the closed connection. */
+  void cancel(SendEnd end) {
+    count(end);
+    ignored = true;
+    if (call != null) {
+      call.cancel();
+    }
+  }
+
+  private void count(SendEnd end) {
+    if (counted) {
+      counted = false;
+      core.board().ended(upstream, work, begun, end, System.nanoTime());
+      core.thread().execute(core::review);
+    }
+  }
+
+  @Override
+  public void onHead(AnswerHead head) {
+    if (ignored) {
+      return;
+    }
+    AnswerKind kind = core.protocol().kind(head);
+    switch (kind) {
+      case NOT_RUN -> {
+        count(head.status() == MISDIRECTED ? SendEnd.UNREACHABLE : SendEnd.UNDECIDED);
+        ignored = true;
+        run.notRun(this, head);
+      }
+      case SPOILT -> {
+        cancel(SendEnd.FAILED);
+        run.failed(this, "spoilt answer " + head.status());
+      }
+      case FAILURE -> {
+        if (run.prefersRepeat()) {
+          count(SendEnd.FAILED);
+          ignored = true;
+          run.failed(this, "status " + head.status());
+        } else {
+          run.answering(this, head, false);
+        }
+      }
+      default -> run.answering(this, head, true);
+    }
+  }
+
+  @Override
+  public boolean onData(ByteBuffer data) {
+    if (!ignored && !run.data(this, data)) {
+      cancel(SendEnd.FAILED);
+      run.failed(this, "spoilt body");
+    }
+    return true;
+  }
+
+  @Override
+  public void onEnd() {
+    if (ignored) {
+      return;
+    }
+    ignored = true;
+    if (run.end(this)) {
+      count(run.succeeded() ? SendEnd.SUCCEEDED : SendEnd.FAILED);
+    } else {
+      count(SendEnd.FAILED);
+      run.failed(this, "answer ended early");
+    }
+  }
+
+  @Override
+  public void onFailure(UpstreamFailure failure) {
+    if (ignored) {
+      return;
+    }
+    ignored = true;
+    if (failure == UpstreamFailure.UNREACHABLE) {
+      count(SendEnd.UNREACHABLE);
+      run.unreachable(this);
+    } else {
+      count(SendEnd.FAILED);
+      run.failed(this, failure.name());
+    }
+  }
+}
--- /dev/null
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
@@ -0,0 +1,233 @@
+package io.jacinthquay.router.service.forward;
+
+import io.jacinthquay.decision.dispatch.Listing;
+import io.jacinthquay.decision.dispatch.LoadFigures;
+import io.jacinthquay.decision.dispatch.UpstreamBoard;
+import io.jacinthquay.decision.dispatch.WaitingLine;
+import io.jacinthquay.decision.dispatch.Work;
+import io.jacinthquay.decision.retry.SharedRetryBudget;
+import io.jacinthquay.decision.routing.RouteTable;
+import io.jacinthquay.model.DomainId;
+import io.jacinthquay.model.PoolName;
+import io.jacinthquay.model.UpstreamId;
+import io.jacinthquay.router.port.EventThread;
+import io.jacinthquay.router.port.ForwardProtocol;
+import io.jacinthquay.router.port.UpstreamClient;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/** What all requests of a router share: the document in force, the upstreams, who waits. */
+public final class ForwardCore {
+  private static final Logger log = LogManager.getLogger();
+
+  /** Time between two looks at the waiting lines while somebody waits, in milliseconds. */
+  private static final long REVIEW_MILLIS = 10;
+
+  private final ForwardOptions options;
+  private final ForwardProtocol protocol;
+  private final UpstreamClient client;
+  private final UpstreamBoard board;
+  private final UsageTally usage;
+  private final RequestJournal journal = new RequestJournal(System::nanoTime);
+  private final Map<PoolName, SharedRetryBudget> budgets = new HashMap<>();
+  private final Map<PoolName, WaitingLine<ForwardRun>> lines = new HashMap<>();
+  private final Map<PoolName, PoolTally> tallies = new HashMap<>();
+  private final Set<ForwardRun> active = new HashSet<>();
+  private List<Listing> listings = List.of();
+  private volatile Optional<RouteTable> table = Optional.empty();
+  private EventThread thread;
+  private int routers = 1;
+  private boolean listed;
+  private boolean reviewing;
+  private volatile boolean leaving;
+
+  /** Returns a core without a document and without upstreams. */
+  public ForwardCore(ForwardOptions options, ForwardProtocol protocol, UpstreamClient client) {
+    this.options = options;
+    this.protocol = protocol;
+    this.client = client;
+    this.board =
+        new UpstreamBoard(options.domain(), options.coldOverage(), options.coldTolerance());
+    this.usage = new UsageTally(options.usageWindow());
+  }
+
+  /** Sets the thread of the server; called before any request. */
+  public void thread(EventThread ioThread) {
+    thread = ioThread;
+  }
+
+  /** Returns the thread on which everything else here is called. */
+  public EventThread thread() {
+    return thread;
+  }
+
+  /** Puts a document into force, unless one with a higher number is. */
+  public void apply(RouteTable newer) {
+    if (table.isPresent() && table.get().version() >= newer.version()) {
+      return;
+    }
+    log.info("document {} is in force", newer.version());
+    table = Optional.of(newer);
+    board.pools(newer.pools());
+    board.listed(listings, System.nanoTime());
+  }
+
+  /** Takes in the platform's list of upstreams. */
+  public void listed(Collection<Listing> upstreams) {
+    listings = List.copyOf(upstreams);
+    listed = true;
+    board.listed(listings, System.nanoTime());
+    review();
+  }
+
+  /** Takes in the failure domains that get nothing new. */
+  public void closed(Set<DomainId> domains) {
+    log.info("closed failure domains: {}", domains);
+    board.closed(domains);
+  }
+
+  /** Takes in how many routers there are and what the others have under way. */
+  public void peers(int count, Map<UpstreamId, LoadFigures> loads) {
+    routers = Math.max(1, count);
+    board.routers(routers);
+    board.others(loads);
+  }
+
+  /** Returns the document in force. */
+  public Optional<RouteTable> table() {
+    return table;
+  }
+
+  /** Returns whether requests can be served. */
+  public boolean isReady() {
+    return table.isPresent() && listed && !leaving;
+  }
+
+  /** Returns whether the router is about to stop, so that callers should go elsewhere. */
+  public boolean isLeaving() {
+    return leaving;
+  }
+
+  /** Tells callers to go elsewhere from now on; requests are still served. */
+  public void leave() {
+    leaving = true;
+  }
+
+  /** Returns how many requests are in progress. */
+  public int inProgress() {
+    return active.size();
+  }
+
+  /** Returns the number of the document in force, -1 for none. */
+  public long version() {
+    return table.map(RouteTable::version).orElse(-1L);
+  }
+
+  /** Returns what the control VMs are told. */
+  public ForwardReport report() {
+    Map<UpstreamId, LoadFigures> loads = new HashMap<>();
+    board.states().stream()
+        .filter(state -> state.own().inFlight() > 0)
+        .forEach(state -> loads.put(state.listing().upstream(), state.own()));
+    Map<PoolName, ForwardReport.PoolDemand> demand = new HashMap<>();
+    tallies.forEach((pool, tally) -> demand.put(pool, tally.demand(line(pool).size())));
+    return new ForwardReport(loads, usage.counts(), demand);
+  }
+
+  ForwardProtocol protocol() {
+    return protocol;
+  }
+
+  UpstreamClient client() {
+    return client;
+  }
+
+  UpstreamBoard board() {
+    return board;
+  }
+
+  UsageTally usage() {
+    return usage;
+  }
+
+  RequestJournal journal() {
+    return journal;
+  }
+
+  PoolTally tally(PoolName pool) {
+    return tallies.computeIfAbsent(pool, name -> new PoolTally());
+  }
+
+  WaitingLine<ForwardRun> line(PoolName pool) {
+    return lines.computeIfAbsent(pool, name -> new WaitingLine<>());
+  }
+
+  private SharedRetryBudget budget(PoolName pool) {
+    return budgets.computeIfAbsent(
+        pool,
+        name ->
+            new SharedRetryBudget(
+                options.retryRatio(), options.retryExtra(), options.retryWindow().toNanos()));
+  }
+
+  void firstSend(PoolName pool, long now) {
+    budget(pool).sent(now);
+  }
+
+  boolean mayRepeat(PoolName pool, long now) {
+    return budget(pool).tryTake(routers, now);
+  }
+
+  void started(ForwardRun run) {
+    active.add(run);
+  }
+
+  void ended(ForwardRun run) {
+    active.remove(run);
+  }
+
+  /** Lets a request wait for a place; one of a lower rank may have to leave for it. */
+  boolean await(ForwardRun run, Work work, long giveUpNanos) {
+    List<ForwardRun> displaced = new ArrayList<>();
+    boolean added = line(work.pool()).add(run, work, giveUpNanos, displaced);
+    displaced.forEach(ForwardRun::turnedAway);
+    scheduleReview();
+    return added;
+  }
+
+  private void scheduleReview() {
+    if (!reviewing) {
+      reviewing = true;
+      thread.after(
+          REVIEW_MILLIS,
+          () -> {
+            reviewing = false;
+            review();
+          });
+    }
+  }
+
+  /** Offers free places to those who wait, and turns away those who waited too long. */
+  void review() {
+    long now = System.nanoTime();
+    boolean waiting = false;
+    for (WaitingLine<ForwardRun> line : lines.values()) {
+      if (!line.isEmpty()) {
+        line.offer(run -> run.tryPlace(now));
+        line.expired(now).forEach(ForwardRun::turnedAway);
+        waiting |= !line.isEmpty();
+      }
+    }
+    if (waiting) {
+      scheduleReview();
+    }
+  }
+}
--- /dev/null
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardRequest.java
@@ -0,0 +1,60 @@
+package io.jacinthquay.router.service.forward;
+
+import io.jacinthquay.decision.dispatch.Work;
+import io.jacinthquay.model.CustomerId;
+import io.jacinthquay.model.PoolName;
+import io.jacinthquay.model.Tier;
+import io.jacinthquay.model.routing.KeyHolder;
+import io.jacinthquay.model.routing.RouteRule;
+import io.jacinthquay.router.port.CallerHead;
+import io.jacinthquay.router.port.RequestFacts;
+import java.util.Optional;
+
+/**
+ * One admitted request.
+ *
+ * @param head as the caller sent it
+ * @param facts what the head says
+ * @param route its route
+ * @param holder who holds its key; absent on open routes
+ * @param body the whole body
+ * @param arrivedNanos when its head was read, on the monotonic clock
+ */
+@SuppressWarnings("ArrayRecordComponent")
+record ForwardRequest(
+    CallerHead head,
+    RequestFacts facts,
+    RouteRule route,
+    Optional<KeyHolder> holder,
+    byte[] body,
+    long arrivedNanos) {
+  Optional<CustomerId> customer() {
+    return holder.map(KeyHolder::customer);
+  }
+
+  Tier tier() {
+    return holder.flatMap(KeyHolder::tier).orElse(route.tier());
+  }
+
+  /** Returns how long the caller is kept waiting at most, in milliseconds from its arrival. */
+  long limitMillis() {
+    return Math.min(route.timeoutMillis(), facts.waitMillis().orElse(Long.MAX_VALUE));
+  }
+
+  /** Returns when the caller stops waiting, on the monotonic clock. */
+  long deadlineNanos() {
+    return arrivedNanos + limitMillis() * 1_000_000L;
+  }
+
+  Work work(PoolName pool) {
+    return new Work(
+        pool,
+        tier(),
+        facts.promptTokens(),
+        facts.outputTokens(),
+        facts.parts(),
+        route.targetMillis(),
+        arrivedNanos,
+        deadlineNanos());
+  }
+}
--- /dev/null
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardRun.java
@@ -0,0 +1,365 @@
+package io.jacinthquay.router.service.forward;
+
+import io.jacinthquay.decision.dispatch.SendEnd;
+import io.jacinthquay.decision.dispatch.UpstreamState;
+import io.jacinthquay.decision.dispatch.Work;
+import io.jacinthquay.decision.routing.RouteTable;
+import io.jacinthquay.model.Failure;
+import io.jacinthquay.model.PoolName;
+import io.jacinthquay.model.RequestId;
+import io.jacinthquay.model.ResultCode;
+import io.jacinthquay.model.UpstreamId;
+import io.jacinthquay.model.routing.RequestKind;
+import io.jacinthquay.router.port.AnswerHead;
+import io.jacinthquay.router.port.AttemptFacts;
+import io.jacinthquay.router.port.Caller;
+import io.jacinthquay.router.port.CallerListener;
+import io.jacinthquay.router.port.UpstreamRequest;
+import java.nio.ByteBuffer;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+
+/** One request from its admission to the end of its answer. */
+final class ForwardRun implements CallerListener {
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+
+  /** Sends that reached nobody after which the request is given up. */
+  private static final int MOST_UNREACHED = 4;
+
+  /** Share of the target that a request may wait for a place before it is turned away. */
+  private static final double WAIT_SHARE = 0.5;
+
+  /** When a caller should come back that was turned away for want of a place, in seconds. */
+  private static final double RETURN_SECONDS = 0.25;
+
+  private final ForwardCore core;
+  private final ForwardRequest request;
+  private final Caller caller;
+  private final AnswerSink sink;
+  private final Work work;
+  private final Set<UpstreamId> avoided = new HashSet<>();
+  private final StringBuilder story = new StringBuilder();
+  private Runnable timer = () -> {};
+  private ForwardAttempt attempt;
+  private int sends;
+  private int unreached;
+  private boolean mayHaveRun;
+  private boolean waiting;
+  private boolean success;
+  private boolean usageCounted;
+  private boolean done;
+
+  ForwardRun(ForwardCore core, ForwardRequest request, Caller caller) {
+    this.core = core;
+    this.request = request;
+    this.caller = caller;
+    PoolName pool = RouteTable.pool(request.route(), ThreadLocalRandom.current().nextDouble());
+    this.work = request.work(pool);
+    this.sink =
+        request.route().kind() == RequestKind.STREAMING
+            ? new EventAnswer(
+                core.protocol(), caller, request.facts().lastEventId(), this::firstEvent)
+            : new WholeAnswer(core.protocol(), caller);
+  }
+
+  String attemptId() {
+    return request.facts().attemptId();
+  }
+
+  /** Returns what was decided about the request and why, for the log. */
+  String story() {
+    return "route="
+        + request.route().name()
+        + " version="
+        + core.version()
+        + " customer="
+        + request.customer().map(Object::toString).orElse("-")
+        + " tookMillis="
+        + sinceArrival(System.nanoTime())
+        + story;
+  }
+
+  private long sinceArrival(long now) {
+    return (now - request.arrivedNanos()) / NANOS_PER_MILLI;
+  }
+
+  private void note(String event, Object detail) {
+    story
+        .append(" +")
+        .append(sinceArrival(System.nanoTime()))
+        .append("ms:")
+        .append(event)
+        .append('=')
+        .append(detail);
+  }
+
+  void start() {
+    core.started(this);
+    caller.listener(this);
+    long now = System.nanoTime();
+    PoolTally tally = core.tally(work.pool());
+    tally.requests++;
+    tally.promptTokens += work.promptTokens();
+    tally.outputTokens += work.outputTokens();
+    core.firstSend(work.pool(), now);
+    long left = request.limitMillis() - sinceArrival(now);
+    timer = caller.thread().after(Math.max(1, left), this::timedOut);
+    if (!tryPlace(now)) {
+      awaitPlace(now);
+    }
+  }
+
+  private void awaitPlace(long now) {
+    if (!core.board().isServed(work.pool())) {
+      refuse(ResultCode.NO_UPSTREAM, "the pool has no upstream");
+      return;
+    }
+    long patience =
+        Math.min((long) (work.targetMillis() * WAIT_SHARE), Math.max(0, request.limitMillis() / 3));
+    waiting = core.await(this, work, now + patience * NANOS_PER_MILLI);
+    note("waits", core.line(work.pool()).size());
+    if (!waiting) {
+      refuse(ResultCode.QUEUE_FULL, ResultCode.QUEUE_FULL.meaning());
+    }
+  }
+
+  /** Sends the request if an upstream has a place for it. */
+  boolean tryPlace(long now) {
+    if (done) {
+      return true;
+    }
+    Optional<UpstreamState> chosen = core.board().choose(work, avoided, now);
+    if (chosen.isEmpty()) {
+      return false;
+    }
+    waiting = false;
+    send(chosen.get(), now);
+    return true;
+  }
+
+  private void send(UpstreamState upstream, long now) {
+    sends++;
+    avoided.add(upstream.listing().upstream());
+    note("sent", upstream.listing().upstream());
+    long left = Math.max(1, (work.deadlineNanos() - now) / NANOS_PER_MILLI);
+    OptionalLong resumeAfter =
+        sink instanceof EventAnswer events && caller.hasBegun()
+            ? events.lastId()
+            : request.facts().lastEventId();
+    AttemptFacts facts =
+        new AttemptFacts(
+            upstream.listing().upstream(),
+            request.customer(),
+            left,
+            request.route().promptDescribed() ? Optional.of(work.tier()) : Optional.empty(),
+            resumeAfter);
+    String query = request.head().query();
+    attempt = new ForwardAttempt(this, core, upstream, work);
+    attempt.send(
+        new UpstreamRequest(
+            new RequestId(attemptId()),
+            upstream.listing().address(),
+            request.head().method(),
+            query.isEmpty() ? request.head().rawPath() : request.head().rawPath() + "?" + query,
+            core.protocol().toUpstream(request.head(), facts),
+            request.body(),
+            request.route().isRepeatable(),
+            true));
+  }
+
+  private void firstEvent() {
+    if (attempt != null) {
+      attempt.begun();
+    }
+    if (!caller.hasBegun()) {
+      note("first", "event");
+      countUsage();
+      if (sinceArrival(System.nanoTime()) > work.targetMillis()) {
+        core.tally(work.pool()).late++;
+      }
+    }
+  }
+
+  private void countUsage() {
+    if (!usageCounted) {
+      usageCounted = true;
+      request.customer().ifPresent(c -> core.usage().began(c, System.currentTimeMillis()));
+    }
+  }
+
+  void answering(ForwardAttempt from, AnswerHead head, boolean ok) {
+    success = ok;
+    mayHaveRun = true;
+    if (!ok && sink instanceof EventAnswer && caller.hasBegun()) {
+      from.cancel(SendEnd.FAILED);
+      failed(from, "status " + head.status());
+      return;
+    }
+    if (!(sink instanceof EventAnswer)) {
+      from.begun();
+      countUsage();
+    }
+    sink.head(head);
+  }
+
+  boolean data(ForwardAttempt from, ByteBuffer data) {
+    return from != attempt || done || sink.data(data);
+  }
+
+  /** The answer of an attempt has wholly arrived. */
+  boolean end(ForwardAttempt from) {
+    if (from != attempt || done) {
+      return true;
+    }
+    if (!sink.end()) {
+      return false;
+    }
+    finish("answered", success);
+    return true;
+  }
+
+  boolean succeeded() {
+    return success;
+  }
+
+  /** Returns whether a failure of the upstream should be followed by another send. */
+  boolean prefersRepeat() {
+    return mayRepeat(System.nanoTime());
+  }
+
+  private boolean mayRepeat(long now) {
+    return request.route().isRepeatable()
+        && sends < request.route().maxAttempts()
+        && now < work.deadlineNanos()
+        && core.board().choose(work, avoided, now).isPresent()
+        && core.mayRepeat(work.pool(), now);
+  }
+
+  void notRun(ForwardAttempt from, AnswerHead head) {
+    note("notRun", head.status());
+    long now = System.nanoTime();
+    boolean again =
+        sends < request.route().maxAttempts()
+            && core.board().choose(work, avoided, now).isPresent()
+            && core.mayRepeat(work.pool(), now);
+    if (!again || !tryPlace(now)) {
+      giveUp(ResultCode.UPSTREAM_REFUSED);
+    }
+  }
+
+  /** The upstream could not be reached; nothing of the request was sent. */
+  void unreachable(ForwardAttempt from) {
+    note("unreachable", from.upstream().listing().upstream());
+    sends--;
+    unreached++;
+    if (unreached >= MOST_UNREACHED || !tryPlace(System.nanoTime())) {
+      giveUp(ResultCode.UPSTREAM_UNREACHABLE);
+    }
+  }
+
+  /** The upstream failed after it may have run the request. */
+  void failed(ForwardAttempt from, String why) {
+    note("failed", why);
+    if (done || from != attempt) {
+      return;
+    }
+    mayHaveRun = true;
+    sink.discard();
+    long now = System.nanoTime();
+    boolean again =
+        why.startsWith("status ") ? sends < request.route().maxAttempts() : mayRepeat(now);
+    if (!again || !tryPlace(now)) {
+      giveUp(ResultCode.UPSTREAM_BROKE);
+    }
+  }
+
+  /** The request waited too long for a place, or had to leave it to another. */
+  void turnedAway() {
+    if (!done) {
+      waiting = false;
+      refuse(ResultCode.SHED_OVERLOAD, "no place became free in time");
+    }
+  }
+
+  private void giveUp(ResultCode code) {
+    if (mayHaveRun) {
+      fail(code);
+    } else {
+      refuse(ResultCode.NO_UPSTREAM, code.meaning());
+    }
+  }
+
+  /** Answers that the request has not run and never will. */
+  private void refuse(ResultCode code, String detail) {
+    if (mayHaveRun || caller.hasBegun()) {
+      fail(code);
+      return;
+    }
+    core.tally(work.pool()).refused++;
+    note("refused", detail);
+    double spread = 0.5 + ThreadLocalRandom.current().nextDouble();
+    ForwardIntake.send(
+        core.protocol()
+            .refusal(Failure.of(code, detail), OptionalDouble.of(RETURN_SECONDS * spread)),
+        caller);
+    finish("refused", false);
+  }
+
+  /** Ends a request of which nobody knows that it has not run. */
+  private void fail(ResultCode code) {
+    if (caller.hasBegun()) {
+      caller.abort();
+    } else {
+      ResultCode told = code == ResultCode.UPSTREAM_TIMEOUT ? code : ResultCode.UPSTREAM_BROKE;
+      ForwardIntake.send(core.protocol().refusal(Failure.of(told), OptionalDouble.empty()), caller);
+    }
+    finish("failed " + code.number(), false);
+  }
+
+  private void timedOut() {
+    if (done) {
+      return;
+    }
+    note("timeout", request.limitMillis());
+    if (attempt == null) {
+      refuse(ResultCode.DEADLINE_UNREACHABLE, "no place became free in time");
+      return;
+    }
+    attempt.cancel(caller.hasBegun() ? SendEnd.UNDECIDED : SendEnd.FAILED);
+    mayHaveRun = true;
+    fail(ResultCode.UPSTREAM_TIMEOUT);
+  }
+
+  private void finish(String outcome, boolean ok) {
+    if (done) {
+      return;
+    }
+    done = true;
+    timer.run();
+    core.ended(this);
+    core.journal().ended(this, outcome, ok);
+  }
+
+  @Override
+  public void onWritable() {
+    // What a slow caller has not taken yet is held in memory: streams here are a few kilobytes.
+  }
+
+  @Override
+  public void onGone() {
+    if (done) {
+      return;
+    }
+    if (waiting) {
+      core.line(work.pool()).remove(this);
+    }
+    if (attempt != null) {
+      attempt.cancel(SendEnd.UNDECIDED);
+    }
+    finish("caller left", true);
+  }
+}
--- /dev/null
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/UsageTally.java
@@ -0,0 +1,35 @@
+package io.jacinthquay.router.service.forward;
+
+import io.jacinthquay.model.CustomerId;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Counts requests that began, by window of the wall clock and by customer. */
+final class UsageTally {
+  /** Windows that are kept to be told again, so that a new leader learns of them. */
+  private static final int KEPT_WINDOWS = 6;
+
+  private final long windowMillis;
+  private final TreeMap<Long, Map<CustomerId, Long>> windows = new TreeMap<>();
+
+  UsageTally(Duration window) {
+    windowMillis = window.toMillis();
+  }
+
+  void began(CustomerId customer, long wallMillis) {
+    windows
+        .computeIfAbsent(Math.floorDiv(wallMillis, windowMillis), window -> new HashMap<>())
+        .merge(customer, 1L, Long::sum);
+    while (windows.size() > KEPT_WINDOWS) {
+      windows.pollFirstEntry();
+    }
+  }
+
+  Map<Long, Map<CustomerId, Long>> counts() {
+    Map<Long, Map<CustomerId, Long>> copy = new HashMap<>();
+    windows.forEach((window, counts) -> copy.put(window, Map.copyOf(counts)));
+    return copy;
+  }
+}
--- a/router/src/main/java/io/jacinthquay/router/service/request/SseSplitter.java
+++ b/router/src/main/java/io/jacinthquay/router/service/request/SseSplitter.java
@@ -4,14 +4,14 @@
 import java.util.Arrays;
 
 /** Cuts a byte stream into whole server-sent events, whatever the sizes of its parts. */
-final class SseSplitter {
+public final class SseSplitter {
   /** Largest event, in bytes. */
-  static final int MAX_EVENT_BYTES = 1024 * 1024;
+  public static final int MAX_EVENT_BYTES = 1024 * 1024;
 
   private static final int INITIAL_BYTES = 4 * 1024;
 
   /** Takes one event with its closing blank line. */
-  interface EventSink {
+  public interface EventSink {
     /** Returns whether to go on. */
     boolean event(byte[] bytes, int from, int to);
   }
@@ -26,7 +26,7 @@
    *
    * @return false if an event is too large
    */
-  boolean add(ByteBuffer data) {
+  public boolean add(ByteBuffer data) {
     int count = data.remaining();
     if (end + count > buffer.length) {
       makeRoom(count);
@@ -48,7 +48,7 @@
   }
 
   /** Hands out every whole event. */
-  void drain(EventSink sink) {
+  public void drain(EventSink sink) {
     int next = nextEnd();
     while (next > 0) {
       int from = start;
@@ -85,12 +85,12 @@
   }
 
   /** Returns whether part of an event has arrived and its rest has not. */
-  boolean holdsPart() {
+  public boolean holdsPart() {
     return start < end;
   }
 
   /** Returns a copy of the bytes that are not yet handed out. */
-  byte[] rest() {
+  public byte[] rest() {
     return Arrays.copyOfRange(buffer, start, end);
   }
 }
--- /dev/null
+++ b/wire/src/main/java/io/jacinthquay/wire/transport/PlainChannel.java
@@ -0,0 +1,56 @@
+package io.jacinthquay.wire.transport;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import org.apache.thrift.protocol.TCompactProtocol;
+import org.apache.thrift.protocol.TProtocol;
+import org.apache.thrift.transport.TSocket;
+import org.apache.thrift.transport.TTransportException;
+import org.apache.thrift.transport.layered.TFramedTransport;
+
+/** A connection to a {@link PlainServer}, for networks that are trusted. */
+public final class PlainChannel implements Channel {
+  private final TSocket socket;
+  private final TProtocol protocol;
+
+  private PlainChannel(TSocket socket, TProtocol protocol) {
+    this.socket = socket;
+    this.protocol = protocol;
+  }
+
+  /**
+   * Opens a connection.
+   *
+   * @param address the server
+   * @param connectMillis limit for connecting, in milliseconds
+   * @param readMillis limit for each read, in milliseconds
+   * @throws IOException if the server cannot be reached
+   */
+  public static PlainChannel open(InetSocketAddress address, int connectMillis, int readMillis)
+      throws IOException {
+    Socket plain = new Socket();
+    try {
+      plain.setTcpNoDelay(true);
+      plain.connect(address, connectMillis);
+      plain.setSoTimeout(readMillis);
+      TSocket socket = new TSocket(plain);
+      socket.setTimeout(readMillis);
+      TFramedTransport framed = new TFramedTransport(socket, PlainServer.MAX_MESSAGE_BYTES);
+      return new PlainChannel(socket, new TCompactProtocol(framed));
+    } catch (IOException | TTransportException e) {
+      plain.close();
+      throw e instanceof IOException io ? io : new IOException(e);
+    }
+  }
+
+  @Override
+  public TProtocol protocol() {
+    return protocol;
+  }
+
+  @Override
+  public void close() {
+    socket.close();
+  }
+}
--- a/wire/src/main/java/io/jacinthquay/wire/transport/SecureChannel.java
+++ b/wire/src/main/java/io/jacinthquay/wire/transport/SecureChannel.java
@@ -20,7 +20,7 @@
  * }
  * }</pre>
  */
-public final class SecureChannel implements AutoCloseable {
+public final class SecureChannel implements Channel {
   private final TSocket socket;
   private final TProtocol protocol;
 
@@ -70,7 +70,7 @@
     socket.setSocketTimeout(timeoutMillis);
   }
 
-  /** Returns the protocol for a generated client. */
+  @Override
   public TProtocol protocol() {
     return protocol;
   }
--- /dev/null
+++ b/wire/src/main/thrift/control.thrift
@@ -0,0 +1,128 @@
+/** Calls from routers of header-described requests to the control VMs, and what those store. */
+namespace java io.jacinthquay.wire.gen
+
+/** What one router has under way at one upstream. */
+struct UpstreamLoadMessage {
+  1: string upstream
+  2: i32 inFlight
+  /** Prompt tokens sent and not read yet, as far as the router can tell. */
+  3: i64 promptTokens
+  /** Tokens that the running requests keep in memory at most. */
+  4: i64 memoryTokens
+}
+
+/** Requests of one customer that began in one window, counted by one run of one router. */
+struct CustomerCountMessage {
+  1: i64 window
+  2: string customer
+  3: i64 requests
+}
+
+/** What one router was asked to do for one pool since its start. */
+struct PoolDemandMessage {
+  1: string pool
+  2: i64 requests
+  3: i64 promptTokens
+  4: i64 outputTokens
+  5: i64 refused
+  6: i32 waiting
+  /** Requests that ended after their target. */
+  7: i64 late
+}
+
+struct RouterReportMessage {
+  1: string router
+  /** Drawn at each start of the router. */
+  2: i64 incarnation
+  3: string domain
+  /** Version of the document in force; -1 for none. */
+  4: i64 documentVersion
+  /** Log index of the closed domains in force; -1 for none. */
+  5: i64 closedIndex
+  /** Number of the list of upstreams held; -1 for none. */
+  6: i64 listNumber
+  7: list<UpstreamLoadMessage> loads
+  8: list<CustomerCountMessage> counts
+  9: list<PoolDemandMessage> demand
+  /** Wall clock of the router, ms since the epoch. */
+  10: i64 wallMillis
+  /** Whether the router is about to stop. */
+  11: bool leaving
+}
+
+struct ListedUpstreamMessage {
+  1: string upstream
+  2: string pool
+  3: string domain
+  /** ip:port */
+  4: string address
+  5: bool draining
+  6: bool cheap
+  7: i32 slots
+  /** How much longer it is cold, in ms from when the list was read. */
+  8: i64 coldMillis
+}
+
+struct ListedUpstreamsMessage {
+  1: list<ListedUpstreamMessage> upstreams
+}
+
+struct ControlViewMessage {
+  /** Whether the answering VM leads; nothing but leader and members is set where it does not. */
+  1: bool leads
+  /** Address of the leader, ip:port; empty if not known. */
+  2: string leader
+  /** Addresses of all control VMs. */
+  3: list<string> members
+  4: i64 documentVersion
+  /** Set where the router holds another version. */
+  5: optional binary document
+  6: i64 closedIndex
+  /** Set where the router holds another index. */
+  7: optional list<string> closedDomains
+  8: i64 listNumber
+  /** Set where the router holds another number. */
+  9: optional ListedUpstreamsMessage upstreams
+  /** Routers heard of lately, this one included. */
+  10: i32 routers
+  /** Sum over all other routers. */
+  11: list<UpstreamLoadMessage> otherLoads
+  12: i64 wallMillis
+  /** How old the list of upstreams is, in ms. */
+  13: i64 listAgeMillis
+}
+
+service Control {
+  ControlViewMessage exchange(1: RouterReportMessage report)
+}
+
+/** A document as the operator sent it. */
+struct DocumentCommand {
+  1: i64 version
+  2: binary content
+}
+
+struct CloseDomainCommand {
+  1: string domain
+  2: bool closed
+}
+
+/** Fixes the counts of a window, so that every report of it is the same. */
+struct SealCountsCommand {
+  1: i64 window
+  2: map<string, i64> counts
+}
+
+union ControlCommand {
+  1: DocumentCommand document
+  2: CloseDomainCommand closeDomain
+  3: SealCountsCommand sealCounts
+}
+
+struct ControlSnapshot {
+  1: i64 version
+  2: optional binary document
+  3: list<string> closedDomains
+  4: i64 closedIndex
+  5: map<i64, map<string, i64>> sealed
+}
