--- a/control/src/main/java/io/jacinthquay/control/ControlService.java
+++ b/control/src/main/java/io/jacinthquay/control/ControlService.java
@@ -10,15 +10,19 @@
 import io.jacinthquay.control.service.ControlStore;
 import io.jacinthquay.control.service.Leadership;
 import io.jacinthquay.control.service.RouterRegistry;
+import io.jacinthquay.control.service.ScalingDuty;
 import io.jacinthquay.control.service.UpstreamFeed;
 import io.jacinthquay.control.service.UsageDuty;
 import io.jacinthquay.control.state.ControlState;
 import io.jacinthquay.keeper.adapter.thrift.ThriftPeerTransport;
+import io.jacinthquay.model.Failure;
+import io.jacinthquay.model.routing.RoutingDocument;
 import io.jacinthquay.runtime.Service;
 import io.jacinthquay.runtime.settings.SocketAddresses;
 import io.jacinthquay.wire.gen.Control;
 import io.jacinthquay.wire.transport.PlainChannel;
 import io.jacinthquay.wire.transport.PlainServer;
+import io.vavr.control.Either;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Optional;
@@ -26,6 +30,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -52,6 +57,9 @@
 
   private static final int READ_MILLIS = 800;
 
+  /** Six heartbeats; the members are milliseconds apart, and nothing is decided meanwhile. */
+  private static final Duration ELECTION_TIMEOUT = Duration.ofMillis(600);
+
   private static final int SNAPSHOT_EVERY_ENTRIES = 400;
   private static final int RETAINED_ENTRIES = 100;
   private static final int SEGMENT_BYTES = 2 << 20;
@@ -66,6 +74,7 @@
   private final UpstreamFeed feed = new UpstreamFeed();
   private final Fleet fleet;
   private final UsageDuty usage;
+  private final ScalingDuty scaling;
   private final PlainServer server;
   private ScheduledExecutorService scheduler;
 
@@ -74,8 +83,12 @@
    *
    * @param options its settings
    * @param fleet the platform below
+   * @param decoder reads documents
    */
-  public ControlService(ControlOptions options, Fleet fleet) {
+  public ControlService(
+      ControlOptions options,
+      Fleet fleet,
+      Function<byte[], Either<Failure, RoutingDocument>> decoder) {
     this.options = options;
     this.fleet = fleet;
     ControlState state = new ControlState();
@@ -87,6 +100,7 @@
     store = new ControlStore(replicatedLog, state);
     leadership = new Leadership(options.name(), options.dutyHold(), System::nanoTime);
     usage = new UsageDuty(options.usageWindow(), store, routers, fleet);
+    scaling = new ScalingDuty(store, routers, feed, fleet, decoder);
     TMultiplexedProcessor processor = new TMultiplexedProcessor();
     processor.registerProcessor(
         ROUTERS, new Control.Processor<>(new ControlHandler(store, leadership, routers, feed)));
@@ -111,7 +125,7 @@
         .options(
             new LogOptions(
                 defaults.heartbeatInterval(),
-                defaults.electionTimeout(),
+                ELECTION_TIMEOUT,
                 Duration.ofSeconds(3),
                 SNAPSHOT_EVERY_ENTRIES,
                 RETAINED_ENTRIES,
@@ -188,7 +202,13 @@
   }
 
   private void actForAll() {
-    leadership.fence().ifPresent(fence -> usage.run(fence, System.currentTimeMillis()));
+    leadership
+        .fence()
+        .ifPresent(
+            fence -> {
+              usage.run(fence, System.currentTimeMillis());
+              scaling.run(fence, System.nanoTime());
+            });
   }
 
   @Override
--- a/control/src/main/java/io/jacinthquay/control/adapter/ControlHandler.java
+++ b/control/src/main/java/io/jacinthquay/control/adapter/ControlHandler.java
@@ -75,7 +75,11 @@
             (upstream, load) ->
                 loads.add(
                     new UpstreamLoadMessage(
-                        upstream, load.inFlight(), load.promptTokens(), load.memoryTokens())));
+                        upstream,
+                        load.inFlight(),
+                        load.promptTokens(),
+                        load.memoryTokens(),
+                        load.fragility())));
     view.setOtherLoads(loads);
   }
 
--- a/control/src/main/java/io/jacinthquay/control/service/RouterRegistry.java
+++ b/control/src/main/java/io/jacinthquay/control/service/RouterRegistry.java
@@ -65,7 +65,10 @@
             for (UpstreamLoadMessage load : heard.report().getLoads()) {
               LoadFigures figures =
                   new LoadFigures(
-                      load.getInFlight(), load.getPromptTokens(), load.getMemoryTokens());
+                      load.getInFlight(),
+                      load.getPromptTokens(),
+                      load.getMemoryTokens(),
+                      load.getFragility());
               sum.merge(load.getUpstream(), figures, LoadFigures::plus);
             }
           }
--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/EngineRule.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/EngineRule.java
@@ -6,7 +6,8 @@
  * Places requests at model engines by the prompt that is still to be read.
  *
  * <p>Answers the load of long prompts that share beginnings: a shared beginning stays at one engine
- * and moves only when reading it anew elsewhere is faster than waiting there.
+ * and moves only when reading it anew elsewhere is faster than waiting there. Long prompts keep
+ * away from engines whose running streams would pause for too long meanwhile.
  */
 final class EngineRule implements PlacementRule {
   /** Prompt tokens that an engine reads in a millisecond, of the order of both users' engines. */
@@ -27,24 +28,34 @@
   /** What a likely preemption weighs, in milliseconds. */
   private static final double PREEMPTION_MILLIS = 1_000;
 
+  /** What each token that is read weighs beside a stream that a pause makes late, in ms. */
+  private static final double MILLIS_PER_FRAGILE_TOKEN = 0.004;
+
   private final long memoryTokens;
 
   EngineRule(long memoryTokens) {
     this.memoryTokens = memoryTokens;
   }
 
+  /** Returns the prompt tokens that the engine has probably still to read. */
+  static double unreadTokens(Work work, UpstreamState upstream, boolean home) {
+    double cached = upstream.prefixes().cachedTokens(work.parts());
+    if (home) {
+      cached = Math.max(cached, HOME_CONFIDENCE * (work.promptTokens() - work.ownTokens()));
+    }
+    return Math.max(0, work.promptTokens() - cached);
+  }
+
   @Override
   public double cost(Work work, UpstreamState upstream, boolean home, DomainId local) {
     LoadFigures load = upstream.load();
     if (load.inFlight() >= upstream.listing().slots()) {
       return UNFIT;
     }
-    double cached = upstream.prefixes().cachedTokens(work.parts());
-    if (home) {
-      int own = work.parts().isEmpty() ? 0 : work.parts().get(work.parts().size() - 1).tokens();
-      cached = Math.max(cached, HOME_CONFIDENCE * (work.promptTokens() - own));
-    }
-    double cost = (load.promptTokens() + work.promptTokens() - cached) / TOKENS_PER_MILLI;
+    double unread = unreadTokens(work, upstream, home);
+    double cost = (load.promptTokens() + unread) / TOKENS_PER_MILLI;
+    cost += load.promptTokens() / TOKENS_PER_MILLI * work.fragility();
+    cost += load.fragility() * unread * MILLIS_PER_FRAGILE_TOKEN;
     cost += load.inFlight() * MILLIS_PER_REQUEST;
     if (load.memoryTokens() + work.memoryTokens() > MEMORY_SHARE * memoryTokens) {
       cost += PREEMPTION_MILLIS;
--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamBoard.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamBoard.java
@@ -27,6 +27,14 @@
   /** What a cold upstream weighs against a warm one, in milliseconds. */
   private static final double COLD_MILLIS = 400;
 
+  /** Silence of an upstream that has requests, beyond the time to read them, in milliseconds. */
+  private static final double SILENT_MILLIS = 400;
+
+  /** Prompt tokens that even a slow engine reads in a millisecond. */
+  private static final double SLOW_TOKENS_PER_MILLI = 20;
+
+  private static final double NANOS_PER_MILLI = 1e6;
+
   /** What an upstream on trial weighs against one that serves, in milliseconds. */
   private static final double TRIAL_MILLIS = -1;
 
@@ -139,6 +147,7 @@
     for (UpstreamState state : candidates) {
       if (!isUsable(state)
           || !state.health().isOpen(now)
+          || isSilent(state, now)
           || avoided.contains(state.listing().upstream())) {
         continue;
       }
@@ -195,19 +204,32 @@
   }
 
   /** Records that a request is sent. */
-  public void sent(UpstreamState state, Work work, long now) {
+  public Sending sent(UpstreamState state, Work work, long now) {
     if (state.isCold(now)) {
       boolean within = state.coldShare().tryTake(coldRate(work.pool()), now);
       assert within : "a cold upstream was chosen beyond its share";
     }
     state.health().sent();
-    state.add(new LoadFigures(1, work.promptTokens(), work.memoryTokens()));
+    int unread = Math.max(0, work.promptTokens() - state.prefixes().cachedTokens(work.parts()));
+    state.sending(new LoadFigures(1, unread, work.memoryTokens(), work.fragility()), now);
     state.prefixes().read(work.parts());
+    return new Sending(state, work, unread, now);
+  }
+
+  /** Records that something arrived from an upstream. */
+  public void heard(UpstreamState state, long now) {
+    state.heard(now);
+  }
+
+  /** Returns whether an upstream answers nobody although it has had the time to. */
+  public boolean isSilent(UpstreamState state, long now) {
+    double allowed = SILENT_MILLIS + state.load().promptTokens() / SLOW_TOKENS_PER_MILLI;
+    return state.silentNanos(now) > allowed * NANOS_PER_MILLI;
   }
 
   /** Records that the upstream has read the prompt of a request. */
-  public void begun(UpstreamState state, Work work) {
-    state.add(new LoadFigures(0, -work.promptTokens(), 0));
+  public void begun(Sending sending) {
+    sending.upstream().add(new LoadFigures(0, -sending.unreadTokens(), 0, 0));
   }
 
   /**
@@ -216,8 +238,11 @@
    * @param begun whether {@link #begun} was called for it
    * @param end what it says of the upstream
    */
-  public void ended(UpstreamState state, Work work, boolean begun, SendEnd end, long now) {
-    state.add(new LoadFigures(-1, begun ? 0 : -work.promptTokens(), -work.memoryTokens()));
+  public void ended(Sending sending, boolean begun, SendEnd end, long now) {
+    Work work = sending.work();
+    UpstreamState state = sending.upstream();
+    int unread = begun ? 0 : sending.unreadTokens();
+    state.add(new LoadFigures(-1, -unread, -work.memoryTokens(), -work.fragility()));
     switch (end) {
       case SUCCEEDED -> state.health().succeeded();
       case UNREACHABLE -> state.health().failed(true, now);
--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamState.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamState.java
@@ -12,6 +12,8 @@
   private LoadFigures own = LoadFigures.NONE;
   private LoadFigures others = LoadFigures.NONE;
   private long coldUntil;
+  private long heardNanos;
+  private long unheardSince;
 
   UpstreamState(Listing listing, PoolSpec pool, long now) {
     this.listing = listing;
@@ -47,6 +49,22 @@
     return now - coldUntil < 0;
   }
 
+  /** Something arrived from the upstream. */
+  void heard(long now) {
+    heardNanos = now;
+    unheardSince = now;
+  }
+
+  /** Returns for how long the upstream was silent while it had requests to answer. */
+  long silentNanos(long now) {
+    return own.inFlight() == 0 ? 0 : now - unheardSince;
+  }
+
+  /** Returns whether anything ever arrived from the upstream. */
+  boolean everHeard() {
+    return heardNanos != 0;
+  }
+
   UpstreamHealth health() {
     return health;
   }
@@ -59,6 +77,13 @@
     return prefixes;
   }
 
+  void sending(LoadFigures change, long now) {
+    if (own.inFlight() == 0) {
+      unheardSince = now;
+    }
+    own = own.plus(change);
+  }
+
   void add(LoadFigures change) {
     own = own.plus(change);
   }
--- /dev/null
+++ b/decision/src/main/java/io/jacinthquay/decision/scaling/FleetPlanner.java
@@ -0,0 +1,182 @@
+package io.jacinthquay.decision.scaling;
+
+import io.jacinthquay.decision.dispatch.Listing;
+import io.jacinthquay.model.DomainId;
+import io.jacinthquay.model.routing.ScalingSpec;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+
+/**
+ * Keeps one pool as large as its load needs, as cheaply as its risks allow. Not thread-safe.
+ *
+ * <p>Answers two load patterns. In calm hours most work runs on upstreams that may be reclaimed a
+ * whole failure domain at a time: enough regular ones stay to carry the highest tiers when that
+ * happens. In a burst the pool grows at once and shrinks only after the load was low for long,
+ * since what is started serves seconds later and what is stopped takes its prompt cache with it.
+ */
+public final class FleetPlanner {
+  /** Prompt tokens a second that one upstream reads beside its running streams, on target. */
+  private static final double PROMPT_RATE = 17_000;
+
+  /** Requests that one upstream runs without their pauses growing past the targets. */
+  private static final double IN_FLIGHT = 9;
+
+  /** Reserve over what the load needs now, for bursts that are over before an order has effect. */
+  private static final double RESERVE = 1.5;
+
+  /** Weight of the newest reading when the load rises, at two readings a second. */
+  private static final double RISE_WEIGHT = 0.5;
+
+  /** Weight of the newest reading when the load falls; it takes seconds to believe it. */
+  private static final double FALL_WEIGHT = 0.04;
+
+  /** Upstreams of the pool in each failure domain, whatever the load. */
+  private static final int FEWEST_PER_DOMAIN = 2;
+
+  /** Time after which upstreams that were refused are asked for again, in nanoseconds. */
+  private static final long REFUSED_NANOS = 4_000_000_000L;
+
+  /** Time after which an order that had no effect is repeated, in nanoseconds. */
+  private static final long REPEAT_NANOS = 12_000_000_000L;
+
+  /** Time between two orders that make a sort fewer, in nanoseconds: each costs a warm cache. */
+  private static final long SHRINK_NANOS = 6_000_000_000L;
+
+  private record Sort(DomainId domain, boolean cheap) {}
+
+  private record Ordered(int count, long atNanos) {}
+
+  private final ScalingSpec spec;
+  private final Map<Sort, Ordered> ordered = new HashMap<>();
+  private final Map<Sort, Long> refusedAt = new HashMap<>();
+  private double need = -1;
+
+  /** Returns a planner for a pool. */
+  public FleetPlanner(ScalingSpec spec) {
+    this.spec = spec;
+  }
+
+  /** Returns how many upstreams the load needs, as last planned. */
+  public double need() {
+    return need;
+  }
+
+  /** Records that the platform has none of a sort at the moment. */
+  public void refused(FleetPlan plan, long now) {
+    Sort sort = new Sort(plan.domain(), plan.cheap());
+    refusedAt.put(sort, now);
+    ordered.remove(sort);
+  }
+
+  /**
+   * Returns the orders that bring the pool to its size.
+   *
+   * @param listings the pool's upstreams, draining ones included
+   * @param load what is asked of it
+   * @param domains failure domains that may hold upstreams
+   */
+  public List<FleetPlan> plan(
+      Collection<Listing> listings, PoolLoad load, Collection<DomainId> domains, long now) {
+    Map<Sort, Integer> present = new HashMap<>();
+    for (Listing listing : listings) {
+      if (!listing.draining()) {
+        present.merge(new Sort(listing.domain(), listing.cheap()), 1, Integer::sum);
+      }
+    }
+    int size = present.values().stream().mapToInt(n -> n).sum();
+    if (need < 0) {
+      // The load is not known yet: what is there is taken to be needed.
+      need = Math.max(0, size - domains.size()) / RESERVE;
+    }
+    observe(load);
+    int total =
+        Math.max(
+            (int) Math.ceil(need * RESERVE) + domains.size(), FEWEST_PER_DOMAIN * domains.size());
+    return orders(target(total, domains, now), present, now);
+  }
+
+  private void observe(PoolLoad load) {
+    double wanted =
+        Math.max(load.promptRate() / PROMPT_RATE, (load.inFlight() + load.waiting()) / IN_FLIGHT);
+    if (wanted > need) {
+      need += (wanted - need) * RISE_WEIGHT;
+    } else if (load.requestRate() > 0) {
+      need += (wanted - need) * FALL_WEIGHT;
+    }
+  }
+
+  /** One regular upstream in each domain, cheap ones beside, spread over the domains. */
+  private Map<Sort, Integer> target(int total, Collection<DomainId> domains, long now) {
+    List<DomainId> order = new ArrayList<>(new TreeSet<>(domains));
+    order.sort(Comparator.comparingDouble(spec::price).thenComparing(d -> d));
+    int regular = Math.min(spec.maximum(), Math.max(1, spec.minimum()));
+    Map<Sort, Integer> target = new HashMap<>();
+    order.forEach(domain -> target.put(new Sort(domain, false), regular));
+    int left = total - regular * order.size();
+    List<DomainId> offering =
+        order.stream()
+            .filter(d -> spec.cheapPrice() > 0 && !isRefused(new Sort(d, true), now))
+            .toList();
+    left = spread(left, offering, true, regular, target);
+    int missing = (int) Math.ceil(need) - (total - left);
+    spread(Math.min(left, missing), order, false, 0, target);
+    return target;
+  }
+
+  /** Spreads upstreams over domains and returns how many found no place. */
+  private int spread(
+      int count, List<DomainId> order, boolean cheap, int beside, Map<Sort, Integer> target) {
+    int left = count;
+    for (int i = 0; i < order.size(); i++) {
+      Sort sort = new Sort(order.get(i), cheap);
+      int has = target.getOrDefault(sort, 0);
+      int even = (Math.max(0, left) + order.size() - i - 1) / (order.size() - i);
+      int part = Math.max(0, Math.min(even, spec.maximum() - has - beside));
+      target.put(sort, has + part);
+      left -= part;
+    }
+    return left;
+  }
+
+  private boolean isRefused(Sort sort, long now) {
+    Long at = refusedAt.get(sort);
+    return at != null && now - at < REFUSED_NANOS;
+  }
+
+  private List<FleetPlan> orders(Map<Sort, Integer> target, Map<Sort, Integer> present, long now) {
+    List<FleetPlan> plans = new ArrayList<>();
+    target.forEach(
+        (sort, count) -> {
+          int has = present.getOrDefault(sort, 0);
+          Ordered last = ordered.get(sort);
+          int standing = last == null ? has : last.count();
+          boolean stale =
+              last != null && has != last.count() && now - last.atNanos() > REPEAT_NANOS;
+          boolean shrinks = count < standing;
+          boolean soon = last != null && now - last.atNanos() < SHRINK_NANOS;
+          boolean keep = shrinks && (sort.cheap() ? soon : cheapMissing(target, present));
+          if (isRefused(sort, now) || keep) {
+            return;
+          }
+          if (count != standing || stale) {
+            ordered.put(sort, new Ordered(count, now));
+            plans.add(new FleetPlan(sort.domain(), sort.cheap(), count));
+          }
+        });
+    return plans;
+  }
+
+  /** Regular upstreams stay until the cheap ones that replace them serve. */
+  private static boolean cheapMissing(Map<Sort, Integer> target, Map<Sort, Integer> present) {
+    return target.entrySet().stream()
+        .anyMatch(
+            entry ->
+                entry.getKey().cheap()
+                    && present.getOrDefault(entry.getKey(), 0) < entry.getValue());
+  }
+}
--- /dev/null
+++ b/decision/src/test/java/io/jacinthquay/decision/dispatch/UpstreamBoardTest.java
@@ -0,0 +1,162 @@
+package io.jacinthquay.decision.dispatch;
+
+import static io.jacinthquay.decision.dispatch.Works.ENGINES;
+import static io.jacinthquay.decision.dispatch.Works.LOCAL;
+import static io.jacinthquay.decision.dispatch.Works.MILLI;
+import static io.jacinthquay.decision.dispatch.Works.PLAIN;
+import static io.jacinthquay.decision.dispatch.Works.REMOTE;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.jacinthquay.model.UpstreamId;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+final class UpstreamBoardTest {
+  private final UpstreamBoard board = new UpstreamBoard(LOCAL, 1.5, 5);
+
+  @BeforeEach
+  void takePools() {
+    board.pools(Map.of(ENGINES, Works.engines(6), PLAIN, Works.plain()));
+  }
+
+  private String choose(Work work, long now) {
+    return board.choose(work, Set.of(), now).map(s -> s.listing().upstream().value()).orElse("-");
+  }
+
+  private Sending send(Work work, long now) {
+    return board.sent(board.choose(work, Set.of(), now).orElseThrow(), work, now);
+  }
+
+  @Test
+  void keepASharedBeginningAtOneEngineAtEveryRouter() {
+    UpstreamBoard other = new UpstreamBoard(REMOTE, 1.5, 5);
+    other.pools(Map.of(ENGINES, Works.engines(6)));
+    board.listed(Works.listings(ENGINES, 8), 0);
+    other.listed(Works.listings(ENGINES, 8), 0);
+    for (long shared = 1; shared < 50; shared++) {
+      Work work = Works.prompt(1, 500, shared * 7919, 13_000, 3_000);
+      String first = choose(work, 0);
+      assertEquals(first, choose(work, 0));
+      assertEquals(
+          first, other.choose(work, Set.of(), 0).orElseThrow().listing().upstream().value());
+    }
+  }
+
+  /** Many requests at once about one thing: waiting at its engine must not outlast reading anew. */
+  @Test
+  void leaveABusyEngineUnderAHotKey() {
+    board.listed(Works.listings(ENGINES, 4), 0);
+    Set<UpstreamId> used = new HashSet<>();
+    for (int i = 0; i < 40; i++) {
+      used.add(send(Works.prompt(1, 500, 99, 13_000, 3_000), 0).upstream().listing().upstream());
+    }
+    assertTrue(used.size() > 1, "all went to " + used);
+  }
+
+  /** Long prompts beside fragile streams: they go where nobody's pauses suffer. */
+  @Test
+  void keepLongPromptsOffFragileStreams() {
+    board.listed(Works.listings(ENGINES, 2), 0);
+    Work chat = Works.prompt(0, 120, 5, 300, 900);
+    String chats = choose(chat, 0);
+    String quiet = chats.equals("u0") ? "u1" : "u0";
+    for (int i = 0; i < 6; i++) {
+      board.begun(board.sent(board.choose(chat, avoid(quiet), 0).orElseThrow(), chat, 0));
+    }
+    long shared = 100;
+    while (!chats.equals(choose(Works.prompt(2, 500, shared, 100, 12_000), 0)) && shared < 164) {
+      shared++;
+    }
+    assertEquals(164, shared, "a long prompt was placed beside the streams");
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {1, 9, 75})
+  void keepColdUpstreamsWithinTheSharedBound(int routers) {
+    board.routers(routers);
+    board.listed(List.of(Works.listing("cold", ENGINES, LOCAL, 60_000)), 0);
+    int sent = 0;
+    int mostInASecond = 0;
+    for (long now = 0; now < 10_000; now += 5) {
+      if (now % 1_000 == 0) {
+        mostInASecond = Math.max(mostInASecond, sent);
+        sent = 0;
+      }
+      Work work = Works.prompt(0, 120, 5, 300, 900);
+      if (board.choose(work, Set.of(), now * MILLI).isPresent()) {
+        Sending sending = send(work, now * MILLI);
+        board.ended(sending, false, SendEnd.UNDECIDED, now * MILLI);
+        sent++;
+      }
+    }
+    double bound = 6 * 1.5 + 5;
+    assertTrue(
+        mostInASecond <= Math.max(1, Math.floor(bound / routers)), mostInASecond + " in a second");
+  }
+
+  @Test
+  void closeAnUpstreamThatFailsWhileItsHealthCheckIsGood() {
+    board.listed(Works.listings(PLAIN, 2), 0);
+    String failing = choose(Works.call(0), 0);
+    long now = 0;
+    for (int i = 0; i < 3; i++) {
+      Sending sending =
+          board.sent(
+              board.choose(Works.call(0), avoid(failing), now).orElseThrow(), Works.call(0), now);
+      board.ended(sending, false, SendEnd.FAILED, now);
+      now += MILLI;
+    }
+    String closed = failing.equals("u0") ? "u1" : "u0";
+    assertNotEquals(closed, choose(Works.call(0), now));
+    assertEquals(closed, choose(Works.call(0), now + 600 * MILLI), "it is tried again later");
+  }
+
+  private static Set<UpstreamId> avoid(String name) {
+    return Set.of(new UpstreamId(name));
+  }
+
+  /** An upstream goes dark with requests under way: it gets nothing more until it is heard. */
+  @Test
+  void sendNothingToASilentUpstream() {
+    board.listed(Works.listings(ENGINES, 2), 0);
+    Work work = Works.prompt(0, 120, 5, 300, 900);
+    Sending sending = send(work, 0);
+    String silent = sending.upstream().listing().upstream().value();
+    assertEquals(silent, choose(work, 300 * MILLI));
+    assertNotEquals(silent, choose(work, 700 * MILLI));
+    board.heard(sending.upstream(), 800 * MILLI);
+    assertEquals(silent, choose(work, 900 * MILLI));
+  }
+
+  @Test
+  void sendNothingToDrainingOrClosedUpstreams() {
+    Listing open = Works.listing("open", PLAIN, LOCAL, 0);
+    Listing draining =
+        new Listing(new UpstreamId("draining"), PLAIN, LOCAL, open.address(), true, false, 2, 0);
+    board.listed(List.of(draining, Works.listing("far", PLAIN, REMOTE, 0)), 0);
+    assertEquals("far", choose(Works.call(0), 0));
+    board.closed(Set.of(REMOTE));
+    assertEquals(Optional.empty(), board.choose(Works.call(0), Set.of(), 0));
+    assertFalse(board.isServed(PLAIN));
+  }
+
+  @Test
+  void sendNoMoreThanThereArePlaces() {
+    board.listed(Works.listings(PLAIN, 1), 0);
+    send(Works.call(0), 0);
+    Sending second = send(Works.call(0), 0);
+    assertEquals("-", choose(Works.call(0), 0));
+    board.ended(second, true, SendEnd.SUCCEEDED, 0);
+    assertEquals("u0", choose(Works.call(0), 0));
+  }
+}
--- /dev/null
+++ b/decision/src/test/java/io/jacinthquay/decision/dispatch/Works.java
@@ -0,0 +1,70 @@
+package io.jacinthquay.decision.dispatch;
+
+import io.jacinthquay.model.DomainId;
+import io.jacinthquay.model.PoolName;
+import io.jacinthquay.model.Tier;
+import io.jacinthquay.model.UpstreamId;
+import io.jacinthquay.model.routing.EngineSpec;
+import io.jacinthquay.model.routing.PoolSpec;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/** Small requests, pools and lists for the tests of this package. */
+final class Works {
+  static final PoolName ENGINES = new PoolName("engines");
+  static final PoolName PLAIN = new PoolName("plain");
+  static final DomainId LOCAL = new DomainId("a");
+  static final DomainId REMOTE = new DomainId("b");
+  static final long MILLI = 1_000_000L;
+
+  private Works() {}
+
+  static PoolSpec engines(double coldPerSecond) {
+    return new PoolSpec(
+        ENGINES,
+        "/health",
+        100,
+        3,
+        coldPerSecond,
+        Optional.of(new EngineSpec(64, 500_000)),
+        Optional.empty());
+  }
+
+  static PoolSpec plain() {
+    return new PoolSpec(PLAIN, "/health", 100, 0, 0, Optional.empty(), Optional.empty());
+  }
+
+  static Work prompt(int tier, int gapMillis, long shared, int sharedTokens, int ownTokens) {
+    return new Work(
+        ENGINES,
+        new Tier(tier),
+        sharedTokens + ownTokens,
+        100,
+        List.of(new PromptPart(shared, sharedTokens), new PromptPart(shared + 1, ownTokens)),
+        1_000,
+        gapMillis,
+        0,
+        10_000 * MILLI);
+  }
+
+  static Work call(int tier) {
+    return new Work(PLAIN, new Tier(tier), 0, 0, List.of(), 100, 0, 0, 1_000 * MILLI);
+  }
+
+  static Listing listing(String name, PoolName pool, DomainId domain, long coldMillis) {
+    InetSocketAddress address = InetSocketAddress.createUnresolved("10.0.0.1", 80);
+    int slots = pool.equals(PLAIN) ? 2 : 64;
+    return new Listing(
+        new UpstreamId(name), pool, domain, address, false, false, slots, coldMillis);
+  }
+
+  static List<Listing> listings(PoolName pool, int count) {
+    List<Listing> all = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      all.add(listing("u" + i, pool, LOCAL, 0));
+    }
+    return all;
+  }
+}
--- /dev/null
+++ b/decision/src/test/java/io/jacinthquay/decision/scaling/FleetPlannerTest.java
@@ -0,0 +1,123 @@
+package io.jacinthquay.decision.scaling;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.jacinthquay.decision.dispatch.Listing;
+import io.jacinthquay.model.DomainId;
+import io.jacinthquay.model.PoolName;
+import io.jacinthquay.model.UpstreamId;
+import io.jacinthquay.model.routing.ScalingSpec;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+final class FleetPlannerTest {
+  private static final DomainId A = new DomainId("a");
+  private static final DomainId B = new DomainId("b");
+  private static final List<DomainId> DOMAINS = List.of(A, B);
+  private static final PoolLoad CALM = new PoolLoad(10, 0, 2_000, 20_000, 10);
+  private static final PoolLoad BURST = new PoolLoad(120, 30, 60_000, 120_000, 60);
+  private static final long SECOND = 1_000_000_000L;
+
+  private final FleetPlanner planner =
+      new FleetPlanner(new ScalingSpec(1, 12, 4, 0.2, Map.of(A, 1.0, B, 0.8)));
+  private final Map<DomainId, Integer> regular = new HashMap<>();
+  private final Map<DomainId, Integer> cheap = new HashMap<>();
+
+  private List<Listing> listings() {
+    List<Listing> all = new ArrayList<>();
+    regular.forEach((domain, count) -> add(all, domain, false, count));
+    cheap.forEach((domain, count) -> add(all, domain, true, count));
+    return all;
+  }
+
+  private static void add(List<Listing> all, DomainId domain, boolean cheap, int count) {
+    for (int i = 0; i < count; i++) {
+      all.add(
+          new Listing(
+              new UpstreamId(domain + "-" + cheap + "-" + i),
+              new PoolName("engines"),
+              domain,
+              InetSocketAddress.createUnresolved("10.0.0.1", 80),
+              false,
+              cheap,
+              64,
+              0));
+    }
+  }
+
+  private List<FleetPlan> step(PoolLoad load, long now) {
+    List<FleetPlan> plans = planner.plan(listings(), load, DOMAINS, now);
+    plans.forEach(p -> (p.cheap() ? cheap : regular).put(p.domain(), p.count()));
+    return plans;
+  }
+
+  private int total() {
+    return regular.values().stream().mapToInt(n -> n).sum()
+        + cheap.values().stream().mapToInt(n -> n).sum();
+  }
+
+  @Test
+  void replaceRegularUpstreamsByCheapOnesOnceTheseServe() {
+    regular.put(A, 6);
+    regular.put(B, 6);
+    List<FleetPlan> first = step(CALM, 0);
+    assertTrue(first.stream().allMatch(FleetPlan::cheap), "regular ones stay at first: " + first);
+    step(CALM, SECOND);
+    assertEquals(Map.of(A, 1, B, 1), regular);
+    assertTrue(cheap.get(A) >= 1 && cheap.get(B) >= 1);
+  }
+
+  /** A burst that ends again: the pool grows at once and does not shrink for seconds. */
+  @Test
+  void growAtOnceAndShrinkLate() {
+    step(CALM, 0);
+    step(CALM, SECOND);
+    int before = total();
+    step(BURST, 2 * SECOND);
+    int during = total();
+    assertTrue(during >= before + 4, before + " grew to " + during);
+    step(CALM, 3 * SECOND);
+    assertEquals(during, total());
+    for (int i = 0; i < 400; i++) {
+      step(CALM, (4 + i) * SECOND);
+    }
+    assertTrue(total() < during);
+  }
+
+  /** Cheap upstreams are reclaimed and no more are to be had there: other domains make up. */
+  @Test
+  void orderCheapOnesElsewhereWhereTheyAreRefused() {
+    step(CALM, 0);
+    step(CALM, SECOND);
+    int elsewhere = cheap.get(B);
+    cheap.put(A, 0);
+    planner.refused(new FleetPlan(A, true, 1), 20 * SECOND);
+    step(CALM, 21 * SECOND);
+    assertTrue(cheap.get(B) > elsewhere);
+    assertEquals(Map.of(A, 1, B, 1), regular);
+  }
+
+  /** No cheap ones are to be had anywhere: regular ones carry what the load needs, no reserve. */
+  @Test
+  void orderRegularOnesWhereNoCheapOnesAreLeft() {
+    step(BURST, 0);
+    step(BURST, SECOND);
+    cheap.clear();
+    planner.refused(new FleetPlan(A, true, 1), 20 * SECOND);
+    planner.refused(new FleetPlan(B, true, 1), 20 * SECOND);
+    step(BURST, 21 * SECOND);
+    assertEquals(Math.ceil(planner.need()), total());
+  }
+
+  @Test
+  void repeatNoOrderThatStands() {
+    step(CALM, 0);
+    step(CALM, SECOND);
+    assertEquals(List.of(), step(CALM, 2 * SECOND));
+  }
+}
--- a/router/src/main/java/io/jacinthquay/router/ForwardRouter.java
+++ b/router/src/main/java/io/jacinthquay/router/ForwardRouter.java
@@ -113,6 +113,7 @@
   public void stop() {
     log.info("router {} leaves with {} requests", endpoints.name(), core.inProgress());
     core.leave();
+    server.closeIdle();
     long began = System.nanoTime();
     try {
       boolean ended = false;
@@ -120,6 +121,10 @@
         TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
         Duration took = Duration.ofNanos(System.nanoTime() - began);
         boolean noticed = took.compareTo(NOTICE) > 0;
+        if (noticed) {
+          core.refuseNew();
+          server.stopAccepting();
+        }
         ended = (noticed && core.inProgress() == 0) || took.compareTo(endpoints.grace()) > 0;
       }
     } catch (InterruptedException e) {
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/CallerHandler.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/CallerHandler.java
@@ -25,18 +25,21 @@
   private final RequestIntake intake;
   private final ListenerLimits limits;
   private final BodyMemory memory;
+  private final IdleConnections connections;
 
-  CallerHandler(RequestIntake intake, ListenerLimits limits) {
+  CallerHandler(RequestIntake intake, ListenerLimits limits, IdleConnections connections) {
     this.intake = intake;
+    this.connections = connections;
     this.limits = limits;
     this.memory = new BodyMemory(limits.maxBufferedBytes());
   }
 
   @Override
   public void handleRequest(HttpServerExchange exchange) {
+    connections.begins(exchange);
     RequestId id = intake.nextId();
     CallerHead head = head(exchange);
-    UndertowCaller caller = new UndertowCaller(exchange);
+    UndertowCaller caller = new UndertowCaller(exchange, connections);
     exchange.dispatch(SameThreadExecutor.INSTANCE, () -> start(exchange, id, head, caller));
   }
 
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/CallerServer.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/CallerServer.java
@@ -57,6 +57,7 @@
   private final ListenerLimits limits;
   private final RequestIntake intake;
   private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
+  private final IdleConnections idle = new IdleConnections();
   private final AtomicInteger connections = new AtomicInteger();
   private XnioWorker worker;
   private HttpOpenListener http;
@@ -81,7 +82,7 @@
   @Override
   public void start() {
     http = new HttpOpenListener(buffers, serverOptions());
-    http.setRootHandler(new CallerHandler(intake, limits));
+    http.setRootHandler(new CallerHandler(intake, limits, idle));
     try {
       worker = Xnio.getInstance().createWorker(workerOptions());
       listener =
@@ -170,7 +171,7 @@
    */
   public void alsoServe(InetSocketAddress second, RequestIntake other) {
     HttpOpenListener open = new HttpOpenListener(buffers, serverOptions());
-    open.setRootHandler(new CallerHandler(other, limits));
+    open.setRootHandler(new CallerHandler(other, limits, idle));
     try {
       worker
           .createStreamConnectionServer(
@@ -181,6 +182,11 @@
     }
   }
 
+  /** Closes connections that carry no request, and others after their answer. */
+  public void closeIdle() {
+    idle.leave();
+  }
+
   /** Takes no further connections; those that are open go on. */
   public void stopAccepting() {
     if (listener.isOpen()) {
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowCaller.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowCaller.java
@@ -20,6 +20,7 @@
 
   private final HttpServerExchange exchange;
   private final EventThread thread;
+  private final IdleConnections connections;
   private CallerListener listener;
   private StreamSinkChannel sink;
   private ByteBuffer pending = EMPTY;
@@ -27,8 +28,9 @@
   private boolean ending;
   private boolean finished;
 
-  UndertowCaller(HttpServerExchange exchange) {
+  UndertowCaller(HttpServerExchange exchange, IdleConnections connections) {
     this.exchange = exchange;
+    this.connections = connections;
     this.thread = new IoThread(exchange.getIoThread());
     exchange.getConnection().addCloseListener(connection -> gone());
   }
@@ -50,6 +52,9 @@
       return;
     }
     exchange.setStatusCode(head.status());
+    if (connections.isLeaving()) {
+      exchange.setPersistent(false);
+    }
     for (Header header : head.headers()) {
       exchange.getResponseHeaders().add(new HttpString(header.name()), header.value());
     }
--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/ControlLink.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/ControlLink.java
@@ -213,7 +213,11 @@
             (id, load) ->
                 loads.add(
                     new UpstreamLoadMessage(
-                        id.value(), load.inFlight(), load.promptTokens(), load.memoryTokens())));
+                        id.value(),
+                        load.inFlight(),
+                        load.promptTokens(),
+                        load.memoryTokens(),
+                        load.fragility())));
     message.setLoads(loads);
     List<CustomerCountMessage> counts = new ArrayList<>();
     report
@@ -265,7 +269,11 @@
     for (UpstreamLoadMessage load : view.getOtherLoads()) {
       others.put(
           new UpstreamId(load.getUpstream()),
-          new LoadFigures(load.getInFlight(), load.getPromptTokens(), load.getMemoryTokens()));
+          new LoadFigures(
+              load.getInFlight(),
+              load.getPromptTokens(),
+              load.getMemoryTokens(),
+              load.getFragility()));
     }
     int routers = view.getRouters();
     core.thread().execute(() -> core.peers(routers, others));
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardAttempt.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardAttempt.java
@@ -1,6 +1,7 @@
 package io.jacinthquay.router.service.forward;
 
 import io.jacinthquay.decision.dispatch.SendEnd;
+import io.jacinthquay.decision.dispatch.Sending;
 import io.jacinthquay.decision.dispatch.UpstreamState;
 import io.jacinthquay.decision.dispatch.Work;
 import io.jacinthquay.router.port.AnswerHead;
@@ -19,11 +20,12 @@
   private final ForwardCore core;
   private final UpstreamState upstream;
   private final Work work;
-  private final long sentNanos = System.nanoTime();
+  private Sending sending;
   private UpstreamCall call;
   private boolean begun;
   private boolean counted = true;
   private boolean ignored;
+  private boolean answered;
 
   ForwardAttempt(ForwardRun run, ForwardCore core, UpstreamState upstream, Work work) {
     this.run = run;
@@ -33,7 +35,7 @@
   }
 
   void send(UpstreamRequest request) {
-    core.board().sent(upstream, work, sentNanos);
+    sending = core.board().sent(upstream, work, System.nanoTime());
     call = core.client().send(request, this);
   }
 
@@ -41,8 +43,8 @@
     return upstream;
   }
 
-  long sentNanos() {
-    return sentNanos;
+  int unreadTokens() {
+    return sending.unreadTokens();
   }
 
   boolean mayHaveRun() {
@@ -53,7 +55,7 @@
   void begun() {
     if (!begun) {
       begun = true;
-      core.board().begun(upstream, work);
+      core.board().begun(sending);
     }
   }
 
@@ -66,16 +68,27 @@
     }
   }
 
+  private void heard() {
+    answered = true;
+    core.board().heard(upstream, System.nanoTime());
+  }
+
+  /** Returns whether nothing came from the upstream, to this request and to others. */
+  boolean isSilent(long now) {
+    return !answered && !ignored && core.board().isSilent(upstream, now);
+  }
+
   private void count(SendEnd end) {
     if (counted) {
       counted = false;
-      core.board().ended(upstream, work, begun, end, System.nanoTime());
+      core.board().ended(sending, begun, end, System.nanoTime());
       core.thread().execute(core::review);
     }
   }
 
   @Override
   public void onHead(AnswerHead head) {
+    heard();
     if (ignored) {
       return;
     }
@@ -105,6 +118,7 @@
 
   @Override
   public boolean onData(ByteBuffer data) {
+    heard();
     if (!ignored && !run.data(this, data)) {
       cancel(SendEnd.FAILED);
       run.failed(this, "spoilt body");
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
@@ -16,11 +16,11 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -31,6 +31,9 @@
   /** Time between two looks at the waiting lines while somebody waits, in milliseconds. */
   private static final long REVIEW_MILLIS = 10;
 
+  /** Time between two looks for silent upstreams, in milliseconds. */
+  private static final long WATCH_MILLIS = 100;
+
   private final ForwardOptions options;
   private final ForwardProtocol protocol;
   private final UpstreamClient client;
@@ -40,14 +43,16 @@
   private final Map<PoolName, SharedRetryBudget> budgets = new HashMap<>();
   private final Map<PoolName, WaitingLine<ForwardRun>> lines = new HashMap<>();
   private final Map<PoolName, PoolTally> tallies = new HashMap<>();
-  private final Set<ForwardRun> active = new HashSet<>();
+  private final Set<ForwardRun> active = ConcurrentHashMap.newKeySet();
   private List<Listing> listings = List.of();
   private volatile Optional<RouteTable> table = Optional.empty();
   private EventThread thread;
   private int routers = 1;
   private boolean listed;
   private boolean reviewing;
+  private boolean watching;
   private volatile boolean leaving;
+  private volatile boolean closed;
 
   /** Returns a core without a document and without upstreams. */
   public ForwardCore(ForwardOptions options, ForwardProtocol protocol, UpstreamClient client) {
@@ -121,6 +126,16 @@
     leaving = true;
   }
 
+  /** Takes no further requests; those in progress go on. */
+  public void refuseNew() {
+    closed = true;
+  }
+
+  /** Returns whether no further requests are taken. */
+  boolean refusesNew() {
+    return closed;
+  }
+
   /** Returns how many requests are in progress. */
   public int inProgress() {
     return active.size();
@@ -188,6 +203,20 @@
 
   void started(ForwardRun run) {
     active.add(run);
+    if (!watching) {
+      watching = true;
+      thread.after(WATCH_MILLIS, this::watch);
+    }
+  }
+
+  /** Looks for requests whose upstream has fallen silent, while any are in progress. */
+  private void watch() {
+    long now = System.nanoTime();
+    List.copyOf(active).forEach(run -> run.review(now));
+    watching = !active.isEmpty();
+    if (watching) {
+      thread.after(WATCH_MILLIS, this::watch);
+    }
   }
 
   void ended(ForwardRun run) {
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardIntake.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardIntake.java
@@ -45,6 +45,9 @@
     if (core.table().isEmpty()) {
       return Either.left(Failure.of(ResultCode.NOT_READY, "no document is in force yet"));
     }
+    if (core.refusesNew()) {
+      return Either.left(Failure.of(ResultCode.SHUTTING_DOWN));
+    }
     RouteTable table = core.table().get();
     RequestFacts facts = core.protocol().request(head);
     if (facts.attemptId().isEmpty()) {
@@ -85,9 +88,11 @@
         head.rawPath(),
         core.version());
     OptionalDouble retryAfter =
-        failure.code() == ResultCode.NOT_READY
-            ? OptionalDouble.of(NOT_READY_SECONDS)
-            : OptionalDouble.empty();
+        switch (failure.code()) {
+          case NOT_READY -> OptionalDouble.of(NOT_READY_SECONDS);
+          case SHUTTING_DOWN -> OptionalDouble.of(0);
+          default -> OptionalDouble.empty();
+        };
     send(core.protocol().refusal(failure, retryAfter), caller);
   }
 
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardReport.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardReport.java
@@ -28,7 +28,7 @@
    * Sums since the start of the router.
    *
    * @param requests requests that were admitted
-   * @param promptTokens tokens of their prompts that no upstream was expected to hold
+   * @param promptTokens tokens of their prompts that no other request shares
    * @param outputTokens most tokens of their answers
    * @param refused requests that were turned away
    * @param waiting requests that wait now
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardRequest.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardRequest.java
@@ -54,6 +54,7 @@
         facts.outputTokens(),
         facts.parts(),
         route.targetMillis(),
+        route.gapTargetMillis(),
         arrivedNanos,
         deadlineNanos());
   }
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardRun.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardRun.java
@@ -103,7 +103,6 @@
     long now = System.nanoTime();
     PoolTally tally = core.tally(work.pool());
     tally.requests++;
-    tally.promptTokens += work.promptTokens();
     tally.outputTokens += work.outputTokens();
     core.firstSend(work.pool(), now);
     long left = request.limitMillis() - sinceArrival(now);
@@ -169,6 +168,7 @@
             request.body(),
             request.route().isRepeatable(),
             true));
+    core.tally(work.pool()).promptTokens += attempt.unreadTokens();
   }
 
   private void firstEvent() {
@@ -239,6 +239,19 @@
         && core.mayRepeat(work.pool(), now);
   }
 
+  /** Sends the request elsewhere if its upstream has fallen silent and it may run twice. */
+  void review(long now) {
+    if (done || attempt == null || !attempt.isSilent(now) || !mayRepeat(now)) {
+      return;
+    }
+    note("silent", attempt.upstream().listing().upstream());
+    mayHaveRun = true;
+    attempt.cancel(SendEnd.FAILED);
+    if (!tryPlace(now)) {
+      giveUp(ResultCode.UPSTREAM_TIMEOUT);
+    }
+  }
+
   void notRun(ForwardAttempt from, AnswerHead head) {
     note("notRun", head.status());
     long now = System.nanoTime();
@@ -299,7 +312,9 @@
       fail(code);
       return;
     }
-    core.tally(work.pool()).refused++;
+    PoolTally tally = core.tally(work.pool());
+    tally.refused++;
+    tally.promptTokens += sends == 0 ? work.ownTokens() : 0;
     note("refused", detail);
     double spread = 0.5 + ThreadLocalRandom.current().nextDouble();
     ForwardIntake.send(
@@ -325,7 +340,7 @@
       return;
     }
     note("timeout", request.limitMillis());
-    if (attempt == null) {
+    if (attempt == null || (!mayHaveRun && !attempt.mayHaveRun())) {
       refuse(ResultCode.DEADLINE_UNREACHABLE, "no place became free in time");
       return;
     }
--- a/runtime/src/main/java/io/jacinthquay/runtime/Program.java
+++ b/runtime/src/main/java/io/jacinthquay/runtime/Program.java
@@ -79,6 +79,7 @@
       return ExitCode.FAILURE;
     }
     Runtime.getRuntime().addShutdownHook(hook);
+    ReloadSignal.handle();
     try {
       stopped.await();
     } catch (InterruptedException e) {
--- a/wire/src/main/java/io/jacinthquay/wire/gen/UpstreamLoadMessage.java
+++ b/wire/src/main/java/io/jacinthquay/wire/gen/UpstreamLoadMessage.java
@@ -17,6 +17,7 @@
   private static final org.apache.thrift.protocol.TField IN_FLIGHT_FIELD_DESC = new org.apache.thrift.protocol.TField("inFlight", org.apache.thrift.protocol.TType.I32, (short)2);
   private static final org.apache.thrift.protocol.TField PROMPT_TOKENS_FIELD_DESC = new org.apache.thrift.protocol.TField("promptTokens", org.apache.thrift.protocol.TType.I64, (short)3);
   private static final org.apache.thrift.protocol.TField MEMORY_TOKENS_FIELD_DESC = new org.apache.thrift.protocol.TField("memoryTokens", org.apache.thrift.protocol.TType.I64, (short)4);
+  private static final org.apache.thrift.protocol.TField FRAGILITY_FIELD_DESC = new org.apache.thrift.protocol.TField("fragility", org.apache.thrift.protocol.TType.DOUBLE, (short)5);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new UpstreamLoadMessageStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new UpstreamLoadMessageTupleSchemeFactory();
@@ -25,6 +26,7 @@
   private int inFlight; // required
   private long promptTokens; // required
   private long memoryTokens; // required
+  private double fragility; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -37,7 +39,11 @@
     /**
      * Tokens that the running requests keep in memory at most.
      */
-    MEMORY_TOKENS((short)4, "memoryTokens");
+    MEMORY_TOKENS((short)4, "memoryTokens"),
+    /**
+     * Sum over its streams of how easily a pause makes them late.
+     */
+    FRAGILITY((short)5, "fragility");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -61,6 +67,8 @@
           return PROMPT_TOKENS;
         case 4: // MEMORY_TOKENS
           return MEMORY_TOKENS;
+        case 5: // FRAGILITY
+          return FRAGILITY;
         default:
           return null;
       }
@@ -107,6 +115,7 @@
   private static final int __INFLIGHT_ISSET_ID = 0;
   private static final int __PROMPTTOKENS_ISSET_ID = 1;
   private static final int __MEMORYTOKENS_ISSET_ID = 2;
+  private static final int __FRAGILITY_ISSET_ID = 3;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
@@ -119,6 +128,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.MEMORY_TOKENS, new org.apache.thrift.meta_data.FieldMetaData("memoryTokens", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.FRAGILITY, new org.apache.thrift.meta_data.FieldMetaData("fragility", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.DOUBLE)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(UpstreamLoadMessage.class, metaDataMap);
   }
@@ -130,7 +141,8 @@
     java.lang.String upstream,
     int inFlight,
     long promptTokens,
-    long memoryTokens)
+    long memoryTokens,
+    double fragility)
   {
     this();
     this.upstream = upstream;
@@ -140,6 +152,8 @@
     setPromptTokensIsSet(true);
     this.memoryTokens = memoryTokens;
     setMemoryTokensIsSet(true);
+    this.fragility = fragility;
+    setFragilityIsSet(true);
   }
 
   /**
@@ -153,6 +167,7 @@
     this.inFlight = other.inFlight;
     this.promptTokens = other.promptTokens;
     this.memoryTokens = other.memoryTokens;
+    this.fragility = other.fragility;
   }
 
   @Override
@@ -169,6 +184,8 @@
     this.promptTokens = 0;
     setMemoryTokensIsSet(false);
     this.memoryTokens = 0;
+    setFragilityIsSet(false);
+    this.fragility = 0.0;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -277,6 +294,35 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __MEMORYTOKENS_ISSET_ID, value);
   }
 
+  /**
+   * Sum over its streams of how easily a pause makes them late.
+   */
+  public double getFragility() {
+    return this.fragility;
+  }
+
+  /**
+   * Sum over its streams of how easily a pause makes them late.
+   */
+  public UpstreamLoadMessage setFragility(double fragility) {
+    this.fragility = fragility;
+    setFragilityIsSet(true);
+    return this;
+  }
+
+  public void unsetFragility() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __FRAGILITY_ISSET_ID);
+  }
+
+  /** Returns true if field fragility is set (has been assigned a value) and false otherwise */
+  public boolean isSetFragility() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __FRAGILITY_ISSET_ID);
+  }
+
+  public void setFragilityIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __FRAGILITY_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -312,6 +358,14 @@
       }
       break;
 
+    case FRAGILITY:
+      if (value == null) {
+        unsetFragility();
+      } else {
+        setFragility((java.lang.Double)value);
+      }
+      break;
+
     }
   }
 
@@ -331,6 +385,9 @@
     case MEMORY_TOKENS:
       return getMemoryTokens();
 
+    case FRAGILITY:
+      return getFragility();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -351,6 +408,8 @@
       return isSetPromptTokens();
     case MEMORY_TOKENS:
       return isSetMemoryTokens();
+    case FRAGILITY:
+      return isSetFragility();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -404,6 +463,15 @@
         return false;
     }
 
+    boolean this_present_fragility = true;
+    boolean that_present_fragility = true;
+    if (this_present_fragility || that_present_fragility) {
+      if (!(this_present_fragility && that_present_fragility))
+        return false;
+      if (this.fragility != that.fragility)
+        return false;
+    }
+
     return true;
   }
 
@@ -421,6 +489,8 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(memoryTokens);
 
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(fragility);
+
     return hashCode;
   }
 
@@ -472,6 +542,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetFragility(), other.isSetFragility());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetFragility()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.fragility, other.fragility);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -515,6 +595,10 @@
     sb.append("memoryTokens:");
     sb.append(this.memoryTokens);
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("fragility:");
+    sb.append(this.fragility);
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -594,6 +678,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 5: // FRAGILITY
+            if (schemeField.type == org.apache.thrift.protocol.TType.DOUBLE) {
+              struct.fragility = iprot.readDouble();
+              struct.setFragilityIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -624,6 +716,9 @@
       oprot.writeFieldBegin(MEMORY_TOKENS_FIELD_DESC);
       oprot.writeI64(struct.memoryTokens);
       oprot.writeFieldEnd();
+      oprot.writeFieldBegin(FRAGILITY_FIELD_DESC);
+      oprot.writeDouble(struct.fragility);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -655,7 +750,10 @@
       if (struct.isSetMemoryTokens()) {
         optionals.set(3);
       }
-      oprot.writeBitSet(optionals, 4);
+      if (struct.isSetFragility()) {
+        optionals.set(4);
+      }
+      oprot.writeBitSet(optionals, 5);
       if (struct.isSetUpstream()) {
         oprot.writeString(struct.upstream);
       }
@@ -668,12 +766,15 @@
       if (struct.isSetMemoryTokens()) {
         oprot.writeI64(struct.memoryTokens);
       }
+      if (struct.isSetFragility()) {
+        oprot.writeDouble(struct.fragility);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, UpstreamLoadMessage struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(4);
+      java.util.BitSet incoming = iprot.readBitSet(5);
       if (incoming.get(0)) {
         struct.upstream = iprot.readString();
         struct.setUpstreamIsSet(true);
@@ -690,6 +791,10 @@
         struct.memoryTokens = iprot.readI64();
         struct.setMemoryTokensIsSet(true);
       }
+      if (incoming.get(4)) {
+        struct.fragility = iprot.readDouble();
+        struct.setFragilityIsSet(true);
+      }
     }
   }
 
--- a/wire/src/main/thrift/control.thrift
+++ b/wire/src/main/thrift/control.thrift
@@ -9,6 +9,8 @@
   3: i64 promptTokens
   /** Tokens that the running requests keep in memory at most. */
   4: i64 memoryTokens
+  /** Sum over its streams of how easily a pause makes them late. */
+  5: double fragility
 }
 
 /** Requests of one customer that began in one window, counted by one run of one router. */
