Take in control VMs at new addresses in place of lost ones

Cause: a core VM that is replaced at another address was never taken into the log, so a second loss stopped writes. A leader now takes in replicas that announce themselves, as learners beyond the target of voters (two for each tolerated loss and one); a voter that is silent for four election timeouts gives its place to one that has caught up. A replica that was removed while away finds out and begins anew.

--- a/consensus/src/main/java/io/jacinthquay/consensus/LogOptions.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/LogOptions.java
@@ -16,6 +16,9 @@
  * @param maxCommandBytes largest command
  * @param autoReplace whether the leader replaces a voter whose member comes back with an empty data
  *     folder, and promotes caught-up learners, without being asked
+ * @param targetVoters voters up to which replicas of unknown members that ask to take part are
+ *     promoted; further ones stand by as learners and take the place of voters that fall silent; 0
+ *     if unknown members are never taken in
  */
 public record LogOptions(
     Duration heartbeatInterval,
@@ -25,7 +28,8 @@
     int retainedEntries,
     int segmentBytes,
     int maxCommandBytes,
-    boolean autoReplace) {
+    boolean autoReplace,
+    int targetVoters) {
   /** Suits members a few milliseconds apart. */
   public static final LogOptions DEFAULT =
       new LogOptions(
@@ -36,7 +40,8 @@
           10_000,
           16 << 20,
           1 << 20,
-          true);
+          true,
+          0);
 
   /**
    * Checks the ranges.
@@ -75,7 +80,8 @@
         retained,
         segmentBytes,
         maxCommandBytes,
-        autoReplace);
+        autoReplace,
+        targetVoters);
   }
 
   /**
@@ -95,6 +101,7 @@
         retainedEntries,
         segmentBytes,
         maxCommandBytes,
-        autoReplace);
+        autoReplace,
+        targetVoters);
   }
 }
--- a/consensus/src/main/java/io/jacinthquay/consensus/LogRuntime.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/LogRuntime.java
@@ -74,7 +74,8 @@
         MAX_INFLIGHT,
         MAX_APPEND_BYTES,
         PROMOTE_LAG,
-        options.autoReplace());
+        options.autoReplace(),
+        options.targetVoters());
   }
 
   @Override
--- a/consensus/src/main/java/io/jacinthquay/consensus/raft/Leadership.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/raft/Leadership.java
@@ -15,6 +15,9 @@
 
 /** Replicates the log while this replica leads. */
 final class Leadership {
+  /** Election timeouts of silence after which a voter's place may go to a learner. */
+  private static final int SILENT_ELECTIONS = 4;
+
   private final RaftState state;
   private final Map<ReplicaId, Progress> peers = new HashMap<>();
   private long nextHeartbeat;
@@ -80,6 +83,15 @@
         || (progress != null && state.now - progress.lastContact() < state.options.electionNanos());
   }
 
+  /** Tells whether a replica has not answered for several election timeouts. */
+  boolean isSilent(ReplicaId replica) {
+    Progress progress = peers.get(replica);
+    long silence = SILENT_ELECTIONS * state.options.electionNanos();
+    return !replica.equals(state.self)
+        && progress != null
+        && state.now - progress.lastContact() >= silence;
+  }
+
   /** Tells whether a learner lacks few enough entries to become a voter. */
   boolean isCaughtUp(ReplicaId replica) {
     Progress progress = peers.get(replica);
--- a/consensus/src/main/java/io/jacinthquay/consensus/raft/RaftOptions.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/raft/RaftOptions.java
@@ -11,6 +11,9 @@
  * @param maxAppendBytes bytes of entries in one append request
  * @param promoteLag entries that a learner may lack when it becomes a voter
  * @param autoReplace whether the leader replaces members that come back with an empty data folder
+ * @param targetVoters voters up to which replicas of unknown members that ask to take part are
+ *     promoted; further ones stand by as learners and take the place of voters that fall silent; 0
+ *     if unknown members are never taken in
  */
 public record RaftOptions(
     long heartbeatNanos,
@@ -19,7 +22,8 @@
     int maxInflight,
     int maxAppendBytes,
     long promoteLag,
-    boolean autoReplace) {
+    boolean autoReplace,
+    int targetVoters) {
   /**
    * Checks the ranges.
    *
--- a/consensus/src/main/java/io/jacinthquay/consensus/raft/Reconfiguration.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/raft/Reconfiguration.java
@@ -74,17 +74,25 @@
   /**
    * Plans the next step of replacing a member whose disk was lost: the new replica learns, the old
    * one is removed once the new one has caught up, then the new one is promoted. A replica that
-   * still answers is never replaced. The plan follows from the membership alone, so that a new
-   * leader continues it.
+   * still answers is never replaced. Replicas of unknown members are taken in the same way where
+   * there is a target of voters: up to it they are promoted, beyond it they stand by. The plan
+   * follows from the membership alone, so that a new leader continues it.
    */
   Optional<MembershipChange> nextStep(List<ReplicaId> waiting) {
     Membership membership = state.membership();
     for (ReplicaId learner : membership.learners()) {
       Optional<ReplicaId> old = voterOf(membership, learner.member());
       if (leadership.isCaughtUp(learner) && old.isEmpty()) {
-        return Optional.of(new Promote(learner));
+        if (hasPlace(membership)) {
+          return Optional.of(new Promote(learner));
+        }
+        Optional<ReplicaId> silent =
+            membership.voters().stream().filter(leadership::isSilent).findFirst();
+        if (silent.isPresent()) {
+          return Optional.of(new Remove(silent.get()));
+        }
       }
-      if (leadership.isCaughtUp(learner) && !leadership.isActive(old.get())) {
+      if (leadership.isCaughtUp(learner) && old.isPresent() && !leadership.isActive(old.get())) {
         return Optional.of(new Remove(old.get()));
       }
     }
@@ -97,10 +105,18 @@
       if (old.isPresent() && !leadership.isActive(old.get())) {
         return Optional.of(new AddLearner(replica));
       }
+      if (old.isEmpty() && state.options.targetVoters() > 0) {
+        return Optional.of(new AddLearner(replica));
+      }
     }
     return Optional.empty();
   }
 
+  private boolean hasPlace(Membership membership) {
+    int target = state.options.targetVoters();
+    return target == 0 || membership.voters().size() < target;
+  }
+
   private static Optional<ReplicaId> voterOf(Membership membership, MemberId member) {
     return membership.voters().stream().filter(v -> v.member().equals(member)).findFirst();
   }
--- a/consensus/src/test/java/io/jacinthquay/consensus/raft/SimNode.java
+++ b/consensus/src/test/java/io/jacinthquay/consensus/raft/SimNode.java
@@ -21,7 +21,7 @@
   private static final int RETAINED = 4;
   private static final int PIECE_BYTES = 16;
   private static final RaftOptions OPTIONS =
-      new RaftOptions(60_000_000, 200_000_000, 500_000_000, 4, 64, 4, true);
+      new RaftOptions(60_000_000, 200_000_000, 500_000_000, 4, 64, 4, true, 0);
 
   private final SimCluster cluster;
   private final Set<MemberId> seeds;
--- a/control/src/main/java/io/jacinthquay/control/ControlService.java
+++ b/control/src/main/java/io/jacinthquay/control/ControlService.java
@@ -9,6 +9,7 @@
 import io.jacinthquay.control.port.Fleet;
 import io.jacinthquay.control.service.ControlStore;
 import io.jacinthquay.control.service.Leadership;
+import io.jacinthquay.control.service.RemovalWatch;
 import io.jacinthquay.control.service.RouterRegistry;
 import io.jacinthquay.control.service.ScalingDuty;
 import io.jacinthquay.control.service.UpstreamFeed;
@@ -23,8 +24,14 @@
 import io.jacinthquay.wire.transport.PlainChannel;
 import io.jacinthquay.wire.transport.PlainServer;
 import io.vavr.control.Either;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.time.Duration;
+import java.util.Comparator;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Executors;
@@ -32,6 +39,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.apache.thrift.TMultiplexedProcessor;
@@ -52,6 +60,9 @@
   /** Time between two looks at the duties, in milliseconds. */
   private static final int DUTY_MILLIS = 500;
 
+  /** Time between two looks whether this replica was removed, in milliseconds. */
+  private static final int REMOVAL_MILLIS = 1_000;
+
   /** Limits for connecting to and hearing from another member, in milliseconds. */
   private static final int CONNECT_MILLIS = 400;
 
@@ -67,7 +78,8 @@
 
   private final ControlOptions options;
   private final ThriftPeerTransport transport;
-  private final ReplicatedLog replicatedLog;
+  private volatile ReplicatedLog replicatedLog;
+  private final RemovalWatch removal;
   private final ControlStore store;
   private final Leadership leadership;
   private final RouterRegistry routers = new RouterRegistry(System::nanoTime);
@@ -98,6 +110,7 @@
             name -> Optional.of(SocketAddresses.parse(name)));
     replicatedLog = newLog(state);
     store = new ControlStore(replicatedLog, state);
+    removal = new RemovalWatch(ROUTERS, seeds());
     leadership = new Leadership(options.name(), options.dutyHold(), System::nanoTime);
     usage = new UsageDuty(options.usageWindow(), store, routers, fleet);
     scaling = new ScalingDuty(store, routers, feed, fleet, decoder);
@@ -112,13 +125,15 @@
     return new MemberId(address.getAddress().getHostAddress() + ":" + address.getPort());
   }
 
+  private Set<MemberId> seeds() {
+    return options.seeds().stream().map(ControlService::member).collect(Collectors.toSet());
+  }
+
   private ReplicatedLog newLog(ControlState state) {
-    Set<MemberId> seeds =
-        options.seeds().stream().map(ControlService::member).collect(Collectors.toSet());
     LogOptions defaults = LogOptions.DEFAULT;
     return ReplicatedLog.builder()
         .member(member(options.listen()))
-        .seeds(seeds)
+        .seeds(seeds())
         .folder(options.folder())
         .transport(transport)
         .stateMachine(state)
@@ -131,7 +146,8 @@
                 RETAINED_ENTRIES,
                 SEGMENT_BYTES,
                 MAX_COMMAND_BYTES,
-                true))
+                true,
+                2 * options.toleratedLosses() + 1))
         .build();
   }
 
@@ -153,6 +169,7 @@
     every(CONFIRM_MILLIS, this::confirm);
     every(LIST_MILLIS, this::readList);
     every(DUTY_MILLIS, this::actForAll);
+    every(REMOVAL_MILLIS, this::beginAnewIfRemoved);
     log.info("control VM {} started with seeds {}", options.name(), options.seeds());
   }
 
@@ -190,6 +207,29 @@
                 });
   }
 
+  /** A replica that was removed has promised nothing that counts; it comes back as a new one. */
+  private void beginAnewIfRemoved() {
+    if (!removal.isRemoved(replicatedLog.status())) {
+      return;
+    }
+    log.warn("replica {} was removed and begins anew", replicatedLog.status().self());
+    replicatedLog.stop();
+    try (Stream<Path> files = Files.walk(options.folder())) {
+      List<Path> all = files.sorted(Comparator.reverseOrder()).toList();
+      for (Path file : all) {
+        if (!file.equals(options.folder())) {
+          Files.delete(file);
+        }
+      }
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    ControlState state = new ControlState();
+    replicatedLog = newLog(state);
+    store.replace(replicatedLog, state);
+    replicatedLog.start();
+  }
+
   private void readList() {
     if (!leadership.isConfirmed()) {
       return;
--- a/control/src/main/java/io/jacinthquay/control/adapter/ControlHandler.java
+++ b/control/src/main/java/io/jacinthquay/control/adapter/ControlHandler.java
@@ -1,6 +1,7 @@
 package io.jacinthquay.control.adapter;
 
 import io.jacinthquay.consensus.Membership;
+import io.jacinthquay.consensus.ReplicaId;
 import io.jacinthquay.control.service.ControlStore;
 import io.jacinthquay.control.service.Leadership;
 import io.jacinthquay.control.service.PrefixReads;
@@ -42,13 +43,17 @@
     Membership membership = store.status().membership();
     view.setMembers(
         new ArrayList<>(membership.replicas().stream().map(r -> r.member().value()).toList()));
+    view.setReplicas(
+        new ArrayList<>(membership.replicas().stream().map(ReplicaId::toString).toList()));
     view.setLeader(store.leader().map(member -> member.value()).orElse(""));
     view.setOtherLoads(new ArrayList<>());
     view.setReads(new ArrayList<>());
     view.setWallMillis(System.currentTimeMillis());
     view.setLeads(leadership.isConfirmed());
     if (view.isLeads()) {
-      routers.heard(report);
+      if (!report.getRouter().isEmpty()) {
+        routers.heard(report);
+      }
       fill(view, report);
     }
     return view;
--- a/control/src/main/java/io/jacinthquay/control/service/ControlStore.java
+++ b/control/src/main/java/io/jacinthquay/control/service/ControlStore.java
@@ -14,8 +14,8 @@
 
 /** Changes and reads the replicated state. */
 public final class ControlStore {
-  private final ReplicatedLog log;
-  private final ControlState state;
+  private volatile ReplicatedLog log;
+  private volatile ControlState state;
 
   /** Returns a store over a log and the state behind it. */
   public ControlStore(ReplicatedLog log, ControlState state) {
@@ -23,6 +23,12 @@
     this.state = state;
   }
 
+  /** Goes on with another log and state, after this replica was removed and begins anew. */
+  public void replace(ReplicatedLog newLog, ControlState newState) {
+    log = newLog;
+    state = newState;
+  }
+
   /** Returns the newest local state, which may be behind. */
   public ControlTables tables() {
     return state.tables();
--- /dev/null
+++ b/control/src/test/java/io/jacinthquay/control/FakeFleet.java
@@ -0,0 +1,48 @@
+package io.jacinthquay.control;
+
+import io.jacinthquay.control.port.Fence;
+import io.jacinthquay.control.port.Fleet;
+import io.jacinthquay.control.port.UpstreamOrder;
+import io.jacinthquay.decision.dispatch.Listing;
+import io.jacinthquay.model.CustomerId;
+import io.jacinthquay.model.Failure;
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/** A platform that takes every call and remembers it. */
+public final class FakeFleet implements Fleet {
+  /** A usage report as it was taken. */
+  public record Report(long fence, long window, Map<CustomerId, Long> counts) {}
+
+  private final List<Report> reports = new ArrayList<>();
+  private Either<Failure, Void> answer = Either.right(null);
+
+  /** Answers every later call like this. */
+  public synchronized void answer(Either<Failure, Void> next) {
+    answer = next;
+  }
+
+  /** Returns the reports so far. */
+  public synchronized List<Report> reports() {
+    return List.copyOf(reports);
+  }
+
+  @Override
+  public Either<Failure, List<Listing>> list() {
+    return Either.right(List.of());
+  }
+
+  @Override
+  public synchronized Either<Failure, Void> report(
+      Fence fence, long window, Map<CustomerId, Long> counts) {
+    reports.add(new Report(fence.number(), window, Map.copyOf(counts)));
+    return answer;
+  }
+
+  @Override
+  public synchronized Either<Failure, Void> order(Fence fence, UpstreamOrder order) {
+    return answer;
+  }
+}
--- a/keeper/src/main/java/io/jacinthquay/keeper/KeeperOptions.java
+++ b/keeper/src/main/java/io/jacinthquay/keeper/KeeperOptions.java
@@ -90,6 +90,7 @@
         log.retainedEntries(),
         log.segmentBytes(),
         MAX_COMMAND_BYTES,
-        log.autoReplace());
+        log.autoReplace(),
+        log.targetVoters());
   }
 }
--- a/keeper/src/main/java/io/jacinthquay/keeper/adapter/thrift/ThriftPeerTransport.java
+++ b/keeper/src/main/java/io/jacinthquay/keeper/adapter/thrift/ThriftPeerTransport.java
@@ -112,6 +112,8 @@
   @Override
   public void stop() {
     receiver = message -> {};
+    started = false;
     links.values().forEach(PeerLink::stop);
+    links.clear();
   }
 }
--- a/wire/src/main/java/io/jacinthquay/wire/gen/ControlSnapshot.java
+++ b/wire/src/main/java/io/jacinthquay/wire/gen/ControlSnapshot.java
@@ -708,13 +708,13 @@
           case 3: // CLOSED_DOMAINS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list98 = iprot.readListBegin();
-                struct.closedDomains = new java.util.ArrayList<java.lang.String>(_list98.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem99;
-                for (int _i100 = 0; _i100 < _list98.size; ++_i100)
+                org.apache.thrift.protocol.TList _list106 = iprot.readListBegin();
+                struct.closedDomains = new java.util.ArrayList<java.lang.String>(_list106.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem107;
+                for (int _i108 = 0; _i108 < _list106.size; ++_i108)
                 {
-                  _elem99 = iprot.readString();
-                  struct.closedDomains.add(_elem99);
+                  _elem107 = iprot.readString();
+                  struct.closedDomains.add(_elem107);
                 }
                 iprot.readListEnd();
               }
@@ -734,27 +734,27 @@
           case 5: // SEALED
             if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
               {
-                org.apache.thrift.protocol.TMap _map101 = iprot.readMapBegin();
-                struct.sealed = new java.util.HashMap<java.lang.Long,java.util.Map<java.lang.String,java.lang.Long>>(2*_map101.size);
-                long _key102;
-                @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,java.lang.Long> _val103;
-                for (int _i104 = 0; _i104 < _map101.size; ++_i104)
+                org.apache.thrift.protocol.TMap _map109 = iprot.readMapBegin();
+                struct.sealed = new java.util.HashMap<java.lang.Long,java.util.Map<java.lang.String,java.lang.Long>>(2*_map109.size);
+                long _key110;
+                @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,java.lang.Long> _val111;
+                for (int _i112 = 0; _i112 < _map109.size; ++_i112)
                 {
-                  _key102 = iprot.readI64();
+                  _key110 = iprot.readI64();
                   {
-                    org.apache.thrift.protocol.TMap _map105 = iprot.readMapBegin();
-                    _val103 = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map105.size);
-                    @org.apache.thrift.annotation.Nullable java.lang.String _key106;
-                    long _val107;
-                    for (int _i108 = 0; _i108 < _map105.size; ++_i108)
+                    org.apache.thrift.protocol.TMap _map113 = iprot.readMapBegin();
+                    _val111 = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map113.size);
+                    @org.apache.thrift.annotation.Nullable java.lang.String _key114;
+                    long _val115;
+                    for (int _i116 = 0; _i116 < _map113.size; ++_i116)
                     {
-                      _key106 = iprot.readString();
-                      _val107 = iprot.readI64();
-                      _val103.put(_key106, _val107);
+                      _key114 = iprot.readString();
+                      _val115 = iprot.readI64();
+                      _val111.put(_key114, _val115);
                     }
                     iprot.readMapEnd();
                   }
-                  struct.sealed.put(_key102, _val103);
+                  struct.sealed.put(_key110, _val111);
                 }
                 iprot.readMapEnd();
               }
@@ -793,9 +793,9 @@
         oprot.writeFieldBegin(CLOSED_DOMAINS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.closedDomains.size()));
-          for (java.lang.String _iter109 : struct.closedDomains)
+          for (java.lang.String _iter117 : struct.closedDomains)
           {
-            oprot.writeString(_iter109);
+            oprot.writeString(_iter117);
           }
           oprot.writeListEnd();
         }
@@ -808,15 +808,15 @@
         oprot.writeFieldBegin(SEALED_FIELD_DESC);
         {
           oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.I64, org.apache.thrift.protocol.TType.MAP, struct.sealed.size()));
-          for (java.util.Map.Entry<java.lang.Long, java.util.Map<java.lang.String,java.lang.Long>> _iter110 : struct.sealed.entrySet())
+          for (java.util.Map.Entry<java.lang.Long, java.util.Map<java.lang.String,java.lang.Long>> _iter118 : struct.sealed.entrySet())
           {
-            oprot.writeI64(_iter110.getKey());
+            oprot.writeI64(_iter118.getKey());
             {
-              oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64, _iter110.getValue().size()));
-              for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter111 : _iter110.getValue().entrySet())
+              oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64, _iter118.getValue().size()));
+              for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter119 : _iter118.getValue().entrySet())
               {
-                oprot.writeString(_iter111.getKey());
-                oprot.writeI64(_iter111.getValue());
+                oprot.writeString(_iter119.getKey());
+                oprot.writeI64(_iter119.getValue());
               }
               oprot.writeMapEnd();
             }
@@ -869,9 +869,9 @@
       if (struct.isSetClosedDomains()) {
         {
           oprot.writeI32(struct.closedDomains.size());
-          for (java.lang.String _iter112 : struct.closedDomains)
+          for (java.lang.String _iter120 : struct.closedDomains)
           {
-            oprot.writeString(_iter112);
+            oprot.writeString(_iter120);
           }
         }
       }
@@ -881,15 +881,15 @@
       if (struct.isSetSealed()) {
         {
           oprot.writeI32(struct.sealed.size());
-          for (java.util.Map.Entry<java.lang.Long, java.util.Map<java.lang.String,java.lang.Long>> _iter113 : struct.sealed.entrySet())
+          for (java.util.Map.Entry<java.lang.Long, java.util.Map<java.lang.String,java.lang.Long>> _iter121 : struct.sealed.entrySet())
           {
-            oprot.writeI64(_iter113.getKey());
+            oprot.writeI64(_iter121.getKey());
             {
-              oprot.writeI32(_iter113.getValue().size());
-              for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter114 : _iter113.getValue().entrySet())
+              oprot.writeI32(_iter121.getValue().size());
+              for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter122 : _iter121.getValue().entrySet())
               {
-                oprot.writeString(_iter114.getKey());
-                oprot.writeI64(_iter114.getValue());
+                oprot.writeString(_iter122.getKey());
+                oprot.writeI64(_iter122.getValue());
               }
             }
           }
@@ -911,13 +911,13 @@
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list115 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.closedDomains = new java.util.ArrayList<java.lang.String>(_list115.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem116;
-          for (int _i117 = 0; _i117 < _list115.size; ++_i117)
+          org.apache.thrift.protocol.TList _list123 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.closedDomains = new java.util.ArrayList<java.lang.String>(_list123.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem124;
+          for (int _i125 = 0; _i125 < _list123.size; ++_i125)
           {
-            _elem116 = iprot.readString();
-            struct.closedDomains.add(_elem116);
+            _elem124 = iprot.readString();
+            struct.closedDomains.add(_elem124);
           }
         }
         struct.setClosedDomainsIsSet(true);
@@ -928,26 +928,26 @@
       }
       if (incoming.get(4)) {
         {
-          org.apache.thrift.protocol.TMap _map118 = iprot.readMapBegin(org.apache.thrift.protocol.TType.I64, org.apache.thrift.protocol.TType.MAP); 
-          struct.sealed = new java.util.HashMap<java.lang.Long,java.util.Map<java.lang.String,java.lang.Long>>(2*_map118.size);
-          long _key119;
-          @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,java.lang.Long> _val120;
-          for (int _i121 = 0; _i121 < _map118.size; ++_i121)
+          org.apache.thrift.protocol.TMap _map126 = iprot.readMapBegin(org.apache.thrift.protocol.TType.I64, org.apache.thrift.protocol.TType.MAP); 
+          struct.sealed = new java.util.HashMap<java.lang.Long,java.util.Map<java.lang.String,java.lang.Long>>(2*_map126.size);
+          long _key127;
+          @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,java.lang.Long> _val128;
+          for (int _i129 = 0; _i129 < _map126.size; ++_i129)
           {
-            _key119 = iprot.readI64();
+            _key127 = iprot.readI64();
             {
-              org.apache.thrift.protocol.TMap _map122 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64); 
-              _val120 = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map122.size);
-              @org.apache.thrift.annotation.Nullable java.lang.String _key123;
-              long _val124;
-              for (int _i125 = 0; _i125 < _map122.size; ++_i125)
+              org.apache.thrift.protocol.TMap _map130 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64); 
+              _val128 = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map130.size);
+              @org.apache.thrift.annotation.Nullable java.lang.String _key131;
+              long _val132;
+              for (int _i133 = 0; _i133 < _map130.size; ++_i133)
               {
-                _key123 = iprot.readString();
-                _val124 = iprot.readI64();
-                _val120.put(_key123, _val124);
+                _key131 = iprot.readString();
+                _val132 = iprot.readI64();
+                _val128.put(_key131, _val132);
               }
             }
-            struct.sealed.put(_key119, _val120);
+            struct.sealed.put(_key127, _val128);
           }
         }
         struct.setSealedIsSet(true);
--- a/wire/src/main/java/io/jacinthquay/wire/gen/ControlViewMessage.java
+++ b/wire/src/main/java/io/jacinthquay/wire/gen/ControlViewMessage.java
@@ -26,6 +26,7 @@
   private static final org.apache.thrift.protocol.TField READS_FIELD_DESC = new org.apache.thrift.protocol.TField("reads", org.apache.thrift.protocol.TType.LIST, (short)14);
   private static final org.apache.thrift.protocol.TField READS_NUMBER_FIELD_DESC = new org.apache.thrift.protocol.TField("readsNumber", org.apache.thrift.protocol.TType.I64, (short)15);
   private static final org.apache.thrift.protocol.TField READS_TERM_FIELD_DESC = new org.apache.thrift.protocol.TField("readsTerm", org.apache.thrift.protocol.TType.I64, (short)16);
+  private static final org.apache.thrift.protocol.TField REPLICAS_FIELD_DESC = new org.apache.thrift.protocol.TField("replicas", org.apache.thrift.protocol.TType.LIST, (short)17);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new ControlViewMessageStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new ControlViewMessageTupleSchemeFactory();
@@ -46,6 +47,7 @@
   private @org.apache.thrift.annotation.Nullable java.util.List<PrefixReadMessage> reads; // required
   private long readsNumber; // required
   private long readsTerm; // required
+  private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> replicas; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -94,7 +96,11 @@
      */
     READS((short)14, "reads"),
     READS_NUMBER((short)15, "readsNumber"),
-    READS_TERM((short)16, "readsTerm");
+    READS_TERM((short)16, "readsTerm"),
+    /**
+     * Voters and learners with the identities of their data folders.
+     */
+    REPLICAS((short)17, "replicas");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -142,6 +148,8 @@
           return READS_NUMBER;
         case 16: // READS_TERM
           return READS_TERM;
+        case 17: // REPLICAS
+          return REPLICAS;
         default:
           return null;
       }
@@ -235,6 +243,9 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.READS_TERM, new org.apache.thrift.meta_data.FieldMetaData("readsTerm", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.REPLICAS, new org.apache.thrift.meta_data.FieldMetaData("replicas", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ControlViewMessage.class, metaDataMap);
   }
@@ -255,7 +266,8 @@
     long listAgeMillis,
     java.util.List<PrefixReadMessage> reads,
     long readsNumber,
-    long readsTerm)
+    long readsTerm,
+    java.util.List<java.lang.String> replicas)
   {
     this();
     this.leads = leads;
@@ -280,6 +292,7 @@
     setReadsNumberIsSet(true);
     this.readsTerm = readsTerm;
     setReadsTermIsSet(true);
+    this.replicas = replicas;
   }
 
   /**
@@ -327,6 +340,10 @@
     }
     this.readsNumber = other.readsNumber;
     this.readsTerm = other.readsTerm;
+    if (other.isSetReplicas()) {
+      java.util.List<java.lang.String> __this__replicas = new java.util.ArrayList<java.lang.String>(other.replicas);
+      this.replicas = __this__replicas;
+    }
   }
 
   @Override
@@ -361,6 +378,7 @@
     this.readsNumber = 0;
     setReadsTermIsSet(false);
     this.readsTerm = 0;
+    this.replicas = null;
   }
 
   /**
@@ -878,6 +896,53 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __READSTERM_ISSET_ID, value);
   }
 
+  public int getReplicasSize() {
+    return (this.replicas == null) ? 0 : this.replicas.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<java.lang.String> getReplicasIterator() {
+    return (this.replicas == null) ? null : this.replicas.iterator();
+  }
+
+  public void addToReplicas(java.lang.String elem) {
+    if (this.replicas == null) {
+      this.replicas = new java.util.ArrayList<java.lang.String>();
+    }
+    this.replicas.add(elem);
+  }
+
+  /**
+   * Voters and learners with the identities of their data folders.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<java.lang.String> getReplicas() {
+    return this.replicas;
+  }
+
+  /**
+   * Voters and learners with the identities of their data folders.
+   */
+  public ControlViewMessage setReplicas(@org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> replicas) {
+    this.replicas = replicas;
+    return this;
+  }
+
+  public void unsetReplicas() {
+    this.replicas = null;
+  }
+
+  /** Returns true if field replicas is set (has been assigned a value) and false otherwise */
+  public boolean isSetReplicas() {
+    return this.replicas != null;
+  }
+
+  public void setReplicasIsSet(boolean value) {
+    if (!value) {
+      this.replicas = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -1013,6 +1078,14 @@
       }
       break;
 
+    case REPLICAS:
+      if (value == null) {
+        unsetReplicas();
+      } else {
+        setReplicas((java.util.List<java.lang.String>)value);
+      }
+      break;
+
     }
   }
 
@@ -1068,6 +1141,9 @@
     case READS_TERM:
       return getReadsTerm();
 
+    case REPLICAS:
+      return getReplicas();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -1112,6 +1188,8 @@
       return isSetReadsNumber();
     case READS_TERM:
       return isSetReadsTerm();
+    case REPLICAS:
+      return isSetReplicas();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -1273,6 +1351,15 @@
         return false;
     }
 
+    boolean this_present_replicas = true && this.isSetReplicas();
+    boolean that_present_replicas = true && that.isSetReplicas();
+    if (this_present_replicas || that_present_replicas) {
+      if (!(this_present_replicas && that_present_replicas))
+        return false;
+      if (!this.replicas.equals(that.replicas))
+        return false;
+    }
+
     return true;
   }
 
@@ -1326,6 +1413,10 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(readsTerm);
 
+    hashCode = hashCode * 8191 + ((isSetReplicas()) ? 131071 : 524287);
+    if (isSetReplicas())
+      hashCode = hashCode * 8191 + replicas.hashCode();
+
     return hashCode;
   }
 
@@ -1497,6 +1588,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetReplicas(), other.isSetReplicas());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetReplicas()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.replicas, other.replicas);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -1618,6 +1719,14 @@
     sb.append("readsTerm:");
     sb.append(this.readsTerm);
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("replicas:");
+    if (this.replicas == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.replicas);
+    }
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -1839,6 +1948,24 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 17: // REPLICAS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list68 = iprot.readListBegin();
+                struct.replicas = new java.util.ArrayList<java.lang.String>(_list68.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem69;
+                for (int _i70 = 0; _i70 < _list68.size; ++_i70)
+                {
+                  _elem69 = iprot.readString();
+                  struct.replicas.add(_elem69);
+                }
+                iprot.readListEnd();
+              }
+              struct.setReplicasIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1867,9 +1994,9 @@
         oprot.writeFieldBegin(MEMBERS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.members.size()));
-          for (java.lang.String _iter68 : struct.members)
+          for (java.lang.String _iter71 : struct.members)
           {
-            oprot.writeString(_iter68);
+            oprot.writeString(_iter71);
           }
           oprot.writeListEnd();
         }
@@ -1893,9 +2020,9 @@
           oprot.writeFieldBegin(CLOSED_DOMAINS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.closedDomains.size()));
-            for (java.lang.String _iter69 : struct.closedDomains)
+            for (java.lang.String _iter72 : struct.closedDomains)
             {
-              oprot.writeString(_iter69);
+              oprot.writeString(_iter72);
             }
             oprot.writeListEnd();
           }
@@ -1919,9 +2046,9 @@
         oprot.writeFieldBegin(OTHER_LOADS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.otherLoads.size()));
-          for (UpstreamLoadMessage _iter70 : struct.otherLoads)
+          for (UpstreamLoadMessage _iter73 : struct.otherLoads)
           {
-            _iter70.write(oprot);
+            _iter73.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1937,9 +2064,9 @@
         oprot.writeFieldBegin(READS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.reads.size()));
-          for (PrefixReadMessage _iter71 : struct.reads)
+          for (PrefixReadMessage _iter74 : struct.reads)
           {
-            _iter71.write(oprot);
+            _iter74.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1951,6 +2078,18 @@
       oprot.writeFieldBegin(READS_TERM_FIELD_DESC);
       oprot.writeI64(struct.readsTerm);
       oprot.writeFieldEnd();
+      if (struct.replicas != null) {
+        oprot.writeFieldBegin(REPLICAS_FIELD_DESC);
+        {
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.replicas.size()));
+          for (java.lang.String _iter75 : struct.replicas)
+          {
+            oprot.writeString(_iter75);
+          }
+          oprot.writeListEnd();
+        }
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -2018,7 +2157,10 @@
       if (struct.isSetReadsTerm()) {
         optionals.set(15);
       }
-      oprot.writeBitSet(optionals, 16);
+      if (struct.isSetReplicas()) {
+        optionals.set(16);
+      }
+      oprot.writeBitSet(optionals, 17);
       if (struct.isSetLeads()) {
         oprot.writeBool(struct.leads);
       }
@@ -2028,9 +2170,9 @@
       if (struct.isSetMembers()) {
         {
           oprot.writeI32(struct.members.size());
-          for (java.lang.String _iter72 : struct.members)
+          for (java.lang.String _iter76 : struct.members)
           {
-            oprot.writeString(_iter72);
+            oprot.writeString(_iter76);
           }
         }
       }
@@ -2046,9 +2188,9 @@
       if (struct.isSetClosedDomains()) {
         {
           oprot.writeI32(struct.closedDomains.size());
-          for (java.lang.String _iter73 : struct.closedDomains)
+          for (java.lang.String _iter77 : struct.closedDomains)
           {
-            oprot.writeString(_iter73);
+            oprot.writeString(_iter77);
           }
         }
       }
@@ -2064,9 +2206,9 @@
       if (struct.isSetOtherLoads()) {
         {
           oprot.writeI32(struct.otherLoads.size());
-          for (UpstreamLoadMessage _iter74 : struct.otherLoads)
+          for (UpstreamLoadMessage _iter78 : struct.otherLoads)
           {
-            _iter74.write(oprot);
+            _iter78.write(oprot);
           }
         }
       }
@@ -2079,9 +2221,9 @@
       if (struct.isSetReads()) {
         {
           oprot.writeI32(struct.reads.size());
-          for (PrefixReadMessage _iter75 : struct.reads)
+          for (PrefixReadMessage _iter79 : struct.reads)
           {
-            _iter75.write(oprot);
+            _iter79.write(oprot);
           }
         }
       }
@@ -2091,12 +2233,21 @@
       if (struct.isSetReadsTerm()) {
         oprot.writeI64(struct.readsTerm);
       }
+      if (struct.isSetReplicas()) {
+        {
+          oprot.writeI32(struct.replicas.size());
+          for (java.lang.String _iter80 : struct.replicas)
+          {
+            oprot.writeString(_iter80);
+          }
+        }
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, ControlViewMessage struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(16);
+      java.util.BitSet incoming = iprot.readBitSet(17);
       if (incoming.get(0)) {
         struct.leads = iprot.readBool();
         struct.setLeadsIsSet(true);
@@ -2107,13 +2258,13 @@
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list76 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.members = new java.util.ArrayList<java.lang.String>(_list76.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem77;
-          for (int _i78 = 0; _i78 < _list76.size; ++_i78)
+          org.apache.thrift.protocol.TList _list81 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.members = new java.util.ArrayList<java.lang.String>(_list81.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem82;
+          for (int _i83 = 0; _i83 < _list81.size; ++_i83)
           {
-            _elem77 = iprot.readString();
-            struct.members.add(_elem77);
+            _elem82 = iprot.readString();
+            struct.members.add(_elem82);
           }
         }
         struct.setMembersIsSet(true);
@@ -2132,13 +2283,13 @@
       }
       if (incoming.get(6)) {
         {
-          org.apache.thrift.protocol.TList _list79 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.closedDomains = new java.util.ArrayList<java.lang.String>(_list79.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem80;
-          for (int _i81 = 0; _i81 < _list79.size; ++_i81)
+          org.apache.thrift.protocol.TList _list84 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.closedDomains = new java.util.ArrayList<java.lang.String>(_list84.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem85;
+          for (int _i86 = 0; _i86 < _list84.size; ++_i86)
           {
-            _elem80 = iprot.readString();
-            struct.closedDomains.add(_elem80);
+            _elem85 = iprot.readString();
+            struct.closedDomains.add(_elem85);
           }
         }
         struct.setClosedDomainsIsSet(true);
@@ -2158,14 +2309,14 @@
       }
       if (incoming.get(10)) {
         {
-          org.apache.thrift.protocol.TList _list82 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.otherLoads = new java.util.ArrayList<UpstreamLoadMessage>(_list82.size);
-          @org.apache.thrift.annotation.Nullable UpstreamLoadMessage _elem83;
-          for (int _i84 = 0; _i84 < _list82.size; ++_i84)
+          org.apache.thrift.protocol.TList _list87 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.otherLoads = new java.util.ArrayList<UpstreamLoadMessage>(_list87.size);
+          @org.apache.thrift.annotation.Nullable UpstreamLoadMessage _elem88;
+          for (int _i89 = 0; _i89 < _list87.size; ++_i89)
           {
-            _elem83 = new UpstreamLoadMessage();
-            _elem83.read(iprot);
-            struct.otherLoads.add(_elem83);
+            _elem88 = new UpstreamLoadMessage();
+            _elem88.read(iprot);
+            struct.otherLoads.add(_elem88);
           }
         }
         struct.setOtherLoadsIsSet(true);
@@ -2180,14 +2331,14 @@
       }
       if (incoming.get(13)) {
         {
-          org.apache.thrift.protocol.TList _list85 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.reads = new java.util.ArrayList<PrefixReadMessage>(_list85.size);
-          @org.apache.thrift.annotation.Nullable PrefixReadMessage _elem86;
-          for (int _i87 = 0; _i87 < _list85.size; ++_i87)
+          org.apache.thrift.protocol.TList _list90 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.reads = new java.util.ArrayList<PrefixReadMessage>(_list90.size);
+          @org.apache.thrift.annotation.Nullable PrefixReadMessage _elem91;
+          for (int _i92 = 0; _i92 < _list90.size; ++_i92)
           {
-            _elem86 = new PrefixReadMessage();
-            _elem86.read(iprot);
-            struct.reads.add(_elem86);
+            _elem91 = new PrefixReadMessage();
+            _elem91.read(iprot);
+            struct.reads.add(_elem91);
           }
         }
         struct.setReadsIsSet(true);
@@ -2200,6 +2351,19 @@
         struct.readsTerm = iprot.readI64();
         struct.setReadsTermIsSet(true);
       }
+      if (incoming.get(16)) {
+        {
+          org.apache.thrift.protocol.TList _list93 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.replicas = new java.util.ArrayList<java.lang.String>(_list93.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem94;
+          for (int _i95 = 0; _i95 < _list93.size; ++_i95)
+          {
+            _elem94 = iprot.readString();
+            struct.replicas.add(_elem94);
+          }
+        }
+        struct.setReplicasIsSet(true);
+      }
     }
   }
 
--- a/wire/src/main/java/io/jacinthquay/wire/gen/SealCountsCommand.java
+++ b/wire/src/main/java/io/jacinthquay/wire/gen/SealCountsCommand.java
@@ -419,15 +419,15 @@
           case 2: // COUNTS
             if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
               {
-                org.apache.thrift.protocol.TMap _map88 = iprot.readMapBegin();
-                struct.counts = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map88.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _key89;
-                long _val90;
-                for (int _i91 = 0; _i91 < _map88.size; ++_i91)
+                org.apache.thrift.protocol.TMap _map96 = iprot.readMapBegin();
+                struct.counts = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map96.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _key97;
+                long _val98;
+                for (int _i99 = 0; _i99 < _map96.size; ++_i99)
                 {
-                  _key89 = iprot.readString();
-                  _val90 = iprot.readI64();
-                  struct.counts.put(_key89, _val90);
+                  _key97 = iprot.readString();
+                  _val98 = iprot.readI64();
+                  struct.counts.put(_key97, _val98);
                 }
                 iprot.readMapEnd();
               }
@@ -459,10 +459,10 @@
         oprot.writeFieldBegin(COUNTS_FIELD_DESC);
         {
           oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64, struct.counts.size()));
-          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter92 : struct.counts.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter100 : struct.counts.entrySet())
           {
-            oprot.writeString(_iter92.getKey());
-            oprot.writeI64(_iter92.getValue());
+            oprot.writeString(_iter100.getKey());
+            oprot.writeI64(_iter100.getValue());
           }
           oprot.writeMapEnd();
         }
@@ -500,10 +500,10 @@
       if (struct.isSetCounts()) {
         {
           oprot.writeI32(struct.counts.size());
-          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter93 : struct.counts.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter101 : struct.counts.entrySet())
           {
-            oprot.writeString(_iter93.getKey());
-            oprot.writeI64(_iter93.getValue());
+            oprot.writeString(_iter101.getKey());
+            oprot.writeI64(_iter101.getValue());
           }
         }
       }
@@ -519,15 +519,15 @@
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TMap _map94 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64); 
-          struct.counts = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map94.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _key95;
-          long _val96;
-          for (int _i97 = 0; _i97 < _map94.size; ++_i97)
+          org.apache.thrift.protocol.TMap _map102 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64); 
+          struct.counts = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map102.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _key103;
+          long _val104;
+          for (int _i105 = 0; _i105 < _map102.size; ++_i105)
           {
-            _key95 = iprot.readString();
-            _val96 = iprot.readI64();
-            struct.counts.put(_key95, _val96);
+            _key103 = iprot.readString();
+            _val104 = iprot.readI64();
+            struct.counts.put(_key103, _val104);
           }
         }
         struct.setCountsIsSet(true);
--- a/wire/src/main/thrift/control.thrift
+++ b/wire/src/main/thrift/control.thrift
@@ -110,6 +110,8 @@
   14: list<PrefixReadMessage> reads
   15: i64 readsNumber
   16: i64 readsTerm
+  /** Voters and learners with the identities of their data folders. */
+  17: list<string> replicas
 }
 
 service Control {
