--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamBoard.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamBoard.java
@@ -254,6 +254,7 @@
     switch (end) {
       case SUCCEEDED -> state.health().succeeded();
       case UNREACHABLE -> state.health().failed(true, now);
+      case ENDED -> state.health().ended(now);
       case FAILED -> state.health().failed(false, now);
       default -> state.health().undecided();
     }
--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamHealth.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamHealth.java
@@ -57,6 +57,14 @@
     trying = false;
   }
 
+  /** Records that the upstream is no longer there; the list may still name it for seconds. */
+  void ended(long now) {
+    trying = false;
+    closed = true;
+    closedForNanos = MOST_CLOSED_NANOS;
+    closedUntil = now + closedForNanos;
+  }
+
   /**
    * Records a failure.
    *
--- a/decision/src/main/java/io/jacinthquay/decision/scaling/FleetPlanner.java
+++ b/decision/src/main/java/io/jacinthquay/decision/scaling/FleetPlanner.java
@@ -89,10 +89,11 @@
         present.merge(new Sort(listing.domain(), listing.cheap()), 1, Integer::sum);
       }
     }
-    int size = present.values().stream().mapToInt(n -> n).sum();
     if (!loaded) {
-      // The load is not known yet: what is there is taken to be needed.
-      need = Math.max(need, size / RESERVE);
+      // The load is not known yet: what was there before any order is taken to be needed.
+      int regular =
+          domains.stream().mapToInt(d -> present.getOrDefault(new Sort(d, false), 0)).sum();
+      need = Math.max(need, regular / RESERVE);
       loaded = load.requestRate() > 0;
     }
     observe(load);
@@ -161,7 +162,7 @@
               last != null && has != last.count() && now - last.atNanos() > REPEAT_NANOS;
           boolean shrinks = count < standing;
           boolean soon = last != null && now - last.atNanos() < SHRINK_NANOS;
-          boolean keep = shrinks && (sort.cheap() ? soon : cheapMissing(target, present));
+          boolean keep = shrinks && (sort.cheap() ? soon : cheapMissing(target, present, need));
           if (isRefused(sort, now) || keep) {
             return;
           }
@@ -173,12 +174,14 @@
     return plans;
   }
 
-  /** Regular upstreams stay until the cheap ones that replace them serve. */
-  private static boolean cheapMissing(Map<Sort, Integer> target, Map<Sort, Integer> present) {
-    return target.entrySet().stream()
-        .anyMatch(
-            entry ->
-                entry.getKey().cheap()
-                    && present.getOrDefault(entry.getKey(), 0) < entry.getValue());
+  /** Regular upstreams stay until cheap ones that carry the load in their place serve. */
+  private static boolean cheapMissing(
+      Map<Sort, Integer> target, Map<Sort, Integer> present, double need) {
+    int after = 0;
+    for (Map.Entry<Sort, Integer> entry : target.entrySet()) {
+      int has = present.getOrDefault(entry.getKey(), 0);
+      after += entry.getKey().cheap() ? has : Math.min(has, entry.getValue());
+    }
+    return after < need;
   }
 }
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardAttempt.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardAttempt.java
@@ -95,7 +95,7 @@
     AnswerKind kind = core.protocol().kind(head);
     switch (kind) {
       case NOT_RUN -> {
-        count(head.status() == MISDIRECTED ? SendEnd.UNREACHABLE : SendEnd.UNDECIDED);
+        count(head.status() == MISDIRECTED ? SendEnd.ENDED : SendEnd.UNDECIDED);
         ignored = true;
         run.notRun(this, head);
       }
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardRun.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardRun.java
@@ -253,11 +253,14 @@
     }
   }
 
+  /** The upstream proved that it did not run the request, so another may. */
   void notRun(ForwardAttempt from, AnswerHead head) {
     note("notRun", head.status());
+    sends--;
+    unreached++;
     long now = System.nanoTime();
     boolean again =
-        sends < request.route().maxAttempts()
+        unreached < MOST_UNREACHED
             && core.board().choose(work, avoided, now).isPresent()
             && core.mayRepeat(work.pool(), now);
     if (!again || !tryPlace(now)) {
