Frame streams by chunks also where the connection is to close

Cause: without a transfer encoding Undertow ends an answer of unknown length by the end of the connection once that is not persistent, so that a broken stream looked whole to callers during a planned stop.

--- a/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowCaller.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowCaller.java
@@ -58,7 +58,12 @@
     for (Header header : head.headers()) {
       exchange.getResponseHeaders().add(new HttpString(header.name()), header.value());
     }
-    length.ifPresent(bytes -> exchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, bytes));
+    if (length.isPresent()) {
+      exchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, length.getAsLong());
+    } else {
+      // Without this the end of the connection would end the answer, also where it broke off.
+      exchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, "chunked");
+    }
     sink = exchange.getResponseChannel();
     sink.getWriteSetter().set(channel -> flushPending());
   }
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardAttempt.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardAttempt.java
@@ -82,7 +82,7 @@
     if (counted) {
       counted = false;
       core.board().ended(sending, begun, end, System.nanoTime());
-      core.thread().execute(core::review);
+      core.placeFreed();
     }
   }
 
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
@@ -268,6 +268,13 @@
     }
   }
 
+  /** Lets those who wait look for a place soon, after a request has ended. */
+  void placeFreed() {
+    if (lines.values().stream().anyMatch(line -> !line.isEmpty())) {
+      thread.execute(this::review);
+    }
+  }
+
   /** Offers free places to those who wait, and turns away those who waited too long. */
   void review() {
     long now = System.nanoTime();
