--- a/control/src/main/java/io/jacinthquay/control/ControlService.java
+++ b/control/src/main/java/io/jacinthquay/control/ControlService.java
@@ -1,5 +1,6 @@
 package io.jacinthquay.control;
 
+import com.codahale.metrics.MetricRegistry;
 import io.jacinthquay.consensus.LogException;
 import io.jacinthquay.consensus.LogOptions;
 import io.jacinthquay.consensus.LogStatus;
@@ -151,6 +152,17 @@
         .build();
   }
 
+  /** Registers what operators watch; docs/METRICS.md lists it. */
+  public void register(MetricRegistry registry) {
+    registry.gauge("jq_control_leads", () -> () -> leadership.isConfirmed() ? 1 : 0);
+    registry.gauge("jq_control_term", () -> () -> store.status().term());
+    registry.gauge("jq_control_commit_index", () -> () -> store.status().commitIndex());
+    registry.gauge("jq_control_voters", () -> () -> store.status().membership().voters().size());
+    registry.gauge("jq_control_document_version", () -> () -> store.tables().version());
+    registry.gauge("jq_control_routers", () -> routers::count);
+    registry.gauge("jq_control_upstreams", () -> () -> feed.reading().listings().size());
+  }
+
   /** Returns the replicated state. */
   public ControlStore store() {
     return store;
--- a/router/src/main/java/io/jacinthquay/router/ForwardRouter.java
+++ b/router/src/main/java/io/jacinthquay/router/ForwardRouter.java
@@ -12,6 +12,7 @@
 import io.jacinthquay.router.service.forward.ForwardCore;
 import io.jacinthquay.router.service.forward.ForwardIntake;
 import io.jacinthquay.router.service.forward.ForwardOptions;
+import io.jacinthquay.router.service.report.MetricsIntake;
 import io.jacinthquay.runtime.Service;
 import io.vavr.control.Either;
 import java.net.InetSocketAddress;
@@ -57,6 +58,7 @@
    * @param name name of the router
    * @param callers where callers connect
    * @param ready where readiness is asked for
+   * @param metrics where metrics are served
    * @param control control VMs that are known at the start
    * @param grace longest time between the order to stop and the end
    */
@@ -64,6 +66,7 @@
       String name,
       InetSocketAddress callers,
       InetSocketAddress ready,
+      InetSocketAddress metrics,
       List<InetSocketAddress> control,
       Duration grace) {
     /** Copies the list. */
@@ -104,6 +107,7 @@
     server.start();
     core.thread(server.thread());
     server.alsoServe(endpoints.ready(), ready.apply(core));
+    server.alsoServe(endpoints.metrics(), new MetricsIntake(core.metrics().registry()));
     link.start();
     log.info("router {} listens on {}", endpoints.name(), endpoints.callers());
   }
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
@@ -46,7 +46,8 @@
   private final UpstreamClient client;
   private final UpstreamBoard board;
   private final UsageTally usage;
-  private final RequestJournal journal = new RequestJournal(System::nanoTime);
+  private final ForwardMetrics metrics = new ForwardMetrics();
+  private final RequestJournal journal = new RequestJournal(System::nanoTime, metrics);
   private final Map<PoolName, SharedRetryBudget> budgets = new HashMap<>();
   private final Map<PoolName, WaitingLine<ForwardRun>> lines = new HashMap<>();
   private final Map<PoolName, PoolTally> tallies = new HashMap<>();
@@ -56,7 +57,7 @@
   private volatile Optional<RouteTable> table = Optional.empty();
   private EventThread thread;
   private int routers = 1;
-  private boolean listed;
+  private volatile boolean listed;
   private boolean reviewing;
   private boolean watching;
   private volatile boolean leaving;
@@ -70,6 +71,9 @@
     this.board =
         new UpstreamBoard(options.domain(), options.coldOverage(), options.coldTolerance());
     this.usage = new UsageTally(options.usageWindow());
+    metrics.gauge("jq_forward_in_progress", active::size);
+    metrics.gauge("jq_forward_document_version", this::version);
+    metrics.gauge("jq_forward_ready", () -> isReady() ? 1 : 0);
   }
 
   /** Sets the thread of the server; called before any request. */
@@ -181,6 +185,11 @@
     }
   }
 
+  /** Returns what is counted. */
+  public ForwardMetrics metrics() {
+    return metrics;
+  }
+
   ForwardProtocol protocol() {
     return protocol;
   }
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardRun.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardRun.java
@@ -144,6 +144,7 @@
     sends++;
     avoided.add(upstream.listing().upstream());
     note("sent", upstream.listing().upstream());
+    core.metrics().sent(avoided.size() > 1);
     long left = Math.max(1, (work.deadlineNanos() - now) / NANOS_PER_MILLI);
     OptionalLong resumeAfter =
         sink instanceof EventAnswer events && caller.hasBegun()
@@ -178,6 +179,8 @@
     }
     if (!caller.hasBegun()) {
       note("first", "event");
+      core.metrics()
+          .first(request.route().name().value(), System.nanoTime() - request.arrivedNanos());
       countUsage();
       if (sinceArrival(System.nanoTime()) > work.targetMillis()) {
         core.tally(work.pool()).late++;
@@ -362,6 +365,8 @@
     done = true;
     timer.run();
     core.ended(this);
+    long took = System.nanoTime() - request.arrivedNanos();
+    core.metrics().ended(outcome, request.route().name().value(), took);
     core.journal().ended(this, outcome, ok);
   }
 
--- a/router/src/main/java/io/jacinthquay/router/service/forward/RequestJournal.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/RequestJournal.java
@@ -20,13 +20,15 @@
   private static final double FAILED_PER_SECOND = 50;
 
   private final LongSupplier clock;
+  private final ForwardMetrics metrics;
   private double served = SERVED_PER_SECOND;
   private double failed = FAILED_PER_SECOND;
   private long filledAt;
   private long leftOut;
 
-  RequestJournal(LongSupplier clock) {
+  RequestJournal(LongSupplier clock, ForwardMetrics metrics) {
     this.clock = clock;
+    this.metrics = metrics;
     this.filledAt = clock.getAsLong();
   }
 
@@ -38,6 +40,7 @@
     failed = Math.min(FAILED_PER_SECOND, failed + seconds * FAILED_PER_SECOND);
     if (success ? served < 1 : failed < 1) {
       leftOut++;
+      metrics.leftOut();
       return;
     }
     if (success) {
--- a/router/src/main/java/io/jacinthquay/router/service/report/LatencyHistograms.java
+++ b/router/src/main/java/io/jacinthquay/router/service/report/LatencyHistograms.java
@@ -9,7 +9,7 @@
 import org.HdrHistogram.IntCountsHistogram;
 
 /** Latency histograms by one label, shown as quantiles in milliseconds. */
-final class LatencyHistograms {
+public final class LatencyHistograms {
   private static final long UNIT_NANOS = 100_000;
   private static final double UNITS_PER_MILLI = 10;
   private static final long MAX_UNITS = 36_000_000;
@@ -30,14 +30,15 @@
    * @param label the label that tells the histograms apart
    * @param most most histograms; further label values are not recorded
    */
-  LatencyHistograms(MetricRegistry registry, String name, String label, int most) {
+  public LatencyHistograms(MetricRegistry registry, String name, String label, int most) {
     this.registry = registry;
     this.name = name;
     this.label = label;
     this.most = most;
   }
 
-  void record(String value, long nanos) {
+  /** Records one latency under a label value. */
+  public void record(String value, long nanos) {
     AbstractHistogram histogram = histograms.get(value);
     if (histogram == null) {
       if (histograms.size() >= most) {
--- /dev/null
+++ b/router/src/main/java/io/jacinthquay/router/service/report/MetricsIntake.java
@@ -0,0 +1,53 @@
+package io.jacinthquay.router.service.report;
+
+import com.codahale.metrics.MetricRegistry;
+import io.jacinthquay.model.Failure;
+import io.jacinthquay.model.RequestId;
+import io.jacinthquay.router.port.AnswerHead;
+import io.jacinthquay.router.port.Caller;
+import io.jacinthquay.router.port.CallerHead;
+import io.jacinthquay.router.port.Header;
+import io.jacinthquay.router.port.RequestIntake;
+import io.vavr.control.Either;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.OptionalLong;
+
+/** Serves the metrics of a program as text, whatever the path. */
+public final class MetricsIntake implements RequestIntake {
+  private static final RequestId PAGE = new RequestId("metrics");
+  private static final int OK = 200;
+
+  private final MetricsPage page;
+
+  /** Returns the intake of a registry. */
+  public MetricsIntake(MetricRegistry registry) {
+    page = new MetricsPage(registry);
+  }
+
+  @Override
+  public RequestId nextId() {
+    return PAGE;
+  }
+
+  @Override
+  public Either<Failure, AdmittedHead> admit(RequestId id, CallerHead head) {
+    return Either.right((body, caller) -> answer(OK, page.prometheus(), caller));
+  }
+
+  @Override
+  public void refuse(RequestId id, CallerHead head, Failure failure, Caller caller) {
+    answer(failure.code().httpStatus(), failure.detail(), caller);
+  }
+
+  private static void answer(int status, String text, Caller caller) {
+    byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+    Header type = new Header("Content-Type", "text/plain");
+    caller.begin(new AnswerHead(status, List.of(type)), OptionalLong.of(bytes.length));
+    if (bytes.length > 0) {
+      boolean unused = caller.write(ByteBuffer.wrap(bytes));
+    }
+    caller.end();
+  }
+}
