--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardAttempt.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardAttempt.java
@@ -104,10 +104,10 @@
         run.failed(this, "spoilt answer " + head.status());
       }
       case FAILURE -> {
-        if (run.prefersRepeat()) {
+        if (run.mayRepeat(System.nanoTime())) {
           count(SendEnd.FAILED);
           ignored = true;
-          run.failed(this, "status " + head.status());
+          run.repeat("status " + head.status());
         } else {
           run.answering(this, head, false);
         }
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardRun.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardRun.java
@@ -230,12 +230,8 @@
     return success;
   }
 
-  /** Returns whether a failure of the upstream should be followed by another send. */
-  boolean prefersRepeat() {
-    return mayRepeat(System.nanoTime());
-  }
-
-  private boolean mayRepeat(long now) {
+  /** Returns whether the request may be sent again now, and takes that from the retry budget. */
+  boolean mayRepeat(long now) {
     return request.route().isRepeatable()
         && sends < request.route().maxAttempts()
         && now < work.deadlineNanos()
@@ -290,9 +286,16 @@
     mayHaveRun = true;
     sink.discard();
     long now = System.nanoTime();
-    boolean again =
-        why.startsWith("status ") ? sends < request.route().maxAttempts() : mayRepeat(now);
-    if (!again || !tryPlace(now)) {
+    if (!mayRepeat(now) || !tryPlace(now)) {
+      giveUp(ResultCode.UPSTREAM_BROKE);
+    }
+  }
+
+  /** Sends the request again after a failure that the budget already allows to repeat. */
+  void repeat(String why) {
+    note("repeats", why);
+    mayHaveRun = true;
+    if (!tryPlace(System.nanoTime())) {
       giveUp(ResultCode.UPSTREAM_BROKE);
     }
   }
