Keep a few engines for chats, apart from long prompts

Spread over all engines, chats were everywhere. Ruled out: more engines (no gain from 8 to 24), a weight for each chat beside a prompt (0.004 ms a token and chat: 13 ms beside three chats, too little against 200 ms for a cached beginning). Replayed by UpstreamBoardTest.keepChatsAndLongPromptsApart.

--- /dev/null
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/SteadyShare.java
@@ -0,0 +1,77 @@
+package io.jacinthquay.decision.dispatch;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * The engines of a pool that are kept for streams which a pause makes late.
+ *
+ * <p>Answers the load of short chats beside long prompts: while an engine reads a long prompt,
+ * every stream on it pauses for too long, wherever the prompt is placed, if chats run everywhere. A
+ * few engines, the same at every router, are therefore kept for chats, as many as these need; long
+ * prompts go there only when the others are full. Not thread-safe.
+ */
+final class SteadyShare {
+  /** Prompt tokens that are read within the pauses that chats bear: four chunks of a thousand. */
+  static final int SHORT_TOKENS = 4_000;
+
+  /** Fragility from which a request counts as a chat: a pause target of at most 0.2 s. */
+  private static final double FRAGILE = 0.5;
+
+  /** Fragility that one kept engine takes: chats at a pause target of 0.1 s. */
+  private static final double FRAGILITY_PER_ENGINE = 7;
+
+  /** Pools with fewer engines keep none, since the others would be too few. */
+  private static final int FEWEST_ENGINES = 4;
+
+  /** Time between two looks at the size. */
+  private static final long LOOK_NANOS = 250_000_000L;
+
+  /** Time for which the share keeps its size before it shrinks, since homes move with it. */
+  private static final long SHRINK_NANOS = 5_000_000_000L;
+
+  private Set<UpstreamState> kept = Set.of();
+  private int size = 1;
+  private long lookedAt;
+  private long wantedAt;
+  private boolean looked;
+
+  /** Returns whether a request is one that the share is kept for. */
+  static boolean isChat(Work work) {
+    return work.fragility() >= FRAGILE && work.promptTokens() <= SHORT_TOKENS;
+  }
+
+  /** The engines are others now. */
+  void listed() {
+    looked = false;
+  }
+
+  /** Looks at the size again, if that is due. */
+  void look(List<UpstreamState> usable, long now) {
+    if (looked && now - lookedAt < LOOK_NANOS) {
+      return;
+    }
+    looked = true;
+    lookedAt = now;
+    double fragility = usable.stream().mapToDouble(state -> state.load().fragility()).sum();
+    int wanted = 1 + (int) Math.floor(fragility / FRAGILITY_PER_ENGINE);
+    if (wanted >= size) {
+      size = wanted;
+      wantedAt = now;
+    } else if (now - wantedAt > SHRINK_NANOS) {
+      size--;
+      wantedAt = now;
+    }
+    List<UpstreamState> order = new ArrayList<>(usable);
+    order.sort(Comparator.comparingLong(state -> Rank.of(0, state.listing().upstream())));
+    int most = usable.size() < FEWEST_ENGINES ? 0 : usable.size() / 2;
+    kept = new HashSet<>(order.subList(0, Math.min(size, most)));
+  }
+
+  boolean contains(UpstreamState state) {
+    return kept.contains(state);
+  }
+}
--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamBoard.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamBoard.java
@@ -27,6 +27,12 @@
   /** What a cold upstream weighs against a warm one, in milliseconds. */
   private static final double COLD_MILLIS = 400;
 
+  /** What a chat weighs the reading of long prompts around it, in milliseconds. */
+  private static final double STRAY_MILLIS = 40;
+
+  /** What a long prompt weighs the chats that it would make late, in milliseconds. */
+  private static final double DISTURB_MILLIS = 250;
+
   /** Silence of an upstream that has requests, beyond the time to read them, in milliseconds. */
   private static final double SILENT_MILLIS = 400;
 
@@ -46,6 +52,7 @@
   private Map<PoolName, PlacementRule> rules = Map.of();
   private Map<PoolName, List<UpstreamState>> members = Map.of();
   private Set<DomainId> closed = Set.of();
+  private final Map<PoolName, SteadyShare> shares = new HashMap<>();
   private int routers = 1;
 
   /**
@@ -98,11 +105,13 @@
         .values()
         .removeIf(s -> !named.contains(s.listing().upstream()) && s.own().inFlight() <= 0);
     members = next;
+    shares.values().forEach(SteadyShare::listed);
   }
 
   /** Takes in the failure domains that get nothing new. */
   public void closed(Set<DomainId> domains) {
     closed = Set.copyOf(domains);
+    shares.values().forEach(SteadyShare::listed);
   }
 
   /** Takes in how many routers share the bounds, this one included. */
@@ -141,7 +150,8 @@
     if (rule == null || candidates.isEmpty()) {
       return Optional.empty();
     }
-    UpstreamState home = home(work, candidates);
+    SteadyShare steady = steady(work.pool(), candidates, now);
+    UpstreamState home = home(work, candidates, steady);
     UpstreamState best = null;
     double least = PlacementRule.UNFIT;
     for (UpstreamState state : candidates) {
@@ -151,7 +161,10 @@
           || avoided.contains(state.listing().upstream())) {
         continue;
       }
-      double cost = rule.cost(work, state, state == home, local) + condition(work, state, now);
+      double cost =
+          rule.cost(work, state, state == home, local)
+              + apart(work, state, steady)
+              + condition(work, state, now);
       if (cost < least) {
         least = cost;
         best = state;
@@ -160,6 +173,16 @@
     return Optional.ofNullable(best);
   }
 
+  private SteadyShare steady(PoolName pool, List<UpstreamState> candidates, long now) {
+    SteadyShare share = shares.computeIfAbsent(pool, name -> new SteadyShare());
+    List<UpstreamState> usable =
+        pools.get(pool).engine().isEmpty()
+            ? List.of()
+            : candidates.stream().filter(this::isUsable).toList();
+    share.look(usable, now);
+    return share;
+  }
+
   private double condition(Work work, UpstreamState state, long now) {
     if (state.isCold(now)) {
       return state.coldShare().available(coldRate(work.pool()), now)
@@ -178,18 +201,19 @@
   }
 
   /** The upstream to which a shared beginning belongs, the same at every router. */
-  private UpstreamState home(Work work, List<UpstreamState> candidates) {
+  private UpstreamState home(Work work, List<UpstreamState> candidates, SteadyShare steady) {
     long shared = work.sharedId();
     if (shared == 0) {
       return null;
     }
+    boolean chat = SteadyShare.isChat(work);
     UpstreamState home = null;
     long highest = Long.MIN_VALUE;
     for (UpstreamState state : candidates) {
-      if (isUsable(state)) {
-        long score = mix(shared * 0x9E3779B97F4A7C15L ^ state.listing().upstream().hashCode());
-        if (home == null || score > highest) {
-          highest = score;
+      if (isUsable(state) && steady.contains(state) == chat) {
+        long rank = Rank.of(shared, state.listing().upstream());
+        if (home == null || rank > highest) {
+          highest = rank;
           home = state;
         }
       }
@@ -197,10 +221,13 @@
     return home;
   }
 
-  private static long mix(long value) {
-    long mixed = (value ^ (value >>> 32)) * 0xD6E8FEB86659FD93L;
-    mixed = (mixed ^ (mixed >>> 32)) * 0xD6E8FEB86659FD93L;
-    return mixed ^ (mixed >>> 32);
+  /** Chats keep to the engines that are kept for them, long prompts keep off these. */
+  private static double apart(Work work, UpstreamState state, SteadyShare steady) {
+    if (SteadyShare.isChat(work)) {
+      return steady.contains(state) ? 0 : STRAY_MILLIS;
+    }
+    boolean disturbs = steady.contains(state) && work.promptTokens() > SteadyShare.SHORT_TOKENS;
+    return disturbs ? DISTURB_MILLIS : 0;
   }
 
   /** Records that a request is sent. */
--- a/decision/src/test/java/io/jacinthquay/decision/dispatch/UpstreamBoardTest.java
+++ b/decision/src/test/java/io/jacinthquay/decision/dispatch/UpstreamBoardTest.java
@@ -139,6 +139,34 @@
     assertTrue(board.choose(work, other, 900 * MILLI).isPresent());
   }
 
+  /** Chats and long prompts at once: no engine reads a long prompt beside running chats. */
+  @ParameterizedTest
+  @ValueSource(ints = {6, 12, 40})
+  void keepChatsAndLongPromptsApart(int engines) {
+    board.listed(Works.listings(ENGINES, engines), 0);
+    Set<UpstreamId> chats = new HashSet<>();
+    Set<UpstreamId> prompts = new HashSet<>();
+    for (int i = 0; i < 2 * engines; i++) {
+      long now = i * 300 * MILLI;
+      Work chat = Works.prompt(0, 120, 5 + i, 300, 900);
+      Sending talking = send(chat, now);
+      board.heard(talking.upstream(), now);
+      board.begun(talking);
+      chats.add(talking.upstream().listing().upstream());
+      Sending reading = send(Works.prompt(2, 500, 1_000 + 10L * i, 13_000, 3_700), now);
+      board.heard(reading.upstream(), now);
+      board.ended(reading, false, SendEnd.SUCCEEDED, now);
+      prompts.add(reading.upstream().listing().upstream());
+      if (i >= engines / 2) {
+        board.ended(talking, true, SendEnd.SUCCEEDED, now);
+      }
+    }
+    Set<UpstreamId> both = new HashSet<>(chats);
+    both.retainAll(prompts);
+    assertEquals(Set.of(), both);
+    assertTrue(prompts.size() > engines / 3, "few engines read: " + prompts.size());
+  }
+
   /** A burst of long prompts: they wait at the router while a short one of a higher tier passes. */
   @Test
   void holdBackLowTiersWhileEnginesReadTheirBacklog() {
