--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/EngineRule.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/EngineRule.java
@@ -1,6 +1,7 @@
 package io.jacinthquay.decision.dispatch;
 
 import io.jacinthquay.model.DomainId;
+import io.jacinthquay.model.Tier;
 
 /**
  * Places requests at model engines by the prompt that is still to be read.
@@ -16,8 +17,17 @@
    */
   private static final double TOKENS_PER_MILLI = 38;
 
-  /** Share of a request's target that may pass with prompts that are read before its own. */
-  private static final double BACKLOG_SHARE = 0.45;
+  /**
+   * Time to read what an engine may have waiting before it gets more of the highest tier, in
+   * milliseconds: half of a usual target, so that what is sent is still on time.
+   */
+  private static final double BACKLOG_MILLIS = 600;
+
+  /** How much less may wait for each lower tier, so that a higher one still finds a place. */
+  private static final double TIER_MILLIS = 150;
+
+  /** Time to read what may wait for the lowest tiers; keeps engines busy between two reports. */
+  private static final double LEAST_BACKLOG_MILLIS = 300;
 
   /** What each request under way adds to the step that the next one waits for, in milliseconds. */
   private static final double MILLIS_PER_REQUEST = 1.2;
@@ -43,6 +53,10 @@
     this.memoryTokens = memoryTokens;
   }
 
+  private static double allowedMillis(Tier tier) {
+    return Math.max(LEAST_BACKLOG_MILLIS, BACKLOG_MILLIS - TIER_MILLIS * tier.value());
+  }
+
   /** Returns the prompt tokens that the engine has probably still to read. */
   static double unreadTokens(Work work, UpstreamState upstream, boolean home) {
     double cached = upstream.prefixes().cachedTokens(work.parts());
@@ -59,7 +73,7 @@
       return UNFIT;
     }
     double backlogMillis = load.promptTokens() / TOKENS_PER_MILLI;
-    if (backlogMillis > BACKLOG_SHARE * work.targetMillis()) {
+    if (!SteadyShare.isChat(work) && backlogMillis > allowedMillis(work.tier())) {
       return UNFIT;
     }
     double unread = unreadTokens(work, upstream, home);
--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamBoard.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamBoard.java
@@ -221,13 +221,20 @@
     return home;
   }
 
-  /** Chats keep to the engines that are kept for them, long prompts keep off these. */
+  /**
+   * Chats keep to the engines that are kept for them; long prompts keep off these, and one at a
+   * time goes there where no other engine has a place.
+   */
   private static double apart(Work work, UpstreamState state, SteadyShare steady) {
     if (SteadyShare.isChat(work)) {
       return steady.contains(state) ? 0 : STRAY_MILLIS;
     }
     boolean disturbs = steady.contains(state) && work.promptTokens() > SteadyShare.SHORT_TOKENS;
-    return disturbs ? DISTURB_MILLIS : 0;
+    if (!disturbs) {
+      return 0;
+    }
+    boolean reads = state.load().promptTokens() > SteadyShare.SHORT_TOKENS;
+    return reads ? PlacementRule.UNFIT : DISTURB_MILLIS;
   }
 
   /** Records that a request is sent. */
