--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/EngineRule.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/EngineRule.java
@@ -1,7 +1,6 @@
 package io.jacinthquay.decision.dispatch;
 
 import io.jacinthquay.model.DomainId;
-import io.jacinthquay.model.Tier;
 
 /**
  * Places requests at model engines by the prompt that is still to be read.
@@ -18,16 +17,17 @@
   private static final double TOKENS_PER_MILLI = 38;
 
   /**
-   * Time to read what an engine may have waiting before it gets more of the highest tier, in
-   * milliseconds: half of a usual target, so that what is sent is still on time.
+   * Time to read what an engine may have to read once it gets a request of the highest tier, in
+   * milliseconds, that request included. One whose beginning is cached finds a place for longer, so
+   * that it rather waits for its engine than is read anew by another.
    */
-  private static final double BACKLOG_MILLIS = 600;
+  private static final double READ_MILLIS = 900;
 
-  /** How much less may wait for each lower tier, so that a higher one still finds a place. */
+  /** How much less that is for each lower tier, so that a higher one still finds a place. */
   private static final double TIER_MILLIS = 150;
 
-  /** Time to read what may wait for the lowest tiers; keeps engines busy between two reports. */
-  private static final double LEAST_BACKLOG_MILLIS = 300;
+  /** What may wait beside a prompt that alone takes longer; keeps engines busy between reports. */
+  private static final double BESIDE_MILLIS = 100;
 
   /** What each request under way adds to the step that the next one waits for, in milliseconds. */
   private static final double MILLIS_PER_REQUEST = 1.2;
@@ -53,8 +53,9 @@
     this.memoryTokens = memoryTokens;
   }
 
-  private static double allowedMillis(Tier tier) {
-    return Math.max(LEAST_BACKLOG_MILLIS, BACKLOG_MILLIS - TIER_MILLIS * tier.value());
+  private static double allowedMillis(Work work, double readMillis) {
+    double allowed = READ_MILLIS - TIER_MILLIS * work.tier().value();
+    return Math.max(allowed, readMillis + BESIDE_MILLIS);
   }
 
   /** Returns the prompt tokens that the engine has probably still to read. */
@@ -73,10 +74,11 @@
       return UNFIT;
     }
     double backlogMillis = load.promptTokens() / TOKENS_PER_MILLI;
-    if (!SteadyShare.isChat(work) && backlogMillis > allowedMillis(work.tier())) {
+    double unread = unreadTokens(work, upstream, home);
+    double readMillis = unread / TOKENS_PER_MILLI;
+    if (!SteadyShare.isChat(work) && backlogMillis + readMillis > allowedMillis(work, readMillis)) {
       return UNFIT;
     }
-    double unread = unreadTokens(work, upstream, home);
     double cost = (load.promptTokens() + unread) / TOKENS_PER_MILLI;
     cost += backlogMillis * work.fragility();
     cost += load.fragility() * unread * MILLIS_PER_FRAGILE_TOKEN;
