--- a/decision/src/main/java/io/jacinthquay/decision/scaling/FleetPlanner.java
+++ b/decision/src/main/java/io/jacinthquay/decision/scaling/FleetPlanner.java
@@ -47,6 +47,9 @@
   /** Time between two orders that make a sort fewer, in nanoseconds: each costs a warm cache. */
   private static final long SHRINK_NANOS = 6_000_000_000L;
 
+  /** Time for which the list has to stay as it is before the first order. */
+  private static final long SETTLE_NANOS = 2_000_000_000L;
+
   private record Sort(DomainId domain, boolean cheap) {}
 
   private record Ordered(int count, long atNanos) {}
@@ -56,6 +59,8 @@
   private final Map<Sort, Long> refusedAt = new HashMap<>();
   private double need;
   private boolean loaded;
+  private int listedBefore = -1;
+  private long listedSince;
 
   /** Returns a planner for a pool. */
   public FleetPlanner(ScalingSpec spec) {
@@ -89,12 +94,15 @@
         present.merge(new Sort(listing.domain(), listing.cheap()), 1, Integer::sum);
       }
     }
-    if (!loaded) {
+    loaded |= load.requestRate() > 0;
+    if (!loaded && !isSettled(listings.size(), now)) {
+      return List.of();
+    }
+    if (!loaded || ordered.isEmpty()) {
       // The load is not known yet: what was there before any order is taken to be needed.
       int regular =
           domains.stream().mapToInt(d -> present.getOrDefault(new Sort(d, false), 0)).sum();
       need = Math.max(need, regular / RESERVE);
-      loaded = load.requestRate() > 0;
     }
     observe(load);
     int total =
@@ -103,6 +111,15 @@
     return orders(target(total, domains, now), present, now);
   }
 
+  /** Upstreams that start with the system appear in the list one after the other. */
+  private boolean isSettled(int listed, long now) {
+    if (listed != listedBefore) {
+      listedBefore = listed;
+      listedSince = now;
+    }
+    return listed > 0 && now - listedSince >= SETTLE_NANOS;
+  }
+
   private void observe(PoolLoad load) {
     double wanted =
         Math.max(load.promptRate() / PROMPT_RATE, (load.inFlight() + load.waiting()) / IN_FLIGHT);
--- a/decision/src/test/java/io/jacinthquay/decision/scaling/FleetPlannerTest.java
+++ b/decision/src/test/java/io/jacinthquay/decision/scaling/FleetPlannerTest.java
@@ -114,6 +114,24 @@
     assertEquals(Math.ceil(planner.need()), total());
   }
 
+  /** The system and its upstreams start together: the list grows for seconds. */
+  @Test
+  void orderNothingBeforeTheListHasSettled() {
+    PoolLoad none = new PoolLoad(0, 0, 0, 0, 0);
+    for (int second = 0; second < 6; second++) {
+      regular.put(A, second + 1);
+      regular.put(B, second);
+      assertEquals(List.of(), step(none, second * SECOND));
+    }
+    assertEquals(List.of(), step(none, 6 * SECOND));
+    int before = total();
+    for (int second = 7; second < 20; second++) {
+      step(none, second * SECOND);
+    }
+    assertTrue(total() >= before, before + " became " + total());
+    assertEquals(Map.of(A, 1, B, 1), regular);
+  }
+
   @Test
   void repeatNoOrderThatStands() {
     step(CALM, 0);
