--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamState.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamState.java
@@ -12,7 +12,6 @@
   private LoadFigures own = LoadFigures.NONE;
   private LoadFigures others = LoadFigures.NONE;
   private long coldUntil;
-  private long heardNanos;
   private long unheardSince;
 
   UpstreamState(Listing listing, PoolSpec pool, long now) {
@@ -51,7 +50,6 @@
 
   /** Something arrived from the upstream. */
   void heard(long now) {
-    heardNanos = now;
     unheardSince = now;
   }
 
@@ -60,11 +58,6 @@
     return own.inFlight() == 0 ? 0 : now - unheardSince;
   }
 
-  /** Returns whether anything ever arrived from the upstream. */
-  boolean everHeard() {
-    return heardNanos != 0;
-  }
-
   UpstreamHealth health() {
     return health;
   }
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardAttempt.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardAttempt.java
@@ -97,7 +97,7 @@
       case NOT_RUN -> {
         count(head.status() == MISDIRECTED ? SendEnd.ENDED : SendEnd.UNDECIDED);
         ignored = true;
-        run.notRun(this, head);
+        run.notRun(head);
       }
       case SPOILT -> {
         cancel(SendEnd.FAILED);
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardRun.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardRun.java
@@ -253,7 +253,7 @@
   }
 
   /** The upstream proved that it did not run the request, so another may. */
-  void notRun(ForwardAttempt from, AnswerHead head) {
+  void notRun(AnswerHead head) {
     note("notRun", head.status());
     sends--;
     unreached++;
