--- a/router/src/main/java/io/jacinthquay/router/service/RouterService.java
+++ b/router/src/main/java/io/jacinthquay/router/service/RouterService.java
@@ -95,6 +95,7 @@
   private final UndertowUpstreamClient upstreams;
   private final CallerServer server;
   private final ScheduledExecutorService ticks;
+  private volatile int dispatched;
   private volatile List<VmEntry> vms = List.of();
   private volatile boolean stopping;
   private volatile boolean draining;
@@ -202,6 +203,7 @@
     watcher.update(list);
     peers.ifPresentOrElse(hub -> hub.update(list), () -> tellAlone(list));
     dispatcher.update(list, policies.view().policy());
+    dispatched = list.size();
   }
 
   private void tellAlone(List<VmEntry> list) {
@@ -291,9 +293,9 @@
     lease.expire();
   }
 
-  /** Returns how many upstreams the platform lists. */
+  /** Returns how many VMs the list holds from which requests are dispatched. */
   public int upstreams() {
-    return vms.size();
+    return dispatched;
   }
 
   /** Returns whether requests with keys are taken now. */
