--- a/decision/src/main/java/io/jacinthquay/decision/scaling/FleetPlanner.java
+++ b/decision/src/main/java/io/jacinthquay/decision/scaling/FleetPlanner.java
@@ -108,7 +108,7 @@
     int total =
         Math.max(
             (int) Math.ceil(need * RESERVE) + domains.size(), FEWEST_PER_DOMAIN * domains.size());
-    return orders(target(total, domains, now), present, now);
+    return orders(target(total, domains, present, now), present, now);
   }
 
   /** Upstreams that start with the system appear in the list one after the other. */
@@ -131,17 +131,26 @@
   }
 
   /** One regular upstream in each domain, cheap ones beside, spread over the domains. */
-  private Map<Sort, Integer> target(int total, Collection<DomainId> domains, long now) {
+  private Map<Sort, Integer> target(
+      int total, Collection<DomainId> domains, Map<Sort, Integer> present, long now) {
     List<DomainId> order = new ArrayList<>(new TreeSet<>(domains));
     order.sort(Comparator.comparingDouble(spec::price).thenComparing(d -> d));
     int regular = Math.min(spec.maximum(), Math.max(1, spec.minimum()));
     Map<Sort, Integer> target = new HashMap<>();
     order.forEach(domain -> target.put(new Sort(domain, false), regular));
     int left = total - regular * order.size();
-    List<DomainId> offering =
-        order.stream()
-            .filter(d -> spec.cheapPrice() > 0 && !isRefused(new Sort(d, true), now))
-            .toList();
+    List<DomainId> offering = new ArrayList<>();
+    for (DomainId domain : order) {
+      Sort cheap = new Sort(domain, true);
+      if (isRefused(cheap, now)) {
+        // No more are to be had, but those that serve stay.
+        int serving = present.getOrDefault(cheap, 0);
+        target.put(cheap, serving);
+        left -= serving;
+      } else if (spec.cheapPrice() > 0) {
+        offering.add(domain);
+      }
+    }
     left = spread(left, offering, true, regular, target);
     int missing = (int) Math.ceil(need) - (total - left);
     spread(Math.min(left, missing), order, false, 0, target);
--- a/decision/src/test/java/io/jacinthquay/decision/scaling/FleetPlannerTest.java
+++ b/decision/src/test/java/io/jacinthquay/decision/scaling/FleetPlannerTest.java
@@ -114,6 +114,20 @@
     assertEquals(Math.ceil(planner.need()), total());
   }
 
+  /** Cheap ones are to be had no more, but those that serve go on serving. */
+  @Test
+  void countCheapOnesThatServeWhereNoMoreAreToBeHad() {
+    PoolLoad load = new PoolLoad(40, 0, 60_000, 120_000, 25);
+    for (int i = 0; i < 5; i++) {
+      step(load, i * SECOND);
+    }
+    int serving = total();
+    planner.refused(new FleetPlan(A, true, 7), 20 * SECOND);
+    planner.refused(new FleetPlan(B, true, 7), 20 * SECOND);
+    step(load, 21 * SECOND);
+    assertEquals(Map.of(A, 1, B, 1), regular, "regular ones were ordered beside " + serving);
+  }
+
   /** The system and its upstreams start together: the list grows for seconds. */
   @Test
   void orderNothingBeforeTheListHasSettled() {
