--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/EngineRule.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/EngineRule.java
@@ -2,6 +2,7 @@
 
 import io.jacinthquay.model.DomainId;
 import io.jacinthquay.model.routing.EngineSpec;
+import java.util.Optional;
 
 /**
  * Places requests at model engines by the prompt that is still to be read.
@@ -48,12 +49,6 @@
   /** What each token that is read weighs beside a stream that a pause makes late, in ms. */
   private static final double MILLIS_PER_FRAGILE_TOKEN = 0.004;
 
-  /** Time to open a transfer between two engines, in milliseconds: the users' sheets name 6. */
-  private static final double TRANSFER_MILLIS = 6;
-
-  /** How much longer a transfer takes between failure domains. */
-  private static final double REMOTE_TRANSFER = 2;
-
   private final EngineSpec spec;
   private final ReadingPause pause;
 
@@ -70,22 +65,12 @@
   /** Returns the tokens at the beginning of a prompt that an engine has, or probably has. */
   private static double cachedTokens(Work work, UpstreamState upstream, Beginning beginning) {
     double cached = upstream.prefixes().cachedTokens(work.parts());
-    boolean trusted = beginning.isHome(upstream) && beginning.holder() == null;
+    boolean trusted = beginning.isHome(upstream) && beginning.isUnread();
     return trusted
         ? Math.max(cached, HOME_CONFIDENCE * (work.promptTokens() - work.ownTokens()))
         : cached;
   }
 
-  private double transferMillis(int tokens, UpstreamState upstream, Beginning beginning) {
-    if (tokens == 0) {
-      return 0;
-    }
-    double millis = tokens / spec.transferRate();
-    DomainId from = beginning.holder().listing().domain();
-    return TRANSFER_MILLIS
-        + (upstream.listing().domain().equals(from) ? millis : millis * REMOTE_TRANSFER);
-  }
-
   @Override
   public double cost(Work work, UpstreamState upstream, Beginning beginning, DomainId local) {
     LoadFigures load = upstream.load();
@@ -94,14 +79,15 @@
     }
     double backlogMillis = load.promptTokens() / TOKENS_PER_MILLI;
     double cached = cachedTokens(work, upstream, beginning);
-    int fetched = beginning.fetchedTokens((int) cached, upstream);
-    double unread = Math.max(0, work.promptTokens() - cached - fetched);
+    Optional<Transfer> transfer = beginning.transferTo(upstream, (int) cached);
+    int handedOver = transfer.map(Transfer::tokens).orElse(0);
+    double unread = Math.max(0, work.promptTokens() - cached - handedOver);
     double readMillis = unread / TOKENS_PER_MILLI;
     if (!pause.harms(work) && backlogMillis + readMillis > allowedMillis(work, readMillis)) {
       return UNFIT;
     }
     double cost = (load.promptTokens() + unread) / TOKENS_PER_MILLI;
-    cost += transferMillis(fetched, upstream, beginning);
+    cost += transfer.map(Transfer::millis).orElse(0.0);
     cost += backlogMillis * work.fragility();
     cost += load.fragility() * unread * MILLIS_PER_FRAGILE_TOKEN;
     cost += load.inFlight() * MILLIS_PER_REQUEST;
--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamBoard.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamBoard.java
@@ -39,9 +39,6 @@
   /** Prompt tokens that even a slow engine reads in a millisecond. */
   private static final double SLOW_TOKENS_PER_MILLI = 20;
 
-  /** Fewer tokens than this are read sooner than a transfer of them is set up. */
-  private static final int FEWEST_FETCHED = 1_000;
-
   private static final double NANOS_PER_MILLI = 1e6;
 
   /** What an upstream on trial weighs against one that serves, in milliseconds. */
@@ -195,28 +192,17 @@
   private Beginning beginning(
       Work work, List<UpstreamState> candidates, Optional<SteadyShare> steady, long now) {
     if (work.sharedId() == 0) {
-      return Beginning.NONE;
-    }
-    UpstreamState home = home(work, candidates, steady);
-    Optional<EngineSpec> engine = pools.get(work.pool()).engine();
-    if (engine.isEmpty() || engine.get().transferRate() <= 0) {
-      return new Beginning(home, null, 0);
+      return new Beginning(null, 0, now);
     }
-    UpstreamState holder = null;
-    int most = FEWEST_FETCHED - 1;
+    double rate = pools.get(work.pool()).engine().map(EngineSpec::transferRate).orElse(0.0);
+    Beginning beginning = new Beginning(home(work, candidates, steady), rate, now);
     for (UpstreamState state : candidates) {
-      int held = state.prefixes().readTokens(work.sharedParts(), now);
-      boolean nearer = held == most && holder != null && !isLocal(holder) && isLocal(state);
-      if ((held > most || nearer) && isAnswering(state, now)) {
-        most = held;
-        holder = state;
+      int read = rate > 0 ? state.prefixes().readTokens(work.sharedParts(), now) : 0;
+      if (read > 0 && isAnswering(state, now)) {
+        beginning.heldBy(state, read);
       }
     }
-    return new Beginning(home, holder, holder == null ? 0 : most);
-  }
-
-  private boolean isLocal(UpstreamState state) {
-    return state.listing().domain().equals(local);
+    return beginning;
   }
 
   private double condition(Work work, UpstreamState state, long now) {
@@ -289,15 +275,22 @@
             members.getOrDefault(work.pool(), List.of()),
             Optional.ofNullable(shares.get(work.pool())),
             now);
-    int fetched = beginning.fetchedTokens(cached, state);
-    int unread = Math.max(0, work.promptTokens() - cached - fetched);
+    Optional<Transfer> transfer = beginning.transferTo(state, cached);
+    int unread =
+        Math.max(0, work.promptTokens() - cached - transfer.map(Transfer::tokens).orElse(0));
     state.sending(new LoadFigures(1, unread, work.memoryTokens(), work.fragility()), now);
+    transfer.ifPresent(t -> keepLinksBusy(t, state, now));
     state.prefixes().read(work.parts(), now + readNanos(state.load().promptTokens()));
-    Optional<Listing> source =
-        fetched > 0 ? Optional.of(beginning.holder().listing()) : Optional.empty();
+    Optional<Listing> source = transfer.map(t -> t.source().listing());
     return new Sending(state, work, unread, source, now);
   }
 
+  private static void keepLinksBusy(Transfer transfer, UpstreamState target, long now) {
+    long until = now + (long) (transfer.millis() * NANOS_PER_MILLI);
+    transfer.source().transfersUntil(until);
+    target.transfersUntil(until);
+  }
+
   private static long readNanos(long tokens) {
     return (long) (tokens / SLOW_TOKENS_PER_MILLI * NANOS_PER_MILLI);
   }
--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamState.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamState.java
@@ -13,11 +13,13 @@
   private LoadFigures others = LoadFigures.NONE;
   private long coldUntil;
   private long unheardSince;
+  private long linkFreeAt;
 
   UpstreamState(Listing listing, PoolSpec pool, long now) {
     this.listing = listing;
     this.prefixes = new PrefixMemory(pool.engine().map(EngineSpec::memoryTokens).orElse(1L));
     this.coldUntil = now + listing.coldMillis() * 1_000_000L;
+    this.linkFreeAt = now;
   }
 
   void listed(Listing newer, long now) {
@@ -53,9 +55,19 @@
     unheardSince = now;
   }
 
+  /** Returns when the transfers that this router asked for are through. */
+  long linkFreeAt() {
+    return linkFreeAt;
+  }
+
+  /** A transfer keeps the link of the engine busy. */
+  void transfersUntil(long nanos) {
+    linkFreeAt = nanos;
+  }
+
   /** Returns for how long the upstream was silent while it had requests to answer. */
   long silentNanos(long now) {
-    return own.inFlight() == 0 ? 0 : now - unheardSince;
+    return own.inFlight() == 0 ? 0 : Math.min(now - unheardSince, now - linkFreeAt);
   }
 
   UpstreamHealth health() {
--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/Work.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/Work.java
@@ -52,6 +52,11 @@
     return gapTargetMillis <= 0 ? 0 : FRAGILE_MILLIS / gapTargetMillis;
   }
 
+  /** Returns the order in which engines take what waits there; 0 is first. */
+  public int urgency() {
+    return Urgency.of(this);
+  }
+
   /** Returns the parts of the prompt that other requests share. */
   public List<PromptPart> sharedParts() {
     return parts.isEmpty() ? parts : parts.subList(0, parts.size() - 1);
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardRun.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardRun.java
@@ -21,6 +21,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
@@ -54,6 +55,8 @@
   private boolean success;
   private boolean usageCounted;
   private boolean done;
+  private long eventAt;
+  private long longestPauseNanos;
 
   ForwardRun(ForwardCore core, ForwardRequest request, Caller caller) {
     this.core = core;
@@ -63,8 +66,7 @@
     this.work = request.work(pool);
     this.sink =
         request.route().kind() == RequestKind.STREAMING
-            ? new EventAnswer(
-                core.protocol(), caller, request.facts().lastEventId(), this::firstEvent)
+            ? new EventAnswer(core.protocol(), caller, request.facts().lastEventId(), this::events)
             : new WholeAnswer(core.protocol(), caller);
   }
 
@@ -80,8 +82,12 @@
         + core.version()
         + " customer="
         + request.customer().map(Object::toString).orElse("-")
+        + " tier="
+        + work.tier().value()
         + " tookMillis="
         + sinceArrival(System.nanoTime())
+        + " pauseMillis="
+        + longestPauseNanos / NANOS_PER_MILLI
         + story;
   }
 
@@ -162,7 +168,9 @@
             upstream.listing().upstream(),
             request.customer(),
             left,
-            request.route().promptDescribed() ? Optional.of(work.tier()) : Optional.empty(),
+            request.route().promptDescribed()
+                ? OptionalInt.of(work.urgency())
+                : OptionalInt.empty(),
             sending.source().map(Listing::address),
             resumeAfter);
     String query = request.head().query();
@@ -181,7 +189,13 @@
     core.noteRead(upstream.listing().upstream(), work);
   }
 
-  private void firstEvent() {
+  /** Events of the answer are about to reach the caller. */
+  private void events() {
+    long now = System.nanoTime();
+    if (caller.hasBegun()) {
+      longestPauseNanos = Math.max(longestPauseNanos, now - eventAt);
+    }
+    eventAt = now;
     if (attempt != null) {
       attempt.begun();
     }
