Serve again sooner after all processes were killed

A caller has one retry, which came back after 0.3 s to the same answer. Now a replica that met no leader since its start asks for votes after 0.1 to 0.5 s (pre-votes disturb nobody), control VMs on standby keep a list, and a router that has just started holds what arrives for at most 2.5 s until it has both.

--- a/consensus/src/main/java/io/jacinthquay/consensus/raft/Leadership.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/raft/Leadership.java
@@ -29,6 +29,7 @@
 
   /** Takes over after a won election. */
   void begin() {
+    state.metLeader = true;
     peers.clear();
     round = 0;
     syncPeers();
--- a/consensus/src/main/java/io/jacinthquay/consensus/raft/RaftNode.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/raft/RaftNode.java
@@ -179,6 +179,7 @@
       follow(message.term(), Optional.of(message.from()));
     }
     state.leaderContact = state.now;
+    state.metLeader = true;
     state.resetElectionDeadline();
     if (message instanceof AppendRequest request) {
       acceptor.receive(request);
--- a/consensus/src/main/java/io/jacinthquay/consensus/raft/RaftState.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/raft/RaftState.java
@@ -19,6 +19,9 @@
     FAILED
   }
 
+  /** How much sooner than otherwise a replica that has just started asks for votes. */
+  private static final int START_DIVISOR = 8;
+
   final RaftOptions options;
   final ReplicaId self;
   final Set<MemberId> seeds;
@@ -41,6 +44,7 @@
   boolean installing;
   long electionDeadline;
   long leaderContact;
+  boolean metLeader;
 
   RaftState(
       RaftOptions options,
@@ -123,8 +127,14 @@
     return isVoter() ? Role.FOLLOWER : Role.LEARNER;
   }
 
+  /**
+   * Sets when an election is due. A replica that has met no leader since it started asks sooner: a
+   * leader that is there is heard of within a heartbeat, and the others refuse the pre-vote.
+   */
   void resetElectionDeadline() {
-    electionDeadline = now + options.electionNanos() + random.nextLong(options.electionNanos());
+    long shortest = metLeader ? options.electionNanos() : options.electionNanos() / START_DIVISOR;
+    long spread = metLeader ? options.electionNanos() : options.electionNanos() / 2;
+    electionDeadline = now + shortest + random.nextLong(spread);
   }
 
   void vote(long newTerm, Optional<ReplicaId> candidate) {
--- a/control/src/main/java/io/jacinthquay/control/ControlService.java
+++ b/control/src/main/java/io/jacinthquay/control/ControlService.java
@@ -58,6 +58,9 @@
   /** Time between two readings of the platform's list, in milliseconds. */
   private static final int LIST_MILLIS = 400;
 
+  /** Age of the list at a VM that doesn't lead, so that it has one when it comes to lead. */
+  private static final long STANDBY_LIST_NANOS = 2_000_000_000L;
+
   /** Time between two looks at the duties, in milliseconds. */
   private static final int DUTY_MILLIS = 500;
 
@@ -243,10 +246,11 @@
   }
 
   private void readList() {
-    if (!leadership.isConfirmed()) {
+    long asked = System.nanoTime();
+    boolean fresh = asked - feed.reading().readNanos() < STANDBY_LIST_NANOS;
+    if (!leadership.isConfirmed() && feed.reading().number() > 0 && fresh) {
       return;
     }
-    long asked = System.nanoTime();
     fleet
         .list()
         .peek(list -> feed.read(list, asked))
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
@@ -53,6 +53,7 @@
   private final Map<PoolName, PoolTally> tallies = new HashMap<>();
   private final Set<ForwardRun> active = ConcurrentHashMap.newKeySet();
   private final List<PrefixRead> reads = new ArrayList<>();
+  private final StartHold startHold = new StartHold(System.nanoTime());
   private List<Listing> listings = List.of();
   private volatile Optional<RouteTable> table = Optional.empty();
   private EventThread thread;
@@ -72,6 +73,7 @@
         new UpstreamBoard(options.domain(), options.coldOverage(), options.coldTolerance());
     this.usage = new UsageTally(options.usageWindow());
     metrics.gauge("jq_forward_in_progress", active::size);
+    metrics.gauge("jq_forward_held", startHold::size);
     metrics.gauge("jq_forward_document_version", this::version);
     metrics.gauge("jq_forward_ready", () -> isReady() ? 1 : 0);
   }
@@ -95,6 +97,7 @@
     table = Optional.of(newer);
     board.pools(newer.pools());
     board.listed(listings, System.nanoTime());
+    releaseHeld();
   }
 
   /** Takes in the platform's list of upstreams. */
@@ -102,9 +105,16 @@
     listings = List.copyOf(upstreams);
     listed = true;
     board.listed(listings, System.nanoTime());
+    releaseHeld();
     review();
   }
 
+  private void releaseHeld() {
+    if (isInformed()) {
+      startHold.release();
+    }
+  }
+
   /** Takes in the failure domains that get nothing new. */
   public void closed(Set<DomainId> domains) {
     log.info("closed failure domains: {}", domains);
@@ -123,9 +133,24 @@
     return table;
   }
 
+  /** Returns whether the document and the upstreams are known. */
+  boolean isInformed() {
+    return table.isPresent() && listed;
+  }
+
+  /** Returns the requests that wait until {@link #isInformed}. */
+  StartHold startHold() {
+    return startHold;
+  }
+
+  /** Returns how many requests wait until the document and the upstreams are known. */
+  public int heldRequests() {
+    return startHold.size();
+  }
+
   /** Returns whether requests can be served. */
   public boolean isReady() {
-    return table.isPresent() && listed && !leaving;
+    return isInformed() && !leaving;
   }
 
   /** Returns whether the router is about to stop, so that callers should go elsewhere. */
@@ -148,9 +173,9 @@
     return closed;
   }
 
-  /** Returns how many requests are in progress. */
+  /** Returns how many requests are in progress, held ones included. */
   public int inProgress() {
-    return active.size();
+    return active.size() + startHold.size();
   }
 
   /** Returns the number of the document in force, -1 for none. */
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardIntake.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardIntake.java
@@ -23,8 +23,11 @@
 public final class ForwardIntake implements RequestIntake {
   private static final Logger log = LogManager.getLogger();
 
-  /** When a caller should come back to a router that is not ready yet, in seconds. */
-  private static final double NOT_READY_SECONDS = 0.3;
+  /**
+   * When a caller should come back to a router that is not ready yet, in seconds: control VMs that
+   * lost their leader have another one after that.
+   */
+  private static final double NOT_READY_SECONDS = 0.8;
 
   private static final RequestId UNNAMED = new RequestId("unnamed");
 
@@ -42,12 +45,55 @@
 
   @Override
   public Either<Failure, AdmittedHead> admit(RequestId id, CallerHead head) {
-    if (core.table().isEmpty()) {
-      return Either.left(Failure.of(ResultCode.NOT_READY, "no document is in force yet"));
-    }
     if (core.refusesNew()) {
       return Either.left(Failure.of(ResultCode.SHUTTING_DOWN));
     }
+    long arrived = System.nanoTime();
+    if (!core.isInformed() && core.startHold().isOpen(arrived)) {
+      OptionalLong waitMillis = core.protocol().request(head).waitMillis();
+      return Either.right(
+          (body, caller) ->
+              core.startHold()
+                  .add(
+                      new StartHold.Held(head, body, caller, arrived),
+                      waitMillis,
+                      held -> goOn(id, held),
+                      held -> refuse(id, head, notReady(), caller)));
+    }
+    return request(head)
+        .map(
+            named ->
+                (body, caller) ->
+                    new ForwardRun(core, named.with(head, body, arrived), caller).start());
+  }
+
+  private void goOn(RequestId id, StartHold.Held held) {
+    request(held.head())
+        .peek(
+            named ->
+                new ForwardRun(
+                        core,
+                        named.with(held.head(), held.body(), held.arrivedNanos()),
+                        held.caller())
+                    .start())
+        .peekLeft(failure -> refuse(id, held.head(), failure, held.caller()));
+  }
+
+  private static Failure notReady() {
+    return Failure.of(ResultCode.NOT_READY, "no document is in force yet");
+  }
+
+  /** What the document in force says of a request. */
+  private record Named(RequestFacts facts, RouteRule route, Optional<KeyHolder> holder) {
+    ForwardRequest with(CallerHead head, byte[] body, long arrivedNanos) {
+      return new ForwardRequest(head, facts, route, holder, body, arrivedNanos);
+    }
+  }
+
+  private Either<Failure, Named> request(CallerHead head) {
+    if (core.table().isEmpty()) {
+      return Either.left(notReady());
+    }
     RouteTable table = core.table().get();
     RequestFacts facts = core.protocol().request(head);
     if (facts.attemptId().isEmpty()) {
@@ -67,15 +113,7 @@
         return Either.left(Failure.of(ResultCode.KEY_UNKNOWN));
       }
     }
-    Optional<KeyHolder> known = holder;
-    long arrived = System.nanoTime();
-    return Either.right(
-        (body, caller) ->
-            new ForwardRun(
-                    core,
-                    new ForwardRequest(head, facts, route.get(), known, body, arrived),
-                    caller)
-                .start());
+    return Either.right(new Named(facts, route.get(), holder));
   }
 
   @Override
