--- a/control/src/main/java/io/jacinthquay/control/service/RouterRegistry.java
+++ b/control/src/main/java/io/jacinthquay/control/service/RouterRegistry.java
@@ -87,12 +87,19 @@
     return sums;
   }
 
-  /** Returns the latest demand reports of all routers, by router and incarnation. */
+  /**
+   * Returns the latest demand reports by router and incarnation. Routers that are silent are left
+   * out: what they were asked for meanwhile is no demand of the moment at which they return.
+   */
   public synchronized Map<String, List<PoolDemandMessage>> demand() {
+    long now = clock.getAsLong();
     Map<String, List<PoolDemandMessage>> all = new HashMap<>();
     routers.forEach(
-        (name, heard) ->
-            all.put(name + "/" + heard.report().getIncarnation(), heard.report().getDemand()));
+        (name, heard) -> {
+          if (now - heard.atNanos() <= LOAD_NANOS) {
+            all.put(name + "/" + heard.report().getIncarnation(), heard.report().getDemand());
+          }
+        });
     return all;
   }
 }
--- a/control/src/test/java/io/jacinthquay/control/service/RouterRegistryTest.java
+++ b/control/src/test/java/io/jacinthquay/control/service/RouterRegistryTest.java
@@ -5,6 +5,7 @@
 
 import io.jacinthquay.decision.dispatch.LoadFigures;
 import io.jacinthquay.wire.gen.CustomerCountMessage;
+import io.jacinthquay.wire.gen.PoolDemandMessage;
 import io.jacinthquay.wire.gen.PrefixReadMessage;
 import io.jacinthquay.wire.gen.RouterReportMessage;
 import io.jacinthquay.wire.gen.UpstreamLoadMessage;
@@ -51,6 +52,29 @@
     assertEquals(1, registry.count());
   }
 
+  /** A cut failure domain returns: what its routers were asked for meanwhile is no burst. */
+  @Test
+  void takeNoReturnOfARouterForABurst() {
+    DemandRates rates = new DemandRates();
+    for (int half = 0; half <= 40; half++) {
+      clock.set(half * SECOND / 2);
+      long asked = 1_000L * half;
+      registry.heard(demand("a", asked));
+      if (half < 10 || half > 20) {
+        registry.heard(demand("b", asked));
+      }
+      rates.read("p", registry.demand(), clock.get());
+      double rate = rates.load(0, 0).promptRate();
+      assertTrue(rate <= 4_000, rate + " tokens a second at half second " + half);
+    }
+  }
+
+  private static RouterReportMessage demand(String router, long promptTokens) {
+    RouterReportMessage report = report(router, 1, 1);
+    report.setDemand(List.of(new PoolDemandMessage("p", 1, promptTokens, 1, 0, 0, 0)));
+    return report;
+  }
+
   /** Counts are cumulative within one run of a router and add up over its runs. */
   @Test
   void countEachRunOnce() {
--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/SteadyShare.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/SteadyShare.java
@@ -15,7 +15,7 @@
  * prompts go there only when the others are full. Not thread-safe.
  */
 final class SteadyShare {
-  /** Fragility that one kept engine takes: chats at a pause target of 0.1 s. */
+  /** Fragility that one kept engine takes: eight chats at a target of 0.12 s. */
   private static final double FRAGILITY_PER_ENGINE = 7;
 
   /** Pools with fewer engines keep none, since the others would be too few. */
--- a/decision/src/main/java/io/jacinthquay/decision/scaling/FleetPlanner.java
+++ b/decision/src/main/java/io/jacinthquay/decision/scaling/FleetPlanner.java
@@ -61,6 +61,7 @@
   private boolean loaded;
   private int listedBefore = -1;
   private long listedSince;
+  private long startedAt;
 
   /** Returns a planner for a pool. */
   public FleetPlanner(ScalingSpec spec) {
@@ -100,9 +101,10 @@
     }
     if (!loaded || ordered.isEmpty()) {
       // The load is not known yet: what was there before any order is taken to be needed.
-      int regular =
-          domains.stream().mapToInt(d -> present.getOrDefault(new Sort(d, false), 0)).sum();
-      need = Math.max(need, regular / RESERVE);
+      int serving = present.values().stream().mapToInt(n -> n).sum();
+      boolean planned = present.keySet().stream().anyMatch(Sort::cheap);
+      need = Math.max(need, (planned ? serving - domains.size() : serving) / RESERVE);
+      startedAt = now;
     }
     observe(load);
     int total =
@@ -187,7 +189,8 @@
           boolean stale =
               last != null && has != last.count() && now - last.atNanos() > REPEAT_NANOS;
           boolean shrinks = count < standing;
-          boolean soon = last != null && now - last.atNanos() < SHRINK_NANOS;
+          long since = last == null ? startedAt : last.atNanos();
+          boolean soon = now - since < SHRINK_NANOS;
           boolean keep = shrinks && (sort.cheap() ? soon : cheapMissing(target, present, need));
           if (isRefused(sort, now) || keep) {
             return;
--- a/decision/src/test/java/io/jacinthquay/decision/scaling/FleetPlannerTest.java
+++ b/decision/src/test/java/io/jacinthquay/decision/scaling/FleetPlannerTest.java
@@ -114,6 +114,19 @@
     assertEquals(Math.ceil(planner.need()), total());
   }
 
+  /** Another VM comes to lead: it knows no load yet, and what serves is not stopped for that. */
+  @Test
+  void stopNothingAtATakeOver() {
+    regular.put(A, 1);
+    regular.put(B, 1);
+    cheap.put(A, 6);
+    cheap.put(B, 6);
+    for (int i = 0; i < 5; i++) {
+      step(CALM, i * SECOND);
+      assertTrue(total() >= 14, "stopped " + (14 - total()) + " after " + i + " s");
+    }
+  }
+
   /** Cheap ones are to be had no more, but those that serve go on serving. */
   @Test
   void countCheapOnesThatServeWhereNoMoreAreToBeHad() {
--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/ControlLink.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/ControlLink.java
@@ -40,6 +40,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.apache.thrift.TException;
@@ -56,8 +57,14 @@
   /** Name of the service within the one port of a control VM. */
   private static final String SERVICE = "control";
 
-  /** Time between two exchanges; well below the seconds in which a change must be in force. */
-  private static final long EXCHANGE_MILLIS = 120;
+  /**
+   * Shortest time between two exchanges: what others sent within it is not known, and a long prompt
+   * takes an engine six times as long to read.
+   */
+  private static final long EXCHANGE_MILLIS = 50;
+
+  /** Time between two exchanges for each router, so that the leader bears 600 a second. */
+  private static final double MILLIS_PER_ROUTER = 1.6;
 
   /** Pause after an exchange that found no leader. */
   private static final long SEARCH_MILLIS = 60;
@@ -81,6 +88,7 @@
   private Channel channel;
   private long closedIndex = -1;
   private long listNumber = -1;
+  private int routers = 1;
   private long readsSeen;
   private long readsTerm = -1;
   private String listSource = "";
@@ -125,7 +133,7 @@
     while (running) {
       try {
         boolean led = exchange();
-        TimeUnit.MILLISECONDS.sleep(led ? EXCHANGE_MILLIS : SEARCH_MILLIS);
+        TimeUnit.MILLISECONDS.sleep(led ? exchangeMillis() : SEARCH_MILLIS);
       } catch (InterruptedException e) {
         break;
       } catch (RuntimeException e) {
@@ -136,6 +144,10 @@
     disconnect();
   }
 
+  private long exchangeMillis() {
+    return Math.max(EXCHANGE_MILLIS, (long) (routers * MILLIS_PER_ROUTER));
+  }
+
   private boolean exchange() throws InterruptedException {
     if (target == null) {
       target = next("");
@@ -182,7 +194,7 @@
   }
 
   /** Runs a task on the I/O thread and waits for its result. */
-  private <T> T onThread(java.util.function.Supplier<T> task) throws InterruptedException {
+  private <T> T onThread(Supplier<T> task) throws InterruptedException {
     CompletableFuture<T> result = new CompletableFuture<>();
     core.thread()
         .execute(
@@ -302,8 +314,9 @@
     readsTerm = view.getReadsTerm();
     List<PrefixRead> reads = view.getReads().stream().map(ControlLink::read).toList();
     core.thread().execute(() -> core.readElsewhere(reads));
-    int routers = view.getRouters();
-    core.thread().execute(() -> core.peers(routers, others));
+    int count = view.getRouters();
+    routers = count;
+    core.thread().execute(() -> core.peers(count, others));
   }
 
   private static Listing listing(ListedUpstreamMessage message) {
