Promote no learner that a quorum would hang on while a voter is lost

Now the lost voter goes first: while a voter doesn't answer, a learner is promoted only where the active voters alone make the larger quorum. The platform's control VMs are not concerned: they replace a silent voter by removing it first.

--- a/consensus/src/main/java/io/jacinthquay/consensus/raft/Reconfiguration.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/raft/Reconfiguration.java
@@ -59,6 +59,9 @@
     if (change instanceof Promote && !leadership.isCaughtUp(replica)) {
       return Optional.of(replica + " has not caught up");
     }
+    if (change instanceof Promote && !bearsItsLoss(membership, replica)) {
+      return Optional.of("a voter is lost, and a quorum would hang on " + replica);
+    }
     return quorumObjection(membership, membership.with(change));
   }
 
@@ -83,12 +86,12 @@
     for (ReplicaId learner : membership.learners()) {
       Optional<ReplicaId> old = voterOf(membership, learner.member());
       if (leadership.isCaughtUp(learner) && old.isEmpty()) {
-        if (hasPlace(membership)) {
+        if (hasPlace(membership) && bearsItsLoss(membership, learner)) {
           return Optional.of(new Promote(learner));
         }
         Optional<ReplicaId> silent =
             membership.voters().stream().filter(leadership::isSilent).findFirst();
-        if (silent.isPresent()) {
+        if (silent.isPresent() && state.options.targetVoters() > 0) {
           return Optional.of(new Remove(silent.get()));
         }
       }
@@ -112,6 +115,16 @@
     return Optional.empty();
   }
 
+  /**
+   * Tells whether a learner may be promoted although it can be lost in the same moment. While a
+   * voter is lost, it must not be what the larger quorum hangs on; the lost voter goes first.
+   */
+  private boolean bearsItsLoss(Membership membership, ReplicaId learner) {
+    long active = membership.voters().stream().filter(leadership::isActive).count();
+    boolean whole = active == membership.voters().size();
+    return whole || active >= membership.with(new Promote(learner)).quorum();
+  }
+
   private boolean hasPlace(Membership membership) {
     int target = state.options.targetVoters();
     return target == 0 || membership.voters().size() < target;
