--- a/bench/src/main/java/io/jacinthquay/bench/experiment/RouterNode.java
+++ b/bench/src/main/java/io/jacinthquay/bench/experiment/RouterNode.java
@@ -65,7 +65,7 @@
 
   /** Takes a request from its caller. */
   final void submit(SimRequest request) {
-    budget.requested(world.now());
+    budget.requested();
     if (!request.classPolicy.mustFinish()) {
       long patience = PATIENCE_FACTOR * request.firstTokenTargetNanos();
       world.events.after(Math.max(PATIENCE_NANOS, patience), () -> loseCaller(request));
--- a/control/src/main/java/io/jacinthquay/control/adapter/ControlHandler.java
+++ b/control/src/main/java/io/jacinthquay/control/adapter/ControlHandler.java
@@ -9,7 +9,7 @@
 import io.jacinthquay.control.service.UpstreamFeed;
 import io.jacinthquay.control.state.ControlTables;
 import io.jacinthquay.decision.dispatch.Listing;
-import io.jacinthquay.runtime.settings.SocketAddresses;
+import io.jacinthquay.wire.convert.UpstreamMessages;
 import io.jacinthquay.wire.gen.Control;
 import io.jacinthquay.wire.gen.ControlViewMessage;
 import io.jacinthquay.wire.gen.ListedUpstreamMessage;
@@ -86,15 +86,7 @@
     List<UpstreamLoadMessage> loads = new ArrayList<>();
     routers
         .loadsBeside(report.getRouter())
-        .forEach(
-            (upstream, load) ->
-                loads.add(
-                    new UpstreamLoadMessage(
-                        upstream,
-                        load.inFlight(),
-                        load.promptTokens(),
-                        load.memoryTokens(),
-                        load.fragility())));
+        .forEach((upstream, load) -> loads.add(UpstreamMessages.toMessage(upstream, load)));
     view.setOtherLoads(loads);
   }
 
@@ -102,16 +94,7 @@
     long age = (System.nanoTime() - reading.readNanos()) / NANOS_PER_MILLI;
     List<ListedUpstreamMessage> list = new ArrayList<>();
     for (Listing listing : reading.listings()) {
-      list.add(
-          new ListedUpstreamMessage(
-              listing.upstream().value(),
-              listing.pool().value(),
-              listing.domain().value(),
-              SocketAddresses.format(listing.address()),
-              listing.draining(),
-              listing.cheap(),
-              listing.slots(),
-              Math.max(0, listing.coldMillis() - age)));
+      list.add(UpstreamMessages.toMessage(listing, age));
     }
     return new ListedUpstreamsMessage(list);
   }
--- a/control/src/main/java/io/jacinthquay/control/service/RouterRegistry.java
+++ b/control/src/main/java/io/jacinthquay/control/service/RouterRegistry.java
@@ -1,6 +1,7 @@
 package io.jacinthquay.control.service;
 
 import io.jacinthquay.decision.dispatch.LoadFigures;
+import io.jacinthquay.wire.convert.UpstreamMessages;
 import io.jacinthquay.wire.gen.CustomerCountMessage;
 import io.jacinthquay.wire.gen.PoolDemandMessage;
 import io.jacinthquay.wire.gen.RouterReportMessage;
@@ -63,13 +64,7 @@
         (name, heard) -> {
           if (!name.equals(router) && now - heard.atNanos() <= LOAD_NANOS) {
             for (UpstreamLoadMessage load : heard.report().getLoads()) {
-              LoadFigures figures =
-                  new LoadFigures(
-                      load.getInFlight(),
-                      load.getPromptTokens(),
-                      load.getMemoryTokens(),
-                      load.getFragility());
-              sum.merge(load.getUpstream(), figures, LoadFigures::plus);
+              sum.merge(load.getUpstream(), UpstreamMessages.load(load), LoadFigures::plus);
             }
           }
         });
--- /dev/null
+++ b/decision/src/main/java/io/jacinthquay/decision/count/package-info.java
@@ -0,0 +1,2 @@
+/** Counts over spans of time that several decisions share. */
+package io.jacinthquay.decision.count;
--- a/decision/src/main/java/io/jacinthquay/decision/retry/RetryBudget.java
+++ b/decision/src/main/java/io/jacinthquay/decision/retry/RetryBudget.java
@@ -1,10 +1,12 @@
 package io.jacinthquay.decision.retry;
 
+import io.jacinthquay.decision.count.SpanCounter;
+
 /**
  * Limits retries to a share of recent work, so that retries do not feed an outage.
  *
  * <pre>{@code
- * budget.requested(now);           // each first attempt
+ * budget.requested();              // each first attempt
  * budget.succeeded(now);           // each whole answer
  * if (budget.tryTake(now)) { ... } // each retry
  * }</pre>
@@ -26,58 +28,27 @@
   private static final int CELLS = 10;
   private static final long CELL_NANOS = WINDOW_NANOS / CELLS;
 
-  private final int[] successes = new int[CELLS];
-  private final int[] retries = new int[CELLS];
-  private long currentCell;
-  private boolean started;
+  private final SpanCounter successes = new SpanCounter(CELLS, CELL_NANOS);
+  private final SpanCounter retries = new SpanCounter(CELLS, CELL_NANOS);
   private double earned = 1;
 
   /** Records a first attempt. */
-  public void requested(long nowNanos) {
-    advance(nowNanos);
+  public void requested() {
     earned = Math.min(BURST, earned + SHARE);
   }
 
   /** Records a whole answer. */
   public void succeeded(long nowNanos) {
-    advance(nowNanos);
-    successes[cell()]++;
+    successes.add(nowNanos);
   }
 
   /** Takes one retry if the budget holds it. */
   public boolean tryTake(long nowNanos) {
-    advance(nowNanos);
-    if (earned < 1 || sum(retries) + 1 > SHARE * sum(successes) + 1) {
+    if (earned < 1 || retries.sum(nowNanos) + 1 > SHARE * successes.sum(nowNanos) + 1) {
       return false;
     }
     earned -= 1;
-    retries[cell()]++;
+    retries.add(nowNanos);
     return true;
   }
-
-  private int cell() {
-    return (int) Math.floorMod(currentCell, (long) CELLS);
-  }
-
-  private void advance(long nowNanos) {
-    long target = Math.floorDiv(nowNanos, CELL_NANOS);
-    if (!started) {
-      started = true;
-      currentCell = target;
-    }
-    long steps = Math.min(CELLS, target - currentCell);
-    for (long step = 0; step < steps; step++) {
-      currentCell = target - steps + step + 1;
-      successes[cell()] = 0;
-      retries[cell()] = 0;
-    }
-  }
-
-  private static int sum(int[] cells) {
-    int sum = 0;
-    for (int cell : cells) {
-      sum += cell;
-    }
-    return sum;
-  }
 }
--- a/decision/src/main/java/io/jacinthquay/decision/retry/SharedRetryBudget.java
+++ b/decision/src/main/java/io/jacinthquay/decision/retry/SharedRetryBudget.java
@@ -1,5 +1,7 @@
 package io.jacinthquay.decision.retry;
 
+import io.jacinthquay.decision.count.SpanCounter;
+
 /**
  * One router's share of a retry budget that all routers keep together.
  *
@@ -15,10 +17,8 @@
 
   private final double ratio;
   private final double extra;
-  private final long cellNanos;
-  private final int[] firsts = new int[CELLS];
-  private final int[] repeats = new int[CELLS];
-  private long currentCell = Long.MIN_VALUE;
+  private final SpanCounter firsts;
+  private final SpanCounter repeats;
 
   /**
    * Returns a budget.
@@ -33,13 +33,13 @@
     }
     this.ratio = ratio;
     this.extra = extra;
-    this.cellNanos = windowNanos / CELLS;
+    this.firsts = new SpanCounter(CELLS, windowNanos / CELLS);
+    this.repeats = new SpanCounter(CELLS, windowNanos / CELLS);
   }
 
   /** Records the first send of a request. */
   public void sent(long now) {
-    advance(now);
-    firsts[cell()]++;
+    firsts.add(now);
   }
 
   /**
@@ -48,36 +48,11 @@
    * @param routers routers that share the extra, 1 or more
    */
   public boolean tryTake(int routers, long now) {
-    advance(now);
-    if (sum(repeats) + 1 > USED_SHARE * (ratio * sum(firsts) + extra / Math.max(1, routers))) {
+    double budget = ratio * firsts.sum(now) + extra / Math.max(1, routers);
+    if (repeats.sum(now) + 1 > USED_SHARE * budget) {
       return false;
     }
-    repeats[cell()]++;
+    repeats.add(now);
     return true;
   }
-
-  private int cell() {
-    return (int) Math.floorMod(currentCell, (long) CELLS);
-  }
-
-  private void advance(long now) {
-    long target = Math.floorDiv(now, cellNanos);
-    if (currentCell == Long.MIN_VALUE) {
-      currentCell = target;
-    }
-    long steps = Math.min(CELLS, target - currentCell);
-    for (long step = steps - 1; step >= 0; step--) {
-      currentCell = target - step;
-      firsts[cell()] = 0;
-      repeats[cell()] = 0;
-    }
-  }
-
-  private static int sum(int[] cells) {
-    int sum = 0;
-    for (int cell : cells) {
-      sum += cell;
-    }
-    return sum;
-  }
 }
--- a/decision/src/test/java/io/jacinthquay/decision/retry/RetryProperties.java
+++ b/decision/src/test/java/io/jacinthquay/decision/retry/RetryProperties.java
@@ -106,7 +106,7 @@
     for (int i = 0; i < rate * (healthySeconds + outageSeconds); i++) {
       long now = i * SECOND / rate;
       boolean outage = i >= rate * healthySeconds;
-      budget.requested(now);
+      budget.requested();
       boolean fails = outage || random.nextDouble() < failing;
       if (!fails) {
         budget.succeeded(now);
--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/ControlLink.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/ControlLink.java
@@ -14,10 +14,10 @@
 import io.jacinthquay.router.service.forward.PrefixRead;
 import io.jacinthquay.runtime.Service;
 import io.jacinthquay.runtime.settings.SocketAddresses;
+import io.jacinthquay.wire.convert.UpstreamMessages;
 import io.jacinthquay.wire.gen.Control;
 import io.jacinthquay.wire.gen.ControlViewMessage;
 import io.jacinthquay.wire.gen.CustomerCountMessage;
-import io.jacinthquay.wire.gen.ListedUpstreamMessage;
 import io.jacinthquay.wire.gen.PoolDemandMessage;
 import io.jacinthquay.wire.gen.PrefixReadMessage;
 import io.jacinthquay.wire.gen.RouterReportMessage;
@@ -63,8 +63,14 @@
    */
   private static final long EXCHANGE_MILLIS = 50;
 
-  /** Time between two exchanges for each router, so that the leader bears 600 a second. */
-  private static final double MILLIS_PER_ROUTER = 1.6;
+  /** Time between two exchanges for each router, so that the leader bears 300 a second. */
+  private static final double MILLIS_PER_ROUTER = 3.2;
+
+  /**
+   * Time between two reports of the requests that began: a router that is killed loses this much of
+   * a window of seconds, and the counts are half of the bytes of a report.
+   */
+  private static final long COUNTS_NANOS = 400_000_000L;
 
   /** Pause after an exchange that found no leader. */
   private static final long SEARCH_MILLIS = 60;
@@ -89,6 +95,8 @@
   private long closedIndex = -1;
   private long listNumber = -1;
   private int routers = 1;
+  private boolean countsSent;
+  private long countsSentAt;
   private long readsSeen;
   private long readsTerm = -1;
   private String listSource = "";
@@ -224,19 +232,26 @@
     message.setWallMillis(System.currentTimeMillis());
     message.setLeaving(core.isLeaving());
     List<UpstreamLoadMessage> loads = new ArrayList<>();
-    report
-        .loads()
-        .forEach(
-            (id, load) ->
-                loads.add(
-                    new UpstreamLoadMessage(
-                        id.value(),
-                        load.inFlight(),
-                        load.promptTokens(),
-                        load.memoryTokens(),
-                        load.fragility())));
+    report.loads().forEach((id, load) -> loads.add(UpstreamMessages.toMessage(id.value(), load)));
     message.setLoads(loads);
+    message.setCounts(counts(report));
+    List<PoolDemandMessage> demand = new ArrayList<>();
+    report.demand().forEach((pool, d) -> demand.add(toMessage(pool, d)));
+    message.setDemand(demand);
+    message.setReads(new ArrayList<>(report.reads().stream().map(ControlLink::toMessage).toList()));
+    message.setReadsSeen(readsSeen);
+    message.setReadsTerm(readsTerm);
+    return message;
+  }
+
+  private List<CustomerCountMessage> counts(ForwardReport report) {
     List<CustomerCountMessage> counts = new ArrayList<>();
+    long now = System.nanoTime();
+    if (countsSent && !core.isLeaving() && now - countsSentAt < COUNTS_NANOS) {
+      return counts;
+    }
+    countsSent = true;
+    countsSentAt = now;
     report
         .counts()
         .forEach(
@@ -244,14 +259,7 @@
                 customers.forEach(
                     (customer, count) ->
                         counts.add(new CustomerCountMessage(window, customer.value(), count))));
-    message.setCounts(counts);
-    List<PoolDemandMessage> demand = new ArrayList<>();
-    report.demand().forEach((pool, d) -> demand.add(toMessage(pool, d)));
-    message.setDemand(demand);
-    message.setReads(new ArrayList<>(report.reads().stream().map(ControlLink::toMessage).toList()));
-    message.setReadsSeen(readsSeen);
-    message.setReadsTerm(readsTerm);
-    return message;
+    return counts;
   }
 
   private static PrefixReadMessage toMessage(PrefixRead read) {
@@ -297,18 +305,12 @@
       listNumber = view.getListNumber();
       listSource = target;
       List<Listing> listings =
-          view.getUpstreams().getUpstreams().stream().map(ControlLink::listing).toList();
+          view.getUpstreams().getUpstreams().stream().map(UpstreamMessages::listing).toList();
       core.thread().execute(() -> core.listed(listings));
     }
     Map<UpstreamId, LoadFigures> others = new HashMap<>();
     for (UpstreamLoadMessage load : view.getOtherLoads()) {
-      others.put(
-          new UpstreamId(load.getUpstream()),
-          new LoadFigures(
-              load.getInFlight(),
-              load.getPromptTokens(),
-              load.getMemoryTokens(),
-              load.getFragility()));
+      others.put(new UpstreamId(load.getUpstream()), UpstreamMessages.load(load));
     }
     readsSeen = view.getReadsNumber();
     readsTerm = view.getReadsTerm();
@@ -318,16 +320,4 @@
     routers = count;
     core.thread().execute(() -> core.peers(count, others));
   }
-
-  private static Listing listing(ListedUpstreamMessage message) {
-    return new Listing(
-        new UpstreamId(message.getUpstream()),
-        new PoolName(message.getPool()),
-        new DomainId(message.getDomain()),
-        SocketAddresses.parse(message.getAddress()),
-        message.isDraining(),
-        message.isCheap(),
-        message.getSlots(),
-        message.getColdMillis());
-  }
 }
--- a/router/src/main/java/io/jacinthquay/router/service/dispatch/AdmissionDispatcher.java
+++ b/router/src/main/java/io/jacinthquay/router/service/dispatch/AdmissionDispatcher.java
@@ -172,7 +172,7 @@
       return List.of(() -> job.refused(Failure.of(ResultCode.NO_UPSTREAM), 0));
     }
     if (!request.answerStarted() && request.placement().excluded().isEmpty()) {
-      pool.get().budget.requested(now);
+      pool.get().budget.requested();
     }
     return shaper
         .shape(request, pool.get(), now)
