Cut windows of usage by the time of day that most VMs agree on

The leader takes the median of what routers tell, as distances from its monotonic clock, and tells it back. Identities of replicas go to control VMs only, which are the ones that ask for them.

--- a/control/src/main/java/io/jacinthquay/control/ControlService.java
+++ b/control/src/main/java/io/jacinthquay/control/ControlService.java
@@ -13,6 +13,7 @@
 import io.jacinthquay.control.service.RemovalWatch;
 import io.jacinthquay.control.service.RouterRegistry;
 import io.jacinthquay.control.service.ScalingDuty;
+import io.jacinthquay.control.service.SharedTime;
 import io.jacinthquay.control.service.UpstreamFeed;
 import io.jacinthquay.control.service.UsageDuty;
 import io.jacinthquay.control.state.ControlState;
@@ -87,6 +88,7 @@
   private final ControlStore store;
   private final Leadership leadership;
   private final RouterRegistry routers = new RouterRegistry(System::nanoTime);
+  private final SharedTime time = new SharedTime(System::nanoTime, System::currentTimeMillis);
   private final UpstreamFeed feed = new UpstreamFeed();
   private final Fleet fleet;
   private final UsageDuty usage;
@@ -120,7 +122,8 @@
     scaling = new ScalingDuty(store, routers, feed, fleet, decoder);
     TMultiplexedProcessor processor = new TMultiplexedProcessor();
     processor.registerProcessor(
-        ROUTERS, new Control.Processor<>(new ControlHandler(store, leadership, routers, feed)));
+        ROUTERS,
+        new Control.Processor<>(new ControlHandler(store, leadership, routers, time, feed)));
     processor.registerDefault(transport.openProcessor());
     server = new PlainServer(options.listen(), processor);
   }
@@ -262,7 +265,7 @@
         .fence()
         .ifPresent(
             fence -> {
-              usage.run(fence, System.currentTimeMillis());
+              usage.run(fence, time.millis());
               scaling.run(fence, System.nanoTime());
             });
   }
--- a/control/src/main/java/io/jacinthquay/control/adapter/ControlHandler.java
+++ b/control/src/main/java/io/jacinthquay/control/adapter/ControlHandler.java
@@ -6,6 +6,7 @@
 import io.jacinthquay.control.service.Leadership;
 import io.jacinthquay.control.service.PrefixReads;
 import io.jacinthquay.control.service.RouterRegistry;
+import io.jacinthquay.control.service.SharedTime;
 import io.jacinthquay.control.service.UpstreamFeed;
 import io.jacinthquay.control.state.ControlTables;
 import io.jacinthquay.decision.dispatch.Listing;
@@ -26,15 +27,21 @@
   private final ControlStore store;
   private final Leadership leadership;
   private final RouterRegistry routers;
+  private final SharedTime time;
   private final UpstreamFeed feed;
   private final PrefixReads reads = new PrefixReads();
 
   /** Returns a handler. */
   public ControlHandler(
-      ControlStore store, Leadership leadership, RouterRegistry routers, UpstreamFeed feed) {
+      ControlStore store,
+      Leadership leadership,
+      RouterRegistry routers,
+      SharedTime time,
+      UpstreamFeed feed) {
     this.store = store;
     this.leadership = leadership;
     this.routers = routers;
+    this.time = time;
     this.feed = feed;
   }
 
@@ -44,19 +51,23 @@
     Membership membership = store.status().membership();
     view.setMembers(
         new ArrayList<>(membership.replicas().stream().map(r -> r.member().value()).toList()));
+    boolean fromRouter = !report.getRouter().isEmpty();
     view.setReplicas(
-        new ArrayList<>(membership.replicas().stream().map(ReplicaId::toString).toList()));
+        fromRouter
+            ? List.of()
+            : new ArrayList<>(membership.replicas().stream().map(ReplicaId::toString).toList()));
     view.setLeader(store.leader().map(member -> member.value()).orElse(""));
     view.setOtherLoads(new ArrayList<>());
     view.setReads(new ArrayList<>());
-    view.setWallMillis(System.currentTimeMillis());
     view.setLeads(leadership.isConfirmed());
     if (view.isLeads()) {
-      if (!report.getRouter().isEmpty()) {
+      if (fromRouter) {
         routers.heard(report);
+        time.heard(report.getRouter(), report.getWallMillis());
       }
       fill(view, report);
     }
+    view.setWallMillis(time.millis());
     return view;
   }
 
--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/ControlLink.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/ControlLink.java
@@ -295,6 +295,7 @@
           .peek(document -> core.thread().execute(() -> core.apply(new RouteTable(document))))
           .peekLeft(failure -> log.error("a stored document can't be read: {}", failure.detail()));
     }
+    core.timeOfDay(view.getWallMillis());
     if (view.isSetClosedDomains() && view.getClosedIndex() > closedIndex) {
       closedIndex = view.getClosedIndex();
       Set<DomainId> closed = new HashSet<>();
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
@@ -41,6 +41,10 @@
   /** Most shared beginnings between two reports. */
   private static final int MOST_NOTED = 256;
 
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+
+  private record ToldTime(long wallMillis, long atNanos) {}
+
   private final ForwardOptions options;
   private final ForwardProtocol protocol;
   private final UpstreamClient client;
@@ -56,6 +60,7 @@
   private final StartHold startHold = new StartHold(System.nanoTime());
   private List<Listing> listings = List.of();
   private volatile Optional<RouteTable> table = Optional.empty();
+  private volatile Optional<ToldTime> sharedTime = Optional.empty();
   private EventThread thread;
   private int routers = 1;
   private volatile boolean listed;
@@ -211,6 +216,22 @@
     }
   }
 
+  /**
+   * Takes in the time of day that all VMs share, as it was just told; any thread may call.
+   *
+   * @param wallMillis milliseconds since the epoch
+   */
+  public void timeOfDay(long wallMillis) {
+    sharedTime = Optional.of(new ToldTime(wallMillis, System.nanoTime()));
+  }
+
+  /** Returns the time of day that all VMs share, or this VM's own until one was told. */
+  long timeOfDay() {
+    return sharedTime
+        .map(told -> told.wallMillis() + (System.nanoTime() - told.atNanos()) / NANOS_PER_MILLI)
+        .orElseGet(System::currentTimeMillis);
+  }
+
   /** Returns what is counted. */
   public ForwardMetrics metrics() {
     return metrics;
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardRun.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardRun.java
@@ -217,7 +217,7 @@
   private void countUsage() {
     if (!usageCounted) {
       usageCounted = true;
-      request.customer().ifPresent(c -> core.usage().began(c, System.currentTimeMillis()));
+      request.customer().ifPresent(c -> core.usage().began(c, core.timeOfDay()));
     }
   }
 
