Keep off failure domains that can't be reached

Two unreachable upstreams of a domain with nothing heard of it now keep others off, with one trial a second. Test first: 36 and 72 requests ran into the cut within 4 s, at most 6 now.

--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamBoard.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamBoard.java
@@ -30,6 +30,9 @@
   /** What a chat weighs the reading of long prompts around it, in milliseconds. */
   private static final double STRAY_MILLIS = 40;
 
+  /** What an upstream of a domain that can't be reached weighs: more than any backlog elsewhere. */
+  private static final double CUT_MILLIS = 5_000;
+
   /** What a long prompt weighs the chats that it would make late, in milliseconds. */
   private static final double DISTURB_MILLIS = 250;
 
@@ -53,6 +56,7 @@
   private Map<PoolName, List<UpstreamState>> members = Map.of();
   private Set<DomainId> closed = Set.of();
   private final Map<PoolName, SteadyShare> shares = new HashMap<>();
+  private final DomainReach reach = new DomainReach();
   private int routers = 1;
 
   /**
@@ -206,12 +210,13 @@
   }
 
   private double condition(Work work, UpstreamState state, long now) {
+    double cut = reach.isCut(state.listing().domain(), now) ? CUT_MILLIS : 0;
     if (state.isCold(now)) {
       return state.coldShare().available(coldRate(work.pool()), now)
-          ? COLD_MILLIS
+          ? cut + COLD_MILLIS
           : PlacementRule.UNFIT;
     }
-    return state.health().isOnTrial() ? TRIAL_MILLIS : 0;
+    return state.health().isOnTrial() ? cut + TRIAL_MILLIS : cut;
   }
 
   /** Sends a second that this router may make to one cold upstream. */
@@ -268,6 +273,7 @@
       assert within : "a cold upstream was chosen beyond its share";
     }
     state.health().sent();
+    reach.sent(state.listing().domain(), now);
     int cached = state.prefixes().cachedTokens(work.parts());
     Beginning beginning =
         beginning(
@@ -306,6 +312,7 @@
   /** Records that something arrived from an upstream. */
   public void heard(UpstreamState state, long now) {
     state.heard(now);
+    reach.heard(state.listing().domain());
   }
 
   /** Returns whether an upstream answers nobody although it has had the time to. */
@@ -333,7 +340,10 @@
     state.add(new LoadFigures(-1, -unread, -work.memoryTokens(), -work.fragility()));
     switch (end) {
       case SUCCEEDED -> state.health().succeeded();
-      case UNREACHABLE -> state.health().failed(true, now);
+      case UNREACHABLE -> {
+        state.health().failed(true, now);
+        reach.unreachable(state.listing().domain(), state.listing().upstream(), now);
+      }
       case ENDED -> state.health().ended(now);
       case FAILED -> state.health().failed(false, now);
       default -> state.health().undecided();
--- a/decision/src/test/java/io/jacinthquay/decision/dispatch/UpstreamBoardTest.java
+++ b/decision/src/test/java/io/jacinthquay/decision/dispatch/UpstreamBoardTest.java
@@ -12,6 +12,7 @@
 
 import io.jacinthquay.model.UpstreamId;
 import io.jacinthquay.model.routing.EngineSpec;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -205,6 +206,42 @@
     assertTrue(board.choose(work, other, 900 * MILLI).isPresent());
   }
 
+  /** A failure domain is cut off while the router's own is busier: few requests run into it. */
+  @ParameterizedTest
+  @ValueSource(ints = {12, 24})
+  void keepOffADomainThatIsCutOff(int upstreams) {
+    List<Listing> all = new ArrayList<>();
+    for (int i = 0; i < upstreams; i++) {
+      all.add(Works.listing("near" + i, ENGINES, LOCAL, 0));
+      all.add(Works.listing("far" + i, ENGINES, REMOTE, 0));
+    }
+    board.listed(all, 0);
+    int wasted = 0;
+    for (int i = 0; i < 400; i++) {
+      long now = i * 10 * MILLI;
+      Work work = Works.prompt(1, 500, 1_000 + 10L * i, 100, 3_000);
+      Sending sending = send(work, now);
+      if (sending.upstream().listing().domain().equals(REMOTE)) {
+        wasted++;
+        board.ended(sending, false, SendEnd.UNREACHABLE, now + 250 * MILLI);
+      } else {
+        board.heard(sending.upstream(), now);
+        board.begun(sending, now);
+      }
+    }
+    assertTrue(wasted <= 2 + 4, wasted + " requests ran into the cut within 4 s");
+    UpstreamState far = board.states().stream().filter(UpstreamBoardTest::isFar).findAny().get();
+    long healed = 20_000 * MILLI;
+    board.heard(far, healed);
+    UpstreamState next =
+        board.choose(Works.prompt(1, 500, 90_000, 100, 3_000), Set.of(), healed).orElseThrow();
+    assertTrue(isFar(next), "the domain is used again once it was heard");
+  }
+
+  private static boolean isFar(UpstreamState state) {
+    return state.listing().domain().equals(REMOTE);
+  }
+
   /** Chats and long prompts at once: no engine reads a long prompt beside running chats. */
   @ParameterizedTest
   @ValueSource(ints = {6, 12, 40})
