Fetch no beginnings from closed or unreachable domains; list engines only when the share is looked at

An operator who empties a failure domain wants it left alone, and a transfer out of a domain that is cut off would wait for nothing.

--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/SteadyShare.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/SteadyShare.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Supplier;
 
 /**
  * The engines of a pool that are kept for streams which a pause makes late.
@@ -49,13 +50,18 @@
     looked = false;
   }
 
-  /** Looks at the size again, if that is due. */
-  void look(List<UpstreamState> usable, long now) {
+  /**
+   * Looks at the size again, if that is due.
+   *
+   * @param engines the engines that may be used now; asked for only where a look is due
+   */
+  void look(Supplier<List<UpstreamState>> engines, long now) {
     if (looked && now - lookedAt < LOOK_NANOS) {
       return;
     }
     looked = true;
     lookedAt = now;
+    List<UpstreamState> usable = engines.get();
     double fragility = usable.stream().mapToDouble(state -> state.load().fragility()).sum();
     int wanted = 1 + (int) Math.floor(fragility / FRAGILITY_PER_ENGINE);
     if (wanted >= size) {
--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamBoard.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamBoard.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -96,7 +97,7 @@
   /** Takes in a new list; upstreams that it no longer names get nothing more. */
   public void listed(Collection<Listing> listings, long now) {
     Map<PoolName, List<UpstreamState>> next = new HashMap<>();
-    Set<UpstreamId> named = new java.util.HashSet<>();
+    Set<UpstreamId> named = new HashSet<>();
     for (Listing listing : listings) {
       PoolSpec pool = pools.get(listing.pool());
       if (pool == null) {
@@ -187,9 +188,15 @@
     return state.health().isOpen(now) && !isSilent(state, now);
   }
 
+  /** Returns whether others may get a beginning from an upstream; one that drains still may. */
+  private boolean mayHandOver(UpstreamState state, long now) {
+    DomainId domain = state.listing().domain();
+    return isAnswering(state, now) && !closed.contains(domain) && !reach.isCut(domain, now);
+  }
+
   private Optional<SteadyShare> steady(PoolName pool, List<UpstreamState> candidates, long now) {
     Optional<SteadyShare> share = Optional.ofNullable(shares.get(pool));
-    share.ifPresent(s -> s.look(candidates.stream().filter(this::isUsable).toList(), now));
+    share.ifPresent(s -> s.look(() -> candidates.stream().filter(this::isUsable).toList(), now));
     return share;
   }
 
@@ -202,7 +209,7 @@
     Beginning beginning = new Beginning(home(work, candidates, steady), rate, now);
     for (UpstreamState state : candidates) {
       int read = rate > 0 ? state.prefixes().readTokens(work.sharedParts(), now) : 0;
-      if (read > 0 && isAnswering(state, now)) {
+      if (read > 0 && mayHandOver(state, now)) {
         beginning.heldBy(state, read);
       }
     }
--- a/decision/src/test/java/io/jacinthquay/decision/dispatch/UpstreamBoardTest.java
+++ b/decision/src/test/java/io/jacinthquay/decision/dispatch/UpstreamBoardTest.java
@@ -110,6 +110,21 @@
     assertTrue(board.isSilent(second, 2_500 * MILLI));
   }
 
+  /** A failure domain is emptied: nothing is moved out of its engines either. */
+  @Test
+  void fetchNothingFromAClosedDomain() {
+    board.pools(Map.of(ENGINES, Works.engines(6, new EngineSpec(64, 500_000, 3, 87))));
+    board.listed(
+        List.of(Works.listing("near", ENGINES, LOCAL, 0), Works.listing("far", ENGINES, REMOTE, 0)),
+        0);
+    Work work = Works.prompt(2, 500, 99, 13_000, 1_000);
+    UpstreamState far = board.choose(work, avoid("near"), 0).orElseThrow();
+    board.begun(board.sent(far, work, 0), 400 * MILLI);
+    UpstreamState near = board.choose(work, avoid("far"), 400 * MILLI).orElseThrow();
+    board.closed(Set.of(REMOTE));
+    assertEquals(Optional.empty(), board.sent(near, work, 400 * MILLI).source());
+  }
+
   /** What an engine has only begun to read can't be handed over yet. */
   @Test
   void fetchOnlyWhatHasBeenRead() {
