Keep the shared retry budget over restarts, leaders that know few routers, and whole windows

Found by a jqwik model of routers that are cut, paused, thawed and killed, alone or all at once (SharedRetryBudgetProperties, 400 runs; allowed is what the users' rule counts): - a router that was killed began with a whole new share: 108 repeats of 98 allowed; - the ring of twenty cells looked at 9.5 to 10 s only: two bursts 9.95 s apart, 135 of 98; - a leader that has just taken over knows one router, and each router took the whole extra, and the whole share of a cold upstream, for it. In its first window a router spends a fifth; the ring has a cell beside the window; a lower count of routers is believed once it has stood for 6 s, and none in the first second (RouterCount).

--- a/decision/src/main/java/io/jacinthquay/decision/retry/SharedRetryBudget.java
+++ b/decision/src/main/java/io/jacinthquay/decision/retry/SharedRetryBudget.java
@@ -7,18 +7,31 @@
  *
  * <p>The budget of a pool in any window is a ratio of the first sends plus a fixed extra. Each
  * router spends at most the ratio of its own first sends of the last half window plus an equal part
- * of the extra, so that the sum holds in every window without talking to each other.
+ * of the extra, so that the sum holds in every window without talking to each other, also over
+ * restarts.
  */
 public final class SharedRetryBudget {
-  private static final int CELLS = 20;
+  private static final int CELLS_OF_WINDOW = 20;
+
+  /** The cell that is being filled comes beside, so that a whole window is always looked at. */
+  private static final int CELLS = CELLS_OF_WINDOW + 1;
 
   /** Share of the budget that is used, so that windows that meet cells at their edges hold it. */
   private static final double USED_SHARE = 0.7;
 
+  /**
+   * Share of the budget in the first window of a router: the run before it may have spent its own a
+   * moment ago.
+   */
+  private static final double START_SHARE = 0.2;
+
   private final double ratio;
   private final double extra;
   private final SpanCounter firsts;
   private final SpanCounter repeats;
+  private final long windowNanos;
+  private long startedAt;
+  private boolean started;
 
   /**
    * Returns a budget.
@@ -33,12 +46,17 @@
     }
     this.ratio = ratio;
     this.extra = extra;
-    this.firsts = new SpanCounter(CELLS, windowNanos / CELLS);
-    this.repeats = new SpanCounter(CELLS, windowNanos / CELLS);
+    this.windowNanos = windowNanos;
+    this.firsts = new SpanCounter(CELLS, windowNanos / CELLS_OF_WINDOW);
+    this.repeats = new SpanCounter(CELLS, windowNanos / CELLS_OF_WINDOW);
   }
 
   /** Records the first send of a request. */
   public void sent(long now) {
+    if (!started) {
+      started = true;
+      startedAt = now;
+    }
     firsts.add(now);
   }
 
@@ -48,8 +66,9 @@
    * @param routers routers that share the extra, 1 or more
    */
   public boolean tryTake(int routers, long now) {
+    boolean fresh = !started || now - startedAt < windowNanos;
     double budget = ratio * firsts.sum(now) + extra / Math.max(1, routers);
-    if (repeats.sum(now) + 1 > USED_SHARE * budget) {
+    if (repeats.sum(now) + 1 > (fresh ? START_SHARE : USED_SHARE) * budget) {
       return false;
     }
     repeats.add(now);
--- /dev/null
+++ b/decision/src/test/java/io/jacinthquay/decision/retry/RouterCountTest.java
@@ -0,0 +1,42 @@
+package io.jacinthquay.decision.retry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+final class RouterCountTest {
+  private static final long SECOND = 1_000_000_000L;
+
+  private final RouterCount count = new RouterCount();
+
+  @Test
+  void beAloneUntilToldOtherwise() {
+    assertEquals(1, count.value(5 * SECOND));
+  }
+
+  /** All processes start: the leader hears of one router after the other. */
+  @Test
+  void shareNothingRightAfterTheStart() {
+    for (int i = 1; i <= 9; i++) {
+      count.told(i, i * SECOND / 20);
+      assertTrue(count.value(i * SECOND / 20) >= 1_000);
+    }
+    assertEquals(9, count.value(2 * SECOND));
+  }
+
+  /** Another VM comes to lead and has heard of few routers. */
+  @Test
+  void believeALowerCountOnlyOnceItHasStood() {
+    count.told(9, 0);
+    count.told(9, 4 * SECOND);
+    count.told(1, 5 * SECOND);
+    count.told(3, 5 * SECOND);
+    assertEquals(9, count.value(5 * SECOND));
+    count.told(9, 6 * SECOND);
+    count.told(5, 11 * SECOND);
+    assertEquals(9, count.value(11 * SECOND));
+    count.told(5, 13 * SECOND);
+    assertEquals(5, count.value(13 * SECOND));
+  }
+}
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
@@ -6,6 +6,7 @@
 import io.jacinthquay.decision.dispatch.UpstreamBoard;
 import io.jacinthquay.decision.dispatch.WaitingLine;
 import io.jacinthquay.decision.dispatch.Work;
+import io.jacinthquay.decision.retry.RouterCount;
 import io.jacinthquay.decision.retry.SharedRetryBudget;
 import io.jacinthquay.decision.routing.RouteTable;
 import io.jacinthquay.model.DomainId;
@@ -62,7 +63,7 @@
   private volatile Optional<RouteTable> table = Optional.empty();
   private volatile Optional<ToldTime> sharedTime = Optional.empty();
   private EventThread thread;
-  private int routers = 1;
+  private final RouterCount routers = new RouterCount();
   private volatile boolean listed;
   private boolean reviewing;
   private boolean watching;
@@ -128,8 +129,9 @@
 
   /** Takes in how many routers there are and what the others have under way. */
   public void peers(int count, Map<UpstreamId, LoadFigures> loads) {
-    routers = Math.max(1, count);
-    board.routers(routers);
+    long now = System.nanoTime();
+    routers.told(count, now);
+    board.routers(routers.value(now));
     board.others(loads);
   }
 
@@ -278,7 +280,7 @@
   }
 
   boolean mayRepeat(PoolName pool, long now) {
-    return budget(pool).tryTake(routers, now);
+    return budget(pool).tryTake(routers.value(now), now);
   }
 
   void started(ForwardRun run) {
