Go on at once with a held request whose body came after the document

Found in the read-through: a request whose head came before the document and whose body came after it was held until the list changed or 2.5 s had passed, then refused. Test first: ForwardingTest.goOnAtOnceWithABodyThatCameAfterTheDocument got 503.

--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardIntake.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardIntake.java
@@ -50,47 +50,49 @@
     }
     long arrived = System.nanoTime();
     if (!core.isInformed() && core.startHold().isOpen(arrived)) {
-      OptionalLong waitMillis = core.protocol().request(head).waitMillis();
       return Either.right(
-          (body, caller) ->
-              core.startHold()
-                  .add(
-                      new StartHold.Held(head, body, caller, arrived),
-                      waitMillis,
-                      held -> goOn(id, held),
-                      held -> refuse(id, head, notReady(), caller)));
+          (body, caller) -> hold(id, new StartHold.Held(head, body, caller, arrived)));
     }
-    return request(head)
+    return routed(head)
         .map(
-            named ->
+            routed ->
                 (body, caller) ->
-                    new ForwardRun(core, named.with(head, body, arrived), caller).start());
+                    new ForwardRun(core, routed.with(head, body, arrived), caller).start());
+  }
+
+  /** Holds a request whose body is there, unless all that it needs was learned meanwhile. */
+  private void hold(RequestId id, StartHold.Held held) {
+    if (core.isInformed()) {
+      goOn(id, held);
+      return;
+    }
+    core.startHold()
+        .add(
+            held,
+            core.protocol().request(held.head()).waitMillis(),
+            released -> goOn(id, released),
+            late -> refuse(id, late.head(), notReady(), late.caller()));
   }
 
   private void goOn(RequestId id, StartHold.Held held) {
-    request(held.head())
-        .peek(
-            named ->
-                new ForwardRun(
-                        core,
-                        named.with(held.head(), held.body(), held.arrivedNanos()),
-                        held.caller())
-                    .start())
+    routed(held.head())
+        .map(routed -> routed.with(held.head(), held.body(), held.arrivedNanos()))
+        .peek(request -> new ForwardRun(core, request, held.caller()).start())
         .peekLeft(failure -> refuse(id, held.head(), failure, held.caller()));
   }
 
   private static Failure notReady() {
-    return Failure.of(ResultCode.NOT_READY, "no document is in force yet");
+    return Failure.of(ResultCode.NOT_READY, "no document is in force yet, or no upstream is known");
   }
 
   /** What the document in force says of a request. */
-  private record Named(RequestFacts facts, RouteRule route, Optional<KeyHolder> holder) {
+  private record Routed(RequestFacts facts, RouteRule route, Optional<KeyHolder> holder) {
     ForwardRequest with(CallerHead head, byte[] body, long arrivedNanos) {
       return new ForwardRequest(head, facts, route, holder, body, arrivedNanos);
     }
   }
 
-  private Either<Failure, Named> request(CallerHead head) {
+  private Either<Failure, Routed> routed(CallerHead head) {
     if (core.table().isEmpty()) {
       return Either.left(notReady());
     }
@@ -113,7 +115,7 @@
         return Either.left(Failure.of(ResultCode.KEY_UNKNOWN));
       }
     }
-    return Either.right(new Named(facts, route.get(), holder));
+    return Either.right(new Routed(facts, route.get(), holder));
   }
 
   @Override
