--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/Beginning.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/Beginning.java
@@ -18,7 +18,7 @@
   /** Time to open a transfer between two engines, in milliseconds: the users' sheets name 6. */
   private static final double SETUP_MILLIS = 6;
 
-  /** How much longer a transfer takes between failure domains. */
+  /** How much longer a transfer takes between failure domains, as the users' pages say. */
   private static final double REMOTE_FACTOR = 2;
 
   private static final double NANOS_PER_MILLI = 1e6;
