--- a/router/src/main/java/io/jacinthquay/router/port/Caller.java
+++ b/router/src/main/java/io/jacinthquay/router/port/Caller.java
@@ -31,6 +31,20 @@
   /** Ends the answer. */
   void end();
 
+  /**
+   * Sends a whole answer.
+   *
+   * @param head its head
+   * @param body its body, which may be empty
+   */
+  default void answer(AnswerHead head, byte[] body) {
+    begin(head, OptionalLong.of(body.length));
+    if (body.length > 0) {
+      boolean unused = write(ByteBuffer.wrap(body));
+    }
+    end();
+  }
+
   /** Closes the connection, so that the caller sees that the answer is not whole. */
   void abort();
 }
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardIntake.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardIntake.java
@@ -7,7 +7,6 @@
 import io.jacinthquay.model.ResultCode;
 import io.jacinthquay.model.routing.KeyHolder;
 import io.jacinthquay.model.routing.RouteRule;
-import io.jacinthquay.router.port.AnswerHead;
 import io.jacinthquay.router.port.Caller;
 import io.jacinthquay.router.port.CallerHead;
 import io.jacinthquay.router.port.RequestFacts;
@@ -15,7 +14,6 @@
 import io.vavr.control.Either;
 import java.util.Optional;
 import java.util.OptionalDouble;
-import java.util.OptionalLong;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -133,12 +131,6 @@
           case SHUTTING_DOWN -> OptionalDouble.of(0);
           default -> OptionalDouble.empty();
         };
-    send(core.protocol().refusal(failure, retryAfter), caller);
-  }
-
-  /** Sends a head without a body. */
-  static void send(AnswerHead head, Caller caller) {
-    caller.begin(head, OptionalLong.of(0));
-    caller.end();
+    caller.answer(core.protocol().refusal(failure, retryAfter), new byte[0]);
   }
 }
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardRun.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardRun.java
@@ -353,12 +353,10 @@
     tally.promptTokens += sends == 0 ? work.ownTokens() : 0;
     note("refused", detail);
     double spread = 0.5 + ThreadLocalRandom.current().nextDouble();
-    ForwardIntake.send(
-        core.protocol()
-            .refusal(
-                Failure.of(code, detail),
-                OptionalDouble.of(RETURN_SHARE * work.targetMillis() / 1_000 * spread)),
-        caller);
+    double returnSeconds = RETURN_SHARE * work.targetMillis() / 1_000 * spread;
+    caller.answer(
+        core.protocol().refusal(Failure.of(code, detail), OptionalDouble.of(returnSeconds)),
+        new byte[0]);
     finish("refused", false);
   }
 
@@ -368,7 +366,7 @@
       caller.abort();
     } else {
       ResultCode told = code == ResultCode.UPSTREAM_TIMEOUT ? code : ResultCode.UPSTREAM_BROKE;
-      ForwardIntake.send(core.protocol().refusal(Failure.of(told), OptionalDouble.empty()), caller);
+      caller.answer(core.protocol().refusal(Failure.of(told), OptionalDouble.empty()), new byte[0]);
     }
     finish("failed " + code.number(), false);
   }
--- a/router/src/main/java/io/jacinthquay/router/service/report/MetricsIntake.java
+++ b/router/src/main/java/io/jacinthquay/router/service/report/MetricsIntake.java
@@ -9,10 +9,8 @@
 import io.jacinthquay.router.port.Header;
 import io.jacinthquay.router.port.RequestIntake;
 import io.vavr.control.Either;
-import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.OptionalLong;
 
 /** Serves the metrics of a program as text, whatever the path. */
 public final class MetricsIntake implements RequestIntake {
@@ -44,10 +42,6 @@
   private static void answer(int status, String text, Caller caller) {
     byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
     Header type = new Header("Content-Type", "text/plain");
-    caller.begin(new AnswerHead(status, List.of(type)), OptionalLong.of(bytes.length));
-    if (bytes.length > 0) {
-      boolean unused = caller.write(ByteBuffer.wrap(bytes));
-    }
-    caller.end();
+    caller.answer(new AnswerHead(status, List.of(type)), bytes);
   }
 }
