--- a/router/src/main/java/io/jacinthquay/router/service/request/ClaimedRun.java
+++ b/router/src/main/java/io/jacinthquay/router/service/request/ClaimedRun.java
@@ -11,7 +11,6 @@
 import io.jacinthquay.router.port.Header;
 import io.jacinthquay.router.port.RecordedAnswer;
 import io.vavr.control.Either;
-import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
@@ -19,7 +18,6 @@
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.CompletionStage;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -124,10 +122,7 @@
         headers.add(new Header("content-type", answer.contentType()));
       }
       headers.add(new Header("x-jq-replayed", "true"));
-      OptionalLong length = OptionalLong.of(answer.body().length);
-      caller.begin(new AnswerHead(answer.status(), headers), length);
-      caller.write(ByteBuffer.wrap(answer.body()));
-      caller.end();
+      caller.answer(new AnswerHead(answer.status(), headers), answer.body());
     }
     finish(Optional.empty(), Outcome.RAN);
   }
--- a/router/src/main/java/io/jacinthquay/router/service/request/ErrorAnswers.java
+++ b/router/src/main/java/io/jacinthquay/router/service/request/ErrorAnswers.java
@@ -10,11 +10,9 @@
 import io.jacinthquay.router.port.Header;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.OptionalLong;
 
 /** Writes numbered failures as JSON answers and as events of a stream. */
 final class ErrorAnswers {
@@ -40,10 +38,7 @@
       long seconds = (retryAfterMillis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND;
       headers.add(new Header("retry-after", Long.toString(seconds)));
     }
-    caller.begin(
-        new AnswerHead(failure.code().httpStatus(), headers), OptionalLong.of(body.length));
-    caller.write(ByteBuffer.wrap(body));
-    caller.end();
+    caller.answer(new AnswerHead(failure.code().httpStatus(), headers), body);
   }
 
   /** Returns the headers that every answer carries. */
--- a/router/src/main/java/io/jacinthquay/router/service/request/JsonRelay.java
+++ b/router/src/main/java/io/jacinthquay/router/service/request/JsonRelay.java
@@ -10,7 +10,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 
 /** Passes a whole JSON answer of an engine on, so that a broken one can be asked for again. */
 final class JsonRelay implements AnswerRelay {
@@ -78,9 +77,7 @@
     }
     List<Header> headers = new ArrayList<>(ErrorAnswers.headers(context.id(), Outcome.RAN));
     headers.addAll(HeaderRules.toCaller(answerHead.headers()));
-    context.caller().begin(new AnswerHead(OK, headers), OptionalLong.of(bytes.length));
-    context.caller().write(ByteBuffer.wrap(bytes));
-    context.caller().end();
+    context.caller().answer(new AnswerHead(OK, headers), bytes);
   }
 
   @Override
