Tell in logs and metrics when a request reaches its upstream and which failure was passed on

The log line of a request named the upstream that was chosen, not whether the connection to it ever opened, and not the status of a failure that was passed on. So a refusal that left a send behind could not be told from one that did not, nor a promise that came from an upstream from one of ours. Now: 'open=', 'status=', an error line that is never left out and jq_forward_sent_after_end_total where a request is sent after its final answer.

--- a/router/src/main/java/io/jacinthquay/router/adapter/http/HttpCall.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/HttpCall.java
@@ -74,6 +74,7 @@
     }
     connection = opened;
     mayHaveRun = true;
+    listener.onSending();
     opened.sendRequest(clientRequest(), orElse(this::sending, this::broken));
   }
 
--- a/router/src/main/java/io/jacinthquay/router/port/UpstreamListener.java
+++ b/router/src/main/java/io/jacinthquay/router/port/UpstreamListener.java
@@ -4,6 +4,9 @@
 
 /** Hears of the progress of one call, always on the same I/O thread. */
 public interface UpstreamListener {
+  /** The connection is open and the request is about to be written; from now on it may run. */
+  default void onSending() {}
+
   /** The head of the answer arrived. */
   void onHead(AnswerHead head);
 
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardAttempt.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardAttempt.java
@@ -81,6 +81,11 @@
     }
   }
 
+  @Override
+  public void onSending() {
+    run.sending(this);
+  }
+
   @Override
   public void onHead(AnswerHead head) {
     heard();
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardMetrics.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardMetrics.java
@@ -1,5 +1,6 @@
 package io.jacinthquay.router.service.forward;
 
+import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
 import io.jacinthquay.router.service.report.LatencyHistograms;
 import java.util.function.LongSupplier;
@@ -11,6 +12,7 @@
   private final MetricRegistry registry = new MetricRegistry();
   private final LatencyHistograms first =
       new LatencyHistograms(registry, "jq_forward_first_milliseconds", "route", MOST_ROUTES);
+  private final Counter sentAfterEnd = registry.counter("jq_forward_sent_after_end_total");
   private final LatencyHistograms whole =
       new LatencyHistograms(registry, "jq_forward_whole_milliseconds", "route", MOST_ROUTES);
 
@@ -39,6 +41,11 @@
     registry.counter("jq_forward_sends_total{again=\"" + again + "\"}").inc();
   }
 
+  /** A request was sent to an upstream although its caller has the final answer. */
+  void sentAfterEnd() {
+    sentAfterEnd.inc();
+  }
+
   /** Log lines were left out to keep the rate. */
   void leftOut() {
     registry.counter("jq_forward_log_lines_left_out_total").inc();
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardRun.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardRun.java
@@ -193,6 +193,17 @@
     core.noteRead(upstream.listing().upstream(), work);
   }
 
+  /** The connection of an attempt is open; the upstream gets the request now. */
+  void sending(ForwardAttempt from) {
+    UpstreamId upstream = from.upstream().listing().upstream();
+    if (done) {
+      core.metrics().sentAfterEnd();
+      core.journal().sentAfterEnd(this, upstream);
+    } else {
+      note("open", upstream);
+    }
+  }
+
   /** Events of the answer are about to reach the caller. */
   private void events() {
     long now = System.nanoTime();
@@ -224,6 +235,9 @@
   void answering(ForwardAttempt from, AnswerHead head, boolean ok) {
     success = ok;
     mayHaveRun = true;
+    if (!ok) {
+      note("status", head.status());
+    }
     if (!ok && sink instanceof EventAnswer && caller.hasBegun()) {
       from.cancel(SendEnd.FAILED);
       failed(from, "status " + head.status());
--- a/router/src/main/java/io/jacinthquay/router/service/forward/RequestJournal.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/RequestJournal.java
@@ -1,5 +1,6 @@
 package io.jacinthquay.router.service.forward;
 
+import io.jacinthquay.model.UpstreamId;
 import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -32,6 +33,15 @@
     this.filledAt = clock.getAsLong();
   }
 
+  /** A request whose caller has its final answer is sent all the same; never left out. */
+  void sentAfterEnd(ForwardRun run, UpstreamId upstream) {
+    log.error(
+        "request {} is sent to {} after its final answer {}",
+        run.attemptId(),
+        upstream,
+        run.story());
+  }
+
   void ended(ForwardRun run, String outcome, boolean success) {
     long now = clock.getAsLong();
     double seconds = (now - filledAt) / 1e9;
