End a request's send before saying that it has not run

Callers saw 503, a promise that the request never runs, and it ran. Cause: ForwardRun.timedOut refused a request whose send was still opening its connection, since nothing had been written, and left that send alone. When the connection opened within its own limit of 250 ms, the request was written and ran. It takes a connection that opens after the request's time is over: a process that stood still and finds timer and connection due together, a cut that heals, a slow accept. The class of fault: the final answer and the end of what was started for it were two steps, and one of the paths left one out. Fix: a request ends without an upstream's answer in one place, endUnanswered, which first ends the send and then decides by what became of all sends what may be said. Whether a send may have run is a fact of the send (it was sent, and no proof came) in place of a flag that five callers had to set. Ruled out: late and second answers on reused connections (they name another attempt and count as may have run, ForwardingTest.neverPassOnASpoiltAnswer), refusals of waiting requests (nothing is sent twice from the line).

--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardAttempt.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardAttempt.java
@@ -23,6 +23,8 @@
   private boolean counted = true;
   private boolean ignored;
   private boolean answered;
+  private boolean sent;
+  private boolean provedNotRun;
 
   ForwardAttempt(ForwardRun run, ForwardCore core, Sending sending) {
     this.run = run;
@@ -32,6 +34,9 @@
 
   void send(UpstreamRequest request) {
     call = core.client().send(request, this);
+    if (ignored) {
+      call.cancel();
+    }
   }
 
   UpstreamState upstream() {
@@ -42,8 +47,9 @@
     return sending.unreadTokens();
   }
 
+  /** Returns whether the upstream got the request and did not prove that it didn't run it. */
   boolean mayHaveRun() {
-    return call == null || call.mayHaveRun();
+    return sent && !provedNotRun;
   }
 
   /** The upstream began to answer, so it has read the prompt. */
@@ -54,12 +60,14 @@
     }
   }
 
-  /** Ends the send early; the upstream notices by the closed connection. */
+  /** Ends the send early, unless it has ended; the upstream notices by the closed connection. */
   void cancel(SendEnd end) {
     count(end);
-    ignored = true;
-    if (call != null) {
-      call.cancel();
+    if (!ignored) {
+      ignored = true;
+      if (call != null) {
+        call.cancel();
+      }
     }
   }
 
@@ -83,6 +91,7 @@
 
   @Override
   public void onSending() {
+    sent = true;
     run.sending(this);
   }
 
@@ -95,6 +104,7 @@
     AnswerKind kind = core.protocol().kind(head);
     switch (kind) {
       case NOT_RUN -> {
+        provedNotRun = true;
         count(head.status() == MISDIRECTED ? SendEnd.ENDED : SendEnd.UNDECIDED);
         ignored = true;
         run.notRun(head);
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardRun.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardRun.java
@@ -123,7 +123,7 @@
 
   private void awaitPlace(long now) {
     if (!core.board().isServed(work.pool())) {
-      refuse(ResultCode.NO_UPSTREAM, "the pool has no upstream");
+      turnAway(ResultCode.NO_UPSTREAM, "the pool has no upstream");
       return;
     }
     long patience =
@@ -131,7 +131,7 @@
     waiting = core.await(this, work, now + patience * NANOS_PER_MILLI);
     note("waits", core.line(work.pool()).size());
     if (!waiting) {
-      refuse(ResultCode.QUEUE_FULL, ResultCode.QUEUE_FULL.meaning());
+      turnAway(ResultCode.QUEUE_FULL, ResultCode.QUEUE_FULL.meaning());
     }
   }
 
@@ -150,6 +150,7 @@
   }
 
   private void send(UpstreamState upstream, long now) {
+    endSend();
     sends++;
     avoided.add(upstream.listing().upstream());
     LoadFigures before = upstream.load();
@@ -193,6 +194,15 @@
     core.noteRead(upstream.listing().upstream(), work);
   }
 
+  /** Ends the send under way, if there is one, and remembers whether it may have run. */
+  private void endSend() {
+    if (attempt != null) {
+      boolean failed = attempt.mayHaveRun() && !caller.hasBegun();
+      attempt.cancel(failed ? SendEnd.FAILED : SendEnd.UNDECIDED);
+      mayHaveRun |= attempt.mayHaveRun();
+    }
+  }
+
   /** The connection of an attempt is open; the upstream gets the request now. */
   void sending(ForwardAttempt from) {
     UpstreamId upstream = from.upstream().listing().upstream();
@@ -234,7 +244,6 @@
 
   void answering(ForwardAttempt from, AnswerHead head, boolean ok) {
     success = ok;
-    mayHaveRun = true;
     if (!ok) {
       note("status", head.status());
     }
@@ -285,7 +294,6 @@
       return;
     }
     note("silent", attempt.upstream().listing().upstream());
-    mayHaveRun = true;
     attempt.cancel(SendEnd.FAILED);
     if (!tryPlace(now)) {
       giveUp(ResultCode.UPSTREAM_TIMEOUT);
@@ -323,7 +331,6 @@
     if (done || from != attempt) {
       return;
     }
-    mayHaveRun = true;
     sink.discard();
     long now = System.nanoTime();
     if (!mayRepeat(now) || !tryPlace(now)) {
@@ -334,7 +341,6 @@
   /** Sends the request again after a failure that the budget already allows to repeat. */
   void repeat(String why) {
     note("repeats", why);
-    mayHaveRun = true;
     if (!tryPlace(System.nanoTime())) {
       giveUp(ResultCode.UPSTREAM_BROKE);
     }
@@ -342,26 +348,42 @@
 
   /** The request waited too long for a place, or had to leave it to another. */
   void turnedAway() {
-    if (!done) {
-      waiting = false;
-      refuse(ResultCode.SHED_OVERLOAD, "no place became free in time");
-    }
+    waiting = false;
+    turnAway(ResultCode.SHED_OVERLOAD, "no place became free in time");
+  }
+
+  private void turnAway(ResultCode code, String detail) {
+    endUnanswered(code, code, detail);
   }
 
   private void giveUp(ResultCode code) {
-    if (mayHaveRun) {
-      fail(code);
+    endUnanswered(code, ResultCode.NO_UPSTREAM, code.meaning());
+  }
+
+  /**
+   * Ends the request without an upstream's answer.
+   *
+   * <p>What is said depends on what became of its sends, so the one under way is ended first:
+   * nothing of a refused request can start later.
+   *
+   * @param failure told if the request may have run
+   * @param refusal told if it has not run
+   * @param detail why it was refused
+   */
+  private void endUnanswered(ResultCode failure, ResultCode refusal, String detail) {
+    if (done) {
+      return;
+    }
+    endSend();
+    if (mayHaveRun || caller.hasBegun()) {
+      fail(failure);
     } else {
-      refuse(ResultCode.NO_UPSTREAM, code.meaning());
+      refuse(refusal, detail);
     }
   }
 
   /** Answers that the request has not run and never will. */
   private void refuse(ResultCode code, String detail) {
-    if (mayHaveRun || caller.hasBegun()) {
-      fail(code);
-      return;
-    }
     PoolTally tally = core.tally(work.pool());
     tally.refused++;
     tally.promptTokens += sends == 0 ? work.ownTokens() : 0;
@@ -390,13 +412,10 @@
       return;
     }
     note("timeout", request.limitMillis());
-    if (attempt == null || (!mayHaveRun && !attempt.mayHaveRun())) {
-      refuse(ResultCode.DEADLINE_UNREACHABLE, "no place became free in time");
-      return;
-    }
-    attempt.cancel(caller.hasBegun() ? SendEnd.UNDECIDED : SendEnd.FAILED);
-    mayHaveRun = true;
-    fail(ResultCode.UPSTREAM_TIMEOUT);
+    endUnanswered(
+        ResultCode.UPSTREAM_TIMEOUT,
+        ResultCode.DEADLINE_UNREACHABLE,
+        "no upstream took the request in time");
   }
 
   private void finish(String outcome, boolean ok) {
