--- a/router/src/main/java/io/jacinthquay/router/port/ForwardProtocol.java
+++ b/router/src/main/java/io/jacinthquay/router/port/ForwardProtocol.java
@@ -38,7 +38,7 @@
     SUCCESS,
     /** The upstream ran it and answers with a failure of its own. */
     FAILURE,
-    /** The answer lacks what every answer to this request must have. */
+    /** The answer lacks what it must have, or claims without a proof that nothing was run. */
     SPOILT
   }
 }
