--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
@@ -58,7 +58,7 @@
   private final Map<PoolName, PoolTally> tallies = new HashMap<>();
   private final Set<ForwardRun> active = ConcurrentHashMap.newKeySet();
   private final List<PrefixRead> reads = new ArrayList<>();
-  private final StartHold startHold = new StartHold(System.nanoTime());
+  private final StartHold startHold;
   private List<Listing> listings = List.of();
   private volatile Optional<RouteTable> table = Optional.empty();
   private volatile Optional<ToldTime> sharedTime = Optional.empty();
@@ -77,6 +77,7 @@
     this.client = client;
     this.board =
         new UpstreamBoard(options.domain(), options.coldOverage(), options.coldTolerance());
+    this.startHold = new StartHold(System.nanoTime(), options.startHold());
     this.usage = new UsageTally(options.usageWindow());
     metrics.gauge("jq_forward_in_progress", active::size);
     metrics.gauge("jq_forward_held", startHold::size);
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardOptions.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardOptions.java
@@ -14,6 +14,7 @@
  * @param coldOverage factor on the stated rate of a cold upstream up to which sends are allowed
  * @param coldTolerance sends a second to a cold upstream allowed beside
  * @param usageWindow length of a window in which usage is counted
+ * @param startHold time after the start in which requests wait for the first document
  */
 public record ForwardOptions(
     DomainId domain,
@@ -22,11 +23,13 @@
     Duration retryWindow,
     double coldOverage,
     double coldTolerance,
-    Duration usageWindow) {
+    Duration usageWindow,
+    Duration startHold) {
   /** Checks that all parts are present. */
   public ForwardOptions {
     Objects.requireNonNull(domain, "domain");
     Objects.requireNonNull(retryWindow, "retryWindow");
     Objects.requireNonNull(usageWindow, "usageWindow");
+    Objects.requireNonNull(startHold, "startHold");
   }
 }
--- a/router/src/main/java/io/jacinthquay/router/service/forward/StartHold.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/StartHold.java
@@ -3,6 +3,7 @@
 import io.jacinthquay.router.port.Caller;
 import io.jacinthquay.router.port.CallerHead;
 import io.jacinthquay.router.port.CallerListener;
+import java.time.Duration;
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -16,9 +17,6 @@
  * costs them their only retry. Used on the I/O thread.
  */
 final class StartHold {
-  /** Time after the start in which requests are held: control VMs elect a leader in less. */
-  private static final long HOLD_NANOS = 2_500_000_000L;
-
   /** Share of the time that a caller waits which may go by here, so that it can still return. */
   private static final double SHARE_OF_WAIT = 0.5;
 
@@ -73,15 +71,23 @@
   }
 
   private final long startedNanos;
+  private final long holdNanos;
   private final List<Waiting> waiting = new CopyOnWriteArrayList<>();
 
-  StartHold(long startedNanos) {
+  /**
+   * Returns a hold without requests.
+   *
+   * @param startedNanos when the router started, on the monotonic clock
+   * @param hold time after the start in which requests are held
+   */
+  StartHold(long startedNanos, Duration hold) {
     this.startedNanos = startedNanos;
+    this.holdNanos = hold.toNanos();
   }
 
   /** Returns whether a request may be held now. */
   boolean isOpen(long now) {
-    return now - startedNanos < HOLD_NANOS && waiting.size() < MOST_HELD;
+    return now - startedNanos < holdNanos && waiting.size() < MOST_HELD;
   }
 
   /**
@@ -95,7 +101,7 @@
     Waiting entry = new Waiting(held, onward, refusal, waiting::remove);
     held.caller().listener(entry);
     long now = System.nanoTime();
-    long left = (HOLD_NANOS - (now - startedNanos)) / NANOS_PER_MILLI;
+    long left = (holdNanos - (now - startedNanos)) / NANOS_PER_MILLI;
     long patience = (long) (waitMillis.orElse(Long.MAX_VALUE) * SHARE_OF_WAIT);
     entry.timer =
         held.caller()
