Bound the head and the skipped bytes of an upstream's answer

Seen by callers: while one upstream sent a head without end, requests to other upstreams on the same I/O thread got 504 or waited for seconds.

Cause: the parser of the client reads a head until it ends, in one turn as long as bytes are there, and knows no limit; what it collects grows in memory. No timer of the router runs meanwhile. Extensions of chunks and trailers are skipped, or kept, without a limit too.

Ruled out: a timer alone, as it doesn't run while the parser loops; the byte statistics of the client, which are read too late.

The call then fails as a broken one does: it may have run. Time is bounded as before by the route (504).

--- a/router/src/main/java/io/jacinthquay/router/adapter/http/ConnectionPool.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/ConnectionPool.java
@@ -37,6 +37,7 @@
   private static final OptionMap OPTIONS = OptionMap.create(Options.TCP_NODELAY, true);
 
   private final XnioIoThread thread;
+  private final BoundedOpener opener;
   private final ByteBufferPool buffers;
   private final Duration connectTimeout;
   private final ReusePolicy reuse;
@@ -46,11 +47,12 @@
       XnioIoThread thread, ByteBufferPool buffers, Duration connectTimeout, ReusePolicy reuse) {
     this.reuse = reuse;
     this.thread = thread;
+    this.opener = new BoundedOpener(thread);
     this.buffers = buffers;
     this.connectTimeout = connectTimeout;
   }
 
-  private record Idle(ClientConnection connection, long sinceNanos, long mostIdleNanos) {}
+  private record Idle(UpstreamConnection connection, long sinceNanos, long mostIdleNanos) {}
 
   /** Returns the header that names a request towards upstreams and in their answers. */
   HttpString idHeader() {
@@ -68,13 +70,13 @@
    *     reset on it can't stem from the time before the request
    */
   void take(
-      InetSocketAddress address, boolean justAnswered, ClientCallback<ClientConnection> taker) {
-    ClientConnection reused = takeIdle(address, justAnswered);
+      InetSocketAddress address, boolean justAnswered, ClientCallback<UpstreamConnection> taker) {
+    UpstreamConnection reused = takeIdle(address, justAnswered);
     if (reused != null) {
       taker.completed(reused);
       return;
     }
-    connect(address, new FirstOf(taker));
+    connect(address, new FirstOf(opener, taker));
   }
 
   private void connect(InetSocketAddress address, FirstOf first) {
@@ -85,7 +87,7 @@
             connectTimeout.toMillis(),
             TimeUnit.MILLISECONDS);
     first.timer = timer;
-    UndertowClient.getInstance().connect(first, uri, thread, buffers, OPTIONS);
+    UndertowClient.getInstance().connect(first, uri, opener, buffers, OPTIONS);
   }
 
   private static String hostText(InetSocketAddress address) {
@@ -93,7 +95,7 @@
     return host.indexOf(':') >= 0 ? "[" + host + "]" : host;
   }
 
-  private ClientConnection takeIdle(InetSocketAddress address, boolean justAnswered) {
+  private UpstreamConnection takeIdle(InetSocketAddress address, boolean justAnswered) {
     Deque<Idle> connections = idle.get(address);
     if (connections == null) {
       return null;
@@ -106,7 +108,7 @@
       if (fresh && next.connection().isOpen()) {
         return next.connection();
       }
-      IoUtils.safeClose(next.connection());
+      next.connection().close();
       next = connections.pollLast();
     }
     return null;
@@ -124,18 +126,17 @@
   }
 
   /** Takes back a connection whose answer has wholly arrived. */
-  void giveBack(InetSocketAddress address, ClientConnection connection, String keepAlive) {
+  void giveBack(InetSocketAddress address, UpstreamConnection connection, String keepAlive) {
     Deque<Idle> connections = idle.computeIfAbsent(address, a -> new ArrayDeque<>());
     if (connections.size() >= MOST_IDLE_PER_UPSTREAM) {
-      IoUtils.safeClose(connections.pollFirst().connection());
+      connections.pollFirst().connection().close();
     }
     connections.addLast(new Idle(connection, System.nanoTime(), mostIdleNanos(keepAlive)));
   }
 
   void close() {
     try {
-      thread.execute(
-          () -> idle.values().forEach(q -> q.forEach(i -> IoUtils.safeClose(i.connection()))));
+      thread.execute(() -> idle.values().forEach(q -> q.forEach(i -> i.connection().close())));
     } catch (RejectedExecutionException e) {
       idle.clear();
     }
@@ -143,11 +144,13 @@
 
   /** Passes on the first result only; a connection that comes too late is closed. */
   private static final class FirstOf implements ClientCallback<ClientConnection> {
-    private final ClientCallback<ClientConnection> taker;
+    private final BoundedOpener opener;
+    private final ClientCallback<UpstreamConnection> taker;
     private XnioExecutor.Key timer;
     private boolean done;
 
-    FirstOf(ClientCallback<ClientConnection> taker) {
+    FirstOf(BoundedOpener opener, ClientCallback<UpstreamConnection> taker) {
+      this.opener = opener;
       this.taker = taker;
     }
 
@@ -158,7 +161,7 @@
         return;
       }
       finish();
-      taker.completed(connection);
+      taker.completed(new UpstreamConnection(connection, opener.newest()));
     }
 
     @Override
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/HttpCall.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/HttpCall.java
@@ -7,7 +7,6 @@
 import io.jacinthquay.router.port.UpstreamListener;
 import io.jacinthquay.router.port.UpstreamRequest;
 import io.undertow.client.ClientCallback;
-import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientRequest;
 import io.undertow.client.ClientResponse;
@@ -21,7 +20,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
-import org.xnio.IoUtils;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
 
@@ -35,7 +33,7 @@
   private final ConnectionPool pool;
   private final UpstreamRequest request;
   private final UpstreamListener listener;
-  private ClientConnection connection;
+  private UpstreamConnection connection;
   private ClientExchange exchange;
   private ByteBuffer unsent;
   private boolean sent;
@@ -67,14 +65,15 @@
     };
   }
 
-  private void connected(ClientConnection opened) {
+  private void connected(UpstreamConnection opened) {
     if (done) {
       pool.giveBack(request.address(), opened, null);
       return;
     }
     connection = opened;
     mayHaveRun = true;
-    opened.sendRequest(clientRequest(), orElse(this::sending, this::broken));
+    opened.source().allow(BoundedSource.MOST_HEAD_BYTES);
+    opened.http().sendRequest(clientRequest(), orElse(this::sending, this::broken));
   }
 
   private ClientRequest clientRequest() {
@@ -139,6 +138,7 @@
     if (done) {
       return;
     }
+    connection.source().allow(BoundedSource.MOST_SKIPPED_BYTES);
     ClientResponse response = exchange.getResponse();
     String echoed = response.getResponseHeaders().getFirst(pool.idHeader());
     boolean matches =
@@ -180,6 +180,7 @@
           endOrWait(source, count);
           return;
         }
+        connection.source().allow(BoundedSource.MOST_SKIPPED_BYTES);
         buffer.flip();
         if (!listener.onData(buffer)) {
           paused = true;
@@ -214,7 +215,13 @@
       String alive = exchange.getResponse().getResponseHeaders().getFirst(KEEP_ALIVE);
       pool.giveBack(request.address(), connection, alive);
     } else {
-      IoUtils.safeClose(connection);
+      close();
+    }
+  }
+
+  private void close() {
+    if (connection != null) {
+      connection.close();
     }
   }
 
@@ -231,7 +238,7 @@
       return;
     }
     done = true;
-    IoUtils.safeClose(connection);
+    close();
     listener.onFailure(failure);
   }
 
@@ -239,7 +246,7 @@
   public void cancel() {
     if (!done) {
       done = true;
-      IoUtils.safeClose(connection);
+      close();
     }
   }
 
