Never pass on an interim answer as the final one

Seen by callers: an upstream that sent 103 or 101 with the id of the attempt made the router answer "HTTP/1.1 103 Unknown", and the answer that followed was left unread on the connection.

Cause: the client hands out every head but 100 as the response; the router took 103 and 101 for a failure status of the upstream and passed it on.

Evidence: EndlessUpstreamTest.endAHeadWithoutEnd failed before for NAMED_103 ("HTTP/1.1 103 Unknown|Attempt-Id: a1") and NAMED_101 ("HTTP/1.1 101 Switching Protocols|Attempt-Id: a1"). Interim heads without the id were a mismatch already (502).

The change: a status below 200 breaks the call. What follows can't be read with this client, so the request counts as one that may have run.

--- a/router/src/main/java/io/jacinthquay/router/adapter/http/HttpCall.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/HttpCall.java
@@ -27,6 +27,9 @@
 final class HttpCall implements UpstreamCall {
   private static final HttpString KEEP_ALIVE = new HttpString("Keep-Alive");
 
+  /** Statuses below announce another answer, which the parser would leave unread. */
+  private static final int FIRST_FINAL_STATUS = 200;
+
   /** Reads in a row before other work of the thread gets a turn. */
   private static final int READS_PER_TURN = 8;
 
@@ -141,6 +144,10 @@
     connection.source().allow(BoundedSource.MOST_SKIPPED_BYTES);
     ClientResponse response = exchange.getResponse();
     String echoed = response.getResponseHeaders().getFirst(pool.idHeader());
+    if (response.getResponseCode() < FIRST_FINAL_STATUS) {
+      broken();
+      return;
+    }
     boolean matches =
         echoed == null ? !request.echoRequired() : echoed.equals(request.id().value());
     if (!matches) {
