Read only a small rest of an answer that nobody wants

Seen: callers were answered by another upstream, but the router went on reading the first answer for ever, or kept its connection open where the promised body never came.

Cause: after "not run", and after a failure that was repeated elsewhere, the attempt ignored what came, and nothing ended its call.

The change: UpstreamCall.discard() reads at most 16 KiB in at most 200 ms, so that a connection with a proper short answer is used again, then closes. The place was already freed at the head; the listener hears nothing more.

--- a/router/src/main/java/io/jacinthquay/router/adapter/http/ConnectionPool.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/ConnectionPool.java
@@ -63,6 +63,11 @@
     return buffers;
   }
 
+  /** Runs a task on the thread after a time. */
+  XnioExecutor.Key after(long millis, Runnable task) {
+    return thread.executeAfter(task, millis, TimeUnit.MILLISECONDS);
+  }
+
   /**
    * Hands out a connection.
    *
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/HttpCall.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/HttpCall.java
@@ -20,6 +20,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
+import org.xnio.XnioExecutor;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
 
@@ -33,6 +34,12 @@
   /** Reads in a row before other work of the thread gets a turn. */
   private static final int READS_PER_TURN = 8;
 
+  /** Rest of a dropped answer that is read, in bytes: less work than a new connection. */
+  private static final int MOST_DROPPED_BYTES = 16 * 1024;
+
+  /** Time for the rest of a dropped answer, in milliseconds: one that is whole is there by then. */
+  private static final long MOST_DROPPED_MILLIS = 200;
+
   private final ConnectionPool pool;
   private final UpstreamRequest request;
   private final UpstreamListener listener;
@@ -42,6 +49,9 @@
   private boolean sent;
   private boolean mayHaveRun;
   private boolean paused;
+  private boolean dropped;
+  private int droppedBytes;
+  private XnioExecutor.Key dropTimer;
   private boolean done;
 
   HttpCall(ConnectionPool pool, UpstreamRequest request, UpstreamListener listener) {
@@ -189,7 +199,9 @@
         }
         connection.source().allow(BoundedSource.MOST_SKIPPED_BYTES);
         buffer.flip();
-        if (!listener.onData(buffer)) {
+        if (dropped) {
+          drop(count);
+        } else if (!listener.onData(buffer)) {
           paused = true;
           source.suspendReads();
         }
@@ -203,14 +215,23 @@
     }
   }
 
+  private void drop(int count) {
+    droppedBytes += count;
+    if (droppedBytes > MOST_DROPPED_BYTES) {
+      cancel();
+    }
+  }
+
   private void endOrWait(StreamSourceChannel source, int count) {
     if (count == 0) {
       source.resumeReads();
       return;
     }
-    listener.onEnd();
+    if (!dropped) {
+      listener.onEnd();
+    }
     if (!done) {
-      done = true;
+      finish();
       release();
     }
   }
@@ -244,19 +265,38 @@
     if (done) {
       return;
     }
-    done = true;
+    finish();
     close();
-    listener.onFailure(failure);
+    if (!dropped) {
+      listener.onFailure(failure);
+    }
   }
 
   @Override
   public void cancel() {
     if (!done) {
-      done = true;
+      finish();
       close();
     }
   }
 
+  private void finish() {
+    done = true;
+    if (dropTimer != null) {
+      dropTimer.remove();
+    }
+  }
+
+  @Override
+  public void discard() {
+    if (done || dropped) {
+      return;
+    }
+    dropped = true;
+    dropTimer = pool.after(MOST_DROPPED_MILLIS, this::cancel);
+    resume();
+  }
+
   @Override
   public void resume() {
     if (paused && !done) {
--- a/router/src/main/java/io/jacinthquay/router/port/UpstreamCall.java
+++ b/router/src/main/java/io/jacinthquay/router/port/UpstreamCall.java
@@ -5,6 +5,13 @@
   /** Ends the call by closing its connection; the listener hears nothing more. */
   void cancel();
 
+  /**
+   * Drops the rest of the answer; the listener hears nothing more.
+   *
+   * <p>A small rest is read, so that the connection can be used again; else it is closed.
+   */
+  void discard();
+
   /** Reads on after the listener refused further data. */
   void resume();
 
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardAttempt.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardAttempt.java
@@ -63,6 +63,12 @@
     }
   }
 
+  /** The answer's head told all that is needed. */
+  private void dropRest() {
+    ignored = true;
+    call.discard();
+  }
+
   private void heard() {
     answered = true;
     core.board().heard(upstream(), System.nanoTime());
@@ -91,7 +97,7 @@
     switch (kind) {
       case NOT_RUN -> {
         count(head.status() == MISDIRECTED ? SendEnd.ENDED : SendEnd.UNDECIDED);
-        ignored = true;
+        dropRest();
         run.notRun(head);
       }
       case SPOILT -> {
@@ -101,7 +107,7 @@
       case FAILURE -> {
         if (run.mayRepeat(System.nanoTime())) {
           count(SendEnd.FAILED);
-          ignored = true;
+          dropRest();
           run.repeat("status " + head.status());
         } else {
           run.answering(this, head, false);
