Never send a request on a connection with an unread answer

Seen: a second answer on a kept connection was taken for the answer of the next request, if it bore the id of that one; else the next request failed as a mismatch.

Cause: a connection counted as reusable while more than its answer had been read ahead, or lay in the socket, and the turn that notices it was still to come. The next request could be sent in between.

Evidence: StrayAnswerTest failed before, "expected: <right> but was: <stray>", in neverReuseAConnectionWithAnAnswerReadAhead for turns=0 and in neverReuseAConnectionOnWhichAnAnswerWaits. With a turn between, the client closed the connection itself (the other turns and EndlessUpstreamTest.leaveAConnectionThatGoesOnAfterItsAnswer passed before).

The change: a connection is kept from the next turn on, after the client has looked at what it read ahead, and one read without waiting shows at reuse that nothing came since and that the upstream has not closed. That is one more system call for each reuse.

--- a/router/src/main/java/io/jacinthquay/router/adapter/http/BoundedSource.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/BoundedSource.java
@@ -42,6 +42,15 @@
     allowed = bytes;
   }
 
+  /** Returns whether an idle connection is open and nothing came on it that nobody asked for. */
+  boolean isQuiet() {
+    try {
+      return next.read(ByteBuffer.allocate(1)) == 0;
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
   @Override
   public int read(ByteBuffer target) throws IOException {
     return (int) counted(super.read(target));
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/ConnectionPool.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/ConnectionPool.java
@@ -17,6 +17,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -25,6 +27,8 @@
 
 /** The idle connections of one I/O thread; used on that thread only. */
 final class ConnectionPool {
+  private static final Logger log = LogManager.getLogger();
+
   /** Longest time that a connection is kept idle. */
   private static final long MOST_IDLE_NANOS = TimeUnit.SECONDS.toNanos(15);
 
@@ -110,7 +114,7 @@
     Idle next = connections.pollLast();
     while (next != null) {
       boolean fresh = now - next.sinceNanos() <= Math.min(mostIdle, next.mostIdleNanos());
-      if (fresh && next.connection().isOpen()) {
+      if (fresh && next.connection().isOpen() && next.connection().source().isQuiet()) {
         return next.connection();
       }
       next.connection().close();
@@ -130,8 +134,25 @@
         : MOST_IDLE_NANOS;
   }
 
-  /** Takes back a connection whose answer has wholly arrived. */
+  /**
+   * Takes back a connection whose answer has wholly arrived.
+   *
+   * <p>The client closes it at its next turn if more than the answer was read, so it is kept only
+   * after that.
+   */
   void giveBack(InetSocketAddress address, UpstreamConnection connection, String keepAlive) {
+    try {
+      thread.execute(() -> keep(address, connection, keepAlive));
+    } catch (RejectedExecutionException e) {
+      log.debug("a connection is closed as the thread ends: {}", e.getMessage());
+      connection.close();
+    }
+  }
+
+  private void keep(InetSocketAddress address, UpstreamConnection connection, String keepAlive) {
+    if (!connection.isOpen()) {
+      return;
+    }
     Deque<Idle> connections = idle.computeIfAbsent(address, a -> new ArrayDeque<>());
     if (connections.size() >= MOST_IDLE_PER_UPSTREAM) {
       connections.pollFirst().connection().close();
