Read a stream only as fast as its caller takes it

Seen: one stream without end to a caller that did not keep up held the I/O thread for over 30 seconds, and with it all other requests.

Cause: events were read however slow the caller was and joined in memory, each time with a copy of all that waited.

The change: the attempt pauses while the caller takes no more, and reads on when it does, as the streams of the JSON interface do. A stream that goes on after the time of its route is broken off as before.

--- a/router/src/main/java/io/jacinthquay/router/service/forward/AnswerSink.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/AnswerSink.java
@@ -15,6 +15,14 @@
    */
   boolean data(ByteBuffer data);
 
+  /** Returns whether the caller takes more now. */
+  default boolean writable() {
+    return true;
+  }
+
+  /** The caller took everything written so far. */
+  default void drained() {}
+
   /**
    * The attempt's answer is whole.
    *
--- a/router/src/main/java/io/jacinthquay/router/service/forward/EventAnswer.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/EventAnswer.java
@@ -26,6 +26,7 @@
   private long lastId;
   private boolean numbered;
   private boolean spoilt;
+  private boolean writable = true;
   private byte[] run;
   private int runFrom;
   private int runTo;
@@ -64,6 +65,16 @@
     return !spoilt;
   }
 
+  @Override
+  public boolean writable() {
+    return writable;
+  }
+
+  @Override
+  public void drained() {
+    writable = true;
+  }
+
   @Override
   public boolean event(byte[] bytes, int from, int to) {
     long id = id(bytes, from, to);
@@ -99,7 +110,7 @@
     if (!caller.hasBegun()) {
       caller.begin(new AnswerHead(head.status(), protocol.toCaller(head)), OptionalLong.empty());
     }
-    boolean unused = caller.write(events);
+    writable = caller.write(events);
   }
 
   /** Returns the number of an event, or -1 if it carries none. */
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardAttempt.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardAttempt.java
@@ -124,7 +124,14 @@
       cancel(SendEnd.FAILED);
       run.failed(this, "spoilt body");
     }
-    return true;
+    return ignored || run.takesMore();
+  }
+
+  /** Reads on after the caller has taken what it was sent. */
+  void resume() {
+    if (call != null) {
+      call.resume();
+    }
   }
 
   @Override
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardRun.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardRun.java
@@ -240,6 +240,11 @@
     return from != attempt || done || sink.data(data);
   }
 
+  /** Returns whether the caller keeps up with the answer. */
+  boolean takesMore() {
+    return done || sink.writable();
+  }
+
   /** The answer of an attempt has wholly arrived. */
   boolean end(ForwardAttempt from) {
     if (from != attempt || done) {
@@ -399,7 +404,10 @@
 
   @Override
   public void onWritable() {
-    // What a slow caller has not taken yet is held in memory: streams here are a few kilobytes.
+    sink.drained();
+    if (attempt != null) {
+      attempt.resume();
+    }
   }
 
   @Override
