Hold one event up to its limit and no more

Seen: one event without end was held up to three times MAX_EVENT_BYTES before the stream was broken off, in both the forwarding router and the JSON interface.

Cause: the check allowed half of the buffer on top of the limit, and the buffer doubles as it fills.

Evidence: SseSplitterLimitTest.refusesAnEventAtTheLimit failed before with "held 3097000 bytes" and "held 3162112 bytes".

The change: what was held before a read may be MAX_EVENT_BYTES at most, so the part of one event is bounded by that and one read. Whole events that came in one read are handed out before the next check (takesManyEventsBeyondTheLimit, passed before).

--- a/router/src/main/java/io/jacinthquay/router/service/request/SseSplitter.java
+++ b/router/src/main/java/io/jacinthquay/router/service/request/SseSplitter.java
@@ -33,7 +33,7 @@
     }
     data.get(buffer, end, count);
     end += count;
-    return end - start <= MAX_EVENT_BYTES + buffer.length / 2;
+    return end - start - count <= MAX_EVENT_BYTES;
   }
 
   private void makeRoom(int count) {
