Bound what a caller may send beside the content of its body

Seen: a caller that sent a chunk extension or trailers without end was read for as long as a body may take (30 s), and the trailers were kept in memory. Others were served meanwhile.

Cause: the limits of a body count its content only; the parser skips extensions and keeps trailers, however many come. The rest of a refused body was bounded by time alone.

These passed before and stay as guards: garbage, blank lines, target, query, header name, value and lines without end, chunks without end, and chunks and trailers after a refused head.

The change: 64 KiB without content end a request by closing its connection; the rest of a refused body may be as long as a body and those 64 KiB. The bound is lifted when the body is whole or the exchange ends. A first try without the 64 KiB reset a proper refused body in small chunks; takeAProperBodyWithExtensionsAndGoOn found that. The address of CallerServer.alsoServe is not watched and has no such bound.

--- a/router/src/main/java/io/jacinthquay/router/adapter/http/BodyReader.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/BodyReader.java
@@ -49,8 +49,10 @@
     exchange.addExchangeCompleteListener(
         (ended, next) -> {
           giveBack();
+          WatchedSource.allowAll(exchange);
           next.proceed();
         });
+    WatchedSource.allow(exchange, WatchedSource.MOST_SKIPPED_BYTES);
     source = exchange.getRequestChannel();
     source.getReadSetter().set(channel -> readOn());
     timer =
@@ -78,9 +80,11 @@
         }
         if (count < 0) {
           finish();
+          WatchedSource.allowAll(exchange);
           whole.accept(body.toByteArray());
           return;
         }
+        WatchedSource.allow(exchange, WatchedSource.MOST_SKIPPED_BYTES);
         if (!append(buffer.flip())) {
           return;
         }
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/CallerHandler.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/CallerHandler.java
@@ -68,6 +68,13 @@
       UndertowCaller caller) {
     if (!exchange.isRequestComplete()) {
       closeUnlessRead(exchange);
+      WatchedSource.allow(
+          exchange, (long) limits.maxBodyBytes() + WatchedSource.MOST_SKIPPED_BYTES);
+      exchange.addExchangeCompleteListener(
+          (ended, next) -> {
+            WatchedSource.allowAll(exchange);
+            next.proceed();
+          });
     }
     intake.refuse(id, head, failure, caller);
   }
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/WatchedSource.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/WatchedSource.java
@@ -1,5 +1,7 @@
 package io.jacinthquay.router.adapter.http;
 
+import io.undertow.server.AbstractServerConnection;
+import io.undertow.server.HttpServerExchange;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
@@ -24,7 +26,11 @@
   /** Most bytes that are read ahead. */
   private static final int AHEAD_BYTES = 4 * 1024;
 
+  /** Most bytes in a row that belong to no content, as for the answers of upstreams. */
+  static final int MOST_SKIPPED_BYTES = BoundedSource.MOST_SKIPPED_BYTES;
+
   private final Runnable onEnd;
+  private long allowed = Long.MAX_VALUE;
   private ByteBuffer ahead = ByteBuffer.allocate(0);
   private ReadReadyHandler reader;
   private boolean wanted;
@@ -41,6 +47,31 @@
     next.setReadReadyHandler(new Watch());
   }
 
+  /**
+   * Bounds what is read until the request has ended, or until this is called again.
+   *
+   * <p>The parser skips extensions of chunks and keeps trailers, however many come.
+   */
+  static void allow(HttpServerExchange exchange, long bytes) {
+    if (exchange.getConnection() instanceof AbstractServerConnection connection
+        && connection.getOriginalSourceConduit() instanceof WatchedSource source) {
+      source.allowed = bytes;
+    }
+  }
+
+  /** Lifts the bound; a head has a limit of its own. */
+  static void allowAll(HttpServerExchange exchange) {
+    allow(exchange, Long.MAX_VALUE);
+  }
+
+  private int counted(int count) throws IOException {
+    allowed -= Math.max(0, count);
+    if (allowed < 0) {
+      throw new IOException("the caller sends too much that is no content");
+    }
+    return count;
+  }
+
   private final class Watch implements ReadReadyHandler {
     @Override
     public void readReady() {
@@ -99,7 +130,7 @@
   @Override
   public int read(ByteBuffer dst) throws IOException {
     if (!ahead.hasRemaining()) {
-      return ended ? -1 : next.read(dst);
+      return ended ? -1 : counted(next.read(dst));
     }
     int count = Math.min(dst.remaining(), ahead.remaining());
     ByteBuffer part = ahead.slice().limit(count);
--- /dev/null
+++ b/router/src/test/java/io/jacinthquay/router/EndlessCallerTest.java
@@ -0,0 +1,190 @@
+package io.jacinthquay.router;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.jacinthquay.model.Failure;
+import io.jacinthquay.model.RequestId;
+import io.jacinthquay.model.ResultCode;
+import io.jacinthquay.router.adapter.http.CallerServer;
+import io.jacinthquay.router.adapter.http.ListenerLimits;
+import io.jacinthquay.router.port.AnswerHead;
+import io.jacinthquay.router.port.Caller;
+import io.jacinthquay.router.port.CallerHead;
+import io.jacinthquay.router.port.RequestIntake;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Callers that send bytes without end, until the router closes the connection. */
+@Timeout(60)
+class EndlessCallerTest {
+  /** Bytes after which the caller gives up, so that a router without a bound fails the test. */
+  private static final long MOST_BYTES = 64L << 20;
+
+  private static final int WRITE_BYTES = 16 * 1024;
+
+  /** Bytes without content that end a request. */
+  private static final int BYTES_BOUNDED = 64 * 1024;
+
+  private static final ListenerLimits LIMITS =
+      new ListenerLimits(4_096, 100_000, 1_000_000, 40, 500, 20_000, 10_000);
+
+  private CallerServer server;
+
+  /** What a caller sends again and again after an opening. */
+  private enum Endless {
+    GARBAGE("", "x"),
+    BLANK_LINES("", "\r\n"),
+    TARGET("GET /", "x"),
+    QUERY("GET /?", "a=b&"),
+    HEADER_NAME("GET / HTTP/1.1\r\n", "x"),
+    HEADER_VALUE("GET / HTTP/1.1\r\nX: ", "x"),
+    HEADER_LINES("GET / HTTP/1.1\r\n", "X: x\r\n"),
+    CHUNKS("POST /", "5\r\nhello\r\n"),
+    CHUNK_EXTENSION("POST /", "5;a=b", "x"),
+    TRAILERS("POST /", "0\r\n", "X-Filler: x\r\n"),
+    CHUNKS_OF_A_REFUSED_HEAD("POST /refused", "5\r\nhello\r\n"),
+    EXTENSION_OF_A_REFUSED_HEAD("POST /refused", "5;a=b", "x"),
+    TRAILERS_OF_A_REFUSED_HEAD("POST /refused", "0\r\n", "X-Filler: x\r\n");
+
+    private final String opening;
+    private final String part;
+
+    Endless(String start, String part) {
+      this(start, "", part);
+    }
+
+    Endless(String start, String lead, String part) {
+      this.opening =
+          start.startsWith("POST")
+              ? start + " HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + lead
+              : start;
+      this.part = part;
+    }
+  }
+
+  @BeforeEach
+  void start() {
+    server =
+        new CallerServer(
+            new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 1, LIMITS, new Intake());
+    server.start();
+  }
+
+  @AfterEach
+  void stop() {
+    server.stop();
+  }
+
+  /** Answers every request whose path isn't refused. */
+  private static final class Intake implements RequestIntake {
+    @Override
+    public RequestId nextId() {
+      return new RequestId("r1");
+    }
+
+    @Override
+    public Either<Failure, AdmittedHead> admit(RequestId id, CallerHead head) {
+      return head.rawPath().equals("/refused")
+          ? Either.left(Failure.of(ResultCode.ROUTE_UNKNOWN))
+          : Either.right((body, caller) -> answer(caller, 200));
+    }
+
+    @Override
+    public void refuse(RequestId id, CallerHead head, Failure failure, Caller caller) {
+      answer(caller, failure.code().httpStatus());
+    }
+
+    private static void answer(Caller caller, int status) {
+      caller.begin(new AnswerHead(status, List.of()), OptionalLong.of(2));
+      boolean unused = caller.write(ByteBuffer.wrap(bytes("ok")));
+      caller.end();
+    }
+  }
+
+  private static byte[] bytes(String text) {
+    return text.getBytes(StandardCharsets.ISO_8859_1);
+  }
+
+  private Socket connect() throws IOException {
+    return new Socket(InetAddress.getLoopbackAddress(), server.port());
+  }
+
+  /** Extensions of chunks and trailers were read, and trailers kept, for as long as a body may. */
+  @ParameterizedTest
+  @EnumSource
+  void closeOnACallerThatSendsWithoutEnd(Endless endless) throws Exception {
+    CountDownLatch closed = new CountDownLatch(1);
+    long[] taken = new long[1];
+    try (Socket socket = connect()) {
+      Thread sender =
+          new Thread(
+              () -> {
+                taken[0] = sendUntilClosed(socket, endless);
+                closed.countDown();
+              },
+              "endless-caller");
+      sender.setDaemon(true);
+      sender.start();
+      try (Socket other = connect()) {
+        other
+            .getOutputStream()
+            .write(bytes("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"));
+        String answer =
+            new String(other.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+        assertEquals("HTTP/1.1 200 OK", answer.lines().findFirst().orElse(""));
+      }
+      closed.await();
+    }
+    assertTrue(taken[0] < MOST_BYTES, "the router took " + taken[0] + " bytes");
+  }
+
+  /** Extensions beside content are bounded by the content; a refused body is read to its end. */
+  @ParameterizedTest
+  @ValueSource(strings = {"/", "/refused"})
+  void takeAProperBodyWithExtensionsAndGoOn(String path) throws Exception {
+    String head = " HTTP/1.1\r\nHost: h\r\n";
+    String chunk = "5;name=" + "x".repeat(20) + "\r\nhello\r\n";
+    String body = chunk.repeat(2 * BYTES_BOUNDED / chunk.length()) + "0\r\nX-Trailer: x\r\n\r\n";
+    try (Socket socket = connect()) {
+      OutputStream out = socket.getOutputStream();
+      out.write(bytes("POST " + path + head + "Transfer-Encoding: chunked\r\n\r\n" + body));
+      out.write(bytes("GET /" + head + "Connection: close\r\n\r\n"));
+      String answers =
+          new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+      assertTrue(answers.startsWith(path.equals("/") ? "HTTP/1.1 200" : "HTTP/1.1 404"), answers);
+      assertTrue(answers.lastIndexOf("HTTP/1.1 200") > 0, answers);
+    }
+  }
+
+  private static long sendUntilClosed(Socket socket, Endless endless) {
+    byte[] parts = bytes(endless.part.repeat(Math.max(1, WRITE_BYTES / endless.part.length())));
+    long sent = 0;
+    try {
+      OutputStream out = socket.getOutputStream();
+      out.write(bytes(endless.opening));
+      while (sent < MOST_BYTES) {
+        out.write(parts);
+        sent += parts.length;
+      }
+    } catch (IOException e) {
+      return sent;
+    }
+    return sent;
+  }
+}
