--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardAttempt.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardAttempt.java
@@ -71,6 +71,12 @@
     }
   }
 
+  /** The answer's head told all that is needed. */
+  private void dropRest() {
+    ignored = true;
+    call.discard();
+  }
+
   private void heard() {
     answered = true;
     core.board().heard(upstream(), System.nanoTime());
@@ -106,7 +112,7 @@
       case NOT_RUN -> {
         provedNotRun = true;
         count(head.status() == MISDIRECTED ? SendEnd.ENDED : SendEnd.UNDECIDED);
-        ignored = true;
+        dropRest();
         run.notRun(head);
       }
       case SPOILT -> {
@@ -116,7 +122,7 @@
       case FAILURE -> {
         if (run.mayRepeat(System.nanoTime())) {
           count(SendEnd.FAILED);
-          ignored = true;
+          dropRest();
           run.repeat("status " + head.status());
         } else {
           run.answering(this, head, false);
@@ -133,7 +139,14 @@
       cancel(SendEnd.FAILED);
       run.failed(this, "spoilt body");
     }
-    return true;
+    return ignored || run.takesMore();
+  }
+
+  /** Reads on after the caller has taken what it was sent. */
+  void resume() {
+    if (call != null) {
+      call.resume();
+    }
   }
 
   @Override
