Take no confirmation of leadership for fresh after a suspension

Callers of the platform saw, or could have seen, a usage report or a scaling order of a control VM that had been suspended for seconds and no longer led: the right to act for all was counted on the monotonic clock alone, which doesn't count a suspension, so it lasted up to 600 ms after the VM woke, twice what the platform forgives after a freeze. For as long it told routers that it leads, and a lonely replica that it was removed, from a state of before.

Ruled out: the question to the quorum itself; its answer may have been in the receive buffer since before the suspension, so hearing it proves nothing. Ruled out too: the check right before the write (HttpCall.mayWrite), which was there and asked the same clock.

Now a confirmation counts only while the monotonic clock and the time of day agree on how long ago it was asked for (ClockReading).

--- a/control/src/main/java/io/jacinthquay/control/ControlService.java
+++ b/control/src/main/java/io/jacinthquay/control/ControlService.java
@@ -22,6 +22,7 @@
 import io.jacinthquay.model.routing.RoutingDocument;
 import io.jacinthquay.runtime.Service;
 import io.jacinthquay.runtime.settings.SocketAddresses;
+import io.jacinthquay.runtime.time.ClockReading;
 import io.jacinthquay.wire.gen.Control;
 import io.jacinthquay.wire.transport.PlainChannel;
 import io.jacinthquay.wire.transport.PlainServer;
@@ -117,7 +118,7 @@
     replicatedLog = newLog(state);
     store = new ControlStore(replicatedLog, state);
     removal = new RemovalWatch(ROUTERS, seeds());
-    leadership = new Leadership(options.name(), options.dutyHold(), System::nanoTime);
+    leadership = new Leadership(options.name(), options.dutyHold(), ClockReading::now);
     usage = new UsageDuty(options.usageWindow(), store, routers, fleet);
     scaling = new ScalingDuty(store, routers, feed, fleet, decoder);
     TMultiplexedProcessor processor = new TMultiplexedProcessor();
@@ -212,7 +213,7 @@
       leadership.lost();
       return;
     }
-    long asked = System.nanoTime();
+    ClockReading asked = ClockReading.now();
     var unused =
         store
             .read()
--- /dev/null
+++ b/runtime/src/main/java/io/jacinthquay/runtime/time/package-info.java
@@ -0,0 +1,2 @@
+/** Clocks that jump or stand still. */
+package io.jacinthquay.runtime.time;
