Reset a call that is given up, so that nothing of it arrives later

A usage report or scaling order that ran out of its 900 ms was closed. What the kernel had taken by then was still delivered afterwards: over a link that was cut, with the sending VM's next retransmission, which may come seconds after the link heals, and by a slow platform from its receive buffer. By that time another VM may act with a higher fence number (rule ONE where the platform doesn't check fences), and the caller had given its outcome up.

Found by reading. Ruled out: the check before the first byte and the limit of 900 ms; both were kept, they say nothing of bytes that have left the process and not the VM. A hold of lease / 2 + 500 ms doesn't cover a retransmission either.

The connection is now closed with a reset (linger 0), which drops what the kernel still holds. Bytes that have reached the platform's VM can't be taken back.

JsonHttpClientTest.nothingOfAnAbandonedCallIsDeliveredLater before: "the call was not reset ==> Expected java.net.SocketException to be thrown, but nothing was thrown."

--- a/runtime/src/main/java/io/jacinthquay/runtime/http/JsonHttpClient.java
+++ b/runtime/src/main/java/io/jacinthquay/runtime/http/JsonHttpClient.java
@@ -24,6 +24,8 @@
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -39,9 +41,12 @@
  * Either<Failure, HttpAnswer> answer = http.call(HttpCall.read(server, "/vms", timeout));
  * }</pre>
  *
- * <p>A call that runs out of time is closed, so that nothing of it is written later.
+ * <p>A call that runs out of time is reset, so that nothing of it is written later, and nothing
+ * that was written is delivered later where the network kept it.
  */
 public final class JsonHttpClient implements Service {
+  private static final Logger log = LogManager.getLogger();
+
   private static final int BUFFER_BYTES = 16 * 1024;
   private static final ByteBufferPool BUFFERS = new DefaultByteBufferPool(true, BUFFER_BYTES);
 
@@ -139,10 +144,22 @@
 
     Either<Failure, HttpAnswer> abandon(ResultCode code) {
       abandoned = true;
-      IoUtils.safeClose(connection.get());
+      reset(connection.get());
       return Either.left(Failure.of(code, call.method() + " " + call.path() + " did not end"));
     }
 
+    private static void reset(ClientConnection opened) {
+      if (opened == null) {
+        return;
+      }
+      try {
+        opened.setOption(Options.CLOSE_ABORT, true);
+      } catch (IOException e) {
+        log.warn("a call is closed without a reset: {}", e.getMessage());
+      }
+      IoUtils.safeClose(opened);
+    }
+
     @Override
     public void completed(ClientConnection opened) {
       connection.set(opened);
--- a/runtime/src/test/java/io/jacinthquay/runtime/http/JsonHttpClientTest.java
+++ b/runtime/src/test/java/io/jacinthquay/runtime/http/JsonHttpClientTest.java
@@ -1,13 +1,18 @@
 package io.jacinthquay.runtime.http;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.jacinthquay.model.ResultCode;
 import io.undertow.Undertow;
 import io.undertow.util.Headers;
+import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -19,6 +24,8 @@
 
 class JsonHttpClientTest {
   private static final Duration LONG = Duration.ofSeconds(20);
+  private static final int SMALL_BUFFER_BYTES = 4_096;
+  private static final int BODY_BYTES = 8 << 20;
 
   private final AtomicInteger calls = new AtomicInteger();
   private final JsonHttpClient http = new JsonHttpClient("test");
@@ -94,4 +101,20 @@
     HttpCall call = HttpCall.read(closed, "/x", LONG);
     assertEquals(ResultCode.UPSTREAM_UNREACHABLE, http.call(call).getLeft().code());
   }
+
+  /** A link that is cut keeps what was written and delivers it once it heals, seconds later. */
+  @Test
+  void nothingOfAnAbandonedCallIsDeliveredLater() throws Exception {
+    try (ServerSocket slow = new ServerSocket()) {
+      slow.setReceiveBufferSize(SMALL_BUFFER_BYTES);
+      slow.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+      InetSocketAddress server = (InetSocketAddress) slow.getLocalSocketAddress();
+      String body = "x".repeat(BODY_BYTES);
+      assertTrue(http.call(HttpCall.post(server, "/x", body, Duration.ofMillis(300))).isLeft());
+      try (Socket late = slow.accept()) {
+        InputStream in = late.getInputStream();
+        assertThrows(SocketException.class, in::readAllBytes, "the call was not reset");
+      }
+    }
+  }
 }
