Tell a replica that it was removed only once its removal is committed

A control VM that hears of no leader for 4 s asks the others whether it still takes part, and where the leader says that it doesn't, deletes its data folder and begins anew. The leader answered from the membership that it had appended last, committed or not.

Found by reading: a final negative answer while the proposal behind it could still fail. Ruled out: an old leader that answers, since it answers only while a quorum confirmed it; and a replica taken in meanwhile, which can't have been without a leader for 4 s by then.

The leader now tells of all replicas of the committed membership and of those that may still replace it (LogStatus.takingPart), the rule by which RaftState.mayCampaign already goes.

--- a/consensus/src/main/java/io/jacinthquay/consensus/LogStatus.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/LogStatus.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * A view of one replica for operators and metrics.
@@ -15,6 +16,7 @@
  * @param firstIndex the lowest index still held in the log
  * @param lastIndex the highest index in the log
  * @param membership the membership in force
+ * @param takingPart the replicas of the committed membership and of those that may still replace it
  * @param waiting replicas with an empty data folder that asked to take part
  */
 public record LogStatus(
@@ -27,9 +29,11 @@
     long firstIndex,
     long lastIndex,
     Membership membership,
+    Set<ReplicaId> takingPart,
     List<ReplicaId> waiting) {
-  /** Copies the list. */
+  /** Copies the collections. */
   public LogStatus {
+    takingPart = Set.copyOf(takingPart);
     waiting = List.copyOf(waiting);
   }
 
--- a/consensus/src/main/java/io/jacinthquay/consensus/raft/MembershipHistory.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/raft/MembershipHistory.java
@@ -2,6 +2,9 @@
 
 import io.jacinthquay.consensus.Membership;
 import io.jacinthquay.consensus.ReplicaId;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.Set;
 import java.util.TreeMap;
 
 /** The memberships by the log index at which each came into force. */
@@ -28,11 +31,22 @@
 
   /** Tells whether a replica votes in the committed membership or one that may still replace it. */
   boolean mayVote(ReplicaId replica, long commitIndex) {
-    Long committed = byIndex.floorKey(commitIndex);
-    return byIndex.tailMap(committed == null ? byIndex.firstKey() : committed).values().stream()
+    return possible(commitIndex).stream()
         .anyMatch(membership -> membership.voters().contains(replica));
   }
 
+  /** Returns the replicas of the committed membership and of those that may still replace it. */
+  Set<ReplicaId> takingPart(long commitIndex) {
+    Set<ReplicaId> replicas = new HashSet<>();
+    possible(commitIndex).forEach(membership -> replicas.addAll(membership.replicas()));
+    return replicas;
+  }
+
+  private Collection<Membership> possible(long commitIndex) {
+    Long committed = byIndex.floorKey(commitIndex);
+    return byIndex.tailMap(committed == null ? byIndex.firstKey() : committed).values();
+  }
+
   void truncateFrom(long index) {
     byIndex.tailMap(index, true).clear();
   }
--- a/consensus/src/main/java/io/jacinthquay/consensus/raft/RaftNode.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/raft/RaftNode.java
@@ -419,6 +419,7 @@
         state.log.firstIndex(),
         state.log.lastIndex(),
         state.membership(),
+        state.history.takingPart(state.commitIndex),
         formation.waiting());
   }
 }
--- a/control/src/main/java/io/jacinthquay/control/adapter/ControlHandler.java
+++ b/control/src/main/java/io/jacinthquay/control/adapter/ControlHandler.java
@@ -1,5 +1,6 @@
 package io.jacinthquay.control.adapter;
 
+import io.jacinthquay.consensus.LogStatus;
 import io.jacinthquay.consensus.Membership;
 import io.jacinthquay.consensus.ReplicaId;
 import io.jacinthquay.control.service.ControlStore;
@@ -48,14 +49,15 @@
   @Override
   public ControlViewMessage exchange(RouterReportMessage report) {
     ControlViewMessage view = new ControlViewMessage();
-    Membership membership = store.status().membership();
+    LogStatus status = store.status();
+    Membership membership = status.membership();
     view.setMembers(
         new ArrayList<>(membership.replicas().stream().map(r -> r.member().value()).toList()));
     boolean fromRouter = !report.getRouter().isEmpty();
     view.setReplicas(
         fromRouter
             ? List.of()
-            : new ArrayList<>(membership.replicas().stream().map(ReplicaId::toString).toList()));
+            : new ArrayList<>(status.takingPart().stream().map(ReplicaId::toString).toList()));
     view.setLeader(store.leader().map(member -> member.value()).orElse(""));
     view.setOtherLoads(new ArrayList<>());
     view.setReads(new ArrayList<>());
--- a/control/src/test/java/io/jacinthquay/control/service/LeadershipTest.java
+++ b/control/src/test/java/io/jacinthquay/control/service/LeadershipTest.java
@@ -14,6 +14,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -34,7 +35,17 @@
   private static LogStatus leading(long term) {
     ReplicaId self = new ReplicaId(new MemberId("10.0.0.1:1"), 1);
     return new LogStatus(
-        self, Role.LEADER, term, Optional.of(self), 1, 1, 1, 1, Membership.EMPTY, List.of());
+        self,
+        Role.LEADER,
+        term,
+        Optional.of(self),
+        1,
+        1,
+        1,
+        1,
+        Membership.EMPTY,
+        Set.of(),
+        List.of());
   }
 
   private void confirm(long term, long atMillis) {
