Take the own standstill for nobody's silence when a voter is replaced

All control VMs are frozen together and wake. The leader reads the answers of some voters first; that makes a quorum, and the next tick found the others silent for as long as it had itself stood still. Where a learner stood by, it removed a sound voter for it, which later had to begin anew with an empty folder.

Found by reading: events that fall due together after a process stood still. Ruled out: the check that a quorum answered within an election timeout, since the first answers satisfy it; and a leader that alone stood still, whose term the others have left.

Silence now counts only from when this replica listened again: a pause between two ticks of an election timeout or more starts it anew.

RemovalTest.takeTheOwnStandstillForNobodysSilence before: "expected: <true> but was: <false>" for the voter that was not heard yet; replaceAVoterThatIsSilent passes before and after. ConsensusProperties and FoundHistoriesTest pass with it.

--- a/consensus/src/main/java/io/jacinthquay/consensus/raft/Leadership.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/raft/Leadership.java
@@ -22,9 +22,21 @@
   private final Map<ReplicaId, Progress> peers = new HashMap<>();
   private long nextHeartbeat;
   private long round;
+  private long noticed;
+  private long listensSince;
 
   Leadership(RaftState state) {
     this.state = state;
+    noticed = state.now;
+    listensSince = state.now;
+  }
+
+  /** Notices from the time between two ticks that this replica itself stood still. */
+  void notice(long now) {
+    if (now - noticed >= state.options.electionNanos()) {
+      listensSince = now;
+    }
+    noticed = now;
   }
 
   /** Takes over after a won election. */
@@ -84,13 +96,16 @@
         || (progress != null && state.now - progress.lastContact() < state.options.electionNanos());
   }
 
-  /** Tells whether a replica has not answered for several election timeouts. */
+  /**
+   * Tells whether a replica has not answered for several election timeouts in which this one
+   * listened. After a standstill the answers of some are read before those of others.
+   */
   boolean isSilent(ReplicaId replica) {
     Progress progress = peers.get(replica);
     long silence = SILENT_ELECTIONS * state.options.electionNanos();
     return !replica.equals(state.self)
         && progress != null
-        && state.now - progress.lastContact() >= silence;
+        && state.now - Math.max(progress.lastContact(), listensSince) >= silence;
   }
 
   /** Tells whether a learner lacks few enough entries to become a voter. */
--- a/consensus/src/main/java/io/jacinthquay/consensus/raft/RaftNode.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/raft/RaftNode.java
@@ -89,6 +89,7 @@
     if (state.mode == Mode.FAILED) {
       return;
     }
+    leadership.notice(now);
     reads.tick();
     formation.tick();
     if (!state.isLeader()) {
--- a/consensus/src/test/java/io/jacinthquay/consensus/raft/RemovalTest.java
+++ b/consensus/src/test/java/io/jacinthquay/consensus/raft/RemovalTest.java
@@ -21,6 +21,7 @@
   private static final ReplicaId SELF = new ReplicaId(new MemberId("a"), 1);
   private static final ReplicaId NEAR = new ReplicaId(new MemberId("b"), 1);
   private static final ReplicaId GONE = new ReplicaId(new MemberId("c"), 1);
+  private static final ReplicaId SPARE = new ReplicaId(new MemberId("d"), 1);
   private static final Set<ReplicaId> VOTERS = Set.of(SELF, NEAR, GONE);
   private static final long TERM = 2;
 
@@ -68,4 +69,30 @@
     answer(NEAR, 3);
     assertFalse(node.status(0).takingPart().contains(GONE));
   }
+
+  /** The first voter that is heard after a standstill doesn't show that the others are gone. */
+  @Test
+  void takeTheOwnStandstillForNobodysSilence() {
+    lead(Set.of(SPARE), VOTERS.size());
+    answer(GONE, 2);
+    answer(SPARE, 2);
+    now += 15 * ELECTION;
+    answer(NEAR, 2);
+    answer(SPARE, 2);
+    node.tick(now);
+    assertTrue(node.status(0).isLeader());
+    assertTrue(node.status(0).membership().contains(GONE));
+  }
+
+  @Test
+  void replaceAVoterThatIsSilent() {
+    lead(Set.of(SPARE), VOTERS.size());
+    for (int heartbeat = 0; heartbeat < 40; heartbeat++) {
+      now += 60 * MILLI;
+      answer(NEAR, 2);
+      answer(SPARE, 2);
+      node.tick(now);
+    }
+    assertFalse(node.status(0).membership().contains(GONE));
+  }
 }
