Use no lease of a controller over a suspension of its VM

A controller counts its lease on the monotonic clock, which doesn't count a suspension. One that was suspended for longer than the lease went on sending usage reports, and would have sent orders, under a fencing number that another process had replaced, until its own count of ten seconds was over. Only a platform that checks fencing numbers refused them.

Found by reading. Ruled out: the check before each write, which was there and asked the same clock; the keepers' clock, which never runs ahead; SingleAuthorityProperties, whose clocks differ in rate only.

A lease is now used only while the time of day agrees on how long ago it was asked for; where it doesn't, the holder renews at once, which a lease that was taken over doesn't survive and a mere step of the time of day does.

--- a/controller/src/main/java/io/jacinthquay/controller/service/LeaseHolder.java
+++ b/controller/src/main/java/io/jacinthquay/controller/service/LeaseHolder.java
@@ -6,6 +6,7 @@
 import io.jacinthquay.model.Failure;
 import io.jacinthquay.model.LeaseName;
 import io.jacinthquay.model.ResultCode;
+import io.jacinthquay.runtime.time.ClockReading;
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.Objects;
@@ -25,7 +26,8 @@
  * }</pre>
  *
  * <p>The holder counts the length from before it asked, on its own monotonic clock, less the share
- * by which clocks may drift. Safe for use by many threads.
+ * by which clocks may drift. Where the time of day says that another time has passed, the VM may
+ * have been suspended, and the lease isn't used until it is renewed. Safe for use by many threads.
  */
 public final class LeaseHolder {
   private static final Logger log = LogManager.getLogger();
@@ -41,8 +43,12 @@
   private volatile Held held;
   private long nextTryNanos;
 
-  /** A lease and the instant until which it may be used. */
-  private record Held(Lease lease, long fromNanos, long untilNanos) {}
+  /** A lease, when it was asked for, and the instant until which it may be used. */
+  private record Held(Lease lease, ClockReading from, long untilNanos) {
+    boolean outlasts(Duration span, ClockReading now) {
+      return from.agreesWith(now) && now.nanos() + span.toNanos() < untilNanos;
+    }
+  }
 
   /**
    * Returns a holder that has no lease yet.
@@ -65,33 +71,38 @@
   /** Acquires the lease if it is free, and renews it once half of it has passed. */
   public synchronized void step() {
     Held current = held;
-    long before = ticker.nanos();
-    if (current == null || before >= current.untilNanos()) {
+    ClockReading before = reading();
+    if (current == null || before.nanos() >= current.untilNanos()) {
       tryToAcquire(before);
       return;
     }
-    long half = (current.untilNanos() - current.fromNanos()) / 2;
-    if (before - current.fromNanos() >= half) {
+    long half = (current.untilNanos() - current.from().nanos()) / 2;
+    boolean doubtful = !current.from().agreesWith(before);
+    if (doubtful || before.nanos() - current.from().nanos() >= half) {
       accept(before, leases.renew(current.lease(), owner, times.length()));
     }
   }
 
-  private void tryToAcquire(long now) {
-    if (now - nextTryNanos < 0) {
+  private ClockReading reading() {
+    return new ClockReading(ticker.nanos(), ticker.wallMillis());
+  }
+
+  private void tryToAcquire(ClockReading now) {
+    if (now.nanos() - nextTryNanos < 0) {
       return;
     }
     Either<Failure, Lease> answer = leases.acquire(name, owner, times.length());
     accept(now, answer);
     if (answer.isLeft() && answer.getLeft().code() == ResultCode.LEASE_HELD) {
-      nextTryNanos = now + times.length().toNanos() / TRIES_PER_LENGTH;
+      nextTryNanos = now.nanos() + times.length().toNanos() / TRIES_PER_LENGTH;
     }
   }
 
-  private void accept(long before, Either<Failure, Lease> answer) {
+  private void accept(ClockReading before, Either<Failure, Lease> answer) {
     logAnswer(answer);
     if (answer.isRight()) {
       Lease lease = answer.get();
-      held = new Held(lease, before, before + times.usableNanos(lease.length()));
+      held = new Held(lease, before, before.nanos() + times.usableNanos(lease.length()));
     } else if (answer.getLeft().code() == ResultCode.LEASE_LOST) {
       held = null;
     }
@@ -113,7 +124,7 @@
 
   /** Returns the lease, if this process holds it now. */
   public Optional<Lease> lease() {
-    return outlasts(Duration.ZERO) ? Optional.of(held.lease()) : Optional.empty();
+    return heldFor(Duration.ZERO).map(Held::lease);
   }
 
   /**
@@ -122,8 +133,7 @@
    * @param span the time that an action may take
    */
   public boolean outlasts(Duration span) {
-    Held current = held;
-    return current != null && ticker.nanos() + span.toNanos() < current.untilNanos();
+    return heldFor(span).isPresent();
   }
 
   /**
@@ -133,10 +143,11 @@
    * @param span the time that the action may take
    */
   public boolean outlasts(Lease lease, Duration span) {
-    Held current = held;
-    return current != null
-        && current.lease().fencing().equals(lease.fencing())
-        && ticker.nanos() + span.toNanos() < current.untilNanos();
+    return heldFor(span).filter(h -> h.lease().fencing().equals(lease.fencing())).isPresent();
+  }
+
+  private Optional<Held> heldFor(Duration span) {
+    return Optional.ofNullable(held).filter(current -> current.outlasts(span, reading()));
   }
 
   /** Gives the lease back, so that another process need not wait for its end. */
