Take no failure of the platform for its refusal of an order

Whoever sent an order heard "refused, not run" (1300) for any status of the platform but 409, also for 500, 502, 503, 504 and 408. The order was then marked as done and never sent again, though the platform may carry it out, or may not and never will. No program sends orders by this path today; usage reports go by it too, where only the log line was wrong.

Found by reading. Ruled out: OrderSender, which ends an order only on a code that says "not run"; the code was wrong.

A 5xx and a 408 are now 1302, outcome unknown, after which the order stays open and is sent again with the same body. Other 4xx stay refusals.

--- a/controller/src/main/java/io/jacinthquay/controller/adapter/http/HttpPlatform.java
+++ b/controller/src/main/java/io/jacinthquay/controller/adapter/http/HttpPlatform.java
@@ -32,7 +32,9 @@
 public final class HttpPlatform implements Platform {
   private static final Duration READ_TIMEOUT = Duration.ofSeconds(2);
   private static final String FENCING_HEADER = "x-fencing";
+  private static final int REQUEST_TIMEOUT = 408;
   private static final int CONFLICT = 409;
+  private static final int SERVER_ERROR = 500;
   private static final ObjectMapper MAPPER = new ObjectMapper();
 
   private final InetSocketAddress address;
@@ -74,10 +76,20 @@
     if (answer.isSuccess()) {
       return Either.right(answer.body());
     }
-    ResultCode code =
-        answer.status() == CONFLICT ? ResultCode.ORDER_CONFLICT : ResultCode.UPSTREAM_REFUSED;
     return Either.left(
-        Failure.of(code, "the platform answered " + answer.status() + ": " + answer.body()));
+        Failure.of(
+            code(answer.status()),
+            "the platform answered " + answer.status() + ": " + answer.body()));
+  }
+
+  /** A platform that failed, or heard only part of a call, has promised nothing. */
+  private static ResultCode code(int status) {
+    if (status == CONFLICT) {
+      return ResultCode.ORDER_CONFLICT;
+    }
+    return status >= SERVER_ERROR || status == REQUEST_TIMEOUT
+        ? ResultCode.UPSTREAM_BROKE
+        : ResultCode.UPSTREAM_REFUSED;
   }
 
   @Override
