Vouch for no keys over a suspension of a keeper

A router may use its keys for 5 s after a keeper last heard from a quorum, which the keeper tells by its monotonic clock. That clock doesn't count a suspension: a keeper that woke after ten seconds told its readers that their keys were current as of a moment ago, until its next reading of the quorum, and a key that was withdrawn meanwhile went on being accepted for up to another lease.

Found by reading. Ruled out: answers of the quorum from before the suspension, which carry the instant at which they were asked for, by the same clock; a suspension of the router, which is not looked at here.

The instant now counts only while the time of day agrees on how long ago it was.

--- a/keeper/src/main/java/io/jacinthquay/keeper/service/QuorumContact.java
+++ b/keeper/src/main/java/io/jacinthquay/keeper/service/QuorumContact.java
@@ -2,24 +2,29 @@
 
 import io.jacinthquay.consensus.ReplicatedLog;
 import io.jacinthquay.runtime.Service;
+import io.jacinthquay.runtime.time.ClockReading;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Supplier;
 
 /**
  * Knows when this keeper last heard from a quorum, by a read index every interval.
  *
  * <p>The instant is that before the read was asked for, and it is published once the local state
- * has caught up with the read.
+ * has caught up with the read. Where the clocks disagree on how long ago it was, this VM may have
+ * been suspended, and the instant counts for nothing.
  */
 public final class QuorumContact implements Service {
   private final ReplicatedLog log;
   private final Duration interval;
-  private final AtomicReference<OptionalLong> confirmed =
-      new AtomicReference<>(OptionalLong.empty());
+  private final Supplier<ClockReading> clock;
+  private final AtomicReference<Optional<ClockReading>> confirmed =
+      new AtomicReference<>(Optional.empty());
   private ScheduledExecutorService scheduler;
 
   /**
@@ -29,8 +34,13 @@
    * @param interval time between two reads
    */
   public QuorumContact(ReplicatedLog log, Duration interval) {
+    this(log, interval, ClockReading::now);
+  }
+
+  QuorumContact(ReplicatedLog log, Duration interval, Supplier<ClockReading> clock) {
     this.log = log;
     this.interval = interval;
+    this.clock = clock;
   }
 
   @Override
@@ -47,20 +57,23 @@
             this::probe, 0, interval.toMillis(), TimeUnit.MILLISECONDS);
   }
 
-  private void probe() {
-    long asked = System.nanoTime();
+  void probe() {
+    ClockReading asked = clock.get();
     var unused = log.readIndex().thenAccept(index -> index.forEach(i -> confirm(asked)));
   }
 
-  private void confirm(long asked) {
+  private void confirm(ClockReading asked) {
     confirmed.accumulateAndGet(
-        OptionalLong.of(asked),
-        (old, now) -> old.isPresent() && old.getAsLong() - now.getAsLong() > 0 ? old : now);
+        Optional.of(asked),
+        (old, now) -> old.filter(o -> o.nanos() - asked.nanos() > 0).or(() -> now));
   }
 
   /** Returns the newest confirmed instant on {@link System#nanoTime()}, if there is one. */
   public OptionalLong confirmedNanos() {
-    return confirmed.get();
+    return confirmed.get().stream()
+        .filter(asked -> asked.agreesWith(clock.get()))
+        .mapToLong(ClockReading::nanos)
+        .findFirst();
   }
 
   @Override
