Exit with "unknown" for every failure that may have had an effect

jqctl ended with "refused" (4) for any failure but 2004, also for those whose outcome isn't known, such as an answer of the keepers that it can't read (1500) after the change was applied. An operator who hears "refused" sends another change, and `key issue` and `key rotate` didn't print the key that may have been issued.

Found by reading. Ruled out: KeeperClient, which answers 2004 for every call that it made again or lost.

The exit code now follows the outcome of the result code.

ContextTest.sayRefusedOnlyOfWhatHadNoEffect before: "expected: <UNKNOWN> but was: <REFUSED>" for 12 of 58 codes.

--- a/ctl/src/main/java/io/jacinthquay/ctl/command/Context.java
+++ b/ctl/src/main/java/io/jacinthquay/ctl/command/Context.java
@@ -2,6 +2,7 @@
 
 import io.jacinthquay.ctl.output.Printer;
 import io.jacinthquay.model.Failure;
+import io.jacinthquay.model.Outcome;
 import io.jacinthquay.model.ResultCode;
 import io.jacinthquay.runtime.ExitCode;
 import io.jacinthquay.wire.client.KeeperCall;
@@ -31,7 +32,7 @@
   /** Prints a failure and returns the exit code that goes with it. */
   ExitCode fail(Failure failure) {
     printer.error(failure);
-    if (failure.code() == ResultCode.NO_QUORUM) {
+    if (failure.code().outcome() != Outcome.NOT_RUN) {
       return ExitCode.UNKNOWN;
     }
     return failure.code() == ResultCode.SETTINGS_INVALID
