--- a/consensus/src/main/java/io/jacinthquay/consensus/raft/RaftNode.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/raft/RaftNode.java
@@ -89,6 +89,7 @@
     if (state.mode == Mode.FAILED) {
       return;
     }
+    leadership.notice(now);
     reads.tick();
     formation.tick();
     if (!state.isLeader()) {
@@ -419,6 +420,7 @@
         state.log.firstIndex(),
         state.log.lastIndex(),
         state.membership(),
+        state.history.takingPart(state.commitIndex),
         formation.waiting());
   }
 }
