Tell admission that plain services send no load reports

What callers saw: after the loss of a router, its share of a plain service's slots was never given to the other routers, so fewer requests at a time went there than it bears (read from the code, no run of it). Cause: PoolTables described every upstream as one whose load reports come. EngineWatcher asks engines only, so owners waited for reports of plain services that never come (ShareKeeper.counts, mostForeign). Change: only engines are described so; for the others ShareKeeper goes by leases and silence alone, as docs/decisions/0200 says of upstreams that report no load.

--- a/router/src/main/java/io/jacinthquay/router/service/dispatch/PoolTables.java
+++ b/router/src/main/java/io/jacinthquay/router/service/dispatch/PoolTables.java
@@ -119,7 +119,8 @@
       boolean open = !closed.contains(entry.name());
       if (open && !isLeaving(entry, policy) && !policy.isOut(entry.domain())) {
         int ceiling = Math.max(entry.floor(), UpstreamSpec.DEFAULT_CEILING);
-        ofScope.add(new UpstreamSpec(entry.name(), entry.floor(), ceiling));
+        boolean reportsLoad = entry.kind() == VmEntry.Kind.ENGINE;
+        ofScope.add(new UpstreamSpec(entry.name(), entry.floor(), ceiling, reportsLoad));
       }
     }
   }
