Let a test set the clock by which the forwarding core looks around

ForwardCore read System.nanoTime() itself, so no test could let its looks for silent upstreams and its waiting lines see a process that stood still. A package-private constructor takes the clock; the public one passes System::nanoTime, so behaviour is as before. ForwardRun, ForwardAttempt, ForwardIntake and StartHold still read System.nanoTime().

--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
@@ -23,6 +23,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -51,14 +52,15 @@
   private final UpstreamClient client;
   private final UpstreamBoard board;
   private final UsageTally usage;
+  private final LongSupplier clock;
   private final ForwardMetrics metrics = new ForwardMetrics();
-  private final RequestJournal journal = new RequestJournal(System::nanoTime, metrics);
+  private final RequestJournal journal;
   private final Map<PoolName, SharedRetryBudget> budgets = new HashMap<>();
   private final Map<PoolName, WaitingLine<ForwardRun>> lines = new HashMap<>();
   private final Map<PoolName, PoolTally> tallies = new HashMap<>();
   private final Set<ForwardRun> active = ConcurrentHashMap.newKeySet();
   private final List<PrefixRead> reads = new ArrayList<>();
-  private final StartHold startHold = new StartHold(System.nanoTime());
+  private final StartHold startHold;
   private List<Listing> listings = List.of();
   private volatile Optional<RouteTable> table = Optional.empty();
   private volatile Optional<ToldTime> sharedTime = Optional.empty();
@@ -72,9 +74,22 @@
 
   /** Returns a core without a document and without upstreams. */
   public ForwardCore(ForwardOptions options, ForwardProtocol protocol, UpstreamClient client) {
+    this(options, protocol, client, System::nanoTime);
+  }
+
+  /**
+   * Returns a core whose looks at the waiting lines and for silent upstreams go by a given clock.
+   *
+   * @param clock monotonic, in nanoseconds, and never behind {@link System#nanoTime()}
+   */
+  ForwardCore(
+      ForwardOptions options, ForwardProtocol protocol, UpstreamClient client, LongSupplier clock) {
     this.options = options;
     this.protocol = protocol;
     this.client = client;
+    this.clock = clock;
+    this.journal = new RequestJournal(clock, metrics);
+    this.startHold = new StartHold(System.nanoTime());
     this.board =
         new UpstreamBoard(options.domain(), options.coldOverage(), options.coldTolerance());
     this.usage = new UsageTally(options.usageWindow());
@@ -102,7 +117,7 @@
     log.info("document {} is in force", newer.version());
     table = Optional.of(newer);
     board.pools(newer.pools());
-    board.listed(listings, System.nanoTime());
+    board.listed(listings, clock.getAsLong());
     releaseHeld();
   }
 
@@ -110,7 +125,7 @@
   public void listed(Collection<Listing> upstreams) {
     listings = List.copyOf(upstreams);
     listed = true;
-    board.listed(listings, System.nanoTime());
+    board.listed(listings, clock.getAsLong());
     releaseHeld();
     review();
   }
@@ -129,7 +144,7 @@
 
   /** Takes in how many routers there are and what the others have under way. */
   public void peers(int count, Map<UpstreamId, LoadFigures> loads) {
-    long now = System.nanoTime();
+    long now = clock.getAsLong();
     routers.told(count, now);
     board.routers(routers.value(now));
     board.others(loads);
@@ -205,7 +220,7 @@
 
   /** Takes in which shared beginnings other routers sent. */
   public void readElsewhere(List<PrefixRead> others) {
-    long now = System.nanoTime();
+    long now = clock.getAsLong();
     others.forEach(read -> board.readElsewhere(read.upstream(), read.parts(), now));
   }
 
@@ -224,13 +239,13 @@
    * @param wallMillis milliseconds since the epoch
    */
   public void timeOfDay(long wallMillis) {
-    sharedTime = Optional.of(new ToldTime(wallMillis, System.nanoTime()));
+    sharedTime = Optional.of(new ToldTime(wallMillis, clock.getAsLong()));
   }
 
   /** Returns the time of day that all VMs share, or this VM's own until one was told. */
   long timeOfDay() {
     return sharedTime
-        .map(told -> told.wallMillis() + (System.nanoTime() - told.atNanos()) / NANOS_PER_MILLI)
+        .map(told -> told.wallMillis() + (clock.getAsLong() - told.atNanos()) / NANOS_PER_MILLI)
         .orElseGet(System::currentTimeMillis);
   }
 
@@ -293,7 +308,7 @@
 
   /** Looks for requests whose upstream has fallen silent, while any are in progress. */
   private void watch() {
-    long now = System.nanoTime();
+    long now = clock.getAsLong();
     List.copyOf(active).forEach(run -> run.review(now));
     watching = !active.isEmpty();
     if (watching) {
@@ -335,7 +350,7 @@
 
   /** Offers free places to those who wait, and turns away those who waited too long. */
   void review() {
-    long now = System.nanoTime();
+    long now = clock.getAsLong();
     boolean waiting = false;
     for (WaitingLine<ForwardRun> line : lines.values()) {
       if (!line.isEmpty()) {
