Test forwarded requests with events in any order, without sockets

Callers saw a request that is not idempotent answered 503 that ran at an upstream nevertheless. ForwardRunProperties plays events around ForwardCore in any order (timers, tasks, connections, answers, breaks, callers that leave, lists, documents, standstills) and judges by what callers and upstreams saw: a refusal means not run, runs within what the route allows, one answer, no send left behind, an end. ForwardRunTest holds the shrunk sequences. Production code is unchanged.

The red ones carry the tag known-red and stand in KNOWN-RED.txt.

--- /dev/null
+++ b/router/src/test/java/io/jacinthquay/router/service/forward/ForwardRoutes.java
@@ -0,0 +1,98 @@
+package io.jacinthquay.router.service.forward;
+
+import io.jacinthquay.decision.routing.RouteTable;
+import io.jacinthquay.model.PoolName;
+import io.jacinthquay.model.RouteName;
+import io.jacinthquay.model.Tier;
+import io.jacinthquay.model.routing.PoolSpec;
+import io.jacinthquay.model.routing.RequestKind;
+import io.jacinthquay.model.routing.RouteRule;
+import io.jacinthquay.model.routing.RoutingDocument;
+import io.jacinthquay.model.routing.WeightedPool;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/** Routes of every kind, and documents that name them. */
+final class ForwardRoutes {
+  /** The pool whose upstreams are listed. */
+  static final PoolName POOL = new PoolName("p");
+
+  private static final PoolName UNSERVED = new PoolName("q");
+  private static final int LIMIT_MILLIS = 60_000;
+  private static final int TARGET_MILLIS = 20_000;
+
+  /** Routes by kind, resumption and attempts. */
+  static final List<RouteRule> ALL = all();
+
+  private ForwardRoutes() {}
+
+  private static List<RouteRule> all() {
+    List<RouteRule> routes = new ArrayList<>();
+    for (int attempts = 1; attempts <= 2; attempts++) {
+      routes.add(route("once", RequestKind.NON_IDEMPOTENT, attempts, false));
+      routes.add(route("safe", RequestKind.IDEMPOTENT, attempts, false));
+      routes.add(route("stream", RequestKind.STREAMING, attempts, false));
+      routes.add(route("resume", RequestKind.STREAMING, attempts, true));
+    }
+    return routes;
+  }
+
+  private static RouteRule route(String name, RequestKind kind, int attempts, boolean resumable) {
+    return new RouteRule(
+        new RouteName(name + attempts),
+        PlainForwardProtocol.HOST,
+        "/" + name + attempts + "/",
+        kind,
+        LIMIT_MILLIS,
+        TARGET_MILLIS,
+        new Tier(attempts),
+        List.of(new WeightedPool(POOL, 1)),
+        attempts,
+        true,
+        false,
+        resumable,
+        0);
+  }
+
+  /** Returns the index of a route. */
+  static int index(String name) {
+    for (int i = 0; i < ALL.size(); i++) {
+      if (ALL.get(i).name().value().equals(name)) {
+        return i;
+      }
+    }
+    throw new IllegalArgumentException("no route " + name);
+  }
+
+  /** Returns a document: by its detail with all routes, with the pool alone, or without it. */
+  static RouteTable table(long version, int detail) {
+    boolean served = detail % 4 != 3;
+    boolean routed = detail % 4 < 2;
+    PoolName pool = served ? POOL : UNSERVED;
+    return new RouteTable(
+        new RoutingDocument(
+            version,
+            routed || !served ? ALL.stream().map(route -> to(pool, route)).toList() : List.of(),
+            List.of(new PoolSpec(pool, "/health", 10, 0, 0, Optional.empty(), Optional.empty())),
+            false,
+            List.of()));
+  }
+
+  private static RouteRule to(PoolName pool, RouteRule route) {
+    return new RouteRule(
+        route.name(),
+        route.host(),
+        route.pathPrefix(),
+        route.kind(),
+        route.timeoutMillis(),
+        route.targetMillis(),
+        route.tier(),
+        List.of(new WeightedPool(pool, 1)),
+        route.maxAttempts(),
+        route.open(),
+        route.promptDescribed(),
+        route.resumable(),
+        route.gapTargetMillis());
+  }
+}
--- /dev/null
+++ b/router/src/test/java/io/jacinthquay/router/service/forward/ForwardRunTest.java
@@ -0,0 +1,102 @@
+package io.jacinthquay.router.service.forward;
+
+import static io.jacinthquay.router.service.forward.ForwardStep.Kind.ARRIVE;
+import static io.jacinthquay.router.service.forward.ForwardStep.Kind.DATA;
+import static io.jacinthquay.router.service.forward.ForwardStep.Kind.END;
+import static io.jacinthquay.router.service.forward.ForwardStep.Kind.OPEN;
+import static io.jacinthquay.router.service.forward.ForwardStep.Kind.PROOF;
+import static io.jacinthquay.router.service.forward.ForwardStep.Kind.TIMER;
+import static io.jacinthquay.router.service.forward.ForwardStep.Kind.UNPROVEN;
+
+import io.jacinthquay.router.service.forward.ForwardOracle.Promise;
+import java.util.List;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Sequences that {@link ForwardRunProperties} found, shrunk. */
+final class ForwardRunTest {
+  /** Timers of a first request, in the order in which they are set. */
+  private static final int WATCH = 0;
+
+  private static final int LIMIT = 1;
+
+  /** Data that is a whole event with the next number. */
+  private static final int NEXT_EVENT = 3;
+
+  private final ForwardWorld world = new ForwardWorld(List.of(1), true);
+
+  private void play(ForwardStep.Kind kind, int pick, int detail) {
+    world.play(ForwardStep.of(kind, pick, detail));
+  }
+
+  private void keeps(Promise promise) {
+    world.finish();
+    world.oracle().assertKept(promise);
+  }
+
+  /** Known red: see KNOWN-RED.txt. */
+  @Test
+  @Tag("known-red")
+  void requestRefusedAtItsLimitIsNotSentOnceItsConnectionOpens() {
+    play(ARRIVE, 0, ForwardRoutes.index("once1"));
+    play(TIMER, LIMIT, 0);
+    play(OPEN, 0, 0);
+    keeps(Promise.REFUSED_MEANS_NOT_RUN);
+  }
+
+  /** Known red: see KNOWN-RED.txt. */
+  @Test
+  @Tag("known-red")
+  void connectionIsNotLeftOpeningByARequestThatReachedItsLimit() {
+    play(ARRIVE, 0, ForwardRoutes.index("once1"));
+    play(TIMER, LIMIT, 0);
+    keeps(Promise.OVER_MEANS_CANCELLED);
+  }
+
+  /** Known red: see KNOWN-RED.txt. */
+  @Test
+  @Tag("known-red")
+  void callerRefusedAtItsLimitIsNotCutOffWhenAnUpstreamRefusesToo() {
+    play(ARRIVE, 0, ForwardRoutes.index("once1"));
+    play(TIMER, LIMIT, 0);
+    play(OPEN, 0, 0);
+    play(PROOF, 0, 0);
+    keeps(Promise.ONE_ANSWER);
+  }
+
+  /** Known red: see KNOWN-RED.txt. Details 0 to 3 are the statuses 503, 429, 408 and 421. */
+  @ParameterizedTest
+  @Tag("known-red")
+  @CsvSource({"once1, 0", "once1, 1", "once1, 2", "once1, 3", "safe1, 0", "stream1, 0"})
+  void refusalOfAnUpstreamWithoutProofIsNotPassedOn(String route, int status) {
+    play(ARRIVE, 0, ForwardRoutes.index(route));
+    play(OPEN, 0, 0);
+    play(UNPROVEN, 0, status);
+    play(DATA, 0, NEXT_EVENT);
+    play(END, 0, 0);
+    keeps(Promise.REFUSED_MEANS_NOT_RUN);
+  }
+
+  /** Known red: see KNOWN-RED.txt. */
+  @Test
+  @Tag("known-red")
+  void restOfAnAnswerThatIsIgnoredIsNotWaitedForWithoutEnd() {
+    play(ARRIVE, 0, ForwardRoutes.index("once1"));
+    play(OPEN, 0, 0);
+    play(PROOF, 0, 0);
+    keeps(Promise.NO_ANSWER_LEFT_OPEN);
+  }
+
+  @Test
+  void requestWhoseLimitPassesWhileItRunsIsCancelledAndNotRefused() {
+    play(ARRIVE, 0, ForwardRoutes.index("once1"));
+    play(OPEN, 0, 0);
+    play(TIMER, WATCH, 0);
+    world.finish();
+    for (Promise promise : Promise.values()) {
+      world.oracle().assertKept(promise);
+    }
+  }
+}
--- /dev/null
+++ b/router/src/test/java/io/jacinthquay/router/service/forward/ForwardWorld.java
@@ -0,0 +1,286 @@
+package io.jacinthquay.router.service.forward;
+
+import io.jacinthquay.decision.dispatch.Listing;
+import io.jacinthquay.decision.dispatch.LoadFigures;
+import io.jacinthquay.model.DomainId;
+import io.jacinthquay.model.RequestId;
+import io.jacinthquay.model.UpstreamId;
+import io.jacinthquay.model.routing.RouteRule;
+import io.jacinthquay.router.port.AnswerHead;
+import io.jacinthquay.router.port.Header;
+import io.jacinthquay.router.port.UpstreamCall;
+import io.jacinthquay.router.port.UpstreamClient;
+import io.jacinthquay.router.port.UpstreamFailure;
+import io.jacinthquay.router.port.UpstreamListener;
+import io.jacinthquay.router.port.UpstreamRequest;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+
+/** A forwarding core between callers and upstreams that a test drives, without sockets. */
+final class ForwardWorld implements UpstreamClient {
+  private static final int FIRST_PORT = 9_000;
+
+  /** Rounds after which timers that set themselves again are at their end too. */
+  private static final int MOST_ROUNDS = 50;
+
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+
+  /** Longer than an upstream may be silent, shorter than a request may wait for a place. */
+  private static final long SHORT_STANDSTILL_MILLIS = 700;
+
+  /** Longer than a request may wait for a place, shorter than its limit. */
+  private static final long LONG_STANDSTILL_MILLIS = 20_000;
+
+  private static final List<Integer> REFUSALS = List.of(503, 429, 408, 421);
+  private static final List<Integer> PROOFS = List.of(503, 429, 421, 400);
+  private static final List<DomainId> DOMAINS = List.of(new DomainId("a"), new DomainId("b"));
+
+  /** What happens where a connection to an upstream is asked for. */
+  private enum Link {
+    /** It opens or fails later. */
+    NEW,
+    /** One that was idle is used at once. */
+    IDLE,
+    /** It fails at once. */
+    REFUSED,
+    /** One that was idle breaks as it is used. */
+    STALE;
+  }
+
+  private final ManualThread thread = new ManualThread();
+  private final ForwardOracle oracle = new ForwardOracle();
+  private final List<Integer> slots;
+  private final List<ScriptedCall> calls = new ArrayList<>();
+  private final Map<ScriptedCall, Integer> events = new HashMap<>();
+  private final Map<Integer, Link> links = new HashMap<>();
+  private final Map<Integer, Integer> restarts = new HashMap<>();
+  private final ForwardCore core;
+  private final ForwardIntake intake;
+  private long stoodStillNanos;
+  private long version;
+
+  /**
+   * Returns a router between callers and upstreams.
+   *
+   * @param slots places of each upstream
+   * @param informed whether it knows a document and its upstreams already
+   */
+  ForwardWorld(List<Integer> slots, boolean informed) {
+    this.slots = slots;
+    ForwardOptions options =
+        new ForwardOptions(
+            DOMAINS.get(0), 1, 1_000, Duration.ofSeconds(10), 1.5, 5, Duration.ofSeconds(5));
+    core =
+        new ForwardCore(
+            options, new PlainForwardProtocol(), this, () -> System.nanoTime() + stoodStillNanos);
+    core.thread(thread);
+    intake = new ForwardIntake(core);
+    if (informed) {
+      document(0);
+      upstreams(0);
+    }
+  }
+
+  ForwardOracle oracle() {
+    return oracle;
+  }
+
+  @Override
+  public UpstreamCall send(UpstreamRequest request, UpstreamListener listener) {
+    ScriptedCall call = new ScriptedCall(request, listener);
+    calls.add(call);
+    oracle.sent(call);
+    switch (links.getOrDefault(request.address().getPort(), Link.NEW)) {
+      case IDLE -> call.open();
+      case REFUSED -> call.fail(UpstreamFailure.UNREACHABLE);
+      case STALE -> {
+        call.open();
+        call.fail(UpstreamFailure.BROKE);
+      }
+      default -> {}
+    }
+    return call;
+  }
+
+  /** Lets one event happen, then looks at what callers and upstreams saw. */
+  void play(ForwardStep step) {
+    oracle.note(step);
+    int detail = step.detail();
+    switch (step.kind()) {
+      case ARRIVE -> arrive(detail);
+      case TIMER -> thread.fireTimer(step.pick());
+      case TASK -> thread.runTask();
+      case UPSTREAMS -> upstreams(detail);
+      case DOCUMENT -> document(detail);
+      case LOADS -> loads(detail);
+      case CLOSED_DOMAINS -> closedDomains(detail);
+      case LINK -> link(step.pick(), detail);
+      case LEAVE -> oracle.caller(step.pick()).ifPresent(RecordedCaller::leave);
+      case BREAK_AT_WRITE -> oracle.caller(step.pick()).ifPresent(RecordedCaller::breakAtWrite);
+      case STAND_STILL -> standStill(detail);
+      default -> upstreamEvent(step);
+    }
+    oracle.look();
+  }
+
+  private void upstreamEvent(ForwardStep step) {
+    switch (step.kind()) {
+      case OPEN -> pick(ScriptedCall.State.CONNECTING, step, ScriptedCall::open);
+      case UNREACHABLE ->
+          pick(ScriptedCall.State.CONNECTING, step, c -> c.fail(UpstreamFailure.UNREACHABLE));
+      case SUCCESS -> head(step, new AnswerHead(200, List.of()));
+      case FAILURE -> head(step, new AnswerHead(500, List.of()));
+      case UNPROVEN -> head(step, new AnswerHead(of(REFUSALS, step), List.of()));
+      case PROOF -> head(step, marked(of(PROOFS, step), PlainForwardProtocol.PROOF));
+      case SPOILT -> head(step, marked(200, PlainForwardProtocol.SPOILT));
+      case DATA -> pick(ScriptedCall.State.ANSWERING, step, call -> data(call, step.detail()));
+      case END -> pick(ScriptedCall.State.ANSWERING, step, ScriptedCall::end);
+      case MISMATCH ->
+          pick(ScriptedCall.State.SENT, step, call -> call.fail(UpstreamFailure.MISMATCH));
+      default -> pick(ForwardWorld::mayBreak, step, call -> call.fail(UpstreamFailure.BROKE));
+    }
+  }
+
+  private static int of(List<Integer> statuses, ForwardStep step) {
+    return statuses.get(step.detail() % statuses.size());
+  }
+
+  private static AnswerHead marked(int status, String header) {
+    return new AnswerHead(status, List.of(new Header(header, "1")));
+  }
+
+  private static boolean mayBreak(ScriptedCall call) {
+    return call.state() == ScriptedCall.State.SENT || call.state() == ScriptedCall.State.ANSWERING;
+  }
+
+  private void head(ForwardStep step, AnswerHead head) {
+    pick(ScriptedCall.State.SENT, step, call -> call.head(head));
+  }
+
+  private void pick(ScriptedCall.State state, ForwardStep step, Consumer<ScriptedCall> event) {
+    pick(call -> call.state() == state, step, event);
+  }
+
+  private void pick(Predicate<ScriptedCall> which, ForwardStep step, Consumer<ScriptedCall> event) {
+    List<ScriptedCall> found = calls.stream().filter(which).toList();
+    if (!found.isEmpty()) {
+      event.accept(found.get(step.pick() % found.size()));
+    }
+  }
+
+  private void arrive(int detail) {
+    RouteRule route = ForwardRoutes.ALL.get(detail % ForwardRoutes.ALL.size());
+    String id = "r" + oracle.requests() + "-" + route.name();
+    RecordedCaller caller = new RecordedCaller(thread);
+    oracle.arrived(id, route, caller);
+    RequestId requestId = new RequestId(id);
+    intake
+        .admit(requestId, PlainForwardProtocol.head(id, route.pathPrefix()))
+        .peek(admitted -> admitted.run(new byte[0], caller))
+        .peekLeft(
+            failure ->
+                intake.refuse(
+                    requestId, PlainForwardProtocol.head(id, route.pathPrefix()), failure, caller));
+  }
+
+  /** Events of a stream: the next one, one after a gap, a part of one, one without a number. */
+  private void data(ScriptedCall call, int detail) {
+    int next = events.merge(call, 1, Integer::sum);
+    switch (detail % 6) {
+      case 0 -> call.data("id: " + (next + 5) + "\ndata: x\n\n");
+      case 1 -> call.data("id: ");
+      case 2 -> call.data("data: x\n\n");
+      default -> call.data("id: " + next + "\ndata: x\n\n");
+    }
+  }
+
+  /** Two bits for each upstream: listed, draining, gone, or started anew under its address. */
+  private void upstreams(int detail) {
+    List<Listing> listings = new ArrayList<>();
+    for (int i = 0; i < slots.size(); i++) {
+      int how = detail >> (2 * i) & 3;
+      if (how == 3) {
+        restarts.merge(i, 1, Integer::sum);
+      }
+      if (how != 2) {
+        listings.add(
+            new Listing(
+                upstream(i),
+                ForwardRoutes.POOL,
+                DOMAINS.get(i % DOMAINS.size()),
+                InetSocketAddress.createUnresolved("h", FIRST_PORT + i),
+                how == 1,
+                false,
+                slots.get(i),
+                0));
+      }
+    }
+    core.listed(listings);
+  }
+
+  private UpstreamId upstream(int index) {
+    return new UpstreamId("u" + index + "-" + restarts.getOrDefault(index, 0));
+  }
+
+  private void document(int detail) {
+    version++;
+    core.apply(ForwardRoutes.table(version, detail));
+  }
+
+  /** One bit for each upstream: whether other routers have taken all of its places. */
+  private void loads(int detail) {
+    Map<UpstreamId, LoadFigures> loads = new HashMap<>();
+    for (int i = 0; i < slots.size(); i++) {
+      if ((detail >> i & 1) == 1) {
+        loads.put(upstream(i), new LoadFigures(slots.get(i), 0, 0, 0));
+      }
+    }
+    core.peers(2, loads);
+  }
+
+  private void closedDomains(int detail) {
+    Set<DomainId> closed = new HashSet<>();
+    for (int i = 0; i < DOMAINS.size(); i++) {
+      if ((detail >> i & 1) == 1) {
+        closed.add(DOMAINS.get(i));
+      }
+    }
+    core.closed(closed);
+  }
+
+  private void link(int pick, int detail) {
+    links.put(FIRST_PORT + pick % slots.size(), Link.values()[detail % Link.values().length]);
+  }
+
+  private void standStill(int detail) {
+    long millis = detail % 4 == 0 ? LONG_STANDSTILL_MILLIS : SHORT_STANDSTILL_MILLIS;
+    stoodStillNanos += millis * NANOS_PER_MILLI;
+  }
+
+  /** Fires every timer, then lets open connections and answers come to their end. */
+  void finish() {
+    oracle.note("every timer fires");
+    thread.runAll(MOST_ROUNDS);
+    oracle.look();
+    oracle.timersFired();
+    oracle.note("connections open, answers break off");
+    for (ScriptedCall call : List.copyOf(calls)) {
+      call.open();
+    }
+    oracle.look();
+    for (ScriptedCall call : List.copyOf(calls)) {
+      call.fail(UpstreamFailure.BROKE);
+    }
+    thread.runAll(MOST_ROUNDS);
+    oracle.look();
+    oracle.over();
+  }
+}
