Answer 500, not Undertow's 503, when the I/O thread takes no more tasks

Undertow answers 503 by itself where the task that starts a request ends in a RejectedExecutionException, also if that was thrown after the request had been sent to an upstream. A 503 promises that the request has not run and never will.

Cause: the task runs in a SameThreadExecutor, so whatever it throws reaches Undertow's dispatch, which takes each RejectedExecutionException for its own. XNIO throws one from execute and executeAfter once the worker is shut down. CallerServer.stop closes the connections before that, so a caller would hardly hear the 503.

Ruled out: other statuses that are promises.

The exception is wrapped, so that it is answered as any other fault of the router is: 500, which promises nothing, with Undertow's log line.

--- a/router/src/main/java/io/jacinthquay/router/adapter/http/CallerHandler.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/CallerHandler.java
@@ -14,6 +14,7 @@
 import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.xnio.IoUtils;
 
@@ -40,7 +41,17 @@
     RequestId id = intake.nextId();
     CallerHead head = head(exchange);
     UndertowCaller caller = new UndertowCaller(exchange, connections);
-    exchange.dispatch(SameThreadExecutor.INSTANCE, () -> start(exchange, id, head, caller));
+    exchange.dispatch(SameThreadExecutor.INSTANCE, () -> startSafely(exchange, id, head, caller));
+  }
+
+  /** Undertow answers 503 where a task is rejected, also if that was after a request was sent. */
+  private void startSafely(
+      HttpServerExchange exchange, RequestId id, CallerHead head, UndertowCaller caller) {
+    try {
+      start(exchange, id, head, caller);
+    } catch (RejectedExecutionException e) {
+      throw new IllegalStateException("the I/O thread takes no more tasks", e);
+    }
   }
 
   private void start(
