--- a/router/src/main/java/io/jacinthquay/router/adapter/http/HttpCall.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/HttpCall.java
@@ -7,7 +7,6 @@
 import io.jacinthquay.router.port.UpstreamListener;
 import io.jacinthquay.router.port.UpstreamRequest;
 import io.undertow.client.ClientCallback;
-import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientRequest;
 import io.undertow.client.ClientResponse;
@@ -21,7 +20,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
-import org.xnio.IoUtils;
+import org.xnio.XnioExecutor;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
 
@@ -29,18 +28,30 @@
 final class HttpCall implements UpstreamCall {
   private static final HttpString KEEP_ALIVE = new HttpString("Keep-Alive");
 
+  /** Statuses below announce another answer, which the parser would leave unread. */
+  private static final int FIRST_FINAL_STATUS = 200;
+
   /** Reads in a row before other work of the thread gets a turn. */
   private static final int READS_PER_TURN = 8;
 
+  /** Rest of a dropped answer that is read, in bytes: less work than a new connection. */
+  private static final int MOST_DROPPED_BYTES = 16 * 1024;
+
+  /** Time for the rest of a dropped answer, in milliseconds: one that is whole is there by then. */
+  private static final long MOST_DROPPED_MILLIS = 200;
+
   private final ConnectionPool pool;
   private final UpstreamRequest request;
   private final UpstreamListener listener;
-  private ClientConnection connection;
+  private UpstreamConnection connection;
   private ClientExchange exchange;
   private ByteBuffer unsent;
   private boolean sent;
   private boolean mayHaveRun;
   private boolean paused;
+  private boolean dropped;
+  private int droppedBytes;
+  private XnioExecutor.Key dropTimer;
   private boolean done;
 
   HttpCall(ConnectionPool pool, UpstreamRequest request, UpstreamListener listener) {
@@ -67,7 +78,7 @@
     };
   }
 
-  private void connected(ClientConnection opened) {
+  private void connected(UpstreamConnection opened) {
     if (done) {
       pool.giveBack(request.address(), opened, null);
       return;
@@ -75,7 +86,8 @@
     connection = opened;
     mayHaveRun = true;
     listener.onSending();
-    opened.sendRequest(clientRequest(), orElse(this::sending, this::broken));
+    opened.source().allow(BoundedSource.MOST_HEAD_BYTES);
+    opened.http().sendRequest(clientRequest(), orElse(this::sending, this::broken));
   }
 
   private ClientRequest clientRequest() {
@@ -140,8 +152,13 @@
     if (done) {
       return;
     }
+    connection.source().allow(BoundedSource.MOST_SKIPPED_BYTES);
     ClientResponse response = exchange.getResponse();
     String echoed = response.getResponseHeaders().getFirst(pool.idHeader());
+    if (response.getResponseCode() < FIRST_FINAL_STATUS) {
+      broken();
+      return;
+    }
     boolean matches =
         echoed == null ? !request.echoRequired() : echoed.equals(request.id().value());
     if (!matches) {
@@ -181,8 +198,11 @@
           endOrWait(source, count);
           return;
         }
+        connection.source().allow(BoundedSource.MOST_SKIPPED_BYTES);
         buffer.flip();
-        if (!listener.onData(buffer)) {
+        if (dropped) {
+          drop(count);
+        } else if (!listener.onData(buffer)) {
           paused = true;
           source.suspendReads();
         }
@@ -196,14 +216,23 @@
     }
   }
 
+  private void drop(int count) {
+    droppedBytes += count;
+    if (droppedBytes > MOST_DROPPED_BYTES) {
+      cancel();
+    }
+  }
+
   private void endOrWait(StreamSourceChannel source, int count) {
     if (count == 0) {
       source.resumeReads();
       return;
     }
-    listener.onEnd();
+    if (!dropped) {
+      listener.onEnd();
+    }
     if (!done) {
-      done = true;
+      finish();
       release();
     }
   }
@@ -215,7 +244,13 @@
       String alive = exchange.getResponse().getResponseHeaders().getFirst(KEEP_ALIVE);
       pool.giveBack(request.address(), connection, alive);
     } else {
-      IoUtils.safeClose(connection);
+      close();
+    }
+  }
+
+  private void close() {
+    if (connection != null) {
+      connection.close();
     }
   }
 
@@ -231,17 +266,36 @@
     if (done) {
       return;
     }
-    done = true;
-    IoUtils.safeClose(connection);
-    listener.onFailure(failure);
+    finish();
+    close();
+    if (!dropped) {
+      listener.onFailure(failure);
+    }
   }
 
   @Override
   public void cancel() {
     if (!done) {
-      done = true;
-      IoUtils.safeClose(connection);
+      finish();
+      close();
+    }
+  }
+
+  private void finish() {
+    done = true;
+    if (dropTimer != null) {
+      dropTimer.remove();
+    }
+  }
+
+  @Override
+  public void discard() {
+    if (done || dropped) {
+      return;
     }
+    dropped = true;
+    dropTimer = pool.after(MOST_DROPPED_MILLIS, this::cancel);
+    resume();
   }
 
   @Override
