Take only a 409 of the platform for "none to be had"

Any order of upstreams that failed counted as one that the platform refused: also a timeout, a 429, a 5xx and a call that was never sent. The planner then took that kind of upstream in that domain for unavailable for four seconds, put what was missing on dearer ones elsewhere, and forgot the order, which may have been in force, or not, without ever being sent again where the list happened to agree with it.

Found by reading. Ruled out: orders that arrive in another sequence than they were sent, since each call ends before the next; and repeats, which are harmless, as an order says how many there should be.

While upstreams are kept from stopping, the count that stands is repeated. What it is worth on the sites was not measured.

--- a/control/src/main/java/io/jacinthquay/control/port/Fleet.java
+++ b/control/src/main/java/io/jacinthquay/control/port/Fleet.java
@@ -3,6 +3,7 @@
 import io.jacinthquay.decision.dispatch.Listing;
 import io.jacinthquay.model.CustomerId;
 import io.jacinthquay.model.Failure;
+import io.jacinthquay.model.ResultCode;
 import io.vavr.control.Either;
 import java.util.List;
 import java.util.Map;
@@ -22,7 +23,8 @@
   /**
    * Orders upstreams.
    *
-   * @return nothing, or why the order was not taken
+   * @return nothing; {@link ResultCode#UPSTREAM_REFUSED} if there are none to be had; any other
+   *     failure if it isn't known whether the order was taken
    */
   Either<Failure, Void> order(Fence fence, UpstreamOrder order);
 }
--- a/control/src/main/java/io/jacinthquay/control/service/ScalingDuty.java
+++ b/control/src/main/java/io/jacinthquay/control/service/ScalingDuty.java
@@ -11,6 +11,7 @@
 import io.jacinthquay.model.DomainId;
 import io.jacinthquay.model.Failure;
 import io.jacinthquay.model.PoolName;
+import io.jacinthquay.model.ResultCode;
 import io.jacinthquay.model.routing.PoolSpec;
 import io.jacinthquay.model.routing.RoutingDocument;
 import io.jacinthquay.model.routing.ScalingSpec;
@@ -117,9 +118,15 @@
           load,
           (now - reading.readNanos()) / 1_000_000,
           sent);
-      if (sent.isLeft()) {
-        planner.refused(plan, now);
-      }
+      sent.peekLeft(failure -> take(failure, planner, plan, now));
+    }
+  }
+
+  private static void take(Failure failure, FleetPlanner planner, FleetPlan plan, long now) {
+    if (failure.code() == ResultCode.UPSTREAM_REFUSED) {
+      planner.refused(plan, now);
+    } else {
+      planner.unanswered(plan);
     }
   }
 
--- a/decision/src/main/java/io/jacinthquay/decision/scaling/FleetPlanner.java
+++ b/decision/src/main/java/io/jacinthquay/decision/scaling/FleetPlanner.java
@@ -7,8 +7,10 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeSet;
 
 /**
@@ -44,6 +46,9 @@
   /** Time after which an order that had no effect is repeated, in nanoseconds. */
   private static final long REPEAT_NANOS = 12_000_000_000L;
 
+  /** Time after which an order of unknown outcome is repeated, as long as one that was refused. */
+  private static final long UNANSWERED_NANOS = REFUSED_NANOS;
+
   /** Time between two orders that make a sort fewer, in nanoseconds: each costs a warm cache. */
   private static final long SHRINK_NANOS = 6_000_000_000L;
 
@@ -57,6 +62,7 @@
   private final ScalingSpec spec;
   private final Map<Sort, Ordered> ordered = new HashMap<>();
   private final Map<Sort, Long> refusedAt = new HashMap<>();
+  private final Set<Sort> unanswered = new HashSet<>();
   private double need;
   private boolean loaded;
   private int listedBefore = -1;
@@ -78,6 +84,12 @@
     Sort sort = new Sort(plan.domain(), plan.cheap());
     refusedAt.put(sort, now);
     ordered.remove(sort);
+    unanswered.remove(sort);
+  }
+
+  /** Records that nobody knows whether the platform took an order; it is sent again. */
+  public void unanswered(FleetPlan plan) {
+    unanswered.add(new Sort(plan.domain(), plan.cheap()));
   }
 
   /**
@@ -192,12 +204,15 @@
           long since = last == null ? startedAt : last.atNanos();
           boolean soon = now - since < SHRINK_NANOS;
           boolean keep = shrinks && (sort.cheap() ? soon : cheapMissing(target, present, need));
-          if (isRefused(sort, now) || keep) {
+          boolean repeat = unanswered.contains(sort) && now - since >= UNANSWERED_NANOS;
+          if (isRefused(sort, now) || (keep && !repeat)) {
             return;
           }
-          if (count != standing || stale) {
-            ordered.put(sort, new Ordered(count, now));
-            plans.add(new FleetPlan(sort.domain(), sort.cheap(), count));
+          int wanted = keep ? standing : count;
+          if (wanted != standing || stale || repeat) {
+            unanswered.remove(sort);
+            ordered.put(sort, new Ordered(wanted, now));
+            plans.add(new FleetPlan(sort.domain(), sort.cheap(), wanted));
           }
         });
     return plans;
--- a/decision/src/test/java/io/jacinthquay/decision/scaling/FleetPlannerTest.java
+++ b/decision/src/test/java/io/jacinthquay/decision/scaling/FleetPlannerTest.java
@@ -141,6 +141,22 @@
     assertEquals(Map.of(A, 1, B, 1), regular, "regular ones were ordered beside " + serving);
   }
 
+  /**
+   * The platform didn't answer an order: that is no proof that it has none, nor that it took it.
+   */
+  @Test
+  void repeatAnOrderWhoseOutcomeIsNotKnown() {
+    step(CALM, 0);
+    List<FleetPlan> sent = step(CALM, SECOND);
+    int inB = cheap.get(B);
+    FleetPlan order = new FleetPlan(A, true, cheap.get(A));
+    planner.unanswered(order);
+    assertEquals(List.of(), step(CALM, 2 * SECOND), "sent before: " + sent);
+    assertEquals(List.of(order), step(CALM, 5 * SECOND));
+    assertEquals(inB, cheap.get(B));
+    assertEquals(List.of(), step(CALM, 6 * SECOND));
+  }
+
   /** The system and its upstreams start together: the list grows for seconds. */
   @Test
   void orderNothingBeforeTheListHasSettled() {
