--- a/router/src/test/java/io/jacinthquay/router/service/forward/ForwardRunProperties.java
+++ b/router/src/test/java/io/jacinthquay/router/service/forward/ForwardRunProperties.java
@@ -15,7 +15,7 @@
   private static final int MAX_STEPS = 60;
   private static final int MAX_UPSTREAMS = 3;
   private static final int MAX_SLOTS = 2;
-  private static final int TRIES = 2_000;
+  private static final int TRIES = 8_000;
   private static final String SEED = "20261204";
 
   record History(List<Integer> slots, boolean informed, List<ForwardStep> steps) {
--- a/router/src/test/java/io/jacinthquay/router/service/forward/ForwardRunTest.java
+++ b/router/src/test/java/io/jacinthquay/router/service/forward/ForwardRunTest.java
@@ -1,6 +1,7 @@
 package io.jacinthquay.router.service.forward;
 
 import static io.jacinthquay.router.service.forward.ForwardStep.Kind.ARRIVE;
+import static io.jacinthquay.router.service.forward.ForwardStep.Kind.BREAK;
 import static io.jacinthquay.router.service.forward.ForwardStep.Kind.DATA;
 import static io.jacinthquay.router.service.forward.ForwardStep.Kind.END;
 import static io.jacinthquay.router.service.forward.ForwardStep.Kind.OPEN;
@@ -113,6 +114,18 @@
     assertEquals("answer 200 ended", caller.toString());
   }
 
+  @Test
+  void refusalThatFollowsABreakAtAnotherUpstreamIsNotPassedOn() {
+    world = new ForwardWorld(List.of(1, 1), true);
+    play(ARRIVE, 0, ForwardRoutes.index("safe2"));
+    RecordedCaller caller = world.oracle().caller(0).orElseThrow();
+    play(OPEN, 0, 0);
+    play(BREAK, 0, 0);
+    play(OPEN, 0, 0);
+    play(PROOF, 0, 0);
+    assertEquals("answer 502 ended", caller.toString());
+  }
+
   @Test
   void requestWhoseLimitPassesWhileItRunsIsCancelledAndNotRefused() {
     play(ARRIVE, 0, ForwardRoutes.index("once1"));
--- a/router/src/test/java/io/jacinthquay/router/service/forward/ForwardWorld.java
+++ b/router/src/test/java/io/jacinthquay/router/service/forward/ForwardWorld.java
@@ -31,6 +31,9 @@
   /** Rounds after which timers that set themselves again are at their end too. */
   private static final int MOST_ROUNDS = 50;
 
+  /** Longer than the time between two looks of the core, shorter than any limit. */
+  private static final long LOOK_MILLIS = 1_000;
+
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
   /** Longer than an upstream may be silent, shorter than a request may wait for a place. */
@@ -116,7 +119,7 @@
     int detail = step.detail();
     switch (step.kind()) {
       case ARRIVE -> arrive(detail);
-      case TIMER -> thread.fireTimer(step.pick());
+      case TIMER -> thread.fireTimer(step.pick(), detail % 4 == 0 ? Long.MAX_VALUE : LOOK_MILLIS);
       case TASK -> thread.runTask();
       case UPSTREAMS -> upstreams(detail);
       case DOCUMENT -> document(detail);
--- a/router/src/test/java/io/jacinthquay/router/service/forward/ManualThread.java
+++ b/router/src/test/java/io/jacinthquay/router/service/forward/ManualThread.java
@@ -41,10 +41,13 @@
     }
   }
 
-  /** Fires one of the pending timers, if there is one, whatever its time. */
-  void fireTimer(int pick) {
-    if (!timers.isEmpty()) {
-      timers.remove(pick % timers.size()).task.run();
+  /** Fires one of the pending timers that wait at most so long, if there is one. */
+  void fireTimer(int pick, long mostMillis) {
+    List<Timer> found = timers.stream().filter(t -> t.delayMillis <= mostMillis).toList();
+    if (!found.isEmpty()) {
+      Timer timer = found.get(pick % found.size());
+      timers.remove(timer);
+      timer.task.run();
     }
   }
 
