Tell no view of a router alone at the start of its hub either

What callers saw: nothing traced to it; none of the breaches of PeersTest came from it. Cause: PeerHub.start passed an empty list on as if the platform had listed no other router. So membership told a view of this router alone before the first list, which was to end. A configuration that came while the first list was taken in could meet the new upstreams under that view. Change: the start passes on the routers of the settings only, and views wait for the platform's list. Evidence: PeerHubTest failed before ("expected: <[entry-0, entry-1]> but was: <[entry-0]>") and passes with it. verify of router: 102 of 103 tests pass.

--- a/router/src/main/java/io/jacinthquay/router/service/peer/MembershipService.java
+++ b/router/src/main/java/io/jacinthquay/router/service/peer/MembershipService.java
@@ -89,14 +89,19 @@
             this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
   }
 
-  /**
-   * Takes in the VMs that may be routers, this one left out or not, and tells the views at once.
-   */
-  public void candidates(Collection<Candidate> all) {
+  /** Takes in the VMs that the settings name as routers; the views wait for the list. */
+  void expect(Collection<Candidate> all) {
     candidates = List.copyOf(all);
     synchronized (lock) {
       node.candidates(all, System.nanoTime());
     }
+  }
+
+  /**
+   * Takes in the VMs that may be routers, this one left out or not, and tells the views at once.
+   */
+  public void candidates(Collection<Candidate> all) {
+    expect(all);
     listed = true;
     tellViews();
   }
--- a/router/src/main/java/io/jacinthquay/router/service/peer/PeerHub.java
+++ b/router/src/main/java/io/jacinthquay/router/service/peer/PeerHub.java
@@ -80,13 +80,14 @@
     this.sink = sink;
     this.withdrawn = withdrawn;
     this.fixed = List.copyOf(fixed);
-    this.candidates = this.fixed;
+    this.candidates = this.fixed.stream().filter(c -> !c.id().equals(self)).toList();
     this.random = new SplittableRandom(seed);
   }
 
   @Override
   public void start() {
-    update(List.of());
+    tellAddresses();
+    membership.expect(candidates);
     membership.start();
     executor =
         Executors.newSingleThreadScheduledExecutor(
@@ -124,11 +125,15 @@
     fixed.forEach(candidate -> all.put(candidate.id(), candidate));
     all.remove(self);
     candidates = List.copyOf(all.values());
+    tellAddresses();
+    membership.candidates(candidates);
+    tellLonelyDomains(list);
+  }
+
+  private void tellAddresses() {
     Map<VmId, InetSocketAddress> addresses = new HashMap<>();
     candidates.forEach(c -> addresses.put(c.id(), address(c.address())));
     messenger.addresses(addresses);
-    membership.candidates(candidates);
-    tellLonelyDomains(list);
   }
 
   private static Candidate candidate(VmEntry entry) {
