Decide in one step whether a call was written or given up

The thread that waits for a call looked whether the first byte had been written, and told the I/O thread to give up only after that. A connection that opened in between was written to, while the caller heard 1301, "not run". No caller of today builds on that code: both repeat what isn't known to have been taken.

Found by reading: the same fault as on the routers, a refusal beside a connection that opens. Ruled out: a connection that opens after the call was given up, which was closed unwritten.

Both threads now move the call out of one state, and only one of them can.

No test of it: nothing reaches in between the two steps but chance. JsonHttpClientTest passes; runtime: 41 tests, no failure.

--- a/runtime/src/main/java/io/jacinthquay/runtime/http/JsonHttpClient.java
+++ b/runtime/src/main/java/io/jacinthquay/runtime/http/JsonHttpClient.java
@@ -109,10 +109,10 @@
     try {
       return one.result.get(call.timeout().toMillis(), TimeUnit.MILLISECONDS);
     } catch (TimeoutException e) {
-      return one.abandon(one.written ? ResultCode.UPSTREAM_TIMEOUT : unreached());
+      return one.abandon(ResultCode.UPSTREAM_TIMEOUT);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
-      return one.abandon(one.written ? ResultCode.UPSTREAM_BROKE : unreached());
+      return one.abandon(ResultCode.UPSTREAM_BROKE);
     } catch (ExecutionException e) {
       throw new IllegalStateException(e.getCause());
     }
@@ -122,14 +122,20 @@
     return ResultCode.UPSTREAM_UNREACHABLE;
   }
 
+  /** How far a call has come; what was given up before its first byte is never written. */
+  private enum Stage {
+    OPENING,
+    WRITTEN,
+    ABANDONED
+  }
+
   /** One call on its way. */
   private static final class OneCall implements ClientCallback<ClientConnection> {
     private final HttpCall call;
     private final Consumer<String> pieces;
     private final CompletableFuture<Either<Failure, HttpAnswer>> result = new CompletableFuture<>();
     private final AtomicReference<ClientConnection> connection = new AtomicReference<>();
-    private volatile boolean written;
-    private volatile boolean abandoned;
+    private final AtomicReference<Stage> stage = new AtomicReference<>(Stage.OPENING);
 
     OneCall(HttpCall call, Consumer<String> pieces) {
       this.call = call;
@@ -142,9 +148,11 @@
       UndertowClient.getInstance().connect(this, uri, worker, BUFFERS, OptionMap.EMPTY);
     }
 
-    Either<Failure, HttpAnswer> abandon(ResultCode code) {
-      abandoned = true;
+    /** Gives the call up; a code is what the caller hears if it was written. */
+    Either<Failure, HttpAnswer> abandon(ResultCode written) {
+      boolean unwritten = stage.compareAndSet(Stage.OPENING, Stage.ABANDONED);
       reset(connection.get());
+      ResultCode code = unwritten ? unreached() : written;
       return Either.left(Failure.of(code, call.method() + " " + call.path() + " did not end"));
     }
 
@@ -163,11 +171,11 @@
     @Override
     public void completed(ClientConnection opened) {
       connection.set(opened);
-      if (abandoned || !call.mayWrite().getAsBoolean()) {
+      boolean may = call.mayWrite().getAsBoolean();
+      if (!may || !stage.compareAndSet(Stage.OPENING, Stage.WRITTEN)) {
         fail(unreached(), "the call was no longer allowed");
         return;
       }
-      written = true;
       opened.sendRequest(request(), new Exchange());
     }
 
