Send nothing once the caller's time is over, and stop a send whose request has its answer

Callers saw 504 for requests that were sent with no time left: a body that came late, a place that became free or an upstream that was not reachable after the limit, each handled before the timer of the limit. Such a request is refused now, so that its caller may come back. A second barrier: a connection that opens for a request which has its final answer is closed before a byte is written, counted and logged. UpstreamListener.onSending has no default any more, since what may be said of a request rests on it.

--- a/router/src/main/java/io/jacinthquay/router/adapter/http/HttpCall.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/HttpCall.java
@@ -84,8 +84,11 @@
       return;
     }
     connection = opened;
-    mayHaveRun = true;
     listener.onSending();
+    if (done) {
+      return;
+    }
+    mayHaveRun = true;
     opened.source().allow(BoundedSource.MOST_HEAD_BYTES);
     opened.http().sendRequest(clientRequest(), orElse(this::sending, this::broken));
   }
--- a/router/src/main/java/io/jacinthquay/router/port/ForwardProtocol.java
+++ b/router/src/main/java/io/jacinthquay/router/port/ForwardProtocol.java
@@ -36,7 +36,7 @@
     NOT_RUN,
     /** The upstream ran it and answers with success. */
     SUCCESS,
-    /** The upstream ran it and answers with a failure of its own. */
+    /** The upstream ran it and answers with a failure whose status promises nothing. */
     FAILURE,
     /** The answer lacks what it must have, or claims without a proof that nothing was run. */
     SPOILT
--- a/router/src/main/java/io/jacinthquay/router/port/UpstreamListener.java
+++ b/router/src/main/java/io/jacinthquay/router/port/UpstreamListener.java
@@ -4,8 +4,11 @@
 
 /** Hears of the progress of one call, always on the same I/O thread. */
 public interface UpstreamListener {
-  /** The connection is open and the request is about to be written; from now on it may run. */
-  default void onSending() {}
+  /**
+   * The connection is open and the request is about to be written, unless the call is cancelled
+   * now; from then on it may run.
+   */
+  void onSending();
 
   /** The head of the answer arrived. */
   void onHead(AnswerHead head);
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardMetrics.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardMetrics.java
@@ -41,7 +41,7 @@
     registry.counter("jq_forward_sends_total{again=\"" + again + "\"}").inc();
   }
 
-  /** A request was sent to an upstream although its caller has the final answer. */
+  /** A send was stopped at the last moment since the caller has the final answer. */
   void sentAfterEnd() {
     sentAfterEnd.inc();
   }
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardRun.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardRun.java
@@ -135,11 +135,19 @@
     }
   }
 
-  /** Sends the request if an upstream has a place for it. */
+  /** Returns whether the caller's time is over, though the timer may not have run yet. */
+  private boolean isOver(long now) {
+    return now - work.deadlineNanos() >= 0;
+  }
+
+  /** Sends the request if an upstream has a place for it and there is time left. */
   boolean tryPlace(long now) {
     if (done) {
       return true;
     }
+    if (isOver(now)) {
+      return false;
+    }
     Optional<UpstreamState> chosen = core.board().choose(work, avoided, now);
     if (chosen.isEmpty()) {
       return false;
@@ -209,6 +217,7 @@
     if (done) {
       core.metrics().sentAfterEnd();
       core.journal().sentAfterEnd(this, upstream);
+      from.cancel(SendEnd.UNDECIDED);
     } else {
       note("open", upstream);
     }
@@ -288,7 +297,7 @@
   boolean mayRepeat(long now) {
     return request.route().isRepeatable()
         && sends < request.route().maxAttempts()
-        && now < work.deadlineNanos()
+        && !isOver(now)
         && core.board().choose(work, avoided, now).isPresent()
         && core.mayRepeat(work.pool(), now);
   }
@@ -313,6 +322,7 @@
     long now = System.nanoTime();
     boolean again =
         unreached < MOST_UNREACHED
+            && !isOver(now)
             && core.board().choose(work, avoided, now).isPresent()
             && core.mayRepeat(work.pool(), now);
     if (!again || !tryPlace(now)) {
--- a/router/src/main/java/io/jacinthquay/router/service/forward/RequestJournal.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/RequestJournal.java
@@ -33,10 +33,10 @@
     this.filledAt = clock.getAsLong();
   }
 
-  /** A request whose caller has its final answer is sent all the same; never left out. */
+  /** A send was stopped since the caller has its final answer; never left out. */
   void sentAfterEnd(ForwardRun run, UpstreamId upstream) {
     log.error(
-        "request {} is sent to {} after its final answer {}",
+        "request {} was about to be sent to {} after its final answer {}",
         run.attemptId(),
         upstream,
         run.story());
--- a/router/src/main/java/io/jacinthquay/router/service/request/Attempt.java
+++ b/router/src/main/java/io/jacinthquay/router/service/request/Attempt.java
@@ -95,6 +95,11 @@
     return firstDataNanos;
   }
 
+  @Override
+  public void onSending() {
+    // The call itself knows whether it was sent, which is asked for once the attempt has failed.
+  }
+
   @Override
   public void onHead(AnswerHead head) {
     heardNanos = System.nanoTime();
--- a/router/src/test/java/io/jacinthquay/router/service/forward/ForwardRunTest.java
+++ b/router/src/test/java/io/jacinthquay/router/service/forward/ForwardRunTest.java
@@ -65,7 +65,7 @@
     keeps(Promise.ONE_ANSWER);
   }
 
-  /** Known red: see KNOWN-RED.txt. Details 0 to 3 are the statuses 503, 429, 408 and 421. */
+  /** Details 0 to 3 are the statuses 503, 429, 408 and 421. */
   @ParameterizedTest
   @CsvSource({"once1, 0", "once1, 1", "once1, 2", "once1, 3", "safe1, 0", "stream1, 0"})
   void refusalOfAnUpstreamWithoutProofIsNotPassedOn(String route, int status) {
