Let the relay of the tests cut a connection in both directions at once

Cause: at its limit the relay first ended the direction towards the service and only then closed; in between the service (Undertow) answered 500 to the request that it saw broken off, and the router passed on that answer of its upstream. A relay that cuts doesn't let answers pass; it half-closes only where its caller did. The test and its checks are as they were.

--- a/testkit/src/main/java/io/jacinthquay/testkit/net/TcpRelay.java
+++ b/testkit/src/main/java/io/jacinthquay/testkit/net/TcpRelay.java
@@ -116,6 +116,7 @@
       while (left > 0) {
         int count = in.read(buffer, 0, (int) Math.min(buffer.length, left));
         if (count < 0) {
+          to.shutdownOutput();
           break;
         }
         synchronized (requests) {
@@ -124,7 +125,6 @@
         to.getOutputStream().write(buffer, 0, count);
         left -= count;
       }
-      to.shutdownOutput();
     } catch (IOException e) {
       cut(from, to);
     }
