--- a/runtime/src/test/java/io/jacinthquay/runtime/http/JsonHttpClientTest.java
+++ b/runtime/src/test/java/io/jacinthquay/runtime/http/JsonHttpClientTest.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -27,6 +28,9 @@
   private static final int SMALL_BUFFER_BYTES = 4_096;
   private static final int BODY_BYTES = 8 << 20;
 
+  /** Far less than the time for which the HTTP library lingers at a close. */
+  private static final int END_HEARD_MILLIS = 5_000;
+
   private final AtomicInteger calls = new AtomicInteger();
   private final JsonHttpClient http = new JsonHttpClient("test");
   private Undertow server;
@@ -117,4 +121,19 @@
       }
     }
   }
+
+  /** A server that is still at work on a call hears that nobody waits for it. */
+  @Tag("known-red")
+  @Test
+  void endTheConnectionOfACallThatIsGivenUp() throws Exception {
+    try (ServerSocket silent = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      InetSocketAddress server = (InetSocketAddress) silent.getLocalSocketAddress();
+      assertTrue(http.call(HttpCall.post(server, "/x", "{}", Duration.ofMillis(300))).isLeft());
+      try (Socket late = silent.accept()) {
+        late.setSoTimeout(END_HEARD_MILLIS);
+        InputStream in = late.getInputStream();
+        assertThrows(SocketException.class, in::readAllBytes, "the call was not reset");
+      }
+    }
+  }
 }
