Notice a caller that leaves behind much of its next request

Cause: while an answer is due the listener read 4 KB ahead and then stopped watching the connection, so its end went unnoticed.

Change: what is read ahead may be as large as a whole request; above 4 KB a connection it comes out of the memory that all bodies share. Where that is used up the end is still noticed only with the answer (WatchedSource says so).

--- a/router/src/main/java/io/jacinthquay/router/adapter/http/BodyMemory.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/BodyMemory.java
@@ -2,7 +2,7 @@
 
 import java.util.concurrent.atomic.AtomicLong;
 
-/** Limits the bytes of all bodies that are being read. */
+/** Limits the bytes of all bodies that are being read and of all that is read ahead. */
 final class BodyMemory {
   private final AtomicLong free;
 
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/CallerHandler.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/CallerHandler.java
@@ -28,11 +28,12 @@
   private final BodyMemory memory;
   private final IdleConnections connections;
 
-  CallerHandler(RequestIntake intake, ListenerLimits limits, IdleConnections connections) {
+  CallerHandler(
+      RequestIntake intake, ListenerLimits limits, BodyMemory memory, IdleConnections connections) {
     this.intake = intake;
     this.connections = connections;
     this.limits = limits;
-    this.memory = new BodyMemory(limits.maxBufferedBytes());
+    this.memory = memory;
   }
 
   @Override
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/CallerServer.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/CallerServer.java
@@ -12,6 +12,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.apache.logging.log4j.LogManager;
@@ -23,6 +24,7 @@
 import org.xnio.Options;
 import org.xnio.StreamConnection;
 import org.xnio.Xnio;
+import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 import org.xnio.channels.AcceptingChannel;
 import org.xnio.conduits.ConduitStreamSourceChannel;
@@ -58,6 +60,7 @@
   private final RequestIntake intake;
   private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
   private final IdleConnections idle = new IdleConnections();
+  private final BodyMemory memory;
   private final AtomicInteger connections = new AtomicInteger();
   private XnioWorker worker;
   private HttpOpenListener http;
@@ -77,12 +80,13 @@
     this.ioThreads = ioThreads;
     this.limits = limits;
     this.intake = intake;
+    this.memory = new BodyMemory(limits.maxBufferedBytes());
   }
 
   @Override
   public void start() {
     http = new HttpOpenListener(buffers, serverOptions());
-    http.setRootHandler(new CallerHandler(intake, limits, idle));
+    http.setRootHandler(new CallerHandler(intake, limits, memory, idle));
     try {
       worker = Xnio.getInstance().createWorker(workerOptions());
       listener =
@@ -129,8 +133,9 @@
       return;
     }
     ConduitStreamSourceChannel source = connection.getSourceChannel();
+    ReadAhead ahead = new ReadAhead(memory, limits.maxHeadBytes() + limits.maxBodyBytes());
     WatchedSource watched =
-        new WatchedSource(source.getConduit(), () -> IoUtils.safeClose(connection));
+        new WatchedSource(source.getConduit(), ahead, () -> IoUtils.safeClose(connection));
     watched.setReadReadyHandler(new ReadReadyHandler.ChannelListenerHandler<>(source));
     source.setConduit(watched);
     http.handleEvent(connection);
@@ -138,10 +143,24 @@
     connection.setCloseListener(
         closed -> {
           connections.decrementAndGet();
+          forget(ahead, connection.getIoThread());
           ChannelListeners.invokeChannelListener(closed, onClose);
         });
   }
 
+  /** A connection may be closed by any thread. */
+  private static void forget(ReadAhead ahead, XnioIoThread thread) {
+    if (Thread.currentThread() == thread) {
+      ahead.clear();
+      return;
+    }
+    try {
+      thread.execute(ahead::clear);
+    } catch (RejectedExecutionException e) {
+      log.debug("bytes that were read ahead are dropped with their thread: {}", e.getMessage());
+    }
+  }
+
   private static void refuse(StreamConnection connection) {
     try {
       int written = connection.getSinkChannel().write(ByteBuffer.wrap(TOO_MANY));
@@ -171,7 +190,7 @@
    */
   public void alsoServe(InetSocketAddress second, RequestIntake other) {
     HttpOpenListener open = new HttpOpenListener(buffers, serverOptions());
-    open.setRootHandler(new CallerHandler(other, limits, idle));
+    open.setRootHandler(new CallerHandler(other, limits, memory, idle));
     try {
       worker
           .createStreamConnectionServer(
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/ListenerLimits.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/ListenerLimits.java
@@ -5,7 +5,8 @@
  *
  * @param maxHeadBytes largest request head, in bytes
  * @param maxBodyBytes largest request body, in bytes
- * @param maxBufferedBytes most bytes of bodies that are being read, over all connections
+ * @param maxBufferedBytes most bytes of bodies that are being read and of later requests that are
+ *     read ahead, over all connections
  * @param maxConnections most open connections
  * @param headMillis longest time for a head to arrive, in milliseconds
  * @param bodyMillis longest time for a body to arrive, in milliseconds
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/WatchedSource.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/WatchedSource.java
@@ -19,19 +19,17 @@
  * Reads ahead while nobody reads, so that the end of a connection is noticed during an answer.
  *
  * <p>The server does not read from a connection between a request and the end of its answer. This
- * conduit then reads up to {@link #AHEAD_BYTES} on its own and keeps them for the next reader.
+ * conduit then reads on its own and keeps the bytes for the next reader, as far as {@link
+ * ReadAhead} allows; behind more than that the end goes unnoticed until the answer has ended.
  */
 final class WatchedSource extends AbstractSourceConduit<StreamSourceConduit>
     implements StreamSourceConduit {
-  /** Most bytes that are read ahead. */
-  private static final int AHEAD_BYTES = 4 * 1024;
-
   /** Most bytes in a row that belong to no content, as for the answers of upstreams. */
   static final int MOST_SKIPPED_BYTES = BoundedSource.MOST_SKIPPED_BYTES;
 
   private final Runnable onEnd;
+  private final ReadAhead ahead;
   private long allowed = Long.MAX_VALUE;
-  private ByteBuffer ahead = ByteBuffer.allocate(0);
   private ReadReadyHandler reader;
   private boolean wanted;
   private boolean ended;
@@ -39,10 +37,12 @@
   /**
    * Wraps a conduit.
    *
+   * @param ahead keeps what is read while nobody reads
    * @param onEnd called when the connection ends while nobody reads
    */
-  WatchedSource(StreamSourceConduit next, Runnable onEnd) {
+  WatchedSource(StreamSourceConduit next, ReadAhead ahead, Runnable onEnd) {
     super(next);
+    this.ahead = ahead;
     this.onEnd = onEnd;
     next.setReadReadyHandler(new Watch());
   }
@@ -98,29 +98,22 @@
   }
 
   private void readAhead() {
-    ByteBuffer more = ByteBuffer.allocate(AHEAD_BYTES - ahead.remaining());
+    ByteBuffer room = ahead.room();
+    if (!room.hasRemaining()) {
+      next.suspendReads();
+      return;
+    }
     try {
-      int count = more.hasRemaining() ? next.read(more) : 0;
+      int count = next.read(room);
+      ahead.add(room.flip());
       if (count < 0) {
         end();
-        return;
-      }
-      append(more.flip());
-      if (ahead.remaining() >= AHEAD_BYTES) {
-        next.suspendReads();
       }
     } catch (IOException e) {
       end();
     }
   }
 
-  private void append(ByteBuffer more) {
-    if (more.hasRemaining()) {
-      ByteBuffer joined = ByteBuffer.allocate(ahead.remaining() + more.remaining());
-      ahead = joined.put(ahead).put(more).flip();
-    }
-  }
-
   private void end() {
     ended = true;
     next.suspendReads();
@@ -129,14 +122,10 @@
 
   @Override
   public int read(ByteBuffer dst) throws IOException {
-    if (!ahead.hasRemaining()) {
+    if (ahead.isEmpty()) {
       return ended ? -1 : counted(next.read(dst));
     }
-    int count = Math.min(dst.remaining(), ahead.remaining());
-    ByteBuffer part = ahead.slice().limit(count);
-    dst.put(part);
-    ahead.position(ahead.position() + count);
-    return count;
+    return ahead.take(dst);
   }
 
   @Override
@@ -174,7 +163,7 @@
   @Override
   public void resumeReads() {
     wanted = true;
-    if (ahead.hasRemaining() || ended) {
+    if (!ahead.isEmpty() || ended) {
       next.wakeupReads();
     } else {
       next.resumeReads();
@@ -194,14 +183,14 @@
 
   @Override
   public void awaitReadable() throws IOException {
-    if (!ahead.hasRemaining() && !ended) {
+    if (ahead.isEmpty() && !ended) {
       next.awaitReadable();
     }
   }
 
   @Override
   public void awaitReadable(long time, TimeUnit unit) throws IOException {
-    if (!ahead.hasRemaining() && !ended) {
+    if (ahead.isEmpty() && !ended) {
       next.awaitReadable(time, unit);
     }
   }
