--- a/router/src/main/java/io/jacinthquay/router/ForwardRouter.java
+++ b/router/src/main/java/io/jacinthquay/router/ForwardRouter.java
@@ -96,6 +96,7 @@
         new UndertowUpstreamClient(
             CONNECT_TIMEOUT, ReusePolicy.stated(protocol.echoHeader(), ONCE_IDLE));
     core = new ForwardCore(options, protocol, client);
+    core.metrics().gauge("jq_forward_upstream_connections", client::openConnections);
     server =
         new CallerServer(
             endpoints.callers(), 1, ListenerLimits.defaults(), new ForwardIntake(core));
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/ConnectionPool.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/ConnectionPool.java
@@ -16,6 +16,7 @@
 import java.util.Map;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.apache.logging.log4j.LogManager;
@@ -45,11 +46,22 @@
   private final ByteBufferPool buffers;
   private final Duration connectTimeout;
   private final ReusePolicy reuse;
+  private final AtomicInteger open;
   private final Map<InetSocketAddress, Deque<Idle>> idle = new HashMap<>();
 
+  /**
+   * Returns a pool without connections.
+   *
+   * @param open counts the open connections of all pools
+   */
   ConnectionPool(
-      XnioIoThread thread, ByteBufferPool buffers, Duration connectTimeout, ReusePolicy reuse) {
+      XnioIoThread thread,
+      ByteBufferPool buffers,
+      Duration connectTimeout,
+      ReusePolicy reuse,
+      AtomicInteger open) {
     this.reuse = reuse;
+    this.open = open;
     this.thread = thread;
     this.opener = new BoundedOpener(thread);
     this.buffers = buffers;
@@ -85,7 +97,7 @@
       taker.completed(reused);
       return;
     }
-    connect(address, new FirstOf(opener, taker));
+    connect(address, new FirstOf(taker));
   }
 
   private void connect(InetSocketAddress address, FirstOf first) {
@@ -169,14 +181,12 @@
   }
 
   /** Passes on the first result only; a connection that comes too late is closed. */
-  private static final class FirstOf implements ClientCallback<ClientConnection> {
-    private final BoundedOpener opener;
+  private final class FirstOf implements ClientCallback<ClientConnection> {
     private final ClientCallback<UpstreamConnection> taker;
     private XnioExecutor.Key timer;
     private boolean done;
 
-    FirstOf(BoundedOpener opener, ClientCallback<UpstreamConnection> taker) {
-      this.opener = opener;
+    FirstOf(ClientCallback<UpstreamConnection> taker) {
       this.taker = taker;
     }
 
@@ -187,6 +197,8 @@
         return;
       }
       finish();
+      open.incrementAndGet();
+      connection.addCloseListener(closed -> open.decrementAndGet());
       taker.completed(new UpstreamConnection(connection, opener.newest()));
     }
 
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowUpstreamClient.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowUpstreamClient.java
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.xnio.XnioIoThread;
 
 /**
@@ -22,6 +23,7 @@
 
   private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
   private final Map<XnioIoThread, ConnectionPool> pools = new ConcurrentHashMap<>();
+  private final AtomicInteger open = new AtomicInteger();
   private final Duration connectTimeout;
   private final ReusePolicy reuse;
 
@@ -62,8 +64,13 @@
     return call;
   }
 
+  /** Returns how many connections to upstreams are open, idle ones included. */
+  public int openConnections() {
+    return open.get();
+  }
+
   private ConnectionPool newPool(XnioIoThread thread) {
-    return new ConnectionPool(thread, buffers, connectTimeout, reuse);
+    return new ConnectionPool(thread, buffers, connectTimeout, reuse, open);
   }
 
   @Override
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardMetrics.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardMetrics.java
@@ -21,7 +21,8 @@
     return registry;
   }
 
-  void gauge(String name, LongSupplier value) {
+  /** Shows a value that is read whenever somebody asks. */
+  public void gauge(String name, LongSupplier value) {
     registry.gauge(name, () -> value::getAsLong);
   }
 
