--- /dev/null
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/History.java
@@ -0,0 +1,97 @@
+package io.jacinthquay.soak;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.concurrent.ConcurrentLinkedQueue;
+
+/** What callers, upstreams, operators and the platform saw; any thread may add to it. */
+final class History {
+  private final Collection<Call> calls = new ConcurrentLinkedQueue<>();
+  private final Collection<Run> runs = new ConcurrentLinkedQueue<>();
+  private final Collection<Span> spans = new ConcurrentLinkedQueue<>();
+  private final Collection<Read> reads = new ConcurrentLinkedQueue<>();
+  private final Collection<Acknowledged> acknowledged = new ConcurrentLinkedQueue<>();
+  private final Collection<Duty> duties = new ConcurrentLinkedQueue<>();
+  private final Collection<String> strays = new ConcurrentLinkedQueue<>();
+
+  /**
+   * A version of the document that an operator read.
+   *
+   * @param askedNanos when it was asked for
+   */
+  record Read(long askedNanos, long version) {}
+
+  /**
+   * A version of the document that was acknowledged.
+   *
+   * @param atNanos when the operator heard it
+   */
+  record Acknowledged(long atNanos, long version) {}
+
+  /**
+   * A call of a duty as the platform saw it.
+   *
+   * @param subject what the duty is about
+   * @param holder the VM that called
+   * @param fence its fencing token
+   * @param content what was ordered or reported
+   */
+  record Duty(String subject, String holder, long fence, String content) {}
+
+  void add(Call call) {
+    calls.add(call);
+  }
+
+  void add(Run run) {
+    runs.add(run);
+  }
+
+  void add(Span span) {
+    spans.add(span);
+  }
+
+  void add(Read read) {
+    reads.add(read);
+  }
+
+  void add(Acknowledged version) {
+    acknowledged.add(version);
+  }
+
+  void add(Duty duty) {
+    duties.add(duty);
+  }
+
+  /** Adds something that nobody may ever see, such as bytes on a connection that asked nothing. */
+  void addStray(String what) {
+    strays.add(what);
+  }
+
+  List<Call> calls() {
+    return List.copyOf(calls);
+  }
+
+  List<Run> runs() {
+    return List.copyOf(runs);
+  }
+
+  List<Span> spans() {
+    return List.copyOf(spans);
+  }
+
+  List<Read> reads() {
+    return List.copyOf(reads);
+  }
+
+  List<Acknowledged> acknowledged() {
+    return List.copyOf(acknowledged);
+  }
+
+  List<Duty> duties() {
+    return List.copyOf(duties);
+  }
+
+  List<String> strays() {
+    return List.copyOf(strays);
+  }
+}
--- /dev/null
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/RunsEndCheck.java
@@ -0,0 +1,69 @@
+package io.jacinthquay.soak;
+
+import io.jacinthquay.model.RequestId;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+
+/** Work ends, and none begins, half a second after its caller has left. */
+final class RunsEndCheck implements Check {
+  /** From the users' rules. */
+  private static final long MOST_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+  /** Time before a caller left in which a fault may still hold things up. */
+  private static final long BEFORE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+  @Override
+  public String promise() {
+    return "no work for callers that have left";
+  }
+
+  @Override
+  public Verdict judge(History history) {
+    Verdict verdict = new Verdict();
+    List<Span> spans = history.spans();
+    Map<RequestId, List<Run>> runs =
+        history.runs().stream().collect(Collectors.groupingBy(Run::id));
+    for (Call call : history.calls()) {
+      if (call.ending() == Call.Ending.LEFT) {
+        for (Run run : runs.getOrDefault(call.id(), List.of())) {
+          judge(call, run, spans, verdict);
+        }
+      }
+    }
+    return verdict;
+  }
+
+  private static void judge(Call call, Run run, List<Span> spans, Verdict verdict) {
+    long left = call.endNanos();
+    long late = Math.max(run.beganNanos(), run.endNanos()) - left;
+    boolean sound = late <= MOST_NANOS;
+    boolean disturbed =
+        spans.stream()
+            .filter(span -> span.touches(left - BEFORE_NANOS, left + MOST_NANOS))
+            .anyMatch(span -> mayHoldUp(span, call, run));
+    if (!sound && disturbed) {
+      verdict.leaveOut();
+      return;
+    }
+    verdict.judge(
+        sound,
+        call.id().value()
+            + " ran on upstream "
+            + run.upstream()
+            + " for "
+            + TimeUnit.NANOSECONDS.toMillis(late)
+            + " ms after its caller left router "
+            + call.router());
+  }
+
+  private static boolean mayHoldUp(Span span, Call call, Run run) {
+    return switch (span.what().where()) {
+      case ROUTER -> span.concerns(call.router());
+      case UPSTREAM -> span.concerns(run.upstream());
+      case OBSERVER -> true;
+      default -> false;
+    };
+  }
+}
--- /dev/null
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/SoakMain.java
@@ -0,0 +1,109 @@
+package io.jacinthquay.soak;
+
+import io.jacinthquay.model.ResultCode;
+import io.jacinthquay.runtime.ExitCode;
+import io.jacinthquay.runtime.settings.Setting;
+import io.jacinthquay.runtime.settings.Settings;
+import io.jacinthquay.runtime.settings.SettingsParser;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+
+/** Runs the fault soak from the command line. */
+public final class SoakMain {
+  private static final Setting<Long> SEED =
+      Setting.of("seed", "seed of the first run", "number", Long::parseLong);
+  private static final Setting<Integer> SEEDS =
+      Setting.integer("seeds", "runs, each with the next seed", "runs", 1, 10_000).orElse("1");
+  private static final Setting<Integer> SECONDS =
+      Setting.integer("seconds", "time under load of each run", "seconds", 5, 86_400).orElse("40");
+  private static final Setting<Integer> ROUTERS =
+      Setting.integer("routers", "router processes", "processes", 1, 200).orElse("4");
+  private static final Setting<Integer> CONTROLS =
+      Setting.integer("controls", "control VM processes", "processes", 1, 9).orElse("3");
+  private static final Setting<Integer> UPSTREAMS =
+      Setting.integer("upstreams", "stand-in upstreams", "upstreams", 1, 200).orElse("6");
+  private static final Setting<Integer> CALLERS =
+      Setting.integer("callers", "callers at a time", "callers", 1, 1_000).orElse("24");
+  private static final Setting<Set<FaultKind>> FAULTS =
+      Setting.of("faults", "kinds of fault: all, none or a list", "names", SoakMain::faults)
+          .orElse("all");
+  private static final Setting<Path> ROOT =
+      Setting.path("root", "folder with the deploy file and the built programs").orElse(".");
+  private static final Setting<Path> LOGS =
+      Setting.path("logs", "folder for the processes' output").orElse("target/soak-logs");
+
+  private static final SettingsParser PARSER =
+      SettingsParser.of(
+          "soak",
+          "Runs the platform's programs under random faults and judges what callers and upstreams"
+              + " see.",
+          List.of(SEED, SEEDS, SECONDS, ROUTERS, CONTROLS, UPSTREAMS, CALLERS, FAULTS, ROOT, LOGS));
+
+  private SoakMain() {}
+
+  /** Starts the program; it exits with 0 if all promises held, 1 if not and 2 for bad flags. */
+  public static void main(String[] args) throws InterruptedException {
+    Either<List<String>, Settings> parsed = PARSER.parse(args, System.getenv());
+    if (parsed.isLeft()) {
+      parsed
+          .getLeft()
+          .forEach(e -> System.err.println(ResultCode.SETTINGS_INVALID.number() + " " + e));
+      System.exit(ExitCode.SETTINGS_INVALID.number());
+    }
+    Settings settings = parsed.get();
+    if (settings.answer().isPresent()) {
+      System.out.println(settings.answer().get());
+      return;
+    }
+    System.exit((run(settings) ? ExitCode.OK : ExitCode.FAILURE).number());
+  }
+
+  private static boolean run(Settings settings) throws InterruptedException {
+    boolean held = true;
+    for (int i = 0; i < settings.value(SEEDS); i++) {
+      SoakPlan plan =
+          new SoakPlan(
+              settings.value(SEED) + i,
+              Duration.ofSeconds(settings.value(SECONDS)),
+              settings.value(ROUTERS),
+              settings.value(CONTROLS),
+              settings.value(UPSTREAMS),
+              settings.value(CALLERS),
+              settings.value(FAULTS));
+      Path root = settings.value(ROOT).toAbsolutePath().normalize();
+      Path folder = root.resolve(settings.value(LOGS)).resolve("seed-" + plan.seed());
+      try {
+        SoakReport report = new SoakRun(root, folder, plan).run();
+        System.out.println(report.text());
+        held &= report.faults().isEmpty();
+      } catch (IOException e) {
+        System.err.println("seed " + plan.seed() + " did not run: " + e.getMessage());
+        held = false;
+      }
+    }
+    return held;
+  }
+
+  private static Set<FaultKind> faults(String text) {
+    Set<FaultKind> kinds = EnumSet.noneOf(FaultKind.class);
+    switch (text) {
+      case "all" -> kinds.addAll(EnumSet.allOf(FaultKind.class));
+      case "none" -> {
+        // The load alone.
+      }
+      default -> {
+        for (String name : text.split(",")) {
+          kinds.add(FaultKind.valueOf(name.trim().toUpperCase(Locale.ROOT).replace('-', '_')));
+        }
+      }
+    }
+    kinds.remove(FaultKind.OBSERVER_STALLED);
+    return kinds;
+  }
+}
