--- a/faultsoak/src/main/java/io/jacinthquay/soak/ProgramProcess.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/ProgramProcess.java
@@ -10,6 +10,7 @@
 
 /** One program as a process, started again and signalled by its id. */
 final class ProgramProcess implements AutoCloseable {
+  private static final String LOG_LEVEL = "JQ_LOG_LEVEL";
   private static final long KILL_SECONDS = 10;
 
   /** Longer than the grace period that the programs are told. */
@@ -38,12 +39,14 @@
     stopping = false;
     starts++;
     File log = output.toFile();
-    process =
+    ProcessBuilder builder =
         new ProcessBuilder(command.get())
             .directory(root.toFile())
             .redirectErrorStream(true)
-            .redirectOutput(ProcessBuilder.Redirect.appendTo(log))
-            .start();
+            .redirectOutput(ProcessBuilder.Redirect.appendTo(log));
+    // The soak's own level must not hide what the programs write.
+    builder.environment().remove(LOG_LEVEL);
+    process = builder.start();
   }
 
   private void noteOwnEnd() {
--- /dev/null
+++ b/faultsoak/src/test/java/io/jacinthquay/soak/ChecksTest.java
@@ -0,0 +1,219 @@
+package io.jacinthquay.soak;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.jacinthquay.model.RequestId;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Each check finds the fault that it is for, and nothing where the promise holds. */
+final class ChecksTest {
+  private static final RequestId ID = new RequestId("c1-1");
+  private static final String WHOLE = Expected.body(ID);
+  private static final String EVENTS = Expected.eventsUpTo(ID, Expected.events(ID));
+  private static final int ROUTER = 2;
+  private static final int UPSTREAM = 5;
+
+  private enum Planted {
+    RUN_GOES_ON_AFTER_ITS_CALLER_LEFT(
+        new RunsEndCheck(),
+        history -> {
+          history.add(call(CallKind.SAFE, Call.Ending.LEFT, 0, "", 1_000));
+          history.add(run(CallKind.SAFE, 10, 1_600));
+        }),
+    RUN_BEGINS_AFTER_ITS_CALLER_LEFT(
+        new RunsEndCheck(),
+        history -> {
+          history.add(call(CallKind.SAFE, Call.Ending.LEFT, 0, "", 1_000));
+          history.add(run(CallKind.SAFE, 1_600, 1_600));
+        }),
+    BOOKING_RUNS_TWICE(
+        new AtMostOnceCheck(),
+        history -> {
+          history.add(run(CallKind.ONCE, 10, 20));
+          history.add(run(CallKind.ONCE, 30, 40));
+        }),
+    REFUSED_REQUEST_RUNS_LATER(
+        new RefusalsCheck(),
+        history -> {
+          history.add(call(CallKind.ONCE, Call.Ending.ANSWERED, 503, "", 100));
+          history.add(run(CallKind.ONCE, 200, 300));
+        }),
+    BROKEN_ANSWER_LOOKS_WHOLE(
+        new AnswersCheck(),
+        history ->
+            history.add(
+                call(
+                    CallKind.SAFE,
+                    Call.Ending.ANSWERED,
+                    200,
+                    WHOLE.substring(0, WHOLE.length() - 1),
+                    100))),
+    ANSWER_OF_ANOTHER_REQUEST(
+        new AnswersCheck(),
+        history ->
+            history.add(
+                call(
+                    CallKind.SAFE,
+                    Call.Ending.ANSWERED,
+                    200,
+                    Expected.body(new RequestId("c1-2")),
+                    100))),
+    EVENT_IS_MISSING(
+        new AnswersCheck(),
+        history ->
+            history.add(
+                call(
+                    CallKind.STREAM,
+                    Call.Ending.ANSWERED,
+                    200,
+                    EVENTS.replace(Expected.event(ID, 2), ""),
+                    100))),
+    EVENT_COMES_TWICE_BEFORE_THE_BREAK(
+        new AnswersCheck(),
+        history ->
+            history.add(
+                call(
+                    CallKind.RESUME,
+                    Call.Ending.BROKEN,
+                    200,
+                    Expected.event(ID, 1) + Expected.event(ID, 1),
+                    100))),
+    BYTES_THAT_NOBODY_ASKED_FOR(new AnswersCheck(), history -> history.addStray("more bytes")),
+    MORE_TIME_THAN_IS_LEFT(
+        new HandOverCheck(),
+        history -> {
+          history.add(call(CallKind.SAFE, Call.Ending.ANSWERED, 200, WHOLE, 100));
+          history.add(new Run(ID, CallKind.SAFE, UPSTREAM, nanos(10), nanos(20), 5_000, true));
+        }),
+    KEY_REACHES_THE_UPSTREAM(
+        new HandOverCheck(),
+        history ->
+            history.add(new Run(ID, CallKind.SAFE, UPSTREAM, nanos(10), nanos(20), 10, false))),
+    REQUEST_CUT_BY_A_PLANNED_STOP(
+        new PlannedStopCheck(),
+        history -> {
+          history.add(call(CallKind.ONCE, Call.Ending.BROKEN, 0, "", 100));
+          history.add(run(CallKind.ONCE, 10, 100));
+          history.add(new Span(FaultKind.ROUTER_STOPPED, ROUTER, nanos(50), nanos(200)));
+        }),
+    OLDER_DOCUMENT_IS_SHOWN(
+        new DocumentCheck(),
+        history -> {
+          history.add(new History.Acknowledged(nanos(1_000), 7));
+          history.add(new History.Read(nanos(3_001), 6));
+        }),
+    FENCE_GOES_DOWN(
+        new DutiesCheck(),
+        history -> {
+          history.add(new History.Duty("scaling s a", "control-0", 3, "4"));
+          history.add(new History.Duty("scaling s a", "control-1", 2, "5"));
+        }),
+    TWO_HOLDERS_OF_ONE_FENCE(
+        new DutiesCheck(),
+        history -> {
+          history.add(new History.Duty("usage 7", "control-0", 3, "{}"));
+          history.add(new History.Duty("usage 8", "control-1", 3, "{}"));
+        }),
+    WINDOW_WITH_TWO_FIGURES(
+        new DutiesCheck(),
+        history -> {
+          history.add(new History.Duty("usage 7", "control-0", 3, "{\"a\":1}"));
+          history.add(new History.Duty("usage 7", "control-0", 3, "{\"a\":2}"));
+        });
+
+    private final Check check;
+    private final Consumer<History> fault;
+
+    Planted(Check check, Consumer<History> fault) {
+      this.check = check;
+      this.fault = fault;
+    }
+  }
+
+  private static long nanos(long millis) {
+    return TimeUnit.MILLISECONDS.toNanos(millis);
+  }
+
+  private static Call call(
+      CallKind kind, Call.Ending ending, int status, String body, long endMillis) {
+    return new Call(ID, kind, ROUTER, 0, nanos(endMillis), ending, status, body, 2_000);
+  }
+
+  private static Run run(CallKind kind, long fromMillis, long untilMillis) {
+    return new Run(ID, kind, UPSTREAM, nanos(fromMillis), nanos(untilMillis), 1_900, true);
+  }
+
+  @ParameterizedTest
+  @MethodSource("planted")
+  void plantedFaultIsFound(Planted planted) {
+    History history = new History();
+    planted.fault.accept(history);
+    assertEquals(1, planted.check.judge(history).faults().size());
+  }
+
+  static Stream<Planted> planted() {
+    return Stream.of(Planted.values());
+  }
+
+  private static History sound() {
+    History history = new History();
+    history.add(call(CallKind.SAFE, Call.Ending.ANSWERED, 200, WHOLE, 100));
+    history.add(run(CallKind.SAFE, 10, 90));
+    history.add(new Span(FaultKind.ROUTER_STOPPED, ROUTER, nanos(50), nanos(200)));
+    history.add(new History.Acknowledged(nanos(1_000), 7));
+    history.add(new History.Read(nanos(2_999), 6));
+    history.add(new History.Read(nanos(3_001), 7));
+    history.add(new History.Duty("usage 7", "control-0", 3, "{\"a\":1}"));
+    history.add(new History.Duty("usage 7", "control-0", 3, "{\"a\":1}"));
+    history.add(new History.Duty("usage 8", "control-1", 4, "{\"a\":2}"));
+    return history;
+  }
+
+  @ParameterizedTest
+  @MethodSource("planted")
+  void soundHistoryHasNoFault(Planted planted) {
+    Verdict verdict = planted.check.judge(sound());
+    assertTrue(verdict.faults().isEmpty(), verdict.faults().toString());
+  }
+
+  static Stream<Span> explanations() {
+    return Stream.of(
+        new Span(FaultKind.ROUTER_PAUSED, ROUTER, nanos(900), nanos(1_700)),
+        new Span(FaultKind.UPSTREAM_SILENT, UPSTREAM, nanos(100), nanos(600)),
+        new Span(FaultKind.OBSERVER_STALLED, -1, nanos(1_200), nanos(1_400)));
+  }
+
+  static Stream<Span> noExplanations() {
+    return Stream.of(
+        new Span(FaultKind.ROUTER_PAUSED, ROUTER + 1, nanos(900), nanos(1_700)),
+        new Span(FaultKind.UPSTREAM_SILENT, UPSTREAM, nanos(100), nanos(400)),
+        new Span(FaultKind.CONTROL_KILLED, ROUTER, nanos(900), nanos(1_700)));
+  }
+
+  private static Verdict judgedBeside(Span span) {
+    History history = new History();
+    Planted.RUN_GOES_ON_AFTER_ITS_CALLER_LEFT.fault.accept(history);
+    history.add(span);
+    return new RunsEndCheck().judge(history);
+  }
+
+  @ParameterizedTest
+  @MethodSource("explanations")
+  void whatAFaultMayExplainIsNotJudged(Span span) {
+    Verdict verdict = judgedBeside(span);
+    assertTrue(verdict.faults().isEmpty());
+    assertEquals(1, verdict.notJudged());
+  }
+
+  @ParameterizedTest
+  @MethodSource("noExplanations")
+  void faultsElsewhereExplainNothing(Span span) {
+    assertFalse(judgedBeside(span).faults().isEmpty());
+  }
+}
