--- a/faultsoak/src/main/java/io/jacinthquay/soak/SoakRun.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/SoakRun.java
@@ -69,7 +69,7 @@
    * Returns a run.
    *
    * @param root folder that holds the deploy file and what the build made
-   * @param folder takes the processes' output and data; made if missing
+   * @param folder takes the processes' output and data; emptied first
    */
   SoakRun(Path root, Path folder, SoakPlan plan) {
     this.root = root;
@@ -84,6 +84,8 @@
    * @throws IOException if the programs can't be started
    */
   SoakReport run() throws IOException, InterruptedException {
+    // Control VMs that found an earlier run's data would look for its members.
+    SoakSystem.remove(folder);
     Files.createDirectories(folder);
     http.start();
     try (SoakSystem system = new SoakSystem(root, folder, plan, history)) {
--- a/faultsoak/src/main/java/io/jacinthquay/soak/SoakSystem.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/SoakSystem.java
@@ -104,11 +104,15 @@
 
   /** Removes what a control VM that doesn't run has stored. */
   void wipe(int control) throws IOException {
-    Path data = data(control);
-    if (!Files.exists(data)) {
+    remove(data(control));
+  }
+
+  /** Removes a folder with all that it holds, if it exists. */
+  static void remove(Path folder) throws IOException {
+    if (!Files.exists(folder)) {
       return;
     }
-    try (Stream<Path> files = Files.walk(data)) {
+    try (Stream<Path> files = Files.walk(folder)) {
       for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
         Files.deleteIfExists(file);
       }
