Judge no answer as cut by a planned stop that its upstream broke off

Trace: the router's line says failed=BROKE 46 ms after the first event, and the stand-in upstream resets some streams of its own accord; the users' rule doesn't count these. The upstream notes it now, and the case is counted as not judged. ChecksTest has the case; a request cut without that is found as before.

--- a/faultsoak/src/main/java/io/jacinthquay/soak/PlannedStopCheck.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/PlannedStopCheck.java
@@ -27,7 +27,7 @@
         continue;
       }
       boolean sound = call.ending() == Call.Ending.ANSWERED || hasNoneOfIt(call, history);
-      if (!sound && isDisturbed(call, spans)) {
+      if (!sound && (isDisturbed(call, spans) || brokeOff(call, history))) {
         verdict.leaveOut();
       } else {
         verdict.judge(
@@ -48,6 +48,11 @@
         && history.runs().stream().noneMatch(run -> run.id().equals(call.id()));
   }
 
+  /** The upstream ended the answer, so the router had to. */
+  private static boolean brokeOff(Call call, History history) {
+    return history.runs().stream().anyMatch(run -> run.id().equals(call.id()) && run.brokeOff());
+  }
+
   private static boolean isDisturbed(Call call, List<Span> spans) {
     return spans.stream()
         .filter(span -> span.what() != FaultKind.ROUTER_STOPPED)
--- a/faultsoak/src/main/java/io/jacinthquay/soak/Run.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/Run.java
@@ -13,6 +13,7 @@
  * @param waitMillis how long the router said that its caller waits; -1 if it didn't
  * @param proper whether the request was as its caller sent it, with the caller's customer and
  *     without its key
+ * @param brokeOff whether the upstream ended its answer early of its own accord
  */
 record Run(
     RequestId id,
@@ -21,4 +22,5 @@
     long beganNanos,
     long endNanos,
     long waitMillis,
-    boolean proper) {}
+    boolean proper,
+    boolean brokeOff) {}
--- a/faultsoak/src/main/java/io/jacinthquay/soak/StandInUpstream.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/StandInUpstream.java
@@ -96,10 +96,11 @@
       case 7 -> {
         work.send(work.head(200, "Response-Signature: s\r\nContent-Length: " + body.length()));
         work.send(body.substring(0, body.length() / 2));
+        work.brokeOff = true;
         return false;
       }
       case 8 -> {
-        Acceptor.reset(work.socket);
+        work.breakOff();
         return false;
       }
       case 9, 10 -> {
@@ -139,7 +140,7 @@
     int stop = fate < 8 ? first + draw(last) : Integer.MAX_VALUE;
     for (int event = first; event <= last; event++) {
       if (event == stop && fate < 5) {
-        Acceptor.reset(work.socket);
+        work.breakOff();
         return false;
       }
       if (!work.pause(event == stop ? STALL_MILLIS : draw(MOST_GAP_MILLIS))) {
@@ -162,6 +163,7 @@
     private final PushbackInputStream in;
     private final HttpWire.Head head;
     private final String body;
+    private boolean brokeOff;
 
     Work(Socket socket, PushbackInputStream in, HttpWire.Head head, String body) {
       this.socket = socket;
@@ -190,7 +192,13 @@
           began,
           System.nanoTime(),
           head.number("Deadline-Ms").orElse(-1),
-          proper);
+          proper,
+          brokeOff);
+    }
+
+    void breakOff() {
+      brokeOff = true;
+      Acceptor.reset(socket);
     }
 
     /** Works for a time; returns false if the connection ended meanwhile. */
--- a/faultsoak/src/test/java/io/jacinthquay/soak/ChecksTest.java
+++ b/faultsoak/src/test/java/io/jacinthquay/soak/ChecksTest.java
@@ -5,9 +5,11 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.jacinthquay.model.RequestId;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
@@ -89,12 +91,14 @@
         new HandOverCheck(),
         history -> {
           history.add(call(CallKind.SAFE, Call.Ending.ANSWERED, 200, WHOLE, 100));
-          history.add(new Run(ID, CallKind.SAFE, UPSTREAM, nanos(10), nanos(20), 5_000, true));
+          history.add(
+              new Run(ID, CallKind.SAFE, UPSTREAM, nanos(10), nanos(20), 5_000, true, false));
         }),
     KEY_REACHES_THE_UPSTREAM(
         new HandOverCheck(),
         history ->
-            history.add(new Run(ID, CallKind.SAFE, UPSTREAM, nanos(10), nanos(20), 10, false))),
+            history.add(
+                new Run(ID, CallKind.SAFE, UPSTREAM, nanos(10), nanos(20), 10, false, false))),
     REQUEST_CUT_BY_A_PLANNED_STOP(
         new PlannedStopCheck(),
         history -> {
@@ -146,7 +150,7 @@
   }
 
   private static Run run(CallKind kind, long fromMillis, long untilMillis) {
-    return new Run(ID, kind, UPSTREAM, nanos(fromMillis), nanos(untilMillis), 1_900, true);
+    return new Run(ID, kind, UPSTREAM, nanos(fromMillis), nanos(untilMillis), 1_900, true, false);
   }
 
   @ParameterizedTest
@@ -196,6 +200,17 @@
         new Span(FaultKind.CONTROL_KILLED, ROUTER, nanos(900), nanos(1_700)));
   }
 
+  @Test
+  void answerThatItsUpstreamBrokeOffWasNotCutByAStop() {
+    History history = new History();
+    history.add(call(CallKind.STREAM, Call.Ending.BROKEN, 200, Expected.event(ID, 1), 100));
+    history.add(new Run(ID, CallKind.STREAM, UPSTREAM, nanos(10), nanos(90), 1_900, true, true));
+    history.add(new Span(FaultKind.ROUTER_STOPPED, ROUTER, nanos(50), nanos(200)));
+    Verdict verdict = new PlannedStopCheck().judge(history);
+    assertEquals(List.of(), verdict.faults());
+    assertEquals(1, verdict.notJudged());
+  }
+
   private static Verdict judgedBeside(Span span) {
     History history = new History();
     Planted.RUN_GOES_ON_AFTER_ITS_CALLER_LEFT.fault.accept(history);
