--- a/faultsoak/src/main/java/io/jacinthquay/soak/CallerLoop.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/CallerLoop.java
@@ -8,6 +8,7 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
@@ -35,6 +36,9 @@
   /** One of so many callers leaves before the end. */
   private static final int LEAVE_ONE_IN = 6;
 
+  /** One of so many requests is followed by another before its answer has come. */
+  private static final int PAIR_ONE_IN = 15;
+
   /** One of so many answers is read slowly. */
   private static final int SLOW_ONE_IN = 20;
 
@@ -107,22 +111,86 @@
     kept = socket;
   }
 
+  /** Sends one request, or two at once, and reads the answers in their order. */
   private void call(CallKind kind) throws IOException {
     connect();
-    sent++;
-    RequestId id = new RequestId("c" + number + "-" + sent);
-    Exchange exchange = new Exchange(id, kind, keptRouter, kept);
     long waitMillis = LEAST_WAIT_MILLIS + random.nextInt(MORE_WAIT_MILLIS);
     boolean leaves = random.nextInt(LEAVE_ONE_IN) == 0;
     long stayMillis = leaves ? random.nextInt(MOST_STAY_MILLIS) : waitMillis;
-    Call call = exchange.play(waitMillis, stayMillis);
-    history.add(call);
-    if (call.isSuccess()) {
-      latencies.recordValue(
-          TimeUnit.NANOSECONDS.toMicros(Math.max(0, call.endNanos() - call.sentNanos())));
+    Patience patience = new Patience(kept, stayMillis);
+    List<Exchange> exchanges = new ArrayList<>();
+    exchanges.add(new Exchange(kind, waitMillis));
+    if (random.nextInt(PAIR_ONE_IN) == 0) {
+      exchanges.add(new Exchange(CallKind.SAFE, waitMillis));
     }
-    if (call.ending() != Call.Ending.ANSWERED || exchange.closes) {
-      kept = null;
+    exchanges.forEach(Exchange::send);
+    InputStream in = new BufferedInputStream(patience);
+    boolean goesOn = true;
+    for (Exchange exchange : exchanges) {
+      Call call = exchange.finish(in, goesOn, patience);
+      goesOn &= call.ending() == Call.Ending.ANSWERED && !exchange.closes;
+      history.add(call);
+      if (call.isSuccess()) {
+        latencies.recordValue(
+            TimeUnit.NANOSECONDS.toMicros(Math.max(0, call.endNanos() - call.sentNanos())));
+      }
+    }
+    if (goesOn && in.available() > 0) {
+      history.addStray("caller " + number + " got more than its answers from router " + keptRouter);
+    }
+    if (!goesOn) {
+      leave();
+    }
+  }
+
+  /** Ends the connection, in one of two ways. */
+  private void leave() throws IOException {
+    Socket socket = kept;
+    kept = null;
+    if (random.nextBoolean()) {
+      Acceptor.reset(socket);
+    } else {
+      socket.close();
+    }
+  }
+
+  /** Reads from a connection until the caller doesn't want to stay. */
+  private static final class Patience extends InputStream {
+    private final Socket from;
+    private final long untilNanos;
+
+    Patience(Socket from, long millis) {
+      this.from = from;
+      this.untilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+    }
+
+    boolean isOver() {
+      return System.nanoTime() - untilNanos >= 0;
+    }
+
+    private void limit() throws IOException {
+      long left = TimeUnit.NANOSECONDS.toMillis(untilNanos - System.nanoTime());
+      if (left <= 0) {
+        throw new SocketTimeoutException("the caller leaves");
+      }
+      from.setSoTimeout((int) left);
+    }
+
+    @Override
+    public int read() throws IOException {
+      limit();
+      return from.getInputStream().read();
+    }
+
+    @Override
+    public int read(byte[] target, int offset, int length) throws IOException {
+      limit();
+      return from.getInputStream().read(target, offset, length);
+    }
+
+    @Override
+    public int available() throws IOException {
+      return from.getInputStream().available();
     }
   }
 
@@ -130,55 +198,58 @@
   private final class Exchange {
     private final RequestId id;
     private final CallKind kind;
-    private final int router;
-    private final Socket socket;
+    private final long waitMillis;
+    private final int router = keptRouter;
+    private final Socket socket = kept;
     private final StringBuilder body = new StringBuilder();
     private int status;
     private boolean closes;
-    private long untilNanos;
+    private boolean sendFailed;
+    private long sentNanos;
 
-    Exchange(RequestId id, CallKind kind, int router, Socket socket) {
-      this.id = id;
+    Exchange(CallKind kind, long waitMillis) {
+      sent++;
+      this.id = new RequestId("c" + number + "-" + sent);
       this.kind = kind;
-      this.router = router;
-      this.socket = socket;
+      this.waitMillis = waitMillis;
     }
 
-    Call play(long waitMillis, long stayMillis) {
-      long sentNanos = System.nanoTime();
-      untilNanos = sentNanos + TimeUnit.MILLISECONDS.toNanos(stayMillis);
-      Call.Ending ending = Call.Ending.BROKEN;
+    void send() {
       try {
-        send(waitMillis);
-        sentNanos = System.nanoTime();
-        read();
-        ending = Call.Ending.ANSWERED;
-      } catch (SocketTimeoutException e) {
-        ending = Call.Ending.LEFT;
-      } catch (IOException | NumberFormatException e) {
-        log.debug("request {} broke off: {}", id, e.getMessage());
-      }
-      long endNanos = System.nanoTime();
-      if (ending != Call.Ending.ANSWERED) {
-        leave();
+        write();
+      } catch (IOException e) {
+        log.debug("request {} could not be sent: {}", id, e.getMessage());
+        sendFailed = true;
       }
-      return new Call(
-          id, kind, router, sentNanos, endNanos, ending, status, body.toString(), waitMillis);
+      sentNanos = System.nanoTime();
     }
 
-    private void leave() {
-      if (random.nextBoolean()) {
-        Acceptor.reset(socket);
-        return;
-      }
-      try {
-        socket.close();
-      } catch (IOException e) {
-        log.debug("request {} could not leave: {}", id, e.getMessage());
+    /** Reads the answer, if the connection goes on. */
+    Call finish(InputStream in, boolean goesOn, Patience patience) {
+      Call.Ending ending = patience.isOver() ? Call.Ending.LEFT : Call.Ending.BROKEN;
+      if (goesOn && !sendFailed) {
+        try {
+          read(in);
+          ending = Call.Ending.ANSWERED;
+        } catch (SocketTimeoutException e) {
+          ending = Call.Ending.LEFT;
+        } catch (IOException | NumberFormatException e) {
+          log.debug("request {} broke off: {}", id, e.getMessage());
+        }
       }
+      return new Call(
+          id,
+          kind,
+          router,
+          sentNanos,
+          System.nanoTime(),
+          ending,
+          status,
+          body.toString(),
+          waitMillis);
     }
 
-    private void send(long waitMillis) throws IOException {
+    private void write() throws IOException {
       String content = body(id);
       boolean chunked = !content.isEmpty() && random.nextInt(3) == 0;
       String head =
@@ -208,9 +279,8 @@
       }
     }
 
-    private void read() throws IOException {
+    private void read(InputStream in) throws IOException {
       boolean slow = random.nextInt(SLOW_ONE_IN) == 0;
-      InputStream in = new BufferedInputStream(new Watched(socket));
       HttpWire.Head head = HttpWire.head(in);
       status = Integer.parseInt(head.second());
       closes = head.field("Connection").equalsIgnoreCase("close");
@@ -227,9 +297,6 @@
               sleep();
             }
           });
-      if (in.available() > 0) {
-        history.addStray(id.value() + " got more than its answer from router " + router);
-      }
     }
 
     private void sleep() throws IOException {
@@ -240,39 +307,5 @@
         throw new IOException("the caller ends", e);
       }
     }
-
-    /** Gives up once the caller doesn't want to stay. */
-    private final class Watched extends InputStream {
-      private final Socket from;
-
-      Watched(Socket from) {
-        this.from = from;
-      }
-
-      private void limit() throws IOException {
-        long left = TimeUnit.NANOSECONDS.toMillis(untilNanos - System.nanoTime());
-        if (left <= 0) {
-          throw new SocketTimeoutException("the caller leaves");
-        }
-        from.setSoTimeout((int) left);
-      }
-
-      @Override
-      public int read() throws IOException {
-        limit();
-        return from.getInputStream().read();
-      }
-
-      @Override
-      public int read(byte[] target, int offset, int length) throws IOException {
-        limit();
-        return from.getInputStream().read(target, offset, length);
-      }
-
-      @Override
-      public int available() throws IOException {
-        return from.getInputStream().available();
-      }
-    }
   }
 }
