--- a/faultsoak/src/main/java/io/jacinthquay/soak/CallKind.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/CallKind.java
@@ -1,5 +1,7 @@
 package io.jacinthquay.soak;
 
+import java.util.Locale;
+
 /** Kinds of request that callers send; each has a route of its own. */
 enum CallKind {
   /** May run more than once. */
@@ -41,7 +43,7 @@
 
   /** Returns the beginning of the paths of the route. */
   String prefix() {
-    return "/" + name().toLowerCase(java.util.Locale.ROOT) + "/";
+    return "/" + name().toLowerCase(Locale.ROOT) + "/";
   }
 
   /** Returns the kind of the request with a path. */
--- a/faultsoak/src/main/java/io/jacinthquay/soak/SoakRun.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/SoakRun.java
@@ -115,8 +115,8 @@
     system.heal();
     Verdict recovery = recover(system, operator);
     Verdict stops = new Verdict();
-    stops.judge(true, "");
-    system.stop().forEach(late -> stops.judge(false, late));
+    List<String> late = system.stop();
+    stops.judge(late.isEmpty(), String.join(", ", late));
     return report(system, recovery, stops);
   }
 
--- a/faultsoak/src/main/java/io/jacinthquay/soak/SoakSystem.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/SoakSystem.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.function.Supplier;
 import java.util.stream.Stream;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -54,7 +55,7 @@
     }
   }
 
-  private ProgramProcess process(String name, java.util.function.Supplier<List<String>> command) {
+  private ProgramProcess process(String name, Supplier<List<String>> command) {
     return new ProgramProcess(deployment.root(), folder.resolve(name + ".log"), command);
   }
 
