Judge no answer as cut by a planned stop once its route's time is over

Trace: the upstream stalled, the router's line says timeout=3000, the route's timeout_ms; the users' rule does not count these.

--- a/faultsoak/src/main/java/io/jacinthquay/soak/PlannedStopCheck.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/PlannedStopCheck.java
@@ -27,7 +27,7 @@
         continue;
       }
       boolean sound = call.ending() == Call.Ending.ANSWERED || hasNoneOfIt(call, history);
-      if (!sound && (isDisturbed(call, spans) || brokeOff(call, history))) {
+      if (!sound && (isDisturbed(call, spans) || brokeOff(call, history) || isOver(call))) {
         verdict.leaveOut();
       } else {
         verdict.judge(
@@ -48,6 +48,12 @@
         && history.runs().stream().noneMatch(run -> run.id().equals(call.id()));
   }
 
+  /** The route lets no caller wait longer, so the router had to end the answer. */
+  private static boolean isOver(Call call) {
+    return call.endNanos() - call.sentNanos()
+        >= TimeUnit.MILLISECONDS.toNanos(Documents.TIMEOUT_MILLIS);
+  }
+
   /** The upstream ended the answer, so the router had to. */
   private static boolean brokeOff(Call call, History history) {
     return history.runs().stream().anyMatch(run -> run.id().equals(call.id()) && run.brokeOff());
