Drop what nothing in the soak calls

Found in the last read-through: three accessors without a caller, an exclusion that FaultSchedule makes as well, and a comment that said the opposite of its constant. Behaviour is as before; the module's tests and the linter pass.

--- a/faultsoak/src/main/java/io/jacinthquay/soak/CallerLoop.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/CallerLoop.java
@@ -30,7 +30,7 @@
   private static final int MORE_WAIT_MILLIS = 4_000;
   private static final int MOST_BODY = 20_000;
 
-  /** One of so many requests that keep a connection is not followed by another on it. */
+  /** One of so many requests takes a new connection although the old one is open. */
   private static final int FRESH_ONE_IN = 4;
 
   /** One of so many callers leaves before the end. */
--- a/faultsoak/src/main/java/io/jacinthquay/soak/FaultKind.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/FaultKind.java
@@ -52,8 +52,4 @@
   Where where() {
     return where;
   }
-
-  boolean isPlannedStop() {
-    return this == ROUTER_STOPPED || this == CONTROL_STOPPED;
-  }
 }
--- a/faultsoak/src/main/java/io/jacinthquay/soak/ProgramProcess.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/ProgramProcess.java
@@ -20,7 +20,6 @@
   private final Path output;
   private final Supplier<List<String>> command;
   private Process process;
-  private int starts;
   private boolean stopping;
   private final List<Integer> ownEnds = new ArrayList<>();
 
@@ -37,7 +36,6 @@
     }
     noteOwnEnd();
     stopping = false;
-    starts++;
     File log = output.toFile();
     ProcessBuilder builder =
         new ProcessBuilder(command.get())
@@ -120,10 +118,6 @@
     return List.copyOf(ownEnds);
   }
 
-  synchronized int starts() {
-    return starts;
-  }
-
   @Override
   public void close() {
     kill();
--- a/faultsoak/src/main/java/io/jacinthquay/soak/SoakMain.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/SoakMain.java
@@ -103,7 +103,6 @@
         }
       }
     }
-    kinds.remove(FaultKind.OBSERVER_STALLED);
     return kinds;
   }
 }
--- a/faultsoak/src/main/java/io/jacinthquay/soak/SoakPlan.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/SoakPlan.java
@@ -34,10 +34,6 @@
     faults = Set.copyOf(faults);
   }
 
-  int processes() {
-    return routers + controls;
-  }
-
   /** Returns how many of a kind of target there are. */
   int targets(FaultKind kind) {
     return switch (kind.where()) {
