Let the planted router that sends twice promise nothing it can't know

Cause: the planted router with SENDS_TWICE sends a request to its upstream two times and passes the first answer on. The stand-in upstream refuses two of a hundred requests as not run; where it refused the first send and ran the second, the router passed the refusal on as a promise, which is a second flaw.

The test's assertion stays as it was: one promise, and the right one.

--- a/faultsoak/src/test/java/io/jacinthquay/soak/PlantedRouter.java
+++ b/faultsoak/src/test/java/io/jacinthquay/soak/PlantedRouter.java
@@ -102,13 +102,23 @@
     return flaw == which && Math.floorMod(head.field("Attempt-Id").hashCode(), ONE_IN) == 0;
   }
 
+  /** Answers in a way that promises nothing. */
+  private static void fail(OutputStream out) throws IOException {
+    out.write(HttpWire.bytes("HTTP/1.1 502 Broke\r\nConnection: close\r\n\r\n"));
+  }
+
   private void answer(HttpWire.Head request, Socket send, Socket caller) throws IOException {
     OutputStream out = caller.getOutputStream();
     HttpWire.Head head;
     try {
       head = HttpWire.head(send.getInputStream());
     } catch (IOException e) {
-      out.write(HttpWire.bytes("HTTP/1.1 502 Broke\r\nConnection: close\r\n\r\n"));
+      fail(out);
+      return;
+    }
+    if (flaw == Flaw.SENDS_TWICE && head.second().equals("503")) {
+      // The other send may run, so the refusal of this one is no promise.
+      fail(out);
       return;
     }
     if (isOneOfSome(request, Flaw.REFUSES_WHAT_RAN)) {
