Take signals from the first moment of a program

A reload (SIGHUP) that reached a router while it started ended it, as the signal was taken only once the service had started. A planned stop (SIGTERM) that came during a start ended the process without the orderly stop, for the same reason: the hook came after the start, when requests may have been accepted already.

SIGHUP is now taken before settings and logging are loaded, and a stop during the start waits for the start and then stops in order. Until the virtual machine runs the program (some tenths of a second) a SIGHUP still ends it; only the one who starts it could have it ignored.

--- a/runtime/src/main/java/io/jacinthquay/runtime/Program.java
+++ b/runtime/src/main/java/io/jacinthquay/runtime/Program.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Function;
 import org.apache.logging.log4j.LogManager;
 
@@ -43,6 +44,7 @@
 
   private ExitCode run(
       String[] args, Map<String, String> environment, Function<Settings, Service> factory) {
+    ReloadSignal.handle();
     Either<List<String>, Settings> parsed = parser.parse(args, environment);
     if (parsed.isLeft()) {
       printErrors(parsed.getLeft());
@@ -53,6 +55,7 @@
       out.println(settings.answer().get());
       return ExitCode.OK;
     }
+    LogManager.getLogger().info("the program starts");
     return serve(factory.apply(settings));
   }
 
@@ -63,28 +66,41 @@
   }
 
   private ExitCode serve(Service service) {
+    CountDownLatch startOver = new CountDownLatch(1);
     CountDownLatch stopped = new CountDownLatch(1);
-    Thread hook =
-        new Thread(
-            () -> {
-              service.stop();
-              LogManager.shutdown();
-              stopped.countDown();
-            },
-            "shutdown");
+    AtomicBoolean serves = new AtomicBoolean();
+    Runtime.getRuntime()
+        .addShutdownHook(
+            new Thread(
+                () -> {
+                  // A service that is still starting may have taken requests already.
+                  if (await(startOver) && serves.get()) {
+                    service.stop();
+                  }
+                  LogManager.shutdown();
+                  stopped.countDown();
+                },
+                "shutdown"));
     try {
       service.start();
+      serves.set(true);
     } catch (IllegalStateException e) {
       err.println(e.getMessage());
       return ExitCode.FAILURE;
+    } finally {
+      startOver.countDown();
     }
-    Runtime.getRuntime().addShutdownHook(hook);
-    ReloadSignal.handle();
+    var unused = await(stopped);
+    return ExitCode.OK;
+  }
+
+  private static boolean await(CountDownLatch latch) {
     try {
-      stopped.await();
+      latch.await();
+      return true;
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
+      return false;
     }
-    return ExitCode.OK;
   }
 }
--- a/runtime/src/main/java/io/jacinthquay/runtime/ReloadSignal.java
+++ b/runtime/src/main/java/io/jacinthquay/runtime/ReloadSignal.java
@@ -1,7 +1,6 @@
 package io.jacinthquay.runtime;
 
 import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 import sun.misc.Signal;
 
 /**
@@ -11,16 +10,16 @@
  * while it runs name members to begin with, and members are learned from each other later.
  */
 final class ReloadSignal {
-  private static final Logger log = LogManager.getLogger();
-
   private ReloadSignal() {}
 
+  /** Takes the signal from now on; loads nothing else, since until then it ends the process. */
   static void handle() {
     try {
       Signal.handle(
-          new Signal("HUP"), signal -> log.info("reload: settings hold from the next start"));
+          new Signal("HUP"),
+          signal -> LogManager.getLogger().info("reload: settings hold from the next start"));
     } catch (IllegalArgumentException e) {
-      log.warn("SIGHUP can't be taken: {}", e.getMessage());
+      LogManager.getLogger().warn("SIGHUP can't be taken: {}", e.getMessage());
     }
   }
 }
