--- a/faultsoak/src/main/java/io/jacinthquay/soak/ProgramProcess.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/ProgramProcess.java
@@ -13,6 +13,9 @@
   private static final String LOG_LEVEL = "JQ_LOG_LEVEL";
   private static final long KILL_SECONDS = 10;
 
+  /** Exit code of a process that was ended by SIGHUP. */
+  private static final int HUNG_UP = 128 + 1;
+
   /** Longer than the grace period that the programs are told. */
   private static final long STOP_SECONDS = 9;
 
@@ -21,6 +24,10 @@
   private final Supplier<List<String>> command;
   private Process process;
   private boolean stopping;
+
+  /** Length of the output when the process was started, in bytes. */
+  private long lengthBefore;
+
   private final List<Integer> ownEnds = new ArrayList<>();
 
   ProgramProcess(Path root, Path output, Supplier<List<String>> command) {
@@ -37,6 +44,7 @@
     noteOwnEnd();
     stopping = false;
     File log = output.toFile();
+    lengthBefore = log.length();
     ProcessBuilder builder =
         new ProcessBuilder(command.get())
             .directory(root.toFile())
@@ -49,7 +57,11 @@
 
   private void noteOwnEnd() {
     if (process != null && !process.isAlive() && !stopping) {
-      ownEnds.add(process.exitValue());
+      // A virtual machine that has not come to run the program yet ends by a reload.
+      boolean early = process.exitValue() == HUNG_UP && output.toFile().length() == lengthBefore;
+      if (!early) {
+        ownEnds.add(process.exitValue());
+      }
       stopping = true;
     }
   }
