Report later usage windows beside one that the platform refuses

Cause: every failure of a report was taken for "not known whether it was taken", after which the same report is sent again before any other.

UsageDutyTest.reportLaterWindowsBesideOneThatIsRefused failed first (window 7 twelve times, nothing else) and passes. A refused window is now sent once more beside each of the three that follow, then given up with a line of log; a platform that doesn't answer still holds later windows back, as a second call would fare no better (test beside it).

--- a/control/src/main/java/io/jacinthquay/control/port/Fleet.java
+++ b/control/src/main/java/io/jacinthquay/control/port/Fleet.java
@@ -16,7 +16,8 @@
   /**
    * Reports how many requests of each customer began in a window.
    *
-   * @return nothing, or a failure after which the same report is sent again
+   * @return nothing; {@link ResultCode#UPSTREAM_REFUSED} if it won't be taken as it is; any other
+   *     failure if it isn't known whether it was taken
    */
   Either<Failure, Void> report(Fence fence, long window, Map<CustomerId, Long> counts);
 
--- a/control/src/main/java/io/jacinthquay/control/service/UsageDuty.java
+++ b/control/src/main/java/io/jacinthquay/control/service/UsageDuty.java
@@ -6,10 +6,14 @@
 import io.jacinthquay.control.state.ControlTables;
 import io.jacinthquay.model.CustomerId;
 import io.jacinthquay.model.Failure;
+import io.jacinthquay.model.ResultCode;
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -42,12 +46,23 @@
 
   private static final long SEAL_SECONDS = 2;
 
+  /** What became of a report. */
+  private enum Answer {
+    /** It was taken, or there was nothing to report. */
+    TAKEN,
+    /** It won't be taken as it is. */
+    REFUSED,
+    /** It isn't known whether it was taken. */
+    NONE
+  }
+
   private final long windowMillis;
   private final ControlStore store;
   private final RouterRegistry routers;
   private final Fleet fleet;
   private long reportedTerm = -1;
   private long reportedThrough = Long.MAX_VALUE;
+  private final Set<Long> refused = new TreeSet<>();
 
   /** Returns a duty for windows of a length. */
   public UsageDuty(Duration window, ControlStore store, RouterRegistry routers, Fleet fleet) {
@@ -68,16 +83,37 @@
     if (fence.number() != reportedTerm) {
       reportedTerm = fence.number();
       reportedThrough = complete - REPEATED_WINDOWS;
+      refused.clear();
     }
     while (reportedThrough < complete && fence.holds().getAsBoolean()) {
       long window = reportedThrough + 1;
-      if (isAwaited(window, wallMillis) || !report(fence, window)) {
+      if (isAwaited(window, wallMillis)) {
         return;
       }
+      Answer answer = report(fence, window);
+      if (answer == Answer.NONE) {
+        return;
+      }
+      repeatRefused(fence, window - REPEATED_WINDOWS);
+      if (answer == Answer.REFUSED) {
+        refused.add(window);
+      }
       reportedThrough++;
     }
   }
 
+  /** A window that is refused is sent once more beside each later one, until it is too old. */
+  private void repeatRefused(Fence fence, long oldest) {
+    for (long window : List.copyOf(refused)) {
+      if (window < oldest) {
+        log.warn("usage of window {} is given up: it was always refused", window);
+        refused.remove(window);
+      } else if (report(fence, window) == Answer.TAKEN) {
+        refused.remove(window);
+      }
+    }
+  }
+
   /** What is sealed stays, so that a router that is cut off for a moment is waited for. */
   private boolean isAwaited(long window, long wallMillis) {
     long sinceEnd = wallMillis - (window + 1) * windowMillis;
@@ -86,26 +122,28 @@
         && !routers.allHeardWithin(sinceEnd - TOLD_MILLIS);
   }
 
-  private boolean report(Fence fence, long window) {
+  private Answer report(Fence fence, long window) {
     ControlTables tables = store.tables();
     if (!tables.sealed().containsKey(window)) {
       Map<String, Long> counts = routers.counts(window);
       if (counts.isEmpty()) {
-        return true;
+        return Answer.TAKEN;
       }
       if (!seal(window, counts)) {
-        return false;
+        return Answer.NONE;
       }
       tables = store.tables();
     }
     if (!tables.sealed().containsKey(window)) {
-      return true;
+      return Answer.TAKEN;
     }
     Map<CustomerId, Long> counts = new HashMap<>();
     tables.sealed().get(window).get().forEach((name, n) -> counts.put(new CustomerId(name), n));
     Either<Failure, Void> sent = fleet.report(fence, window, counts);
     log.info("usage of window {} fence={} counts={} sent={}", window, fence.number(), counts, sent);
-    return sent.isRight();
+    return sent.fold(
+        failure -> failure.code() == ResultCode.UPSTREAM_REFUSED ? Answer.REFUSED : Answer.NONE,
+        taken -> Answer.TAKEN);
   }
 
   private boolean seal(long window, Map<String, Long> counts) {
--- a/control/src/test/java/io/jacinthquay/control/service/UsageDutyTest.java
+++ b/control/src/test/java/io/jacinthquay/control/service/UsageDutyTest.java
@@ -6,8 +6,11 @@
 import io.jacinthquay.control.port.Fence;
 import io.jacinthquay.control.state.ControlState;
 import io.jacinthquay.model.CustomerId;
+import io.jacinthquay.model.Failure;
+import io.jacinthquay.model.ResultCode;
 import io.jacinthquay.wire.gen.CustomerCountMessage;
 import io.jacinthquay.wire.gen.RouterReportMessage;
+import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -30,12 +33,16 @@
   private final UsageDuty duty = new UsageDuty(WINDOW, store, routers, fleet);
 
   private void tell(String router, long atMillis, long counted) {
+    tell(router, atMillis, EIGHTH, counted);
+  }
+
+  private void tell(String router, long atMillis, long window, long counted) {
     millis = atMillis;
     RouterReportMessage report = new RouterReportMessage();
     report.setRouter(router);
     report.setIncarnation(1);
     report.setLoads(List.of());
-    report.setCounts(List.of(new CustomerCountMessage(EIGHTH, "c", counted)));
+    report.setCounts(List.of(new CustomerCountMessage(window, "c", counted)));
     report.setDemand(new ArrayList<>());
     routers.heard(report, "");
   }
@@ -68,6 +75,34 @@
     assertEquals(List.of(40L), reportedAt(43_000));
   }
 
+  /** A window that the platform takes from nobody must not keep back those after it. */
+  @Test
+  void reportLaterWindowsBesideOneThatIsRefused() {
+    fleet.refuse(EIGHTH);
+    for (long window = EIGHTH; window < EIGHTH + 6; window++) {
+      long end = (window + 1) * WINDOW.toMillis();
+      tell("a", end + 2_000, window, 10);
+      reportedAt(end + 2_500);
+      reportedAt(end + 3_000);
+    }
+    List<Long> windows = fleet.reports().stream().map(FakeFleet.Report::window).toList();
+    assertEquals(List.of(7L, 8L, 7L, 9L, 7L, 10L, 7L, 11L, 12L), windows);
+  }
+
+  /** Nothing is known of a report that got no answer, and the next would get none either. */
+  @Test
+  void waitWithLaterWindowsWhileThePlatformDoesNotAnswer() {
+    fleet.answer(Either.left(Failure.of(ResultCode.UPSTREAM_TIMEOUT, "no answer")));
+    tell("a", 42_000, EIGHTH, 10);
+    reportedAt(42_500);
+    tell("a", 47_000, EIGHTH + 1, 10);
+    reportedAt(47_500);
+    fleet.answer(Either.right(null));
+    reportedAt(48_000);
+    List<Long> windows = fleet.reports().stream().map(FakeFleet.Report::window).toList();
+    assertEquals(List.of(7L, 7L, 7L, 8L), windows);
+  }
+
   @Test
   void reportWithoutARouterThatStaysSilent() {
     tell("b", 38_000, 8);
