Send callers elsewhere where a router reaches neither control VMs nor upstreams

Its routers may use none of the upstreams that they reach, reach none of those that they may use, and went on telling that they were ready.

Contact decides: not ready while control VMs have been silent for 2.5 s and no upstream may be used in a domain that was heard since two of its upstreams were out of reach. Either alone changes nothing: with control VMs in reach, other routers know no more; with upstreams in reach, requests are served. ForwardRunTest.callersAreSentElsewhereByARouter- ThatReachesNothing failed in the one case of four that is meant and passes; ContactTest and UpstreamBoardTest show the parts.

--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/DomainReach.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/DomainReach.java
@@ -48,11 +48,16 @@
     }
   }
 
+  /**
+   * Returns whether nothing was heard of a domain since several of its upstreams were out of reach.
+   */
+  boolean isSilent(DomainId domain) {
+    Silence silence = silences.get(domain);
+    return silence != null && silence.unreached.size() >= UPSTREAMS;
+  }
+
   /** Returns whether upstreams of other domains are to be preferred by far. */
   boolean isCut(DomainId domain, long now) {
-    Silence silence = silences.get(domain);
-    return silence != null
-        && silence.unreached.size() >= UPSTREAMS
-        && now - silence.avoidedUntil < 0;
+    return isSilent(domain) && now - silences.get(domain).avoidedUntil < 0;
   }
 }
--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamBoard.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamBoard.java
@@ -158,6 +158,13 @@
     return members.getOrDefault(pool, List.of()).stream().anyMatch(this::isUsable);
   }
 
+  /** Returns whether some upstream may be used and belongs to a domain that isn't silent. */
+  public boolean reachesAny() {
+    return members.values().stream()
+        .flatMap(List::stream)
+        .anyMatch(state -> isUsable(state) && !reach.isSilent(state.listing().domain()));
+  }
+
   private boolean isUsable(UpstreamState state) {
     return !state.listing().draining() && !closed.contains(state.listing().domain());
   }
--- /dev/null
+++ b/decision/src/test/java/io/jacinthquay/decision/dispatch/ContactTest.java
@@ -0,0 +1,40 @@
+package io.jacinthquay.decision.dispatch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+final class ContactTest {
+  private final Contact contact = new Contact();
+
+  @ParameterizedTest
+  @CsvSource({
+    "0, false, false",
+    "2500, false, false",
+    "2501, false, true",
+    "2501, true, false",
+    "60000, true, false",
+    "60000, false, true"
+  })
+  void isLostWithoutControlVmsAndWithoutUpstreams(
+      long silentMillis, boolean reaches, boolean lost) {
+    contact.told(7);
+    assertEquals(lost, contact.isLost(() -> reaches, 7 + silentMillis * Works.MILLI));
+  }
+
+  /** A router that was never told anything isn't informed, which is another matter. */
+  @Test
+  void isNotLostBeforeTheFirstWord() {
+    assertFalse(contact.isLost(() -> false, Long.MAX_VALUE));
+  }
+
+  @Test
+  void isFoundAgainByTheNextWord() {
+    contact.told(0);
+    contact.told(9_000 * Works.MILLI);
+    assertFalse(contact.isLost(() -> false, 10_000 * Works.MILLI));
+  }
+}
--- a/decision/src/test/java/io/jacinthquay/decision/dispatch/UpstreamBoardTest.java
+++ b/decision/src/test/java/io/jacinthquay/decision/dispatch/UpstreamBoardTest.java
@@ -254,6 +254,30 @@
     assertTrue(isFar(next), "the domain is used again once it was heard");
   }
 
+  /** A domain that is cut off and taken out: nothing outside is reached, nothing inside may be. */
+  @Test
+  void reachNothingWhereTheOwnDomainIsOutAndOthersAreSilent() {
+    List<Listing> listings = new ArrayList<>();
+    for (int i = 0; i < 3; i++) {
+      listings.add(Works.listing("near-" + i, ENGINES, LOCAL, 0));
+      listings.add(Works.listing("far-" + i, ENGINES, REMOTE, 0));
+    }
+    board.listed(listings, 0);
+    board.closed(Set.of(LOCAL));
+    assertTrue(board.reachesAny());
+    Set<UpstreamId> tried = new HashSet<>();
+    for (int i = 0; i < 2; i++) {
+      Work work = Works.prompt(1, 500, 70_000 + i, 100, 3_000);
+      UpstreamState far = board.choose(work, tried, 0).orElseThrow();
+      tried.add(far.listing().upstream());
+      assertTrue(board.reachesAny());
+      board.ended(board.sent(far, work, 0), false, SendEnd.UNREACHABLE, 250 * MILLI);
+    }
+    assertFalse(board.reachesAny());
+    board.heard(board.states().stream().filter(UpstreamBoardTest::isFar).findAny().get(), 0);
+    assertTrue(board.reachesAny());
+  }
+
   private static boolean isFar(UpstreamState state) {
     return state.listing().domain().equals(REMOTE);
   }
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
@@ -1,5 +1,6 @@
 package io.jacinthquay.router.service.forward;
 
+import io.jacinthquay.decision.dispatch.Contact;
 import io.jacinthquay.decision.dispatch.Listing;
 import io.jacinthquay.decision.dispatch.LoadFigures;
 import io.jacinthquay.decision.dispatch.PromptPart;
@@ -67,6 +68,7 @@
   private volatile Optional<ToldTime> sharedTime = Optional.empty();
   private EventThread thread;
   private final RouterCount routers = new RouterCount();
+  private final Contact contact = new Contact();
   private volatile boolean listed;
   private boolean reviewing;
   private boolean watching;
@@ -150,6 +152,7 @@
   /** Takes in how many routers there are and what the others have under way. */
   public void peers(int count, Map<UpstreamId, LoadFigures> loads) {
     long now = clock.getAsLong();
+    contact.told(now);
     routers.told(count, now);
     board.routers(routers.value(now));
     board.others(loads);
@@ -177,7 +180,7 @@
 
   /** Returns whether requests can be served. */
   public boolean isReady() {
-    return isInformed() && !leaving;
+    return isInformed() && !leaving && !contact.isLost(board::reachesAny, clock.getAsLong());
   }
 
   /** Returns whether the router is about to stop, so that callers should go elsewhere. */
--- a/router/src/test/java/io/jacinthquay/router/service/forward/ForwardRunTest.java
+++ b/router/src/test/java/io/jacinthquay/router/service/forward/ForwardRunTest.java
@@ -2,10 +2,14 @@
 
 import static io.jacinthquay.router.service.forward.ForwardStep.Kind.ARRIVE;
 import static io.jacinthquay.router.service.forward.ForwardStep.Kind.BREAK;
+import static io.jacinthquay.router.service.forward.ForwardStep.Kind.CLOSED_DOMAINS;
 import static io.jacinthquay.router.service.forward.ForwardStep.Kind.DATA;
 import static io.jacinthquay.router.service.forward.ForwardStep.Kind.END;
+import static io.jacinthquay.router.service.forward.ForwardStep.Kind.LINK;
+import static io.jacinthquay.router.service.forward.ForwardStep.Kind.LOADS;
 import static io.jacinthquay.router.service.forward.ForwardStep.Kind.OPEN;
 import static io.jacinthquay.router.service.forward.ForwardStep.Kind.PROOF;
+import static io.jacinthquay.router.service.forward.ForwardStep.Kind.STAND_STILL;
 import static io.jacinthquay.router.service.forward.ForwardStep.Kind.SUCCESS;
 import static io.jacinthquay.router.service.forward.ForwardStep.Kind.TIMER;
 import static io.jacinthquay.router.service.forward.ForwardStep.Kind.UNPROVEN;
@@ -24,6 +28,9 @@
 
   private static final int LIMIT = 1;
 
+  /** A link on which connections are refused. */
+  private static final int REFUSED = 2;
+
   /** Data that is a whole event after one that is missing. */
   private static final int EVENT_AFTER_GAP = 0;
 
@@ -114,6 +121,32 @@
     assertEquals("answer 502 ended", caller.toString());
   }
 
+  /**
+   * The own failure domain is out, two upstreams of the other can't be reached, and control VMs are
+   * silent for 20 s; with any one of the three missing callers may still come.
+   */
+  @ParameterizedTest
+  @CsvSource({
+    "1, 2, true, false",
+    "0, 2, true, true",
+    "1, 1, true, true",
+    "1, 2, false, true",
+  })
+  void callersAreSentElsewhereByARouterThatReachesNothing(
+      int closed, int unreachable, boolean silent, boolean ready) {
+    world = new ForwardWorld(List.of(1, 1, 1, 1), true);
+    play(LOADS, 0, 0);
+    play(CLOSED_DOMAINS, 0, closed);
+    play(LINK, 1, REFUSED);
+    play(LINK, 3, unreachable == 2 ? REFUSED : 0);
+    play(ARRIVE, 0, ForwardRoutes.index("safe2"));
+    play(ARRIVE, 0, ForwardRoutes.index("safe2"));
+    if (silent) {
+      play(STAND_STILL, 0, 0);
+    }
+    assertEquals(ready, world.isReady());
+  }
+
   @Test
   void requestWhoseLimitPassesWhileItRunsIsCancelledAndNotRefused() {
     play(ARRIVE, 0, ForwardRoutes.index("once1"));
--- a/router/src/test/java/io/jacinthquay/router/service/forward/ForwardWorld.java
+++ b/router/src/test/java/io/jacinthquay/router/service/forward/ForwardWorld.java
@@ -103,6 +103,10 @@
     return oracle;
   }
 
+  boolean isReady() {
+    return core.isReady();
+  }
+
   @Override
   public UpstreamCall send(UpstreamRequest request, UpstreamListener listener) {
     ScriptedCall call = new ScriptedCall(request, listener);
