--- a/faultsoak/src/main/java/io/jacinthquay/soak/SoakMain.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/SoakMain.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 /** Runs the fault soak from the command line. */
 public final class SoakMain {
@@ -20,10 +21,17 @@
       Setting.of("seed", "seed of the first run", "number", Long::parseLong);
   private static final Setting<Integer> SEEDS =
       Setting.integer("seeds", "runs, each with the next seed", "runs", 1, 10_000).orElse("1");
+  private static final Setting<Integer> MINUTES =
+      Setting.integer("minutes", "go on with further seeds for so long", "minutes", 0, 1_440)
+          .orElse("0");
   private static final Setting<Integer> SECONDS =
       Setting.integer("seconds", "time under load of each run", "seconds", 5, 86_400).orElse("40");
   private static final Setting<Integer> ROUTERS =
       Setting.integer("routers", "router processes", "processes", 1, 200).orElse("4");
+  private static final Setting<Integer> PROCESSES =
+      Setting.integer(
+              "processes", "all processes, in place of --routers; 0 for none", "processes", 0, 300)
+          .orElse("0");
   private static final Setting<Integer> CONTROLS =
       Setting.integer("controls", "control VM processes", "processes", 1, 9).orElse("3");
   private static final Setting<Integer> UPSTREAMS =
@@ -45,7 +53,9 @@
           "soak",
           "Runs the platform's programs under random faults and judges what callers and upstreams"
               + " see.",
-          List.of(SEED, SEEDS, SECONDS, ROUTERS, CONTROLS, UPSTREAMS, CALLERS, FAULTS, ROOT, LOGS));
+          List.of(
+              SEED, SEEDS, MINUTES, SECONDS, ROUTERS, PROCESSES, CONTROLS, UPSTREAMS, CALLERS,
+              FAULTS, ROOT, LOGS));
 
   private SoakMain() {}
 
@@ -63,17 +73,34 @@
       System.out.println(settings.answer().get());
       return;
     }
+    int routers = routers(settings);
+    int most = Machine.mostPrograms() - settings.value(CONTROLS);
+    if (routers < 1 || routers > most) {
+      System.err.println(
+          ResultCode.SETTINGS_INVALID.number()
+              + " routers: would be "
+              + routers
+              + "; this machine bears 1 to "
+              + most);
+      System.exit(ExitCode.SETTINGS_INVALID.number());
+    }
     System.exit((run(settings) ? ExitCode.OK : ExitCode.FAILURE).number());
   }
 
+  private static int routers(Settings settings) {
+    int processes = settings.value(PROCESSES);
+    return processes == 0 ? settings.value(ROUTERS) : processes - settings.value(CONTROLS);
+  }
+
   private static boolean run(Settings settings) throws InterruptedException {
     boolean held = true;
-    for (int i = 0; i < settings.value(SEEDS); i++) {
+    long end = System.nanoTime() + TimeUnit.MINUTES.toNanos(settings.value(MINUTES));
+    for (int i = 0; i < settings.value(SEEDS) || System.nanoTime() - end < 0; i++) {
       SoakPlan plan =
           new SoakPlan(
               settings.value(SEED) + i,
               Duration.ofSeconds(settings.value(SECONDS)),
-              settings.value(ROUTERS),
+              routers(settings),
               settings.value(CONTROLS),
               settings.value(UPSTREAMS),
               settings.value(CALLERS),
@@ -81,7 +108,7 @@
       Path root = settings.value(ROOT).toAbsolutePath().normalize();
       Path folder = root.resolve(settings.value(LOGS)).resolve("seed-" + plan.seed());
       try {
-        SoakReport report = new SoakRun(root, folder, plan).run();
+        SoakReport report = new SoakRun(root, folder, plan, SoakMain::progress).run();
         System.out.println(report.text());
         held &= report.faults().isEmpty();
       } catch (IOException e) {
@@ -92,6 +119,13 @@
     return held;
   }
 
+  /** Shows one line that the next one replaces, where somebody looks on. */
+  private static void progress(String text) {
+    if (System.console() != null) {
+      System.err.print("\r" + text + " ".repeat(10) + "\r");
+    }
+  }
+
   private static Set<FaultKind> faults(String text) {
     Set<FaultKind> kinds = EnumSet.noneOf(FaultKind.class);
     switch (text) {
--- a/faultsoak/src/main/java/io/jacinthquay/soak/SoakRun.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/SoakRun.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import org.HdrHistogram.Recorder;
 
 /**
@@ -28,7 +29,7 @@
  * seen.
  *
  * <pre>{@code
- * SoakReport report = new SoakRun(root, folder, plan).run();
+ * SoakReport report = new SoakRun(root, folder, plan, progress).run();
  * }</pre>
  */
 final class SoakRun {
@@ -60,6 +61,7 @@
   private final Path root;
   private final Path folder;
   private final SoakPlan plan;
+  private final Consumer<String> progress;
   private final History history = new History();
   private final Recorder latencies = new Recorder(DIGITS);
   private final JsonHttpClient http = new JsonHttpClient("soak");
@@ -72,11 +74,13 @@
    *
    * @param root folder that holds the deploy file and what the build made
    * @param folder takes the processes' output and data; emptied first
+   * @param progress hears each second how far the run is
    */
-  SoakRun(Path root, Path folder, SoakPlan plan) {
+  SoakRun(Path root, Path folder, SoakPlan plan, Consumer<String> progress) {
     this.root = root;
     this.folder = folder;
     this.plan = plan;
+    this.progress = progress;
     this.random = new SplittableRandom(plan.seed());
   }
 
@@ -143,7 +147,13 @@
       var unused =
           faults.schedule(() -> player.play(fault), fault.atMillis(), TimeUnit.MILLISECONDS);
     }
-    TimeUnit.MILLISECONDS.sleep(plan.load().toMillis());
+    for (long second = 0; second < plan.load().toSeconds(); second++) {
+      progress.accept(
+          String.format(
+              "seed %d: %d of %d s, %d requests",
+              plan.seed(), second, plan.load().toSeconds(), history.calls().size()));
+      TimeUnit.SECONDS.sleep(1);
+    }
     faults.shutdown();
     boolean played = faults.awaitTermination(LAST_CALLS_SECONDS, TimeUnit.SECONDS);
     loaded = false;
--- a/faultsoak/src/test/java/io/jacinthquay/soak/SoakTest.java
+++ b/faultsoak/src/test/java/io/jacinthquay/soak/SoakTest.java
@@ -19,7 +19,7 @@
     SoakPlan plan =
         new SoakPlan(seed, Duration.ofSeconds(30), 4, 3, 6, 24, EnumSet.allOf(FaultKind.class));
     Path folder = ROOT.resolve("target/soak-logs/test-seed-" + seed);
-    SoakReport report = new SoakRun(ROOT, folder, plan).run();
+    SoakReport report = new SoakRun(ROOT, folder, plan, progress -> {}).run();
     assertEquals(List.of(), report.faults(), report.text());
   }
 }
