Judge the end of work by a router only once it is in touch

Trace, by the logs of router 0: it was started within the 3 s before (listens at 17:23:21.785, document in force at 22.384), c15-81 came at 22.286 and was held until the list of upstreams was known, its caller left at about 22.38, and the thread that serves callers loaded classes and released the held requests from 22.384 to 22.9; at 22.910 it noticed that the caller had left and ended the send. The users' rule counts machines that have run for contact_window_ms without a start, so the case is allowed; the soak's check looked at 0.5 s only. It now leaves out what follows within 3 s of the start of that router, and nothing else: a pause that long ago, or a start 1 ms earlier, still explains nothing (ChecksTest).

--- a/faultsoak/src/main/java/io/jacinthquay/soak/Machine.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/Machine.java
@@ -5,7 +5,7 @@
 
 /** What the machine bears of the programs beside the soak itself. */
 final class Machine {
-  /** What one program takes at its peak, in bytes; docs/CAPACITY.md has the measurement. */
+  /** What one program takes at its peak, in bytes; see docs/operations/soak.md. */
   private static final long PROGRAM_BYTES = 100L << 20;
 
   /** Processes that the users allow at most, with some left for the soak's own. */
--- a/faultsoak/src/main/java/io/jacinthquay/soak/RunsEndCheck.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/RunsEndCheck.java
@@ -41,7 +41,7 @@
     boolean sound = late <= MOST_NANOS;
     boolean disturbed =
         spans.stream()
-            .filter(span -> span.touches(left - BEFORE_NANOS, left + MOST_NANOS))
+            .filter(span -> span.touches(left - reach(span), left + MOST_NANOS))
             .anyMatch(span -> mayHoldUp(span, call, run));
     if (!sound && disturbed) {
       verdict.leaveOut();
@@ -58,6 +58,14 @@
             + call.router());
   }
 
+  /** A router counts as in touch only some time after it was started. */
+  private static long reach(Span span) {
+    return switch (span.what()) {
+      case ROUTER_KILLED, ROUTER_STOPPED -> Touch.CONTACT_NANOS;
+      default -> BEFORE_NANOS;
+    };
+  }
+
   private static boolean mayHoldUp(Span span, Call call, Run run) {
     return switch (span.what().where()) {
       case ROUTER -> span.concerns(call.router());
--- a/faultsoak/src/main/java/io/jacinthquay/soak/Touch.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/Touch.java
@@ -6,7 +6,7 @@
 /** Tells when a fault keeps a router from hearing what it has to follow. */
 final class Touch {
   /** From the users' rules: a machine that was disturbed within this time is out of touch. */
-  private static final long CONTACT_NANOS = TimeUnit.MILLISECONDS.toNanos(3_000);
+  static final long CONTACT_NANOS = TimeUnit.MILLISECONDS.toNanos(3_000);
 
   private final List<Span> spans;
 
--- a/faultsoak/src/test/java/io/jacinthquay/soak/ChecksTest.java
+++ b/faultsoak/src/test/java/io/jacinthquay/soak/ChecksTest.java
@@ -263,6 +263,8 @@
   static Stream<Span> explanations() {
     return Stream.of(
         new Span(FaultKind.ROUTER_PAUSED, ROUTER, nanos(900), nanos(1_700)),
+        new Span(FaultKind.ROUTER_KILLED, ROUTER, nanos(-4_000), nanos(-2_000)),
+        new Span(FaultKind.ROUTER_STOPPED, ROUTER, nanos(-4_000), nanos(-2_000)),
         new Span(FaultKind.UPSTREAM_SILENT, UPSTREAM, nanos(100), nanos(600)),
         new Span(FaultKind.OBSERVER_STALLED, -1, nanos(1_200), nanos(1_400)));
   }
@@ -270,6 +272,9 @@
   static Stream<Span> noExplanations() {
     return Stream.of(
         new Span(FaultKind.ROUTER_PAUSED, ROUTER + 1, nanos(900), nanos(1_700)),
+        new Span(FaultKind.ROUTER_PAUSED, ROUTER, nanos(-1_000), nanos(400)),
+        new Span(FaultKind.ROUTER_KILLED, ROUTER, nanos(-4_000), nanos(-2_001)),
+        new Span(FaultKind.ROUTER_KILLED, ROUTER + 1, nanos(900), nanos(1_700)),
         new Span(FaultKind.UPSTREAM_SILENT, UPSTREAM, nanos(100), nanos(400)),
         new Span(FaultKind.CONTROL_KILLED, ROUTER, nanos(900), nanos(1_700)));
   }
