--- a/faultsoak/src/main/java/io/jacinthquay/soak/Documents.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/Documents.java
@@ -1,5 +1,8 @@
 package io.jacinthquay.soak;
 
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.jacinthquay.model.RequestId;
 import java.util.Locale;
 
@@ -13,6 +16,15 @@
   /** Longest time that a route lets a caller wait, in milliseconds. */
   static final int TIMEOUT_MILLIS = 3_000;
 
+  /** Targets of the routes, in milliseconds; each version's differ from those of the next ones. */
+  private static final int LEAST_TARGET_MILLIS = 500;
+
+  private static final int TARGETS = 7;
+  private static final int GAP_TARGET_MILLIS = 500;
+
+  /** More connections to a service's upstreams than the callers of a run can ask for. */
+  private static final int CONNECTIONS = 1_000;
+
   private static final int SERVICES = 2;
 
   /** The least number of upstreams that gives each service one in each failure domain. */
@@ -78,54 +90,44 @@
 
   /** Returns a document; each version has other targets. */
   static String version(long number) {
-    StringBuilder routes = new StringBuilder();
+    ObjectNode document = JsonNodeFactory.instance.objectNode().put("version", number);
+    ArrayNode routes = document.putArray("routes");
     for (CallKind kind : CallKind.values()) {
       routes
-          .append(routes.length() == 0 ? "" : ",")
-          .append("{\"name\":\"r-")
-          .append(kind.name().toLowerCase(Locale.ROOT))
-          .append("\",\"host\":\"" + HOST + "\",\"path_prefix\":\"")
-          .append(kind.prefix())
-          .append("\",\"kind\":\"")
-          .append(kind.wireKind())
-          .append("\",\"timeout_ms\":" + TIMEOUT_MILLIS + ",\"target_latency_ms\":")
-          .append(500 + number % 7)
-          .append(",\"priority\":1,\"service\":\"")
-          .append(service(kind, number))
-          .append("\",\"max_attempts\":")
-          .append(kind.mostRuns())
-          .append(",\"anonymous_access\":false,\"stream_resumption\":")
-          .append(kind.resumes())
-          .append(kind.isStream() ? ",\"gap_target_ms\":500}" : "}");
+          .addObject()
+          .put("name", "r-" + kind.name().toLowerCase(Locale.ROOT))
+          .put("host", HOST)
+          .put("path_prefix", kind.prefix())
+          .put("kind", kind.wireKind())
+          .put("timeout_ms", TIMEOUT_MILLIS)
+          .put("target_latency_ms", LEAST_TARGET_MILLIS + number % TARGETS)
+          .put("priority", 1)
+          .put("service", service(kind, number))
+          .put("max_attempts", kind.mostRuns())
+          .put("anonymous_access", false)
+          .put("stream_resumption", kind.resumes())
+          .put("gap_target_ms", kind.isStream() ? GAP_TARGET_MILLIS : 0);
     }
-    StringBuilder services = new StringBuilder();
+    ArrayNode services = document.putArray("services");
     for (int i = 0; i < SERVICES; i++) {
       services
-          .append(i == 0 ? "" : ",")
-          .append("{\"name\":\"service-")
-          .append(i)
-          .append("\",\"health_check_path\":\"/health\",\"connection_limit\":1000}");
+          .addObject()
+          .put("name", "service-" + i)
+          .put("health_check_path", "/health")
+          .put("connection_limit", CONNECTIONS);
     }
-    StringBuilder customers = new StringBuilder();
+    document.putObject("limits");
+    ArrayNode customers = document.putArray("tenants");
     for (Customer customer : Customer.values()) {
       if (customer.isIn(number)) {
         customers
-            .append(customers.length() == 0 ? "" : ",")
-            .append("{\"name\":\"")
-            .append(customer.label())
-            .append("\",\"api_keys\":[\"")
-            .append(customer.key())
-            .append("\"],\"priority\":1}");
+            .addObject()
+            .put("name", customer.label())
+            .put("priority", 1)
+            .putArray("api_keys")
+            .add(customer.key());
       }
     }
-    return "{\"version\":"
-        + number
-        + ",\"routes\":["
-        + routes
-        + "],\"services\":["
-        + services
-        + "],\"limits\":{},\"tenants\":["
-        + customers
-        + "]}";
+    return document.toString();
   }
 }
--- a/faultsoak/src/main/java/io/jacinthquay/soak/EvacuationCheck.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/EvacuationCheck.java
@@ -5,8 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Function;
-import java.util.stream.Collectors;
 
 /** Nothing reaches a failure domain that an operator has taken out. */
 final class EvacuationCheck implements Check {
@@ -26,8 +24,7 @@
             .sorted(Comparator.comparingLong(History.Evacuation::atNanos))
             .toList();
     Touch touch = new Touch(history);
-    Map<RequestId, Call> calls =
-        history.calls().stream().collect(Collectors.toMap(Call::id, Function.identity()));
+    Map<RequestId, Call> calls = history.callsById();
     for (Run run : history.runs()) {
       Call call = calls.get(run.id());
       if (call == null) {
--- a/faultsoak/src/main/java/io/jacinthquay/soak/HandOverCheck.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/HandOverCheck.java
@@ -2,8 +2,6 @@
 
 import io.jacinthquay.model.RequestId;
 import java.util.Map;
-import java.util.function.Function;
-import java.util.stream.Collectors;
 
 /** Upstreams get requests as callers sent them, and never more time than the caller has. */
 final class HandOverCheck implements Check {
@@ -15,8 +13,7 @@
   @Override
   public Verdict judge(History history) {
     Verdict verdict = new Verdict();
-    Map<RequestId, Call> calls =
-        history.calls().stream().collect(Collectors.toMap(Call::id, Function.identity()));
+    Map<RequestId, Call> calls = history.callsById();
     for (Run run : history.runs()) {
       Call call = calls.get(run.id());
       verdict.judge(run.proper(), run.id().value() + " reached its upstream changed");
--- a/faultsoak/src/main/java/io/jacinthquay/soak/History.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/History.java
@@ -1,8 +1,12 @@
 package io.jacinthquay.soak;
 
+import io.jacinthquay.model.RequestId;
 import java.util.Collection;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.function.Function;
+import java.util.stream.Collectors;
 
 /** What callers, upstreams, operators and the platform saw; any thread may add to it. */
 final class History {
@@ -97,6 +101,10 @@
     return List.copyOf(calls);
   }
 
+  Map<RequestId, Call> callsById() {
+    return calls.stream().collect(Collectors.toMap(Call::id, Function.identity()));
+  }
+
   List<Run> runs() {
     return List.copyOf(runs);
   }
--- a/faultsoak/src/main/java/io/jacinthquay/soak/LinkProxy.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/LinkProxy.java
@@ -1,6 +1,7 @@
 package io.jacinthquay.soak;
 
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.util.concurrent.TimeUnit;
@@ -31,11 +32,10 @@
   private boolean closed;
 
   LinkProxy(Supplier<InetSocketAddress> server) throws IOException {
-    this.server = server;
-    this.acceptor = new Acceptor(this::serve);
+    this(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), server);
   }
 
-  /** Listens at an address of its own choice. */
+  /** Listens at an address; port 0 stands for any that is free. */
   LinkProxy(InetSocketAddress address, Supplier<InetSocketAddress> server) throws IOException {
     this.server = server;
     this.acceptor = new Acceptor(this::serve, address);
--- a/faultsoak/src/main/java/io/jacinthquay/soak/RoutingCheck.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/RoutingCheck.java
@@ -3,8 +3,6 @@
 import io.jacinthquay.model.RequestId;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.Function;
-import java.util.stream.Collectors;
 
 /** Requests run where, and only if, a document in force lets them, and are not turned away. */
 final class RoutingCheck implements Check {
@@ -20,8 +18,7 @@
     Verdict verdict = new Verdict();
     InForce documents = new InForce(history);
     Touch touch = new Touch(history);
-    Map<RequestId, Call> calls =
-        history.calls().stream().collect(Collectors.toMap(Call::id, Function.identity()));
+    Map<RequestId, Call> calls = history.callsById();
     for (Run run : history.runs()) {
       Call call = calls.get(run.id());
       if (call != null) {
