--- a/faultsoak/src/main/java/io/jacinthquay/soak/Call.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/Call.java
@@ -8,6 +8,7 @@
  * @param id names the request
  * @param kind its kind
  * @param router number of the router that it was sent to
+ * @param port of the caller's connection
  * @param sentNanos when its last byte was written, on the monotonic clock
  * @param endNanos when its answer ended, its connection ended or its caller left
  * @param ending how it ended
@@ -19,6 +20,7 @@
     RequestId id,
     CallKind kind,
     int router,
+    int port,
     long sentNanos,
     long endNanos,
     Ending ending,
--- a/faultsoak/src/main/java/io/jacinthquay/soak/CallerLoop.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/CallerLoop.java
@@ -213,6 +213,7 @@
     private final long waitMillis;
     private final int router = keptRouter;
     private final Socket socket = kept;
+    private final int port = kept.getLocalPort();
     private final StringBuilder body = new StringBuilder();
     private int status;
     private boolean closes;
@@ -253,6 +254,7 @@
           id,
           kind,
           router,
+          port,
           sentNanos,
           System.nanoTime(),
           ending,
--- a/faultsoak/src/main/java/io/jacinthquay/soak/History.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/History.java
@@ -17,6 +17,7 @@
   private final Collection<Proposed> proposed = new ConcurrentLinkedQueue<>();
   private final Collection<Acknowledged> acknowledged = new ConcurrentLinkedQueue<>();
   private final Collection<Evacuation> evacuations = new ConcurrentLinkedQueue<>();
+  private final Collection<Departure> departures = new ConcurrentLinkedQueue<>();
   private final Collection<Duty> duties = new ConcurrentLinkedQueue<>();
   private final Collection<String> strays = new ConcurrentLinkedQueue<>();
 
@@ -41,6 +42,15 @@
    */
   record Acknowledged(long atNanos, long version) {}
 
+  /**
+   * The end of a caller's connection as a router could notice it.
+   *
+   * @param router number of the router
+   * @param port of the caller
+   * @param atNanos when the end was passed on to the router
+   */
+  record Departure(int router, int port, long atNanos) {}
+
   /**
    * An operator's word on a failure domain.
    *
@@ -80,6 +90,10 @@
     proposed.add(version);
   }
 
+  void add(Departure departure) {
+    departures.add(departure);
+  }
+
   void add(Evacuation order) {
     evacuations.add(order);
   }
@@ -121,6 +135,10 @@
     return List.copyOf(proposed);
   }
 
+  List<Departure> departures() {
+    return List.copyOf(departures);
+  }
+
   List<Evacuation> evacuations() {
     return List.copyOf(evacuations);
   }
--- a/faultsoak/src/main/java/io/jacinthquay/soak/LinkProxy.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/LinkProxy.java
@@ -25,18 +25,35 @@
     SILENT
   }
 
+  /** Hears when the end of a caller was passed on to the server. */
+  interface Ends {
+    /**
+     * A caller's end has reached the server.
+     *
+     * @param port of the caller
+     */
+    void passed(int port);
+  }
+
   private final Acceptor acceptor;
+  private final Ends ends;
   private final Supplier<InetSocketAddress> server;
   private final Object change = new Object();
   private Mode mode = Mode.PASSES;
   private boolean closed;
 
   LinkProxy(Supplier<InetSocketAddress> server) throws IOException {
-    this(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), server);
+    this(server, port -> {});
+  }
+
+  LinkProxy(Supplier<InetSocketAddress> server, Ends ends) throws IOException {
+    this(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), server, ends);
   }
 
   /** Listens at an address; port 0 stands for any that is free. */
-  LinkProxy(InetSocketAddress address, Supplier<InetSocketAddress> server) throws IOException {
+  LinkProxy(InetSocketAddress address, Supplier<InetSocketAddress> server, Ends ends)
+      throws IOException {
+    this.ends = ends;
     this.server = server;
     this.acceptor = new Acceptor(this::serve, address);
   }
@@ -64,7 +81,9 @@
       Thread back = new Thread(() -> pump(upstream, caller, false), "soak-link");
       back.setDaemon(true);
       back.start();
+      int port = caller.getPort();
       pump(caller, upstream, true);
+      ends.passed(port);
       back.join();
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
--- a/faultsoak/src/main/java/io/jacinthquay/soak/RunsEndCheck.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/RunsEndCheck.java
@@ -23,20 +23,41 @@
   public Verdict judge(History history) {
     Verdict verdict = new Verdict();
     List<Span> spans = history.spans();
+    List<History.Departure> departures = history.departures();
     Map<RequestId, List<Run>> runs =
         history.runs().stream().collect(Collectors.groupingBy(Run::id));
     for (Call call : history.calls()) {
       if (call.ending() == Call.Ending.LEFT) {
+        long left = noticeable(call, departures);
         for (Run run : runs.getOrDefault(call.id(), List.of())) {
-          judge(call, run, spans, verdict);
+          judge(call, left, run, spans, verdict);
         }
       }
     }
     return verdict;
   }
 
-  private static void judge(Call call, Run run, List<Span> spans, Verdict verdict) {
-    long left = call.endNanos();
+  /** The end of the caller's connection may have been on its way for a while. */
+  private static long noticeable(Call call, List<History.Departure> departures) {
+    return departures.stream()
+        .filter(end -> end.router() == call.router() && end.port() == call.port())
+        .mapToLong(History.Departure::atNanos)
+        .filter(at -> at - call.endNanos() >= 0)
+        .min()
+        .orElse(call.endNanos());
+  }
+
+  /** Returns the longest time that the end of a caller who left was on its way to a router. */
+  static long longestPassageNanos(History history) {
+    List<History.Departure> departures = history.departures();
+    return history.calls().stream()
+        .filter(call -> call.ending() == Call.Ending.LEFT)
+        .mapToLong(call -> noticeable(call, departures) - call.endNanos())
+        .max()
+        .orElse(0);
+  }
+
+  private static void judge(Call call, long left, Run run, List<Span> spans, Verdict verdict) {
     long late = Math.max(run.beganNanos(), run.endNanos()) - left;
     boolean sound = late <= MOST_NANOS;
     boolean disturbed =
--- a/faultsoak/src/main/java/io/jacinthquay/soak/SoakReport.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/SoakReport.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
 import org.HdrHistogram.Histogram;
 
 /**
@@ -14,6 +15,7 @@
  * @param spans faults as they were played
  * @param calls requests of callers
  * @param ownEnds ends of processes that nobody asked for, with their exit codes
+ * @param longestPassageNanos longest time that the end of a caller was on its way to a router
  * @param latencies of successes, in microseconds
  */
 record SoakReport(
@@ -22,6 +24,7 @@
     List<Span> spans,
     List<Call> calls,
     List<String> ownEnds,
+    long longestPassageNanos,
     Histogram latencies) {
   private static final int MOST_SHOWN = 5;
   private static final double MICROS_PER_MILLI = 1_000;
@@ -61,6 +64,9 @@
       text.append(Math.round(latencies.getValueAtPercentile(percent) / MICROS_PER_MILLI));
       text.append("  ");
     }
+    text.append("\n  ends of callers took at most ")
+        .append(TimeUnit.NANOSECONDS.toMillis(longestPassageNanos))
+        .append(" ms to a router");
     verdicts.forEach(
         (promise, verdict) ->
             text.append("\n  ")
--- a/faultsoak/src/main/java/io/jacinthquay/soak/SoakRun.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/SoakRun.java
@@ -241,6 +241,7 @@
         history.spans(),
         history.calls(),
         system.ownEnds(),
+        RunsEndCheck.longestPassageNanos(history),
         latencies.getIntervalHistogram());
   }
 }
--- a/faultsoak/src/main/java/io/jacinthquay/soak/SoakSystem.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/SoakSystem.java
@@ -49,13 +49,17 @@
     for (int i = 0; i < plan.controls(); i++) {
       int number = i;
       controls.add(process("control-" + i, () -> deployment.controlCommand(number, data(number))));
-      innerLinks.add(new LinkProxy(deployment.innerOf(i), () -> deployment.behindInnerOf(number)));
+      innerLinks.add(
+          new LinkProxy(deployment.innerOf(i), () -> deployment.behindInnerOf(number), port -> {}));
       operatorLinks.add(new LinkProxy(() -> deployment.control(number)));
     }
     for (int i = 0; i < plan.routers(); i++) {
       int number = i;
       routers.add(process("router-" + i, () -> deployment.routerCommand(number)));
-      routerLinks.add(new LinkProxy(() -> deployment.router(number)));
+      routerLinks.add(
+          new LinkProxy(
+              () -> deployment.router(number),
+              port -> history.add(new History.Departure(number, port, System.nanoTime()))));
     }
   }
 
