Log the shared parts of a request's prompt and count sends that break before they begin

The log told which sends broke and when, but not what their prompts share, so that a part of a prompt which crashes upstreams could not be told from upstreams that fail for another reason. The line of a request now names its first eight shared parts, and jq_forward_broken_sends_total{begun} counts broken sends.

--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardAttempt.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardAttempt.java
@@ -61,6 +61,11 @@
     }
   }
 
+  /** Returns whether the answer began. */
+  boolean hasBegun() {
+    return begun;
+  }
+
   /** Cancels the send unless it has ended; the upstream sees its connection close. */
   void cancel(SendOutcome end) {
     release(end);
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardExchange.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardExchange.java
@@ -1,6 +1,7 @@
 package io.jacinthquay.router.service.forward;
 
 import io.jacinthquay.decision.dispatch.PoolRequest;
+import io.jacinthquay.decision.dispatch.PromptPart;
 import io.jacinthquay.decision.dispatch.SendOutcome;
 import io.jacinthquay.decision.dispatch.SentRequest;
 import io.jacinthquay.decision.dispatch.UpstreamListing;
@@ -20,12 +21,14 @@
 import io.jacinthquay.router.port.UpstreamRequest;
 import java.nio.ByteBuffer;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.stream.Collectors;
 
 /** Forwards one request, from its admission to the end of its answer. */
 final class ForwardExchange implements CallerListener {
@@ -40,6 +43,9 @@
   /** Retry delay sent with a refusal, as a share of the request's target time. */
   private static final double RETRY_DELAY_SHARE = 0.6;
 
+  /** Maximum number of part ids in the log line of a request. */
+  private static final int MAX_LOGGED_PARTS = 8;
+
   private final ForwardCore core;
   private final ForwardRequest request;
   private final Caller caller;
@@ -90,9 +96,19 @@
         + millisSinceArrival(System.nanoTime())
         + " pauseMillis="
         + longestPauseNanos / NANOS_PER_MILLI
+        + sharedPartIds()
         + trace;
   }
 
+  /** Returns the ids of the shared parts of the prompt for the log; empty if there are none. */
+  private String sharedPartIds() {
+    List<PromptPart> shared = work.sharedParts();
+    return shared.stream()
+        .limit(MAX_LOGGED_PARTS)
+        .map(part -> Long.toHexString(part.id()))
+        .collect(Collectors.joining("+", shared.isEmpty() ? "" : " sharedParts=", ""));
+  }
+
   private long millisSinceArrival(long now) {
     return (now - request.arrivedNanos()) / NANOS_PER_MILLI;
   }
@@ -356,6 +372,7 @@
   /** Called when an upstream failed that may have run the request. */
   void onFailed(ForwardAttempt from, String reason) {
     note("failed", reason);
+    core.metrics().countBrokenSend(from.hasBegun());
     if (done || from != attempt) {
       return;
     }
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardMetrics.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardMetrics.java
@@ -51,6 +51,15 @@
     registry.counter("jq_forward_sends_total{again=\"" + repeated + "\"}").inc();
   }
 
+  /**
+   * Counts a send whose answer broke off or was invalid.
+   *
+   * @param begun whether the answer had begun
+   */
+  void countBrokenSend(boolean begun) {
+    registry.counter("jq_forward_broken_sends_total{begun=\"" + begun + "\"}").inc();
+  }
+
   /** Counts a send that was cancelled on connect because the caller has its final answer. */
   void countSendAfterEnd() {
     sentAfterEnd.inc();
