--- a/control/src/main/java/io/jacinthquay/control/ControlService.java
+++ b/control/src/main/java/io/jacinthquay/control/ControlService.java
@@ -13,6 +13,7 @@
 import io.jacinthquay.control.service.LeaderClusterView;
 import io.jacinthquay.control.service.Leadership;
 import io.jacinthquay.control.service.MedianClock;
+import io.jacinthquay.control.service.PartQuarantine;
 import io.jacinthquay.control.service.PoolScaler;
 import io.jacinthquay.control.service.RelayClient;
 import io.jacinthquay.control.service.RelayDirectory;
@@ -106,6 +107,7 @@
   private final MedianClock medianClock =
       new MedianClock(System::nanoTime, System::currentTimeMillis);
   private final UpstreamListCache upstreamList = new UpstreamListCache();
+  private final PartQuarantine quarantine;
   private final Fleet fleet;
   private final RelayClient relayClient;
   private final UsageReporter usageReporter;
@@ -137,6 +139,7 @@
     leadership = new Leadership(options.name(), options.dutyHold(), ClockReading::now);
     usageReporter = new UsageReporter(options.usageWindow(), store, routers, fleet);
     poolScaler = new PoolScaler(store, routers, upstreamList, fleet, decoder);
+    quarantine = new PartQuarantine(store, System::nanoTime, medianClock::wallMillis);
     DomainRelay relay =
         new DomainRelay(
             member(options.listen()).value(),
@@ -149,7 +152,7 @@
         new ControlHandler(
             store,
             leadership,
-            new LeaderClusterView(store, routers, medianClock),
+            new LeaderClusterView(store, routers, medianClock, quarantine),
             relay,
             new RelayDirectory(System::nanoTime),
             upstreamList);
@@ -196,6 +199,9 @@
     registry.gauge("jq_control_commit_index", () -> () -> store.status().commitIndex());
     registry.gauge("jq_control_voters", () -> () -> store.status().membership().voters().size());
     registry.gauge("jq_control_document_version", () -> () -> store.tables().version());
+    registry.gauge(
+        "jq_control_quarantined_parts", () -> () -> store.tables().quarantine().parts().size());
+    registry.gauge("jq_control_suspect_parts", () -> () -> quarantine.suspects().size());
     registry.gauge("jq_control_routers", () -> routers::count);
     registry.gauge("jq_control_upstreams", () -> () -> upstreamList.snapshot().listings().size());
   }
@@ -218,6 +224,7 @@
     schedule(CONFIRM_INTERVAL_MILLIS, this::confirmLeadership);
     schedule(LIST_INTERVAL_MILLIS, this::pollUpstreamList);
     schedule(RELAY_INTERVAL_MILLIS, relayClient::run);
+    schedule(CONFIRM_INTERVAL_MILLIS, this::confirmQuarantine);
     schedule(LEADER_TASKS_INTERVAL_MILLIS, this::runLeaderTasks);
     schedule(REMOVAL_CHECK_INTERVAL_MILLIS, this::rejoinIfRemoved);
     log.info("control VM {} started with seeds {}", options.name(), options.seeds());
@@ -309,6 +316,12 @@
             });
   }
 
+  private void confirmQuarantine() {
+    if (leadership.isConfirmed()) {
+      quarantine.confirm();
+    }
+  }
+
   @Override
   public void stop() {
     if (scheduler != null) {
--- a/control/src/main/java/io/jacinthquay/control/adapter/ControlHandler.java
+++ b/control/src/main/java/io/jacinthquay/control/adapter/ControlHandler.java
@@ -12,6 +12,7 @@
 import io.jacinthquay.control.state.ControlTables;
 import io.jacinthquay.decision.dispatch.UpstreamListing;
 import io.jacinthquay.decision.dispatch.UpstreamLoad;
+import io.jacinthquay.wire.convert.QuarantineMessages;
 import io.jacinthquay.wire.convert.UpstreamMessages;
 import io.jacinthquay.wire.gen.Control;
 import io.jacinthquay.wire.gen.ControlViewMessage;
@@ -71,6 +72,7 @@
     } else if (view.isLeads()) {
       leaderView.recordReport(report, "");
       fill(view, report, leaderView);
+      view.setTrialParts(QuarantineMessages.toValues(leaderView.trials(report)));
       relayDirectory.relayFor(report.getDomain(), leaderView.routers()).ifPresent(view::setRelay);
     } else if (relay.serves(report.getDomain())) {
       relay.addReport(report);
@@ -91,6 +93,7 @@
       ControlTables tables = store.tables();
       view.setDocumentVersion(tables.version());
       view.setClosedIndex(tables.closedDomainsIndex());
+      view.setQuarantineIndex(tables.quarantine().index());
       HeldState held =
           new HeldState(
               report.getRelay(),
@@ -126,6 +129,10 @@
     if (tables.closedDomainsIndex() != report.getClosedIndex()) {
       view.setClosedDomains(new ArrayList<>(tables.closedDomains().toJavaList()));
     }
+    view.setQuarantineIndex(tables.quarantine().index());
+    if (tables.quarantine().index() != report.getQuarantineIndex()) {
+      view.setQuarantinedParts(QuarantineMessages.toMessages(tables.quarantine().entries()));
+    }
     HeldState held =
         new HeldState(
             report.getRouter(),
@@ -155,6 +162,7 @@
     fillPrefixes(view, sameTerm ? held.prefixesSeen() : 0, held.caller(), clusterView);
     fillList(view, sameTerm ? held.listNumber() : UNKNOWN_LIST);
     fillLoads(view, loads);
+    view.setSuspectParts(QuarantineMessages.toValues(clusterView.suspects()));
     view.setRouters(clusterView.routers());
     view.setWallMillis(clusterView.wallMillis());
   }
--- a/control/src/main/java/io/jacinthquay/control/service/ClusterView.java
+++ b/control/src/main/java/io/jacinthquay/control/service/ClusterView.java
@@ -1,6 +1,8 @@
 package io.jacinthquay.control.service;
 
 import io.jacinthquay.decision.dispatch.UpstreamLoad;
+import io.jacinthquay.decision.quarantine.PartId;
+import java.util.List;
 import java.util.Map;
 
 /** The state that routers share: the leader holds it, and relays pass it on. */
@@ -20,6 +22,9 @@
   /** Returns the load of all routers except one, by upstream. */
   Map<String, UpstreamLoad> loadsOfOthers(String router);
 
+  /** Returns the parts of prompts that may have crashed an upstream. */
+  List<PartId> suspects();
+
   /** Returns the median time of day of the VMs, in milliseconds since the epoch. */
   long wallMillis();
 }
--- a/control/src/main/java/io/jacinthquay/control/service/DomainRelay.java
+++ b/control/src/main/java/io/jacinthquay/control/service/DomainRelay.java
@@ -3,6 +3,8 @@
 import io.jacinthquay.consensus.MemberId;
 import io.jacinthquay.control.state.ControlTables;
 import io.jacinthquay.decision.dispatch.UpstreamLoad;
+import io.jacinthquay.decision.quarantine.PartId;
+import io.jacinthquay.wire.convert.QuarantineMessages;
 import io.jacinthquay.wire.convert.UpstreamMessages;
 import io.jacinthquay.wire.gen.ControlViewMessage;
 import io.jacinthquay.wire.gen.RelayReportMessage;
@@ -131,7 +133,8 @@
     ControlTables tables = store.tables();
     boolean behind =
         tables.version() < leaderView.getDocumentVersion()
-            || tables.closedDomainsIndex() < leaderView.getClosedIndex();
+            || tables.closedDomainsIndex() < leaderView.getClosedIndex()
+            || tables.quarantine().index() < leaderView.getQuarantineIndex();
     if (!behind) {
       upToDateNanos = now;
     }
@@ -217,6 +220,11 @@
     return loads;
   }
 
+  @Override
+  public synchronized List<PartId> suspects() {
+    return QuarantineMessages.toIds(leaderView.getSuspectParts());
+  }
+
   @Override
   public synchronized long wallMillis() {
     return leaderView.getWallMillis() + (clock.getAsLong() - viewNanos) / NANOS_PER_MILLI;
--- a/control/src/main/java/io/jacinthquay/control/service/LeaderClusterView.java
+++ b/control/src/main/java/io/jacinthquay/control/service/LeaderClusterView.java
@@ -1,7 +1,9 @@
 package io.jacinthquay.control.service;
 
 import io.jacinthquay.decision.dispatch.UpstreamLoad;
+import io.jacinthquay.decision.quarantine.PartId;
 import io.jacinthquay.wire.gen.RouterReportMessage;
+import java.util.List;
 import java.util.Map;
 
 /** The leader's view, from the reports of all routers. */
@@ -9,13 +11,19 @@
   private final ControlStore store;
   private final RouterRegistry registry;
   private final MedianClock clock;
+  private final PartQuarantine quarantine;
   private final CachedPrefixLog cachedPrefixes = new CachedPrefixLog();
 
-  /** Returns a view that stores the reports in a registry and their times of day in a clock. */
-  public LeaderClusterView(ControlStore store, RouterRegistry registry, MedianClock clock) {
+  /**
+   * Returns a view that stores the reports in a registry, their times of day in a clock and their
+   * evidence in a quarantine.
+   */
+  public LeaderClusterView(
+      ControlStore store, RouterRegistry registry, MedianClock clock, PartQuarantine quarantine) {
     this.store = store;
     this.registry = registry;
     this.clock = clock;
+    this.quarantine = quarantine;
   }
 
   /**
@@ -26,6 +34,7 @@
   public void recordReport(RouterReportMessage report, String relay) {
     registry.recordReport(report, relay);
     clock.recordTime(report.getRouter(), report.getWallMillis());
+    quarantine.recordReport(report);
     cachedPrefixes.add(relay.isEmpty() ? report.getRouter() : relay, report.getReads());
   }
 
@@ -54,6 +63,16 @@
     return registry.loadsExceptVia(relay);
   }
 
+  @Override
+  public List<PartId> suspects() {
+    return quarantine.suspects();
+  }
+
+  /** Returns the quarantined parts with each of which the reporting router may try a request. */
+  public List<PartId> trials(RouterReportMessage report) {
+    return quarantine.trials(report);
+  }
+
   @Override
   public long wallMillis() {
     return clock.wallMillis();
--- a/control/src/main/java/io/jacinthquay/control/state/ControlState.java
+++ b/control/src/main/java/io/jacinthquay/control/state/ControlState.java
@@ -2,11 +2,16 @@
 
 import io.jacinthquay.consensus.SnapshotWriter;
 import io.jacinthquay.consensus.StateMachine;
+import io.jacinthquay.decision.quarantine.PartId;
+import io.jacinthquay.decision.quarantine.QuarantinedPart;
 import io.jacinthquay.keeper.state.ThriftCodec;
+import io.jacinthquay.wire.convert.QuarantineMessages;
 import io.jacinthquay.wire.gen.CloseDomainCommand;
 import io.jacinthquay.wire.gen.ControlCommand;
 import io.jacinthquay.wire.gen.ControlSnapshot;
 import io.jacinthquay.wire.gen.DocumentCommand;
+import io.jacinthquay.wire.gen.QuarantinePartCommand;
+import io.jacinthquay.wire.gen.ReleasePartCommand;
 import io.jacinthquay.wire.gen.SealCountsCommand;
 import io.vavr.collection.HashMap;
 import io.vavr.collection.Map;
@@ -46,6 +51,17 @@
     return ThriftCodec.encode(ControlCommand.sealCounts(new SealCountsCommand(window, counts)));
   }
 
+  /** Returns the command that quarantines a part of a prompt, or replaces its entry. */
+  public static byte[] quarantineCommand(QuarantinedPart part) {
+    QuarantinePartCommand command = new QuarantinePartCommand(QuarantineMessages.toMessage(part));
+    return ThriftCodec.encode(ControlCommand.quarantinePart(command));
+  }
+
+  /** Returns the command that ends the quarantine of a part of a prompt. */
+  public static byte[] releaseCommand(PartId part) {
+    return ThriftCodec.encode(ControlCommand.releasePart(new ReleasePartCommand(part.value())));
+  }
+
   @Override
   public byte[] apply(long index, byte[] bytes) {
     ControlCommand command;
@@ -63,6 +79,12 @@
     } else if (command.isSetSealCounts()) {
       SealCountsCommand seal = command.getSealCounts();
       tables = tables.withSealed(seal.getWindow(), seal.getCounts());
+    } else if (command.isSetQuarantinePart()) {
+      QuarantinedPart part = QuarantineMessages.toPart(command.getQuarantinePart().getPart());
+      tables = tables.withQuarantine(tables.quarantine().with(part, index));
+    } else if (command.isSetReleasePart()) {
+      PartId part = new PartId(command.getReleasePart().getPart());
+      tables = tables.withQuarantine(tables.quarantine().without(part, index));
     }
     return NO_RESULT;
   }
@@ -81,7 +103,9 @@
             tables.version(),
             new ArrayList<>(tables.closedDomains().toJavaList()),
             tables.closedDomainsIndex(),
-            sealed);
+            sealed,
+            QuarantineMessages.toMessages(tables.quarantine().entries()),
+            tables.quarantine().index());
     tables.document().ifPresent(message::setDocument);
     return message;
   }
@@ -104,6 +128,9 @@
             Optional.ofNullable(message.getDocument()),
             TreeSet.ofAll(message.getClosedDomains()),
             message.getClosedIndex(),
-            sealed);
+            sealed,
+            QuarantineTable.of(
+                QuarantineMessages.toParts(message.getQuarantinedParts()),
+                message.getQuarantineIndex()));
   }
 }
--- a/control/src/main/java/io/jacinthquay/control/state/ControlTables.java
+++ b/control/src/main/java/io/jacinthquay/control/state/ControlTables.java
@@ -14,6 +14,7 @@
  * @param closedDomains failure domains that get no new requests
  * @param closedDomainsIndex log index of the last change of the closed domains, 0 if there was none
  * @param sealedCounts final request counts, by window and customer
+ * @param quarantine parts of prompts with which requests are rejected
  */
 @SuppressWarnings("ArrayRecordComponent")
 public record ControlTables(
@@ -21,10 +22,12 @@
     Optional<byte[]> document,
     TreeSet<String> closedDomains,
     long closedDomainsIndex,
-    TreeMap<Long, Map<String, Long>> sealedCounts) {
+    TreeMap<Long, Map<String, Long>> sealedCounts,
+    QuarantineTable quarantine) {
   /** The state before the first change. */
   public static final ControlTables EMPTY =
-      new ControlTables(-1, Optional.empty(), TreeSet.empty(), 0, TreeMap.empty());
+      new ControlTables(
+          -1, Optional.empty(), TreeSet.empty(), 0, TreeMap.empty(), QuarantineTable.EMPTY);
 
   /** Number of sealed windows that are kept, so that a new leader repeats a report exactly. */
   private static final int MAX_SEALED_WINDOWS = 24;
@@ -33,7 +36,12 @@
     return newVersion <= version
         ? this
         : new ControlTables(
-            newVersion, Optional.of(content), closedDomains, closedDomainsIndex, sealedCounts);
+            newVersion,
+            Optional.of(content),
+            closedDomains,
+            closedDomainsIndex,
+            sealedCounts,
+            quarantine);
   }
 
   ControlTables withDomain(String domain, boolean closed, long index) {
@@ -44,7 +52,8 @@
             document,
             closed ? closedDomains.add(domain) : closedDomains.remove(domain),
             index,
-            sealedCounts);
+            sealedCounts,
+            quarantine);
   }
 
   /** Adds the counts of a window, unless it is already sealed or older than all kept windows. */
@@ -57,6 +66,14 @@
     while (newCounts.size() > MAX_SEALED_WINDOWS) {
       newCounts = newCounts.remove(newCounts.head()._1);
     }
-    return new ControlTables(version, document, closedDomains, closedDomainsIndex, newCounts);
+    return new ControlTables(
+        version, document, closedDomains, closedDomainsIndex, newCounts, quarantine);
+  }
+
+  ControlTables withQuarantine(QuarantineTable newQuarantine) {
+    return newQuarantine == quarantine
+        ? this
+        : new ControlTables(
+            version, document, closedDomains, closedDomainsIndex, sealedCounts, newQuarantine);
   }
 }
--- a/control/src/test/java/io/jacinthquay/control/adapter/ControlHandlerTest.java
+++ b/control/src/test/java/io/jacinthquay/control/adapter/ControlHandlerTest.java
@@ -9,6 +9,7 @@
 import io.jacinthquay.control.service.LeaderClusterView;
 import io.jacinthquay.control.service.Leadership;
 import io.jacinthquay.control.service.MedianClock;
+import io.jacinthquay.control.service.PartQuarantine;
 import io.jacinthquay.control.service.RelayDirectory;
 import io.jacinthquay.control.service.RouterRegistry;
 import io.jacinthquay.control.service.UpstreamListCache;
@@ -40,7 +41,10 @@
         store,
         leadership,
         new LeaderClusterView(
-            store, new RouterRegistry(() -> 0), new MedianClock(() -> 0, () -> 0)),
+            store,
+            new RouterRegistry(() -> 0),
+            new MedianClock(() -> 0, () -> 0),
+            new PartQuarantine(store, () -> 0, () -> 0)),
         new DomainRelay("127.0.0.1:9", "a", store, upstreamList, () -> 0),
         new RelayDirectory(() -> 0),
         upstreamList);
--- a/control/src/test/java/io/jacinthquay/control/state/ControlStateTest.java
+++ b/control/src/test/java/io/jacinthquay/control/state/ControlStateTest.java
@@ -4,9 +4,12 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import io.jacinthquay.decision.quarantine.PartId;
+import io.jacinthquay.decision.quarantine.QuarantinedPart;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -73,6 +76,7 @@
     apply(ControlState.documentCommand(4, content(4)));
     apply(ControlState.closeDomainCommand("b", true));
     apply(ControlState.sealCommand(10, Map.of("a", 5L, "b", 0L)));
+    apply(ControlState.quarantineCommand(new QuarantinedPart(new PartId(-1), 5, 6, 7)));
     ByteArrayOutputStream out = new ByteArrayOutputStream();
     state.snapshot().writeTo(out);
     ControlState restored = new ControlState();
@@ -82,6 +86,44 @@
     assertEquals(state.tables().closedDomains(), restored.tables().closedDomains());
     assertEquals(state.tables().closedDomainsIndex(), restored.tables().closedDomainsIndex());
     assertEquals(state.tables().sealedCounts(), restored.tables().sealedCounts());
+    assertEquals(state.tables().quarantine(), restored.tables().quarantine());
+  }
+
+  private List<Long> quarantined() {
+    return state.tables().quarantine().entries().stream()
+        .map(entry -> entry.part().value())
+        .toList();
+  }
+
+  private void quarantine(long part, long sinceMillis, long retryAtMillis) {
+    apply(
+        ControlState.quarantineCommand(
+            new QuarantinedPart(new PartId(part), sinceMillis, retryAtMillis, 0)));
+  }
+
+  @Test
+  void releasedPartIsNoLongerQuarantined() {
+    quarantine(1, 0, 100);
+    quarantine(2, 0, 100);
+    apply(ControlState.releaseCommand(new PartId(1)));
+    apply(ControlState.releaseCommand(new PartId(1)));
+    assertEquals(List.of(2L), quarantined());
+    assertEquals(3, state.tables().quarantine().index());
+  }
+
+  /** A flood of newly confirmed parts must not end the quarantine of the others. */
+  @Test
+  void fullQuarantineKeepsItsPartsUntilATrialIsOverdue() {
+    for (int part = 0; part < QuarantineTable.MAX_PARTS; part++) {
+      quarantine(part, 0, 1_000 + part);
+    }
+    quarantine(9_999, 900, 2_000);
+    assertEquals(false, quarantined().contains(9_999L));
+    quarantine(5, 900, 5_000);
+    quarantine(9_999, 1_500, 2_500);
+    assertEquals(true, quarantined().contains(9_999L));
+    assertEquals(false, quarantined().contains(0L));
+    assertEquals(QuarantineTable.MAX_PARTS, quarantined().size());
   }
 
   @Test
--- a/model/src/main/java/io/jacinthquay/model/ResultCode.java
+++ b/model/src/main/java/io/jacinthquay/model/ResultCode.java
@@ -141,6 +141,13 @@
       Outcome.NOT_RUN,
       "The router is shutting down.",
       "Retry; the balancer picks another router."),
+  /** Upstreams crashed as answers on a part of the prompt began. */
+  PROMPT_QUARANTINED(
+      1207,
+      503,
+      Outcome.NOT_RUN,
+      "Upstreams crashed as answers on a part of the prompt began.",
+      "Change the prompt, or retry after the time in Retry-After."),
   /** The upstream rejected the request before executing it. */
   UPSTREAM_REFUSED(
       1300,
--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/ControlLink.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/ControlLink.java
@@ -3,6 +3,8 @@
 import io.jacinthquay.decision.dispatch.PromptPart;
 import io.jacinthquay.decision.dispatch.UpstreamListing;
 import io.jacinthquay.decision.dispatch.UpstreamLoad;
+import io.jacinthquay.decision.quarantine.PartId;
+import io.jacinthquay.decision.quarantine.QuarantinedPart;
 import io.jacinthquay.decision.routing.RouteTable;
 import io.jacinthquay.model.DomainId;
 import io.jacinthquay.model.Failure;
@@ -12,12 +14,15 @@
 import io.jacinthquay.router.service.forward.CachedPrefix;
 import io.jacinthquay.router.service.forward.ForwardCore;
 import io.jacinthquay.router.service.forward.ForwardReport;
+import io.jacinthquay.router.service.forward.QuarantineReport;
 import io.jacinthquay.runtime.Service;
 import io.jacinthquay.runtime.settings.SocketAddresses;
+import io.jacinthquay.wire.convert.QuarantineMessages;
 import io.jacinthquay.wire.convert.UpstreamMessages;
 import io.jacinthquay.wire.gen.Control;
 import io.jacinthquay.wire.gen.ControlViewMessage;
 import io.jacinthquay.wire.gen.CustomerCountMessage;
+import io.jacinthquay.wire.gen.EstablishedPartMessage;
 import io.jacinthquay.wire.gen.PoolDemandMessage;
 import io.jacinthquay.wire.gen.PrefixReadMessage;
 import io.jacinthquay.wire.gen.RouterReportMessage;
@@ -109,6 +114,7 @@
   private String target;
   private Channel channel;
   private long closedDomainsIndex = -1;
+  private long quarantineIndex = -1;
   private long listingNumber = -1;
   private int routerCount = 1;
   private boolean viaRelay;
@@ -273,7 +279,10 @@
     message.setDocumentVersion(core.version());
     message.setClosedIndex(closedDomainsIndex);
     message.setListNumber(target.equals(listingSource) ? listingNumber : -1);
-    message.setWallMillis(System.currentTimeMillis());
+    long wallMillis = System.currentTimeMillis();
+    message.setWallMillis(wallMillis);
+    message.setQuarantineIndex(quarantineIndex);
+    addEvidence(message, report.quarantine(), wallMillis);
     message.setLeaving(core.isLeaving());
     List<UpstreamLoadMessage> loads = new ArrayList<>();
     report.loads().forEach((id, load) -> loads.add(UpstreamMessages.toMessage(id.value(), load)));
@@ -289,6 +298,23 @@
     return message;
   }
 
+  private static void addEvidence(
+      RouterReportMessage message, QuarantineReport report, long wallMillis) {
+    report
+        .brokenSends()
+        .forEach(
+            (send, ageMillis) ->
+                message.addToBrokenSends(
+                    QuarantineMessages.toMessage(send, wallMillis - ageMillis)));
+    report
+        .establishedParts()
+        .forEach(
+            (part, ageMillis) ->
+                message.addToEstablishedParts(
+                    new EstablishedPartMessage(part.value(), wallMillis - ageMillis)));
+    message.setRejectedParts(QuarantineMessages.toValues(report.rejectedParts()));
+  }
+
   private List<CustomerCountMessage> counts(ForwardReport report) {
     List<CustomerCountMessage> counts = new ArrayList<>();
     long now = System.nanoTime();
@@ -349,6 +375,14 @@
       view.getClosedDomains().forEach(name -> closed.add(new DomainId(name)));
       changes.add(() -> core.updateClosedDomains(closed));
     }
+    if (view.isSetQuarantinedParts()) {
+      quarantineIndex = view.getQuarantineIndex();
+      List<QuarantinedPart> parts = QuarantineMessages.toParts(view.getQuarantinedParts());
+      changes.add(() -> core.updateQuarantinedParts(parts));
+    }
+    List<PartId> suspects = QuarantineMessages.toIds(view.getSuspectParts());
+    List<PartId> trials = QuarantineMessages.toIds(view.getTrialParts());
+    changes.add(() -> core.updateSuspectParts(suspects, trials));
     if (view.isSetUpstreams()) {
       listingNumber = view.getListNumber();
       listingSource = target;
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardAttempt.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardAttempt.java
@@ -1,5 +1,6 @@
 package io.jacinthquay.router.service.forward;
 
+import io.jacinthquay.decision.dispatch.PromptPart;
 import io.jacinthquay.decision.dispatch.SendOutcome;
 import io.jacinthquay.decision.dispatch.SentRequest;
 import io.jacinthquay.decision.dispatch.UpstreamState;
@@ -10,17 +11,23 @@
 import io.jacinthquay.router.port.UpstreamListener;
 import io.jacinthquay.router.port.UpstreamRequest;
 import java.nio.ByteBuffer;
+import java.util.List;
 
 /** One send of a request to one upstream. */
 final class ForwardAttempt implements UpstreamListener {
   /** HTTP status 421: the upstream at this address is not the one that the request names. */
   private static final int MISDIRECTED = 421;
 
+  /** Time from the begin of an answer until it counts as established, in nanoseconds. */
+  private static final long ESTABLISHED_NANOS = 500_000_000L;
+
   private final ForwardExchange exchange;
   private final ForwardCore core;
   private final SentRequest sending;
   private UpstreamCall call;
   private boolean begun;
+  private boolean established;
+  private long begunNanos;
   private boolean inFlight = true;
   private boolean closed;
   private boolean responded;
@@ -57,6 +64,7 @@
   void markBegun() {
     if (!begun) {
       begun = true;
+      begunNanos = System.nanoTime();
       core.selector().recordPrefill(sending, System.nanoTime());
     }
   }
@@ -66,6 +74,40 @@
     return begun;
   }
 
+  /**
+   * Records that more of the answer arrived. An answer is established once it has gone on for a
+   * while; an upstream that its prompt crashes fails before.
+   */
+  void recordProgress() {
+    if (begun && System.nanoTime() - begunNanos >= ESTABLISHED_NANOS) {
+      recordEstablished();
+    }
+  }
+
+  private void recordEstablished() {
+    if (!established) {
+      established = true;
+      core.quarantine().recordEstablished(sharedParts(), System.nanoTime());
+    }
+  }
+
+  /** Returns whether the answer has gone on for a while or has ended well. */
+  boolean isEstablished() {
+    return established;
+  }
+
+  private List<PromptPart> sharedParts() {
+    return sending.work().sharedParts();
+  }
+
+  /** Records that the upstream closed the connection; it may have crashed. */
+  private void recordClosed() {
+    if (!established) {
+      core.quarantine()
+          .recordBroken(upstream().listing().upstream(), sharedParts(), System.nanoTime());
+    }
+  }
+
   /** Cancels the send unless it has ended; the upstream sees its connection close. */
   void cancel(SendOutcome end) {
     release(end);
@@ -162,9 +204,13 @@
     }
     closed = true;
     if (exchange.onEnd(this)) {
+      if (exchange.succeeded()) {
+        recordEstablished();
+      }
       release(exchange.succeeded() ? SendOutcome.SUCCEEDED : SendOutcome.FAILED);
     } else {
       release(SendOutcome.FAILED);
+      recordClosed();
       exchange.onFailed(this, "incomplete answer");
     }
   }
@@ -180,6 +226,9 @@
       exchange.onUnreachable(this);
     } else {
       release(SendOutcome.FAILED);
+      if (failure == UpstreamFailure.BROKE) {
+        recordClosed();
+      }
       exchange.onFailed(this, failure.name());
     }
   }
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
@@ -7,6 +7,8 @@
 import io.jacinthquay.decision.dispatch.UpstreamListing;
 import io.jacinthquay.decision.dispatch.UpstreamLoad;
 import io.jacinthquay.decision.dispatch.UpstreamSelector;
+import io.jacinthquay.decision.quarantine.PartId;
+import io.jacinthquay.decision.quarantine.QuarantinedPart;
 import io.jacinthquay.decision.retry.RouterCount;
 import io.jacinthquay.decision.retry.SharedRetryBudget;
 import io.jacinthquay.decision.routing.RouteTable;
@@ -75,6 +77,7 @@
   private EventThread thread;
   private final RouterCount routerCount = new RouterCount();
   private final RouterIsolation contact = new RouterIsolation();
+  private final PromptQuarantine quarantine;
   private volatile boolean upstreamsKnown;
   private boolean queuePollScheduled;
   private boolean silenceCheckScheduled;
@@ -106,8 +109,10 @@
             new SplittableRandom());
     this.startupQueue = new StartupQueue(System.nanoTime(), options.startHold());
     this.usage = new WindowedUsage(options.usageWindow());
+    this.quarantine = new PromptQuarantine(clock.getAsLong());
     metrics.gauge("jq_forward_in_progress", active::size);
     metrics.gauge("jq_forward_held", startupQueue::size);
+    metrics.gauge("jq_forward_quarantined_parts", quarantine::size);
     metrics.gauge("jq_forward_document_version", this::version);
     metrics.gauge("jq_forward_ready", () -> isReady() ? 1 : 0);
   }
@@ -169,6 +174,25 @@
     selector.setRemoteLoads(loads);
   }
 
+  /**
+   * Sets the quarantined parts of prompts and cancels sends with such a part whose answer is not
+   * under way, since each may crash an upstream.
+   */
+  public void updateQuarantinedParts(Collection<QuarantinedPart> parts) {
+    quarantine.updateQuarantined(parts);
+    List.copyOf(active).forEach(ForwardExchange::endIfQuarantined);
+  }
+
+  /**
+   * Records what the control VMs say about suspect parts of prompts.
+   *
+   * @param suspects parts that may have crashed an upstream
+   * @param trials quarantined parts with each of which one request may be sent
+   */
+  public void updateSuspectParts(Collection<PartId> suspects, Collection<PartId> trials) {
+    quarantine.recordControlMessage(suspects, trials, clock.getAsLong());
+  }
+
   /** Returns the document in force. */
   public Optional<RouteTable> table() {
     return table;
@@ -235,7 +259,13 @@
     Map<PoolName, ForwardReport.PoolDemand> demand = new HashMap<>();
     countersByPool.forEach(
         (pool, counters) -> demand.put(pool, counters.demand(queue(pool).size())));
-    ForwardReport report = new ForwardReport(loads, usage.counts(), demand, unreportedPrefixes);
+    ForwardReport report =
+        new ForwardReport(
+            loads,
+            usage.counts(),
+            demand,
+            unreportedPrefixes,
+            quarantine.report(clock.getAsLong()));
     unreportedPrefixes.clear();
     return report;
   }
@@ -294,6 +324,10 @@
     return selector;
   }
 
+  PromptQuarantine quarantine() {
+    return quarantine;
+  }
+
   WindowedUsage usage() {
     return usage;
   }
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardExchange.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardExchange.java
@@ -1,34 +1,26 @@
 package io.jacinthquay.router.service.forward;
 
 import io.jacinthquay.decision.dispatch.PoolRequest;
-import io.jacinthquay.decision.dispatch.PromptPart;
 import io.jacinthquay.decision.dispatch.SendOutcome;
 import io.jacinthquay.decision.dispatch.SentRequest;
-import io.jacinthquay.decision.dispatch.UpstreamListing;
 import io.jacinthquay.decision.dispatch.UpstreamLoad;
 import io.jacinthquay.decision.dispatch.UpstreamState;
 import io.jacinthquay.decision.routing.RouteTable;
 import io.jacinthquay.model.Failure;
 import io.jacinthquay.model.PoolName;
-import io.jacinthquay.model.RequestId;
 import io.jacinthquay.model.ResultCode;
 import io.jacinthquay.model.UpstreamId;
 import io.jacinthquay.model.routing.RequestKind;
-import io.jacinthquay.router.port.AttemptMetadata;
 import io.jacinthquay.router.port.Caller;
 import io.jacinthquay.router.port.CallerListener;
 import io.jacinthquay.router.port.ResponseHead;
-import io.jacinthquay.router.port.UpstreamRequest;
 import java.nio.ByteBuffer;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
-import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.stream.Collectors;
 
 /** Forwards one request, from its admission to the end of its answer. */
 final class ForwardExchange implements CallerListener {
@@ -43,16 +35,13 @@
   /** Retry delay sent with a refusal, as a share of the request's target time. */
   private static final double RETRY_DELAY_SHARE = 0.6;
 
-  /** Maximum number of part ids in the log line of a request. */
-  private static final int MAX_LOGGED_PARTS = 8;
-
   private final ForwardCore core;
   private final ForwardRequest request;
   private final Caller caller;
   private final AnswerSink sink;
   private final PoolRequest work;
   private final Set<UpstreamId> triedUpstreams = new HashSet<>();
-  private final StringBuilder trace = new StringBuilder();
+  private final RequestTrace trace;
   private Runnable timer = () -> {};
   private ForwardAttempt attempt;
   private int sends;
@@ -61,9 +50,8 @@
   private boolean waiting;
   private boolean success;
   private boolean usageCounted;
+  private boolean sentAsTrial;
   private boolean done;
-  private long lastEventNanos;
-  private long longestPauseNanos;
 
   ForwardExchange(ForwardCore core, ForwardRequest request, Caller caller) {
     this.core = core;
@@ -71,6 +59,7 @@
     this.caller = caller;
     PoolName pool = RouteTable.pool(request.route(), ThreadLocalRandom.current().nextDouble());
     this.work = request.work(pool);
+    this.trace = new RequestTrace(request, work);
     this.sink =
         request.route().kind() == RequestKind.STREAMING
             ? new EventStreamAnswer(
@@ -82,46 +71,13 @@
     return request.facts().attemptId();
   }
 
-  /** Returns the route, the timings and the events of the request, for the log. */
+  /** Returns what was decided about the request and when, for the log. */
   String summary() {
-    return "route="
-        + request.route().name()
-        + " version="
-        + core.version()
-        + " customer="
-        + request.customer().map(Object::toString).orElse("-")
-        + " tier="
-        + work.tier().value()
-        + " tookMillis="
-        + millisSinceArrival(System.nanoTime())
-        + " pauseMillis="
-        + longestPauseNanos / NANOS_PER_MILLI
-        + sharedPartIds()
-        + trace;
-  }
-
-  /** Returns the ids of the shared parts of the prompt for the log; empty if there are none. */
-  private String sharedPartIds() {
-    List<PromptPart> shared = work.sharedParts();
-    return shared.stream()
-        .limit(MAX_LOGGED_PARTS)
-        .map(part -> Long.toHexString(part.id()))
-        .collect(Collectors.joining("+", shared.isEmpty() ? "" : " sharedParts=", ""));
-  }
-
-  private long millisSinceArrival(long now) {
-    return (now - request.arrivedNanos()) / NANOS_PER_MILLI;
-  }
-
-  /** Adds an event to the trace of the request in the log. */
+    return trace.summary(core.version());
+  }
+
   private void note(String event, Object detail) {
-    trace
-        .append(" +")
-        .append(millisSinceArrival(System.nanoTime()))
-        .append("ms:")
-        .append(event)
-        .append('=')
-        .append(detail);
+    trace.note(event, detail);
   }
 
   void start() {
@@ -132,7 +88,7 @@
     counters.requests++;
     counters.outputTokens += work.outputTokens();
     core.countFirstSend(work.pool(), now);
-    long leftMillis = request.limitMillis() - millisSinceArrival(now);
+    long leftMillis = request.limitMillis() - trace.millisSinceArrival(now);
     timer = caller.thread().after(Math.max(1, leftMillis), this::timedOut);
     if (!tryDispatch(now)) {
       enqueue(now);
@@ -171,6 +127,9 @@
     if (isPastDeadline(now)) {
       return false;
     }
+    if (rejectIfQuarantined(now)) {
+      return true;
+    }
     Optional<UpstreamState> chosen = core.selector().choose(work, triedUpstreams, now);
     if (chosen.isEmpty()) {
       return false;
@@ -180,6 +139,44 @@
     return true;
   }
 
+  /**
+   * Ends the request if a quarantined part of its prompt must not be sent.
+   *
+   * @return whether the request has ended
+   */
+  private boolean rejectIfQuarantined(long now) {
+    if (!core.quarantine().rejects(work.sharedParts())) {
+      return false;
+    }
+    if (!sentAsTrial && core.quarantine().tryAcquireTrial(work.sharedParts(), now)) {
+      sentAsTrial = true;
+      return false;
+    }
+    endQuarantined();
+    return true;
+  }
+
+  /** Ends the request if a part of its prompt is quarantined and its answer is not under way. */
+  void endIfQuarantined() {
+    if (!done
+        && !sentAsTrial
+        && (attempt == null || !attempt.hasBegun())
+        && core.quarantine().rejects(work.sharedParts())) {
+      if (waiting) {
+        core.queue(work.pool()).remove(this);
+      }
+      endQuarantined();
+    }
+  }
+
+  private void endQuarantined() {
+    waiting = false;
+    endUnanswered(
+        ResultCode.UPSTREAM_BROKE,
+        ResultCode.PROMPT_QUARANTINED,
+        ResultCode.PROMPT_QUARANTINED.meaning());
+  }
+
   private void send(UpstreamState upstream, long now) {
     cancelSend();
     sends++;
@@ -194,33 +191,12 @@
       sending.source().ifPresent(source -> note("fetches", source.upstream()));
     }
     core.metrics().countSend(triedUpstreams.size() > 1);
-    long leftMillis = Math.max(1, (work.deadlineNanos() - now) / NANOS_PER_MILLI);
     OptionalLong resumeAfter =
         sink instanceof EventStreamAnswer events && caller.hasBegun()
             ? events.lastId()
             : request.facts().lastEventId();
-    AttemptMetadata facts =
-        new AttemptMetadata(
-            upstream.listing().upstream(),
-            request.customer(),
-            leftMillis,
-            request.route().promptInHeaders()
-                ? OptionalInt.of(work.urgency())
-                : OptionalInt.empty(),
-            sending.source().map(UpstreamListing::address),
-            resumeAfter);
-    String query = request.head().query();
     attempt = new ForwardAttempt(this, core, sending);
-    attempt.send(
-        new UpstreamRequest(
-            new RequestId(attemptId()),
-            upstream.listing().address(),
-            request.head().method(),
-            query.isEmpty() ? request.head().rawPath() : request.head().rawPath() + "?" + query,
-            core.protocol().toUpstream(request.head(), facts),
-            request.body(),
-            request.route().isRetryable(),
-            true));
+    attempt.send(request.toUpstream(core.protocol(), sending, resumeAfter, now));
     core.counters(work.pool()).promptTokens += attempt.unreadTokens();
     core.recordPrefix(upstream.listing().upstream(), work);
   }
@@ -248,20 +224,17 @@
 
   /** Called just before events of the answer are written to the caller. */
   private void onEvents() {
-    long now = System.nanoTime();
-    if (caller.hasBegun()) {
-      longestPauseNanos = Math.max(longestPauseNanos, now - lastEventNanos);
-    }
-    lastEventNanos = now;
+    trace.recordEvents(!caller.hasBegun());
     if (attempt != null) {
       attempt.markBegun();
+      attempt.recordProgress();
     }
     if (!caller.hasBegun()) {
       note("first", "event");
       core.metrics()
           .recordFirst(request.route().name().value(), System.nanoTime() - request.arrivedNanos());
       countUsage();
-      if (millisSinceArrival(System.nanoTime()) > work.targetMillis()) {
+      if (trace.millisSinceArrival(System.nanoTime()) > work.targetMillis()) {
         core.counters(work.pool()).late++;
       }
     }
@@ -378,11 +351,18 @@
     }
     sink.discard();
     long now = System.nanoTime();
-    if (!tryAcquireRetry(now) || !tryDispatch(now)) {
+    if (mayCrash(from) || !tryAcquireRetry(now) || !tryDispatch(now)) {
       giveUp(ResultCode.UPSTREAM_BROKE);
     }
   }
 
+  /** Returns whether the prompt of a send that broke might crash another upstream too. */
+  private boolean mayCrash(ForwardAttempt from) {
+    return !from.isEstablished()
+        && core.quarantine()
+            .isSuspectBeside(from.upstream().listing().upstream(), work.sharedParts());
+  }
+
   /** Retries the request after a failure; the retry was already taken from the budget. */
   void retry(String reason) {
     note("repeats", reason);
@@ -434,7 +414,11 @@
     counters.promptTokens += sends == 0 ? work.ownTokens() : 0;
     note("refused", detail);
     double jitter = 0.5 + ThreadLocalRandom.current().nextDouble();
-    double retrySeconds = RETRY_DELAY_SHARE * work.targetMillis() / 1_000 * jitter;
+    double retrySeconds =
+        code == ResultCode.PROMPT_QUARANTINED
+            ? core.quarantine().millisToTrial(work.sharedParts(), core.timeOfDay()) / 1_000.0
+                + jitter
+            : RETRY_DELAY_SHARE * work.targetMillis() / 1_000 * jitter;
     caller.sendResponse(
         core.protocol().refusal(Failure.of(code, detail), OptionalDouble.of(retrySeconds)),
         new byte[0]);
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardReport.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardReport.java
@@ -14,12 +14,14 @@
  * @param counts requests whose answer began, by window and customer
  * @param demand demand on each pool since the router started
  * @param prefixes shared prefixes that were sent since the last report
+ * @param quarantine evidence about parts of prompts that may crash upstreams
  */
 public record ForwardReport(
     Map<UpstreamId, UpstreamLoad> loads,
     Map<Long, Map<CustomerId, Long>> counts,
     Map<PoolName, PoolDemand> demand,
-    List<CachedPrefix> prefixes) {
+    List<CachedPrefix> prefixes,
+    QuarantineReport quarantine) {
   /** Copies the maps and the list. */
   public ForwardReport {
     loads = Map.copyOf(loads);
--- /dev/null
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/RequestTrace.java
@@ -0,0 +1,83 @@
+package io.jacinthquay.router.service.forward;
+
+import io.jacinthquay.decision.dispatch.PoolRequest;
+import io.jacinthquay.decision.dispatch.PromptPart;
+import java.util.List;
+import java.util.stream.Collectors;
+
+/** What was decided about a request and when, for its line in the log. */
+final class RequestTrace {
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+
+  /** Maximum number of part ids in the log line of a request. */
+  private static final int MAX_LOGGED_PARTS = 8;
+
+  private final ForwardRequest request;
+  private final PoolRequest work;
+  private final StringBuilder events = new StringBuilder();
+  private long lastEventNanos;
+  private long longestPauseNanos;
+
+  RequestTrace(ForwardRequest request, PoolRequest work) {
+    this.request = request;
+    this.work = work;
+  }
+
+  long millisSinceArrival(long now) {
+    return (now - request.arrivedNanos()) / NANOS_PER_MILLI;
+  }
+
+  /** Adds an event. */
+  void note(String event, Object detail) {
+    events
+        .append(" +")
+        .append(millisSinceArrival(System.nanoTime()))
+        .append("ms:")
+        .append(event)
+        .append('=')
+        .append(detail);
+  }
+
+  /**
+   * Records that events of the answer are written to the caller.
+   *
+   * @param first whether they are the first ones
+   */
+  void recordEvents(boolean first) {
+    long now = System.nanoTime();
+    if (!first) {
+      longestPauseNanos = Math.max(longestPauseNanos, now - lastEventNanos);
+    }
+    lastEventNanos = now;
+  }
+
+  /**
+   * Returns the route, the timings and the events of the request.
+   *
+   * @param version version of the routing document in force
+   */
+  String summary(long version) {
+    return "route="
+        + request.route().name()
+        + " version="
+        + version
+        + " customer="
+        + request.customer().map(Object::toString).orElse("-")
+        + " tier="
+        + work.tier().value()
+        + " tookMillis="
+        + millisSinceArrival(System.nanoTime())
+        + " pauseMillis="
+        + longestPauseNanos / NANOS_PER_MILLI
+        + sharedPartIds()
+        + events;
+  }
+
+  private String sharedPartIds() {
+    List<PromptPart> shared = work.sharedParts();
+    return shared.stream()
+        .limit(MAX_LOGGED_PARTS)
+        .map(part -> Long.toHexString(part.id()))
+        .collect(Collectors.joining("+", shared.isEmpty() ? "" : " sharedParts=", ""));
+  }
+}
--- a/wire/src/main/java/io/jacinthquay/wire/gen/ControlCommand.java
+++ b/wire/src/main/java/io/jacinthquay/wire/gen/ControlCommand.java
@@ -12,12 +12,16 @@
   private static final org.apache.thrift.protocol.TField DOCUMENT_FIELD_DESC = new org.apache.thrift.protocol.TField("document", org.apache.thrift.protocol.TType.STRUCT, (short)1);
   private static final org.apache.thrift.protocol.TField CLOSE_DOMAIN_FIELD_DESC = new org.apache.thrift.protocol.TField("closeDomain", org.apache.thrift.protocol.TType.STRUCT, (short)2);
   private static final org.apache.thrift.protocol.TField SEAL_COUNTS_FIELD_DESC = new org.apache.thrift.protocol.TField("sealCounts", org.apache.thrift.protocol.TType.STRUCT, (short)3);
+  private static final org.apache.thrift.protocol.TField QUARANTINE_PART_FIELD_DESC = new org.apache.thrift.protocol.TField("quarantinePart", org.apache.thrift.protocol.TType.STRUCT, (short)4);
+  private static final org.apache.thrift.protocol.TField RELEASE_PART_FIELD_DESC = new org.apache.thrift.protocol.TField("releasePart", org.apache.thrift.protocol.TType.STRUCT, (short)5);
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     DOCUMENT((short)1, "document"),
     CLOSE_DOMAIN((short)2, "closeDomain"),
-    SEAL_COUNTS((short)3, "sealCounts");
+    SEAL_COUNTS((short)3, "sealCounts"),
+    QUARANTINE_PART((short)4, "quarantinePart"),
+    RELEASE_PART((short)5, "releasePart");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -39,6 +43,10 @@
           return CLOSE_DOMAIN;
         case 3: // SEAL_COUNTS
           return SEAL_COUNTS;
+        case 4: // QUARANTINE_PART
+          return QUARANTINE_PART;
+        case 5: // RELEASE_PART
+          return RELEASE_PART;
         default:
           return null;
       }
@@ -90,6 +98,10 @@
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, CloseDomainCommand.class)));
     tmpMap.put(_Fields.SEAL_COUNTS, new org.apache.thrift.meta_data.FieldMetaData("sealCounts", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, SealCountsCommand.class)));
+    tmpMap.put(_Fields.QUARANTINE_PART, new org.apache.thrift.meta_data.FieldMetaData("quarantinePart", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, QuarantinePartCommand.class)));
+    tmpMap.put(_Fields.RELEASE_PART, new org.apache.thrift.meta_data.FieldMetaData("releasePart", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, ReleasePartCommand.class)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ControlCommand.class, metaDataMap);
   }
@@ -128,6 +140,18 @@
     return x;
   }
 
+  public static ControlCommand quarantinePart(QuarantinePartCommand value) {
+    ControlCommand x = new ControlCommand();
+    x.setQuarantinePart(value);
+    return x;
+  }
+
+  public static ControlCommand releasePart(ReleasePartCommand value) {
+    ControlCommand x = new ControlCommand();
+    x.setReleasePart(value);
+    return x;
+  }
+
 
   @Override
   protected void checkType(_Fields setField, java.lang.Object value) throws java.lang.ClassCastException {
@@ -147,6 +171,16 @@
           break;
         }
         throw new java.lang.ClassCastException("Was expecting value of type SealCountsCommand for field 'sealCounts', but got " + value.getClass().getSimpleName());
+      case QUARANTINE_PART:
+        if (value instanceof QuarantinePartCommand) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type QuarantinePartCommand for field 'quarantinePart', but got " + value.getClass().getSimpleName());
+      case RELEASE_PART:
+        if (value instanceof ReleasePartCommand) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type ReleasePartCommand for field 'releasePart', but got " + value.getClass().getSimpleName());
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -187,6 +221,26 @@
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
             return null;
           }
+        case QUARANTINE_PART:
+          if (field.type == QUARANTINE_PART_FIELD_DESC.type) {
+            QuarantinePartCommand quarantinePart;
+            quarantinePart = new QuarantinePartCommand();
+            quarantinePart.read(iprot);
+            return quarantinePart;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case RELEASE_PART:
+          if (field.type == RELEASE_PART_FIELD_DESC.type) {
+            ReleasePartCommand releasePart;
+            releasePart = new ReleasePartCommand();
+            releasePart.read(iprot);
+            return releasePart;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -211,6 +265,14 @@
         SealCountsCommand sealCounts = (SealCountsCommand)value_;
         sealCounts.write(oprot);
         return;
+      case QUARANTINE_PART:
+        QuarantinePartCommand quarantinePart = (QuarantinePartCommand)value_;
+        quarantinePart.write(oprot);
+        return;
+      case RELEASE_PART:
+        ReleasePartCommand releasePart = (ReleasePartCommand)value_;
+        releasePart.write(oprot);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -236,6 +298,16 @@
           sealCounts = new SealCountsCommand();
           sealCounts.read(iprot);
           return sealCounts;
+        case QUARANTINE_PART:
+          QuarantinePartCommand quarantinePart;
+          quarantinePart = new QuarantinePartCommand();
+          quarantinePart.read(iprot);
+          return quarantinePart;
+        case RELEASE_PART:
+          ReleasePartCommand releasePart;
+          releasePart = new ReleasePartCommand();
+          releasePart.read(iprot);
+          return releasePart;
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -259,6 +331,14 @@
         SealCountsCommand sealCounts = (SealCountsCommand)value_;
         sealCounts.write(oprot);
         return;
+      case QUARANTINE_PART:
+        QuarantinePartCommand quarantinePart = (QuarantinePartCommand)value_;
+        quarantinePart.write(oprot);
+        return;
+      case RELEASE_PART:
+        ReleasePartCommand releasePart = (ReleasePartCommand)value_;
+        releasePart.write(oprot);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -273,6 +353,10 @@
         return CLOSE_DOMAIN_FIELD_DESC;
       case SEAL_COUNTS:
         return SEAL_COUNTS_FIELD_DESC;
+      case QUARANTINE_PART:
+        return QUARANTINE_PART_FIELD_DESC;
+      case RELEASE_PART:
+        return RELEASE_PART_FIELD_DESC;
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -334,6 +418,32 @@
     value_ = java.util.Objects.requireNonNull(value,"_Fields.SEAL_COUNTS");
   }
 
+  public QuarantinePartCommand getQuarantinePart() {
+    if (getSetField() == _Fields.QUARANTINE_PART) {
+      return (QuarantinePartCommand)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'quarantinePart' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setQuarantinePart(QuarantinePartCommand value) {
+    setField_ = _Fields.QUARANTINE_PART;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.QUARANTINE_PART");
+  }
+
+  public ReleasePartCommand getReleasePart() {
+    if (getSetField() == _Fields.RELEASE_PART) {
+      return (ReleasePartCommand)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'releasePart' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setReleasePart(ReleasePartCommand value) {
+    setField_ = _Fields.RELEASE_PART;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.RELEASE_PART");
+  }
+
   public boolean isSetDocument() {
     return setField_ == _Fields.DOCUMENT;
   }
@@ -349,6 +459,16 @@
   }
 
 
+  public boolean isSetQuarantinePart() {
+    return setField_ == _Fields.QUARANTINE_PART;
+  }
+
+
+  public boolean isSetReleasePart() {
+    return setField_ == _Fields.RELEASE_PART;
+  }
+
+
   public boolean equals(java.lang.Object other) {
     if (other instanceof ControlCommand) {
       return equals((ControlCommand)other);
--- a/wire/src/main/java/io/jacinthquay/wire/gen/ControlSnapshot.java
+++ b/wire/src/main/java/io/jacinthquay/wire/gen/ControlSnapshot.java
@@ -15,6 +15,8 @@
   private static final org.apache.thrift.protocol.TField CLOSED_DOMAINS_FIELD_DESC = new org.apache.thrift.protocol.TField("closedDomains", org.apache.thrift.protocol.TType.LIST, (short)3);
   private static final org.apache.thrift.protocol.TField CLOSED_INDEX_FIELD_DESC = new org.apache.thrift.protocol.TField("closedIndex", org.apache.thrift.protocol.TType.I64, (short)4);
   private static final org.apache.thrift.protocol.TField SEALED_FIELD_DESC = new org.apache.thrift.protocol.TField("sealed", org.apache.thrift.protocol.TType.MAP, (short)5);
+  private static final org.apache.thrift.protocol.TField QUARANTINED_PARTS_FIELD_DESC = new org.apache.thrift.protocol.TField("quarantinedParts", org.apache.thrift.protocol.TType.LIST, (short)6);
+  private static final org.apache.thrift.protocol.TField QUARANTINE_INDEX_FIELD_DESC = new org.apache.thrift.protocol.TField("quarantineIndex", org.apache.thrift.protocol.TType.I64, (short)7);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new ControlSnapshotStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new ControlSnapshotTupleSchemeFactory();
@@ -24,6 +26,8 @@
   private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> closedDomains; // required
   private long closedIndex; // required
   private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.Long,java.util.Map<java.lang.String,java.lang.Long>> sealed; // required
+  private @org.apache.thrift.annotation.Nullable java.util.List<QuarantinedPartMessage> quarantinedParts; // required
+  private long quarantineIndex; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -31,7 +35,9 @@
     DOCUMENT((short)2, "document"),
     CLOSED_DOMAINS((short)3, "closedDomains"),
     CLOSED_INDEX((short)4, "closedIndex"),
-    SEALED((short)5, "sealed");
+    SEALED((short)5, "sealed"),
+    QUARANTINED_PARTS((short)6, "quarantinedParts"),
+    QUARANTINE_INDEX((short)7, "quarantineIndex");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -57,6 +63,10 @@
           return CLOSED_INDEX;
         case 5: // SEALED
           return SEALED;
+        case 6: // QUARANTINED_PARTS
+          return QUARANTINED_PARTS;
+        case 7: // QUARANTINE_INDEX
+          return QUARANTINE_INDEX;
         default:
           return null;
       }
@@ -102,6 +112,7 @@
   // isset id assignments
   private static final int __VERSION_ISSET_ID = 0;
   private static final int __CLOSEDINDEX_ISSET_ID = 1;
+  private static final int __QUARANTINEINDEX_ISSET_ID = 2;
   private byte __isset_bitfield = 0;
   private static final _Fields optionals[] = {_Fields.DOCUMENT};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
@@ -122,18 +133,29 @@
             new org.apache.thrift.meta_data.MapMetaData(org.apache.thrift.protocol.TType.MAP, 
                 new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING), 
                 new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)))));
+    tmpMap.put(_Fields.QUARANTINED_PARTS, new org.apache.thrift.meta_data.FieldMetaData("quarantinedParts", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, QuarantinedPartMessage.class))));
+    tmpMap.put(_Fields.QUARANTINE_INDEX, new org.apache.thrift.meta_data.FieldMetaData("quarantineIndex", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ControlSnapshot.class, metaDataMap);
   }
 
   public ControlSnapshot() {
+    this.quarantinedParts = new java.util.ArrayList<QuarantinedPartMessage>();
+
+    this.quarantineIndex = 0L;
+
   }
 
   public ControlSnapshot(
     long version,
     java.util.List<java.lang.String> closedDomains,
     long closedIndex,
-    java.util.Map<java.lang.Long,java.util.Map<java.lang.String,java.lang.Long>> sealed)
+    java.util.Map<java.lang.Long,java.util.Map<java.lang.String,java.lang.Long>> sealed,
+    java.util.List<QuarantinedPartMessage> quarantinedParts,
+    long quarantineIndex)
   {
     this();
     this.version = version;
@@ -142,6 +164,9 @@
     this.closedIndex = closedIndex;
     setClosedIndexIsSet(true);
     this.sealed = sealed;
+    this.quarantinedParts = quarantinedParts;
+    this.quarantineIndex = quarantineIndex;
+    setQuarantineIndexIsSet(true);
   }
 
   /**
@@ -173,6 +198,14 @@
       }
       this.sealed = __this__sealed;
     }
+    if (other.isSetQuarantinedParts()) {
+      java.util.List<QuarantinedPartMessage> __this__quarantinedParts = new java.util.ArrayList<QuarantinedPartMessage>(other.quarantinedParts.size());
+      for (QuarantinedPartMessage other_element : other.quarantinedParts) {
+        __this__quarantinedParts.add(new QuarantinedPartMessage(other_element));
+      }
+      this.quarantinedParts = __this__quarantinedParts;
+    }
+    this.quarantineIndex = other.quarantineIndex;
   }
 
   @Override
@@ -189,6 +222,10 @@
     setClosedIndexIsSet(false);
     this.closedIndex = 0;
     this.sealed = null;
+    this.quarantinedParts = new java.util.ArrayList<QuarantinedPartMessage>();
+
+    this.quarantineIndex = 0L;
+
   }
 
   public long getVersion() {
@@ -348,6 +385,70 @@
     }
   }
 
+  public int getQuarantinedPartsSize() {
+    return (this.quarantinedParts == null) ? 0 : this.quarantinedParts.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<QuarantinedPartMessage> getQuarantinedPartsIterator() {
+    return (this.quarantinedParts == null) ? null : this.quarantinedParts.iterator();
+  }
+
+  public void addToQuarantinedParts(QuarantinedPartMessage elem) {
+    if (this.quarantinedParts == null) {
+      this.quarantinedParts = new java.util.ArrayList<QuarantinedPartMessage>();
+    }
+    this.quarantinedParts.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<QuarantinedPartMessage> getQuarantinedParts() {
+    return this.quarantinedParts;
+  }
+
+  public ControlSnapshot setQuarantinedParts(@org.apache.thrift.annotation.Nullable java.util.List<QuarantinedPartMessage> quarantinedParts) {
+    this.quarantinedParts = quarantinedParts;
+    return this;
+  }
+
+  public void unsetQuarantinedParts() {
+    this.quarantinedParts = null;
+  }
+
+  /** Returns true if field quarantinedParts is set (has been assigned a value) and false otherwise */
+  public boolean isSetQuarantinedParts() {
+    return this.quarantinedParts != null;
+  }
+
+  public void setQuarantinedPartsIsSet(boolean value) {
+    if (!value) {
+      this.quarantinedParts = null;
+    }
+  }
+
+  public long getQuarantineIndex() {
+    return this.quarantineIndex;
+  }
+
+  public ControlSnapshot setQuarantineIndex(long quarantineIndex) {
+    this.quarantineIndex = quarantineIndex;
+    setQuarantineIndexIsSet(true);
+    return this;
+  }
+
+  public void unsetQuarantineIndex() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __QUARANTINEINDEX_ISSET_ID);
+  }
+
+  /** Returns true if field quarantineIndex is set (has been assigned a value) and false otherwise */
+  public boolean isSetQuarantineIndex() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __QUARANTINEINDEX_ISSET_ID);
+  }
+
+  public void setQuarantineIndexIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __QUARANTINEINDEX_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -395,6 +496,22 @@
       }
       break;
 
+    case QUARANTINED_PARTS:
+      if (value == null) {
+        unsetQuarantinedParts();
+      } else {
+        setQuarantinedParts((java.util.List<QuarantinedPartMessage>)value);
+      }
+      break;
+
+    case QUARANTINE_INDEX:
+      if (value == null) {
+        unsetQuarantineIndex();
+      } else {
+        setQuarantineIndex((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -417,6 +534,12 @@
     case SEALED:
       return getSealed();
 
+    case QUARANTINED_PARTS:
+      return getQuarantinedParts();
+
+    case QUARANTINE_INDEX:
+      return getQuarantineIndex();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -439,6 +562,10 @@
       return isSetClosedIndex();
     case SEALED:
       return isSetSealed();
+    case QUARANTINED_PARTS:
+      return isSetQuarantinedParts();
+    case QUARANTINE_INDEX:
+      return isSetQuarantineIndex();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -501,6 +628,24 @@
         return false;
     }
 
+    boolean this_present_quarantinedParts = true && this.isSetQuarantinedParts();
+    boolean that_present_quarantinedParts = true && that.isSetQuarantinedParts();
+    if (this_present_quarantinedParts || that_present_quarantinedParts) {
+      if (!(this_present_quarantinedParts && that_present_quarantinedParts))
+        return false;
+      if (!this.quarantinedParts.equals(that.quarantinedParts))
+        return false;
+    }
+
+    boolean this_present_quarantineIndex = true;
+    boolean that_present_quarantineIndex = true;
+    if (this_present_quarantineIndex || that_present_quarantineIndex) {
+      if (!(this_present_quarantineIndex && that_present_quarantineIndex))
+        return false;
+      if (this.quarantineIndex != that.quarantineIndex)
+        return false;
+    }
+
     return true;
   }
 
@@ -524,6 +669,12 @@
     if (isSetSealed())
       hashCode = hashCode * 8191 + sealed.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetQuarantinedParts()) ? 131071 : 524287);
+    if (isSetQuarantinedParts())
+      hashCode = hashCode * 8191 + quarantinedParts.hashCode();
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(quarantineIndex);
+
     return hashCode;
   }
 
@@ -585,6 +736,26 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetQuarantinedParts(), other.isSetQuarantinedParts());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetQuarantinedParts()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.quarantinedParts, other.quarantinedParts);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetQuarantineIndex(), other.isSetQuarantineIndex());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetQuarantineIndex()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.quarantineIndex, other.quarantineIndex);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -642,6 +813,18 @@
       sb.append(this.sealed);
     }
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("quarantinedParts:");
+    if (this.quarantinedParts == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.quarantinedParts);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("quarantineIndex:");
+    sb.append(this.quarantineIndex);
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -708,13 +891,13 @@
           case 3: // CLOSED_DOMAINS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list114 = iprot.readListBegin();
-                struct.closedDomains = new java.util.ArrayList<java.lang.String>(_list114.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem115;
-                for (int _i116 = 0; _i116 < _list114.size; ++_i116)
+                org.apache.thrift.protocol.TList _list170 = iprot.readListBegin();
+                struct.closedDomains = new java.util.ArrayList<java.lang.String>(_list170.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem171;
+                for (int _i172 = 0; _i172 < _list170.size; ++_i172)
                 {
-                  _elem115 = iprot.readString();
-                  struct.closedDomains.add(_elem115);
+                  _elem171 = iprot.readString();
+                  struct.closedDomains.add(_elem171);
                 }
                 iprot.readListEnd();
               }
@@ -734,27 +917,27 @@
           case 5: // SEALED
             if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
               {
-                org.apache.thrift.protocol.TMap _map117 = iprot.readMapBegin();
-                struct.sealed = new java.util.HashMap<java.lang.Long,java.util.Map<java.lang.String,java.lang.Long>>(2*_map117.size);
-                long _key118;
-                @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,java.lang.Long> _val119;
-                for (int _i120 = 0; _i120 < _map117.size; ++_i120)
+                org.apache.thrift.protocol.TMap _map173 = iprot.readMapBegin();
+                struct.sealed = new java.util.HashMap<java.lang.Long,java.util.Map<java.lang.String,java.lang.Long>>(2*_map173.size);
+                long _key174;
+                @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,java.lang.Long> _val175;
+                for (int _i176 = 0; _i176 < _map173.size; ++_i176)
                 {
-                  _key118 = iprot.readI64();
+                  _key174 = iprot.readI64();
                   {
-                    org.apache.thrift.protocol.TMap _map121 = iprot.readMapBegin();
-                    _val119 = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map121.size);
-                    @org.apache.thrift.annotation.Nullable java.lang.String _key122;
-                    long _val123;
-                    for (int _i124 = 0; _i124 < _map121.size; ++_i124)
+                    org.apache.thrift.protocol.TMap _map177 = iprot.readMapBegin();
+                    _val175 = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map177.size);
+                    @org.apache.thrift.annotation.Nullable java.lang.String _key178;
+                    long _val179;
+                    for (int _i180 = 0; _i180 < _map177.size; ++_i180)
                     {
-                      _key122 = iprot.readString();
-                      _val123 = iprot.readI64();
-                      _val119.put(_key122, _val123);
+                      _key178 = iprot.readString();
+                      _val179 = iprot.readI64();
+                      _val175.put(_key178, _val179);
                     }
                     iprot.readMapEnd();
                   }
-                  struct.sealed.put(_key118, _val119);
+                  struct.sealed.put(_key174, _val175);
                 }
                 iprot.readMapEnd();
               }
@@ -763,6 +946,33 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 6: // QUARANTINED_PARTS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list181 = iprot.readListBegin();
+                struct.quarantinedParts = new java.util.ArrayList<QuarantinedPartMessage>(_list181.size);
+                @org.apache.thrift.annotation.Nullable QuarantinedPartMessage _elem182;
+                for (int _i183 = 0; _i183 < _list181.size; ++_i183)
+                {
+                  _elem182 = new QuarantinedPartMessage();
+                  _elem182.read(iprot);
+                  struct.quarantinedParts.add(_elem182);
+                }
+                iprot.readListEnd();
+              }
+              struct.setQuarantinedPartsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 7: // QUARANTINE_INDEX
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.quarantineIndex = iprot.readI64();
+              struct.setQuarantineIndexIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -793,9 +1003,9 @@
         oprot.writeFieldBegin(CLOSED_DOMAINS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.closedDomains.size()));
-          for (java.lang.String _iter125 : struct.closedDomains)
+          for (java.lang.String _iter184 : struct.closedDomains)
           {
-            oprot.writeString(_iter125);
+            oprot.writeString(_iter184);
           }
           oprot.writeListEnd();
         }
@@ -808,15 +1018,15 @@
         oprot.writeFieldBegin(SEALED_FIELD_DESC);
         {
           oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.I64, org.apache.thrift.protocol.TType.MAP, struct.sealed.size()));
-          for (java.util.Map.Entry<java.lang.Long, java.util.Map<java.lang.String,java.lang.Long>> _iter126 : struct.sealed.entrySet())
+          for (java.util.Map.Entry<java.lang.Long, java.util.Map<java.lang.String,java.lang.Long>> _iter185 : struct.sealed.entrySet())
           {
-            oprot.writeI64(_iter126.getKey());
+            oprot.writeI64(_iter185.getKey());
             {
-              oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64, _iter126.getValue().size()));
-              for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter127 : _iter126.getValue().entrySet())
+              oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64, _iter185.getValue().size()));
+              for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter186 : _iter185.getValue().entrySet())
               {
-                oprot.writeString(_iter127.getKey());
-                oprot.writeI64(_iter127.getValue());
+                oprot.writeString(_iter186.getKey());
+                oprot.writeI64(_iter186.getValue());
               }
               oprot.writeMapEnd();
             }
@@ -825,6 +1035,21 @@
         }
         oprot.writeFieldEnd();
       }
+      if (struct.quarantinedParts != null) {
+        oprot.writeFieldBegin(QUARANTINED_PARTS_FIELD_DESC);
+        {
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.quarantinedParts.size()));
+          for (QuarantinedPartMessage _iter187 : struct.quarantinedParts)
+          {
+            _iter187.write(oprot);
+          }
+          oprot.writeListEnd();
+        }
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldBegin(QUARANTINE_INDEX_FIELD_DESC);
+      oprot.writeI64(struct.quarantineIndex);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -859,7 +1084,13 @@
       if (struct.isSetSealed()) {
         optionals.set(4);
       }
-      oprot.writeBitSet(optionals, 5);
+      if (struct.isSetQuarantinedParts()) {
+        optionals.set(5);
+      }
+      if (struct.isSetQuarantineIndex()) {
+        optionals.set(6);
+      }
+      oprot.writeBitSet(optionals, 7);
       if (struct.isSetVersion()) {
         oprot.writeI64(struct.version);
       }
@@ -869,9 +1100,9 @@
       if (struct.isSetClosedDomains()) {
         {
           oprot.writeI32(struct.closedDomains.size());
-          for (java.lang.String _iter128 : struct.closedDomains)
+          for (java.lang.String _iter188 : struct.closedDomains)
           {
-            oprot.writeString(_iter128);
+            oprot.writeString(_iter188);
           }
         }
       }
@@ -881,26 +1112,38 @@
       if (struct.isSetSealed()) {
         {
           oprot.writeI32(struct.sealed.size());
-          for (java.util.Map.Entry<java.lang.Long, java.util.Map<java.lang.String,java.lang.Long>> _iter129 : struct.sealed.entrySet())
+          for (java.util.Map.Entry<java.lang.Long, java.util.Map<java.lang.String,java.lang.Long>> _iter189 : struct.sealed.entrySet())
           {
-            oprot.writeI64(_iter129.getKey());
+            oprot.writeI64(_iter189.getKey());
             {
-              oprot.writeI32(_iter129.getValue().size());
-              for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter130 : _iter129.getValue().entrySet())
+              oprot.writeI32(_iter189.getValue().size());
+              for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter190 : _iter189.getValue().entrySet())
               {
-                oprot.writeString(_iter130.getKey());
-                oprot.writeI64(_iter130.getValue());
+                oprot.writeString(_iter190.getKey());
+                oprot.writeI64(_iter190.getValue());
               }
             }
           }
         }
       }
+      if (struct.isSetQuarantinedParts()) {
+        {
+          oprot.writeI32(struct.quarantinedParts.size());
+          for (QuarantinedPartMessage _iter191 : struct.quarantinedParts)
+          {
+            _iter191.write(oprot);
+          }
+        }
+      }
+      if (struct.isSetQuarantineIndex()) {
+        oprot.writeI64(struct.quarantineIndex);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, ControlSnapshot struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(5);
+      java.util.BitSet incoming = iprot.readBitSet(7);
       if (incoming.get(0)) {
         struct.version = iprot.readI64();
         struct.setVersionIsSet(true);
@@ -911,13 +1154,13 @@
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list131 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.closedDomains = new java.util.ArrayList<java.lang.String>(_list131.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem132;
-          for (int _i133 = 0; _i133 < _list131.size; ++_i133)
+          org.apache.thrift.protocol.TList _list192 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.closedDomains = new java.util.ArrayList<java.lang.String>(_list192.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem193;
+          for (int _i194 = 0; _i194 < _list192.size; ++_i194)
           {
-            _elem132 = iprot.readString();
-            struct.closedDomains.add(_elem132);
+            _elem193 = iprot.readString();
+            struct.closedDomains.add(_elem193);
           }
         }
         struct.setClosedDomainsIsSet(true);
@@ -928,30 +1171,48 @@
       }
       if (incoming.get(4)) {
         {
-          org.apache.thrift.protocol.TMap _map134 = iprot.readMapBegin(org.apache.thrift.protocol.TType.I64, org.apache.thrift.protocol.TType.MAP); 
-          struct.sealed = new java.util.HashMap<java.lang.Long,java.util.Map<java.lang.String,java.lang.Long>>(2*_map134.size);
-          long _key135;
-          @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,java.lang.Long> _val136;
-          for (int _i137 = 0; _i137 < _map134.size; ++_i137)
+          org.apache.thrift.protocol.TMap _map195 = iprot.readMapBegin(org.apache.thrift.protocol.TType.I64, org.apache.thrift.protocol.TType.MAP); 
+          struct.sealed = new java.util.HashMap<java.lang.Long,java.util.Map<java.lang.String,java.lang.Long>>(2*_map195.size);
+          long _key196;
+          @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,java.lang.Long> _val197;
+          for (int _i198 = 0; _i198 < _map195.size; ++_i198)
           {
-            _key135 = iprot.readI64();
+            _key196 = iprot.readI64();
             {
-              org.apache.thrift.protocol.TMap _map138 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64); 
-              _val136 = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map138.size);
-              @org.apache.thrift.annotation.Nullable java.lang.String _key139;
-              long _val140;
-              for (int _i141 = 0; _i141 < _map138.size; ++_i141)
+              org.apache.thrift.protocol.TMap _map199 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64); 
+              _val197 = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map199.size);
+              @org.apache.thrift.annotation.Nullable java.lang.String _key200;
+              long _val201;
+              for (int _i202 = 0; _i202 < _map199.size; ++_i202)
               {
-                _key139 = iprot.readString();
-                _val140 = iprot.readI64();
-                _val136.put(_key139, _val140);
+                _key200 = iprot.readString();
+                _val201 = iprot.readI64();
+                _val197.put(_key200, _val201);
               }
             }
-            struct.sealed.put(_key135, _val136);
+            struct.sealed.put(_key196, _val197);
           }
         }
         struct.setSealedIsSet(true);
       }
+      if (incoming.get(5)) {
+        {
+          org.apache.thrift.protocol.TList _list203 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.quarantinedParts = new java.util.ArrayList<QuarantinedPartMessage>(_list203.size);
+          @org.apache.thrift.annotation.Nullable QuarantinedPartMessage _elem204;
+          for (int _i205 = 0; _i205 < _list203.size; ++_i205)
+          {
+            _elem204 = new QuarantinedPartMessage();
+            _elem204.read(iprot);
+            struct.quarantinedParts.add(_elem204);
+          }
+        }
+        struct.setQuarantinedPartsIsSet(true);
+      }
+      if (incoming.get(6)) {
+        struct.quarantineIndex = iprot.readI64();
+        struct.setQuarantineIndexIsSet(true);
+      }
     }
   }
 
--- a/wire/src/main/java/io/jacinthquay/wire/gen/ControlViewMessage.java
+++ b/wire/src/main/java/io/jacinthquay/wire/gen/ControlViewMessage.java
@@ -29,6 +29,10 @@
   private static final org.apache.thrift.protocol.TField REPLICAS_FIELD_DESC = new org.apache.thrift.protocol.TField("replicas", org.apache.thrift.protocol.TType.LIST, (short)17);
   private static final org.apache.thrift.protocol.TField RELAYS_FIELD_DESC = new org.apache.thrift.protocol.TField("relays", org.apache.thrift.protocol.TType.BOOL, (short)18);
   private static final org.apache.thrift.protocol.TField RELAY_FIELD_DESC = new org.apache.thrift.protocol.TField("relay", org.apache.thrift.protocol.TType.STRING, (short)19);
+  private static final org.apache.thrift.protocol.TField QUARANTINE_INDEX_FIELD_DESC = new org.apache.thrift.protocol.TField("quarantineIndex", org.apache.thrift.protocol.TType.I64, (short)20);
+  private static final org.apache.thrift.protocol.TField QUARANTINED_PARTS_FIELD_DESC = new org.apache.thrift.protocol.TField("quarantinedParts", org.apache.thrift.protocol.TType.LIST, (short)21);
+  private static final org.apache.thrift.protocol.TField SUSPECT_PARTS_FIELD_DESC = new org.apache.thrift.protocol.TField("suspectParts", org.apache.thrift.protocol.TType.LIST, (short)22);
+  private static final org.apache.thrift.protocol.TField TRIAL_PARTS_FIELD_DESC = new org.apache.thrift.protocol.TField("trialParts", org.apache.thrift.protocol.TType.LIST, (short)23);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new ControlViewMessageStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new ControlViewMessageTupleSchemeFactory();
@@ -52,6 +56,10 @@
   private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> replicas; // required
   private boolean relays; // required
   private @org.apache.thrift.annotation.Nullable java.lang.String relay; // optional
+  private long quarantineIndex; // required
+  private @org.apache.thrift.annotation.Nullable java.util.List<QuarantinedPartMessage> quarantinedParts; // optional
+  private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.Long> suspectParts; // required
+  private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.Long> trialParts; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -112,7 +120,20 @@
     /**
      * Address of the relay of the router's failure domain, ip:port; not set if there is none.
      */
-    RELAY((short)19, "relay");
+    RELAY((short)19, "relay"),
+    QUARANTINE_INDEX((short)20, "quarantineIndex"),
+    /**
+     * Set where the router holds another index.
+     */
+    QUARANTINED_PARTS((short)21, "quarantinedParts"),
+    /**
+     * Parts of prompts that may have crashed an upstream.
+     */
+    SUSPECT_PARTS((short)22, "suspectParts"),
+    /**
+     * Quarantined parts with each of which the router may send one request.
+     */
+    TRIAL_PARTS((short)23, "trialParts");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -166,6 +187,14 @@
           return RELAYS;
         case 19: // RELAY
           return RELAY;
+        case 20: // QUARANTINE_INDEX
+          return QUARANTINE_INDEX;
+        case 21: // QUARANTINED_PARTS
+          return QUARANTINED_PARTS;
+        case 22: // SUSPECT_PARTS
+          return SUSPECT_PARTS;
+        case 23: // TRIAL_PARTS
+          return TRIAL_PARTS;
         default:
           return null;
       }
@@ -219,8 +248,9 @@
   private static final int __READSNUMBER_ISSET_ID = 7;
   private static final int __READSTERM_ISSET_ID = 8;
   private static final int __RELAYS_ISSET_ID = 9;
+  private static final int __QUARANTINEINDEX_ISSET_ID = 10;
   private short __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.DOCUMENT,_Fields.CLOSED_DOMAINS,_Fields.UPSTREAMS,_Fields.RELAY};
+  private static final _Fields optionals[] = {_Fields.DOCUMENT,_Fields.CLOSED_DOMAINS,_Fields.UPSTREAMS,_Fields.RELAY,_Fields.QUARANTINED_PARTS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -267,11 +297,26 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
     tmpMap.put(_Fields.RELAY, new org.apache.thrift.meta_data.FieldMetaData("relay", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.QUARANTINE_INDEX, new org.apache.thrift.meta_data.FieldMetaData("quarantineIndex", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.QUARANTINED_PARTS, new org.apache.thrift.meta_data.FieldMetaData("quarantinedParts", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, QuarantinedPartMessage.class))));
+    tmpMap.put(_Fields.SUSPECT_PARTS, new org.apache.thrift.meta_data.FieldMetaData("suspectParts", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64))));
+    tmpMap.put(_Fields.TRIAL_PARTS, new org.apache.thrift.meta_data.FieldMetaData("trialParts", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ControlViewMessage.class, metaDataMap);
   }
 
   public ControlViewMessage() {
+    this.suspectParts = new java.util.ArrayList<java.lang.Long>();
+
+    this.trialParts = new java.util.ArrayList<java.lang.Long>();
+
   }
 
   public ControlViewMessage(
@@ -289,7 +334,10 @@
     long readsNumber,
     long readsTerm,
     java.util.List<java.lang.String> replicas,
-    boolean relays)
+    boolean relays,
+    long quarantineIndex,
+    java.util.List<java.lang.Long> suspectParts,
+    java.util.List<java.lang.Long> trialParts)
   {
     this();
     this.leads = leads;
@@ -317,6 +365,10 @@
     this.replicas = replicas;
     this.relays = relays;
     setRelaysIsSet(true);
+    this.quarantineIndex = quarantineIndex;
+    setQuarantineIndexIsSet(true);
+    this.suspectParts = suspectParts;
+    this.trialParts = trialParts;
   }
 
   /**
@@ -372,6 +424,22 @@
     if (other.isSetRelay()) {
       this.relay = other.relay;
     }
+    this.quarantineIndex = other.quarantineIndex;
+    if (other.isSetQuarantinedParts()) {
+      java.util.List<QuarantinedPartMessage> __this__quarantinedParts = new java.util.ArrayList<QuarantinedPartMessage>(other.quarantinedParts.size());
+      for (QuarantinedPartMessage other_element : other.quarantinedParts) {
+        __this__quarantinedParts.add(new QuarantinedPartMessage(other_element));
+      }
+      this.quarantinedParts = __this__quarantinedParts;
+    }
+    if (other.isSetSuspectParts()) {
+      java.util.List<java.lang.Long> __this__suspectParts = new java.util.ArrayList<java.lang.Long>(other.suspectParts);
+      this.suspectParts = __this__suspectParts;
+    }
+    if (other.isSetTrialParts()) {
+      java.util.List<java.lang.Long> __this__trialParts = new java.util.ArrayList<java.lang.Long>(other.trialParts);
+      this.trialParts = __this__trialParts;
+    }
   }
 
   @Override
@@ -410,6 +478,13 @@
     setRelaysIsSet(false);
     this.relays = false;
     this.relay = null;
+    setQuarantineIndexIsSet(false);
+    this.quarantineIndex = 0;
+    this.quarantinedParts = null;
+    this.suspectParts = new java.util.ArrayList<java.lang.Long>();
+
+    this.trialParts = new java.util.ArrayList<java.lang.Long>();
+
   }
 
   /**
@@ -1034,6 +1109,170 @@
     }
   }
 
+  public long getQuarantineIndex() {
+    return this.quarantineIndex;
+  }
+
+  public ControlViewMessage setQuarantineIndex(long quarantineIndex) {
+    this.quarantineIndex = quarantineIndex;
+    setQuarantineIndexIsSet(true);
+    return this;
+  }
+
+  public void unsetQuarantineIndex() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __QUARANTINEINDEX_ISSET_ID);
+  }
+
+  /** Returns true if field quarantineIndex is set (has been assigned a value) and false otherwise */
+  public boolean isSetQuarantineIndex() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __QUARANTINEINDEX_ISSET_ID);
+  }
+
+  public void setQuarantineIndexIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __QUARANTINEINDEX_ISSET_ID, value);
+  }
+
+  public int getQuarantinedPartsSize() {
+    return (this.quarantinedParts == null) ? 0 : this.quarantinedParts.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<QuarantinedPartMessage> getQuarantinedPartsIterator() {
+    return (this.quarantinedParts == null) ? null : this.quarantinedParts.iterator();
+  }
+
+  public void addToQuarantinedParts(QuarantinedPartMessage elem) {
+    if (this.quarantinedParts == null) {
+      this.quarantinedParts = new java.util.ArrayList<QuarantinedPartMessage>();
+    }
+    this.quarantinedParts.add(elem);
+  }
+
+  /**
+   * Set where the router holds another index.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<QuarantinedPartMessage> getQuarantinedParts() {
+    return this.quarantinedParts;
+  }
+
+  /**
+   * Set where the router holds another index.
+   */
+  public ControlViewMessage setQuarantinedParts(@org.apache.thrift.annotation.Nullable java.util.List<QuarantinedPartMessage> quarantinedParts) {
+    this.quarantinedParts = quarantinedParts;
+    return this;
+  }
+
+  public void unsetQuarantinedParts() {
+    this.quarantinedParts = null;
+  }
+
+  /** Returns true if field quarantinedParts is set (has been assigned a value) and false otherwise */
+  public boolean isSetQuarantinedParts() {
+    return this.quarantinedParts != null;
+  }
+
+  public void setQuarantinedPartsIsSet(boolean value) {
+    if (!value) {
+      this.quarantinedParts = null;
+    }
+  }
+
+  public int getSuspectPartsSize() {
+    return (this.suspectParts == null) ? 0 : this.suspectParts.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<java.lang.Long> getSuspectPartsIterator() {
+    return (this.suspectParts == null) ? null : this.suspectParts.iterator();
+  }
+
+  public void addToSuspectParts(long elem) {
+    if (this.suspectParts == null) {
+      this.suspectParts = new java.util.ArrayList<java.lang.Long>();
+    }
+    this.suspectParts.add(elem);
+  }
+
+  /**
+   * Parts of prompts that may have crashed an upstream.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<java.lang.Long> getSuspectParts() {
+    return this.suspectParts;
+  }
+
+  /**
+   * Parts of prompts that may have crashed an upstream.
+   */
+  public ControlViewMessage setSuspectParts(@org.apache.thrift.annotation.Nullable java.util.List<java.lang.Long> suspectParts) {
+    this.suspectParts = suspectParts;
+    return this;
+  }
+
+  public void unsetSuspectParts() {
+    this.suspectParts = null;
+  }
+
+  /** Returns true if field suspectParts is set (has been assigned a value) and false otherwise */
+  public boolean isSetSuspectParts() {
+    return this.suspectParts != null;
+  }
+
+  public void setSuspectPartsIsSet(boolean value) {
+    if (!value) {
+      this.suspectParts = null;
+    }
+  }
+
+  public int getTrialPartsSize() {
+    return (this.trialParts == null) ? 0 : this.trialParts.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<java.lang.Long> getTrialPartsIterator() {
+    return (this.trialParts == null) ? null : this.trialParts.iterator();
+  }
+
+  public void addToTrialParts(long elem) {
+    if (this.trialParts == null) {
+      this.trialParts = new java.util.ArrayList<java.lang.Long>();
+    }
+    this.trialParts.add(elem);
+  }
+
+  /**
+   * Quarantined parts with each of which the router may send one request.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<java.lang.Long> getTrialParts() {
+    return this.trialParts;
+  }
+
+  /**
+   * Quarantined parts with each of which the router may send one request.
+   */
+  public ControlViewMessage setTrialParts(@org.apache.thrift.annotation.Nullable java.util.List<java.lang.Long> trialParts) {
+    this.trialParts = trialParts;
+    return this;
+  }
+
+  public void unsetTrialParts() {
+    this.trialParts = null;
+  }
+
+  /** Returns true if field trialParts is set (has been assigned a value) and false otherwise */
+  public boolean isSetTrialParts() {
+    return this.trialParts != null;
+  }
+
+  public void setTrialPartsIsSet(boolean value) {
+    if (!value) {
+      this.trialParts = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -1193,6 +1432,38 @@
       }
       break;
 
+    case QUARANTINE_INDEX:
+      if (value == null) {
+        unsetQuarantineIndex();
+      } else {
+        setQuarantineIndex((java.lang.Long)value);
+      }
+      break;
+
+    case QUARANTINED_PARTS:
+      if (value == null) {
+        unsetQuarantinedParts();
+      } else {
+        setQuarantinedParts((java.util.List<QuarantinedPartMessage>)value);
+      }
+      break;
+
+    case SUSPECT_PARTS:
+      if (value == null) {
+        unsetSuspectParts();
+      } else {
+        setSuspectParts((java.util.List<java.lang.Long>)value);
+      }
+      break;
+
+    case TRIAL_PARTS:
+      if (value == null) {
+        unsetTrialParts();
+      } else {
+        setTrialParts((java.util.List<java.lang.Long>)value);
+      }
+      break;
+
     }
   }
 
@@ -1257,6 +1528,18 @@
     case RELAY:
       return getRelay();
 
+    case QUARANTINE_INDEX:
+      return getQuarantineIndex();
+
+    case QUARANTINED_PARTS:
+      return getQuarantinedParts();
+
+    case SUSPECT_PARTS:
+      return getSuspectParts();
+
+    case TRIAL_PARTS:
+      return getTrialParts();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -1307,6 +1590,14 @@
       return isSetRelays();
     case RELAY:
       return isSetRelay();
+    case QUARANTINE_INDEX:
+      return isSetQuarantineIndex();
+    case QUARANTINED_PARTS:
+      return isSetQuarantinedParts();
+    case SUSPECT_PARTS:
+      return isSetSuspectParts();
+    case TRIAL_PARTS:
+      return isSetTrialParts();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -1495,6 +1786,42 @@
         return false;
     }
 
+    boolean this_present_quarantineIndex = true;
+    boolean that_present_quarantineIndex = true;
+    if (this_present_quarantineIndex || that_present_quarantineIndex) {
+      if (!(this_present_quarantineIndex && that_present_quarantineIndex))
+        return false;
+      if (this.quarantineIndex != that.quarantineIndex)
+        return false;
+    }
+
+    boolean this_present_quarantinedParts = true && this.isSetQuarantinedParts();
+    boolean that_present_quarantinedParts = true && that.isSetQuarantinedParts();
+    if (this_present_quarantinedParts || that_present_quarantinedParts) {
+      if (!(this_present_quarantinedParts && that_present_quarantinedParts))
+        return false;
+      if (!this.quarantinedParts.equals(that.quarantinedParts))
+        return false;
+    }
+
+    boolean this_present_suspectParts = true && this.isSetSuspectParts();
+    boolean that_present_suspectParts = true && that.isSetSuspectParts();
+    if (this_present_suspectParts || that_present_suspectParts) {
+      if (!(this_present_suspectParts && that_present_suspectParts))
+        return false;
+      if (!this.suspectParts.equals(that.suspectParts))
+        return false;
+    }
+
+    boolean this_present_trialParts = true && this.isSetTrialParts();
+    boolean that_present_trialParts = true && that.isSetTrialParts();
+    if (this_present_trialParts || that_present_trialParts) {
+      if (!(this_present_trialParts && that_present_trialParts))
+        return false;
+      if (!this.trialParts.equals(that.trialParts))
+        return false;
+    }
+
     return true;
   }
 
@@ -1558,6 +1885,20 @@
     if (isSetRelay())
       hashCode = hashCode * 8191 + relay.hashCode();
 
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(quarantineIndex);
+
+    hashCode = hashCode * 8191 + ((isSetQuarantinedParts()) ? 131071 : 524287);
+    if (isSetQuarantinedParts())
+      hashCode = hashCode * 8191 + quarantinedParts.hashCode();
+
+    hashCode = hashCode * 8191 + ((isSetSuspectParts()) ? 131071 : 524287);
+    if (isSetSuspectParts())
+      hashCode = hashCode * 8191 + suspectParts.hashCode();
+
+    hashCode = hashCode * 8191 + ((isSetTrialParts()) ? 131071 : 524287);
+    if (isSetTrialParts())
+      hashCode = hashCode * 8191 + trialParts.hashCode();
+
     return hashCode;
   }
 
@@ -1759,6 +2100,46 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetQuarantineIndex(), other.isSetQuarantineIndex());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetQuarantineIndex()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.quarantineIndex, other.quarantineIndex);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetQuarantinedParts(), other.isSetQuarantinedParts());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetQuarantinedParts()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.quarantinedParts, other.quarantinedParts);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetSuspectParts(), other.isSetSuspectParts());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetSuspectParts()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.suspectParts, other.suspectParts);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetTrialParts(), other.isSetTrialParts());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetTrialParts()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.trialParts, other.trialParts);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -1902,6 +2283,36 @@
       }
       first = false;
     }
+    if (!first) sb.append(", ");
+    sb.append("quarantineIndex:");
+    sb.append(this.quarantineIndex);
+    first = false;
+    if (isSetQuarantinedParts()) {
+      if (!first) sb.append(", ");
+      sb.append("quarantinedParts:");
+      if (this.quarantinedParts == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.quarantinedParts);
+      }
+      first = false;
+    }
+    if (!first) sb.append(", ");
+    sb.append("suspectParts:");
+    if (this.suspectParts == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.suspectParts);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("trialParts:");
+    if (this.trialParts == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.trialParts);
+    }
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -1971,13 +2382,13 @@
           case 3: // MEMBERS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list56 = iprot.readListBegin();
-                struct.members = new java.util.ArrayList<java.lang.String>(_list56.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem57;
-                for (int _i58 = 0; _i58 < _list56.size; ++_i58)
+                org.apache.thrift.protocol.TList _list88 = iprot.readListBegin();
+                struct.members = new java.util.ArrayList<java.lang.String>(_list88.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem89;
+                for (int _i90 = 0; _i90 < _list88.size; ++_i90)
                 {
-                  _elem57 = iprot.readString();
-                  struct.members.add(_elem57);
+                  _elem89 = iprot.readString();
+                  struct.members.add(_elem89);
                 }
                 iprot.readListEnd();
               }
@@ -2013,13 +2424,13 @@
           case 7: // CLOSED_DOMAINS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list59 = iprot.readListBegin();
-                struct.closedDomains = new java.util.ArrayList<java.lang.String>(_list59.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem60;
-                for (int _i61 = 0; _i61 < _list59.size; ++_i61)
+                org.apache.thrift.protocol.TList _list91 = iprot.readListBegin();
+                struct.closedDomains = new java.util.ArrayList<java.lang.String>(_list91.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem92;
+                for (int _i93 = 0; _i93 < _list91.size; ++_i93)
                 {
-                  _elem60 = iprot.readString();
-                  struct.closedDomains.add(_elem60);
+                  _elem92 = iprot.readString();
+                  struct.closedDomains.add(_elem92);
                 }
                 iprot.readListEnd();
               }
@@ -2056,14 +2467,14 @@
           case 11: // OTHER_LOADS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list62 = iprot.readListBegin();
-                struct.otherLoads = new java.util.ArrayList<UpstreamLoadMessage>(_list62.size);
-                @org.apache.thrift.annotation.Nullable UpstreamLoadMessage _elem63;
-                for (int _i64 = 0; _i64 < _list62.size; ++_i64)
+                org.apache.thrift.protocol.TList _list94 = iprot.readListBegin();
+                struct.otherLoads = new java.util.ArrayList<UpstreamLoadMessage>(_list94.size);
+                @org.apache.thrift.annotation.Nullable UpstreamLoadMessage _elem95;
+                for (int _i96 = 0; _i96 < _list94.size; ++_i96)
                 {
-                  _elem63 = new UpstreamLoadMessage();
-                  _elem63.read(iprot);
-                  struct.otherLoads.add(_elem63);
+                  _elem95 = new UpstreamLoadMessage();
+                  _elem95.read(iprot);
+                  struct.otherLoads.add(_elem95);
                 }
                 iprot.readListEnd();
               }
@@ -2091,14 +2502,14 @@
           case 14: // READS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list65 = iprot.readListBegin();
-                struct.reads = new java.util.ArrayList<PrefixReadMessage>(_list65.size);
-                @org.apache.thrift.annotation.Nullable PrefixReadMessage _elem66;
-                for (int _i67 = 0; _i67 < _list65.size; ++_i67)
+                org.apache.thrift.protocol.TList _list97 = iprot.readListBegin();
+                struct.reads = new java.util.ArrayList<PrefixReadMessage>(_list97.size);
+                @org.apache.thrift.annotation.Nullable PrefixReadMessage _elem98;
+                for (int _i99 = 0; _i99 < _list97.size; ++_i99)
                 {
-                  _elem66 = new PrefixReadMessage();
-                  _elem66.read(iprot);
-                  struct.reads.add(_elem66);
+                  _elem98 = new PrefixReadMessage();
+                  _elem98.read(iprot);
+                  struct.reads.add(_elem98);
                 }
                 iprot.readListEnd();
               }
@@ -2126,13 +2537,13 @@
           case 17: // REPLICAS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list68 = iprot.readListBegin();
-                struct.replicas = new java.util.ArrayList<java.lang.String>(_list68.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem69;
-                for (int _i70 = 0; _i70 < _list68.size; ++_i70)
+                org.apache.thrift.protocol.TList _list100 = iprot.readListBegin();
+                struct.replicas = new java.util.ArrayList<java.lang.String>(_list100.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem101;
+                for (int _i102 = 0; _i102 < _list100.size; ++_i102)
                 {
-                  _elem69 = iprot.readString();
-                  struct.replicas.add(_elem69);
+                  _elem101 = iprot.readString();
+                  struct.replicas.add(_elem101);
                 }
                 iprot.readListEnd();
               }
@@ -2157,6 +2568,69 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 20: // QUARANTINE_INDEX
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.quarantineIndex = iprot.readI64();
+              struct.setQuarantineIndexIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 21: // QUARANTINED_PARTS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list103 = iprot.readListBegin();
+                struct.quarantinedParts = new java.util.ArrayList<QuarantinedPartMessage>(_list103.size);
+                @org.apache.thrift.annotation.Nullable QuarantinedPartMessage _elem104;
+                for (int _i105 = 0; _i105 < _list103.size; ++_i105)
+                {
+                  _elem104 = new QuarantinedPartMessage();
+                  _elem104.read(iprot);
+                  struct.quarantinedParts.add(_elem104);
+                }
+                iprot.readListEnd();
+              }
+              struct.setQuarantinedPartsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 22: // SUSPECT_PARTS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list106 = iprot.readListBegin();
+                struct.suspectParts = new java.util.ArrayList<java.lang.Long>(_list106.size);
+                long _elem107;
+                for (int _i108 = 0; _i108 < _list106.size; ++_i108)
+                {
+                  _elem107 = iprot.readI64();
+                  struct.suspectParts.add(_elem107);
+                }
+                iprot.readListEnd();
+              }
+              struct.setSuspectPartsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 23: // TRIAL_PARTS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list109 = iprot.readListBegin();
+                struct.trialParts = new java.util.ArrayList<java.lang.Long>(_list109.size);
+                long _elem110;
+                for (int _i111 = 0; _i111 < _list109.size; ++_i111)
+                {
+                  _elem110 = iprot.readI64();
+                  struct.trialParts.add(_elem110);
+                }
+                iprot.readListEnd();
+              }
+              struct.setTrialPartsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -2185,9 +2659,9 @@
         oprot.writeFieldBegin(MEMBERS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.members.size()));
-          for (java.lang.String _iter71 : struct.members)
+          for (java.lang.String _iter112 : struct.members)
           {
-            oprot.writeString(_iter71);
+            oprot.writeString(_iter112);
           }
           oprot.writeListEnd();
         }
@@ -2211,9 +2685,9 @@
           oprot.writeFieldBegin(CLOSED_DOMAINS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.closedDomains.size()));
-            for (java.lang.String _iter72 : struct.closedDomains)
+            for (java.lang.String _iter113 : struct.closedDomains)
             {
-              oprot.writeString(_iter72);
+              oprot.writeString(_iter113);
             }
             oprot.writeListEnd();
           }
@@ -2237,9 +2711,9 @@
         oprot.writeFieldBegin(OTHER_LOADS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.otherLoads.size()));
-          for (UpstreamLoadMessage _iter73 : struct.otherLoads)
+          for (UpstreamLoadMessage _iter114 : struct.otherLoads)
           {
-            _iter73.write(oprot);
+            _iter114.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -2255,9 +2729,9 @@
         oprot.writeFieldBegin(READS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.reads.size()));
-          for (PrefixReadMessage _iter74 : struct.reads)
+          for (PrefixReadMessage _iter115 : struct.reads)
           {
-            _iter74.write(oprot);
+            _iter115.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -2273,9 +2747,9 @@
         oprot.writeFieldBegin(REPLICAS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.replicas.size()));
-          for (java.lang.String _iter75 : struct.replicas)
+          for (java.lang.String _iter116 : struct.replicas)
           {
-            oprot.writeString(_iter75);
+            oprot.writeString(_iter116);
           }
           oprot.writeListEnd();
         }
@@ -2291,6 +2765,47 @@
           oprot.writeFieldEnd();
         }
       }
+      oprot.writeFieldBegin(QUARANTINE_INDEX_FIELD_DESC);
+      oprot.writeI64(struct.quarantineIndex);
+      oprot.writeFieldEnd();
+      if (struct.quarantinedParts != null) {
+        if (struct.isSetQuarantinedParts()) {
+          oprot.writeFieldBegin(QUARANTINED_PARTS_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.quarantinedParts.size()));
+            for (QuarantinedPartMessage _iter117 : struct.quarantinedParts)
+            {
+              _iter117.write(oprot);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
+      if (struct.suspectParts != null) {
+        oprot.writeFieldBegin(SUSPECT_PARTS_FIELD_DESC);
+        {
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.I64, struct.suspectParts.size()));
+          for (long _iter118 : struct.suspectParts)
+          {
+            oprot.writeI64(_iter118);
+          }
+          oprot.writeListEnd();
+        }
+        oprot.writeFieldEnd();
+      }
+      if (struct.trialParts != null) {
+        oprot.writeFieldBegin(TRIAL_PARTS_FIELD_DESC);
+        {
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.I64, struct.trialParts.size()));
+          for (long _iter119 : struct.trialParts)
+          {
+            oprot.writeI64(_iter119);
+          }
+          oprot.writeListEnd();
+        }
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -2367,7 +2882,19 @@
       if (struct.isSetRelay()) {
         optionals.set(18);
       }
-      oprot.writeBitSet(optionals, 19);
+      if (struct.isSetQuarantineIndex()) {
+        optionals.set(19);
+      }
+      if (struct.isSetQuarantinedParts()) {
+        optionals.set(20);
+      }
+      if (struct.isSetSuspectParts()) {
+        optionals.set(21);
+      }
+      if (struct.isSetTrialParts()) {
+        optionals.set(22);
+      }
+      oprot.writeBitSet(optionals, 23);
       if (struct.isSetLeads()) {
         oprot.writeBool(struct.leads);
       }
@@ -2377,9 +2904,9 @@
       if (struct.isSetMembers()) {
         {
           oprot.writeI32(struct.members.size());
-          for (java.lang.String _iter76 : struct.members)
+          for (java.lang.String _iter120 : struct.members)
           {
-            oprot.writeString(_iter76);
+            oprot.writeString(_iter120);
           }
         }
       }
@@ -2395,9 +2922,9 @@
       if (struct.isSetClosedDomains()) {
         {
           oprot.writeI32(struct.closedDomains.size());
-          for (java.lang.String _iter77 : struct.closedDomains)
+          for (java.lang.String _iter121 : struct.closedDomains)
           {
-            oprot.writeString(_iter77);
+            oprot.writeString(_iter121);
           }
         }
       }
@@ -2413,9 +2940,9 @@
       if (struct.isSetOtherLoads()) {
         {
           oprot.writeI32(struct.otherLoads.size());
-          for (UpstreamLoadMessage _iter78 : struct.otherLoads)
+          for (UpstreamLoadMessage _iter122 : struct.otherLoads)
           {
-            _iter78.write(oprot);
+            _iter122.write(oprot);
           }
         }
       }
@@ -2428,9 +2955,9 @@
       if (struct.isSetReads()) {
         {
           oprot.writeI32(struct.reads.size());
-          for (PrefixReadMessage _iter79 : struct.reads)
+          for (PrefixReadMessage _iter123 : struct.reads)
           {
-            _iter79.write(oprot);
+            _iter123.write(oprot);
           }
         }
       }
@@ -2443,9 +2970,9 @@
       if (struct.isSetReplicas()) {
         {
           oprot.writeI32(struct.replicas.size());
-          for (java.lang.String _iter80 : struct.replicas)
+          for (java.lang.String _iter124 : struct.replicas)
           {
-            oprot.writeString(_iter80);
+            oprot.writeString(_iter124);
           }
         }
       }
@@ -2455,12 +2982,42 @@
       if (struct.isSetRelay()) {
         oprot.writeString(struct.relay);
       }
+      if (struct.isSetQuarantineIndex()) {
+        oprot.writeI64(struct.quarantineIndex);
+      }
+      if (struct.isSetQuarantinedParts()) {
+        {
+          oprot.writeI32(struct.quarantinedParts.size());
+          for (QuarantinedPartMessage _iter125 : struct.quarantinedParts)
+          {
+            _iter125.write(oprot);
+          }
+        }
+      }
+      if (struct.isSetSuspectParts()) {
+        {
+          oprot.writeI32(struct.suspectParts.size());
+          for (long _iter126 : struct.suspectParts)
+          {
+            oprot.writeI64(_iter126);
+          }
+        }
+      }
+      if (struct.isSetTrialParts()) {
+        {
+          oprot.writeI32(struct.trialParts.size());
+          for (long _iter127 : struct.trialParts)
+          {
+            oprot.writeI64(_iter127);
+          }
+        }
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, ControlViewMessage struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(19);
+      java.util.BitSet incoming = iprot.readBitSet(23);
       if (incoming.get(0)) {
         struct.leads = iprot.readBool();
         struct.setLeadsIsSet(true);
@@ -2471,13 +3028,13 @@
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list81 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.members = new java.util.ArrayList<java.lang.String>(_list81.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem82;
-          for (int _i83 = 0; _i83 < _list81.size; ++_i83)
+          org.apache.thrift.protocol.TList _list128 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.members = new java.util.ArrayList<java.lang.String>(_list128.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem129;
+          for (int _i130 = 0; _i130 < _list128.size; ++_i130)
           {
-            _elem82 = iprot.readString();
-            struct.members.add(_elem82);
+            _elem129 = iprot.readString();
+            struct.members.add(_elem129);
           }
         }
         struct.setMembersIsSet(true);
@@ -2496,13 +3053,13 @@
       }
       if (incoming.get(6)) {
         {
-          org.apache.thrift.protocol.TList _list84 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.closedDomains = new java.util.ArrayList<java.lang.String>(_list84.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem85;
-          for (int _i86 = 0; _i86 < _list84.size; ++_i86)
+          org.apache.thrift.protocol.TList _list131 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.closedDomains = new java.util.ArrayList<java.lang.String>(_list131.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem132;
+          for (int _i133 = 0; _i133 < _list131.size; ++_i133)
           {
-            _elem85 = iprot.readString();
-            struct.closedDomains.add(_elem85);
+            _elem132 = iprot.readString();
+            struct.closedDomains.add(_elem132);
           }
         }
         struct.setClosedDomainsIsSet(true);
@@ -2522,14 +3079,14 @@
       }
       if (incoming.get(10)) {
         {
-          org.apache.thrift.protocol.TList _list87 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.otherLoads = new java.util.ArrayList<UpstreamLoadMessage>(_list87.size);
-          @org.apache.thrift.annotation.Nullable UpstreamLoadMessage _elem88;
-          for (int _i89 = 0; _i89 < _list87.size; ++_i89)
+          org.apache.thrift.protocol.TList _list134 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.otherLoads = new java.util.ArrayList<UpstreamLoadMessage>(_list134.size);
+          @org.apache.thrift.annotation.Nullable UpstreamLoadMessage _elem135;
+          for (int _i136 = 0; _i136 < _list134.size; ++_i136)
           {
-            _elem88 = new UpstreamLoadMessage();
-            _elem88.read(iprot);
-            struct.otherLoads.add(_elem88);
+            _elem135 = new UpstreamLoadMessage();
+            _elem135.read(iprot);
+            struct.otherLoads.add(_elem135);
           }
         }
         struct.setOtherLoadsIsSet(true);
@@ -2544,14 +3101,14 @@
       }
       if (incoming.get(13)) {
         {
-          org.apache.thrift.protocol.TList _list90 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.reads = new java.util.ArrayList<PrefixReadMessage>(_list90.size);
-          @org.apache.thrift.annotation.Nullable PrefixReadMessage _elem91;
-          for (int _i92 = 0; _i92 < _list90.size; ++_i92)
+          org.apache.thrift.protocol.TList _list137 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.reads = new java.util.ArrayList<PrefixReadMessage>(_list137.size);
+          @org.apache.thrift.annotation.Nullable PrefixReadMessage _elem138;
+          for (int _i139 = 0; _i139 < _list137.size; ++_i139)
           {
-            _elem91 = new PrefixReadMessage();
-            _elem91.read(iprot);
-            struct.reads.add(_elem91);
+            _elem138 = new PrefixReadMessage();
+            _elem138.read(iprot);
+            struct.reads.add(_elem138);
           }
         }
         struct.setReadsIsSet(true);
@@ -2566,13 +3123,13 @@
       }
       if (incoming.get(16)) {
         {
-          org.apache.thrift.protocol.TList _list93 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.replicas = new java.util.ArrayList<java.lang.String>(_list93.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem94;
-          for (int _i95 = 0; _i95 < _list93.size; ++_i95)
+          org.apache.thrift.protocol.TList _list140 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.replicas = new java.util.ArrayList<java.lang.String>(_list140.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem141;
+          for (int _i142 = 0; _i142 < _list140.size; ++_i142)
           {
-            _elem94 = iprot.readString();
-            struct.replicas.add(_elem94);
+            _elem141 = iprot.readString();
+            struct.replicas.add(_elem141);
           }
         }
         struct.setReplicasIsSet(true);
@@ -2585,6 +3142,50 @@
         struct.relay = iprot.readString();
         struct.setRelayIsSet(true);
       }
+      if (incoming.get(19)) {
+        struct.quarantineIndex = iprot.readI64();
+        struct.setQuarantineIndexIsSet(true);
+      }
+      if (incoming.get(20)) {
+        {
+          org.apache.thrift.protocol.TList _list143 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.quarantinedParts = new java.util.ArrayList<QuarantinedPartMessage>(_list143.size);
+          @org.apache.thrift.annotation.Nullable QuarantinedPartMessage _elem144;
+          for (int _i145 = 0; _i145 < _list143.size; ++_i145)
+          {
+            _elem144 = new QuarantinedPartMessage();
+            _elem144.read(iprot);
+            struct.quarantinedParts.add(_elem144);
+          }
+        }
+        struct.setQuarantinedPartsIsSet(true);
+      }
+      if (incoming.get(21)) {
+        {
+          org.apache.thrift.protocol.TList _list146 = iprot.readListBegin(org.apache.thrift.protocol.TType.I64);
+          struct.suspectParts = new java.util.ArrayList<java.lang.Long>(_list146.size);
+          long _elem147;
+          for (int _i148 = 0; _i148 < _list146.size; ++_i148)
+          {
+            _elem147 = iprot.readI64();
+            struct.suspectParts.add(_elem147);
+          }
+        }
+        struct.setSuspectPartsIsSet(true);
+      }
+      if (incoming.get(22)) {
+        {
+          org.apache.thrift.protocol.TList _list149 = iprot.readListBegin(org.apache.thrift.protocol.TType.I64);
+          struct.trialParts = new java.util.ArrayList<java.lang.Long>(_list149.size);
+          long _elem150;
+          for (int _i151 = 0; _i151 < _list149.size; ++_i151)
+          {
+            _elem150 = iprot.readI64();
+            struct.trialParts.add(_elem150);
+          }
+        }
+        struct.setTrialPartsIsSet(true);
+      }
     }
   }
 
--- a/wire/src/main/java/io/jacinthquay/wire/gen/ListedUpstreamsMessage.java
+++ b/wire/src/main/java/io/jacinthquay/wire/gen/ListedUpstreamsMessage.java
@@ -336,14 +336,14 @@
           case 1: // UPSTREAMS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list48 = iprot.readListBegin();
-                struct.upstreams = new java.util.ArrayList<ListedUpstreamMessage>(_list48.size);
-                @org.apache.thrift.annotation.Nullable ListedUpstreamMessage _elem49;
-                for (int _i50 = 0; _i50 < _list48.size; ++_i50)
+                org.apache.thrift.protocol.TList _list80 = iprot.readListBegin();
+                struct.upstreams = new java.util.ArrayList<ListedUpstreamMessage>(_list80.size);
+                @org.apache.thrift.annotation.Nullable ListedUpstreamMessage _elem81;
+                for (int _i82 = 0; _i82 < _list80.size; ++_i82)
                 {
-                  _elem49 = new ListedUpstreamMessage();
-                  _elem49.read(iprot);
-                  struct.upstreams.add(_elem49);
+                  _elem81 = new ListedUpstreamMessage();
+                  _elem81.read(iprot);
+                  struct.upstreams.add(_elem81);
                 }
                 iprot.readListEnd();
               }
@@ -372,9 +372,9 @@
         oprot.writeFieldBegin(UPSTREAMS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.upstreams.size()));
-          for (ListedUpstreamMessage _iter51 : struct.upstreams)
+          for (ListedUpstreamMessage _iter83 : struct.upstreams)
           {
-            _iter51.write(oprot);
+            _iter83.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -406,9 +406,9 @@
       if (struct.isSetUpstreams()) {
         {
           oprot.writeI32(struct.upstreams.size());
-          for (ListedUpstreamMessage _iter52 : struct.upstreams)
+          for (ListedUpstreamMessage _iter84 : struct.upstreams)
           {
-            _iter52.write(oprot);
+            _iter84.write(oprot);
           }
         }
       }
@@ -420,14 +420,14 @@
       java.util.BitSet incoming = iprot.readBitSet(1);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list53 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.upstreams = new java.util.ArrayList<ListedUpstreamMessage>(_list53.size);
-          @org.apache.thrift.annotation.Nullable ListedUpstreamMessage _elem54;
-          for (int _i55 = 0; _i55 < _list53.size; ++_i55)
+          org.apache.thrift.protocol.TList _list85 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.upstreams = new java.util.ArrayList<ListedUpstreamMessage>(_list85.size);
+          @org.apache.thrift.annotation.Nullable ListedUpstreamMessage _elem86;
+          for (int _i87 = 0; _i87 < _list85.size; ++_i87)
           {
-            _elem54 = new ListedUpstreamMessage();
-            _elem54.read(iprot);
-            struct.upstreams.add(_elem54);
+            _elem86 = new ListedUpstreamMessage();
+            _elem86.read(iprot);
+            struct.upstreams.add(_elem86);
           }
         }
         struct.setUpstreamsIsSet(true);
--- a/wire/src/main/java/io/jacinthquay/wire/gen/RelayReportMessage.java
+++ b/wire/src/main/java/io/jacinthquay/wire/gen/RelayReportMessage.java
@@ -802,14 +802,14 @@
           case 3: // REPORTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list96 = iprot.readListBegin();
-                struct.reports = new java.util.ArrayList<RouterReportMessage>(_list96.size);
-                @org.apache.thrift.annotation.Nullable RouterReportMessage _elem97;
-                for (int _i98 = 0; _i98 < _list96.size; ++_i98)
+                org.apache.thrift.protocol.TList _list152 = iprot.readListBegin();
+                struct.reports = new java.util.ArrayList<RouterReportMessage>(_list152.size);
+                @org.apache.thrift.annotation.Nullable RouterReportMessage _elem153;
+                for (int _i154 = 0; _i154 < _list152.size; ++_i154)
                 {
-                  _elem97 = new RouterReportMessage();
-                  _elem97.read(iprot);
-                  struct.reports.add(_elem97);
+                  _elem153 = new RouterReportMessage();
+                  _elem153.read(iprot);
+                  struct.reports.add(_elem153);
                 }
                 iprot.readListEnd();
               }
@@ -872,9 +872,9 @@
         oprot.writeFieldBegin(REPORTS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.reports.size()));
-          for (RouterReportMessage _iter99 : struct.reports)
+          for (RouterReportMessage _iter155 : struct.reports)
           {
-            _iter99.write(oprot);
+            _iter155.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -936,9 +936,9 @@
       if (struct.isSetReports()) {
         {
           oprot.writeI32(struct.reports.size());
-          for (RouterReportMessage _iter100 : struct.reports)
+          for (RouterReportMessage _iter156 : struct.reports)
           {
-            _iter100.write(oprot);
+            _iter156.write(oprot);
           }
         }
       }
@@ -967,14 +967,14 @@
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list101 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.reports = new java.util.ArrayList<RouterReportMessage>(_list101.size);
-          @org.apache.thrift.annotation.Nullable RouterReportMessage _elem102;
-          for (int _i103 = 0; _i103 < _list101.size; ++_i103)
+          org.apache.thrift.protocol.TList _list157 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.reports = new java.util.ArrayList<RouterReportMessage>(_list157.size);
+          @org.apache.thrift.annotation.Nullable RouterReportMessage _elem158;
+          for (int _i159 = 0; _i159 < _list157.size; ++_i159)
           {
-            _elem102 = new RouterReportMessage();
-            _elem102.read(iprot);
-            struct.reports.add(_elem102);
+            _elem158 = new RouterReportMessage();
+            _elem158.read(iprot);
+            struct.reports.add(_elem158);
           }
         }
         struct.setReportsIsSet(true);
--- a/wire/src/main/java/io/jacinthquay/wire/gen/RouterReportMessage.java
+++ b/wire/src/main/java/io/jacinthquay/wire/gen/RouterReportMessage.java
@@ -24,6 +24,10 @@
   private static final org.apache.thrift.protocol.TField READS_FIELD_DESC = new org.apache.thrift.protocol.TField("reads", org.apache.thrift.protocol.TType.LIST, (short)12);
   private static final org.apache.thrift.protocol.TField READS_SEEN_FIELD_DESC = new org.apache.thrift.protocol.TField("readsSeen", org.apache.thrift.protocol.TType.I64, (short)13);
   private static final org.apache.thrift.protocol.TField READS_TERM_FIELD_DESC = new org.apache.thrift.protocol.TField("readsTerm", org.apache.thrift.protocol.TType.I64, (short)14);
+  private static final org.apache.thrift.protocol.TField BROKEN_SENDS_FIELD_DESC = new org.apache.thrift.protocol.TField("brokenSends", org.apache.thrift.protocol.TType.LIST, (short)15);
+  private static final org.apache.thrift.protocol.TField ESTABLISHED_PARTS_FIELD_DESC = new org.apache.thrift.protocol.TField("establishedParts", org.apache.thrift.protocol.TType.LIST, (short)16);
+  private static final org.apache.thrift.protocol.TField REJECTED_PARTS_FIELD_DESC = new org.apache.thrift.protocol.TField("rejectedParts", org.apache.thrift.protocol.TType.LIST, (short)17);
+  private static final org.apache.thrift.protocol.TField QUARANTINE_INDEX_FIELD_DESC = new org.apache.thrift.protocol.TField("quarantineIndex", org.apache.thrift.protocol.TType.I64, (short)18);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new RouterReportMessageStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new RouterReportMessageTupleSchemeFactory();
@@ -42,6 +46,10 @@
   private @org.apache.thrift.annotation.Nullable java.util.List<PrefixReadMessage> reads; // required
   private long readsSeen; // required
   private long readsTerm; // required
+  private @org.apache.thrift.annotation.Nullable java.util.List<BrokenSendMessage> brokenSends; // required
+  private @org.apache.thrift.annotation.Nullable java.util.List<EstablishedPartMessage> establishedParts; // required
+  private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.Long> rejectedParts; // required
+  private long quarantineIndex; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -85,7 +93,20 @@
     /**
      * Term of the leader that numbered it.
      */
-    READS_TERM((short)14, "readsTerm");
+    READS_TERM((short)14, "readsTerm"),
+    BROKEN_SENDS((short)15, "brokenSends"),
+    /**
+     * Answers on parts that are suspects or quarantined.
+     */
+    ESTABLISHED_PARTS((short)16, "establishedParts"),
+    /**
+     * Quarantined parts with which requests were rejected since the last report.
+     */
+    REJECTED_PARTS((short)17, "rejectedParts"),
+    /**
+     * Log index of the quarantined parts in force; -1 for none.
+     */
+    QUARANTINE_INDEX((short)18, "quarantineIndex");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -129,6 +150,14 @@
           return READS_SEEN;
         case 14: // READS_TERM
           return READS_TERM;
+        case 15: // BROKEN_SENDS
+          return BROKEN_SENDS;
+        case 16: // ESTABLISHED_PARTS
+          return ESTABLISHED_PARTS;
+        case 17: // REJECTED_PARTS
+          return REJECTED_PARTS;
+        case 18: // QUARANTINE_INDEX
+          return QUARANTINE_INDEX;
         default:
           return null;
       }
@@ -180,7 +209,8 @@
   private static final int __LEAVING_ISSET_ID = 5;
   private static final int __READSSEEN_ISSET_ID = 6;
   private static final int __READSTERM_ISSET_ID = 7;
-  private byte __isset_bitfield = 0;
+  private static final int __QUARANTINEINDEX_ISSET_ID = 8;
+  private short __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -216,11 +246,30 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.READS_TERM, new org.apache.thrift.meta_data.FieldMetaData("readsTerm", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.BROKEN_SENDS, new org.apache.thrift.meta_data.FieldMetaData("brokenSends", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, BrokenSendMessage.class))));
+    tmpMap.put(_Fields.ESTABLISHED_PARTS, new org.apache.thrift.meta_data.FieldMetaData("establishedParts", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, EstablishedPartMessage.class))));
+    tmpMap.put(_Fields.REJECTED_PARTS, new org.apache.thrift.meta_data.FieldMetaData("rejectedParts", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64))));
+    tmpMap.put(_Fields.QUARANTINE_INDEX, new org.apache.thrift.meta_data.FieldMetaData("quarantineIndex", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(RouterReportMessage.class, metaDataMap);
   }
 
   public RouterReportMessage() {
+    this.brokenSends = new java.util.ArrayList<BrokenSendMessage>();
+
+    this.establishedParts = new java.util.ArrayList<EstablishedPartMessage>();
+
+    this.rejectedParts = new java.util.ArrayList<java.lang.Long>();
+
+    this.quarantineIndex = -1L;
+
   }
 
   public RouterReportMessage(
@@ -237,7 +286,11 @@
     boolean leaving,
     java.util.List<PrefixReadMessage> reads,
     long readsSeen,
-    long readsTerm)
+    long readsTerm,
+    java.util.List<BrokenSendMessage> brokenSends,
+    java.util.List<EstablishedPartMessage> establishedParts,
+    java.util.List<java.lang.Long> rejectedParts,
+    long quarantineIndex)
   {
     this();
     this.router = router;
@@ -262,6 +315,11 @@
     setReadsSeenIsSet(true);
     this.readsTerm = readsTerm;
     setReadsTermIsSet(true);
+    this.brokenSends = brokenSends;
+    this.establishedParts = establishedParts;
+    this.rejectedParts = rejectedParts;
+    this.quarantineIndex = quarantineIndex;
+    setQuarantineIndexIsSet(true);
   }
 
   /**
@@ -311,6 +369,25 @@
     }
     this.readsSeen = other.readsSeen;
     this.readsTerm = other.readsTerm;
+    if (other.isSetBrokenSends()) {
+      java.util.List<BrokenSendMessage> __this__brokenSends = new java.util.ArrayList<BrokenSendMessage>(other.brokenSends.size());
+      for (BrokenSendMessage other_element : other.brokenSends) {
+        __this__brokenSends.add(new BrokenSendMessage(other_element));
+      }
+      this.brokenSends = __this__brokenSends;
+    }
+    if (other.isSetEstablishedParts()) {
+      java.util.List<EstablishedPartMessage> __this__establishedParts = new java.util.ArrayList<EstablishedPartMessage>(other.establishedParts.size());
+      for (EstablishedPartMessage other_element : other.establishedParts) {
+        __this__establishedParts.add(new EstablishedPartMessage(other_element));
+      }
+      this.establishedParts = __this__establishedParts;
+    }
+    if (other.isSetRejectedParts()) {
+      java.util.List<java.lang.Long> __this__rejectedParts = new java.util.ArrayList<java.lang.Long>(other.rejectedParts);
+      this.rejectedParts = __this__rejectedParts;
+    }
+    this.quarantineIndex = other.quarantineIndex;
   }
 
   @Override
@@ -342,6 +419,14 @@
     this.readsSeen = 0;
     setReadsTermIsSet(false);
     this.readsTerm = 0;
+    this.brokenSends = new java.util.ArrayList<BrokenSendMessage>();
+
+    this.establishedParts = new java.util.ArrayList<EstablishedPartMessage>();
+
+    this.rejectedParts = new java.util.ArrayList<java.lang.Long>();
+
+    this.quarantineIndex = -1L;
+
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -796,6 +881,170 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __READSTERM_ISSET_ID, value);
   }
 
+  public int getBrokenSendsSize() {
+    return (this.brokenSends == null) ? 0 : this.brokenSends.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<BrokenSendMessage> getBrokenSendsIterator() {
+    return (this.brokenSends == null) ? null : this.brokenSends.iterator();
+  }
+
+  public void addToBrokenSends(BrokenSendMessage elem) {
+    if (this.brokenSends == null) {
+      this.brokenSends = new java.util.ArrayList<BrokenSendMessage>();
+    }
+    this.brokenSends.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<BrokenSendMessage> getBrokenSends() {
+    return this.brokenSends;
+  }
+
+  public RouterReportMessage setBrokenSends(@org.apache.thrift.annotation.Nullable java.util.List<BrokenSendMessage> brokenSends) {
+    this.brokenSends = brokenSends;
+    return this;
+  }
+
+  public void unsetBrokenSends() {
+    this.brokenSends = null;
+  }
+
+  /** Returns true if field brokenSends is set (has been assigned a value) and false otherwise */
+  public boolean isSetBrokenSends() {
+    return this.brokenSends != null;
+  }
+
+  public void setBrokenSendsIsSet(boolean value) {
+    if (!value) {
+      this.brokenSends = null;
+    }
+  }
+
+  public int getEstablishedPartsSize() {
+    return (this.establishedParts == null) ? 0 : this.establishedParts.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<EstablishedPartMessage> getEstablishedPartsIterator() {
+    return (this.establishedParts == null) ? null : this.establishedParts.iterator();
+  }
+
+  public void addToEstablishedParts(EstablishedPartMessage elem) {
+    if (this.establishedParts == null) {
+      this.establishedParts = new java.util.ArrayList<EstablishedPartMessage>();
+    }
+    this.establishedParts.add(elem);
+  }
+
+  /**
+   * Answers on parts that are suspects or quarantined.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<EstablishedPartMessage> getEstablishedParts() {
+    return this.establishedParts;
+  }
+
+  /**
+   * Answers on parts that are suspects or quarantined.
+   */
+  public RouterReportMessage setEstablishedParts(@org.apache.thrift.annotation.Nullable java.util.List<EstablishedPartMessage> establishedParts) {
+    this.establishedParts = establishedParts;
+    return this;
+  }
+
+  public void unsetEstablishedParts() {
+    this.establishedParts = null;
+  }
+
+  /** Returns true if field establishedParts is set (has been assigned a value) and false otherwise */
+  public boolean isSetEstablishedParts() {
+    return this.establishedParts != null;
+  }
+
+  public void setEstablishedPartsIsSet(boolean value) {
+    if (!value) {
+      this.establishedParts = null;
+    }
+  }
+
+  public int getRejectedPartsSize() {
+    return (this.rejectedParts == null) ? 0 : this.rejectedParts.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<java.lang.Long> getRejectedPartsIterator() {
+    return (this.rejectedParts == null) ? null : this.rejectedParts.iterator();
+  }
+
+  public void addToRejectedParts(long elem) {
+    if (this.rejectedParts == null) {
+      this.rejectedParts = new java.util.ArrayList<java.lang.Long>();
+    }
+    this.rejectedParts.add(elem);
+  }
+
+  /**
+   * Quarantined parts with which requests were rejected since the last report.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<java.lang.Long> getRejectedParts() {
+    return this.rejectedParts;
+  }
+
+  /**
+   * Quarantined parts with which requests were rejected since the last report.
+   */
+  public RouterReportMessage setRejectedParts(@org.apache.thrift.annotation.Nullable java.util.List<java.lang.Long> rejectedParts) {
+    this.rejectedParts = rejectedParts;
+    return this;
+  }
+
+  public void unsetRejectedParts() {
+    this.rejectedParts = null;
+  }
+
+  /** Returns true if field rejectedParts is set (has been assigned a value) and false otherwise */
+  public boolean isSetRejectedParts() {
+    return this.rejectedParts != null;
+  }
+
+  public void setRejectedPartsIsSet(boolean value) {
+    if (!value) {
+      this.rejectedParts = null;
+    }
+  }
+
+  /**
+   * Log index of the quarantined parts in force; -1 for none.
+   */
+  public long getQuarantineIndex() {
+    return this.quarantineIndex;
+  }
+
+  /**
+   * Log index of the quarantined parts in force; -1 for none.
+   */
+  public RouterReportMessage setQuarantineIndex(long quarantineIndex) {
+    this.quarantineIndex = quarantineIndex;
+    setQuarantineIndexIsSet(true);
+    return this;
+  }
+
+  public void unsetQuarantineIndex() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __QUARANTINEINDEX_ISSET_ID);
+  }
+
+  /** Returns true if field quarantineIndex is set (has been assigned a value) and false otherwise */
+  public boolean isSetQuarantineIndex() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __QUARANTINEINDEX_ISSET_ID);
+  }
+
+  public void setQuarantineIndexIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __QUARANTINEINDEX_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -911,6 +1160,38 @@
       }
       break;
 
+    case BROKEN_SENDS:
+      if (value == null) {
+        unsetBrokenSends();
+      } else {
+        setBrokenSends((java.util.List<BrokenSendMessage>)value);
+      }
+      break;
+
+    case ESTABLISHED_PARTS:
+      if (value == null) {
+        unsetEstablishedParts();
+      } else {
+        setEstablishedParts((java.util.List<EstablishedPartMessage>)value);
+      }
+      break;
+
+    case REJECTED_PARTS:
+      if (value == null) {
+        unsetRejectedParts();
+      } else {
+        setRejectedParts((java.util.List<java.lang.Long>)value);
+      }
+      break;
+
+    case QUARANTINE_INDEX:
+      if (value == null) {
+        unsetQuarantineIndex();
+      } else {
+        setQuarantineIndex((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -960,6 +1241,18 @@
     case READS_TERM:
       return getReadsTerm();
 
+    case BROKEN_SENDS:
+      return getBrokenSends();
+
+    case ESTABLISHED_PARTS:
+      return getEstablishedParts();
+
+    case REJECTED_PARTS:
+      return getRejectedParts();
+
+    case QUARANTINE_INDEX:
+      return getQuarantineIndex();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -1000,6 +1293,14 @@
       return isSetReadsSeen();
     case READS_TERM:
       return isSetReadsTerm();
+    case BROKEN_SENDS:
+      return isSetBrokenSends();
+    case ESTABLISHED_PARTS:
+      return isSetEstablishedParts();
+    case REJECTED_PARTS:
+      return isSetRejectedParts();
+    case QUARANTINE_INDEX:
+      return isSetQuarantineIndex();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -1143,6 +1444,42 @@
         return false;
     }
 
+    boolean this_present_brokenSends = true && this.isSetBrokenSends();
+    boolean that_present_brokenSends = true && that.isSetBrokenSends();
+    if (this_present_brokenSends || that_present_brokenSends) {
+      if (!(this_present_brokenSends && that_present_brokenSends))
+        return false;
+      if (!this.brokenSends.equals(that.brokenSends))
+        return false;
+    }
+
+    boolean this_present_establishedParts = true && this.isSetEstablishedParts();
+    boolean that_present_establishedParts = true && that.isSetEstablishedParts();
+    if (this_present_establishedParts || that_present_establishedParts) {
+      if (!(this_present_establishedParts && that_present_establishedParts))
+        return false;
+      if (!this.establishedParts.equals(that.establishedParts))
+        return false;
+    }
+
+    boolean this_present_rejectedParts = true && this.isSetRejectedParts();
+    boolean that_present_rejectedParts = true && that.isSetRejectedParts();
+    if (this_present_rejectedParts || that_present_rejectedParts) {
+      if (!(this_present_rejectedParts && that_present_rejectedParts))
+        return false;
+      if (!this.rejectedParts.equals(that.rejectedParts))
+        return false;
+    }
+
+    boolean this_present_quarantineIndex = true;
+    boolean that_present_quarantineIndex = true;
+    if (this_present_quarantineIndex || that_present_quarantineIndex) {
+      if (!(this_present_quarantineIndex && that_present_quarantineIndex))
+        return false;
+      if (this.quarantineIndex != that.quarantineIndex)
+        return false;
+    }
+
     return true;
   }
 
@@ -1190,6 +1527,20 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(readsTerm);
 
+    hashCode = hashCode * 8191 + ((isSetBrokenSends()) ? 131071 : 524287);
+    if (isSetBrokenSends())
+      hashCode = hashCode * 8191 + brokenSends.hashCode();
+
+    hashCode = hashCode * 8191 + ((isSetEstablishedParts()) ? 131071 : 524287);
+    if (isSetEstablishedParts())
+      hashCode = hashCode * 8191 + establishedParts.hashCode();
+
+    hashCode = hashCode * 8191 + ((isSetRejectedParts()) ? 131071 : 524287);
+    if (isSetRejectedParts())
+      hashCode = hashCode * 8191 + rejectedParts.hashCode();
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(quarantineIndex);
+
     return hashCode;
   }
 
@@ -1341,6 +1692,46 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetBrokenSends(), other.isSetBrokenSends());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetBrokenSends()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.brokenSends, other.brokenSends);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetEstablishedParts(), other.isSetEstablishedParts());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetEstablishedParts()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.establishedParts, other.establishedParts);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetRejectedParts(), other.isSetRejectedParts());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetRejectedParts()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.rejectedParts, other.rejectedParts);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetQuarantineIndex(), other.isSetQuarantineIndex());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetQuarantineIndex()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.quarantineIndex, other.quarantineIndex);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -1444,6 +1835,34 @@
     sb.append("readsTerm:");
     sb.append(this.readsTerm);
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("brokenSends:");
+    if (this.brokenSends == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.brokenSends);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("establishedParts:");
+    if (this.establishedParts == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.establishedParts);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("rejectedParts:");
+    if (this.rejectedParts == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.rejectedParts);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("quarantineIndex:");
+    sb.append(this.quarantineIndex);
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -1542,14 +1961,14 @@
           case 7: // LOADS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list16 = iprot.readListBegin();
-                struct.loads = new java.util.ArrayList<UpstreamLoadMessage>(_list16.size);
-                @org.apache.thrift.annotation.Nullable UpstreamLoadMessage _elem17;
-                for (int _i18 = 0; _i18 < _list16.size; ++_i18)
+                org.apache.thrift.protocol.TList _list24 = iprot.readListBegin();
+                struct.loads = new java.util.ArrayList<UpstreamLoadMessage>(_list24.size);
+                @org.apache.thrift.annotation.Nullable UpstreamLoadMessage _elem25;
+                for (int _i26 = 0; _i26 < _list24.size; ++_i26)
                 {
-                  _elem17 = new UpstreamLoadMessage();
-                  _elem17.read(iprot);
-                  struct.loads.add(_elem17);
+                  _elem25 = new UpstreamLoadMessage();
+                  _elem25.read(iprot);
+                  struct.loads.add(_elem25);
                 }
                 iprot.readListEnd();
               }
@@ -1561,14 +1980,14 @@
           case 8: // COUNTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list19 = iprot.readListBegin();
-                struct.counts = new java.util.ArrayList<CustomerCountMessage>(_list19.size);
-                @org.apache.thrift.annotation.Nullable CustomerCountMessage _elem20;
-                for (int _i21 = 0; _i21 < _list19.size; ++_i21)
+                org.apache.thrift.protocol.TList _list27 = iprot.readListBegin();
+                struct.counts = new java.util.ArrayList<CustomerCountMessage>(_list27.size);
+                @org.apache.thrift.annotation.Nullable CustomerCountMessage _elem28;
+                for (int _i29 = 0; _i29 < _list27.size; ++_i29)
                 {
-                  _elem20 = new CustomerCountMessage();
-                  _elem20.read(iprot);
-                  struct.counts.add(_elem20);
+                  _elem28 = new CustomerCountMessage();
+                  _elem28.read(iprot);
+                  struct.counts.add(_elem28);
                 }
                 iprot.readListEnd();
               }
@@ -1580,14 +1999,14 @@
           case 9: // DEMAND
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list22 = iprot.readListBegin();
-                struct.demand = new java.util.ArrayList<PoolDemandMessage>(_list22.size);
-                @org.apache.thrift.annotation.Nullable PoolDemandMessage _elem23;
-                for (int _i24 = 0; _i24 < _list22.size; ++_i24)
+                org.apache.thrift.protocol.TList _list30 = iprot.readListBegin();
+                struct.demand = new java.util.ArrayList<PoolDemandMessage>(_list30.size);
+                @org.apache.thrift.annotation.Nullable PoolDemandMessage _elem31;
+                for (int _i32 = 0; _i32 < _list30.size; ++_i32)
                 {
-                  _elem23 = new PoolDemandMessage();
-                  _elem23.read(iprot);
-                  struct.demand.add(_elem23);
+                  _elem31 = new PoolDemandMessage();
+                  _elem31.read(iprot);
+                  struct.demand.add(_elem31);
                 }
                 iprot.readListEnd();
               }
@@ -1615,14 +2034,14 @@
           case 12: // READS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list25 = iprot.readListBegin();
-                struct.reads = new java.util.ArrayList<PrefixReadMessage>(_list25.size);
-                @org.apache.thrift.annotation.Nullable PrefixReadMessage _elem26;
-                for (int _i27 = 0; _i27 < _list25.size; ++_i27)
+                org.apache.thrift.protocol.TList _list33 = iprot.readListBegin();
+                struct.reads = new java.util.ArrayList<PrefixReadMessage>(_list33.size);
+                @org.apache.thrift.annotation.Nullable PrefixReadMessage _elem34;
+                for (int _i35 = 0; _i35 < _list33.size; ++_i35)
                 {
-                  _elem26 = new PrefixReadMessage();
-                  _elem26.read(iprot);
-                  struct.reads.add(_elem26);
+                  _elem34 = new PrefixReadMessage();
+                  _elem34.read(iprot);
+                  struct.reads.add(_elem34);
                 }
                 iprot.readListEnd();
               }
@@ -1647,6 +2066,70 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 15: // BROKEN_SENDS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list36 = iprot.readListBegin();
+                struct.brokenSends = new java.util.ArrayList<BrokenSendMessage>(_list36.size);
+                @org.apache.thrift.annotation.Nullable BrokenSendMessage _elem37;
+                for (int _i38 = 0; _i38 < _list36.size; ++_i38)
+                {
+                  _elem37 = new BrokenSendMessage();
+                  _elem37.read(iprot);
+                  struct.brokenSends.add(_elem37);
+                }
+                iprot.readListEnd();
+              }
+              struct.setBrokenSendsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 16: // ESTABLISHED_PARTS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list39 = iprot.readListBegin();
+                struct.establishedParts = new java.util.ArrayList<EstablishedPartMessage>(_list39.size);
+                @org.apache.thrift.annotation.Nullable EstablishedPartMessage _elem40;
+                for (int _i41 = 0; _i41 < _list39.size; ++_i41)
+                {
+                  _elem40 = new EstablishedPartMessage();
+                  _elem40.read(iprot);
+                  struct.establishedParts.add(_elem40);
+                }
+                iprot.readListEnd();
+              }
+              struct.setEstablishedPartsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 17: // REJECTED_PARTS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list42 = iprot.readListBegin();
+                struct.rejectedParts = new java.util.ArrayList<java.lang.Long>(_list42.size);
+                long _elem43;
+                for (int _i44 = 0; _i44 < _list42.size; ++_i44)
+                {
+                  _elem43 = iprot.readI64();
+                  struct.rejectedParts.add(_elem43);
+                }
+                iprot.readListEnd();
+              }
+              struct.setRejectedPartsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 18: // QUARANTINE_INDEX
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.quarantineIndex = iprot.readI64();
+              struct.setQuarantineIndexIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1689,9 +2172,9 @@
         oprot.writeFieldBegin(LOADS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.loads.size()));
-          for (UpstreamLoadMessage _iter28 : struct.loads)
+          for (UpstreamLoadMessage _iter45 : struct.loads)
           {
-            _iter28.write(oprot);
+            _iter45.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1701,9 +2184,9 @@
         oprot.writeFieldBegin(COUNTS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.counts.size()));
-          for (CustomerCountMessage _iter29 : struct.counts)
+          for (CustomerCountMessage _iter46 : struct.counts)
           {
-            _iter29.write(oprot);
+            _iter46.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1713,9 +2196,9 @@
         oprot.writeFieldBegin(DEMAND_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.demand.size()));
-          for (PoolDemandMessage _iter30 : struct.demand)
+          for (PoolDemandMessage _iter47 : struct.demand)
           {
-            _iter30.write(oprot);
+            _iter47.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1731,9 +2214,9 @@
         oprot.writeFieldBegin(READS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.reads.size()));
-          for (PrefixReadMessage _iter31 : struct.reads)
+          for (PrefixReadMessage _iter48 : struct.reads)
           {
-            _iter31.write(oprot);
+            _iter48.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1745,6 +2228,45 @@
       oprot.writeFieldBegin(READS_TERM_FIELD_DESC);
       oprot.writeI64(struct.readsTerm);
       oprot.writeFieldEnd();
+      if (struct.brokenSends != null) {
+        oprot.writeFieldBegin(BROKEN_SENDS_FIELD_DESC);
+        {
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.brokenSends.size()));
+          for (BrokenSendMessage _iter49 : struct.brokenSends)
+          {
+            _iter49.write(oprot);
+          }
+          oprot.writeListEnd();
+        }
+        oprot.writeFieldEnd();
+      }
+      if (struct.establishedParts != null) {
+        oprot.writeFieldBegin(ESTABLISHED_PARTS_FIELD_DESC);
+        {
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.establishedParts.size()));
+          for (EstablishedPartMessage _iter50 : struct.establishedParts)
+          {
+            _iter50.write(oprot);
+          }
+          oprot.writeListEnd();
+        }
+        oprot.writeFieldEnd();
+      }
+      if (struct.rejectedParts != null) {
+        oprot.writeFieldBegin(REJECTED_PARTS_FIELD_DESC);
+        {
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.I64, struct.rejectedParts.size()));
+          for (long _iter51 : struct.rejectedParts)
+          {
+            oprot.writeI64(_iter51);
+          }
+          oprot.writeListEnd();
+        }
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldBegin(QUARANTINE_INDEX_FIELD_DESC);
+      oprot.writeI64(struct.quarantineIndex);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1806,7 +2328,19 @@
       if (struct.isSetReadsTerm()) {
         optionals.set(13);
       }
-      oprot.writeBitSet(optionals, 14);
+      if (struct.isSetBrokenSends()) {
+        optionals.set(14);
+      }
+      if (struct.isSetEstablishedParts()) {
+        optionals.set(15);
+      }
+      if (struct.isSetRejectedParts()) {
+        optionals.set(16);
+      }
+      if (struct.isSetQuarantineIndex()) {
+        optionals.set(17);
+      }
+      oprot.writeBitSet(optionals, 18);
       if (struct.isSetRouter()) {
         oprot.writeString(struct.router);
       }
@@ -1828,27 +2362,27 @@
       if (struct.isSetLoads()) {
         {
           oprot.writeI32(struct.loads.size());
-          for (UpstreamLoadMessage _iter32 : struct.loads)
+          for (UpstreamLoadMessage _iter52 : struct.loads)
           {
-            _iter32.write(oprot);
+            _iter52.write(oprot);
           }
         }
       }
       if (struct.isSetCounts()) {
         {
           oprot.writeI32(struct.counts.size());
-          for (CustomerCountMessage _iter33 : struct.counts)
+          for (CustomerCountMessage _iter53 : struct.counts)
           {
-            _iter33.write(oprot);
+            _iter53.write(oprot);
           }
         }
       }
       if (struct.isSetDemand()) {
         {
           oprot.writeI32(struct.demand.size());
-          for (PoolDemandMessage _iter34 : struct.demand)
+          for (PoolDemandMessage _iter54 : struct.demand)
           {
-            _iter34.write(oprot);
+            _iter54.write(oprot);
           }
         }
       }
@@ -1861,9 +2395,9 @@
       if (struct.isSetReads()) {
         {
           oprot.writeI32(struct.reads.size());
-          for (PrefixReadMessage _iter35 : struct.reads)
+          for (PrefixReadMessage _iter55 : struct.reads)
           {
-            _iter35.write(oprot);
+            _iter55.write(oprot);
           }
         }
       }
@@ -1873,12 +2407,42 @@
       if (struct.isSetReadsTerm()) {
         oprot.writeI64(struct.readsTerm);
       }
+      if (struct.isSetBrokenSends()) {
+        {
+          oprot.writeI32(struct.brokenSends.size());
+          for (BrokenSendMessage _iter56 : struct.brokenSends)
+          {
+            _iter56.write(oprot);
+          }
+        }
+      }
+      if (struct.isSetEstablishedParts()) {
+        {
+          oprot.writeI32(struct.establishedParts.size());
+          for (EstablishedPartMessage _iter57 : struct.establishedParts)
+          {
+            _iter57.write(oprot);
+          }
+        }
+      }
+      if (struct.isSetRejectedParts()) {
+        {
+          oprot.writeI32(struct.rejectedParts.size());
+          for (long _iter58 : struct.rejectedParts)
+          {
+            oprot.writeI64(_iter58);
+          }
+        }
+      }
+      if (struct.isSetQuarantineIndex()) {
+        oprot.writeI64(struct.quarantineIndex);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, RouterReportMessage struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(14);
+      java.util.BitSet incoming = iprot.readBitSet(18);
       if (incoming.get(0)) {
         struct.router = iprot.readString();
         struct.setRouterIsSet(true);
@@ -1905,42 +2469,42 @@
       }
       if (incoming.get(6)) {
         {
-          org.apache.thrift.protocol.TList _list36 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.loads = new java.util.ArrayList<UpstreamLoadMessage>(_list36.size);
-          @org.apache.thrift.annotation.Nullable UpstreamLoadMessage _elem37;
-          for (int _i38 = 0; _i38 < _list36.size; ++_i38)
+          org.apache.thrift.protocol.TList _list59 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.loads = new java.util.ArrayList<UpstreamLoadMessage>(_list59.size);
+          @org.apache.thrift.annotation.Nullable UpstreamLoadMessage _elem60;
+          for (int _i61 = 0; _i61 < _list59.size; ++_i61)
           {
-            _elem37 = new UpstreamLoadMessage();
-            _elem37.read(iprot);
-            struct.loads.add(_elem37);
+            _elem60 = new UpstreamLoadMessage();
+            _elem60.read(iprot);
+            struct.loads.add(_elem60);
           }
         }
         struct.setLoadsIsSet(true);
       }
       if (incoming.get(7)) {
         {
-          org.apache.thrift.protocol.TList _list39 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.counts = new java.util.ArrayList<CustomerCountMessage>(_list39.size);
-          @org.apache.thrift.annotation.Nullable CustomerCountMessage _elem40;
-          for (int _i41 = 0; _i41 < _list39.size; ++_i41)
+          org.apache.thrift.protocol.TList _list62 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.counts = new java.util.ArrayList<CustomerCountMessage>(_list62.size);
+          @org.apache.thrift.annotation.Nullable CustomerCountMessage _elem63;
+          for (int _i64 = 0; _i64 < _list62.size; ++_i64)
           {
-            _elem40 = new CustomerCountMessage();
-            _elem40.read(iprot);
-            struct.counts.add(_elem40);
+            _elem63 = new CustomerCountMessage();
+            _elem63.read(iprot);
+            struct.counts.add(_elem63);
           }
         }
         struct.setCountsIsSet(true);
       }
       if (incoming.get(8)) {
         {
-          org.apache.thrift.protocol.TList _list42 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.demand = new java.util.ArrayList<PoolDemandMessage>(_list42.size);
-          @org.apache.thrift.annotation.Nullable PoolDemandMessage _elem43;
-          for (int _i44 = 0; _i44 < _list42.size; ++_i44)
+          org.apache.thrift.protocol.TList _list65 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.demand = new java.util.ArrayList<PoolDemandMessage>(_list65.size);
+          @org.apache.thrift.annotation.Nullable PoolDemandMessage _elem66;
+          for (int _i67 = 0; _i67 < _list65.size; ++_i67)
           {
-            _elem43 = new PoolDemandMessage();
-            _elem43.read(iprot);
-            struct.demand.add(_elem43);
+            _elem66 = new PoolDemandMessage();
+            _elem66.read(iprot);
+            struct.demand.add(_elem66);
           }
         }
         struct.setDemandIsSet(true);
@@ -1955,14 +2519,14 @@
       }
       if (incoming.get(11)) {
         {
-          org.apache.thrift.protocol.TList _list45 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.reads = new java.util.ArrayList<PrefixReadMessage>(_list45.size);
-          @org.apache.thrift.annotation.Nullable PrefixReadMessage _elem46;
-          for (int _i47 = 0; _i47 < _list45.size; ++_i47)
+          org.apache.thrift.protocol.TList _list68 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.reads = new java.util.ArrayList<PrefixReadMessage>(_list68.size);
+          @org.apache.thrift.annotation.Nullable PrefixReadMessage _elem69;
+          for (int _i70 = 0; _i70 < _list68.size; ++_i70)
           {
-            _elem46 = new PrefixReadMessage();
-            _elem46.read(iprot);
-            struct.reads.add(_elem46);
+            _elem69 = new PrefixReadMessage();
+            _elem69.read(iprot);
+            struct.reads.add(_elem69);
           }
         }
         struct.setReadsIsSet(true);
@@ -1975,6 +2539,51 @@
         struct.readsTerm = iprot.readI64();
         struct.setReadsTermIsSet(true);
       }
+      if (incoming.get(14)) {
+        {
+          org.apache.thrift.protocol.TList _list71 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.brokenSends = new java.util.ArrayList<BrokenSendMessage>(_list71.size);
+          @org.apache.thrift.annotation.Nullable BrokenSendMessage _elem72;
+          for (int _i73 = 0; _i73 < _list71.size; ++_i73)
+          {
+            _elem72 = new BrokenSendMessage();
+            _elem72.read(iprot);
+            struct.brokenSends.add(_elem72);
+          }
+        }
+        struct.setBrokenSendsIsSet(true);
+      }
+      if (incoming.get(15)) {
+        {
+          org.apache.thrift.protocol.TList _list74 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.establishedParts = new java.util.ArrayList<EstablishedPartMessage>(_list74.size);
+          @org.apache.thrift.annotation.Nullable EstablishedPartMessage _elem75;
+          for (int _i76 = 0; _i76 < _list74.size; ++_i76)
+          {
+            _elem75 = new EstablishedPartMessage();
+            _elem75.read(iprot);
+            struct.establishedParts.add(_elem75);
+          }
+        }
+        struct.setEstablishedPartsIsSet(true);
+      }
+      if (incoming.get(16)) {
+        {
+          org.apache.thrift.protocol.TList _list77 = iprot.readListBegin(org.apache.thrift.protocol.TType.I64);
+          struct.rejectedParts = new java.util.ArrayList<java.lang.Long>(_list77.size);
+          long _elem78;
+          for (int _i79 = 0; _i79 < _list77.size; ++_i79)
+          {
+            _elem78 = iprot.readI64();
+            struct.rejectedParts.add(_elem78);
+          }
+        }
+        struct.setRejectedPartsIsSet(true);
+      }
+      if (incoming.get(17)) {
+        struct.quarantineIndex = iprot.readI64();
+        struct.setQuarantineIndexIsSet(true);
+      }
     }
   }
 
--- a/wire/src/main/java/io/jacinthquay/wire/gen/SealCountsCommand.java
+++ b/wire/src/main/java/io/jacinthquay/wire/gen/SealCountsCommand.java
@@ -419,15 +419,15 @@
           case 2: // COUNTS
             if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
               {
-                org.apache.thrift.protocol.TMap _map104 = iprot.readMapBegin();
-                struct.counts = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map104.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _key105;
-                long _val106;
-                for (int _i107 = 0; _i107 < _map104.size; ++_i107)
+                org.apache.thrift.protocol.TMap _map160 = iprot.readMapBegin();
+                struct.counts = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map160.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _key161;
+                long _val162;
+                for (int _i163 = 0; _i163 < _map160.size; ++_i163)
                 {
-                  _key105 = iprot.readString();
-                  _val106 = iprot.readI64();
-                  struct.counts.put(_key105, _val106);
+                  _key161 = iprot.readString();
+                  _val162 = iprot.readI64();
+                  struct.counts.put(_key161, _val162);
                 }
                 iprot.readMapEnd();
               }
@@ -459,10 +459,10 @@
         oprot.writeFieldBegin(COUNTS_FIELD_DESC);
         {
           oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64, struct.counts.size()));
-          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter108 : struct.counts.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter164 : struct.counts.entrySet())
           {
-            oprot.writeString(_iter108.getKey());
-            oprot.writeI64(_iter108.getValue());
+            oprot.writeString(_iter164.getKey());
+            oprot.writeI64(_iter164.getValue());
           }
           oprot.writeMapEnd();
         }
@@ -500,10 +500,10 @@
       if (struct.isSetCounts()) {
         {
           oprot.writeI32(struct.counts.size());
-          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter109 : struct.counts.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter165 : struct.counts.entrySet())
           {
-            oprot.writeString(_iter109.getKey());
-            oprot.writeI64(_iter109.getValue());
+            oprot.writeString(_iter165.getKey());
+            oprot.writeI64(_iter165.getValue());
           }
         }
       }
@@ -519,15 +519,15 @@
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TMap _map110 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64); 
-          struct.counts = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map110.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _key111;
-          long _val112;
-          for (int _i113 = 0; _i113 < _map110.size; ++_i113)
+          org.apache.thrift.protocol.TMap _map166 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64); 
+          struct.counts = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map166.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _key167;
+          long _val168;
+          for (int _i169 = 0; _i169 < _map166.size; ++_i169)
           {
-            _key111 = iprot.readString();
-            _val112 = iprot.readI64();
-            struct.counts.put(_key111, _val112);
+            _key167 = iprot.readString();
+            _val168 = iprot.readI64();
+            struct.counts.put(_key167, _val168);
           }
         }
         struct.setCountsIsSet(true);
--- a/wire/src/main/thrift/control.thrift
+++ b/wire/src/main/thrift/control.thrift
@@ -40,6 +40,33 @@
   3: list<i32> tokens
 }
 
+/** A send whose connection the upstream closed before the answer was under way. */
+struct BrokenSendMessage {
+  1: string upstream
+  /** Ids of the shared parts of its prompt. */
+  2: list<i64> parts
+  /** Wall clock of the router, ms since the epoch. */
+  3: i64 wallMillis
+}
+
+/** An answer that was under way on a part of a prompt. */
+struct EstablishedPartMessage {
+  1: i64 part
+  /** Wall clock of the router, ms since the epoch. */
+  2: i64 wallMillis
+}
+
+/** A part of a prompt that crashes upstreams; requests with it are rejected. */
+struct QuarantinedPartMessage {
+  1: i64 part
+  /** When it was confirmed, ms since the epoch. */
+  2: i64 sinceMillis
+  /** When a request with it may be tried again, ms since the epoch. */
+  3: i64 retryAtMillis
+  /** How often one was tried. */
+  4: i32 trials
+}
+
 struct RouterReportMessage {
   1: string router
   /** Drawn at each start of the router. */
@@ -64,6 +91,13 @@
   13: i64 readsSeen
   /** Term of the leader that numbered it. */
   14: i64 readsTerm
+  15: list<BrokenSendMessage> brokenSends = []
+  /** Answers on parts that are suspects or quarantined. */
+  16: list<EstablishedPartMessage> establishedParts = []
+  /** Quarantined parts with which requests were rejected since the last report. */
+  17: list<i64> rejectedParts = []
+  /** Log index of the quarantined parts in force; -1 for none. */
+  18: i64 quarantineIndex = -1
 }
 
 struct ListedUpstreamMessage {
@@ -116,6 +150,13 @@
   18: bool relays
   /** Address of the relay of the router's failure domain, ip:port; not set if there is none. */
   19: optional string relay
+  20: i64 quarantineIndex
+  /** Set where the router holds another index. */
+  21: optional list<QuarantinedPartMessage> quarantinedParts
+  /** Parts of prompts that may have crashed an upstream. */
+  22: list<i64> suspectParts = []
+  /** Quarantined parts with each of which the router may send one request. */
+  23: list<i64> trialParts = []
 }
 
 /** What a relay passes on for the routers of its failure domain. */
@@ -157,10 +198,21 @@
   2: map<string, i64> counts
 }
 
+/** Quarantines a part of a prompt, or changes when it is tried again. */
+struct QuarantinePartCommand {
+  1: QuarantinedPartMessage part
+}
+
+struct ReleasePartCommand {
+  1: i64 part
+}
+
 union ControlCommand {
   1: DocumentCommand document
   2: CloseDomainCommand closeDomain
   3: SealCountsCommand sealCounts
+  4: QuarantinePartCommand quarantinePart
+  5: ReleasePartCommand releasePart
 }
 
 struct ControlSnapshot {
@@ -169,4 +221,6 @@
   3: list<string> closedDomains
   4: i64 closedIndex
   5: map<i64, map<string, i64>> sealed
+  6: list<QuarantinedPartMessage> quarantinedParts = []
+  7: i64 quarantineIndex = 0
 }
