Never send a request again on a connection that has carried it

What callers saw on other systems: "not run" for requests that a faulty upstream had run. It wrote an earlier refusal once more on a kept connection.

Cause here: a response is matched by the caller's attempt id, which all sends of a request share. Where the list names several upstreams at one address, a request that was misdirected twice went out on the first connection again, and a second copy of the refusal there named the right id.

Refusals that name another request were and are failures that may have run.

--- a/router/src/main/java/io/jacinthquay/router/adapter/http/ConnectionPool.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/ConnectionPool.java
@@ -1,5 +1,6 @@
 package io.jacinthquay.router.adapter.http;
 
+import io.jacinthquay.model.RequestId;
 import io.jacinthquay.runtime.http.ClientConnections;
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
@@ -13,6 +14,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.Map;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -87,14 +89,16 @@
   /**
    * Returns a connection to the callback, idle or new.
    *
+   * @param id the request that is going to be sent; no connection is reused that has carried it
    * @param recentlyUsedOnly whether to reuse only a connection that received a response a moment
    *     ago, so that a reset on it can't stem from its idle timeout
    */
   void acquire(
       InetSocketAddress address,
+      RequestId id,
       boolean recentlyUsedOnly,
       ClientCallback<UpstreamConnection> callback) {
-    UpstreamConnection reused = takeIdle(address, recentlyUsedOnly);
+    UpstreamConnection reused = takeIdle(address, id, recentlyUsedOnly);
     if (reused != null) {
       callback.completed(reused);
       return;
@@ -118,21 +122,26 @@
     return host.indexOf(':') >= 0 ? "[" + host + "]" : host;
   }
 
-  private UpstreamConnection takeIdle(InetSocketAddress address, boolean recentlyUsedOnly) {
+  private UpstreamConnection takeIdle(
+      InetSocketAddress address, RequestId id, boolean recentlyUsedOnly) {
     Deque<Idle> connections = idle.get(address);
     if (connections == null) {
       return null;
     }
     long now = System.nanoTime();
     long maxIdle = recentlyUsedOnly ? reuse.nonIdempotentIdleNanos() : MAX_IDLE_NANOS;
-    Idle next = connections.pollLast();
-    while (next != null) {
+    Iterator<Idle> newestFirst = connections.descendingIterator();
+    while (newestFirst.hasNext()) {
+      Idle next = newestFirst.next();
+      if (next.connection().hasCarried(id)) {
+        continue;
+      }
+      newestFirst.remove();
       boolean fresh = now - next.idleSinceNanos() <= Math.min(maxIdle, next.maxIdleNanos());
       if (fresh && next.connection().isOpen() && next.connection().source().isQuiet()) {
         return next.connection();
       }
       next.connection().close();
-      next = connections.pollLast();
     }
     return null;
   }
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowUpstreamCall.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowUpstreamCall.java
@@ -68,7 +68,10 @@
 
   void start() {
     pool.acquire(
-        request.address(), !request.idempotent(), callback(this::onConnected, this::onUnreachable));
+        request.address(),
+        request.id(),
+        !request.idempotent(),
+        callback(this::onConnected, this::onUnreachable));
   }
 
   private static <T> ClientCallback<T> callback(Consumer<T> completed, Runnable failed) {
@@ -96,6 +99,7 @@
       return;
     }
     mayHaveRun = true;
+    opened.recordRequest(request.id());
     opened.source().allow(BoundedSource.MAX_HEAD_BYTES);
     opened.http().sendRequest(clientRequest(), callback(this::onRequestStarted, this::onBroken));
   }
