Pass on only what continues a stream that has broken off

What callers saw on other systems: the text of an error, at times its head, in the middle of their stream, or a stream that ended as if complete. Here: a resumed send without any event ended the stream as complete; events without an id and answers of another content type were passed through; the body of a failure with a blank line was taken for events, and one without for a broken answer.

Cause: the answer of a resumed send was judged by the state of the whole request, not by its own, and every body on a streaming route was split into events.

Change: a resumed answer must have the status and content type of the first and at least one event; once events have ids, an event without one ends the attempt; failures before the first event are passed on whole.

--- a/router/src/main/java/io/jacinthquay/router/service/forward/AnswerSink.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/AnswerSink.java
@@ -5,8 +5,12 @@
 
 /** Receives the answers of a request's attempts and forwards what the caller should get. */
 interface AnswerSink {
-  /** Starts an answer: a success, or a failure that is forwarded to the caller. */
-  void head(ResponseHead head);
+  /**
+   * Starts an answer: a success, or a failure that is forwarded to the caller.
+   *
+   * @return false if it can't continue the answer that the caller has a part of
+   */
+  boolean head(ResponseHead head);
 
   /**
    * Adds a part of the body.
--- a/router/src/main/java/io/jacinthquay/router/service/forward/BufferedAnswer.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/BufferedAnswer.java
@@ -23,8 +23,9 @@
   }
 
   @Override
-  public void head(ResponseHead answerHead) {
+  public boolean head(ResponseHead answerHead) {
     head = answerHead;
+    return true;
   }
 
   @Override
--- a/router/src/main/java/io/jacinthquay/router/service/forward/EventStreamAnswer.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/EventStreamAnswer.java
@@ -13,9 +13,12 @@
  *
  * <p>The caller gets the head of the first attempt together with its first event. A later attempt
  * continues after the last event that was forwarded: events that the caller already has are
- * skipped, and a gap in the event ids makes the answer invalid.
+ * skipped, and a gap in the event ids makes the answer invalid. So does an event without an id
+ * after one with an id: its place in the stream isn't known, and it may be no event at all but the
+ * text of an error.
  */
 final class EventStreamAnswer implements AnswerSink, SseSplitter.EventSink {
+  private static final String CONTENT_TYPE = "Content-Type";
   private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
   private final ForwardProtocol protocol;
@@ -23,6 +26,7 @@
   private final Runnable onEvents;
   private SseSplitter splitter = new SseSplitter();
   private ResponseHead head;
+  private boolean hasEvents;
   private long lastId;
   private boolean hasLastId;
   private boolean invalid;
@@ -52,8 +56,14 @@
   }
 
   @Override
-  public void head(ResponseHead answerHead) {
-    head = answerHead;
+  public boolean head(ResponseHead answerHead) {
+    hasEvents = false;
+    if (!caller.hasBegun()) {
+      head = answerHead;
+      return true;
+    }
+    return answerHead.status() == head.status()
+        && answerHead.header(CONTENT_TYPE).equals(head.header(CONTENT_TYPE));
   }
 
   @Override
@@ -79,6 +89,11 @@
   @Override
   public boolean onEvent(byte[] bytes, int from, int to) {
     long id = eventId(bytes, from, to);
+    if (id < 0 && hasLastId && !isComment(bytes, from, to)) {
+      invalid = true;
+      return false;
+    }
+    hasEvents = true;
     if (id >= 0 && hasLastId) {
       if (id <= lastId) {
         return true;
@@ -114,6 +129,19 @@
     writable = caller.write(events);
   }
 
+  /** Returns whether all lines of an event are empty or comments, which begin with a colon. */
+  private static boolean isComment(byte[] bytes, int from, int to) {
+    boolean lineStart = true;
+    for (int at = from; at < to; at++) {
+      boolean lineEnd = bytes[at] == '\n' || bytes[at] == '\r';
+      if (lineStart && !lineEnd && bytes[at] != ':') {
+        return false;
+      }
+      lineStart = lineEnd;
+    }
+    return true;
+  }
+
   /** Returns the id of an event, or -1 if it has none. */
   private static long eventId(byte[] bytes, int from, int to) {
     int line = from;
@@ -156,7 +184,7 @@
 
   @Override
   public boolean end() {
-    if (splitter.hasRemaining() || !caller.hasBegun()) {
+    if (splitter.hasRemaining() || !hasEvents) {
       return false;
     }
     caller.end();
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardExchange.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardExchange.java
@@ -38,11 +38,12 @@
   private final ForwardCore core;
   private final ForwardRequest request;
   private final Caller caller;
-  private final AnswerSink sink;
+  private final AnswerSink regularSink;
   private final PoolRequest work;
   private final Set<UpstreamId> triedUpstreams = new HashSet<>();
   private final RequestTrace trace;
   private Runnable timer = () -> {};
+  private AnswerSink sink;
   private ForwardAttempt attempt;
   private int sends;
   private int unexecuted;
@@ -60,11 +61,12 @@
     PoolName pool = RouteTable.pool(request.route(), ThreadLocalRandom.current().nextDouble());
     this.work = request.work(pool);
     this.trace = new RequestTrace(request, work);
-    this.sink =
+    this.regularSink =
         request.route().kind() == RequestKind.STREAMING
             ? new EventStreamAnswer(
                 core.protocol(), caller, request.facts().lastEventId(), this::onEvents)
             : new BufferedAnswer(core.protocol(), caller);
+    this.sink = regularSink;
   }
 
   String attemptId() {
@@ -179,6 +181,7 @@
 
   private void send(UpstreamState upstream, long now) {
     cancelSend();
+    sink = regularSink;
     sends++;
     triedUpstreams.add(upstream.listing().upstream());
     UpstreamLoad loadBefore = upstream.load();
@@ -254,16 +257,28 @@
     if (!succeeded) {
       note("status", head.status());
     }
-    if (!succeeded && sink instanceof EventStreamAnswer && caller.hasBegun()) {
-      from.cancel(SendOutcome.FAILED);
-      onFailed(from, "status " + head.status());
-      return;
+    boolean streaming = sink instanceof EventStreamAnswer;
+    if (!succeeded && streaming) {
+      if (caller.hasBegun()) {
+        reject(from, "status " + head.status());
+        return;
+      }
+      // The body of a failure is no event stream.
+      sink = new BufferedAnswer(core.protocol(), caller);
     }
-    if (!(sink instanceof EventStreamAnswer)) {
+    if (!streaming) {
       from.markBegun();
       countUsage();
     }
-    sink.head(head);
+    if (!sink.head(head)) {
+      reject(from, "another kind of answer");
+    }
+  }
+
+  /** Cancels an attempt whose answer can't continue what the caller has. */
+  private void reject(ForwardAttempt from, String reason) {
+    from.cancel(SendOutcome.FAILED);
+    onFailed(from, reason);
   }
 
   boolean onData(ForwardAttempt from, ByteBuffer data) {
