--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/ControlLink.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/ControlLink.java
@@ -375,7 +375,7 @@
       view.getClosedDomains().forEach(name -> closed.add(new DomainId(name)));
       changes.add(() -> core.updateClosedDomains(closed));
     }
-    if (view.isSetQuarantinedParts()) {
+    if (view.isSetQuarantinedParts() && view.getQuarantineIndex() > quarantineIndex) {
       quarantineIndex = view.getQuarantineIndex();
       List<QuarantinedPart> parts = QuarantineMessages.toParts(view.getQuarantinedParts());
       changes.add(() -> core.updateQuarantinedParts(parts));
