Bound the leader's cost of evidence when many upstreams fail at once

Selecting the suspects to tell took up to 672 us at 1,024 suspects and was done for every report with evidence: more than a core at 540 routers in a failure of many upstreams. It is done 20 times a second at most now, and expired suspects are looked for once a second. jq-bench quarantine measures bytes of a view, memory and time.

--- a/bench/src/main/java/io/jacinthquay/bench/BenchMain.java
+++ b/bench/src/main/java/io/jacinthquay/bench/BenchMain.java
@@ -1,6 +1,7 @@
 package io.jacinthquay.bench;
 
 import io.jacinthquay.bench.capacity.CapacityCommand;
+import io.jacinthquay.bench.capacity.QuarantineCommand;
 import io.jacinthquay.bench.capacity.StateCommand;
 import io.jacinthquay.bench.experiment.DecideCommand;
 import io.jacinthquay.bench.experiment.RunCommand;
@@ -32,6 +33,7 @@
           new KeeperCommand(),
           new OverheadCommand(),
           new StateCommand(),
+          new QuarantineCommand(),
           new CapacityCommand());
 
   private BenchMain() {}
--- a/control/src/main/java/io/jacinthquay/control/service/PartQuarantine.java
+++ b/control/src/main/java/io/jacinthquay/control/service/PartQuarantine.java
@@ -31,6 +31,12 @@
   /** Maximum number of suspects that routers are told of. */
   private static final int MAX_TOLD_SUSPECTS = 64;
 
+  /**
+   * Shortest time between two selections of suspects, in nanoseconds, so that their cost does not
+   * grow with the reports when many upstreams fail at once.
+   */
+  private static final long TELL_INTERVAL_NANOS = 50_000_000L;
+
   /** Time for which a proposal is awaited before it is made again, in nanoseconds. */
   private static final long PROPOSAL_TIMEOUT_NANOS = 2_000_000_000L;
 
@@ -49,6 +55,8 @@
   private final Map<PartId, Proposal> proposals = new HashMap<>();
   private SuspectTracker tracker = new SuspectTracker();
   private List<PartId> suspects = List.of();
+  private boolean suspectsChanged;
+  private long suspectsNanos;
   private long term = -1;
 
   /**
@@ -62,6 +70,7 @@
     this.store = store;
     this.clock = clock;
     this.wallMillis = wallMillis;
+    this.suspectsNanos = clock.getAsLong() - TELL_INTERVAL_NANOS;
   }
 
   /** Records what a router reports about broken sends and established answers. */
@@ -79,9 +88,8 @@
       long ageMillis = ageMillis(report, message.getWallMillis());
       recordEstablished(new PartId(message.getPart()), ageMillis);
     }
-    if (!report.getBrokenSends().isEmpty() || !report.getEstablishedParts().isEmpty()) {
-      suspects = tracker.suspects(MAX_TOLD_SUSPECTS);
-    }
+    suspectsChanged |=
+        !report.getBrokenSends().isEmpty() || !report.getEstablishedParts().isEmpty();
   }
 
   /** Returns how long ago something happened by the clock of the router that reports it. */
@@ -96,6 +104,7 @@
       term = current;
       tracker = new SuspectTracker();
       suspects = List.of();
+      suspectsChanged = false;
       proposals.clear();
     }
   }
@@ -132,9 +141,7 @@
           entry.retryAtMillis());
       propose(part, ControlState.quarantineCommand(entry));
     }
-    if (!confirmed.isEmpty()) {
-      suspects = tracker.suspects(MAX_TOLD_SUSPECTS);
-    }
+    suspectsChanged |= !confirmed.isEmpty();
     List<PartId> overdue = new ArrayList<>();
     proposals.forEach(
         (part, proposal) -> {
@@ -188,6 +195,12 @@
 
   /** Returns the parts that may have crashed an upstream, so that routers report on them. */
   public synchronized List<PartId> suspects() {
+    long now = clock.getAsLong();
+    if (suspectsChanged && now - suspectsNanos >= TELL_INTERVAL_NANOS) {
+      suspects = tracker.suspects(MAX_TOLD_SUSPECTS);
+      suspectsNanos = now;
+      suspectsChanged = false;
+    }
     return suspects;
   }
 }
--- a/control/src/test/java/io/jacinthquay/control/service/PartQuarantineTest.java
+++ b/control/src/test/java/io/jacinthquay/control/service/PartQuarantineTest.java
@@ -83,6 +83,7 @@
   void routersAreToldOfSuspectsUntilAnAnswerIsUnderWay() {
     reportCrash("r1", "i-1", 10);
     assertEquals(2, quarantine.suspects().size());
+    nowMillis += 100;
     reportEstablished(SHARED, 5);
     assertEquals(List.of(new PartId(DEADLY)), quarantine.suspects());
   }
--- a/decision/src/main/java/io/jacinthquay/decision/quarantine/SuspectTracker.java
+++ b/decision/src/main/java/io/jacinthquay/decision/quarantine/SuspectTracker.java
@@ -39,14 +39,21 @@
   /** Time after which a suspect without a further crash is forgotten, in nanoseconds. */
   private static final long EXPIRY_NANOS = 300_000_000_000L;
 
+  /** Time between two searches for expired suspects, in nanoseconds. */
+  private static final long EXPIRY_INTERVAL_NANOS = 1_000_000_000L;
+
   /** Maximum number of suspects; those with the fewest and oldest crashes are dropped. */
   static final int MAX_SUSPECTS = 1_024;
 
   private final Map<PartId, Suspect> suspects = new LinkedHashMap<>();
+  private long expiredNanos;
 
   /** Records a broken send. */
   public void recordBroken(BrokenSend send, long now) {
-    suspects.values().removeIf(suspect -> now - suspect.lastNanos() > EXPIRY_NANOS);
+    if (now - expiredNanos >= EXPIRY_INTERVAL_NANOS) {
+      expiredNanos = now;
+      suspects.values().removeIf(suspect -> now - suspect.lastNanos() > EXPIRY_NANOS);
+    }
     for (int depth = 0; depth < send.parts().size(); depth++) {
       PartId part = send.parts().get(depth);
       Suspect suspect = suspects.get(part);
