--- a/bench/src/main/java/io/jacinthquay/bench/capacity/CapacityPage.java
+++ b/bench/src/main/java/io/jacinthquay/bench/capacity/CapacityPage.java
@@ -9,6 +9,12 @@
 /** Formats the capacity page: projections at the planned size and the measured slopes. */
 final class CapacityPage {
   private static final double MICROS_PER_CORE_SECOND = 1e6;
+  private static final double MAX_TOLD_SUSPECTS = 64;
+  private static final double MAX_SUSPECTS = 1_024;
+  private static final double SELECTIONS_PER_SECOND = 20;
+
+  /** Views that a router receives from a relay in a second. */
+  private static final double VIEWS_PER_SECOND = 1 / 0.3;
 
   private static final List<Projection> PROJECTIONS =
       List.of(
@@ -52,6 +58,30 @@
               PlannedSize.CUSTOMERS,
               1,
               PlannedSize.LIMIT_MEMORY_BYTES),
+          new Projection(
+              "router",
+              "suspect parts of prompts while upstreams crash, bytes/s",
+              "only while there are suspects; 64 at most are told",
+              "suspect-view-bytes",
+              MAX_TOLD_SUSPECTS,
+              VIEWS_PER_SECOND,
+              PlannedSize.LIMIT_BYTES_PER_SECOND),
+          new Projection(
+              "router",
+              "suspect parts of prompts, bytes of memory",
+              "1,024 at most",
+              "suspect-bytes",
+              MAX_SUSPECTS,
+              1,
+              PlannedSize.LIMIT_MEMORY_BYTES),
+          new Projection(
+              "control VM",
+              "selection of suspects by the leader, share of a core",
+              "1,024 suspects at most, selected 20 times a second at most",
+              "suspect-select-micros",
+              MAX_SUSPECTS,
+              SELECTIONS_PER_SECOND / MICROS_PER_CORE_SECOND,
+              PlannedSize.LIMIT_CORE_SHARE),
           new Projection(
               "keeper",
               "bytes/s of a leader for all relays",
