Bound the crashes of a suspect, and count a resumed stream as complete only where it reached the caller's last event

Found when reading the change: a suspect at one upstream that never recovers kept a crash every two seconds, without a bound; a resumed answer that repeated old events only, or sent comments only, ended the stream as complete.

--- a/decision/src/main/java/io/jacinthquay/decision/quarantine/Suspect.java
+++ b/decision/src/main/java/io/jacinthquay/decision/quarantine/Suspect.java
@@ -19,6 +19,9 @@
    */
   private static final long MIN_RESTART_NANOS = 2_000_000_000L;
 
+  /** Maximum number of crashes of each kind that are kept; more than any decision needs. */
+  private static final int MAX_CRASHES = 8;
+
   private record Crash(UpstreamId upstream, long atNanos) {
     boolean isNear(Crash other) {
       return Math.abs(other.atNanos - atNanos) < MIN_CRASH_GAP_NANOS;
@@ -53,6 +56,9 @@
     boolean known =
         Stream.concat(crashes.stream(), explained.stream()).anyMatch(c -> c.isSameAs(send));
     if (!cleared && !known) {
+      if (crashes.size() >= MAX_CRASHES) {
+        crashes.remove(0);
+      }
       crashes.add(new Crash(send.upstream(), send.atNanos()));
     }
   }
@@ -73,6 +79,9 @@
         crashes.stream().filter(crash -> cause.crashes.stream().anyMatch(crash::isNear)).toList();
     crashes.removeAll(both);
     explained.addAll(both);
+    while (explained.size() > MAX_CRASHES) {
+      explained.remove(0);
+    }
   }
 
   /** Returns the number of crashes that no confirmed part explains. */
--- a/decision/src/test/java/io/jacinthquay/decision/quarantine/SuspectTrackerTest.java
+++ b/decision/src/test/java/io/jacinthquay/decision/quarantine/SuspectTrackerTest.java
@@ -127,6 +127,17 @@
     assertTrue(tracker.isSuspectBeside(DEADLY, new UpstreamId("b")));
   }
 
+  @Test
+  void crashesOfOneUpstreamThatNeverRecoversAreBounded() {
+    for (int i = 0; i < 1_000; i++) {
+      crash("a", 3 * i, DEADLY);
+    }
+    assertTrue(tracker.crashes(DEADLY) <= 8);
+    assertEquals(List.of(), tracker.takeConfirmed(3_000 * SECOND));
+    crash("b", 3_000, DEADLY);
+    assertEquals(List.of(DEADLY), tracker.takeConfirmed(3_001 * SECOND));
+  }
+
   @Test
   void floodOfNewPartsDoesNotDisplaceASuspectOfTwoCrashes() {
     crash("a", 1, DEADLY);
--- a/router/src/main/java/io/jacinthquay/router/service/forward/EventStreamAnswer.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/EventStreamAnswer.java
@@ -26,7 +26,7 @@
   private final Runnable onEvents;
   private SseSplitter splitter = new SseSplitter();
   private ResponseHead head;
-  private boolean hasEvents;
+  private boolean reachedLastId;
   private long lastId;
   private boolean hasLastId;
   private boolean invalid;
@@ -57,7 +57,7 @@
 
   @Override
   public boolean head(ResponseHead answerHead) {
-    hasEvents = false;
+    reachedLastId = false;
     if (!caller.hasBegun()) {
       head = answerHead;
       return true;
@@ -93,9 +93,9 @@
       invalid = true;
       return false;
     }
-    hasEvents = true;
     if (id >= 0 && hasLastId) {
       if (id <= lastId) {
+        reachedLastId |= id == lastId;
         return true;
       }
       if (id != lastId + 1) {
@@ -107,6 +107,7 @@
       hasLastId = true;
       lastId = id;
     }
+    reachedLastId |= id >= 0 || !hasLastId;
     if (pending != bytes || pendingTo != from) {
       flush();
       pending = bytes;
@@ -184,7 +185,7 @@
 
   @Override
   public boolean end() {
-    if (splitter.hasRemaining() || !hasEvents) {
+    if (splitter.hasRemaining() || !reachedLastId) {
       return false;
     }
     caller.end();
