--- a/control/src/main/java/io/jacinthquay/control/service/PartQuarantine.java
+++ b/control/src/main/java/io/jacinthquay/control/service/PartQuarantine.java
@@ -43,6 +43,7 @@
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
   /** A change of the table that is not known to be committed. */
+  @SuppressWarnings("ArrayRecordComponent")
   private record Proposal(byte[] command, long atNanos) {
     boolean isOverdue(long now) {
       return now - atNanos > PROPOSAL_TIMEOUT_NANOS;
--- a/router/src/test/java/io/jacinthquay/router/service/forward/PromptQuarantineTest.java
+++ b/router/src/test/java/io/jacinthquay/router/service/forward/PromptQuarantineTest.java
@@ -41,9 +41,9 @@
   @ValueSource(booleans = {false, true})
   void routerDecidesByItsOwnEvidenceWhileControlVmsAreSilent(boolean silent) {
     for (int i = 1; i <= 4; i++) {
-      crash(i, 2 * i);
+      crash(i, 2L * i);
       if (!silent) {
-        hear(2 * i, List.of(), List.of());
+        hear(2L * i, List.of(), List.of());
       }
     }
     assertEquals(silent, quarantine.rejects(DEADLY));
