Use one rule for silent control VMs and one measure of the heap; simplify the evidence of suspects

- PromptQuarantine kept its own time of the last control message and its own copy of the limit of RouterIsolation.
It asks RouterIsolation.isControlSilent now.
The one difference: a router that never heard from a control VM does not count as silent; it has no document and sends nothing.
- Suspects were ordered by two copies of one comparator, and their crashes joined in three places.
- QuarantineCommand repeated StateCommand's reading of the heap (HeapUsage) and one timing loop.
- An answer that is established no longer reads the clock for each event.

PromptQuarantineTest sets the contact up; its assertions are unchanged.

--- a/bench/src/main/java/io/jacinthquay/bench/capacity/QuarantineCommand.java
+++ b/bench/src/main/java/io/jacinthquay/bench/capacity/QuarantineCommand.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.function.IntSupplier;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
 import org.apache.thrift.TException;
@@ -32,9 +33,6 @@
   private static final int MEASURED_ROUNDS = 5_000;
   private static final int UPSTREAMS = 100;
 
-  /** Garbage collections before each reading, so that unreachable objects do not count. */
-  private static final int GC_RUNS = 4;
-
   private static final double NANOS_PER_MICRO = 1_000;
   private static final long SECOND_NANOS = 1_000_000_000L;
 
@@ -66,13 +64,13 @@
     for (int suspects : SUSPECTS) {
       // Loads the classes, so that they do not count as state.
       int unused = tracker(suspects).suspects(1).size();
-      long before = usedBytes();
+      long before = HeapUsage.usedBytes();
       SuspectTracker tracker = tracker(suspects);
-      long bytes = usedBytes() - before;
+      long bytes = HeapUsage.usedBytes() - before;
       out.printf(
           "{\"measure\":\"quarantine\",\"suspects\":%d,\"bytes\":%d,\"select_micros\":%.2f,"
               + "\"send_micros\":%.2f}%n",
-          suspects, bytes, selectMicros(tracker), reportMicros(tracker, suspects));
+          suspects, bytes, selectMicros(tracker), sendMicros(tracker, suspects));
     }
     return ExitCode.OK;
   }
@@ -88,13 +86,6 @@
     return new TSerializer(new TCompactProtocol.Factory()).serialize(view).length;
   }
 
-  private static long usedBytes() {
-    for (int i = 0; i < GC_RUNS; i++) {
-      System.gc();
-    }
-    return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
-  }
-
   private static SuspectTracker tracker(int suspects) {
     SuspectTracker tracker = new SuspectTracker();
     for (int part = 0; part < suspects; part++) {
@@ -109,35 +100,39 @@
 
   /** Returns the time to select the suspects to tell, which happens up to 20 times a second. */
   private static double selectMicros(SuspectTracker tracker) {
-    long startNanos = 0;
-    int told = 0;
-    for (int round = 0; round < WARM_UP_ROUNDS + MEASURED_ROUNDS; round++) {
-      if (round == WARM_UP_ROUNDS) {
-        startNanos = System.nanoTime();
-      }
-      told += tracker.suspects(TOLD_SUSPECTS[TOLD_SUSPECTS.length - 1]).size();
-    }
-    double nanos = System.nanoTime() - startNanos;
-    return told == 0 ? 0 : nanos / MEASURED_ROUNDS / NANOS_PER_MICRO;
+    int limit = TOLD_SUSPECTS[TOLD_SUSPECTS.length - 1];
+    return microsPerRound(() -> tracker.suspects(limit).size());
   }
 
   /** Returns the time to take in one broken send. */
-  private static double reportMicros(SuspectTracker tracker, int suspects) {
+  private static double sendMicros(SuspectTracker tracker, int suspects) {
     SplittableRandom random = new SplittableRandom(suspects);
-    long startNanos = 0;
-    int crashes = 0;
-    for (int round = 0; round < WARM_UP_ROUNDS + MEASURED_ROUNDS; round++) {
-      if (round == WARM_UP_ROUNDS) {
-        startNanos = System.nanoTime();
-      }
-      List<PartId> parts = new ArrayList<>();
-      for (int i = 0; i < PARTS_PER_SEND; i++) {
-        parts.add(new PartId(random.nextInt(suspects)));
-      }
-      tracker.recordBroken(send(random.nextInt(UPSTREAMS), parts, 0), SECOND_NANOS);
-      crashes += tracker.crashes(parts.get(0));
+    return microsPerRound(
+        () -> {
+          List<PartId> parts = new ArrayList<>();
+          for (int i = 0; i < PARTS_PER_SEND; i++) {
+            parts.add(new PartId(random.nextInt(suspects)));
+          }
+          tracker.recordBroken(send(random.nextInt(UPSTREAMS), parts, 0), SECOND_NANOS);
+          return tracker.crashes(parts.get(0));
+        });
+  }
+
+  /**
+   * Returns the time of one round after a warm-up.
+   *
+   * @param round returns a result above 0, which keeps its work from being left out
+   */
+  private static double microsPerRound(IntSupplier round) {
+    long results = 0;
+    for (int i = 0; i < WARM_UP_ROUNDS; i++) {
+      results += round.getAsInt();
+    }
+    long startNanos = System.nanoTime();
+    for (int i = 0; i < MEASURED_ROUNDS; i++) {
+      results += round.getAsInt();
     }
     double nanos = System.nanoTime() - startNanos;
-    return crashes == 0 ? 0 : nanos / MEASURED_ROUNDS / NANOS_PER_MICRO;
+    return results == 0 ? 0 : nanos / MEASURED_ROUNDS / NANOS_PER_MICRO;
   }
 }
--- a/bench/src/main/java/io/jacinthquay/bench/capacity/StateCommand.java
+++ b/bench/src/main/java/io/jacinthquay/bench/capacity/StateCommand.java
@@ -31,9 +31,6 @@
   private static final int[] CUSTOMERS = {1_000, 2_000, 4_000, 6_100, 12_200};
   private static final int KEYS_PER_CUSTOMER = 2;
 
-  /** Garbage collections before each reading, so that unreachable objects do not count. */
-  private static final int GC_RUNS = 4;
-
   private static final long NOW_MILLIS = 86_400_000;
   private static final ClassName CLASS = new ClassName("quick");
   private static final ClassPolicy TARGET =
@@ -55,11 +52,11 @@
   @Override
   public ExitCode run(Namespace arguments, PrintStream out) {
     for (int customers : CUSTOMERS) {
-      long before = usedBytes();
+      long before = HeapUsage.usedBytes();
       Policy policy = policy(customers);
-      long withPolicy = usedBytes();
+      long withPolicy = HeapUsage.usedBytes();
       SloRecorder recorder = recorder(customers);
-      long withRecorder = usedBytes();
+      long withRecorder = HeapUsage.usedBytes();
       out.printf(
           "{\"measure\":\"state\",\"customers\":%d,\"policy_bytes\":%d,\"slo_bytes\":%d}%n",
           policy.all(EntityKind.CUSTOMER, Object.class).size(),
@@ -70,13 +67,6 @@
     return ExitCode.OK;
   }
 
-  private static long usedBytes() {
-    for (int i = 0; i < GC_RUNS; i++) {
-      System.gc();
-    }
-    return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
-  }
-
   private static Policy policy(int customers) {
     List<EntityEdit> edits = new ArrayList<>();
     for (int i = 0; i < customers; i++) {
--- a/control/src/main/java/io/jacinthquay/control/service/PartQuarantine.java
+++ b/control/src/main/java/io/jacinthquay/control/service/PartQuarantine.java
@@ -143,14 +143,13 @@
       propose(part, ControlState.quarantineCommand(entry));
     }
     suspectsChanged |= !confirmed.isEmpty();
-    List<PartId> overdue = new ArrayList<>();
-    proposals.forEach(
-        (part, proposal) -> {
-          if (proposal.isOverdue(now)) {
-            overdue.add(part);
-          }
-        });
-    overdue.forEach(part -> propose(part, proposals.get(part).command()));
+    Map.copyOf(proposals)
+        .forEach(
+            (part, proposal) -> {
+              if (proposal.isOverdue(now)) {
+                propose(part, proposal.command());
+              }
+            });
   }
 
   private void propose(PartId part, byte[] command) {
--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/RouterIsolation.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/RouterIsolation.java
@@ -34,9 +34,16 @@
    * @param now monotonic time, in nanoseconds
    */
   public boolean isIsolated(BooleanSupplier reachesUpstreams, long now) {
+    return isControlSilent(now) && !reachesUpstreams.getAsBoolean();
+  }
+
+  /**
+   * Returns whether control VMs that were heard before are silent now.
+   *
+   * @param now monotonic time, in nanoseconds
+   */
+  public boolean isControlSilent(long now) {
     OptionalLong lastHeard = lastHeardNanos;
-    return lastHeard.isPresent()
-        && now - lastHeard.getAsLong() > CONTROL_SILENCE_NANOS
-        && !reachesUpstreams.getAsBoolean();
+    return lastHeard.isPresent() && now - lastHeard.getAsLong() > CONTROL_SILENCE_NANOS;
   }
 }
--- a/decision/src/main/java/io/jacinthquay/decision/quarantine/Suspect.java
+++ b/decision/src/main/java/io/jacinthquay/decision/quarantine/Suspect.java
@@ -2,6 +2,7 @@
 
 import io.jacinthquay.model.UpstreamId;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.stream.Stream;
 
@@ -34,6 +35,10 @@
     }
   }
 
+  /** Orders suspects by their evidence: fewer crashes first, then older ones. */
+  static final Comparator<Suspect> BY_EVIDENCE =
+      Comparator.comparingInt(Suspect::allCrashes).thenComparingLong(Suspect::lastNanos);
+
   private final List<Crash> crashes = new ArrayList<>();
   private final List<Crash> explained = new ArrayList<>();
   private final long sinceNanos;
@@ -53,8 +58,7 @@
   void add(BrokenSend send, int newDepth) {
     depth = newDepth;
     boolean cleared = served && establishedNanos - send.atNanos() >= 0;
-    boolean known =
-        Stream.concat(crashes.stream(), explained.stream()).anyMatch(c -> c.isSameAs(send));
+    boolean known = withExplained().anyMatch(crash -> crash.isSameAs(send));
     if (!cleared && !known) {
       if (crashes.size() >= MAX_CRASHES) {
         crashes.remove(0);
@@ -101,11 +105,7 @@
 
   /** Returns whether the crashes were at more than one upstream. */
   boolean isAtSeveralUpstreams() {
-    return Stream.concat(crashes.stream(), explained.stream())
-            .map(Crash::upstream)
-            .distinct()
-            .count()
-        > 1;
+    return withExplained().map(Crash::upstream).distinct().count() > 1;
   }
 
   /** Returns whether an upstream other than the given one may have crashed by the part. */
@@ -125,9 +125,10 @@
 
   /** Returns the time of the last crash, or of the first suspicion if none is left. */
   long lastNanos() {
-    return Stream.concat(crashes.stream(), explained.stream())
-        .mapToLong(Crash::atNanos)
-        .max()
-        .orElse(sinceNanos);
+    return withExplained().mapToLong(Crash::atNanos).max().orElse(sinceNanos);
+  }
+
+  private Stream<Crash> withExplained() {
+    return Stream.concat(crashes.stream(), explained.stream());
   }
 }
--- a/decision/src/main/java/io/jacinthquay/decision/quarantine/SuspectTracker.java
+++ b/decision/src/main/java/io/jacinthquay/decision/quarantine/SuspectTracker.java
@@ -69,10 +69,7 @@
   private void makeRoom() {
     if (suspects.size() >= MAX_SUSPECTS) {
       suspects.entrySet().stream()
-          .min(
-              Comparator.comparingInt(
-                      (Map.Entry<PartId, Suspect> entry) -> entry.getValue().allCrashes())
-                  .thenComparingLong(entry -> entry.getValue().lastNanos()))
+          .min(Map.Entry.comparingByValue(Suspect.BY_EVIDENCE))
           .map(Map.Entry::getKey)
           .ifPresent(suspects::remove);
     }
@@ -98,10 +95,7 @@
   public List<PartId> suspects(int limit) {
     return suspects.entrySet().stream()
         .filter(entry -> entry.getValue().allCrashes() > 0)
-        .sorted(
-            Comparator.comparingInt(
-                    (Map.Entry<PartId, Suspect> entry) -> -entry.getValue().allCrashes())
-                .thenComparingLong(entry -> -entry.getValue().lastNanos()))
+        .sorted(Map.Entry.comparingByValue(Suspect.BY_EVIDENCE.reversed()))
         .limit(limit)
         .map(Map.Entry::getKey)
         .toList();
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardAttempt.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardAttempt.java
@@ -79,7 +79,7 @@
    * while; an upstream that its prompt crashes fails before.
    */
   void recordProgress() {
-    if (begun && System.nanoTime() - begunNanos >= ESTABLISHED_NANOS) {
+    if (!established && begun && System.nanoTime() - begunNanos >= ESTABLISHED_NANOS) {
       recordEstablished();
     }
   }
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
@@ -77,7 +77,7 @@
   private EventThread thread;
   private final RouterCount routerCount = new RouterCount();
   private final RouterIsolation contact = new RouterIsolation();
-  private final PromptQuarantine quarantine;
+  private final PromptQuarantine quarantine = new PromptQuarantine(contact);
   private volatile boolean upstreamsKnown;
   private boolean queuePollScheduled;
   private boolean silenceCheckScheduled;
@@ -109,7 +109,6 @@
             new SplittableRandom());
     this.startupQueue = new StartupQueue(System.nanoTime(), options.startHold());
     this.usage = new WindowedUsage(options.usageWindow());
-    this.quarantine = new PromptQuarantine(clock.getAsLong());
     metrics.gauge("jq_forward_in_progress", active::size);
     metrics.gauge("jq_forward_held", startupQueue::size);
     metrics.gauge("jq_forward_quarantined_parts", quarantine::size);
--- a/router/src/main/java/io/jacinthquay/router/service/forward/PromptQuarantine.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/PromptQuarantine.java
@@ -1,6 +1,7 @@
 package io.jacinthquay.router.service.forward;
 
 import io.jacinthquay.decision.dispatch.PromptPart;
+import io.jacinthquay.decision.dispatch.RouterIsolation;
 import io.jacinthquay.decision.quarantine.BrokenSend;
 import io.jacinthquay.decision.quarantine.EstablishedParts;
 import io.jacinthquay.decision.quarantine.PartId;
@@ -47,11 +48,6 @@
    */
   private static final long REPEAT_NANOS = 2_000_000_000L;
 
-  /**
-   * Silence of the control VMs after which a router decides by its own evidence, in nanoseconds.
-   */
-  private static final long CONTROL_SILENCE_NANOS = 2_500_000_000L;
-
   /** Time for which the permission to try one request is valid, in nanoseconds. */
   private static final long TRIAL_NANOS = 10_000_000_000L;
 
@@ -77,6 +73,7 @@
   /** The time of an established answer that was reported, and when that was. */
   private record ReportedAnswer(long establishedNanos, long reportedNanos) {}
 
+  private final RouterIsolation contact;
   private final SuspectTracker ownSuspects = new SuspectTracker();
   private final EstablishedParts established = new EstablishedParts();
   private final Deque<Evidence> evidence = new ArrayDeque<>();
@@ -86,10 +83,14 @@
   private final Set<PartId> ownDecisions = new HashSet<>();
   private Map<PartId, QuarantinedPart> quarantined = Map.of();
   private Set<PartId> suspects = Set.of();
-  private long heardNanos;
 
-  PromptQuarantine(long now) {
-    heardNanos = now;
+  /**
+   * Returns a quarantine without parts.
+   *
+   * @param contact tells whether the control VMs are silent
+   */
+  PromptQuarantine(RouterIsolation contact) {
+    this.contact = contact;
   }
 
   /** Returns the shared parts of a prompt. */
@@ -114,7 +115,6 @@
    * @param trials quarantined parts with each of which one request may be sent
    */
   void recordControlMessage(Collection<PartId> newSuspects, Collection<PartId> trials, long now) {
-    heardNanos = now;
     ownDecisions.clear();
     suspects = Set.copyOf(newSuspects);
     trials.forEach(part -> trialsUntilNanos.put(part, now + TRIAL_NANOS));
@@ -187,7 +187,7 @@
       evidence.removeFirst();
     }
     evidence.addLast(new Evidence(send));
-    if (now - heardNanos > CONTROL_SILENCE_NANOS) {
+    if (contact.isControlSilent(now)) {
       for (PartId part : ownSuspects.takeConfirmed(now)) {
         if (ownDecisions.size() < MAX_PARTS) {
           log.warn("part {} is quarantined here while the control VMs are silent", part);
--- a/router/src/test/java/io/jacinthquay/router/service/forward/PromptQuarantineTest.java
+++ b/router/src/test/java/io/jacinthquay/router/service/forward/PromptQuarantineTest.java
@@ -5,11 +5,13 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.jacinthquay.decision.dispatch.PromptPart;
+import io.jacinthquay.decision.dispatch.RouterIsolation;
 import io.jacinthquay.decision.quarantine.PartId;
 import io.jacinthquay.decision.quarantine.QuarantinedPart;
 import io.jacinthquay.model.UpstreamId;
 import java.util.List;
 import java.util.Map;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -22,13 +24,20 @@
       List.of(new PromptPart(0x5a, 100), new PromptPart(0xdead, 10));
   private static final long SECOND = 1_000_000_000L;
 
-  private final PromptQuarantine quarantine = new PromptQuarantine(0);
+  private final RouterIsolation contact = new RouterIsolation();
+  private final PromptQuarantine quarantine = new PromptQuarantine(contact);
+
+  @BeforeEach
+  void hearFirst() {
+    contact.recordControlMessage(0);
+  }
 
   private void crash(int upstream, long second) {
     quarantine.recordBroken(new UpstreamId("i-" + upstream), DEADLY, second * SECOND);
   }
 
   private void hear(long second, List<PartId> suspects, List<PartId> trials) {
+    contact.recordControlMessage(second * SECOND);
     quarantine.recordControlMessage(suspects, trials, second * SECOND);
   }
 
@@ -103,7 +112,7 @@
     crash(2, 2);
     assertTrue(quarantine.isSuspectBeside(new UpstreamId("i-2"), DEADLY));
     assertFalse(quarantine.isSuspectBeside(new UpstreamId("i-2"), List.of()));
-    PromptQuarantine other = new PromptQuarantine(0);
+    PromptQuarantine other = new PromptQuarantine(contact);
     other.recordControlMessage(List.of(DEADLY_ID), List.of(), SECOND);
     assertTrue(other.isSuspectBeside(new UpstreamId("i-3"), DEADLY));
   }
