--- a/review/standin/Stage.java
+++ b/review/standin/Stage.java
@@ -43,6 +43,7 @@
   private final int metricsPort;
   private final int cloudPort;
   private final int controls;
+  private boolean closed;
 
   /**
    * Returns a deployment of which nothing runs yet.
@@ -99,6 +100,9 @@
         String.format(Locale.ROOT, "%8.3f ", seconds())
             + String.format(Locale.ROOT, format, arguments);
     synchronized (record) {
+      if (closed) {
+        return;
+      }
       try {
         record.write(line);
         record.newLine();
@@ -240,6 +244,9 @@
 
   /** Sends a signal to a process that this deployment started. */
   void signal(String name, String signal) throws IOException {
+    if (!processes.get(name).isAlive()) {
+      return;
+    }
     note("signal %s to %s", signal, name);
     Process kill =
         new ProcessBuilder("kill", "-" + signal, Long.toString(processes.get(name).pid())).start();
@@ -285,6 +292,7 @@
       }
     }
     synchronized (record) {
+      closed = true;
       record.close();
     }
   }
