Review: start no process any more once a case ends

What: Stage starts nothing after its processes have been killed.

Why: a run of case 1 that was stopped from outside left one router behind, which a restart had begun just then; it was ended by its id.

--- a/review/standin/Stage.java
+++ b/review/standin/Stage.java
@@ -43,6 +43,7 @@
   private final int metricsPort;
   private final int cloudPort;
   private final int controls;
+  private boolean ending;
   private boolean closed;
 
   /**
@@ -64,9 +65,7 @@
     metricsPort = freePort();
     cloudPort = freePort();
     // Also ends the processes if the case itself is stopped.
-    Runtime.getRuntime()
-        .addShutdownHook(
-            new Thread(() -> List.copyOf(processes.values()).forEach(Process::destroyForcibly)));
+    Runtime.getRuntime().addShutdownHook(new Thread(this::endProcesses));
     String role = "";
     for (String line : Files.readAllLines(root.resolve("deploy/system.toml"))) {
       if (line.startsWith("[roles.")) {
@@ -216,9 +215,14 @@
             .redirectErrorStream(true)
             .redirectOutput(ProcessBuilder.Redirect.appendTo(log));
     builder.environment().keySet().retainAll(List.of("PATH", "HOME", "JAVA_HOME", "LANG"));
-    Process process = builder.start();
-    processes.put(name, process);
-    note("start %s pid=%d", name, process.pid());
+    synchronized (processes) {
+      if (ending) {
+        return;
+      }
+      Process process = builder.start();
+      processes.put(name, process);
+      note("start %s pid=%d", name, process.pid());
+    }
   }
 
   /** Waits until a router says that it is ready; returns false after ten seconds. */
@@ -270,11 +274,17 @@
     }
   }
 
+  /** Kills all processes that this deployment started, and starts no more. */
+  private void endProcesses() {
+    synchronized (processes) {
+      ending = true;
+      processes.values().forEach(Process::destroyForcibly);
+    }
+  }
+
   @Override
   public void close() throws IOException {
-    for (Process process : processes.values()) {
-      process.destroyForcibly();
-    }
+    endProcesses();
     for (Process process : processes.values()) {
       try {
         process.waitFor(10, TimeUnit.SECONDS);
