Soak: judge in calm that an acknowledged document is in force, and draw faults in series

Faults overlap all the time, so what routers do with an old document was nearly always excused by one of them, and nothing asked after the faults whether routers follow the newest document. Signals and restarts of a process also come in series, with gaps below 1.5 s.

--- a/faultsoak/src/main/java/io/jacinthquay/soak/Deployment.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/Deployment.java
@@ -109,6 +109,11 @@
     return address(ROUTER_SUBNET, number, publicPort);
   }
 
+  /** Returns the address at which a router serves its metrics. */
+  InetSocketAddress routerMetrics(int number) {
+    return address(ROUTER_SUBNET, number, metricsPort);
+  }
+
   Path root() {
     return root;
   }
--- a/faultsoak/src/main/java/io/jacinthquay/soak/FaultSchedule.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/FaultSchedule.java
@@ -2,15 +2,18 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.EnumSet;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
 
 /**
  * Draws the kinds, targets and times of faults from the seed; equal plans have equal schedules.
  *
- * <p>Faults overlap, also on the same target. At most one control VM loses its data folder: the
- * system tolerates one lost disk at a time, and under other faults it can't be seen from outside
- * when the new disk has replaced the lost one.
+ * <p>Faults overlap, also on the same target, and some faults of a process come in series: each one
+ * begins while the process still handles the one before. At most one control VM loses its data
+ * folder: the system tolerates one lost disk at a time, and under other faults it can't be seen
+ * from outside when the new disk has replaced the lost one.
  */
 final class FaultSchedule {
   /** Mean time between the starts of two faults. */
@@ -19,6 +22,25 @@
   private static final int MIN_DURATION_MILLIS = 200;
   private static final int MAX_DURATION_MILLIS = 4_000;
 
+  /** One fault of a process in this many begins a series. */
+  private static final int SERIES_ONE_IN = 5;
+
+  /** Most faults that follow the first one of a series. */
+  private static final int MAX_REPEATS = 3;
+
+  private static final int MAX_REPEAT_GAP_MILLIS = 1_500;
+
+  /** Faults that a process may meet again before it has recovered from the last one. */
+  private static final Set<FaultKind> REPEATED =
+      EnumSet.of(
+          FaultKind.ROUTER_PAUSED,
+          FaultKind.ROUTER_KILLED,
+          FaultKind.ROUTER_STOPPED,
+          FaultKind.ROUTER_HUP,
+          FaultKind.CONTROL_PAUSED,
+          FaultKind.CONTROL_KILLED,
+          FaultKind.CONTROL_STOPPED);
+
   /** Smallest number of control VMs of which one may lose its disk. */
   private static final int MIN_CONTROLS_FOR_DISK_LOSS = 3;
 
@@ -43,10 +65,22 @@
       if (!isWipe || !noMoreWipes) {
         faults.add(new Fault(kind, target, startMillis, durationMillis));
         noMoreWipes |= isWipe;
+        if (REPEATED.contains(kind) && random.nextInt(SERIES_ONE_IN) == 0) {
+          addSeries(faults.get(faults.size() - 1), random, faults);
+        }
       }
       startMillis += random.nextInt(2 * MEAN_GAP_MILLIS);
     }
     faults.sort(Comparator.comparingLong(Fault::startMillis));
     return faults;
   }
+
+  private static void addSeries(Fault first, SplittableRandom random, List<Fault> faults) {
+    long startMillis = first.startMillis();
+    for (int repeats = 1 + random.nextInt(MAX_REPEATS); repeats > 0; repeats--) {
+      startMillis += random.nextInt(MAX_REPEAT_GAP_MILLIS);
+      int durationMillis = MIN_DURATION_MILLIS + random.nextInt(MAX_REPEAT_GAP_MILLIS);
+      faults.add(new Fault(first.kind(), first.target(), startMillis, durationMillis));
+    }
+  }
 }
--- a/faultsoak/src/main/java/io/jacinthquay/soak/OperatorLoop.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/OperatorLoop.java
@@ -11,7 +11,7 @@
 import java.util.function.BooleanSupplier;
 
 /** An operator that changes the document, retries changes without a response, and reads it. */
-final class OperatorLoop implements Runnable {
+final class OperatorLoop implements Runnable, DocumentConvergence.Operator {
   private static final ObjectMapper MAPPER = new ObjectMapper();
   private static final String PATH = "/v1/configuration";
   private static final int MAX_PAUSE_MILLIS = 1_500;
@@ -50,7 +50,8 @@
    *
    * @return whether it was acknowledged while {@code keepTrying} returned true
    */
-  boolean changeDocument(BooleanSupplier keepTrying) throws InterruptedException {
+  @Override
+  public boolean changeDocument(BooleanSupplier keepTrying) throws InterruptedException {
     version += 1 + random.nextInt(3);
     history.add(new History.Proposed(System.nanoTime(), version));
     boolean acknowledged =
@@ -61,8 +62,14 @@
     return acknowledged;
   }
 
+  @Override
+  public long version() {
+    return version;
+  }
+
   /** Reads the document from a random control VM; returns its version, or empty on failure. */
-  OptionalLong readVersion() {
+  @Override
+  public OptionalLong readVersion() {
     long requestedNanos = System.nanoTime();
     Either<Failure, HttpResponse> response = calls.send("GET", PATH, "");
     if (response.isLeft() || !response.get().isSuccess()) {
--- a/faultsoak/src/main/java/io/jacinthquay/soak/SoakRun.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/SoakRun.java
@@ -123,11 +123,23 @@
     }
     runLoad(system, List.of(operator, evacuations));
     system.clearFaults();
-    Verdict recovery = judgeRecovery(system, operator, evacuations);
+    Map<String, Verdict> afterFaults = new LinkedHashMap<>();
+    afterFaults.put(
+        "service is back after the faults", judgeRecovery(system, operator, evacuations));
+    DocumentConvergence documents =
+        new DocumentConvergence(
+            new RunningPrograms(system, http),
+            operator,
+            random.split(),
+            DocumentConvergence.Limits.DEFAULT);
+    afterFaults.put("in calm, routers apply a document in time", documents.judgeCalm());
+    afterFaults.put(
+        "an acknowledged document survives the end of all programs", documents.judgeRestart());
     Verdict stops = new Verdict();
     List<String> killed = system.stop();
     stops.judge(killed.isEmpty(), String.join(", ", killed));
-    return report(system, recovery, stops);
+    afterFaults.put("a planned stop ends within its grace period", stops);
+    return report(system, afterFaults);
   }
 
   private OperatorCalls operatorCalls(SoakSystem system) {
@@ -233,11 +245,10 @@
     return response.isRight() && response.get().isSuccess();
   }
 
-  private SoakReport report(SoakSystem system, Verdict recovery, Verdict stops) {
+  private SoakReport report(SoakSystem system, Map<String, Verdict> afterFaults) {
     Map<String, Verdict> verdicts = new LinkedHashMap<>();
     CHECKS.forEach(check -> verdicts.put(check.guarantee(), check.judge(history)));
-    verdicts.put("service is back after the faults", recovery);
-    verdicts.put("a planned stop ends within its grace period", stops);
+    verdicts.putAll(afterFaults);
     return new SoakReport(
         plan,
         verdicts,
--- a/faultsoak/src/main/java/io/jacinthquay/soak/SoakSystem.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/SoakSystem.java
@@ -9,6 +9,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.function.Supplier;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -144,6 +145,11 @@
     return routerLinks.stream().map(LinkProxy::address).toList();
   }
 
+  /** Returns the addresses at which the routers serve their metrics. */
+  List<InetSocketAddress> routerMetricsAddresses() {
+    return IntStream.range(0, routers.size()).mapToObj(deployment::routerMetrics).toList();
+  }
+
   List<InetSocketAddress> operatorAddresses() {
     return operatorLinks.stream().map(LinkProxy::address).toList();
   }
@@ -164,6 +170,11 @@
     }
   }
 
+  /** Kills all processes at the same time. */
+  void killAll() {
+    processes().parallelStream().forEach(ProgramProcess::kill);
+  }
+
   /** Stops all processes; returns a description of each one that had to be killed. */
   List<String> stop() throws IOException {
     List<String> killed = new ArrayList<>();
--- a/faultsoak/src/test/java/io/jacinthquay/soak/FaultScheduleTest.java
+++ b/faultsoak/src/test/java/io/jacinthquay/soak/FaultScheduleTest.java
@@ -43,6 +43,26 @@
     assertTrue(overlap);
   }
 
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 77})
+  void someFaultsOfAProcessFollowEachOtherInSeries(long seed) {
+    List<Fault> faults = schedule(seed);
+    long series =
+        faults.stream()
+            .filter(first -> faults.stream().anyMatch(next -> isNextInSeries(first, next)))
+            .count();
+    assertTrue(series > 20, series + " of " + faults.size());
+  }
+
+  private static boolean isNextInSeries(Fault first, Fault next) {
+    long gapMillis = next.startMillis() - first.startMillis();
+    return next != first
+        && next.kind() == first.kind()
+        && next.target() == first.target()
+        && gapMillis >= 0
+        && gapMillis < 1_500;
+  }
+
   /** The system tolerates one lost disk, and none with a single control VM. */
   @ParameterizedTest
   @ValueSource(longs = {1, 2, 77})
