Router: keep no ended request on the connections that outlive it

Routers ended with OutOfMemoryError after some hundred requests, and the requests in progress got no answer. Each request added close listeners to its caller's connection (UndertowCaller, BodyReader with the body), which Undertow keeps until the connection closes; and the close listener of an upstream connection held the call that had opened it, with all the above.

A connection now has one close listener, which calls those of the exchanges in progress; they are removed when the exchange is complete. The listener of an upstream connection holds the counter only.

--- a/router/src/main/java/io/jacinthquay/router/adapter/http/BodyReader.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/BodyReader.java
@@ -51,7 +51,7 @@
       bodyCallback.accept(EMPTY);
       return;
     }
-    exchange.getConnection().addCloseListener(connection -> onClosed());
+    CloseListeners.add(exchange, this::onClosed);
     exchange.addExchangeCompleteListener(
         (completed, next) -> {
           releaseMemory();
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/ConnectionPool.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/ConnectionPool.java
@@ -194,6 +194,12 @@
     }
   }
 
+  /** Holds no callback, since the connection outlives the request that it was opened for. */
+  private static void countOpen(ClientConnection connection, AtomicInteger openConnections) {
+    openConnections.incrementAndGet();
+    connection.addCloseListener(closed -> openConnections.decrementAndGet());
+  }
+
   /** Passes on the first result only; a connection that opens after the timeout is closed. */
   private final class ConnectCallback implements ClientCallback<ClientConnection> {
     private final ClientCallback<UpstreamConnection> callback;
@@ -211,8 +217,7 @@
         return;
       }
       finish();
-      openConnections.incrementAndGet();
-      connection.addCloseListener(closed -> openConnections.decrementAndGet());
+      countOpen(connection, openConnections);
       callback.completed(new UpstreamConnection(connection, opener.latestSource()));
     }
 
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowCaller.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowCaller.java
@@ -32,7 +32,7 @@
     this.exchange = exchange;
     this.connections = connections;
     this.thread = new IoThread(exchange.getIoThread());
-    exchange.getConnection().addCloseListener(connection -> onClosed());
+    CloseListeners.add(exchange, this::onClosed);
   }
 
   @Override
