Router: refuse a body that does not fit the memory for bodies before reading it

The router could end with OutOfMemoryError under many large bodies: up to 64 MB of bodies were allowed in a heap of 96 MB, each held about three times (a growing buffer, kept until the request ended, and its copy), and a body was refused only when the memory ran out while it was read.

A declared length is now reserved before the first byte is read, the parts are released once they are joined, and bodies take a quarter of the heap at most.

--- a/router/src/main/java/io/jacinthquay/router/adapter/http/BodyReader.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/BodyReader.java
@@ -4,9 +4,10 @@
 import io.jacinthquay.model.ResultCode;
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.server.HttpServerExchange;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.xnio.IoUtils;
@@ -20,7 +21,8 @@
   private final HttpServerExchange exchange;
   private final ListenerLimits limits;
   private final BufferBudget memory;
-  private final ByteArrayOutputStream body = new ByteArrayOutputStream(0);
+  private final List<byte[]> parts = new ArrayList<>();
+  private int size;
   private Consumer<byte[]> onComplete;
   private Consumer<Failure> onFailure;
   private StreamSourceChannel source;
@@ -51,6 +53,10 @@
       bodyCallback.accept(EMPTY);
       return;
     }
+    if (!reserve(Math.max(0, exchange.getRequestContentLength()))) {
+      fail(ResultCode.QUEUE_FULL);
+      return;
+    }
     CloseListeners.add(exchange, this::onClosed);
     exchange.addExchangeCompleteListener(
         (completed, next) -> {
@@ -85,7 +91,7 @@
         if (count < 0) {
           finish();
           ReadAheadSource.allowAll(exchange);
-          onComplete.accept(body.toByteArray());
+          onComplete.accept(joinParts());
           return;
         }
         ReadAheadSource.allow(exchange, ReadAheadSource.MAX_SKIPPED_BYTES);
@@ -101,21 +107,39 @@
 
   private boolean append(ByteBuffer data) {
     int count = data.remaining();
-    if (body.size() + count > limits.maxBodyBytes()) {
+    if (size + count > limits.maxBodyBytes()) {
       fail(ResultCode.BODY_TOO_LARGE);
       return false;
     }
-    if (!memory.tryReserve(count)) {
+    if (!reserve(size + count - reservedBytes)) {
       fail(ResultCode.QUEUE_FULL);
       return false;
     }
-    reservedBytes += count;
     byte[] bytes = new byte[count];
     data.get(bytes);
-    body.writeBytes(bytes);
+    parts.add(bytes);
+    size += count;
     return true;
   }
 
+  private boolean reserve(long bytes) {
+    if (bytes <= 0) {
+      return true;
+    }
+    if (!memory.tryReserve(bytes)) {
+      return false;
+    }
+    reservedBytes += bytes;
+    return true;
+  }
+
+  private byte[] joinParts() {
+    ByteBuffer body = ByteBuffer.allocate(size);
+    parts.forEach(body::put);
+    parts.clear();
+    return body.array();
+  }
+
   private void fail(ResultCode code) {
     if (!done) {
       finish();
@@ -125,6 +149,7 @@
 
   private void onClosed() {
     finish();
+    parts.clear();
     releaseMemory();
   }
 
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/ListenerLimits.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/ListenerLimits.java
@@ -21,6 +21,11 @@
     int bodyMillis,
     int idleMillis) {
 
+  private static final long MAX_BUFFERED_BYTES = 64L * 1024 * 1024;
+
+  /** The rest is for answers, connections and the tables of the router. */
+  private static final double BODY_HEAP_SHARE = 0.25;
+
   /**
    * Checks the ranges.
    *
@@ -35,9 +40,16 @@
     }
   }
 
-  /** Returns limits for a small VM. */
+  /** Returns limits for a small VM; bodies may take a quarter of the heap. */
   public static ListenerLimits defaults() {
+    long bodyBytes = (long) (Runtime.getRuntime().maxMemory() * BODY_HEAP_SHARE);
     return new ListenerLimits(
-        32 * 1024, 8 * 1024 * 1024, 64L * 1024 * 1024, 10_000, 10_000, 30_000, 60_000);
+        32 * 1024,
+        8 * 1024 * 1024,
+        Math.min(MAX_BUFFERED_BYTES, bodyBytes),
+        10_000,
+        10_000,
+        30_000,
+        60_000);
   }
 }
