--- a/router/src/test/java/io/jacinthquay/router/BodyMemoryTest.java
+++ b/router/src/test/java/io/jacinthquay/router/BodyMemoryTest.java
@@ -92,6 +92,7 @@
     try (Socket first = post()) {
       admitted.await();
       try (Socket second = post()) {
+        write(second, "x".repeat(BODY_BYTES));
         assertEquals("HTTP/1.1 503", status(second));
       }
       write(first, "x".repeat(BODY_BYTES));
