Router: bound the memory of all answers together

A router ended with OutOfMemoryError, and with it the requests of its other callers, when many upstreams sent large bodies at once: each buffered answer may have 4 MB, held up to three times, and nothing bounded their sum, nor that of incomplete events, nor what callers left unread. A caller that didn't read its answer held it without a time limit.

Buffered answers and incomplete events now share a fifth of the heap; an answer that doesn't fit fails as an upstream that broke, since it may have run. Each answer has 32 KB of its own, so usual ones depend on no other. Data that callers leave unread counts in the memory for bodies, and must be received within 30 s of the answer's end.

--- a/router/src/main/java/io/jacinthquay/router/adapter/http/CallerHandler.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/CallerHandler.java
@@ -3,6 +3,7 @@
 import io.jacinthquay.model.Failure;
 import io.jacinthquay.model.RequestId;
 import io.jacinthquay.model.ResultCode;
+import io.jacinthquay.router.port.BufferBudget;
 import io.jacinthquay.router.port.Header;
 import io.jacinthquay.router.port.RequestHead;
 import io.jacinthquay.router.port.RequestIntake;
@@ -44,7 +45,7 @@
     connections.requestStarted(exchange);
     RequestId id = intake.nextId();
     RequestHead head = head(exchange);
-    UndertowCaller caller = new UndertowCaller(exchange, connections);
+    UndertowCaller caller = new UndertowCaller(exchange, connections, memory);
     exchange.dispatch(SameThreadExecutor.INSTANCE, () -> startSafely(exchange, id, head, caller));
   }
 
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/CallerServer.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/CallerServer.java
@@ -1,5 +1,6 @@
 package io.jacinthquay.router.adapter.http;
 
+import io.jacinthquay.router.port.BufferBudget;
 import io.jacinthquay.router.port.EventThread;
 import io.jacinthquay.router.port.RequestIntake;
 import io.jacinthquay.runtime.Service;
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowCaller.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowCaller.java
@@ -1,5 +1,6 @@
 package io.jacinthquay.router.adapter.http;
 
+import io.jacinthquay.router.port.BufferBudget;
 import io.jacinthquay.router.port.Caller;
 import io.jacinthquay.router.port.CallerListener;
 import io.jacinthquay.router.port.EventThread;
@@ -10,25 +11,37 @@
 import io.undertow.util.HttpString;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 import org.xnio.IoUtils;
+import org.xnio.XnioExecutor;
 import org.xnio.channels.StreamSinkChannel;
 
 /** Sends a response to a caller through an Undertow exchange. */
 final class UndertowCaller implements Caller {
-  private static final ByteBuffer EMPTY = ByteBuffer.allocate(0);
+  /** Bytes of a response that a slow caller may leave pending outside the shared memory. */
+  private static final int OWN_PENDING_BYTES = 32 * 1024;
+
+  /** Time for a caller to receive the rest of a response that has ended, in milliseconds. */
+  private static final long MAX_SEND_MILLIS = 30_000;
 
   private final HttpServerExchange exchange;
   private final EventThread thread;
   private final ConnectionTracker connections;
   private CallerListener listener;
   private StreamSinkChannel sink;
-  private ByteBuffer pending = EMPTY;
+  private final Deque<ByteBuffer> pending = new ArrayDeque<>();
+  private final BufferBudget.Reservation memory;
+  private int pendingBytes;
+  private XnioExecutor.Key sendTimer;
   private boolean begun;
   private boolean ending;
   private boolean finished;
 
-  UndertowCaller(HttpServerExchange exchange, ConnectionTracker connections) {
+  UndertowCaller(HttpServerExchange exchange, ConnectionTracker connections, BufferBudget memory) {
+    this.memory = new BufferBudget.Reservation(memory, OWN_PENDING_BYTES);
     this.exchange = exchange;
     this.connections = connections;
     this.thread = new IoThread(exchange.getIoThread());
@@ -79,16 +92,14 @@
     if (finished) {
       return true;
     }
-    if (pending.hasRemaining()) {
-      append(data);
-      return false;
+    if (!pending.isEmpty()) {
+      return !append(data);
     }
     try {
       while (data.hasRemaining()) {
         if (sink.write(data) == 0) {
-          append(data);
           sink.resumeWrites();
-          return false;
+          return !append(data);
         }
       }
       return flush();
@@ -106,20 +117,36 @@
     return false;
   }
 
-  private void append(ByteBuffer data) {
-    ByteBuffer joined = ByteBuffer.allocate(pending.remaining() + data.remaining());
-    joined.put(pending).put(data).flip();
-    pending = joined;
+  /** Keeps a copy of the data; disconnects and returns false if there is no memory for it. */
+  private boolean append(ByteBuffer data) {
+    if (!memory.tryResize(pendingBytes + data.remaining())) {
+      onWriteFailed();
+      return false;
+    }
+    pendingBytes += data.remaining();
+    pending.addLast(ByteBuffer.allocate(data.remaining()).put(data).flip());
+    return true;
+  }
+
+  private void clearPending() {
+    pending.clear();
+    pendingBytes = 0;
+    memory.release();
   }
 
   private void flushPending() {
     try {
-      while (pending.hasRemaining()) {
-        if (sink.write(pending) == 0) {
+      while (!pending.isEmpty()) {
+        ByteBuffer first = pending.peekFirst();
+        if (first.hasRemaining() && sink.write(first) == 0) {
           return;
         }
+        if (!first.hasRemaining()) {
+          pending.removeFirst();
+          pendingBytes -= first.limit();
+          releaseSent();
+        }
       }
-      pending = EMPTY;
       if (ending) {
         finish();
         return;
@@ -140,18 +167,34 @@
   @Override
   public void end() {
     ending = true;
-    if (!pending.hasRemaining()) {
+    if (pending.isEmpty()) {
       finish();
+    } else {
+      sendTimer =
+          exchange
+              .getIoThread()
+              .executeAfter(this::onWriteFailed, MAX_SEND_MILLIS, TimeUnit.MILLISECONDS);
     }
   }
 
   private void finish() {
     if (!finished) {
       finished = true;
+      cancelSendTimer();
       exchange.endExchange();
     }
   }
 
+  private void releaseSent() {
+    boolean unused = memory.tryResize(pendingBytes);
+  }
+
+  private void cancelSendTimer() {
+    if (sendTimer != null) {
+      sendTimer.remove();
+    }
+  }
+
   private void onWriteFailed() {
     IoUtils.safeClose(exchange.getConnection());
     onClosed();
@@ -164,7 +207,8 @@
   private void onClosed() {
     if (!finished) {
       finished = true;
-      pending = EMPTY;
+      cancelSendTimer();
+      clearPending();
       if (listener != null && !exchange.isResponseComplete()) {
         listener.onDisconnect();
       }
@@ -174,6 +218,8 @@
   @Override
   public void abort() {
     finished = true;
+    cancelSendTimer();
+    clearPending();
     IoUtils.safeClose(exchange.getConnection());
   }
 }
--- a/router/src/main/java/io/jacinthquay/router/service/forward/AnswerSink.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/AnswerSink.java
@@ -34,6 +34,9 @@
    */
   boolean end();
 
-  /** Discards data of a failed attempt that was not sent to the caller. */
+  /**
+   * Discards data of a failed attempt that was not sent to the caller, and the memory for it;
+   * called at the end of the request, too.
+   */
   void discard();
 }
--- a/router/src/main/java/io/jacinthquay/router/service/forward/BufferedAnswer.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/BufferedAnswer.java
@@ -1,10 +1,12 @@
 package io.jacinthquay.router.service.forward;
 
+import io.jacinthquay.router.port.BufferBudget;
 import io.jacinthquay.router.port.Caller;
 import io.jacinthquay.router.port.ForwardProtocol;
 import io.jacinthquay.router.port.ResponseHead;
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.OptionalLong;
 
 /** Buffers an answer and sends it when it is complete, so that callers get no partial answer. */
@@ -14,12 +16,15 @@
 
   private final ForwardProtocol protocol;
   private final Caller caller;
-  private final ByteArrayOutputStream body = new ByteArrayOutputStream(0);
+  private final BufferBudget.Reservation memory;
+  private final Deque<ByteBuffer> parts = new ArrayDeque<>();
+  private int size;
   private ResponseHead head;
 
-  BufferedAnswer(ForwardProtocol protocol, Caller caller) {
+  BufferedAnswer(ForwardProtocol protocol, Caller caller, BufferBudget.Reservation memory) {
     this.protocol = protocol;
     this.caller = caller;
+    this.memory = memory;
   }
 
   @Override
@@ -30,26 +35,31 @@
 
   @Override
   public boolean data(ByteBuffer data) {
-    byte[] bytes = new byte[data.remaining()];
-    data.get(bytes);
-    body.writeBytes(bytes);
-    return body.size() <= MAX_BYTES;
+    int newSize = size + data.remaining();
+    if (newSize > MAX_BYTES || !memory.tryResize(newSize)) {
+      return false;
+    }
+    size = newSize;
+    parts.addLast(ByteBuffer.allocate(data.remaining()).put(data).flip());
+    return true;
   }
 
   @Override
   public boolean end() {
-    caller.begin(
-        new ResponseHead(head.status(), protocol.toCaller(head)), OptionalLong.of(body.size()));
-    if (body.size() > 0) {
-      boolean unused = caller.write(ByteBuffer.wrap(body.toByteArray()));
+    caller.begin(new ResponseHead(head.status(), protocol.toCaller(head)), OptionalLong.of(size));
+    while (!parts.isEmpty()) {
+      boolean unused = caller.write(parts.removeFirst());
     }
+    discard();
     caller.end();
     return true;
   }
 
   @Override
   public void discard() {
-    body.reset();
+    parts.clear();
+    size = 0;
     head = null;
+    memory.release();
   }
 }
--- a/router/src/main/java/io/jacinthquay/router/service/forward/EventStreamAnswer.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/EventStreamAnswer.java
@@ -1,5 +1,6 @@
 package io.jacinthquay.router.service.forward;
 
+import io.jacinthquay.router.port.BufferBudget;
 import io.jacinthquay.router.port.Caller;
 import io.jacinthquay.router.port.ForwardProtocol;
 import io.jacinthquay.router.port.ResponseHead;
@@ -23,6 +24,7 @@
 
   private final ForwardProtocol protocol;
   private final Caller caller;
+  private final BufferBudget.Reservation memory;
   private final Runnable onEvents;
   private SseSplitter splitter = new SseSplitter();
   private ResponseHead head;
@@ -39,10 +41,16 @@
    * Returns a sink.
    *
    * @param lastId id of the last event that the caller has; empty if it has none
+   * @param memory for events that are incomplete
    * @param onEvents called each time just before complete events are written to the caller
    */
   EventStreamAnswer(
-      ForwardProtocol protocol, Caller caller, OptionalLong lastId, Runnable onEvents) {
+      ForwardProtocol protocol,
+      Caller caller,
+      OptionalLong lastId,
+      BufferBudget.Reservation memory,
+      Runnable onEvents) {
+    this.memory = memory;
     this.protocol = protocol;
     this.caller = caller;
     this.onEvents = onEvents;
@@ -68,12 +76,12 @@
 
   @Override
   public boolean data(ByteBuffer data) {
-    if (!splitter.add(data)) {
+    if (!memory.tryResize(splitter.capacityWith(data.remaining())) || !splitter.add(data)) {
       return false;
     }
     splitter.drain(this);
     flush();
-    return !invalid;
+    return memory.tryResize(splitter.capacity()) && !invalid;
   }
 
   @Override
@@ -195,6 +203,7 @@
   @Override
   public void discard() {
     splitter = new SseSplitter();
+    memory.release();
     pending = null;
     invalid = false;
   }
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
@@ -15,6 +15,8 @@
 import io.jacinthquay.model.DomainId;
 import io.jacinthquay.model.PoolName;
 import io.jacinthquay.model.UpstreamId;
+import io.jacinthquay.router.port.BufferBudget;
+import io.jacinthquay.router.port.Caller;
 import io.jacinthquay.router.port.EventThread;
 import io.jacinthquay.router.port.ForwardProtocol;
 import io.jacinthquay.router.port.UpstreamClient;
@@ -24,6 +26,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
@@ -55,6 +58,12 @@
 
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
+  /** Share of the heap for answers that are buffered, and for events that are incomplete. */
+  private static final double ANSWER_HEAP_SHARE = 0.2;
+
+  /** Bytes of an answer that don't count; usual answers and events are smaller. */
+  private static final int OWN_ANSWER_BYTES = 32 * 1024;
+
   private record SyncedTime(long wallMillis, long syncedNanos) {}
 
   private final ForwardOptions options;
@@ -77,6 +86,8 @@
   private EventThread thread;
   private final RouterCount routerCount = new RouterCount();
   private final RouterIsolation contact = new RouterIsolation();
+  private final BufferBudget answerMemory =
+      new BufferBudget((long) (Runtime.getRuntime().maxMemory() * ANSWER_HEAP_SHARE));
   private final PromptQuarantine quarantine = new PromptQuarantine(contact);
   private volatile boolean upstreamsKnown;
   private boolean queuePollScheduled;
@@ -315,6 +326,20 @@
     return protocol;
   }
 
+  /** Returns a sink that buffers an answer within the memory for answers. */
+  AnswerSink newBufferedAnswer(Caller caller) {
+    return new BufferedAnswer(protocol, caller, newAnswerMemory());
+  }
+
+  /** Returns a sink for a stream of events, each within the memory for answers. */
+  AnswerSink newStreamAnswer(Caller caller, OptionalLong lastId, Runnable onEvents) {
+    return new EventStreamAnswer(protocol, caller, lastId, newAnswerMemory(), onEvents);
+  }
+
+  private BufferBudget.Reservation newAnswerMemory() {
+    return new BufferBudget.Reservation(answerMemory, OWN_ANSWER_BYTES);
+  }
+
   UpstreamClient client() {
     return client;
   }
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardExchange.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardExchange.java
@@ -63,9 +63,8 @@
     this.trace = new RequestTrace(request, work);
     this.regularSink =
         request.route().kind() == RequestKind.STREAMING
-            ? new EventStreamAnswer(
-                core.protocol(), caller, request.facts().lastEventId(), this::onEvents)
-            : new BufferedAnswer(core.protocol(), caller);
+            ? core.newStreamAnswer(caller, request.facts().lastEventId(), this::onEvents)
+            : core.newBufferedAnswer(caller);
     this.sink = regularSink;
   }
 
@@ -264,7 +263,7 @@
         return;
       }
       // The body of a failure is no event stream.
-      sink = new BufferedAnswer(core.protocol(), caller);
+      sink = core.newBufferedAnswer(caller);
     }
     if (!streaming) {
       from.markBegun();
@@ -469,6 +468,7 @@
     }
     done = true;
     timer.run();
+    sink.discard();
     core.unregister(this);
     long tookNanos = System.nanoTime() - request.arrivedNanos();
     core.metrics().recordEnd(outcome, request.route().name().value(), tookNanos);
--- a/router/src/main/java/io/jacinthquay/router/service/request/SseSplitter.java
+++ b/router/src/main/java/io/jacinthquay/router/service/request/SseSplitter.java
@@ -10,6 +10,9 @@
 
   private static final int INITIAL_BYTES = 4 * 1024;
 
+  /** Largest buffer that is kept while it is empty, in bytes. */
+  private static final int MAX_KEPT_BYTES = 64 * 1024;
+
   /** Receives complete events. */
   public interface EventSink {
     /**
@@ -42,10 +45,21 @@
     return end - start - count <= MAX_EVENT_BYTES;
   }
 
+  /** Returns the size of the buffer, in bytes. */
+  public int capacity() {
+    return buffer.length;
+  }
+
+  /** Returns the size that the buffer needs to add a number of bytes. */
+  public int capacityWith(int count) {
+    int kept = end - start;
+    return kept + count <= buffer.length ? buffer.length : Math.max(kept + count, 2 * kept);
+  }
+
   private void makeRoom(int count) {
     int kept = end - start;
-    int needed = kept + count;
-    byte[] target = needed <= buffer.length ? buffer : new byte[Math.max(needed, 2 * kept)];
+    int capacity = capacityWith(count);
+    byte[] target = capacity == buffer.length ? buffer : new byte[capacity];
     System.arraycopy(buffer, start, target, 0, kept);
     buffer = target;
     scanned -= start;
@@ -65,6 +79,9 @@
       next = nextEnd();
     }
     if (start == end) {
+      if (buffer.length > MAX_KEPT_BYTES) {
+        buffer = new byte[INITIAL_BYTES];
+      }
       start = 0;
       end = 0;
       scanned = 0;
