Report by a metric that the log of a control VM has failed

A replica whose storage fails neither votes nor acknowledges, while its process runs on and answers. Nothing but one line of the log showed it; jq_control_storage_failed tells it apart from an election that fails. No change of behaviour.

--- a/control/src/main/java/io/jacinthquay/control/ControlService.java
+++ b/control/src/main/java/io/jacinthquay/control/ControlService.java
@@ -6,6 +6,7 @@
 import io.jacinthquay.consensus.LogStatus;
 import io.jacinthquay.consensus.MemberId;
 import io.jacinthquay.consensus.ReplicatedLog;
+import io.jacinthquay.consensus.Role;
 import io.jacinthquay.control.adapter.ControlHandler;
 import io.jacinthquay.control.port.Fleet;
 import io.jacinthquay.control.service.ControlStore;
@@ -196,6 +197,8 @@
   public void register(MetricRegistry registry) {
     registry.gauge("jq_control_leads", () -> () -> leadership.isConfirmed() ? 1 : 0);
     registry.gauge("jq_control_term", () -> () -> store.status().term());
+    registry.gauge(
+        "jq_control_storage_failed", () -> () -> store.status().role() == Role.FAILED ? 1 : 0);
     registry.gauge("jq_control_commit_index", () -> () -> store.status().commitIndex());
     registry.gauge("jq_control_voters", () -> () -> store.status().membership().voters().size());
     registry.gauge("jq_control_document_version", () -> () -> store.tables().version());
