Open the storage of a replica again after it has failed

Callers saw: after two full disks, 15 s apart, no change was acknowledged and none could be read, for as long as the processes ran, although all three control VMs ran and had free disks again. Cause: a replica that failed one write stayed failed while its process ran. Nothing restarts a process that doesn't end, so each full disk took one voter away for good. Now a failed write ends a session of the replica. Also: files left open by an open that failed are closed.

--- a/consensus/src/main/java/io/jacinthquay/consensus/Applier.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/Applier.java
@@ -10,7 +10,6 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.PriorityQueue;
-import java.util.function.Consumer;
 
 /** Applies committed entries to the state machine on its own thread and takes snapshots. */
 final class Applier {
@@ -19,6 +18,15 @@
     void accept(SnapshotMeta meta, SnapshotWriter writer);
   }
 
+  /** Receives the first failure, after which nothing is applied. */
+  interface FailureListener {
+    /** The state machine failed: its state is undefined. */
+    void stateMachineFailed(Throwable cause);
+
+    /** A snapshot can't be loaded; the state machine must load one before it goes on. */
+    void loadFailed(IOException cause);
+  }
+
   private record WaitingRead(long index, PendingResult<Long> result) {}
 
   /** Longest wait for a task before the handler runs with an empty batch: 100 ms. */
@@ -31,7 +39,7 @@
   private final LogStorage storage;
   private final PendingCommands pending;
   private final SnapshotSink snapshotSink;
-  private final Consumer<Throwable> onFailure;
+  private final FailureListener failureListener;
   private final int snapshotEveryEntries;
   private final Worker<Runnable> worker;
   private final PriorityQueue<WaitingRead> waitingReads =
@@ -47,31 +55,51 @@
       LogStorage storage,
       PendingCommands pending,
       SnapshotSink snapshotSink,
-      Consumer<Throwable> onFailure) {
+      FailureListener failureListener) {
     machine = settings.machine();
     snapshotEveryEntries = settings.options().snapshotEveryEntries();
     this.storage = storage;
     this.pending = pending;
     this.snapshotSink = snapshotSink;
-    this.onFailure = onFailure;
-    worker = new Worker<>("log-apply-" + settings.member(), IDLE_NANOS, this::handle);
+    this.failureListener = failureListener;
+    worker = new Worker<>("log-apply-" + settings.member(), IDLE_NANOS, this::handle, this::fail);
   }
 
   /**
-   * Loads the recovered snapshot, if there is one, and starts the thread.
+   * Loads the recovered snapshot unless the state machine is ahead of it, and starts the thread.
    *
+   * @param recovered the recovered snapshot
+   * @param applied the last entry that the state machine has applied
    * @throws IOException if the snapshot can't be loaded
    */
-  void start(SnapshotMeta recovered) throws IOException {
-    lastApplied = recovered;
-    if (recovered.index() > 0) {
+  void start(SnapshotMeta recovered, SnapshotMeta applied) throws IOException {
+    lastApplied = applied;
+    appliedIndex = applied.index();
+    lastSnapshotIndex = recovered.index();
+    if (recovered.index() > applied.index()) {
+      lastApplied = SnapshotMeta.NONE;
       load(recovered);
     }
     worker.start();
   }
 
-  void stop() {
-    worker.stop();
+  /** Ends the thread and fails the waiting reads; returns whether the thread has ended. */
+  boolean stop() {
+    if (!worker.stop()) {
+      return false;
+    }
+    LogFailure failure = LogFailure.of(LogError.STOPPED, "the replica stopped applying the log");
+    waitingReads.forEach(read -> read.result().fail(failure));
+    waitingReads.clear();
+    return true;
+  }
+
+  /**
+   * Returns the last entry that the state machine has applied, or {@link SnapshotMeta#NONE} if it
+   * must load a snapshot first. Valid once the thread has ended.
+   */
+  SnapshotMeta lastApplied() {
+    return lastApplied;
   }
 
   long appliedIndex() {
@@ -83,14 +111,20 @@
   }
 
   void restore(SnapshotMeta meta) {
-    worker.add(
-        () -> {
-          try {
-            load(meta);
-          } catch (IOException e) {
-            throw new IllegalStateException("snapshot " + meta.index() + " can't be loaded", e);
-          }
-        });
+    worker.add(() -> tryLoad(meta));
+  }
+
+  private void tryLoad(SnapshotMeta meta) {
+    if (meta.index() <= appliedIndex) {
+      return;
+    }
+    try {
+      load(meta);
+    } catch (IOException e) {
+      failed = true;
+      lastApplied = SnapshotMeta.NONE;
+      failureListener.loadFailed(e);
+    }
   }
 
   /** Completes a read once an index is applied. */
@@ -99,20 +133,26 @@
   }
 
   private void handle(List<Runnable> batch) {
-    if (failed) {
-      return;
+    for (Runnable task : batch) {
+      if (!failed) {
+        task.run();
+      }
     }
-    try {
-      batch.forEach(Runnable::run);
+    if (!failed) {
       completeReads();
       takeSnapshotIfDue();
-    } catch (RuntimeException e) {
-      failed = true;
-      onFailure.accept(e);
     }
   }
 
+  private void fail(Throwable cause) {
+    failed = true;
+    failureListener.stateMachineFailed(cause);
+  }
+
   private void apply(Entry entry) {
+    if (entry.index() <= appliedIndex) {
+      return;
+    }
     byte[] result = null;
     Membership membership = lastApplied.membership();
     if (entry.payload() instanceof Payload.Command command) {
--- a/consensus/src/main/java/io/jacinthquay/consensus/LogSettings.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/LogSettings.java
@@ -3,6 +3,7 @@
 import java.nio.file.Path;
 import java.util.Objects;
 import java.util.Set;
+import java.util.function.Consumer;
 
 /** The settings and collaborators of a replicated log. */
 record LogSettings(
@@ -12,6 +13,7 @@
     PeerTransport transport,
     StateMachine machine,
     StatusListener listener,
+    Consumer<Throwable> onFatal,
     LogOptions options) {
   LogSettings {
     Objects.requireNonNull(member, "member");
--- a/consensus/src/main/java/io/jacinthquay/consensus/LogStatus.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/LogStatus.java
@@ -46,4 +46,20 @@
   public boolean isLeader() {
     return role == Role.LEADER;
   }
+
+  /** Returns this status with role {@link Role#FAILED} and no leader. */
+  LogStatus failed() {
+    return new LogStatus(
+        self,
+        Role.FAILED,
+        term,
+        Optional.empty(),
+        commitIndex,
+        appliedIndex,
+        firstIndex,
+        lastIndex,
+        membership,
+        participants,
+        joinCandidates);
+  }
 }
--- a/consensus/src/main/java/io/jacinthquay/consensus/ReplicatedLogBuilder.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/ReplicatedLogBuilder.java
@@ -4,6 +4,7 @@
 import java.nio.file.Path;
 import java.util.Objects;
 import java.util.Set;
+import java.util.function.Consumer;
 
 /** Builds a {@link ReplicatedLog}. */
 public final class ReplicatedLogBuilder {
@@ -13,6 +14,7 @@
   private PeerTransport transport;
   private StateMachine machine;
   private StatusListener listener = status -> {};
+  private Consumer<Throwable> onFatal = cause -> {};
   private LogOptions options = LogOptions.DEFAULT;
   private StorageOpener storage = FileLogStorage::open;
 
@@ -85,6 +87,19 @@
     return this;
   }
 
+  /**
+   * Sets what is called if the replica can't take part again in this process, since its state
+   * machine failed or its data folder was replaced. It should end the process. By default the
+   * replica only keeps the role {@link Role#FAILED}.
+   *
+   * @param value receives the cause, on any thread; must not wait for the log to stop
+   * @return this builder
+   */
+  public ReplicatedLogBuilder onFatal(Consumer<Throwable> value) {
+    onFatal = Objects.requireNonNull(value, "onFatal");
+    return this;
+  }
+
   /**
    * Sets timeouts and limits.
    *
@@ -110,7 +125,7 @@
    */
   public ReplicatedLog build() {
     LogSettings settings =
-        new LogSettings(member, seeds, folder, transport, machine, listener, options);
+        new LogSettings(member, seeds, folder, transport, machine, listener, onFatal, options);
     return new LogRuntime(settings, storage);
   }
 }
--- a/consensus/src/main/java/io/jacinthquay/consensus/Role.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/Role.java
@@ -12,6 +12,9 @@
   CANDIDATE,
   /** Appends proposals to the log and replicates it. */
   LEADER,
-  /** Stopped because its storage or state machine failed; a restart reads the stored data again. */
+  /**
+   * Takes no part because its storage or state machine failed. After a failure of the storage the
+   * replica reads the stored data again once the storage works.
+   */
   FAILED
 }
--- a/consensus/src/main/java/io/jacinthquay/consensus/StateMachine.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/StateMachine.java
@@ -27,7 +27,7 @@
   SnapshotWriter snapshot();
 
   /**
-   * Replaces the whole state with that of a snapshot.
+   * Replaces the whole state with that of a snapshot. Called again if it fails.
    *
    * @param index the log index that the snapshot covers
    * @param in the bytes that a {@link SnapshotWriter} wrote
--- a/consensus/src/main/java/io/jacinthquay/consensus/StorageWorker.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/StorageWorker.java
@@ -26,7 +26,7 @@
 
     void snapshotRejected();
 
-    void storageFailed(IOException cause);
+    void storageFailed(Throwable cause);
   }
 
   private interface Task {
@@ -51,15 +51,16 @@
     this.storage = storage;
     this.transport = transport;
     this.listener = listener;
-    worker = new Worker<>("log-storage-" + member, IDLE_NANOS, this::handle);
+    worker = new Worker<>("log-storage-" + member, IDLE_NANOS, this::handle, this::fail);
   }
 
   void start() {
     worker.start();
   }
 
-  void stop() {
-    worker.stop();
+  /** Ends the thread; returns whether it has ended. */
+  boolean stop() {
+    return worker.stop();
   }
 
   void add(Ready ready) {
@@ -80,12 +81,16 @@
       }
       flush();
     } catch (IOException e) {
-      failed = true;
-      outgoing.clear();
-      listener.storageFailed(e);
+      fail(e);
     }
   }
 
+  private void fail(Throwable cause) {
+    failed = true;
+    outgoing.clear();
+    listener.storageFailed(cause);
+  }
+
   private void process(Ready ready) throws IOException {
     if (ready.hardState().isPresent()) {
       storage.saveHardState(ready.hardState().get());
--- a/consensus/src/main/java/io/jacinthquay/consensus/Worker.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/Worker.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /** A thread that handles tasks from a queue in batches. */
 final class Worker<T> {
@@ -17,12 +18,20 @@
 
   private final LinkedBlockingQueue<T> queue = new LinkedBlockingQueue<>();
   private final Handler<T> handler;
+  private final Consumer<Throwable> onError;
   private final long idleNanos;
   private final Thread thread;
   private volatile boolean stopping;
+  private volatile boolean ended;
 
-  Worker(String name, long idleNanos, Handler<T> handler) {
+  /**
+   * Creates a worker whose thread goes on with the next batch if the handler throws.
+   *
+   * @param onError receives what the handler throws
+   */
+  Worker(String name, long idleNanos, Handler<T> handler, Consumer<Throwable> onError) {
     this.handler = handler;
+    this.onError = onError;
     this.idleNanos = idleNanos;
     thread = new Thread(this::run, name);
     thread.setDaemon(true);
@@ -37,35 +46,64 @@
     queue.add(task);
   }
 
-  /** Queues a task if the queue is shorter than a limit; returns whether it was queued. */
+  /**
+   * Queues a task if the queue is shorter than a limit and the thread has not ended; returns
+   * whether the task will be handled.
+   */
   boolean offer(T task, int limit) {
-    return queue.size() < limit && queue.add(task);
+    if (ended || queue.size() >= limit) {
+      return false;
+    }
+    queue.add(task);
+    return !ended || !queue.remove(task);
   }
 
   private void run() {
     List<T> batch = new ArrayList<>();
     while (!stopping || !queue.isEmpty()) {
-      try {
-        T first = queue.poll(idleNanos, TimeUnit.NANOSECONDS);
-        if (first != null) {
-          batch.add(first);
-          queue.drainTo(batch, MAX_BATCH - 1);
-        }
-      } catch (InterruptedException e) {
-        stopping = true;
+      fill(batch);
+      handle(batch);
+    }
+    ended = true;
+    queue.drainTo(batch);
+    handle(batch);
+  }
+
+  private void fill(List<T> batch) {
+    try {
+      T first = queue.poll(idleNanos, TimeUnit.NANOSECONDS);
+      if (first != null) {
+        batch.add(first);
+        queue.drainTo(batch, MAX_BATCH - 1);
       }
+    } catch (InterruptedException e) {
+      // Only stop() ends the thread.
+      return;
+    }
+  }
+
+  private void handle(List<T> batch) {
+    try {
       handler.handle(batch);
+    } catch (Throwable e) {
+      onError.accept(e);
+    } finally {
       batch.clear();
     }
   }
 
-  /** Handles the remaining tasks and ends the thread, waiting up to 10 s for it. */
-  void stop() {
+  /**
+   * Handles the remaining tasks and ends the thread, waiting up to 10 s for it.
+   *
+   * @return whether the thread has ended
+   */
+  boolean stop() {
     stopping = true;
     try {
       thread.join(JOIN_TIMEOUT_MILLIS);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
+    return !thread.isAlive();
   }
 }
--- a/consensus/src/main/java/io/jacinthquay/consensus/storage/FileLogStorage.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/storage/FileLogStorage.java
@@ -177,7 +177,8 @@
 
   @Override
   public void close() throws IOException {
-    log.close();
-    lock.close();
+    try (lock) {
+      log.close();
+    }
   }
 }
--- a/consensus/src/main/java/io/jacinthquay/consensus/storage/Segment.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/storage/Segment.java
@@ -52,26 +52,58 @@
             StandardOpenOption.CREATE,
             StandardOpenOption.TRUNCATE_EXISTING,
             StandardOpenOption.WRITE);
-    AtomicFile.writeFully(channel, SegmentScan.header(firstIndex));
-    channel.force(true);
-    AtomicFile.syncFolder(folder);
+    try {
+      AtomicFile.writeFully(channel, SegmentScan.header(firstIndex));
+      channel.force(true);
+      AtomicFile.syncFolder(folder);
+    } catch (IOException e) {
+      channel.close();
+      throw e;
+    }
     return new Segment(path, firstIndex, channel, preallocationBytes, SegmentScan.HEADER_BYTES);
   }
 
-  /** Opens a scanned segment for appending and truncates a torn tail. */
-  static Segment open(SegmentScan scan, int preallocationBytes) throws IOException {
+  /**
+   * Opens a scanned segment for appending, truncates a torn tail and makes the records durable.
+   *
+   * @param syncedOffset everything before this offset is known to be synced
+   */
+  static Segment open(SegmentScan scan, int preallocationBytes, long syncedOffset)
+      throws IOException {
     FileChannel channel = FileChannel.open(scan.path(), StandardOpenOption.WRITE);
-    if (channel.size() > scan.validBytes()) {
-      channel.truncate(scan.validBytes());
+    try {
+      if (channel.size() > scan.validBytes()) {
+        channel.truncate(scan.validBytes());
+      }
+      rewrite(scan, channel, syncedOffset);
       channel.force(true);
+      channel.position(scan.validBytes());
+    } catch (IOException e) {
+      channel.close();
+      throw e;
     }
-    channel.position(scan.validBytes());
     Segment segment =
         new Segment(scan.path(), scan.firstIndex(), channel, preallocationBytes, scan.validBytes());
     segment.offsets.addAll(scan.offsets());
     return segment;
   }
 
+  /**
+   * Writes what was read after an offset again: after a sync that failed, the system may hold it in
+   * memory as if it were written, so that a sync alone would not store it.
+   */
+  private static void rewrite(SegmentScan scan, FileChannel channel, long syncedOffset)
+      throws IOException {
+    if (syncedOffset >= scan.validBytes()) {
+      return;
+    }
+    byte[] bytes = Files.readAllBytes(scan.path());
+    int start = (int) syncedOffset;
+    ByteBuffer tail = ByteBuffer.wrap(bytes, start, (int) scan.validBytes() - start);
+    channel.position(start);
+    AtomicFile.writeFully(channel, tail);
+  }
+
   long firstIndex() {
     return firstIndex;
   }
--- a/consensus/src/main/java/io/jacinthquay/consensus/storage/SegmentedLog.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/storage/SegmentedLog.java
@@ -60,14 +60,30 @@
     deleteObsoleteSegments(scans, snapshot);
     checkSegments(scans, snapshot, synced);
     SegmentedLog log = new SegmentedLog(folder, segmentBytes);
-    for (SegmentScan scan : scans) {
-      entries.addAll(scan.entries());
-      log.segments.put(scan.firstIndex(), Segment.open(scan, log.preallocationBytes));
+    try {
+      for (SegmentScan scan : scans) {
+        entries.addAll(scan.entries());
+        long syncedOffset = syncedOffset(scan, synced);
+        Segment segment = Segment.open(scan, log.preallocationBytes, syncedOffset);
+        log.segments.put(scan.firstIndex(), segment);
+      }
+      log.resetIfNotContiguous(snapshot, entries);
+    } catch (IOException e) {
+      log.close();
+      throw e;
     }
-    log.resetIfNotContiguous(snapshot, entries);
     return log;
   }
 
+  /** Returns the offset before which a segment is known to be synced. */
+  private static long syncedOffset(SegmentScan scan, Optional<SyncWatermark.Position> synced) {
+    if (synced.isEmpty() || scan.firstIndex() > synced.get().segment()) {
+      return 0;
+    }
+    boolean active = scan.firstIndex() == synced.get().segment();
+    return active ? synced.get().offset() : scan.validBytes();
+  }
+
   /** Deletes a last segment whose creation a crash interrupted: nothing in it was ever synced. */
   private static void deleteIncompleteSegment(
       List<SegmentScan> scans, Optional<SyncWatermark.Position> synced) throws IOException {
@@ -217,9 +233,10 @@
 
   @Override
   public void close() throws IOException {
-    for (Segment segment : segments.values()) {
-      segment.close();
+    try (watermark) {
+      for (Segment segment : segments.values()) {
+        segment.close();
+      }
     }
-    watermark.close();
   }
 }
--- /dev/null
+++ b/consensus/src/test/java/io/jacinthquay/consensus/StorageRecoveryTest.java
@@ -0,0 +1,179 @@
+package io.jacinthquay.consensus;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vavr.control.Either;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Replicas whose storage fails for a while and works again, without a restart. */
+class StorageRecoveryTest {
+  private static final EnumSet<FaultyDisk.Operation> ALL =
+      EnumSet.allOf(FaultyDisk.Operation.class);
+
+  @TempDir Path root;
+
+  private final Map<MemberId, FaultyDisk> disks = new TreeMap<>();
+
+  private LogCluster start(int members) {
+    LogCluster cluster = new LogCluster(root, members).withSnapshots(20, 5);
+    for (int i = 1; i <= members; i++) {
+      MemberId member = new MemberId("k" + i);
+      disks.put(member, new FaultyDisk());
+      cluster.start(member, disks.get(member));
+    }
+    return cluster;
+  }
+
+  /** Proposes until a command is acknowledged; others may or may not be committed. */
+  private static String propose(LogCluster cluster, String prefix) throws Exception {
+    long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
+    for (int attempt = 0; System.nanoTime() < end; attempt++) {
+      String command = prefix + "/" + attempt;
+      byte[] bytes = command.getBytes(StandardCharsets.UTF_8);
+      if (LogCluster.get(cluster.log(cluster.leader()).propose(bytes)).isRight()) {
+        return command;
+      }
+    }
+    throw new AssertionError(prefix + " was never acknowledged");
+  }
+
+  private static void awaitFailure(LogCluster cluster, MemberId member) throws Exception {
+    cluster.await("failure", () -> cluster.log(member).status().role() == Role.FAILED);
+  }
+
+  private void failAndRepair(LogCluster cluster, MemberId member, FaultyDisk.Operation operation)
+      throws Exception {
+    disks.get(member).fail(EnumSet.of(operation));
+    List<CompletionStage<Either<LogFailure, AppliedCommand>>> results = new ArrayList<>();
+    int before = disks.get(member).failures();
+    while (disks.get(member).failures() == before) {
+      results.add(cluster.log(cluster.leader()).propose(new byte[] {'?'}));
+      cluster.network().isolate(member);
+      TimeUnit.MILLISECONDS.sleep(10);
+      cluster.network().heal();
+      TimeUnit.MILLISECONDS.sleep(10);
+    }
+    disks.get(member).repair();
+    for (CompletionStage<Either<LogFailure, AppliedCommand>> result : results) {
+      LogCluster.get(result);
+    }
+  }
+
+  @ParameterizedTest
+  @EnumSource(names = {"HARD_STATE_BEFORE_WRITE", "APPEND_BEFORE_WRITE", "APPEND_HALF"})
+  void groupWorksAgainAfterTheDisksOfTwoReplicasWereFullOneAfterTheOther(
+      FaultyDisk.Operation operation) throws Exception {
+    try (LogCluster cluster = start(3)) {
+      List<String> acknowledged = new ArrayList<>();
+      acknowledged.add(propose(cluster, "before"));
+      for (int i = 1; i <= 2; i++) {
+        MemberId member = new MemberId("k" + i);
+        EnumSet<FaultyDisk.Operation> full = EnumSet.of(operation);
+        full.add(FaultyDisk.Operation.APPEND_BEFORE_WRITE);
+        disks.get(member).fail(full);
+        cluster.log(cluster.leader()).propose(new byte[] {'?'});
+        awaitFailure(cluster, member);
+        acknowledged.add(propose(cluster, "while " + member + " is full"));
+        disks.get(member).repair();
+      }
+      acknowledged.add(propose(cluster, "after"));
+      for (int i = 1; i <= 3; i++) {
+        List<String> applied = cluster.read(new MemberId("k" + i));
+        assertTrue(applied.containsAll(acknowledged), applied + " of k" + i);
+      }
+    }
+  }
+
+  @ParameterizedTest
+  @EnumSource(names = {"SYNC_BEFORE", "SYNC_AFTER", "APPEND_HALF", "SAVE_SNAPSHOT", "COMPACT"})
+  void onlyReplicaWorksAgainAfterItsDiskFailed(FaultyDisk.Operation operation) throws Exception {
+    try (LogCluster cluster = start(1)) {
+      MemberId only = new MemberId("k1");
+      List<String> acknowledged = new ArrayList<>();
+      acknowledged.add(propose(cluster, "before"));
+      failAndRepair(cluster, only, operation);
+      acknowledged.add(propose(cluster, "after"));
+      List<String> applied = new ArrayList<>(cluster.read(only));
+      assertTrue(applied.containsAll(acknowledged), applied.toString());
+      int position = applied.indexOf(acknowledged.get(1));
+      assertEquals(position, applied.lastIndexOf(acknowledged.get(1)));
+    }
+  }
+
+  @Test
+  void failedReplicaRejectsCommandsAndReadsAndKeepsItsAppliedState() throws Exception {
+    try (LogCluster cluster = start(1)) {
+      MemberId only = new MemberId("k1");
+      ReplicaId self = cluster.log(only).status().self();
+      for (int i = 0; i < 5; i++) {
+        propose(cluster, "c" + i);
+      }
+      List<String> applied = cluster.machine(only).commands();
+      disks.get(only).fail(ALL);
+      CompletionStage<Either<LogFailure, AppliedCommand>> pending =
+          cluster.log(only).propose(new byte[] {'?'});
+      awaitFailure(cluster, only);
+      assertTrue(LogCluster.get(pending).isLeft());
+      LogFailure rejected = LogCluster.get(cluster.log(only).propose(new byte[1])).getLeft();
+      assertEquals(LogError.STORAGE_FAILED, rejected.error());
+      LogFailure unread = LogCluster.get(cluster.log(only).readIndex()).getLeft();
+      assertEquals(LogError.STORAGE_FAILED, unread.error());
+      int attempts = disks.get(only).failures();
+      cluster.await("attempts to reopen", () -> disks.get(only).failures() >= attempts + 3);
+      assertEquals(applied, cluster.machine(only).commands());
+      disks.get(only).repair();
+      cluster.await("recovery", () -> cluster.log(only).status().role() != Role.FAILED);
+      assertEquals(applied, cluster.machine(only).commands().subList(0, applied.size()));
+      String after = propose(cluster, "after");
+      assertTrue(cluster.read(only).contains(after));
+      assertEquals(self, cluster.log(only).status().self());
+      assertEquals(0, cluster.machine(only).restores());
+    }
+  }
+
+  @Test
+  void stoppedWhileItsDiskFails() throws Exception {
+    MemberId only = new MemberId("k1");
+    try (LogCluster cluster = start(1)) {
+      propose(cluster, "before");
+      disks.get(only).fail(ALL);
+      cluster.log(only).propose(new byte[] {'?'});
+      awaitFailure(cluster, only);
+      cluster.stop(only);
+      disks.get(only).repair();
+      cluster.start(only);
+      assertEquals("before/0", cluster.read(only).get(0));
+    }
+  }
+
+  @Test
+  void findsALeaderAgainAfterSyncsThatStallForOneSecond() throws Exception {
+    try (LogCluster cluster = start(3)) {
+      propose(cluster, "before");
+      disks.values().forEach(disk -> disk.stall(1000));
+      MemberId leader = cluster.leader();
+      cluster.network().isolate(leader);
+      cluster.await("step down", () -> !cluster.log(leader).status().isLeader());
+      TimeUnit.SECONDS.sleep(3);
+      cluster.network().heal();
+      disks.values().forEach(disk -> disk.stall(0));
+      long calm = System.nanoTime();
+      propose(cluster, "after");
+      long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - calm);
+      assertTrue(millis < 4000, "a command was acknowledged only after " + millis + " ms");
+    }
+  }
+}
