Keep the periodic tasks of a control VM going after an error

The rejoin is tried until it is done; a marker makes sure that a start finishes an erasure first. A replica that can't take part again in this process (its state machine failed, its folder was replaced) ends the process with a log line, so that it is started again.

--- a/control/src/main/java/io/jacinthquay/control/ControlService.java
+++ b/control/src/main/java/io/jacinthquay/control/ControlService.java
@@ -10,6 +10,7 @@
 import io.jacinthquay.control.adapter.ControlHandler;
 import io.jacinthquay.control.port.Fleet;
 import io.jacinthquay.control.service.ControlStore;
+import io.jacinthquay.control.service.DataFolder;
 import io.jacinthquay.control.service.DomainRelay;
 import io.jacinthquay.control.service.LeaderClusterView;
 import io.jacinthquay.control.service.Leadership;
@@ -26,6 +27,7 @@
 import io.jacinthquay.keeper.adapter.thrift.ThriftPeerTransport;
 import io.jacinthquay.model.Failure;
 import io.jacinthquay.model.routing.RoutingDocument;
+import io.jacinthquay.runtime.ExitCode;
 import io.jacinthquay.runtime.Service;
 import io.jacinthquay.runtime.settings.SocketAddresses;
 import io.jacinthquay.runtime.time.ClockReading;
@@ -36,11 +38,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.time.Duration;
-import java.util.Comparator;
-import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Executors;
@@ -48,7 +46,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.stream.Collectors;
-import java.util.stream.Stream;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.apache.thrift.TMultiplexedProcessor;
@@ -75,8 +72,8 @@
   /** Delay between two calls of the relay to the leader, in milliseconds. */
   private static final int RELAY_INTERVAL_MILLIS = 100;
 
-  /** Threads for the periodic tasks; some tasks block while they wait for another VM. */
-  private static final int TASK_THREADS = 3;
+  /** One thread for each periodic task, as some block while they wait for another VM. */
+  private static final int TASK_THREADS = 6;
 
   /** Delay between two runs of the leader's tasks, in milliseconds. */
   private static final int LEADER_TASKS_INTERVAL_MILLIS = 500;
@@ -114,7 +111,9 @@
   private final UsageReporter usageReporter;
   private final PoolScaler poolScaler;
   private final PlainServer server;
+  private final DataFolder data;
   private ScheduledExecutorService scheduler;
+  private boolean rejoining;
 
   /**
    * Returns a control VM.
@@ -129,6 +128,7 @@
       Function<byte[], Either<Failure, RoutingDocument>> decoder) {
     this.options = options;
     this.fleet = fleet;
+    data = new DataFolder(options.folder());
     ControlState state = new ControlState();
     transport =
         ThriftPeerTransport.withResolver(
@@ -179,6 +179,7 @@
         .folder(options.folder())
         .transport(transport)
         .stateMachine(state)
+        .onFatal(this::endProcess)
         .options(
             new LogOptions(
                 defaults.heartbeatInterval(),
@@ -218,8 +219,9 @@
   public void start() {
     server.start();
     try {
+      data.finishErasure();
       replicatedLog.start();
-    } catch (LogException e) {
+    } catch (IOException | LogException e) {
       server.stop();
       throw new IllegalStateException(e.getMessage(), e);
     }
@@ -243,7 +245,7 @@
   private static void runGuarded(Runnable task) {
     try {
       task.run();
-    } catch (RuntimeException e) {
+    } catch (Throwable e) {
       log.error("periodic task of the control VM failed", e);
     }
   }
@@ -269,23 +271,19 @@
 
   /**
    * Deletes the data of a replica that was removed and rejoins as a new replica; nothing that the
-   * removed one promised counts any more.
+   * removed one promised counts any more. If the disk fails, the next run tries again.
    */
   private void rejoinIfRemoved() {
-    if (!removalDetector.isRemoved(replicatedLog.status())) {
+    if (!rejoining && !removalDetector.isRemoved(replicatedLog.status())) {
       return;
     }
     log.warn(
         "replica {} was removed; deleting its data and rejoining as a new replica",
         replicatedLog.status().self());
+    rejoining = true;
     replicatedLog.stop();
-    try (Stream<Path> files = Files.walk(options.folder())) {
-      List<Path> paths = files.sorted(Comparator.reverseOrder()).toList();
-      for (Path path : paths) {
-        if (!path.equals(options.folder())) {
-          Files.delete(path);
-        }
-      }
+    try {
+      data.erase();
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
@@ -293,6 +291,13 @@
     replicatedLog = newLog(state);
     store.replace(replicatedLog, state);
     replicatedLog.start();
+    rejoining = false;
+  }
+
+  /** Ends the process, so that it is started again; doesn't wait for its end. */
+  private void endProcess(Throwable cause) {
+    log.fatal("control VM {} can't go on and ends its process", options.name(), cause);
+    new Thread(() -> System.exit(ExitCode.FAILURE.number()), "end-process").start();
   }
 
   private void pollUpstreamList() {
