Close callers' connections on their own I/O thread, after a look for a request

ConnectionTracker now knows each connection from its acceptance. A stop keeps idle connections for the drain delay, since a caller whose connection closes under its request can't tell whether the request was read; a request that arrives in that time is answered with Connection: close. Connections without any request are closed last. The server's stop closes the rest on their threads as well, and listeners of connections no longer run elsewhere.

--- a/router/src/main/java/io/jacinthquay/router/ForwardRouter.java
+++ b/router/src/main/java/io/jacinthquay/router/ForwardRouter.java
@@ -19,6 +19,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -117,20 +118,32 @@
     log.info("router {} listens on {}", endpoints.name(), endpoints.callers());
   }
 
-  /** Stops after requests in progress have ended or the grace period has passed. */
+  /**
+   * Stops after requests in progress have ended or the grace period has passed.
+   *
+   * <p>A caller whose connection closes while it sends a request can't tell whether the request was
+   * read. Idle connections are therefore kept for the drain delay: a request that arrives is
+   * answered, and the response announces the close.
+   */
   @Override
   public void stop() {
     log.info(
         "router {} is stopping with {} requests in progress", endpoints.name(), core.inProgress());
     core.leave();
-    server.closeIdle();
+    server.drain();
     long startNanos = System.nanoTime();
     try {
-      awaitNoRequests(startNanos, DRAIN_DELAY);
+      awaitEnd(startNanos, DRAIN_DELAY, () -> {}, () -> false);
+      core.refuseNewRequests();
+      awaitEnd(startNanos, endpoints.grace(), server::closeUsedIdle, this::hasNoRequests);
       server.stopAccepting();
       // A connection that was accepted just before may still send its request.
       TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
-      awaitNoRequests(startNanos, Duration.ZERO);
+      awaitEnd(
+          startNanos,
+          endpoints.grace(),
+          server::closeIdle,
+          () -> hasNoRequests() && server.openConnections() == 0);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
@@ -140,24 +153,25 @@
     log.info("router {} stopped with {} requests in progress", endpoints.name(), core.inProgress());
   }
 
+  private boolean hasNoRequests() {
+    return core.inProgress() == 0 && server.requestsInProgress() == 0;
+  }
+
   /**
-   * Waits until no request is in progress or the grace period has passed.
+   * Waits until a condition holds, or the given time or the grace period has passed.
    *
    * @param startNanos when the stop began, on the monotonic clock
-   * @param drainDelay time since then after which new requests are rejected
+   * @param time longest time since then
+   * @param action run before each check of the condition
    */
-  private void awaitNoRequests(long startNanos, Duration drainDelay) throws InterruptedException {
+  private void awaitEnd(long startNanos, Duration time, Runnable action, BooleanSupplier condition)
+      throws InterruptedException {
+    long endNanos = startNanos + Math.min(time.toNanos(), endpoints.grace().toNanos());
     boolean done = false;
-    while (!done) {
+    while (!done && System.nanoTime() - endNanos < 0) {
+      action.run();
       TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
-      Duration elapsed = Duration.ofNanos(System.nanoTime() - startNanos);
-      boolean drainDelayPassed = elapsed.compareTo(drainDelay) > 0;
-      if (drainDelayPassed) {
-        core.refuseNewRequests();
-      }
-      done =
-          (drainDelayPassed && core.inProgress() == 0 && server.requestsInProgress() == 0)
-              || elapsed.compareTo(endpoints.grace()) > 0;
+      done = condition.getAsBoolean();
     }
   }
 }
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/CallerServer.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/CallerServer.java
@@ -12,7 +12,6 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.apache.logging.log4j.LogManager;
@@ -24,7 +23,6 @@
 import org.xnio.Options;
 import org.xnio.StreamConnection;
 import org.xnio.Xnio;
-import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 import org.xnio.channels.AcceptingChannel;
 import org.xnio.conduits.ConduitStreamSourceChannel;
@@ -132,36 +130,28 @@
       reject(connection);
       return;
     }
+    serve(connection, http, openConnections::decrementAndGet);
+  }
+
+  private void serve(StreamConnection connection, HttpOpenListener openListener, Runnable onEnd) {
     ConduitStreamSourceChannel source = connection.getSourceChannel();
     ReadAhead ahead = new ReadAhead(memory, limits.maxHeadBytes() + limits.maxBodyBytes());
     ReadAheadSource watched =
         new ReadAheadSource(source.getConduit(), ahead, () -> IoUtils.safeClose(connection));
     watched.setReadReadyHandler(new ReadReadyHandler.ChannelListenerHandler<>(source));
     source.setConduit(watched);
-    http.handleEvent(connection);
+    connectionTracker.opened(connection, watched);
+    openListener.handleEvent(connection);
     ChannelListener<? super StreamConnection> onClose = connection.getCloseListener();
     connection.setCloseListener(
         closed -> {
-          openConnections.decrementAndGet();
-          clear(ahead, connection.getIoThread());
+          onEnd.run();
+          connectionTracker.closed(connection);
+          ahead.clear();
           ChannelListeners.invokeChannelListener(closed, onClose);
         });
   }
 
-  /** Clears the data on the I/O thread of its connection, which any thread may have closed. */
-  private static void clear(ReadAhead ahead, XnioIoThread thread) {
-    if (Thread.currentThread() == thread) {
-      ahead.clear();
-      return;
-    }
-    try {
-      thread.execute(ahead::clear);
-    } catch (RejectedExecutionException e) {
-      log.debug(
-          "the I/O thread has ended; data that was read ahead is dropped: {}", e.getMessage());
-    }
-  }
-
   private static void reject(StreamConnection connection) {
     try {
       int written = connection.getSinkChannel().write(ByteBuffer.wrap(REJECTION));
@@ -198,7 +188,8 @@
       worker
           .createStreamConnectionServer(
               additionalAddress,
-              ChannelListeners.openListenerAdapter(openListener::handleEvent),
+              ChannelListeners.openListenerAdapter(
+                  connection -> serve(connection, openListener, () -> {})),
               socketOptions())
           .resumeAccepts();
     } catch (IOException e) {
@@ -207,16 +198,31 @@
     }
   }
 
-  /** Closes idle connections now, and the others after their response. */
-  public void closeIdle() {
+  /** Announces to callers by each response from now on that their connection is to be closed. */
+  public void drain() {
     connectionTracker.drain();
   }
 
+  /** Closes the connections that have carried a request and are idle. */
+  public void closeUsedIdle() {
+    connectionTracker.closeUsedIdle();
+  }
+
+  /** Closes all idle connections, including those on which no request has arrived yet. */
+  public void closeIdle() {
+    connectionTracker.closeIdle();
+  }
+
   /** Returns the number of requests in flight, including those being read or rejected. */
   public int requestsInProgress() {
     return connectionTracker.busyCount();
   }
 
+  /** Returns the number of callers' open connections. */
+  public int openConnections() {
+    return connectionTracker.openCount();
+  }
+
   /** Stops accepting connections; open connections are not affected. */
   public void stopAccepting() {
     if (listener.isOpen()) {
@@ -230,7 +236,7 @@
       return;
     }
     stopAccepting();
-    http.closeConnections();
+    connectionTracker.closeAll();
     List<Runnable> unused = worker.shutdownNow();
     try {
       boolean ended = worker.awaitTermination(STOP_SECONDS, TimeUnit.SECONDS);
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/ConnectionTracker.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/ConnectionTracker.java
@@ -1,45 +1,78 @@
 package io.jacinthquay.router.adapter.http;
 
+import io.undertow.server.AbstractServerConnection;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.server.ServerConnection;
-import java.util.ArrayList;
-import java.util.Set;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
-import org.xnio.IoUtils;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.xnio.StreamConnection;
+import org.xnio.XnioIoThread;
 
 /**
- * Tracks which callers' connections carry a request and which are idle, so that a planned stop
- * waits for the former and closes the latter.
+ * Tracks callers' connections, so that a planned stop waits for those that carry a request and
+ * closes the others.
+ *
+ * <p>The state of a connection changes on its own I/O thread only; the counts may be read by any
+ * thread. Only the I/O thread can tell whether a request has just begun, so a connection is closed
+ * there too.
  */
 final class ConnectionTracker {
-  private final Set<ServerConnection> idle = ConcurrentHashMap.newKeySet();
-  private final Set<ServerConnection> busy = ConcurrentHashMap.newKeySet();
+  private static final Logger log = LogManager.getLogger();
+
+  private final Map<StreamConnection, TrackedConnection> open = new ConcurrentHashMap<>();
+  private final AtomicInteger busy = new AtomicInteger();
   private volatile boolean draining;
 
+  /** Tracks a connection from its acceptance; to be called before anything is read from it. */
+  void opened(StreamConnection connection, ReadAheadSource source) {
+    open.put(connection, new TrackedConnection(connection, source));
+  }
+
+  /** Forgets a connection that has closed. */
+  void closed(StreamConnection connection) {
+    TrackedConnection closed = open.remove(connection);
+    if (closed != null && closed.endRequest()) {
+      busy.decrementAndGet();
+    }
+  }
+
   /** Marks the connection of a request as busy until the exchange is complete. */
   void requestStarted(HttpServerExchange exchange) {
-    ServerConnection connection = exchange.getConnection();
-    if (!idle.remove(connection)) {
-      connection.addCloseListener(
-          closed -> {
-            idle.remove(closed);
-            busy.remove(closed);
-          });
+    AbstractServerConnection connection = (AbstractServerConnection) exchange.getConnection();
+    TrackedConnection tracked = open.get(connection.getChannel());
+    if (tracked == null) {
+      return;
+    }
+    if (tracked.beginRequest()) {
+      busy.incrementAndGet();
     }
-    busy.add(connection);
     exchange.addExchangeCompleteListener(
         (completed, next) -> {
-          busy.remove(connection);
-          if (connection.isOpen()) {
-            idle.add(connection);
+          if (tracked.endRequest()) {
+            busy.decrementAndGet();
+          }
+          if (connection.getExtraBytes() == null) {
+            tracked.markBoundary();
           }
           next.proceed();
         });
   }
 
-  /** Returns the number of requests in flight, including those still being read. */
+  /** Returns the number of requests in flight whose head has been read. */
   int busyCount() {
-    return busy.size();
+    return busy.get();
+  }
+
+  /** Returns the number of open connections. */
+  int openCount() {
+    return open.size();
   }
 
   /** Returns whether connections are to be closed after their current response. */
@@ -47,9 +80,41 @@
     return draining;
   }
 
-  /** Closes idle connections now; from now on others are to be closed after their response. */
+  /** Connections are to be closed after their response from now on. */
   void drain() {
     draining = true;
-    new ArrayList<>(idle).forEach(IoUtils::safeClose);
+  }
+
+  /** Closes the connections that have carried a request and are idle now. */
+  void closeUsedIdle() {
+    onOwnThreads(
+        connection -> {
+          if (connection.isUsed()) {
+            connection.closeIfIdle();
+          }
+        });
+  }
+
+  /** Closes the connections that are idle now, even if no request has arrived on them yet. */
+  void closeIdle() {
+    onOwnThreads(TrackedConnection::closeIfIdle);
+  }
+
+  /** Closes all connections. */
+  void closeAll() {
+    onOwnThreads(TrackedConnection::close);
+  }
+
+  private void onOwnThreads(Consumer<TrackedConnection> action) {
+    Collection<List<TrackedConnection>> byThread =
+        open.values().stream().collect(Collectors.groupingBy(TrackedConnection::thread)).values();
+    for (List<TrackedConnection> connections : byThread) {
+      XnioIoThread thread = connections.get(0).thread();
+      try {
+        thread.execute(() -> connections.forEach(action));
+      } catch (RejectedExecutionException e) {
+        log.debug("the I/O thread has ended: {}", e.getMessage());
+      }
+    }
   }
 }
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/ReadAheadSource.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/ReadAheadSource.java
@@ -34,6 +34,7 @@
   private ReadReadyHandler readerHandler;
   private boolean readsResumed;
   private boolean ended;
+  private boolean pastBoundary;
 
   /**
    * Wraps a conduit.
@@ -66,6 +67,25 @@
     allow(exchange, Long.MAX_VALUE);
   }
 
+  /** Records that all bytes passed on so far belong to requests that are complete. */
+  void markBoundary() {
+    pastBoundary = false;
+  }
+
+  /**
+   * Returns whether bytes have arrived since the last request that is complete. Reads once itself
+   * while no bytes are known; the server gets them by its next read.
+   */
+  boolean hasReceived() {
+    if (!pastBoundary && ahead.isEmpty()) {
+      readAhead();
+      if (readsResumed && !ahead.isEmpty()) {
+        next.wakeupReads();
+      }
+    }
+    return pastBoundary || !ahead.isEmpty();
+  }
+
   private int deductAllowed(int count) throws IOException {
     allowedBytes -= Math.max(0, count);
     if (allowedBytes < 0) {
@@ -126,8 +146,11 @@
   @Override
   public int read(ByteBuffer dst) throws IOException {
     if (ahead.isEmpty()) {
-      return ended ? -1 : deductAllowed(next.read(dst));
+      int count = ended ? -1 : deductAllowed(next.read(dst));
+      pastBoundary |= count > 0;
+      return count;
     }
+    pastBoundary = true;
     return ahead.take(dst);
   }
 
