Pass a body on only if it has arrived as a whole

It now compares the bytes with the declared length and reads nothing of a closed connection, whoever closed it; a request on a closed connection doesn't start.

--- a/router/src/main/java/io/jacinthquay/router/adapter/http/BodyReader.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/BodyReader.java
@@ -43,12 +43,16 @@
   void read(Consumer<byte[]> bodyCallback, Consumer<Failure> failureCallback) {
     onComplete = bodyCallback;
     onFailure = failureCallback;
+    if (!exchange.getConnection().isOpen()) {
+      done = true;
+      return;
+    }
     if (exchange.getRequestContentLength() > limits.maxBodyBytes()) {
       fail(ResultCode.BODY_TOO_LARGE);
       return;
     }
     if (exchange.isRequestComplete()) {
-      bodyCallback.accept(EMPTY);
+      complete(EMPTY);
       return;
     }
     exchange.getConnection().addCloseListener(connection -> onClosed());
@@ -85,7 +89,7 @@
         if (count < 0) {
           finish();
           ReadAheadSource.allowAll(exchange);
-          onComplete.accept(body.toByteArray());
+          complete(body.toByteArray());
           return;
         }
         ReadAheadSource.allow(exchange, ReadAheadSource.MAX_SKIPPED_BYTES);
@@ -99,6 +103,17 @@
     }
   }
 
+  /** Passes on a body, unless the exchange was ended before all of it had arrived. */
+  private void complete(byte[] received) {
+    boolean whole =
+        exchange.getConnection().isOpen() && received.length >= exchange.getRequestContentLength();
+    if (whole) {
+      onComplete.accept(received);
+    } else {
+      IoUtils.safeClose(exchange.getConnection());
+    }
+  }
+
   private boolean append(ByteBuffer data) {
     int count = data.remaining();
     if (body.size() + count > limits.maxBodyBytes()) {
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/CallerHandler.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/CallerHandler.java
@@ -41,6 +41,10 @@
 
   @Override
   public void handleRequest(HttpServerExchange exchange) {
+    if (!exchange.getConnection().isOpen()) {
+      exchange.endExchange();
+      return;
+    }
     connections.requestStarted(exchange);
     RequestId id = intake.nextId();
     RequestHead head = head(exchange);
