--- a/router/src/main/java/io/jacinthquay/router/adapter/http/BodyReader.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/BodyReader.java
@@ -46,12 +46,16 @@
   void read(Consumer<byte[]> bodyCallback, Consumer<Failure> failureCallback) {
     onComplete = bodyCallback;
     onFailure = failureCallback;
+    if (!exchange.getConnection().isOpen()) {
+      done = true;
+      return;
+    }
     if (exchange.getRequestContentLength() > limits.maxBodyBytes()) {
       fail(ResultCode.BODY_TOO_LARGE);
       return;
     }
     if (exchange.isRequestComplete()) {
-      bodyCallback.accept(EMPTY);
+      complete(EMPTY);
       return;
     }
     if (!reserve(Math.max(0, exchange.getRequestContentLength()))) {
@@ -92,7 +96,7 @@
         if (count < 0) {
           finish();
           ReadAheadSource.allowAll(exchange);
-          onComplete.accept(joinParts());
+          complete(joinParts());
           return;
         }
         ReadAheadSource.allow(exchange, ReadAheadSource.MAX_SKIPPED_BYTES);
@@ -106,6 +110,17 @@
     }
   }
 
+  /** Passes on a body, unless the exchange was ended before all of it had arrived. */
+  private void complete(byte[] received) {
+    boolean whole =
+        exchange.getConnection().isOpen() && received.length >= exchange.getRequestContentLength();
+    if (whole) {
+      onComplete.accept(received);
+    } else {
+      IoUtils.safeClose(exchange.getConnection());
+    }
+  }
+
   private boolean append(ByteBuffer data) {
     int count = data.remaining();
     if (size + count > limits.maxBodyBytes()) {
