Find the leader though every member the router knew is gone

Callers saw a router answer from an old document for as long as its process ran: after the first view of a leader it knew only that view's members. If all of them were replaced while it was cut off or paused, or its own view of them was small, it asked removed addresses for ever. Seeds, also those that the settings file lists meanwhile, were never looked at again.

LeaderSearch asks members and seeds, each once a round and those that did not answer last; seeds are read anew for each round from the file of JACINTHQUAY_SETTINGS. Two further ways to the same end, found by reading: a member that names a leader that is gone sent the link round in a circle of two, and an Error in the decoder ended its thread for good. An exception also left the loop without a delay, and a document that can't be decoded kept the rest of its view from being applied.

The link logs whom it follows, when that changes and when it follows nobody for 3 s, a version without a usable document and a leader that names an older version; four metrics tell the same.

ControlLinkTest on the former code: returnsToSeedsOnceAllKnownMembersAreGone (version 1, not 2, after 8 s), asksAllMembersThoughOneNamesALeaderThatIsGone and goesOnAfterAnErrorInTheDecoder (-1, not 1) failed, 3 of 3; now 5 of 5 hold.

--- a/router/src/main/java/io/jacinthquay/router/ForwardRouter.java
+++ b/router/src/main/java/io/jacinthquay/router/ForwardRouter.java
@@ -20,6 +20,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -63,7 +64,7 @@
    * @param callers the address that callers connect to
    * @param ready the address of the readiness endpoint
    * @param metrics the address of the metrics endpoint
-   * @param control control VMs that are known at the start
+   * @param control returns the control VMs of the current settings, at least one
    * @param grace longest time from the stop order to the end
    */
   public record Endpoints(
@@ -71,13 +72,8 @@
       InetSocketAddress callers,
       InetSocketAddress ready,
       InetSocketAddress metrics,
-      List<InetSocketAddress> control,
-      Duration grace) {
-    /** Copies the list. */
-    public Endpoints {
-      control = List.copyOf(control);
-    }
-  }
+      Supplier<List<InetSocketAddress>> control,
+      Duration grace) {}
 
   /**
    * Returns a router that has not started.
--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/ControlLink.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/ControlLink.java
@@ -35,10 +35,10 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ThreadLocalRandom;
@@ -54,9 +54,9 @@
 /**
  * Sends reports to the leading control VM and receives views from it, in a thread of its own.
  *
- * <p>It tries the members in turn until it finds the leader. Views are applied on the I/O thread.
- * If the leader names a relay in this router's failure domain, the exchange continues with the
- * relay.
+ * <p>It asks the members and the seeds in turn until it finds the leader. Views are applied on the
+ * I/O thread. If the leader names a relay in this router's failure domain, the exchange continues
+ * with the relay.
  */
 public final class ControlLink implements Service {
   private static final Logger log = LogManager.getLogger();
@@ -109,7 +109,8 @@
   private final ForwardCore core;
   private final Function<byte[], Either<Failure, RoutingDocument>> decoder;
   private final long incarnation = ThreadLocalRandom.current().nextLong(1, Long.MAX_VALUE);
-  private final Set<String> members = new LinkedHashSet<>();
+  private final LeaderSearch search;
+  private final ControlLinkMonitor monitor;
   private final Thread thread = new Thread(this::run, "control-link");
   private String target;
   private Channel channel;
@@ -131,21 +132,25 @@
    *
    * @param router the name of this router
    * @param domain the failure domain of this router
-   * @param seeds the control VMs known at the start
+   * @param seeds returns the control VMs of the current settings, at least one
    * @param core the core that views are applied to
    * @param decoder decodes documents
    */
   public ControlLink(
       String router,
       DomainId domain,
-      List<InetSocketAddress> seeds,
+      Supplier<List<InetSocketAddress>> seeds,
       ForwardCore core,
       Function<byte[], Either<Failure, RoutingDocument>> decoder) {
     this.router = router;
     this.domain = domain;
     this.core = core;
     this.decoder = decoder;
-    seeds.forEach(seed -> members.add(SocketAddresses.format(seed)));
+    this.search =
+        new LeaderSearch(
+            () -> seeds.get().stream().map(SocketAddresses::format).toList(),
+            new SplittableRandom());
+    this.monitor = new ControlLinkMonitor(core.metrics(), System::nanoTime);
     thread.setDaemon(true);
   }
 
@@ -164,18 +169,27 @@
   private void run() {
     while (running) {
       try {
-        boolean succeeded = exchange();
+        boolean succeeded = tryExchange();
         TimeUnit.MILLISECONDS.sleep(succeeded ? exchangeMillis() : SEARCH_DELAY_MILLIS);
       } catch (InterruptedException e) {
         break;
-      } catch (RuntimeException e) {
-        log.error("the exchange with the control VMs failed", e);
-        disconnect();
       }
     }
     disconnect();
   }
 
+  /** Exchanges once; nothing that is thrown may end the thread, which nothing would replace. */
+  private boolean tryExchange() throws InterruptedException {
+    try {
+      return exchange();
+    } catch (RuntimeException | Error e) {
+      log.error("the exchange with the control VMs failed", e);
+      leaveTarget();
+      target = null;
+      return false;
+    }
+  }
+
   private long exchangeMillis() {
     long millis = Math.max(MIN_EXCHANGE_MILLIS, (long) (routerCount * EXCHANGE_MILLIS_PER_ROUTER));
     return viaRelay ? Math.min(millis, MAX_RELAY_EXCHANGE_MILLIS) : millis;
@@ -183,7 +197,7 @@
 
   private boolean exchange() throws InterruptedException {
     if (target == null) {
-      target = nextMember("");
+      target = search.next();
     }
     ControlViewMessage view;
     try {
@@ -196,27 +210,31 @@
           new Control.Client(new TMultiplexedProtocol(channel.protocol(), SERVICE));
       view = client.exchange(report());
     } catch (IOException | TException e) {
-      log.info("control VM {} is not reachable: {}", target, e.getMessage());
-      leaveTarget();
-      target = nextMember(target);
+      if (search.recordFailure(target)) {
+        log.info("control VM {} is not reachable: {}", target, e.getMessage());
+      }
+      searchOn();
       return false;
     }
-    members.addAll(view.getMembers());
     if (view.isLeads() || view.isRelays()) {
-      members.retainAll(view.getMembers());
+      search.recordView(target, view.getMembers());
       viaRelay = view.isRelays();
+      monitor.recordView(target, view, core.version(), search.known().size());
       apply(view);
       switchToRelay(view);
       return true;
     }
-    leaveTarget();
-    target =
-        !view.getLeader().isEmpty() && !view.getLeader().equals(target)
-            ? view.getLeader()
-            : nextMember(target);
+    search.recordAnswer(target, view.getMembers(), view.getLeader());
+    searchOn();
     return false;
   }
 
+  private void searchOn() {
+    leaveTarget();
+    target = search.next();
+    monitor.recordSearch(search, core.version());
+  }
+
   /** Switches to the relay of this router's failure domain, if the leader names one. */
   private void switchToRelay(ControlViewMessage view) {
     if (view.isSetRelay() && System.nanoTime() - relayAvoidedUntilNanos >= 0) {
@@ -235,15 +253,6 @@
     disconnect();
   }
 
-  private String nextMember(String previous) {
-    List<String> all = new ArrayList<>(members);
-    int index =
-        previous.isEmpty()
-            ? ThreadLocalRandom.current().nextInt(all.size())
-            : all.indexOf(previous);
-    return all.get((index + 1) % all.size());
-  }
-
   private void disconnect() {
     if (channel != null) {
       channel.close();
@@ -362,11 +371,10 @@
   /** Applies a view in a single task on the I/O thread, because each task wakes the thread. */
   private void apply(ControlViewMessage view) {
     List<Runnable> changes = new ArrayList<>();
-    if (view.isSetDocument() && view.getDocumentVersion() > core.version()) {
-      decoder
-          .apply(view.getDocument())
-          .peek(document -> changes.add(() -> core.apply(new RouteTable(document))))
-          .peekLeft(failure -> log.error("cannot decode a stored document: {}", failure.detail()));
+    if (view.getDocumentVersion() > core.version()) {
+      decode(view)
+          .peek(table -> changes.add(() -> core.apply(table)))
+          .peekLeft(reason -> monitor.recordUnusableDocument(view.getDocumentVersion(), reason));
     }
     core.timeOfDay(view.getWallMillis());
     if (view.isSetClosedDomains() && view.getClosedIndex() > closedDomainsIndex) {
@@ -404,6 +412,18 @@
     core.thread().execute(() -> changes.forEach(ControlLink::runGuarded));
   }
 
+  /** Decodes the document of a view; a reason is returned if it has none that is usable. */
+  private Either<String, RouteTable> decode(ControlViewMessage view) {
+    if (!view.isSetDocument()) {
+      return Either.left("the view has no document");
+    }
+    try {
+      return decoder.apply(view.getDocument()).bimap(Failure::detail, RouteTable::new);
+    } catch (RuntimeException | StackOverflowError e) {
+      return Either.left(e.toString());
+    }
+  }
+
   /** Runs a change; one that fails must not prevent the others. */
   private static void runGuarded(Runnable change) {
     try {
--- a/runtime/src/main/java/io/jacinthquay/runtime/SighupHandler.java
+++ b/runtime/src/main/java/io/jacinthquay/runtime/SighupHandler.java
@@ -7,8 +7,8 @@
  * Handles SIGHUP, which operators send after a change of settings.
  *
  * <p>Without a handler the signal terminates the process. Settings are read only at startup, so the
- * handler just logs the signal. The settings that operators may change while the program runs list
- * initial members; a running program discovers members from the other members.
+ * handler just logs the signal. Programs that need the current list of initial members read it
+ * themselves, since it may change without a signal too.
  */
 final class SighupHandler {
   private SighupHandler() {}
