Soak: control VMs replaced at new addresses, suspended routers, all control VMs killed

CONTROL_REPLACED ends a control VM for good and starts one at a new address with an empty disk, one at a time: the next only once all say that they vote (jq_control_votes, new). ROUTER_SUSPENDED stops a router for up to 16 s, CONTROLS_KILLED kills all control VMs at once. Started processes get the seeds of the moment, and the settings file is rewritten while they run. After the faults each router has to follow the version that control VMs tell. An Error no longer ends a periodic task of a control VM for good.

--- a/control/src/main/java/io/jacinthquay/control/ControlService.java
+++ b/control/src/main/java/io/jacinthquay/control/ControlService.java
@@ -198,6 +198,7 @@
     registry.gauge("jq_control_term", () -> () -> store.status().term());
     registry.gauge("jq_control_commit_index", () -> () -> store.status().commitIndex());
     registry.gauge("jq_control_voters", () -> () -> store.status().membership().voters().size());
+    registry.gauge("jq_control_votes", () -> () -> isVoter(store.status()) ? 1 : 0);
     registry.gauge("jq_control_document_version", () -> () -> store.tables().version());
     registry.gauge(
         "jq_control_quarantined_parts", () -> () -> store.tables().quarantine().parts().size());
@@ -206,6 +207,10 @@
     registry.gauge("jq_control_upstreams", () -> () -> upstreamList.snapshot().listings().size());
   }
 
+  private static boolean isVoter(LogStatus status) {
+    return status.membership().voters().contains(status.self());
+  }
+
   /** Returns the store of the replicated state. */
   public ControlStore store() {
     return store;
@@ -240,7 +245,7 @@
   private static void runGuarded(Runnable task) {
     try {
       task.run();
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | Error e) {
       log.error("periodic task of the control VM failed", e);
     }
   }
--- a/faultsoak/src/main/java/io/jacinthquay/soak/Deployment.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/Deployment.java
@@ -11,8 +11,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicIntegerArray;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
 /**
@@ -26,6 +28,10 @@
   private static final int CONTROL_SUBNET = 1;
   private static final int ROUTER_SUBNET = 2;
   private static final int CONTROL_BIND_SUBNET = 3;
+
+  /** Largest number of a VM, which is the last byte of its address less one. */
+  private static final int MAX_NUMBER = 253;
+
   private static final Pattern ROLE = Pattern.compile("(?m)^\\[roles\\.(\\w+)]\\s+run = \"(.*)\"$");
   private static final Pattern PLACEHOLDER = Pattern.compile("\\{\\{([^}]+)}}");
 
@@ -34,6 +40,9 @@
   private final InetSocketAddress platform;
   private final Map<String, String> commands = new HashMap<>();
 
+  /** Number of the VM that has each place of a control VM now. */
+  private final AtomicIntegerArray controlNumbers;
+
   /** Second byte of the loopback addresses, derived from the process id. */
   private final int processSubnet;
 
@@ -53,6 +62,7 @@
     this.root = root;
     this.plan = plan;
     this.platform = platform;
+    this.controlNumbers = new AtomicIntegerArray(IntStream.range(0, plan.controls()).toArray());
     Matcher roles = ROLE.matcher(Files.readString(root.resolve("deploy/system.toml")));
     while (roles.find()) {
       commands.put(roles.group(1), roles.group(2));
@@ -89,19 +99,48 @@
     }
   }
 
+  /**
+   * Gives the place of a control VM to a new VM with a number, and so an address, of its own.
+   *
+   * @return false if no address is left
+   */
+  boolean replaceControl(int place) {
+    int next = controlNumbers.get(place) + plan.controls();
+    if (next > MAX_NUMBER) {
+      return false;
+    }
+    controlNumbers.set(place, next);
+    return true;
+  }
+
+  /** Returns the number of the VM that has the place of a control VM now. */
+  int controlNumber(int place) {
+    return controlNumbers.get(place);
+  }
+
   /** Returns the address at which operators reach a control VM. */
-  InetSocketAddress control(int number) {
-    return address(CONTROL_SUBNET, number, publicPort);
+  InetSocketAddress control(int place) {
+    return address(CONTROL_SUBNET, controlNumber(place), publicPort);
+  }
+
+  /** Returns the address at which a control VM serves its metrics. */
+  InetSocketAddress controlMetrics(int place) {
+    return address(CONTROL_SUBNET, controlNumber(place), metricsPort);
+  }
+
+  /** Returns the address at which a router serves its metrics. */
+  InetSocketAddress routerMetrics(int number) {
+    return address(ROUTER_SUBNET, number, metricsPort);
   }
 
   /** Returns the address at which routers and other control VMs reach a control VM. */
-  InetSocketAddress internalOf(int control) {
-    return address(CONTROL_SUBNET, control, internalPort);
+  InetSocketAddress internalOf(int place) {
+    return address(CONTROL_SUBNET, controlNumber(place), internalPort);
   }
 
   /** Returns the address on which a control VM listens behind the link at {@link #internalOf}. */
-  InetSocketAddress internalBindOf(int control) {
-    return address(CONTROL_BIND_SUBNET, control, internalPort);
+  InetSocketAddress internalBindOf(int place) {
+    return address(CONTROL_BIND_SUBNET, controlNumber(place), internalPort);
   }
 
   /** Returns the address at which callers reach a router. */
@@ -117,10 +156,19 @@
     return address.getAddress().getHostAddress() + ":" + address.getPort();
   }
 
+  /** Returns the addresses of the control VMs at this moment. */
+  private List<String> seeds() {
+    return IntStream.range(0, plan.controls()).mapToObj(i -> format(control(i))).toList();
+  }
+
+  /** Returns the settings file that the platform gives to each process, as far as it is used. */
+  String settings() {
+    return seeds().stream().collect(Collectors.joining("\", \"", "seed_nodes = [\"", "\"]\n"));
+  }
+
   private Map<String, String> commonValues(String name, int number) {
     Map<String, String> values = new HashMap<>();
-    List<String> seeds =
-        IntStream.range(0, plan.controls()).mapToObj(i -> format(control(i))).toList();
+    List<String> seeds = seeds();
     values.put("node_name", name);
     values.put("zone", domain(number));
     values.put("seed_nodes", String.join(",", seeds));
@@ -149,7 +197,7 @@
 
   /** Returns the command line of a control VM. */
   List<String> controlCommand(int number, Path data) {
-    Map<String, String> values = commonValues("control-" + number, number);
+    Map<String, String> values = commonValues("control-" + controlNumber(number), number);
     values.put("listen_addresses.control_plane", format(control(number)));
     values.put("data_directory", data.toString());
     List<String> command = new ArrayList<>(command("control", values));
--- a/faultsoak/src/main/java/io/jacinthquay/soak/FaultInjector.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/FaultInjector.java
@@ -1,6 +1,7 @@
 package io.jacinthquay.soak;
 
 import java.io.IOException;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.apache.logging.log4j.LogManager;
@@ -19,8 +20,20 @@
    */
   private static final long DRAINING_NOTICE_MILLIS = 4_000;
 
+  /** Time for a new disk to replace the lost one. */
+  private static final long REPLACEMENT_LIMIT_NANOS = TimeUnit.SECONDS.toNanos(12);
+
+  private static final long POLL_MILLIS = 200;
+
+  /** How many times longer a router is suspended than other faults last. */
+  private static final int SUSPENSION_FACTOR = 4;
+
   private final SoakSystem system;
   private final History history;
+
+  /** Held while a lost disk is not replaced yet. */
+  private final Semaphore diskLoss = new Semaphore(1);
+
   private final AtomicInteger restartCount = new AtomicInteger();
 
   FaultInjector(SoakSystem system, History history) {
@@ -32,7 +45,9 @@
   void inject(Fault fault) {
     long from = System.nanoTime();
     try {
-      apply(fault);
+      if (!apply(fault)) {
+        return;
+      }
     } catch (IOException e) {
       log.warn("fault {} could not be injected: {}", fault, e.getMessage());
     } catch (InterruptedException e) {
@@ -42,8 +57,12 @@
         new FaultPeriod(fault.kind(), fault.target(), from, System.nanoTime() + SETTLE_NANOS));
   }
 
-  private void apply(Fault fault) throws IOException, InterruptedException {
+  /** Injects a fault; returns whether it was, or false if it would be more than is tolerated. */
+  private boolean apply(Fault fault) throws IOException, InterruptedException {
     int target = fault.target();
+    if (fault.kind() == FaultKind.CONTROL_WIPED || fault.kind() == FaultKind.CONTROL_REPLACED) {
+      return loseDisk(fault);
+    }
     switch (fault.kind()) {
       case ROUTER_PAUSED -> pause(system.router(target), fault);
       case CONTROL_PAUSED -> pause(system.control(target), fault);
@@ -52,11 +71,14 @@
       case ROUTER_STOPPED -> stop(system.router(target));
       case CONTROL_STOPPED -> stop(system.control(target));
       case ROUTER_HUP -> system.router(target).signal("HUP");
-      case CONTROL_WIPED -> {
-        system.control(target).kill();
-        system.deleteData(target);
-        awaitEnd(fault);
-        system.control(target).start();
+      case ROUTER_SUSPENDED -> suspend(system.router(target), fault);
+      case CONTROLS_KILLED -> {
+        for (int control = 0; control < system.operatorAddresses().size(); control++) {
+          system.control(control).kill();
+        }
+        for (int control = 0; control < system.operatorAddresses().size(); control++) {
+          system.control(control).start();
+        }
       }
       case CONTROL_SILENT -> applyMode(system.internalLink(target), LinkProxy.Mode.SILENT, fault);
       case CONTROL_ONE_WAY -> applyMode(system.internalLink(target), LinkProxy.Mode.ONE_WAY, fault);
@@ -80,6 +102,60 @@
       case OBSERVER_STALLED -> throw new IllegalArgumentException(fault + " can't be injected");
       default -> throw new IllegalArgumentException("unknown fault " + fault);
     }
+    return true;
+  }
+
+  /**
+   * Deletes the disk of a control VM or replaces the VM, and waits until the new disk has the place
+   * of the lost one; returns false if another lost disk is not replaced yet.
+   */
+  private boolean loseDisk(Fault fault) throws IOException, InterruptedException {
+    if (!diskLoss.tryAcquire()) {
+      return false;
+    }
+    try {
+      if (!system.allControlsVote()) {
+        return false;
+      }
+      int target = fault.target();
+      if (fault.kind() == FaultKind.CONTROL_WIPED) {
+        system.control(target).kill();
+        system.deleteData(target);
+        awaitEnd(fault);
+        system.control(target).start();
+      } else {
+        end(system.control(target), fault);
+        if (!system.replaceControl(target)) {
+          log.warn("no address is left for a new control VM");
+        }
+      }
+      long end = System.nanoTime() + REPLACEMENT_LIMIT_NANOS;
+      while (!system.allControlsVote() && System.nanoTime() - end < 0) {
+        TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
+      }
+      return true;
+    } finally {
+      diskLoss.release();
+    }
+  }
+
+  /** Ends a process with SIGTERM or, for every other duration, with SIGKILL. */
+  private static void end(ProgramProcess process, Fault fault) throws IOException {
+    if (fault.durationMillis() % 2 == 0) {
+      process.kill();
+    } else if (!process.stop()) {
+      log.warn("a control VM did not stop within its grace period and was killed");
+    }
+  }
+
+  private static void suspend(ProgramProcess process, Fault fault)
+      throws IOException, InterruptedException {
+    process.signal("STOP");
+    try {
+      TimeUnit.MILLISECONDS.sleep(SUSPENSION_FACTOR * fault.durationMillis());
+    } finally {
+      process.signal("CONT");
+    }
   }
 
   private static void awaitEnd(Fault fault) throws InterruptedException {
--- a/faultsoak/src/main/java/io/jacinthquay/soak/FaultKind.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/FaultKind.java
@@ -4,6 +4,8 @@
 enum FaultKind {
   /** SIGSTOP to a router, and SIGCONT at the end. */
   ROUTER_PAUSED(Where.ROUTER),
+  /** SIGSTOP to a router for long enough to replace several control VMs, and SIGCONT at the end. */
+  ROUTER_SUSPENDED(Where.ROUTER),
   /** SIGKILL to a router, and a restart at the end. */
   ROUTER_KILLED(Where.ROUTER),
   /** SIGTERM to a router, and a restart once the process has exited. */
@@ -18,6 +20,10 @@
   CONTROL_STOPPED(Where.CONTROL),
   /** SIGKILL to a control VM, and a restart with an empty data folder at the end. */
   CONTROL_WIPED(Where.CONTROL),
+  /** A control VM ends for good; one at another address with an empty data folder replaces it. */
+  CONTROL_REPLACED(Where.CONTROL),
+  /** SIGKILL to all control VMs at the same moment, and a restart of all. */
+  CONTROLS_KILLED(Where.CONTROL),
   /** Nothing passes between a control VM's internal port and others; connections stay open. */
   CONTROL_SILENT(Where.CONTROL),
   /** A control VM's internal port receives calls, but no response comes back. */
--- a/faultsoak/src/main/java/io/jacinthquay/soak/FaultSchedule.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/FaultSchedule.java
@@ -8,9 +8,9 @@
 /**
  * Draws the kinds, targets and times of faults from the seed; equal plans have equal schedules.
  *
- * <p>Faults overlap, also on the same target. At most one control VM loses its data folder: the
- * system tolerates one lost disk at a time, and under other faults it can't be seen from outside
- * when the new disk has replaced the lost one.
+ * <p>Faults overlap, also on the same target. At most one control VM loses its data folder. The
+ * system tolerates one lost disk at a time, so that a replacement is left out while another lost
+ * disk has not been replaced.
  */
 final class FaultSchedule {
   /** Mean time between the starts of two faults. */
@@ -33,14 +33,16 @@
     if (kinds.isEmpty()) {
       return faults;
     }
-    boolean noMoreWipes = plan.controls() < MIN_CONTROLS_FOR_DISK_LOSS;
+    boolean noMoreWipes = false;
     long startMillis = random.nextInt(2 * MEAN_GAP_MILLIS);
     while (startMillis < plan.load().toMillis()) {
       FaultKind kind = kinds.get(random.nextInt(kinds.size()));
       int target = random.nextInt(plan.targets(kind));
       long durationMillis = random.nextInt(MIN_DURATION_MILLIS, MAX_DURATION_MILLIS);
       boolean isWipe = kind == FaultKind.CONTROL_WIPED;
-      if (!isWipe || !noMoreWipes) {
+      boolean losesDisk = isWipe || kind == FaultKind.CONTROL_REPLACED;
+      boolean tolerated = plan.controls() >= MIN_CONTROLS_FOR_DISK_LOSS || !losesDisk;
+      if (tolerated && (!isWipe || !noMoreWipes)) {
         faults.add(new Fault(kind, target, startMillis, durationMillis));
         noMoreWipes |= isWipe;
       }
--- a/faultsoak/src/main/java/io/jacinthquay/soak/ProgramProcess.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/ProgramProcess.java
@@ -11,6 +11,7 @@
 /** A program that runs as a process and can be stopped, signalled and started again. */
 final class ProgramProcess implements AutoCloseable {
   private static final String LOG_LEVEL = "JQ_LOG_LEVEL";
+  private static final String SETTINGS_FILE = "JACINTHQUAY_SETTINGS";
   private static final long KILL_TIMEOUT_SECONDS = 10;
 
   /** Exit code of a process that SIGHUP terminated: 128 plus the number of the signal. */
@@ -21,6 +22,7 @@
 
   private final Path root;
   private final Path output;
+  private final Path settings;
   private final Supplier<List<String>> command;
   private Process process;
   private boolean stopping;
@@ -30,9 +32,18 @@
 
   private final List<Integer> unexpectedExits = new ArrayList<>();
 
-  ProgramProcess(Path root, Path output, Supplier<List<String>> command) {
+  /**
+   * Returns a program that does not run yet.
+   *
+   * @param root folder in which it runs
+   * @param output receives its output
+   * @param settings file whose path it is given
+   * @param command returns the command line of each start
+   */
+  ProgramProcess(Path root, Path output, Path settings, Supplier<List<String>> command) {
     this.root = root;
     this.output = output;
+    this.settings = settings;
     this.command = command;
   }
 
@@ -52,6 +63,7 @@
             .redirectOutput(ProcessBuilder.Redirect.appendTo(outputFile));
     // The soak's own log level must not suppress the log lines of the programs.
     builder.environment().remove(LOG_LEVEL);
+    builder.environment().put(SETTINGS_FILE, settings.toString());
     process = builder.start();
   }
 
--- a/faultsoak/src/main/java/io/jacinthquay/soak/SoakRun.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/SoakRun.java
@@ -15,6 +15,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.SplittableRandom;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -22,6 +23,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.stream.IntStream;
 import org.HdrHistogram.Recorder;
 
 /**
@@ -183,9 +185,32 @@
       read = operator.readVersion().isPresent();
     }
     verdict.judge(read, "no control VM tells the document");
+    verdict.judge(
+        !read || awaitVersion(system, operator, recovering),
+        "routers follow versions " + versions(system) + " after the faults");
     return verdict;
   }
 
+  /** Waits until all routers follow the document that the control VMs tell. */
+  private static boolean awaitVersion(
+      SoakSystem system, OperatorLoop operator, BooleanSupplier keepTrying)
+      throws InterruptedException {
+    do {
+      OptionalLong told = operator.readVersion();
+      if (told.isPresent() && versions(system).stream().allMatch(told::equals)) {
+        return true;
+      }
+      TimeUnit.MILLISECONDS.sleep(PROBE_INTERVAL_MILLIS);
+    } while (keepTrying.getAsBoolean());
+    return false;
+  }
+
+  private static List<OptionalLong> versions(SoakSystem system) {
+    return IntStream.range(0, system.callerAddresses().size())
+        .mapToObj(system::versionInForce)
+        .toList();
+  }
+
   private static BooleanSupplier within(Duration limit) {
     long end = System.nanoTime() + limit.toNanos();
     return () -> System.nanoTime() - end < 0;
--- a/faultsoak/src/main/java/io/jacinthquay/soak/SoakSystem.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/SoakSystem.java
@@ -5,10 +5,14 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.OptionalLong;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Supplier;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -24,7 +28,11 @@
   private final List<FakeUpstream> upstreams = new ArrayList<>();
   private final List<LinkProxy> upstreamLinks = new ArrayList<>();
   private final List<ProgramProcess> controls = new ArrayList<>();
-  private final List<LinkProxy> internalLinks = new ArrayList<>();
+  private final List<LinkProxy> internalLinks = new CopyOnWriteArrayList<>();
+
+  /** Links of control VMs that were replaced; nothing answers behind them. */
+  private final List<LinkProxy> formerLinks = new CopyOnWriteArrayList<>();
+
   private final List<LinkProxy> operatorLinks = new ArrayList<>();
   private final List<ProgramProcess> routers = new ArrayList<>();
   private final List<LinkProxy> routerLinks = new ArrayList<>();
@@ -40,6 +48,7 @@
     platform = new FakePlatform(history);
     platformLink = new LinkProxy(platform::address);
     deployment = new Deployment(root, plan, platformLink.address());
+    writeSettings();
     for (int i = 0; i < plan.upstreams(); i++) {
       FakeUpstream upstream = new FakeUpstream(i, plan.seed() + i, history);
       upstreams.add(upstream);
@@ -50,9 +59,7 @@
       int number = i;
       controls.add(
           process("control-" + i, () -> deployment.controlCommand(number, dataFolder(number))));
-      internalLinks.add(
-          new LinkProxy(
-              deployment.internalOf(i), () -> deployment.internalBindOf(number), port -> {}));
+      internalLinks.add(newInternalLink(i));
       operatorLinks.add(new LinkProxy(() -> deployment.control(number)));
     }
     for (int i = 0; i < plan.routers(); i++) {
@@ -66,11 +73,27 @@
   }
 
   private ProgramProcess process(String name, Supplier<List<String>> command) {
-    return new ProgramProcess(deployment.root(), folder.resolve(name + ".log"), command);
+    return new ProgramProcess(
+        deployment.root(), folder.resolve(name + ".log"), settingsFile(), command);
+  }
+
+  private LinkProxy newInternalLink(int control) throws IOException {
+    InetSocketAddress server = deployment.internalBindOf(control);
+    return new LinkProxy(deployment.internalOf(control), () -> server, port -> {});
+  }
+
+  private Path settingsFile() {
+    return folder.resolve("settings.toml");
+  }
+
+  private void writeSettings() throws IOException {
+    Path written = folder.resolve("settings.new");
+    Files.writeString(written, deployment.settings());
+    Files.move(written, settingsFile(), StandardCopyOption.ATOMIC_MOVE);
   }
 
   private Path dataFolder(int control) {
-    return folder.resolve("data-" + control);
+    return folder.resolve("data-" + deployment.controlNumber(control));
   }
 
   void start() throws IOException {
@@ -122,6 +145,38 @@
     return controls.get(number);
   }
 
+  /**
+   * Starts a VM at a new address with an empty data folder in the place of a control VM, whose
+   * process must not be running and whose address does not answer any more.
+   *
+   * @return false if no address is left
+   */
+  boolean replaceControl(int control) throws IOException {
+    LinkProxy former = internalLinks.get(control);
+    former.setMode(LinkProxy.Mode.SILENT);
+    former.reset();
+    if (!deployment.replaceControl(control)) {
+      return false;
+    }
+    formerLinks.add(former);
+    internalLinks.set(control, newInternalLink(control));
+    writeSettings();
+    controls.get(control).start();
+    return true;
+  }
+
+  /** Returns whether each control VM says that it votes in the group. */
+  boolean allControlsVote() {
+    return IntStream.range(0, controls.size())
+        .mapToObj(deployment::controlMetrics)
+        .allMatch(address -> MetricsReader.read(address, "jq_control_votes").orElse(0) == 1);
+  }
+
+  /** Returns the version of the document that a router follows; empty if it does not tell. */
+  OptionalLong versionInForce(int router) {
+    return MetricsReader.read(deployment.routerMetrics(router), "jq_forward_document_version");
+  }
+
   /** Deletes the stored data of a control VM; its process must not be running. */
   void deleteData(int control) throws IOException {
     deleteRecursively(dataFolder(control));
@@ -210,6 +265,7 @@
     List<AutoCloseable> resources = new ArrayList<>(routerLinks);
     resources.addAll(upstreamLinks);
     resources.addAll(internalLinks);
+    resources.addAll(formerLinks);
     resources.addAll(operatorLinks);
     resources.addAll(upstreams);
     resources.add(platformLink);
