--- a/control/src/main/java/io/jacinthquay/control/ControlService.java
+++ b/control/src/main/java/io/jacinthquay/control/ControlService.java
@@ -202,6 +202,7 @@
         "jq_control_storage_failed", () -> () -> store.status().role() == Role.FAILED ? 1 : 0);
     registry.gauge("jq_control_commit_index", () -> () -> store.status().commitIndex());
     registry.gauge("jq_control_voters", () -> () -> store.status().membership().voters().size());
+    registry.gauge("jq_control_votes", () -> () -> isVoter(store.status()) ? 1 : 0);
     registry.gauge("jq_control_document_version", () -> () -> store.tables().version());
     registry.gauge(
         "jq_control_quarantined_parts", () -> () -> store.tables().quarantine().parts().size());
@@ -210,6 +211,10 @@
     registry.gauge("jq_control_upstreams", () -> () -> upstreamList.snapshot().listings().size());
   }
 
+  private static boolean isVoter(LogStatus status) {
+    return status.membership().voters().contains(status.self());
+  }
+
   /** Returns the store of the replicated state. */
   public ControlStore store() {
     return store;
--- a/router/src/test/java/io/jacinthquay/router/adapter/http/ConnectionThreadTest.java
+++ b/router/src/test/java/io/jacinthquay/router/adapter/http/ConnectionThreadTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import io.jacinthquay.router.port.BufferBudget;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
