Soak: check the retry budget from outside

A new check counts what the upstreams read, rejected requests included, over all routers and in every window of the budget.

ChecksTest: RETRY_BUDGET_IS_EXCEEDED has one repeated arrival too many in 9,999 ms, and the correct history spends the extra in each of two windows.

--- a/faultsoak/src/main/java/io/jacinthquay/soak/Deployment.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/Deployment.java
@@ -23,6 +23,14 @@
   /** Number of failure domains. */
   static final int DOMAINS = 3;
 
+  /** Retries allowed per request. */
+  static final double RETRY_RATIO = 0.2;
+
+  /** Additional retries allowed per window. */
+  static final int RETRY_EXTRA = 50;
+
+  static final int RETRY_WINDOW_SECONDS = 10;
+
   private static final int CONTROL_SUBNET = 1;
   private static final int ROUTER_SUBNET = 2;
   private static final int CONTROL_BIND_SUBNET = 3;
@@ -131,9 +139,9 @@
     values.put("bounds.grace_period_s", "8");
     values.put("bounds.report_window_s", "5");
     values.put("bounds.lease_duration_ms", "3000");
-    values.put("bounds.retry_budget_ratio", "0.2");
-    values.put("bounds.retry_budget_extra", "50");
-    values.put("bounds.budget_window_s", "10");
+    values.put("bounds.retry_budget_ratio", Double.toString(RETRY_RATIO));
+    values.put("bounds.retry_budget_extra", Integer.toString(RETRY_EXTRA));
+    values.put("bounds.budget_window_s", Integer.toString(RETRY_WINDOW_SECONDS));
     values.put("bounds.cold_overage", "1.5");
     values.put("bounds.cold_tolerance", "5");
     return values;
--- a/faultsoak/src/main/java/io/jacinthquay/soak/Documents.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/Documents.java
@@ -25,7 +25,7 @@
   /** Connection limit of a service; more than the callers of a run can need. */
   private static final int CONNECTION_LIMIT = 1_000;
 
-  private static final int SERVICE_COUNT = 2;
+  static final int SERVICE_COUNT = 2;
 
   /** Smallest number of upstreams that gives each service one in each failure domain. */
   static final int MIN_UPSTREAMS = SERVICE_COUNT * Deployment.DOMAINS;
--- a/faultsoak/src/main/java/io/jacinthquay/soak/FakeUpstream.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/FakeUpstream.java
@@ -25,12 +25,19 @@
   private static final int STALL_MILLIS = 60_000;
 
   private final int number;
+  private final int rejectedPercent;
   private final History history;
   private final SplittableRandom random;
   private final Acceptor acceptor;
   private volatile String id;
 
-  FakeUpstream(int number, long seed, History history) throws IOException {
+  /**
+   * Starts an upstream.
+   *
+   * @param rejectedPercent share of requests that it rejects without running them, in percent
+   */
+  FakeUpstream(int number, long seed, int rejectedPercent, History history) throws IOException {
+    this.rejectedPercent = rejectedPercent;
     this.number = number;
     this.history = history;
     this.random = new SplittableRandom(seed);
@@ -71,13 +78,14 @@
 
   /** Responds to a request; returns whether the connection stays open. */
   private boolean handle(ReceivedRequest request) throws IOException {
+    history.add(new History.Arrival(request.id(), Documents.serviceOf(number), System.nanoTime()));
     String expected = request.head.field("Expected-Instance");
     if (!expected.isEmpty() && !expected.equals(id)) {
       request.write(421, "Not-Executed: 1\r\n", "another one answers here");
       return true;
     }
     int behavior = nextInt(100);
-    if (behavior < 2) {
+    if (behavior < rejectedPercent) {
       request.write(503, "Not-Executed: 1\r\n", "full");
       return true;
     }
--- a/faultsoak/src/main/java/io/jacinthquay/soak/FaultSchedule.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/FaultSchedule.java
@@ -17,7 +17,6 @@
   private static final int MEAN_GAP_MILLIS = 700;
 
   private static final int MIN_DURATION_MILLIS = 200;
-  private static final int MAX_DURATION_MILLIS = 4_000;
 
   /** Smallest number of control VMs of which one may lose its disk. */
   private static final int MIN_CONTROLS_FOR_DISK_LOSS = 3;
@@ -38,7 +37,7 @@
     while (startMillis < plan.load().toMillis()) {
       FaultKind kind = kinds.get(random.nextInt(kinds.size()));
       int target = random.nextInt(plan.targets(kind));
-      long durationMillis = random.nextInt(MIN_DURATION_MILLIS, MAX_DURATION_MILLIS);
+      long durationMillis = random.nextInt(MIN_DURATION_MILLIS, (int) plan.maxFault().toMillis());
       boolean isWipe = kind == FaultKind.CONTROL_WIPED;
       if (!isWipe || !noMoreWipes) {
         faults.add(new Fault(kind, target, startMillis, durationMillis));
--- a/faultsoak/src/main/java/io/jacinthquay/soak/History.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/History.java
@@ -12,6 +12,7 @@
 final class History {
   private final Collection<Call> calls = new ConcurrentLinkedQueue<>();
   private final Collection<Run> runs = new ConcurrentLinkedQueue<>();
+  private final Collection<Arrival> arrivals = new ConcurrentLinkedQueue<>();
   private final Collection<FaultPeriod> faultPeriods = new ConcurrentLinkedQueue<>();
   private final Collection<Read> reads = new ConcurrentLinkedQueue<>();
   private final Collection<Proposed> proposed = new ConcurrentLinkedQueue<>();
@@ -21,6 +22,13 @@
   private final Collection<Duty> duties = new ConcurrentLinkedQueue<>();
   private final Collection<String> unexpected = new ConcurrentLinkedQueue<>();
 
+  /**
+   * A request that an upstream read, whether it ran it or not.
+   *
+   * @param atNanos when it had been read, on the monotonic clock
+   */
+  record Arrival(RequestId id, String service, long atNanos) {}
+
   /**
    * A version of the document that an operator read.
    *
@@ -78,6 +86,10 @@
     runs.add(run);
   }
 
+  void add(Arrival arrival) {
+    arrivals.add(arrival);
+  }
+
   void add(FaultPeriod period) {
     faultPeriods.add(period);
   }
@@ -123,6 +135,10 @@
     return List.copyOf(runs);
   }
 
+  List<Arrival> arrivals() {
+    return List.copyOf(arrivals);
+  }
+
   List<FaultPeriod> faultPeriods() {
     return List.copyOf(faultPeriods);
   }
--- a/faultsoak/src/main/java/io/jacinthquay/soak/SoakMain.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/SoakMain.java
@@ -41,6 +41,13 @@
           .withDefault("6");
   private static final Setting<Integer> CALLERS =
       Setting.integer("callers", "callers at a time", "callers", 1, 1_000).withDefault("24");
+  private static final Setting<Integer> REJECTED_PERCENT =
+      Setting.integer(
+              "rejected-percent", "requests that upstreams reject without a run", "%", 0, 100)
+          .withDefault(Integer.toString(SoakPlan.DEFAULT_REJECTED_PERCENT));
+  private static final Setting<Integer> MAX_FAULT_SECONDS =
+      Setting.integer("max-fault-seconds", "longest duration of a fault", "seconds", 1, 60)
+          .withDefault(Long.toString(SoakPlan.DEFAULT_MAX_FAULT.toSeconds()));
   private static final Setting<Set<FaultKind>> FAULTS =
       Setting.of(
               "faults", "kinds of fault: all, none or a list", "names", SoakMain::parseFaultKinds)
@@ -56,8 +63,20 @@
           "Runs the platform's programs under random faults and judges what callers and upstreams"
               + " see.",
           List.of(
-              SEED, SEEDS, MINUTES, SECONDS, ROUTERS, PROCESSES, CONTROLS, UPSTREAMS, CALLERS,
-              FAULTS, ROOT, LOGS));
+              SEED,
+              SEEDS,
+              MINUTES,
+              SECONDS,
+              ROUTERS,
+              PROCESSES,
+              CONTROLS,
+              UPSTREAMS,
+              CALLERS,
+              REJECTED_PERCENT,
+              MAX_FAULT_SECONDS,
+              FAULTS,
+              ROOT,
+              LOGS));
 
   private SoakMain() {}
 
@@ -106,6 +125,8 @@
               settings.value(CONTROLS),
               settings.value(UPSTREAMS),
               settings.value(CALLERS),
+              settings.value(REJECTED_PERCENT),
+              Duration.ofSeconds(settings.value(MAX_FAULT_SECONDS)),
               settings.value(FAULTS));
       Path root = settings.value(ROOT).toAbsolutePath().normalize();
       Path folder = root.resolve(settings.value(LOGS)).resolve("seed-" + plan.seed());
--- a/faultsoak/src/main/java/io/jacinthquay/soak/SoakPlan.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/SoakPlan.java
@@ -12,6 +12,8 @@
  * @param controls number of control VM processes
  * @param upstreams number of stand-in upstreams
  * @param callers number of concurrent callers
+ * @param rejectedPercent share of requests that upstreams reject without running them, in percent
+ * @param maxFault longest duration of a fault
  * @param faults kinds of fault to inject
  */
 record SoakPlan(
@@ -21,7 +23,12 @@
     int controls,
     int upstreams,
     int callers,
+    int rejectedPercent,
+    Duration maxFault,
     Set<FaultKind> faults) {
+  static final int DEFAULT_REJECTED_PERCENT = 2;
+  static final Duration DEFAULT_MAX_FAULT = Duration.ofSeconds(4);
+
   /**
    * Creates a plan.
    *
@@ -34,6 +41,27 @@
     faults = Set.copyOf(faults);
   }
 
+  /** Returns a plan with the default share of rejected requests and duration of faults. */
+  static SoakPlan withDefaults(
+      long seed,
+      Duration load,
+      int routers,
+      int controls,
+      int upstreams,
+      int callers,
+      Set<FaultKind> faults) {
+    return new SoakPlan(
+        seed,
+        load,
+        routers,
+        controls,
+        upstreams,
+        callers,
+        DEFAULT_REJECTED_PERCENT,
+        DEFAULT_MAX_FAULT,
+        faults);
+  }
+
   /** Returns the number of targets into which a kind of fault can be injected. */
   int targets(FaultKind kind) {
     return switch (kind.where()) {
--- a/faultsoak/src/main/java/io/jacinthquay/soak/SoakRun.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/SoakRun.java
@@ -56,7 +56,8 @@
           new DocumentCheck(),
           new RoutingCheck(),
           new EvacuationCheck(),
-          new DutyCheck());
+          new DutyCheck(),
+          new RetryBudgetCheck());
 
   private final Path root;
   private final Path folder;
--- a/faultsoak/src/main/java/io/jacinthquay/soak/SoakSystem.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/SoakSystem.java
@@ -41,7 +41,7 @@
     platformLink = new LinkProxy(platform::address);
     deployment = new Deployment(root, plan, platformLink.address());
     for (int i = 0; i < plan.upstreams(); i++) {
-      FakeUpstream upstream = new FakeUpstream(i, plan.seed() + i, history);
+      FakeUpstream upstream = new FakeUpstream(i, plan.seed() + i, plan.rejectedPercent(), history);
       upstreams.add(upstream);
       upstreamLinks.add(new LinkProxy(upstream::address));
       listUpstream(i, false);
--- a/faultsoak/src/test/java/io/jacinthquay/soak/ChecksTest.java
+++ b/faultsoak/src/test/java/io/jacinthquay/soak/ChecksTest.java
@@ -163,6 +163,12 @@
         history -> {
           history.add(new History.Duty("usage 7", "control-0", 3, "{\"a\":1}"));
           history.add(new History.Duty("usage 7", "control-0", 3, "{\"a\":2}"));
+        }),
+    RETRY_BUDGET_IS_EXCEEDED(
+        new RetryBudgetCheck(),
+        history -> {
+          addRequest(history, Documents.Customer.STAYS, 200, true);
+          addArrivals(history, Deployment.RETRY_EXTRA + 2, 0, 9_999);
         });
 
     private final Check check;
@@ -187,6 +193,14 @@
     }
   }
 
+  /** Adds arrivals of one request, spread evenly from one time to another, inclusively. */
+  private static void addArrivals(History history, int count, long fromMillis, long untilMillis) {
+    for (int i = 0; i < count; i++) {
+      long at = nanos(fromMillis + i * (untilMillis - fromMillis) / Math.max(1, count - 1));
+      history.add(new History.Arrival(ID, Documents.serviceOf(UPSTREAM), at));
+    }
+  }
+
   /** Adds an answered request of a customer and, if it ran, its run. */
   private static void addRequest(
       History history, Documents.Customer customer, int status, boolean ran) {
@@ -253,6 +267,9 @@
     history.add(new History.Duty("usage 7", "control-0", 3, "{\"a\":1}"));
     history.add(new History.Duty("usage 7", "control-0", 3, "{\"a\":1}"));
     history.add(new History.Duty("usage 8", "control-1", 4, "{\"a\":2}"));
+    // The first arrival, the extra of one window, and that of the next one.
+    addArrivals(history, Deployment.RETRY_EXTRA + 1, 0, 5_000);
+    addArrivals(history, Deployment.RETRY_EXTRA, 15_001, 20_000);
     return history;
   }
 
@@ -263,6 +280,31 @@
     assertTrue(verdict.violations().isEmpty(), verdict.violations().toString());
   }
 
+  /** Requests of the window before raise the budget; those of two windows before don't. */
+  @ParameterizedTest
+  @CsvSource({"-9999, 0", "-10100, 1"})
+  void requestsOfTheWindowBeforeRaiseTheRetryBudget(long sentMillis, int violations) {
+    History history = new History();
+    for (int i = 0; i < 5; i++) {
+      RequestId id = new RequestId("c3-" + i);
+      history.add(
+          new Call(
+              id,
+              CallKind.SAFE,
+              ROUTER,
+              PORT,
+              nanos(sentMillis),
+              nanos(sentMillis + 10),
+              Call.Ending.ANSWERED,
+              200,
+              "",
+              2_000));
+      history.add(new History.Arrival(id, Documents.serviceOf(UPSTREAM), nanos(sentMillis)));
+    }
+    addArrivals(history, Deployment.RETRY_EXTRA + 2, 0, 100);
+    assertEquals(violations, new RetryBudgetCheck().judge(history).violations().size());
+  }
+
   static Stream<FaultPeriod> explainingPeriods() {
     return Stream.of(
         new FaultPeriod(FaultKind.ROUTER_PAUSED, ROUTER, nanos(900), nanos(1_700)),
--- a/faultsoak/src/test/java/io/jacinthquay/soak/FaultScheduleTest.java
+++ b/faultsoak/src/test/java/io/jacinthquay/soak/FaultScheduleTest.java
@@ -15,7 +15,7 @@
 
 final class FaultScheduleTest {
   private static SoakPlan plan(long seed, Set<FaultKind> faults) {
-    return new SoakPlan(seed, Duration.ofMinutes(10), 4, 3, 6, 24, faults);
+    return SoakPlan.withDefaults(seed, Duration.ofMinutes(10), 4, 3, 6, 24, faults);
   }
 
   private static List<Fault> schedule(long seed) {
@@ -51,7 +51,7 @@
     assertEquals(
         0,
         countWipes(
-            new SoakPlan(
+            SoakPlan.withDefaults(
                 seed, Duration.ofMinutes(10), 4, 1, 6, 24, EnumSet.allOf(FaultKind.class))));
   }
 
--- a/faultsoak/src/test/java/io/jacinthquay/soak/FaultyRouterTest.java
+++ b/faultsoak/src/test/java/io/jacinthquay/soak/FaultyRouterTest.java
@@ -40,7 +40,8 @@
     AtomicBoolean keepRunning = new AtomicBoolean(true);
     history.add(new History.Proposed(System.nanoTime(), 1));
     ExecutorService threads = Executors.newCachedThreadPool();
-    try (FakeUpstream upstream = new FakeUpstream(0, 1, history);
+    try (FakeUpstream upstream =
+            new FakeUpstream(0, 1, SoakPlan.DEFAULT_REJECTED_PERCENT, history);
         FaultyRouter router = new FaultyRouter(defect, upstream.address())) {
       threads.execute(new StallDetector(history, keepRunning::get));
       for (int i = 0; i < CALLERS; i++) {
--- a/faultsoak/src/test/java/io/jacinthquay/soak/SoakTest.java
+++ b/faultsoak/src/test/java/io/jacinthquay/soak/SoakTest.java
@@ -17,7 +17,8 @@
   @ValueSource(longs = {12})
   void guaranteesHoldUnderFaults(long seed) throws Exception {
     SoakPlan plan =
-        new SoakPlan(seed, Duration.ofSeconds(30), 4, 3, 6, 24, EnumSet.allOf(FaultKind.class));
+        SoakPlan.withDefaults(
+            seed, Duration.ofSeconds(30), 4, 3, 6, 24, EnumSet.allOf(FaultKind.class));
     Path folder = ROOT.resolve("target/soak-logs/test-seed-" + seed);
     SoakReport report = new SoakRun(ROOT, folder, plan, progress -> {}).run();
     assertEquals(List.of(), report.violations(), report.text());
