Retry budget: make a router's part of the extra a lease

Upstreams can see more repeated sends than the budget allows. Each router spent a part of the extra even when others spent it too: a process used a fifth of its part at once after each start, so a series of kills added up; a router that control VMs had lost kept its part while the others raised theirs after 6 s; and the first count after 6 s without a leader was used at once, though a new leader has heard of one router.

Now a part ends one window after the last report, begins after a window of reports, and grows only after two windows of lower counts without a gap. A process younger than a window uses a fifth of the ratio of its own first sends and none of the extra. The sum stays at one without communication.

The forwarding tests have routers younger than a window, so their budget now comes from the ratio, in place of the extra; it is as large as before.

New metrics: retries allowed and refused, the router count in use, the part of the extra, and what is left of the budget.

--- a/decision/src/main/java/io/jacinthquay/decision/retry/SharedRetryBudget.java
+++ b/decision/src/main/java/io/jacinthquay/decision/retry/SharedRetryBudget.java
@@ -6,9 +6,11 @@
  * One router's share of a retry budget that applies to all routers together.
  *
  * <p>In any window, the budget of a pool is a ratio of the first sends plus a fixed extra. Each
- * router spends at most the ratio of its own first sends in the last window plus an equal part of
- * the extra, so that the sum stays within the budget in every window without communication, also
- * across restarts.
+ * router spends at most the ratio of its own first sends in the last window plus its part of the
+ * extra, so that the sum stays within the budget in every window without communication. A process
+ * that is younger than a window can't know what its previous run spent. It uses little of the ratio
+ * of its own first sends, which are new ones in each run, and nothing of the extra, so the sum also
+ * holds for routers that are killed again and again.
  */
 public final class SharedRetryBudget {
   private static final int STEPS_PER_WINDOW = 20;
@@ -25,7 +27,7 @@
   private static final double USED_SHARE = 0.7;
 
   /**
-   * Share of the budget that is used in the first window after a start, since the previous run may
+   * Share of the ratio that is used in the first window after a start, since the previous run may
    * just have spent its own.
    */
   private static final double START_SHARE = 0.2;
@@ -35,8 +37,7 @@
   private final SlidingWindowCounter firstSends;
   private final SlidingWindowCounter retries;
   private final long windowNanos;
-  private long startedAt;
-  private boolean started;
+  private final long startedAt;
 
   /**
    * Returns a budget.
@@ -44,9 +45,10 @@
    * @param ratio retries per first send, 0 or more
    * @param extra additional retries per window over all routers, 0 or more
    * @param windowNanos length of the window, in nanoseconds, 1 second or more
+   * @param startedAt when the router started, on its monotonic clock, in nanoseconds
    * @throws IllegalArgumentException if a number is out of range
    */
-  public SharedRetryBudget(double ratio, double extra, long windowNanos) {
+  public SharedRetryBudget(double ratio, double extra, long windowNanos, long startedAt) {
     if (ratio < 0 || extra < 0 || windowNanos < 1_000_000_000L) {
       throw new IllegalArgumentException(
           "ratio and extra must not be negative and the window must be 1 s or longer");
@@ -54,31 +56,41 @@
     this.ratio = ratio;
     this.extra = extra;
     this.windowNanos = windowNanos;
+    this.startedAt = startedAt;
     this.firstSends = new SlidingWindowCounter(STEPS, windowNanos / STEPS_PER_WINDOW);
     this.retries = new SlidingWindowCounter(STEPS, windowNanos / STEPS_PER_WINDOW);
   }
 
   /** Records the first send of a request. */
   public void sent(long now) {
-    if (!started) {
-      started = true;
-      startedAt = now;
-    }
     firstSends.add(now);
   }
 
   /**
    * Takes one retry if the budget allows it.
    *
-   * @param routers number of routers that share the extra, 1 or more
+   * @param extraShare this router's part of the extra, 0 to 1
    */
-  public boolean tryTake(int routers, long now) {
-    boolean inFirstWindow = !started || now - startedAt < windowNanos;
-    double budget = ratio * firstSends.sum(now) + extra / Math.max(1, routers);
-    if (retries.sum(now) + 1 > (inFirstWindow ? START_SHARE : USED_SHARE) * budget) {
+  public boolean tryTake(double extraShare, long now) {
+    if (left(extraShare, now) < 1) {
       return false;
     }
     retries.add(now);
     return true;
   }
+
+  /**
+   * Returns how many retries the budget allows now; less than 0 if more were spent than it would
+   * allow now.
+   *
+   * @param extraShare this router's part of the extra, 0 to 1
+   */
+  public double left(double extraShare, long now) {
+    double ownPart = ratio * firstSends.sum(now);
+    double budget =
+        now - startedAt < windowNanos
+            ? START_SHARE * ownPart
+            : USED_SHARE * (ownPart + extra * extraShare);
+    return budget - retries.sum(now);
+  }
 }
--- a/decision/src/test/java/io/jacinthquay/decision/retry/SharedRetryBudgetTest.java
+++ b/decision/src/test/java/io/jacinthquay/decision/retry/SharedRetryBudgetTest.java
@@ -26,7 +26,7 @@
     Random random = new Random(seed);
     List<SharedRetryBudget> budgets = new ArrayList<>();
     for (int i = 0; i < routers; i++) {
-      budgets.add(new SharedRetryBudget(ratio, extra, WINDOW));
+      budgets.add(new SharedRetryBudget(ratio, extra, WINDOW, 0));
     }
     int steps = 6_000;
     int[] firstSends = new int[steps];
@@ -37,8 +37,8 @@
         SharedRetryBudget budget = budgets.get(random.nextInt(routers));
         budget.sent(step * STEP);
         firstSends[step]++;
-        retries[step] += budget.tryTake(routers, step * STEP) ? 1 : 0;
-        retries[step] += budget.tryTake(routers, step * STEP) ? 1 : 0;
+        retries[step] += budget.tryTake(1.0 / routers, step * STEP) ? 1 : 0;
+        retries[step] += budget.tryTake(1.0 / routers, step * STEP) ? 1 : 0;
       }
     }
     int length = (int) (WINDOW / STEP);
@@ -60,7 +60,7 @@
   @Test
   void rejectNumbersOutOfRange() {
     assertThrows(
-        IllegalArgumentException.class, () -> new SharedRetryBudget(-1, 1, 10_000_000_000L));
-    assertThrows(IllegalArgumentException.class, () -> new SharedRetryBudget(0.1, 1, 1));
+        IllegalArgumentException.class, () -> new SharedRetryBudget(-1, 1, 10_000_000_000L, 0));
+    assertThrows(IllegalArgumentException.class, () -> new SharedRetryBudget(0.1, 1, 1, 0));
   }
 }
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
@@ -9,8 +9,6 @@
 import io.jacinthquay.decision.dispatch.UpstreamSelector;
 import io.jacinthquay.decision.quarantine.PartId;
 import io.jacinthquay.decision.quarantine.QuarantinedPart;
-import io.jacinthquay.decision.retry.RouterCount;
-import io.jacinthquay.decision.retry.SharedRetryBudget;
 import io.jacinthquay.decision.routing.RouteTable;
 import io.jacinthquay.model.DomainId;
 import io.jacinthquay.model.PoolName;
@@ -65,7 +63,7 @@
   private final LongSupplier clock;
   private final ForwardMetrics metrics = new ForwardMetrics();
   private final RequestJournal journal;
-  private final Map<PoolName, SharedRetryBudget> retryBudgets = new HashMap<>();
+  private final RetryBudgets retryBudgets;
   private final Map<PoolName, RequestQueue<ForwardExchange>> queues = new HashMap<>();
   private final Map<PoolName, PoolCounters> countersByPool = new HashMap<>();
   private final Set<ForwardExchange> active = ConcurrentHashMap.newKeySet();
@@ -75,7 +73,6 @@
   private volatile Optional<RouteTable> table = Optional.empty();
   private volatile Optional<SyncedTime> syncedTime = Optional.empty();
   private EventThread thread;
-  private final RouterCount routerCount = new RouterCount();
   private final RouterIsolation contact = new RouterIsolation();
   private final PromptQuarantine quarantine = new PromptQuarantine(contact);
   private volatile boolean upstreamsKnown;
@@ -109,6 +106,7 @@
             new SplittableRandom());
     this.startupQueue = new StartupQueue(System.nanoTime(), options.startHold());
     this.usage = new WindowedUsage(options.usageWindow());
+    this.retryBudgets = new RetryBudgets(options, metrics, clock.getAsLong());
     metrics.gauge("jq_forward_in_progress", active::size);
     metrics.gauge("jq_forward_held", startupQueue::size);
     metrics.gauge("jq_forward_quarantined_parts", quarantine::size);
@@ -168,8 +166,7 @@
   public void updatePeers(int count, Map<UpstreamId, UpstreamLoad> loads) {
     long now = clock.getAsLong();
     contact.recordControlMessage(now);
-    routerCount.update(count, now);
-    selector.setRouterCount(routerCount.value(now));
+    selector.setRouterCount(retryBudgets.updateRouters(count, now));
     selector.setRemoteLoads(loads);
   }
 
@@ -343,20 +340,8 @@
     return queues.computeIfAbsent(pool, name -> new RequestQueue<>());
   }
 
-  private SharedRetryBudget retryBudget(PoolName pool) {
-    return retryBudgets.computeIfAbsent(
-        pool,
-        name ->
-            new SharedRetryBudget(
-                options.retryRatio(), options.retryExtra(), options.retryWindow().toNanos()));
-  }
-
-  void countFirstSend(PoolName pool, long now) {
-    retryBudget(pool).sent(now);
-  }
-
-  boolean tryAcquireRetry(PoolName pool, long now) {
-    return retryBudget(pool).tryTake(routerCount.value(now), now);
+  RetryBudgets retryBudgets() {
+    return retryBudgets;
   }
 
   void register(ForwardExchange exchange) {
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardExchange.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardExchange.java
@@ -89,7 +89,7 @@
     PoolCounters counters = core.counters(work.pool());
     counters.requests++;
     counters.outputTokens += work.outputTokens();
-    core.countFirstSend(work.pool(), now);
+    core.retryBudgets().countFirstSend(work.pool(), now);
     long leftMillis = request.limitMillis() - trace.millisSinceArrival(now);
     timer = caller.thread().after(Math.max(1, leftMillis), this::timedOut);
     if (!tryDispatch(now)) {
@@ -316,7 +316,7 @@
         && sends < request.route().maxAttempts()
         && !isPastDeadline(now)
         && core.selector().choose(work, triedUpstreams, now).isPresent()
-        && core.tryAcquireRetry(work.pool(), now);
+        && core.retryBudgets().tryAcquire(work.pool(), now);
   }
 
   /** Retries the request at another upstream if its upstream is silent and a retry is allowed. */
@@ -341,7 +341,7 @@
         unexecuted < MAX_UNEXECUTED
             && !isPastDeadline(now)
             && core.selector().choose(work, triedUpstreams, now).isPresent()
-            && core.tryAcquireRetry(work.pool(), now);
+            && core.retryBudgets().tryAcquire(work.pool(), now);
     if (!retry || !tryDispatch(now)) {
       giveUp(ResultCode.UPSTREAM_REFUSED);
     }
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardMetrics.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardMetrics.java
@@ -51,6 +51,17 @@
     registry.counter("jq_forward_sends_total{again=\"" + repeated + "\"}").inc();
   }
 
+  /**
+   * Counts a retry that the budget of a pool allowed or refused.
+   *
+   * @param taken whether the budget allowed it
+   */
+  void countRetry(String pool, boolean taken) {
+    registry
+        .counter("jq_forward_retries_total{pool=\"" + pool + "\",taken=\"" + taken + "\"}")
+        .inc();
+  }
+
   /**
    * Counts a send whose answer broke off or was invalid.
    *
--- /dev/null
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/RetryBudgets.java
@@ -0,0 +1,99 @@
+package io.jacinthquay.router.service.forward;
+
+import io.jacinthquay.decision.retry.RouterCount;
+import io.jacinthquay.decision.retry.SharedRetryBudget;
+import io.jacinthquay.model.PoolName;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * The retry budgets of all pools and this router's part of what all routers share; used on one
+ * thread, except for the metrics.
+ */
+final class RetryBudgets {
+  private static final int PERCENT = 100;
+
+  private static final class PoolBudget {
+    final SharedRetryBudget budget;
+    volatile long left;
+
+    PoolBudget(SharedRetryBudget budget) {
+      this.budget = budget;
+    }
+  }
+
+  private final ForwardOptions options;
+  private final ForwardMetrics metrics;
+  private final long startedAt;
+  private final RouterCount routers;
+  private final Map<PoolName, PoolBudget> budgets = new HashMap<>();
+  private volatile long routerCount;
+  private volatile long sharePercent;
+
+  /**
+   * Returns budgets of which nothing is spent.
+   *
+   * @param startedAt when the router started, on the monotonic clock, in nanoseconds
+   */
+  RetryBudgets(ForwardOptions options, ForwardMetrics metrics, long startedAt) {
+    this.options = options;
+    this.metrics = metrics;
+    this.startedAt = startedAt;
+    this.routers = new RouterCount(options.retryWindow().toNanos());
+    metrics.gauge("jq_forward_router_count", () -> routerCount);
+    metrics.gauge("jq_forward_retry_extra_percent", () -> sharePercent);
+  }
+
+  /**
+   * Updates the number of routers.
+   *
+   * @return a conservative estimate of it
+   */
+  int updateRouters(int count, long now) {
+    routers.update(count, now);
+    routerCount = routers.value(now);
+    share(now);
+    return routers.value(now);
+  }
+
+  /** Returns this router's part of the shared extra and shows it in the metrics. */
+  private double share(long now) {
+    double share = routers.share(now);
+    sharePercent = Math.round(share * PERCENT);
+    return share;
+  }
+
+  private PoolBudget budget(PoolName pool) {
+    return budgets.computeIfAbsent(
+        pool,
+        name -> {
+          PoolBudget budget =
+              new PoolBudget(
+                  new SharedRetryBudget(
+                      options.retryRatio(),
+                      options.retryExtra(),
+                      options.retryWindow().toNanos(),
+                      startedAt));
+          metrics.gauge(
+              "jq_forward_retries_left{pool=\"" + name.value() + "\"}", () -> budget.left);
+          return budget;
+        });
+  }
+
+  /** Records the first send of a request. */
+  void countFirstSend(PoolName pool, long now) {
+    PoolBudget budget = budget(pool);
+    budget.budget.sent(now);
+    budget.left = (long) Math.floor(budget.budget.left(share(now), now));
+  }
+
+  /** Takes one retry from the budget of a pool if it allows it. */
+  boolean tryAcquire(PoolName pool, long now) {
+    PoolBudget budget = budget(pool);
+    double share = share(now);
+    boolean taken = budget.budget.tryTake(share, now);
+    budget.left = (long) Math.floor(budget.budget.left(share, now));
+    metrics.countRetry(pool.value(), taken);
+    return taken;
+  }
+}
--- a/router/src/test/java/io/jacinthquay/router/service/forward/ForwardSimulation.java
+++ b/router/src/test/java/io/jacinthquay/router/service/forward/ForwardSimulation.java
@@ -81,8 +81,8 @@
     ForwardOptions options =
         new ForwardOptions(
             DOMAINS.get(0),
-            1,
             1_000,
+            0,
             Duration.ofSeconds(10),
             1.5,
             5,
