--- a/faultsoak/src/main/java/io/jacinthquay/soak/FaultSchedule.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/FaultSchedule.java
@@ -20,7 +20,6 @@
   private static final int MEAN_GAP_MILLIS = 700;
 
   private static final int MIN_DURATION_MILLIS = 200;
-  private static final int MAX_DURATION_MILLIS = 4_000;
 
   /** One fault of a process in this many begins a series. */
   private static final int SERIES_ONE_IN = 5;
@@ -60,7 +59,7 @@
     while (startMillis < plan.load().toMillis()) {
       FaultKind kind = kinds.get(random.nextInt(kinds.size()));
       int target = random.nextInt(plan.targets(kind));
-      long durationMillis = random.nextInt(MIN_DURATION_MILLIS, MAX_DURATION_MILLIS);
+      long durationMillis = random.nextInt(MIN_DURATION_MILLIS, (int) plan.maxFault().toMillis());
       boolean isWipe = kind == FaultKind.CONTROL_WIPED;
       boolean losesDisk = isWipe || kind == FaultKind.CONTROL_REPLACED;
       boolean tolerated = plan.controls() >= MIN_CONTROLS_FOR_DISK_LOSS || !losesDisk;
