--- a/consensus/src/main/java/io/jacinthquay/consensus/LogRuntime.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/LogRuntime.java
@@ -46,7 +46,7 @@
   private final PendingCommands pendingCommands = new PendingCommands();
   private final ScheduledExecutorService recovery =
       Executors.newSingleThreadScheduledExecutor(this::newRecoveryThread);
-  private boolean started;
+  private ReplicaId identity;
   private volatile LogSession session;
   private volatile long reopenDelayMillis = MIN_REOPEN_DELAY_MILLIS;
   private volatile boolean running;
@@ -84,11 +84,11 @@
 
   @Override
   public synchronized void start() {
-    if (started) {
+    if (identity != null) {
       throw new IllegalStateException("the log was already started");
     }
     LogStorage storage = openStorage();
-    started = true;
+    identity = storage.self();
     running = true;
     session = newSession(storage, SnapshotMeta.NONE);
     try {
@@ -125,6 +125,9 @@
   }
 
   private void scheduleReopen() {
+    if (!running) {
+      return;
+    }
     long delayMillis = reopenDelayMillis;
     reopenDelayMillis = Math.min(2 * delayMillis, MAX_REOPEN_DELAY_MILLIS);
     var unused = recovery.schedule(this::reopenGuarded, delayMillis, TimeUnit.MILLISECONDS);
@@ -155,7 +158,7 @@
       throw new IOException("a write of the failed attempt has not returned");
     }
     LogStorage storage = openStorage();
-    if (!storage.self().equals(status.self())) {
+    if (!storage.self().equals(identity)) {
       storage.close();
       String detail = "the data folder was replaced by one of " + storage.self();
       settings.onFatal().accept(new IOException(detail));
--- a/consensus/src/main/java/io/jacinthquay/consensus/LogSession.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/LogSession.java
@@ -119,19 +119,29 @@
    * threads.
    *
    * @throws IOException if the disk fails
-   * @throws LogException if entries that were applied are missing
+   * @throws LogException if entries that were applied are missing or the snapshot can't be loaded
    */
   void start() throws IOException {
     checkApplied();
     // What was read may not be durable, if an earlier write failed after its rename.
     storage.saveHardState(recoveredHardState);
     started = true;
-    applier.start(recoveredSnapshot, applied);
+    loadSnapshot();
     storageWorker.start();
     loop.start();
     listener.statusChanged(node.status(applier.appliedIndex()));
   }
 
+  private void loadSnapshot() {
+    try {
+      applier.start(recoveredSnapshot, applied);
+    } catch (IOException e) {
+      String detail =
+          "snapshot " + recoveredSnapshot.index() + " can't be loaded: " + e.getMessage();
+      throw new LogException(LogFailure.of(LogError.STORAGE_CORRUPT, detail), e);
+    }
+  }
+
   private void checkApplied() {
     if (!holdsApplied) {
       String detail = "entry " + applied.index() + " was applied, but is missing in the log";
--- a/consensus/src/test/java/io/jacinthquay/consensus/FaultyDisk.java
+++ b/consensus/src/test/java/io/jacinthquay/consensus/FaultyDisk.java
@@ -33,6 +33,7 @@
   private volatile Set<Operation> failing = Set.of();
   private volatile int failures;
   private volatile long stallMillis;
+  private volatile boolean unchecked;
 
   void fail(Set<Operation> operations) {
     failing = Set.copyOf(operations);
@@ -42,6 +43,11 @@
     failing = Set.of();
   }
 
+  /** Makes failures unchecked exceptions, as a fault of the program would be. */
+  void failUnchecked() {
+    unchecked = true;
+  }
+
   /** Makes each sync and each write of the hard state take this long. */
   void stall(long millis) {
     stallMillis = millis;
@@ -54,6 +60,9 @@
   private synchronized void check(Operation operation) throws IOException {
     if (failing.contains(operation)) {
       failures++;
+      if (unchecked) {
+        throw new IllegalStateException("fault of the program: " + operation);
+      }
       throw new IOException("No space left on device: " + operation);
     }
   }
--- a/consensus/src/test/java/io/jacinthquay/consensus/StorageRecoveryTest.java
+++ b/consensus/src/test/java/io/jacinthquay/consensus/StorageRecoveryTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.vavr.control.Either;
+import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -12,6 +13,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -144,6 +146,71 @@
     }
   }
 
+  @Test
+  void replicaWorksAgainAfterItsStorageThreadThrew() throws Exception {
+    try (LogCluster cluster = start(1)) {
+      MemberId only = new MemberId("k1");
+      String before = propose(cluster, "before");
+      disks.get(only).failUnchecked();
+      failAndRepair(cluster, only, FaultyDisk.Operation.SYNC_BEFORE);
+      String after = propose(cluster, "after");
+      assertTrue(cluster.read(only).containsAll(List.of(before, after)));
+    }
+  }
+
+  @Test
+  void startsOnceADiskThatWasFullAtTheStartHasRoom() throws Exception {
+    LogCluster cluster = new LogCluster(root, 1);
+    MemberId only = new MemberId("k1");
+    FaultyDisk disk = new FaultyDisk();
+    disk.fail(EnumSet.of(FaultyDisk.Operation.HARD_STATE_BEFORE_WRITE));
+    cluster.start(only, disk);
+    cluster.await("attempts to start", () -> disk.failures() >= 3);
+    disk.repair();
+    propose(cluster, "after");
+    cluster.close();
+  }
+
+  @Test
+  void reportsAStateMachineThatThrowsAndTakesNoPart() throws Exception {
+    CountDownLatch fatal = new CountDownLatch(1);
+    MemberId only = new MemberId("k1");
+    ReplicatedLog log =
+        ReplicatedLog.builder()
+            .member(only)
+            .folder(root.resolve("k1"))
+            .transport(new LocalNetwork().transport(only))
+            .stateMachine(new ThrowingStateMachine())
+            .onFatal(cause -> fatal.countDown())
+            .build();
+    log.start();
+    try {
+      Either<LogFailure, AppliedCommand> result = Either.left(null);
+      while (fatal.getCount() > 0) {
+        result = LogCluster.get(log.propose(new byte[1]));
+      }
+      assertTrue(result.isLeft());
+      assertTrue(fatal.await(10, TimeUnit.SECONDS));
+    } finally {
+      log.stop();
+    }
+  }
+
+  private static final class ThrowingStateMachine implements StateMachine {
+    @Override
+    public byte[] apply(long index, byte[] command) {
+      throw new StackOverflowError("thrown by the test");
+    }
+
+    @Override
+    public SnapshotWriter snapshot() {
+      return out -> {};
+    }
+
+    @Override
+    public void restore(long index, InputStream in) {}
+  }
+
   @Test
   void stoppedWhileItsDiskFails() throws Exception {
     MemberId only = new MemberId("k1");
