Take in a new control VM whose seeds don't name the leader

A new replica announces itself to its seeds, three at most, and only the leader can add it. A follower answered the announcement and told nobody, so that on sites with more than three control VMs a replacement waited until one of its seeds led, and the next loss found the group one voter short.

A follower passes the announcement on to its leader; one that was passed on is addressed to a replica, not to a member, and goes no further.

SerialReplacementTest replaces all members in series at new addresses under restarts, lost, late and repeated messages, with a target number of voters, which no simulation had before.

--- a/consensus/src/main/java/io/jacinthquay/consensus/raft/ClusterBootstrap.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/raft/ClusterBootstrap.java
@@ -52,8 +52,15 @@
     }
   }
 
+  /**
+   * Answers an announcement and passes it on to the leader, which is not a seed of every replica.
+   */
   void receive(Announce announce) {
     announced.put(announce.from(), state.now);
+    boolean passedOn = announce.to().incarnation() != ReplicaId.ANY_INCARNATION;
+    if (!state.isLeader() && !passedOn) {
+      state.leader.ifPresent(leader -> state.outbox.send(new Announce(announce.from(), leader)));
+    }
     state.outbox.send(new AnnounceReply(state.self, announce.from(), state.isFormed()));
   }
 
--- a/consensus/src/test/java/io/jacinthquay/consensus/raft/SimCluster.java
+++ b/consensus/src/test/java/io/jacinthquay/consensus/raft/SimCluster.java
@@ -28,6 +28,16 @@
   private static final long FORMATION_LIMIT_NANOS = 10 * NANOS_PER_SECOND;
   private static final long RECOVERY_LIMIT_NANOS = 60 * NANOS_PER_SECOND;
   private static final int MAX_MEMBERS = 7;
+
+  /** Number of members that a new member is told of at most. */
+  private static final int MAX_SEEDS = 3;
+
+  /** Time from the start of a replacement in which entries are written. */
+  private static final long WRITING_NANOS = 5 * NANOS_PER_SECOND;
+
+  /** Bound on the restarts during a replacement; each one of a leader begins a snapshot anew. */
+  private static final int MAX_RESTARTS = 5;
+
   private static final int MAX_LATENCY_FACTOR_BITS = 5;
 
   private record Event(long time, long order, Runnable action) implements Comparable<Event> {
@@ -55,21 +65,23 @@
   private long incarnations;
   private int nextValue;
   private final int latencyFactor;
+  private final int targetVoters;
   private boolean unreliable;
 
-  private SimCluster(History history, Fault fault) {
+  private SimCluster(long seed, int members, Fault fault, int targetVoters) {
     this.fault = fault;
-    random = new SplittableRandom(history.seed());
+    this.targetVoters = targetVoters;
+    random = new SplittableRandom(seed);
     latencyFactor = 1 << random.nextInt(MAX_LATENCY_FACTOR_BITS);
-    for (int i = 0; i < history.members(); i++) {
+    for (int i = 0; i < members; i++) {
       seeds.add(new MemberId("m" + i));
     }
-    seeds.forEach(this::addNode);
+    seeds.forEach(member -> addNode(member, seeds));
   }
 
   /** Simulates a history and fails if an invariant is violated. */
   static void simulate(History history, Fault fault) {
-    SimCluster cluster = new SimCluster(history, fault);
+    SimCluster cluster = new SimCluster(history.seed(), history.members(), fault, 0);
     cluster.runUntilWritable(FORMATION_LIMIT_NANOS);
     cluster.unreliable = true;
     for (Step step : history.steps()) {
@@ -81,6 +93,61 @@
     cluster.recoverAndCheck();
   }
 
+  /**
+   * Replaces each member by one at a new address, the next once the former has its place, while
+   * others crash and restart, and fails if an invariant is violated or a replacement takes too
+   * long. New members know up to three of the members of their start.
+   */
+  static void replaceAllMembers(long seed, int members) {
+    SimCluster cluster = new SimCluster(seed, members, Fault.NONE, members);
+    cluster.runUntilWritable(FORMATION_LIMIT_NANOS);
+    for (MemberId member : List.copyOf(cluster.nodes.keySet())) {
+      cluster.unreliable = true;
+      cluster.replace(member);
+    }
+    cluster.recoverAndCheck();
+  }
+
+  private void replace(MemberId former) {
+    propose(1 + random.nextInt(4));
+    run(random.nextLong(20 * NANOS_PER_MILLI));
+    nodes.remove(former).crash();
+    List<MemberId> known = new ArrayList<>(nodes.keySet());
+    while (known.size() > MAX_SEEDS) {
+      known.remove(random.nextInt(known.size()));
+    }
+    MemberId replacement = new MemberId("x" + former.value());
+    addNode(replacement, new TreeSet<>(known));
+    long end = now + RECOVERY_LIMIT_NANOS;
+    int restarts = random.nextInt(MAX_RESTARTS);
+    while (!hasPlaceOf(former, replacement)) {
+      if (now > end) {
+        throw Oracle.violation(replacement + " does not replace " + former + describe());
+      }
+      // A snapshot takes long in chunks of a few bytes; it must not be outdated before its end.
+      if (end - now > RECOVERY_LIMIT_NANOS - WRITING_NANOS) {
+        propose(1);
+      }
+      run(random.nextLong(400 * NANOS_PER_MILLI));
+      if (restarts > 0 && random.nextInt(4) == 0) {
+        restarts--;
+        restart(pick(random.nextInt(nodes.size())));
+      }
+    }
+  }
+
+  private boolean hasPlaceOf(MemberId former, MemberId replacement) {
+    Set<ReplicaId> voters = oracle.latestMembership().voters();
+    return voters.size() == targetVoters
+        && voters.stream().anyMatch(voter -> voter.member().equals(replacement))
+        && voters.stream().noneMatch(voter -> voter.member().equals(former));
+  }
+
+  /** Returns the number of voters up to which members are added; 0 for no such number. */
+  int targetVoters() {
+    return targetVoters;
+  }
+
   long now() {
     return now;
   }
@@ -111,8 +178,8 @@
     now = end;
   }
 
-  private void addNode(MemberId member) {
-    SimNode node = new SimNode(this, seeds, freshDisk(member));
+  private void addNode(MemberId member, Set<MemberId> knownSeeds) {
+    SimNode node = new SimNode(this, knownSeeds, freshDisk(member));
     nodes.put(member, node);
     node.start();
   }
@@ -150,8 +217,9 @@
     boolean dropped =
         partitionedMembers.contains(from) != partitionedMembers.contains(to)
             || mutedSenders.contains(from);
-    if (!dropped) {
-      nodes.get(to).receive(message);
+    SimNode target = nodes.get(to);
+    if (!dropped && target != null) {
+      target.receive(message);
     }
   }
 
@@ -260,7 +328,7 @@
 
   private void addMember() {
     if (nodes.size() < MAX_MEMBERS) {
-      addNode(new MemberId("x" + nodes.size()));
+      addNode(new MemberId("x" + nodes.size()), seeds);
     }
     for (SimNode leader : leaders()) {
       leader.status().joinCandidates().stream()
--- a/consensus/src/test/java/io/jacinthquay/consensus/raft/SimNode.java
+++ b/consensus/src/test/java/io/jacinthquay/consensus/raft/SimNode.java
@@ -20,8 +20,6 @@
   private static final int SNAPSHOT_INTERVAL_ENTRIES = 12;
   private static final int RETAINED_ENTRIES = 4;
   private static final int CHUNK_BYTES = 16;
-  private static final RaftOptions OPTIONS =
-      new RaftOptions(60_000_000, 200_000_000, 500_000_000, 4, 64, 4, true, 0);
 
   private final SimCluster cluster;
   private final Set<MemberId> seeds;
@@ -95,6 +93,11 @@
     pausedUntil = cluster.now() + nanos;
   }
 
+  private RaftOptions options() {
+    return new RaftOptions(
+        60_000_000, 200_000_000, 500_000_000, 4, 64, 4, true, cluster.targetVoters());
+  }
+
   void start() {
     if (cluster.fault() == Fault.FORGET_VOTE_OVER_RESTART) {
       disk.forgetVote();
@@ -104,7 +107,13 @@
     RecoveredState recovered = disk.recovered();
     raft =
         new RaftNode(
-            OPTIONS, replica(), seeds, recovered, cluster.fault().rules(), cluster.random(), now());
+            options(),
+            replica(),
+            seeds,
+            recovered,
+            cluster.fault().rules(),
+            cluster.random(),
+            now());
     applied = recovered.snapshot();
     lastSnapshot = applied.index();
     state = applied.index() > 0 ? decode(disk.snapshot(applied)) : new ArrayList<>();
