--- a/faultsoak/src/main/java/io/jacinthquay/soak/FaultInjector.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/FaultInjector.java
@@ -26,7 +26,7 @@
   private static final long POLL_MILLIS = 200;
 
   /** How many times longer a router is suspended than other faults last. */
-  private static final int SUSPENSION_FACTOR = 4;
+  private static final int SUSPENSION_FACTOR = 6;
 
   private final SoakSystem system;
   private final History history;
@@ -35,6 +35,7 @@
   private final Semaphore diskLoss = new Semaphore(1);
 
   private final AtomicInteger restartCount = new AtomicInteger();
+  private final AtomicInteger replacements = new AtomicInteger();
 
   FaultInjector(SoakSystem system, History history) {
     this.system = system;
@@ -124,6 +125,8 @@
         awaitEnd(fault);
         system.control(target).start();
       } else {
+        // One after the other, so that soon none is left of those that a suspended router knows.
+        target = replacements.getAndIncrement() % system.operatorAddresses().size();
         end(system.control(target), fault);
         if (!system.replaceControl(target)) {
           log.warn("no address is left for a new control VM");
--- a/faultsoak/src/main/java/io/jacinthquay/soak/SoakRun.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/SoakRun.java
@@ -44,7 +44,7 @@
   private static final Duration PROBE_TIMEOUT = Duration.ofSeconds(2);
   private static final long PROBE_INTERVAL_MILLIS = 100;
   private static final int FAULT_THREADS = 32;
-  private static final long FINISH_TIMEOUT_SECONDS = 20;
+  private static final long FINISH_TIMEOUT_SECONDS = 30;
   private static final int LATENCY_DIGITS = 3;
 
   private static final List<Check> CHECKS =
