Refuse what is read late in a stop, and answer what still runs at its end

In a planned stop, requests whose body ended late in the grace period were passed on, and at its end they were cut without an answer, among them requests that may not be repeated. New requests were refused by their head only, and nothing bounded those in progress: the server closed their connections when the grace period passed.

Requests that are read completely after the drain delay, and those in the startup queue, are now refused with 503 and Retry-After, as they have not run. 300 ms before the end of the time for requests, those without a begun answer get a final one: a refusal if they provably have not run, else 504. Streams under way may use the rest of the time. Without requests in progress the stop ends as early as before.

--- a/router/src/main/java/io/jacinthquay/router/ForwardRouter.java
+++ b/router/src/main/java/io/jacinthquay/router/ForwardRouter.java
@@ -47,6 +47,9 @@
    */
   private static final Duration DRAIN_DELAY = Duration.ofMillis(2_600);
 
+  /** Part of the grace period that is left for final answers to requests still in progress. */
+  private static final Duration ANSWER_TIME = Duration.ofMillis(300);
+
   /** Time between two checks whether requests are in progress. */
   private static final long POLL_MILLIS = 50;
 
@@ -123,7 +126,8 @@
    *
    * <p>A caller whose connection closes while it sends a request can't tell whether the request was
    * read. Idle connections are therefore kept for the drain delay: a request that arrives is
-   * answered, and the response announces the close.
+   * answered, and the response announces the close. A request that is read completely only after
+   * the drain delay is refused, as it might not end within the grace period.
    */
   @Override
   public void stop() {
@@ -135,7 +139,12 @@
     try {
       awaitEnd(startNanos, DRAIN_DELAY, () -> {}, () -> false);
       core.refuseNewRequests();
-      awaitEnd(startNanos, endpoints.grace(), server::closeUsedIdle, this::hasNoRequests);
+      awaitEnd(
+          startNanos,
+          endpoints.grace().minus(ANSWER_TIME),
+          server::closeUsedIdle,
+          this::hasNoRequests);
+      core.endUnansweredRequests();
       server.stopAccepting();
       // A connection that was accepted just before may still send its request.
       TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
@@ -229,9 +229,21 @@
     leaving = true;
   }
 
-  /** Refuses new requests from now on; those in progress continue. */
+  /**
+   * Refuses from now on new requests, those that are still being read and those in the startup
+   * queue; others in progress continue. May be called from any thread.
+   */
   public void refuseNewRequests() {
     refusingNew = true;
+    thread.execute(startupQueue::expire);
+  }
+
+  /**
+   * Ends requests in progress with a final answer, except those whose answer is under way. May be
+   * called from any thread.
+   */
+  public void endUnansweredRequests() {
+    thread.execute(() -> List.copyOf(active).forEach(ForwardExchange::endBeforeStop));
   }
 
   /** Returns whether new requests are refused. */
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardExchange.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardExchange.java
@@ -188,10 +188,7 @@
     SentRequest sending = core.selector().sent(upstream, work, now);
     note("sent", upstream.listing().upstream());
     if (work.promptTokens() > 0) {
-      note("unread", sending.unreadTokens());
-      note("ahead", loadBefore.promptTokens());
-      note("beside", loadBefore.inFlight());
-      sending.source().ifPresent(source -> note("fetches", source.upstream()));
+      trace.notePrompt(sending, loadBefore);
     }
     core.metrics().countSend(triedUpstreams.size() > 1);
     OptionalLong resumeAfter =
@@ -401,10 +398,8 @@
   }
 
   /**
-   * Ends the request without an upstream's answer.
-   *
-   * <p>Cancels the current send first, so that a refused request can't start later and it is known
-   * whether a send may have run.
+   * Ends the request without an upstream's answer. Cancels the current send first, so that a
+   * refused request can't start later and it is known whether a send may have run.
    *
    * @param failure the code if the request may have run
    * @param refusal the code if it has not run
@@ -452,10 +447,14 @@
     finish("failed " + code.number(), false);
   }
 
-  private void timedOut() {
-    if (done) {
-      return;
+  /** Ends the request with a final answer, unless its answer is under way. */
+  void endBeforeStop() {
+    if (!caller.hasBegun()) {
+      endUnanswered(ResultCode.UPSTREAM_TIMEOUT, ResultCode.SHUTTING_DOWN, "the router stops");
     }
+  }
+
+  private void timedOut() {
     note("timeout", request.limitMillis());
     endUnanswered(
         ResultCode.UPSTREAM_TIMEOUT,
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardIntake.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardIntake.java
@@ -55,13 +55,15 @@
     return resolve(head)
         .map(
             resolved ->
-                (body, caller) ->
-                    new ForwardExchange(core, resolved.with(head, body, arrivedNanos), caller)
-                        .start());
+                (body, caller) -> start(id, resolved.with(head, body, arrivedNanos), caller));
   }
 
   /** Queues a request that is fully read, or forwards it if the router is initialized by now. */
   private void queue(RequestId id, StartupQueue.QueuedRequest queued) {
+    if (core.refusesNew()) {
+      refuse(id, queued.head(), Failure.of(ResultCode.SHUTTING_DOWN), queued.caller());
+      return;
+    }
     if (core.isInitialized()) {
       forward(id, queued);
       return;
@@ -71,16 +73,29 @@
             queued,
             core.protocol().requestMetadata(queued.head()).waitMillis(),
             released -> forward(id, released),
-            expired -> refuse(id, expired.head(), notReady(), expired.caller()));
+            expired -> refuse(id, expired.head(), expired(), expired.caller()));
   }
 
   private void forward(RequestId id, StartupQueue.QueuedRequest queued) {
     resolve(queued.head())
         .map(resolved -> resolved.with(queued.head(), queued.body(), queued.arrivedNanos()))
-        .peek(request -> new ForwardExchange(core, request, queued.caller()).start())
+        .peek(request -> start(id, request, queued.caller()))
         .peekLeft(failure -> refuse(id, queued.head(), failure, queued.caller()));
   }
 
+  /** Forwards a request that is fully read, unless the router began to stop in the meantime. */
+  private void start(RequestId id, ForwardRequest request, Caller caller) {
+    if (core.refusesNew()) {
+      refuse(id, request.head(), Failure.of(ResultCode.SHUTTING_DOWN), caller);
+      return;
+    }
+    new ForwardExchange(core, request, caller).start();
+  }
+
+  private Failure expired() {
+    return core.refusesNew() ? Failure.of(ResultCode.SHUTTING_DOWN) : notReady();
+  }
+
   private static Failure notReady() {
     return Failure.of(
         ResultCode.NOT_READY, "no routing document is in force yet, or no upstream is known");
--- a/router/src/main/java/io/jacinthquay/router/service/forward/RequestTrace.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/RequestTrace.java
@@ -2,6 +2,8 @@
 
 import io.jacinthquay.decision.dispatch.PoolRequest;
 import io.jacinthquay.decision.dispatch.PromptPart;
+import io.jacinthquay.decision.dispatch.SentRequest;
+import io.jacinthquay.decision.dispatch.UpstreamLoad;
 import java.util.List;
 import java.util.stream.Collectors;
 
@@ -38,6 +40,14 @@
         .append(detail);
   }
 
+  /** Adds the load that a prompt meets at its upstream. */
+  void notePrompt(SentRequest sending, UpstreamLoad loadBefore) {
+    note("unread", sending.unreadTokens());
+    note("ahead", loadBefore.promptTokens());
+    note("beside", loadBefore.inFlight());
+    sending.source().ifPresent(source -> note("fetches", source.upstream()));
+  }
+
   /**
    * Records that events of the answer are written to the caller.
    *
--- a/router/src/main/java/io/jacinthquay/router/service/forward/StartupQueue.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/StartupQueue.java
@@ -126,6 +126,11 @@
     return entries.size();
   }
 
+  /** Ends the wait of all queued requests as if their time in the queue had passed. */
+  void expire() {
+    entries.forEach(entry -> entry.end(entry.onExpiry));
+  }
+
   /** Releases all queued requests in the order of their arrival. */
   void release() {
     entries.forEach(entry -> entry.end(entry.onRelease));
