--- a/decision/src/test/java/io/jacinthquay/decision/retry/SharedRetryBudgetProperties.java
+++ b/decision/src/test/java/io/jacinthquay/decision/retry/SharedRetryBudgetProperties.java
@@ -146,7 +146,7 @@
       case RESUME -> router.paused = false;
       case PAUSE_LEADER -> leaderSince = now + action.millis() / STEP_MILLIS;
       case NEW_LEADER -> electLeader(now + action.millis() / STEP_MILLIS, 1);
-      case NEW_LEADER_SLOWLY_FOUND -> electLeader(now, 1 + action.router() % 10);
+      default -> electLeader(now, 1 + action.router() % 10);
     }
   }
 
