Publish the status of a new session before its threads start

Only the protocol thread may read the node once it runs. Found by review; StorageRecoveryTest, ReplicatedLogTest, WorkerTest and StorageFailureProperties (34 tests) pass.

--- a/consensus/src/main/java/io/jacinthquay/consensus/LogSession.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/LogSession.java
@@ -127,9 +127,9 @@
     storage.saveHardState(recoveredHardState);
     started = true;
     loadSnapshot();
+    listener.statusChanged(node.status(applier.appliedIndex()));
     storageWorker.start();
     loop.start();
-    listener.statusChanged(node.status(applier.appliedIndex()));
   }
 
   private void loadSnapshot() {
