Step down as leader when the storage hangs

Nobody could change the document while the disk of the leading control VM hung: the leader went on to send heartbeats and entries, so nobody was elected, but it applies only what its own disk holds, so it confirmed no change and no leadership, and routers got no view.

A leader whose oldest storage work has not become durable for four election timeouts now hands leadership over, if another voter is active. It can't win an election meanwhile, since its own vote must be durable.

--- a/consensus/src/main/java/io/jacinthquay/consensus/raft/Leadership.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/raft/Leadership.java
@@ -18,6 +18,9 @@
   /** Election timeouts without a reply after which a learner may replace a voter. */
   private static final int UNRESPONSIVE_ELECTION_TIMEOUTS = 4;
 
+  /** Election timeouts without durable storage work after which a leader steps down. */
+  private static final int STALLED_ELECTION_TIMEOUTS = 4;
+
   private final RaftState state;
   private final Map<ReplicaId, Progress> peers = new HashMap<>();
   private long nextHeartbeat;
@@ -78,6 +81,15 @@
     }
   }
 
+  /**
+   * Returns whether the storage of this replica has been busy with the same work for several
+   * election timeouts. Such a leader replicates commands, but applies none.
+   */
+  boolean isStorageStalled() {
+    return state.outbox.isStorageStalled(
+        state.now, STALLED_ELECTION_TIMEOUTS * state.options.electionNanos());
+  }
+
   /** Returns whether a quorum replied within an election timeout. */
   boolean hasQuorumContact() {
     return isActiveQuorum(state.membership());
@@ -247,13 +259,16 @@
     return voter.equals(state.self) ? state.stableIndex : peers.get(voter).matchIndex();
   }
 
-  /** Asks the active voter with the highest match index, if there is one, to take over. */
-  void transfer() {
+  /**
+   * Asks the active voter with the highest match index to take over; returns whether there is one.
+   */
+  boolean transfer() {
     Optional<ReplicaId> successor =
         state.membership().voters().stream()
             .filter(voter -> !voter.equals(state.self) && isActive(voter))
             .max(Comparator.comparingLong(voter -> peers.get(voter).matchIndex()));
     successor.ifPresent(
         voter -> state.outbox.send(new LeadershipTransfer(state.self, voter, state.term)));
+    return successor.isPresent();
   }
 }
--- a/consensus/src/main/java/io/jacinthquay/consensus/raft/Outbox.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/raft/Outbox.java
@@ -11,7 +11,7 @@
 /** Collects the output between two calls of {@link RaftNode#drain}. */
 final class Outbox {
   /** Storage work that is not yet reported as durable. */
-  record Pending(long sequence, long lastIndex, long lastTerm, long term) {}
+  record Pending(long sequence, long lastIndex, long lastTerm, long term, long sinceNanos) {}
 
   private final ArrayDeque<Pending> pending = new ArrayDeque<>();
   private List<Message> afterPersist = new ArrayList<>();
@@ -69,6 +69,11 @@
     return durable;
   }
 
+  /** Returns whether some storage work has not become durable within a time. */
+  boolean isStorageStalled(long now, long limitNanos) {
+    return !pending.isEmpty() && now - pending.peekFirst().sinceNanos() >= limitNanos;
+  }
+
   /** Returns the collected output and starts an empty one. */
   Ready drain(RaftState state) {
     List<Entry> entries = takeEntries(state);
@@ -80,7 +85,8 @@
     if (hardStateChanged || !entries.isEmpty()) {
       storageSequence = ++sequence;
       long lastIndex = state.log.lastIndex();
-      pending.addLast(new Pending(storageSequence, lastIndex, state.log.lastTerm(), state.term));
+      pending.addLast(
+          new Pending(storageSequence, lastIndex, state.log.lastTerm(), state.term, state.now));
     }
     Ready ready =
         new Ready(
--- a/consensus/src/main/java/io/jacinthquay/consensus/raft/RaftNode.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/raft/RaftNode.java
@@ -103,6 +103,10 @@
       becomeFollower(state.term, Optional.empty());
       return;
     }
+    if (leadership.isStorageStalled() && leadership.transfer()) {
+      becomeFollower(state.term, Optional.empty());
+      return;
+    }
     leadership.tick();
     replaceLostMembers();
   }
--- a/consensus/src/test/java/io/jacinthquay/consensus/StorageRecoveryTest.java
+++ b/consensus/src/test/java/io/jacinthquay/consensus/StorageRecoveryTest.java
@@ -146,6 +146,26 @@
     }
   }
 
+  /** The leader went on to replicate, but applied nothing and answered nobody. */
+  @Test
+  void leaderWhoseDiskHangsHandsLeadershipOver() throws Exception {
+    try (LogCluster cluster = start(3)) {
+      propose(cluster, "before");
+      MemberId hung = cluster.leader();
+      disks.get(hung).stall(8_000);
+      cluster.log(hung).propose(new byte[] {'?'});
+      cluster.await(
+          "another leader",
+          () ->
+              disks.keySet().stream()
+                  .anyMatch(
+                      member -> !member.equals(hung) && cluster.log(member).status().isLeader()));
+      disks.get(hung).stall(0);
+      String after = propose(cluster, "after");
+      assertTrue(cluster.read(hung).contains(after));
+    }
+  }
+
   @Test
   void replicaWorksAgainAfterItsStorageThreadThrew() throws Exception {
     try (LogCluster cluster = start(1)) {
