Schedule the next attempt to open the storage before logging, and free its folder after any error

Found by the review, by reading only: an error while a failure was logged would have ended the attempts for good, and an unchecked exception while the folder was opened kept its lock, so that each later attempt would have been refused. No test shows either.

--- a/consensus/src/main/java/io/jacinthquay/consensus/LogRuntime.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/LogRuntime.java
@@ -114,14 +114,14 @@
 
   @Override
   public void sessionFailed(Throwable cause) {
-    log.error(
-        "storage of replica {} failed; it takes no part until the storage works again",
-        status.self(),
-        cause);
     if (session.ageNanos() > STABLE_SESSION_NANOS) {
       reopenDelayMillis = MIN_REOPEN_DELAY_MILLIS;
     }
     scheduleReopen();
+    log.error(
+        "storage of replica {} failed; it takes no part until the storage works again",
+        status.self(),
+        cause);
   }
 
   private void scheduleReopen() {
@@ -137,12 +137,13 @@
     try {
       reopen();
     } catch (Throwable e) {
+      long delayMillis = reopenDelayMillis;
+      scheduleReopen();
       log.warn(
           "storage of replica {} still fails; next attempt in {} ms: {}",
           status.self(),
-          reopenDelayMillis,
+          delayMillis,
           e.toString());
-      scheduleReopen();
     }
   }
 
--- a/consensus/src/main/java/io/jacinthquay/consensus/storage/FileLogStorage.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/storage/FileLogStorage.java
@@ -65,7 +65,7 @@
       release(lock);
       String detail = folder + ": " + e.getMessage();
       throw new LogException(LogFailure.of(LogError.STORAGE_FAILED, detail), e);
-    } catch (LogException e) {
+    } catch (RuntimeException | Error e) {
       release(lock);
       throw e;
     }
