Soak: disks of control VMs that refuse writes and work again

CONTROL_DISK_FULL makes all writes of a control VM fail for the time of the fault, by the process's own limit on file sizes.

--- a/faultsoak/src/main/java/io/jacinthquay/soak/FaultInjector.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/FaultInjector.java
@@ -72,6 +72,7 @@
       case ROUTER_STOPPED -> stop(system.router(target));
       case CONTROL_STOPPED -> stop(system.control(target));
       case ROUTER_HUP -> system.router(target).signal("HUP");
+      case CONTROL_DISK_FULL -> fillDisk(system.control(target), fault);
       case ROUTER_SUSPENDED -> suspend(system.router(target), fault);
       case CONTROLS_KILLED -> {
         for (int control = 0; control < system.operatorAddresses().size(); control++) {
@@ -161,6 +162,16 @@
     }
   }
 
+  private static void fillDisk(ProgramProcess process, Fault fault)
+      throws IOException, InterruptedException {
+    process.rejectWrites(true);
+    try {
+      awaitEnd(fault);
+    } finally {
+      process.rejectWrites(false);
+    }
+  }
+
   private static void awaitEnd(Fault fault) throws InterruptedException {
     TimeUnit.MILLISECONDS.sleep(fault.durationMillis());
   }
--- a/faultsoak/src/main/java/io/jacinthquay/soak/FaultKind.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/FaultKind.java
@@ -22,6 +22,8 @@
   CONTROL_WIPED(Where.CONTROL),
   /** A control VM ends for good; one at another address with an empty data folder replaces it. */
   CONTROL_REPLACED(Where.CONTROL),
+  /** A control VM's writes fail, as on a full disk, and succeed again at the end. */
+  CONTROL_DISK_FULL(Where.CONTROL),
   /** SIGKILL to all control VMs at the same moment, and a restart of all. */
   CONTROLS_KILLED(Where.CONTROL),
   /** Nothing passes between a control VM's internal port and others; connections stay open. */
--- a/faultsoak/src/main/java/io/jacinthquay/soak/ProgramProcess.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/ProgramProcess.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.function.Supplier;
 
 /** A program that runs as a process and can be stopped, signalled and started again. */
@@ -81,14 +82,27 @@
 
   /** Sends a signal to the process if it is alive. */
   synchronized void signal(String name) throws IOException {
+    runForProcess(pid -> List.of("kill", "-" + name, pid));
+  }
+
+  /**
+   * Makes all writes of the process to files fail from now on, or succeed again, if it is alive.
+   */
+  synchronized void rejectWrites(boolean rejected) throws IOException {
+    String maxFileBytes = rejected ? "1" : "unlimited";
+    runForProcess(pid -> List.of("prlimit", "--pid", pid, "--fsize=" + maxFileBytes + ":"));
+  }
+
+  /** Runs a command that takes the id of the process, if the process is alive. */
+  private void runForProcess(Function<String, List<String>> commandForPid) throws IOException {
     recordUnexpectedExit();
     if (process == null || !process.isAlive()) {
       return;
     }
-    Process kill =
-        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).inheritIO().start();
+    String pid = Long.toString(process.pid());
+    Process run = new ProcessBuilder(commandForPid.apply(pid)).inheritIO().start();
     try {
-      kill.waitFor();
+      run.waitFor();
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
