--- a/faultsoak/src/test/java/io/jacinthquay/soak/FaultScheduleTest.java
+++ b/faultsoak/src/test/java/io/jacinthquay/soak/FaultScheduleTest.java
@@ -56,7 +56,7 @@
 
   private static boolean isNextInSeries(Fault first, Fault next) {
     long gapMillis = next.startMillis() - first.startMillis();
-    return next != first
+    return !next.equals(first)
         && next.kind() == first.kind()
         && next.target() == first.target()
         && gapMillis >= 0
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
@@ -64,7 +64,6 @@
 
   private record SyncedTime(long wallMillis, long syncedNanos) {}
 
-  private final ForwardOptions options;
   private final ForwardProtocol protocol;
   private final UpstreamClient client;
   private final UpstreamSelector selector;
@@ -104,7 +103,6 @@
    */
   ForwardCore(
       ForwardOptions options, ForwardProtocol protocol, UpstreamClient client, LongSupplier clock) {
-    this.options = options;
     this.protocol = protocol;
     this.client = client;
     this.clock = clock;
