Soak: pause routers by one method and share the time limit

The suspension of a router repeated the pause with another duration, and DocumentConvergence had its own copy of SoakRun's time limit.

--- a/faultsoak/src/main/java/io/jacinthquay/soak/DocumentConvergence.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/DocumentConvergence.java
@@ -77,7 +77,7 @@
     Verdict verdict = new Verdict();
     TimeUnit.MILLISECONDS.sleep(limits.calm().toMillis());
     if (changeDocument(verdict)) {
-      judgeRouters(verdict, within(limits.apply()));
+      judgeRouters(verdict, SoakRun.within(limits.apply()));
     }
     return verdict;
   }
@@ -96,7 +96,7 @@
       TimeUnit.MILLISECONDS.sleep(random.nextInt(MAX_KILL_GAP_MILLIS));
       programs.killAndStart();
     }
-    BooleanSupplier recovering = within(limits.recover());
+    BooleanSupplier recovering = SoakRun.within(limits.recover());
     judgeRouters(verdict, recovering);
     OptionalLong read = operator.readVersion();
     while (read.isEmpty() && recovering.getAsBoolean()) {
@@ -110,7 +110,7 @@
   }
 
   private boolean changeDocument(Verdict verdict) throws InterruptedException {
-    boolean acknowledged = operator.changeDocument(within(limits.acknowledge()));
+    boolean acknowledged = operator.changeDocument(SoakRun.within(limits.acknowledge()));
     verdict.judge(acknowledged, "version " + operator.version() + " was not acknowledged in calm");
     return acknowledged;
   }
@@ -129,9 +129,4 @@
           "router " + i + " follows version " + inForce.get(i) + " in place of " + version);
     }
   }
-
-  private static BooleanSupplier within(Duration limit) {
-    long end = System.nanoTime() + limit.toNanos();
-    return () -> System.nanoTime() - end < 0;
-  }
 }
--- a/faultsoak/src/main/java/io/jacinthquay/soak/FaultInjector.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/FaultInjector.java
@@ -65,15 +65,16 @@
       return loseDisk(fault);
     }
     switch (fault.kind()) {
-      case ROUTER_PAUSED -> pause(system.router(target), fault);
-      case CONTROL_PAUSED -> pause(system.control(target), fault);
+      case ROUTER_PAUSED -> pause(system.router(target), fault.durationMillis());
+      case CONTROL_PAUSED -> pause(system.control(target), fault.durationMillis());
       case ROUTER_KILLED -> kill(system.router(target), fault);
       case CONTROL_KILLED -> kill(system.control(target), fault);
       case ROUTER_STOPPED -> stop(system.router(target));
       case CONTROL_STOPPED -> stop(system.control(target));
       case ROUTER_HUP -> system.router(target).signal("HUP");
       case CONTROL_DISK_FULL -> fillDisk(system.control(target), fault);
-      case ROUTER_SUSPENDED -> suspend(system.router(target), fault);
+      case ROUTER_SUSPENDED ->
+          pause(system.router(target), SUSPENSION_FACTOR * fault.durationMillis());
       case CONTROLS_KILLED -> {
         for (int control = 0; control < system.operatorAddresses().size(); control++) {
           system.control(control).kill();
@@ -152,16 +153,6 @@
     }
   }
 
-  private static void suspend(ProgramProcess process, Fault fault)
-      throws IOException, InterruptedException {
-    process.signal("STOP");
-    try {
-      TimeUnit.MILLISECONDS.sleep(SUSPENSION_FACTOR * fault.durationMillis());
-    } finally {
-      process.signal("CONT");
-    }
-  }
-
   private static void fillDisk(ProgramProcess process, Fault fault)
       throws IOException, InterruptedException {
     process.rejectWrites(true);
@@ -176,11 +167,11 @@
     TimeUnit.MILLISECONDS.sleep(fault.durationMillis());
   }
 
-  private static void pause(ProgramProcess process, Fault fault)
+  private static void pause(ProgramProcess process, long millis)
       throws IOException, InterruptedException {
     process.signal("STOP");
     try {
-      awaitEnd(fault);
+      TimeUnit.MILLISECONDS.sleep(millis);
     } finally {
       process.signal("CONT");
     }
--- a/faultsoak/src/main/java/io/jacinthquay/soak/SoakRun.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/SoakRun.java
@@ -224,7 +224,8 @@
         .toList();
   }
 
-  private static BooleanSupplier within(Duration limit) {
+  /** Returns whether a time from now on has not passed yet. */
+  static BooleanSupplier within(Duration limit) {
     long end = System.nanoTime() + limit.toNanos();
     return () -> System.nanoTime() - end < 0;
   }
