Name the reason of each connection that ends without an answer

LOST can't be told apart in a record: the log says "caller left" for a caller that left, a failed write, a lack of memory and a connection that the router closed itself, and a stream that broke isn't counted at all. The caller's listener now gets the reason; the request's log line names it, and jq_forward_unanswered_closes_total counts it.

--- a/router/src/main/java/io/jacinthquay/router/adapter/http/ReadAheadSource.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/ReadAheadSource.java
@@ -62,6 +62,13 @@
     }
   }
 
+  /** Returns whether the caller ended the connection while a response was awaited. */
+  static boolean hasEnded(HttpServerExchange exchange) {
+    return exchange.getConnection() instanceof AbstractServerConnection connection
+        && connection.getOriginalSourceConduit() instanceof ReadAheadSource source
+        && source.ended;
+  }
+
   /** Removes the limit; the parser limits the size of a head. */
   static void allowAll(HttpServerExchange exchange) {
     allow(exchange, Long.MAX_VALUE);
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowCaller.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowCaller.java
@@ -3,6 +3,7 @@
 import io.jacinthquay.router.port.BufferBudget;
 import io.jacinthquay.router.port.Caller;
 import io.jacinthquay.router.port.CallerListener;
+import io.jacinthquay.router.port.DisconnectReason;
 import io.jacinthquay.router.port.EventThread;
 import io.jacinthquay.router.port.Header;
 import io.jacinthquay.router.port.ResponseHead;
@@ -104,7 +105,7 @@
       }
       return flush();
     } catch (IOException e) {
-      onWriteFailed();
+      disconnect(DisconnectReason.WRITE_FAILED);
       return true;
     }
   }
@@ -120,7 +121,7 @@
   /** Keeps a copy of the data; disconnects and returns false if there is no memory for it. */
   private boolean append(ByteBuffer data) {
     if (!memory.tryResize(pendingBytes + data.remaining())) {
-      onWriteFailed();
+      disconnect(DisconnectReason.NO_MEMORY);
       return false;
     }
     pendingBytes += data.remaining();
@@ -156,7 +157,7 @@
       }
       sink.suspendWrites();
     } catch (IOException e) {
-      onWriteFailed();
+      disconnect(DisconnectReason.WRITE_FAILED);
       return;
     }
     if (listener != null) {
@@ -173,7 +174,10 @@
       sendTimer =
           exchange
               .getIoThread()
-              .executeAfter(this::onWriteFailed, MAX_SEND_MILLIS, TimeUnit.MILLISECONDS);
+              .executeAfter(
+                  () -> disconnect(DisconnectReason.SLOW_CALLER),
+                  MAX_SEND_MILLIS,
+                  TimeUnit.MILLISECONDS);
     }
   }
 
@@ -195,22 +199,29 @@
     }
   }
 
-  private void onWriteFailed() {
+  private void disconnect(DisconnectReason reason) {
+    reportDisconnect(reason);
     IoUtils.safeClose(exchange.getConnection());
-    onClosed();
+  }
+
+  private void onClosed() {
+    reportDisconnect(
+        ReadAheadSource.hasEnded(exchange)
+            ? DisconnectReason.CALLER_LEFT
+            : DisconnectReason.CLOSED_BY_ROUTER);
   }
 
   /**
-   * Called when the connection closes. That is a disconnect only if the response is incomplete: it
+   * Reports that the connection closes. That is a disconnect only if the response is incomplete: it
    * also closes after a complete response if the caller asked for that.
    */
-  private void onClosed() {
+  private void reportDisconnect(DisconnectReason reason) {
     if (!finished) {
       finished = true;
       cancelSendTimer();
       clearPending();
       if (listener != null && !exchange.isResponseComplete()) {
-        listener.onDisconnect();
+        listener.onDisconnect(reason);
       }
     }
   }
--- a/router/src/main/java/io/jacinthquay/router/port/CallerListener.java
+++ b/router/src/main/java/io/jacinthquay/router/port/CallerListener.java
@@ -5,6 +5,6 @@
   /** Called when everything written so far has been passed to the network. */
   void onWritable();
 
-  /** Called when the caller disconnects. */
-  void onDisconnect();
+  /** Called when the connection ends before the response is complete. */
+  void onDisconnect(DisconnectReason reason);
 }
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardExchange.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardExchange.java
@@ -13,6 +13,7 @@
 import io.jacinthquay.model.routing.RequestKind;
 import io.jacinthquay.router.port.Caller;
 import io.jacinthquay.router.port.CallerListener;
+import io.jacinthquay.router.port.DisconnectReason;
 import io.jacinthquay.router.port.ResponseHead;
 import java.nio.ByteBuffer;
 import java.util.HashSet;
@@ -98,7 +99,7 @@
 
   private void enqueue(long now) {
     if (!core.selector().isServed(work.pool())) {
-      refuseOrFail(ResultCode.NO_UPSTREAM, "the pool has no upstream");
+      endUnanswered(ResultCode.NO_UPSTREAM, ResultCode.NO_UPSTREAM, "the pool has no upstream");
       return;
     }
     long maxWaitMillis =
@@ -107,7 +108,7 @@
     waiting = core.enqueue(this, work, now + maxWaitMillis * NANOS_PER_MILLI);
     note("waits", core.queue(work.pool()).size());
     if (!waiting) {
-      refuseOrFail(ResultCode.QUEUE_FULL, ResultCode.QUEUE_FULL.meaning());
+      endUnanswered(ResultCode.QUEUE_FULL, ResultCode.QUEUE_FULL, ResultCode.QUEUE_FULL.meaning());
     }
   }
 
@@ -385,11 +386,8 @@
   /** Refuses the request because it waited too long or was displaced from the queue. */
   void shed() {
     waiting = false;
-    refuseOrFail(ResultCode.SHED_OVERLOAD, "no place became free in time");
-  }
-
-  private void refuseOrFail(ResultCode code, String detail) {
-    endUnanswered(code, code, detail);
+    endUnanswered(
+        ResultCode.SHED_OVERLOAD, ResultCode.SHED_OVERLOAD, "no place became free in time");
   }
 
   private void giveUp(ResultCode code) {
@@ -437,6 +435,7 @@
   /** Ends a request that may have run, with an error answer or by aborting the current answer. */
   private void fail(ResultCode code) {
     if (caller.hasBegun()) {
+      core.metrics().countUnansweredClose(DisconnectReason.ANSWER_BROKE);
       caller.abort();
     } else {
       ResultCode reported = code == ResultCode.UPSTREAM_TIMEOUT ? code : ResultCode.UPSTREAM_BROKE;
@@ -483,7 +482,7 @@
   }
 
   @Override
-  public void onDisconnect() {
+  public void onDisconnect(DisconnectReason reason) {
     if (done) {
       return;
     }
@@ -493,6 +492,7 @@
     if (attempt != null) {
       attempt.cancel(SendOutcome.UNDECIDED);
     }
-    finish("caller left", true);
+    core.metrics().countUnansweredClose(reason);
+    finish(reason.text(), reason == DisconnectReason.CALLER_LEFT);
   }
 }
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardMetrics.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardMetrics.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
+import io.jacinthquay.router.port.DisconnectReason;
 import io.jacinthquay.router.service.report.LatencyHistograms;
 import java.util.function.LongSupplier;
 
@@ -71,6 +72,11 @@
     registry.counter("jq_forward_broken_sends_total{begun=\"" + begun + "\"}").inc();
   }
 
+  /** Counts a connection of a caller that ended before the answer to its request was complete. */
+  void countUnansweredClose(DisconnectReason reason) {
+    registry.counter("jq_forward_unanswered_closes_total{reason=\"" + reason.text() + "\"}").inc();
+  }
+
   /** Counts a send that was cancelled on connect because the caller has its final answer. */
   void countSendAfterEnd() {
     sentAfterEnd.inc();
--- a/router/src/main/java/io/jacinthquay/router/service/forward/StartupQueue.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/StartupQueue.java
@@ -2,6 +2,7 @@
 
 import io.jacinthquay.router.port.Caller;
 import io.jacinthquay.router.port.CallerListener;
+import io.jacinthquay.router.port.DisconnectReason;
 import io.jacinthquay.router.port.RequestHead;
 import java.time.Duration;
 import java.util.List;
@@ -70,7 +71,7 @@
     }
 
     @Override
-    public void onDisconnect() {
+    public void onDisconnect(DisconnectReason reason) {
       end(gone -> {});
     }
   }
--- a/router/src/main/java/io/jacinthquay/router/service/request/ClaimedRun.java
+++ b/router/src/main/java/io/jacinthquay/router/service/request/ClaimedRun.java
@@ -7,6 +7,7 @@
 import io.jacinthquay.router.port.CallerListener;
 import io.jacinthquay.router.port.Claim;
 import io.jacinthquay.router.port.ClaimStatus;
+import io.jacinthquay.router.port.DisconnectReason;
 import io.jacinthquay.router.port.Header;
 import io.jacinthquay.router.port.RecordedResponse;
 import io.jacinthquay.router.port.ResponseHead;
@@ -181,7 +182,7 @@
   }
 
   @Override
-  public void onDisconnect() {
+  public void onDisconnect(DisconnectReason reason) {
     callerDisconnected = true;
   }
 }
--- a/router/src/main/java/io/jacinthquay/router/service/request/RequestRun.java
+++ b/router/src/main/java/io/jacinthquay/router/service/request/RequestRun.java
@@ -11,6 +11,7 @@
 import io.jacinthquay.model.policy.ClassPolicy;
 import io.jacinthquay.router.port.Caller;
 import io.jacinthquay.router.port.CallerListener;
+import io.jacinthquay.router.port.DisconnectReason;
 import io.jacinthquay.router.port.EventThread;
 import io.jacinthquay.router.service.dispatch.AttemptReport;
 import io.jacinthquay.router.service.dispatch.DispatchListener;
@@ -223,7 +224,7 @@
   }
 
   @Override
-  public void onDisconnect() {
+  public void onDisconnect(DisconnectReason reason) {
     callerDisconnected = true;
     if (!ended && !endListener.outlivesCaller()) {
       stopAttempt(Completion.End.CANCELLED);
--- a/router/src/test/java/io/jacinthquay/router/EndedRequestReachabilityTest.java
+++ b/router/src/test/java/io/jacinthquay/router/EndedRequestReachabilityTest.java
@@ -9,6 +9,7 @@
 import io.jacinthquay.router.adapter.http.ListenerLimits;
 import io.jacinthquay.router.port.Caller;
 import io.jacinthquay.router.port.CallerListener;
+import io.jacinthquay.router.port.DisconnectReason;
 import io.jacinthquay.router.port.RequestHead;
 import io.jacinthquay.router.port.RequestIntake;
 import io.jacinthquay.router.port.ResponseHead;
@@ -99,7 +100,7 @@
     public void onWritable() {}
 
     @Override
-    public void onDisconnect() {}
+    public void onDisconnect(DisconnectReason reason) {}
   }
 
   private void awaitQueuedTasks() throws InterruptedException {
--- a/router/src/test/java/io/jacinthquay/router/service/forward/RecordingCaller.java
+++ b/router/src/test/java/io/jacinthquay/router/service/forward/RecordingCaller.java
@@ -2,6 +2,7 @@
 
 import io.jacinthquay.router.port.Caller;
 import io.jacinthquay.router.port.CallerListener;
+import io.jacinthquay.router.port.DisconnectReason;
 import io.jacinthquay.router.port.EventThread;
 import io.jacinthquay.router.port.ResponseHead;
 import java.nio.ByteBuffer;
@@ -88,7 +89,7 @@
   void leave() {
     if (!disconnected && !ended && !aborted && listener != null) {
       disconnected = true;
-      listener.onDisconnect();
+      listener.onDisconnect(DisconnectReason.CALLER_LEFT);
     }
   }
 
