Answer each request whose upstream sends what the router can't pass on

Callers saw their kept connection close without an answer at the route's timeout: a status of four or more digits, which the client's parser accepts, was refused by the server with an exception on the I/O thread, after the answer counted as begun. Any other unchecked exception there left the request waiting for its timeout; on a stream it ended as a 200 without headers.

A status above 999 now counts as a broken answer, an answer counts as begun once the server has taken its head, and an exception while an answer is handled ends the request with 502 at once and with a log line.

--- a/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowCaller.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowCaller.java
@@ -61,10 +61,11 @@
 
   @Override
   public void begin(ResponseHead head, OptionalLong length) {
-    begun = true;
     if (finished) {
+      begun = true;
       return;
     }
+    exchange.getResponseHeaders().clear();
     exchange.setStatusCode(head.status());
     if (connections.isDraining()) {
       exchange.setPersistent(false);
@@ -81,6 +82,7 @@
     }
     sink = exchange.getResponseChannel();
     sink.getWriteSetter().set(channel -> flushPending());
+    begun = true;
   }
 
   @Override
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowUpstreamCall.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowUpstreamCall.java
@@ -31,6 +31,9 @@
   /** Lower statuses are interim responses; the parser would leave the final response unread. */
   private static final int FIRST_FINAL_STATUS = 200;
 
+  /** Greater statuses have more than three digits, which the client's parser accepts. */
+  private static final int LAST_STATUS = 999;
+
   /** Consecutive reads before other tasks of the thread get a turn. */
   private static final int READS_PER_TURN = 8;
 
@@ -169,7 +172,8 @@
     connection.source().allow(BoundedSource.MAX_SKIPPED_BYTES);
     ClientResponse response = exchange.getResponse();
     String echoed = response.getResponseHeaders().getFirst(pool.idHeader());
-    if (response.getResponseCode() < FIRST_FINAL_STATUS) {
+    int status = response.getResponseCode();
+    if (status < FIRST_FINAL_STATUS || status > LAST_STATUS) {
       onBroken();
       return;
     }
@@ -179,7 +183,7 @@
       fail(UpstreamFailure.MISMATCH);
       return;
     }
-    listener.onHead(new ResponseHead(response.getResponseCode(), headers(response)));
+    listener.onHead(new ResponseHead(status, headers(response)));
     if (done) {
       return;
     }
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardAttempt.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardAttempt.java
@@ -4,6 +4,7 @@
 import io.jacinthquay.decision.dispatch.SendOutcome;
 import io.jacinthquay.decision.dispatch.SentRequest;
 import io.jacinthquay.decision.dispatch.UpstreamState;
+import io.jacinthquay.model.ResultCode;
 import io.jacinthquay.router.port.ForwardProtocol.AnswerKind;
 import io.jacinthquay.router.port.ResponseHead;
 import io.jacinthquay.router.port.UpstreamCall;
@@ -12,9 +13,13 @@
 import io.jacinthquay.router.port.UpstreamRequest;
 import java.nio.ByteBuffer;
 import java.util.List;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 
 /** One send of a request to one upstream. */
 final class ForwardAttempt implements UpstreamListener {
+  private static final Logger log = LogManager.getLogger();
+
   /** HTTP status 421: the upstream at this address is not the one that the request names. */
   private static final int MISDIRECTED = 421;
 
@@ -149,8 +154,23 @@
     exchange.onSending(this);
   }
 
+  /** Runs a step of the answer; if it fails in the router itself, ends the request. */
+  private void runStep(Runnable step) {
+    try {
+      step.run();
+    } catch (RuntimeException e) {
+      log.error("request {} failed while its answer was handled", exchange.attemptId(), e);
+      cancel(SendOutcome.UNDECIDED);
+      exchange.giveUp(ResultCode.UPSTREAM_BROKE);
+    }
+  }
+
   @Override
   public void onHead(ResponseHead head) {
+    runStep(() -> handleHead(head));
+  }
+
+  private void handleHead(ResponseHead head) {
     recordContact();
     if (closed) {
       return;
@@ -182,12 +202,16 @@
 
   @Override
   public boolean onData(ByteBuffer data) {
+    runStep(() -> handleData(data));
+    return closed || exchange.acceptsData();
+  }
+
+  private void handleData(ByteBuffer data) {
     recordContact();
     if (!closed && !exchange.onData(this, data)) {
       cancel(SendOutcome.FAILED);
       exchange.onFailed(this, "invalid body");
     }
-    return closed || exchange.acceptsData();
   }
 
   /** Resumes reading once the caller has received what was written. */
@@ -199,6 +223,10 @@
 
   @Override
   public void onEnd() {
+    runStep(this::handleEnd);
+  }
+
+  private void handleEnd() {
     if (closed) {
       return;
     }
@@ -217,6 +245,10 @@
 
   @Override
   public void onFailure(UpstreamFailure failure) {
+    runStep(() -> handleFailure(failure));
+  }
+
+  private void handleFailure(UpstreamFailure failure) {
     if (closed) {
       return;
     }
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardExchange.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardExchange.java
@@ -390,7 +390,8 @@
         ResultCode.SHED_OVERLOAD, ResultCode.SHED_OVERLOAD, "no place became free in time");
   }
 
-  private void giveUp(ResultCode code) {
+  /** Ends the request, with a failure if it may have run and a refusal otherwise. */
+  void giveUp(ResultCode code) {
     endUnanswered(code, ResultCode.NO_UPSTREAM, code.meaning());
   }
 
