Log: start without a working disk and join once it works

LogRuntime.start opened the storage once and threw, while a running replica opens it again with back-off. DataFolder.finishErasure ended a start the same way.

A start now takes the road of a running replica: it has the role FAILED, rejects commands and reads, and opens the storage with the same back-off. The first folder that can be opened gives it its identity; the erasure is finished before each opening. A damaged folder, one of another member or a path that is no folder still ends a start, also if this shows only at a later attempt (onFatal); LogError.mayPass decides. A folder that another process locks is waited for, as its holder may be a predecessor that is just ending: the replica takes no part as long as the lock is held.

--- a/consensus/src/main/java/io/jacinthquay/consensus/LogError.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/LogError.java
@@ -24,7 +24,7 @@
   STORAGE_CORRUPT(ResultCode.STORAGE_CORRUPT, true),
   /** Another process has locked the data folder. */
   STORAGE_LOCKED(ResultCode.STORAGE_LOCKED, true),
-  /** The data folder belongs to another member. */
+  /** The data folder belongs to another member or is no folder. */
   STORAGE_FOREIGN(ResultCode.STORAGE_FOREIGN, true);
 
   private final ResultCode resultCode;
@@ -61,4 +61,14 @@
   public boolean notRun() {
     return notRun;
   }
+
+  /**
+   * Returns whether a storage that can't be opened with this error may be opened later without an
+   * operator: a disk that refuses writes, or a folder that a process locks which is just ending.
+   *
+   * @return false if the folder is damaged or isn't one of this member
+   */
+  public boolean mayPass() {
+    return this != STORAGE_CORRUPT && this != STORAGE_FOREIGN;
+  }
 }
--- a/consensus/src/main/java/io/jacinthquay/consensus/LogRuntime.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/LogRuntime.java
@@ -20,8 +20,9 @@
 import org.apache.logging.log4j.Logger;
 
 /**
- * A replica that runs one {@link LogSession} after the other: after a failure of the storage it
- * closes the session and opens the storage again, with exponential back-off, until that succeeds.
+ * A replica that runs one {@link LogSession} after the other: after a failure of the storage, also
+ * at the start, it closes the session and opens the storage again, with exponential back-off, until
+ * that succeeds. A start ends with an exception only if an operator has to act.
  */
 final class LogRuntime implements ReplicatedLog, LogSession.Listener {
   private static final Logger log = LogManager.getLogger(LogRuntime.class);
@@ -46,8 +47,14 @@
   private final PendingCommands pendingCommands = new PendingCommands();
   private final ScheduledExecutorService recovery =
       Executors.newSingleThreadScheduledExecutor(this::newRecoveryThread);
+  private boolean started;
+
+  /** The replica that the data folder belongs to; null until it could be opened. */
   private ReplicaId identity;
+
+  /** The newest session; null until the storage could be opened. */
   private volatile LogSession session;
+
   private volatile long reopenDelayMillis = MIN_REOPEN_DELAY_MILLIS;
   private volatile boolean running;
   private volatile boolean stopping;
@@ -84,24 +91,59 @@
 
   @Override
   public synchronized void start() {
-    if (identity != null) {
+    if (started) {
       throw new IllegalStateException("the log was already started");
     }
-    LogStorage storage = openStorage();
-    identity = storage.self();
+    started = true;
     running = true;
-    session = newSession(storage, SnapshotMeta.NONE);
     try {
-      session.start();
+      openSession();
+      log.info("replica {} started with term {}", identity, status.term());
     } catch (IOException e) {
-      sessionFailed(e);
+      startFailed(e);
     } catch (LogException e) {
-      running = false;
-      session.close();
+      if (!e.failure().error().mayPass()) {
+        abandonStart();
+        throw e;
+      }
+      startFailed(e);
+    } catch (RuntimeException | Error e) {
+      abandonStart();
       throw e;
     }
     settings.transport().start(this::receive);
-    log.info("replica {} started with term {}", storage.self(), status.term());
+  }
+
+  /** Opens the storage and starts a session on it. */
+  private void openSession() throws IOException {
+    LogStorage storage = openStorage();
+    if (identity != null && !storage.self().equals(identity)) {
+      storage.close();
+      String detail = "the data folder was replaced by one of " + storage.self();
+      settings.onFatal().accept(new IOException(detail));
+      return;
+    }
+    identity = storage.self();
+    LogSession next =
+        newSession(storage, session == null ? SnapshotMeta.NONE : session.lastApplied());
+    session = next;
+    next.start();
+  }
+
+  private void startFailed(Exception cause) {
+    statusChanged(status.failed());
+    scheduleReopen();
+    log.error(
+        "replica {} can't open its storage; it takes no part until the storage works",
+        status.self(),
+        cause);
+  }
+
+  private void abandonStart() {
+    running = false;
+    if (session != null) {
+      session.close();
+    }
   }
 
   private LogStorage openStorage() {
@@ -137,6 +179,11 @@
     try {
       reopen();
     } catch (Throwable e) {
+      if (endsStart(e)) {
+        log.fatal("replica {} can't start", status.self(), e);
+        settings.onFatal().accept(e);
+        return;
+      }
       long delayMillis = reopenDelayMillis;
       scheduleReopen();
       log.warn(
@@ -147,27 +194,24 @@
     }
   }
 
+  /** Returns whether a replica that has not taken part yet can't do so without an operator. */
+  private boolean endsStart(Throwable cause) {
+    boolean tookPart = status.self().incarnation() != ReplicaId.ANY_INCARNATION;
+    return !tookPart && cause instanceof LogException e && !e.failure().error().mayPass();
+  }
+
   private synchronized void reopen() throws IOException {
     if (!running) {
       return;
     }
-    boolean closed = session.close();
+    boolean closed = session == null || session.close();
     if (status.role() != Role.FAILED) {
       statusChanged(status.failed());
     }
     if (!closed) {
       throw new IOException("a write of the failed attempt has not returned");
     }
-    LogStorage storage = openStorage();
-    if (!storage.self().equals(identity)) {
-      storage.close();
-      String detail = "the data folder was replaced by one of " + storage.self();
-      settings.onFatal().accept(new IOException(detail));
-      return;
-    }
-    LogSession next = newSession(storage, session.lastApplied());
-    session = next;
-    next.start();
+    openSession();
     log.warn("storage of replica {} works again", status.self());
   }
 
@@ -186,7 +230,7 @@
     running = false;
     settings.transport().stop();
     recovery.shutdown();
-    if (!session.close()) {
+    if (session != null && !session.close()) {
       log.warn("replica {} was stopped while a write has not returned", status.self());
     }
   }
@@ -257,7 +301,10 @@
   }
 
   private void receive(Message message) {
-    session.receive(message);
+    LogSession current = session;
+    if (current != null) {
+      current.receive(message);
+    }
   }
 
   @Override
--- a/consensus/src/main/java/io/jacinthquay/consensus/ReplicatedLog.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/ReplicatedLog.java
@@ -32,10 +32,11 @@
   }
 
   /**
-   * Opens the data folder, recovers its state and starts to participate in the cluster.
+   * Opens the data folder, recovers its state and starts to participate in the cluster. If the disk
+   * refuses or another process locks the folder, the replica has the role {@link Role#FAILED} and
+   * tries again until it can open the folder.
    *
-   * @throws LogException if the folder is locked by another process, belongs to another member, is
-   *     damaged or can't be read
+   * @throws LogException if the folder belongs to another member, is no folder or is damaged
    * @throws IllegalStateException if the log was started before
    */
   void start();
--- a/consensus/src/main/java/io/jacinthquay/consensus/ReplicatedLogBuilder.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/ReplicatedLogBuilder.java
@@ -1,6 +1,7 @@
 package io.jacinthquay.consensus;
 
 import io.jacinthquay.consensus.storage.FileLogStorage;
+import java.io.IOException;
 import java.nio.file.Path;
 import java.util.Objects;
 import java.util.Set;
@@ -16,8 +17,20 @@
   private StatusListener listener = status -> {};
   private Consumer<Throwable> onFatal = cause -> {};
   private LogOptions options = LogOptions.DEFAULT;
+  private FolderPreparation preparation = () -> {};
   private StorageOpener storage = FileLogStorage::open;
 
+  /** Prepares a data folder. */
+  @FunctionalInterface
+  public interface FolderPreparation {
+    /**
+     * Prepares the folder, which may not exist yet.
+     *
+     * @throws IOException if the disk fails
+     */
+    void run() throws IOException;
+  }
+
   ReplicatedLogBuilder() {}
 
   /**
@@ -111,6 +124,18 @@
     return this;
   }
 
+  /**
+   * Sets what is run before each opening of the data folder. If it fails, the replica takes no part
+   * and tries again, as if the folder couldn't be opened.
+   *
+   * @param value prepares the folder
+   * @return this builder
+   */
+  public ReplicatedLogBuilder beforeOpening(FolderPreparation value) {
+    preparation = Objects.requireNonNull(value, "preparation");
+    return this;
+  }
+
   /** Replaces the file storage. */
   ReplicatedLogBuilder storage(StorageOpener value) {
     storage = value;
@@ -126,6 +151,18 @@
   public ReplicatedLog build() {
     LogSettings settings =
         new LogSettings(member, seeds, folder, transport, machine, listener, onFatal, options);
-    return new LogRuntime(settings, storage);
+    return new LogRuntime(settings, prepared(preparation, storage));
+  }
+
+  private static StorageOpener prepared(FolderPreparation preparation, StorageOpener opener) {
+    return (folder, member, segmentBytes) -> {
+      try {
+        preparation.run();
+      } catch (IOException e) {
+        String detail = folder + " can't be prepared: " + e;
+        throw new LogException(LogFailure.of(LogError.STORAGE_FAILED, detail), e);
+      }
+      return opener.open(folder, member, segmentBytes);
+    };
   }
 }
--- a/consensus/src/main/java/io/jacinthquay/consensus/storage/FileLogStorage.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/storage/FileLogStorage.java
@@ -13,6 +13,7 @@
 import io.jacinthquay.consensus.raft.SnapshotMeta;
 import java.io.IOException;
 import java.io.InputStream;
+import java.nio.file.FileAlreadyExistsException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.security.SecureRandom;
@@ -61,6 +62,10 @@
       Files.createDirectories(folder);
       lock = FolderLock.acquire(folder);
       return new FileLogStorage(lock, folder, member, segmentBytes);
+    } catch (FileAlreadyExistsException e) {
+      release(lock);
+      String detail = folder + " is not a folder";
+      throw new LogException(LogFailure.of(LogError.STORAGE_FOREIGN, detail), e);
     } catch (IOException e) {
       release(lock);
       String detail = folder + ": " + e.getMessage();
--- a/consensus/src/test/java/io/jacinthquay/consensus/StorageRecoveryTest.java
+++ b/consensus/src/test/java/io/jacinthquay/consensus/StorageRecoveryTest.java
@@ -1,20 +1,25 @@
 package io.jacinthquay.consensus;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.vavr.control.Either;
+import java.io.IOException;
 import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.EnumSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -191,6 +196,102 @@
     cluster.close();
   }
 
+  /** The process of a control VM ended if its disk refused writes as it started. */
+  @ParameterizedTest
+  @EnumSource(names = {"OPEN", "HARD_STATE_BEFORE_WRITE"})
+  void joinsOnceADiskThatRefusedWritesAtItsFirstStartWorks(FaultyDisk.Operation operation)
+      throws Exception {
+    MemberId late = new MemberId("k3");
+    FaultyDisk disk = new FaultyDisk();
+    disk.fail(EnumSet.of(operation));
+    try (LogCluster cluster = new LogCluster(root, 3)) {
+      cluster.start(late, disk);
+      cluster.start(new MemberId("k1"));
+      cluster.start(new MemberId("k2"));
+      awaitFailure(cluster, late);
+      assertEquals(late, cluster.log(late).status().self().member());
+      LogFailure rejected = LogCluster.get(cluster.log(late).propose(new byte[1])).getLeft();
+      assertEquals(LogError.STORAGE_FAILED, rejected.error());
+      LogFailure unread = LogCluster.get(cluster.log(late).readIndex()).getLeft();
+      assertEquals(LogError.STORAGE_FAILED, unread.error());
+      cluster.await("attempts to start", () -> disk.failures() >= 3);
+      disk.repair();
+      String after = propose(cluster, "after");
+      assertTrue(cluster.read(late).contains(after));
+    }
+  }
+
+  @Test
+  void stopsWhileItsFirstStartWaitsForTheDisk() throws Exception {
+    MemberId only = new MemberId("k1");
+    FaultyDisk disk = new FaultyDisk();
+    disk.fail(EnumSet.of(FaultyDisk.Operation.OPEN));
+    LogCluster cluster = new LogCluster(root, 1);
+    cluster.start(only, disk);
+    cluster.await("attempts to start", () -> disk.failures() >= 2);
+    cluster.stop(only);
+    int attempts = disk.failures();
+    TimeUnit.MILLISECONDS.sleep(1_500);
+    assertEquals(attempts, disk.failures());
+  }
+
+  @Test
+  void startsOnceTheFolderCouldBePrepared() throws Exception {
+    AtomicInteger attempts = new AtomicInteger();
+    ReplicatedLog log =
+        ReplicatedLog.builder()
+            .member(new MemberId("k1"))
+            .seeds(Set.of(new MemberId("k1")))
+            .folder(root.resolve("k1"))
+            .transport(new LocalNetwork().transport(new MemberId("k1")))
+            .stateMachine(new RecordingStateMachine())
+            .beforeOpening(
+                () -> {
+                  if (attempts.incrementAndGet() < 3) {
+                    throw new IOException("No space left on device");
+                  }
+                })
+            .build();
+    log.start();
+    try {
+      while (!log.status().isLeader()) {
+        TimeUnit.MILLISECONDS.sleep(10);
+      }
+      assertEquals(3, attempts.get());
+    } finally {
+      log.stop();
+    }
+  }
+
+  /** A folder that can be read only later may turn out to be damaged. */
+  @Test
+  void reportsADamagedFolderThatCouldNotBeReadAtTheStart() throws Exception {
+    CountDownLatch fatal = new CountDownLatch(1);
+    MemberId only = new MemberId("k1");
+    FaultyDisk disk = new FaultyDisk();
+    disk.fail(EnumSet.of(FaultyDisk.Operation.OPEN));
+    Files.createDirectories(root.resolve("k1"));
+    Files.write(root.resolve("k1").resolve("identity"), new byte[] {1, 2, 3, 4, 5, 6});
+    ReplicatedLog log =
+        ReplicatedLog.builder()
+            .member(only)
+            .folder(root.resolve("k1"))
+            .transport(new LocalNetwork().transport(only))
+            .stateMachine(new RecordingStateMachine())
+            .onFatal(cause -> fatal.countDown())
+            .storage(disk)
+            .build();
+    log.start();
+    try {
+      assertFalse(fatal.await(300, TimeUnit.MILLISECONDS));
+      disk.repair();
+      assertTrue(fatal.await(10, TimeUnit.SECONDS));
+      assertEquals(Role.FAILED, log.status().role());
+    } finally {
+      log.stop();
+    }
+  }
+
   @Test
   void reportsAStateMachineThatThrowsAndTakesNoPart() throws Exception {
     CountDownLatch fatal = new CountDownLatch(1);
--- a/control/src/main/java/io/jacinthquay/control/ControlService.java
+++ b/control/src/main/java/io/jacinthquay/control/ControlService.java
@@ -180,6 +180,7 @@
         .transport(transport)
         .stateMachine(state)
         .onFatal(this::endProcess)
+        .beforeOpening(data::finishErasure)
         .options(
             new LogOptions(
                 defaults.heartbeatInterval(),
@@ -224,9 +225,8 @@
   public void start() {
     server.start();
     try {
-      data.finishErasure();
       replicatedLog.start();
-    } catch (IOException | LogException e) {
+    } catch (LogException e) {
       server.stop();
       throw new IllegalStateException(e.getMessage(), e);
     }
--- a/control/src/test/java/io/jacinthquay/control/ControlServiceTest.java
+++ b/control/src/test/java/io/jacinthquay/control/ControlServiceTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.jacinthquay.consensus.Role;
 import io.jacinthquay.control.state.ControlState;
 import io.jacinthquay.control.state.ControlTables;
 import io.jacinthquay.model.DomainId;
@@ -22,6 +23,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -291,4 +293,27 @@
     propose(ControlState.documentCommand(5, DOCUMENT));
     assertEquals(VM_COUNT, voters(leader()).size());
   }
+
+  /** A VM whose data folder couldn't be created as it started ended its process. */
+  @Test
+  void vmWhoseDiskRefusesItsFolderAtTheStartJoinsOnceTheDiskWorks() throws Exception {
+    Path blocker = Files.writeString(folder.resolve("disk"), "refuses folders");
+    folder = blocker;
+    ControlService late = start(0);
+    assertEquals(Role.FAILED, late.store().status().role());
+    assertEquals(
+        ResultCode.STORAGE_FAILED,
+        late.store()
+            .read()
+            .toCompletableFuture()
+            .get(HANG_TIMEOUT_SECONDS, TimeUnit.SECONDS)
+            .getLeft()
+            .code());
+    assertFalse(exchange(addresses.get(0), domain(0), 0).isLeads());
+    Files.delete(blocker);
+    start(1);
+    start(2);
+    propose(ControlState.documentCommand(5, DOCUMENT));
+    awaitTrue(() -> late.store().tables().version() == 5);
+  }
 }
