Soak: requests lost on kept connections and at their timeout are judged

A request that a sound upstream has read and whose connection is closed before the end of its answer breaks a promise now, unless its router was out of touch, its upstream disturbed or its time up; a reload excuses nothing. So does a request without a final answer 500 ms after the timeout of its route.

The faulty router of the tests loses answers and ignores timeouts on demand; without a defect it now keeps timeouts and goes on with its request when a pipelined one follows.

--- a/faultsoak/src/main/java/io/jacinthquay/soak/FakeUpstream.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/FakeUpstream.java
@@ -78,7 +78,7 @@
 
   /** Responds to a request; returns whether the connection stays open. */
   private boolean handle(ReceivedRequest request) throws IOException {
-    history.add(new History.Arrival(request.id(), Documents.serviceOf(number), System.nanoTime()));
+    history.add(new History.Arrival(request.id(), number, System.nanoTime()));
     String expected = request.head.field("Expected-Instance");
     if (!expected.isEmpty() && !expected.equals(id)) {
       request.write(421, "Not-Executed: 1\r\n", "another one answers here");
--- a/faultsoak/src/main/java/io/jacinthquay/soak/History.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/History.java
@@ -25,9 +25,14 @@
   /**
    * A request that an upstream read, whether it ran it or not.
    *
+   * @param upstream number of the upstream
    * @param atNanos when it had been read, on the monotonic clock
    */
-  record Arrival(RequestId id, String service, long atNanos) {}
+  record Arrival(RequestId id, int upstream, long atNanos) {
+    String service() {
+      return Documents.serviceOf(upstream);
+    }
+  }
 
   /**
    * A version of the document that an operator read.
--- /dev/null
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/LostRequestCheck.java
@@ -0,0 +1,79 @@
+package io.jacinthquay.soak;
+
+import io.jacinthquay.model.RequestId;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+
+/**
+ * Checks that a router doesn't close a caller's connection before the end of the answer to a
+ * request that it passed on to a sound upstream.
+ */
+final class LostRequestCheck implements Check {
+  /** The router's timer may start before the caller has sent the last byte. */
+  private static final long TIMER_TOLERANCE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+  @Override
+  public String guarantee() {
+    return "no connection is closed on a request that a sound upstream has read";
+  }
+
+  @Override
+  public Verdict judge(History history) {
+    Verdict verdict = new Verdict();
+    Disturbances disturbances = new Disturbances(history);
+    Map<RequestId, List<History.Arrival>> arrivals =
+        history.arrivals().stream().collect(Collectors.groupingBy(History.Arrival::id));
+    Map<RequestId, List<Run>> runs =
+        history.runs().stream().collect(Collectors.groupingBy(Run::id));
+    for (Call call : history.calls()) {
+      History.Arrival last =
+          arrivals.getOrDefault(call.id(), List.of()).stream()
+              .max(Comparator.comparingLong(arrival -> arrival.atNanos() - call.sentNanos()))
+              .orElse(null);
+      if (last == null || call.ending() == Call.Ending.LEFT) {
+        continue;
+      }
+      boolean excused =
+          disturbances.affectRouter(call.router(), last.atNanos(), call.endNanos())
+              || disturbances.affectUpstream(last.upstream(), last.atNanos(), call.endNanos())
+              || isTruncated(last, runs.getOrDefault(call.id(), List.of()))
+              || hadToEnd(call);
+      verdict.judgeUnlessExplained(
+          call.ending() == Call.Ending.ANSWERED, excused, describe(call, last));
+    }
+    return verdict;
+  }
+
+  private static boolean isTruncated(History.Arrival last, List<Run> runs) {
+    return runs.stream()
+        .filter(run -> run.upstream() == last.upstream() && run.endNanos() - last.atNanos() >= 0)
+        .anyMatch(Run::truncated);
+  }
+
+  /**
+   * Returns whether the time was up for an answer that had begun, so that the router had to end it.
+   */
+  private static boolean hadToEnd(Call call) {
+    long limitMillis = Math.min(call.waitMillis(), Documents.TIMEOUT_MILLIS);
+    return call.status() != 0
+        && call.endNanos() - call.sentNanos()
+            >= TimeUnit.MILLISECONDS.toNanos(limitMillis) - TIMER_TOLERANCE_NANOS;
+  }
+
+  private static String describe(Call call, History.Arrival last) {
+    return call.id().value()
+        + " ("
+        + call.kind()
+        + ") reached upstream "
+        + last.upstream()
+        + ", and router "
+        + call.router()
+        + " closed its connection "
+        + TimeUnit.NANOSECONDS.toMillis(call.endNanos() - call.sentNanos())
+        + " ms after it was sent"
+        + (call.status() == 0 ? " without an answer" : " within the answer " + call.status());
+  }
+}
--- a/faultsoak/src/main/java/io/jacinthquay/soak/SoakRun.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/SoakRun.java
@@ -55,6 +55,8 @@
           new ResponseCheck(),
           new ForwardedRequestCheck(),
           new PlannedStopCheck(),
+          new LostRequestCheck(),
+          new RequestTimeoutCheck(),
           new DocumentCheck(),
           new RoutingCheck(),
           new EvacuationCheck(),
--- a/faultsoak/src/test/java/io/jacinthquay/soak/ChecksTest.java
+++ b/faultsoak/src/test/java/io/jacinthquay/soak/ChecksTest.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -108,6 +109,32 @@
           history.add(run(CallKind.ONCE, 10, 100));
           history.add(new FaultPeriod(FaultKind.ROUTER_STOPPED, ROUTER, nanos(50), nanos(200)));
         }),
+    CONNECTION_IS_CLOSED_ON_A_REQUEST_THAT_WAS_PASSED_ON(
+        new LostRequestCheck(),
+        history -> {
+          history.add(call(CallKind.ONCE, Call.Ending.BROKEN, 0, "", 100));
+          history.add(new History.Arrival(ID, UPSTREAM, nanos(10)));
+        }),
+    ANSWER_OF_A_SOUND_UPSTREAM_IS_CUT_OFF(
+        new LostRequestCheck(),
+        history -> {
+          history.add(call(CallKind.SAFE, Call.Ending.BROKEN, 200, "answer", 100));
+          history.add(new History.Arrival(ID, UPSTREAM, nanos(10)));
+          history.add(run(CallKind.SAFE, 10, 90));
+        }),
+    CONNECTION_IS_CLOSED_AT_THE_TIMEOUT_WITHOUT_AN_ANSWER(
+        new LostRequestCheck(),
+        history -> {
+          history.add(call(CallKind.ONCE, Call.Ending.BROKEN, 0, "", 3_000));
+          history.add(new History.Arrival(ID, UPSTREAM, nanos(10)));
+        }),
+    REQUEST_IS_UNANSWERED_AFTER_ITS_TIMEOUT(
+        new RequestTimeoutCheck(),
+        history -> history.add(call(CallKind.SAFE, Call.Ending.LEFT, 0, "", 3_501))),
+    ANSWER_COMES_LONG_AFTER_THE_TIMEOUT(
+        new RequestTimeoutCheck(),
+        history ->
+            history.add(call(CallKind.STREAM, Call.Ending.ANSWERED, 200, COMPLETE_STREAM, 3_501))),
     OLDER_DOCUMENT_IS_READ(
         new DocumentCheck(),
         history -> {
@@ -197,7 +224,7 @@
   private static void addArrivals(History history, int count, long fromMillis, long untilMillis) {
     for (int i = 0; i < count; i++) {
       long at = nanos(fromMillis + i * (untilMillis - fromMillis) / Math.max(1, count - 1));
-      history.add(new History.Arrival(ID, Documents.serviceOf(UPSTREAM), at));
+      history.add(new History.Arrival(ID, UPSTREAM, at));
     }
   }
 
@@ -299,7 +326,7 @@
               200,
               "",
               2_000));
-      history.add(new History.Arrival(id, Documents.serviceOf(UPSTREAM), nanos(sentMillis)));
+      history.add(new History.Arrival(id, UPSTREAM, nanos(sentMillis)));
     }
     addArrivals(history, Deployment.RETRY_EXTRA + 2, 0, 100);
     assertEquals(violations, new RetryBudgetCheck().judge(history).violations().size());
@@ -354,6 +381,99 @@
     assertEquals(1 - violations, verdict.notJudged());
   }
 
+  static Stream<FaultPeriod> disturbancesOfARequest() {
+    return Stream.of(
+        new FaultPeriod(FaultKind.ROUTER_PAUSED, ROUTER, nanos(-3_000), nanos(-2_990)),
+        new FaultPeriod(FaultKind.CALLERS_RESET, ROUTER, nanos(50), nanos(60)),
+        new FaultPeriod(FaultKind.UPSTREAM_RESET, UPSTREAM, nanos(50), nanos(60)),
+        new FaultPeriod(FaultKind.OBSERVER_STALLED, -1, nanos(50), nanos(60)));
+  }
+
+  static Stream<FaultPeriod> noDisturbancesOfARequest() {
+    return Stream.of(
+        new FaultPeriod(FaultKind.ROUTER_HUP, ROUTER, nanos(50), nanos(60)),
+        new FaultPeriod(FaultKind.ROUTER_PAUSED, ROUTER, nanos(-4_000), nanos(-2_991)),
+        new FaultPeriod(FaultKind.ROUTER_KILLED, ROUTER + 1, nanos(50), nanos(60)),
+        new FaultPeriod(FaultKind.UPSTREAM_RESET, UPSTREAM, nanos(-20), nanos(9)),
+        new FaultPeriod(FaultKind.UPSTREAM_RESET, UPSTREAM + 1, nanos(50), nanos(60)),
+        new FaultPeriod(FaultKind.CONTROLS_KILLED, -1, nanos(50), nanos(60)));
+  }
+
+  private static Verdict judgeLostRequest(FaultPeriod period) {
+    History history = new History();
+    BrokenHistory.CONNECTION_IS_CLOSED_ON_A_REQUEST_THAT_WAS_PASSED_ON.events.accept(history);
+    history.add(period);
+    return new LostRequestCheck().judge(history);
+  }
+
+  /** The request reaches its upstream after 10 ms, and its connection is closed after 100 ms. */
+  @ParameterizedTest
+  @MethodSource("disturbancesOfARequest")
+  void disturbedRequestIsNotJudgedAsLost(FaultPeriod period) {
+    Verdict verdict = judgeLostRequest(period);
+    assertTrue(verdict.violations().isEmpty());
+    assertEquals(1, verdict.notJudged());
+  }
+
+  @ParameterizedTest
+  @MethodSource("noDisturbancesOfARequest")
+  void lostRequestIsReportedBesideOtherFaults(FaultPeriod period) {
+    assertEquals(1, judgeLostRequest(period).violations().size());
+  }
+
+  /** An answer that its upstream broke off, or whose time is up, may end early. */
+  @ParameterizedTest
+  @CsvSource({"100, true, 0", "1899, false, 1", "1900, false, 0"})
+  void answerThatHadToEndIsNotLost(long endMillis, boolean truncated, int violations) {
+    History history = new History();
+    history.add(
+        call(CallKind.STREAM, Call.Ending.BROKEN, 200, ExpectedResponse.event(ID, 1), endMillis));
+    history.add(new History.Arrival(ID, UPSTREAM, nanos(10)));
+    history.add(new Run(ID, CallKind.STREAM, UPSTREAM, nanos(10), nanos(90), 10, true, truncated));
+    Verdict verdict = new LostRequestCheck().judge(history);
+    assertEquals(violations, verdict.violations().size());
+    assertEquals(1 - violations, verdict.notJudged());
+  }
+
+  @ParameterizedTest
+  @CsvSource({"LEFT", "ANSWERED"})
+  void requestWhoseCallerLeftOrGotAnAnswerIsNotLost(Call.Ending ending) {
+    History history = new History();
+    history.add(call(CallKind.SAFE, ending, 502, "", 100));
+    history.add(new History.Arrival(ID, UPSTREAM, nanos(10)));
+    assertTrue(new LostRequestCheck().judge(history).violations().isEmpty());
+  }
+
+  /** A request that its upstream never read may be sent again by its caller. */
+  @Test
+  void requestThatCrossesTheCloseIsNotLost() {
+    History history = new History();
+    history.add(call(CallKind.SAFE, Call.Ending.BROKEN, 0, "", 100));
+    Verdict verdict = new LostRequestCheck().judge(history);
+    assertEquals(0, verdict.judged());
+  }
+
+  /** The time of a pipelined request begins when the one before it has ended. */
+  @ParameterizedTest
+  @CsvSource({"40000, 0", "40001, 1"})
+  void pipelinedRequestHasItsOwnTimeout(int port, int violations) {
+    History history = new History();
+    history.add(call(CallKind.SAFE, Call.Ending.ANSWERED, 200, COMPLETE_BODY, 1_000));
+    history.add(
+        new Call(
+            new RequestId("c1-2"),
+            CallKind.SAFE,
+            ROUTER,
+            port,
+            1,
+            nanos(4_000),
+            Call.Ending.LEFT,
+            0,
+            "",
+            4_000));
+    assertEquals(violations, new RequestTimeoutCheck().judge(history).violations().size());
+  }
+
   private static Verdict judgeWith(FaultPeriod period) {
     History history = new History();
     BrokenHistory.RUN_CONTINUES_AFTER_DISCONNECT.events.accept(history);
--- a/faultsoak/src/test/java/io/jacinthquay/soak/FaultyRouter.java
+++ b/faultsoak/src/test/java/io/jacinthquay/soak/FaultyRouter.java
@@ -7,6 +7,9 @@
 import java.io.OutputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 
 /** A small router with at most one defect; it keeps all other guarantees that the soak checks. */
@@ -29,7 +32,11 @@
     /** The deadline for the upstream is longer than the caller's. */
     EXTENDS_DEADLINE,
     /** Requests with unknown keys run. */
-    ACCEPTS_UNKNOWN_KEY
+    ACCEPTS_UNKNOWN_KEY,
+    /** Some connections are closed in place of the answer of the upstream. */
+    LOSES_ANSWERS,
+    /** The timeouts of routes are ignored. */
+    IGNORES_TIMEOUT
   }
 
   /** One request in this many is affected by a defect that concerns some requests. */
@@ -39,6 +46,7 @@
   private final InetSocketAddress upstream;
   private final Acceptor acceptor;
   private final AtomicReference<String> earlierBody = new AtomicReference<>("");
+  private final ScheduledExecutorService timers = Executors.newSingleThreadScheduledExecutor();
 
   FaultyRouter(Defect defect, InetSocketAddress upstream) throws IOException {
     this.defect = defect;
@@ -69,6 +77,13 @@
           new Thread(() -> cancelOnDisconnect(caller, upstreamSocket), "planted-watch");
       watcher.setDaemon(true);
       watcher.start();
+      if (defect != Defect.IGNORES_TIMEOUT) {
+        var unused =
+            timers.schedule(
+                () -> Acceptor.reset(upstreamSocket),
+                Documents.TIMEOUT_MILLIS,
+                TimeUnit.MILLISECONDS);
+      }
       forwardResponse(head, upstreamSocket, caller);
       if (secondSocket.isConnected()) {
         secondSocket.getInputStream().readNBytes(1);
@@ -103,12 +118,12 @@
   }
 
   /**
-   * Cancels the upstream request when the caller disconnects. A connection carries one request, so
-   * the next read returns only at its end.
+   * Cancels the upstream request when the caller disconnects. A connection carries one request;
+   * further ones are ignored.
    */
   private void cancelOnDisconnect(Socket caller, Socket upstreamSocket) {
     try {
-      int unused = caller.getInputStream().read();
+      caller.getInputStream().transferTo(OutputStream.nullOutputStream());
     } catch (IOException e) {
       // The caller reset its connection, which counts as a disconnect too.
     }
@@ -145,6 +160,10 @@
       out.write(HttpCodec.encode("HTTP/1.1 503 Full\r\nConnection: close\r\n\r\n"));
       return;
     }
+    if (isAffected(request, Defect.LOSES_ANSWERS)) {
+      Acceptor.reset(caller);
+      return;
+    }
     String id = request.field("Attempt-Id");
     out.write(
         HttpCodec.encode(
@@ -179,6 +198,7 @@
 
   @Override
   public void close() throws IOException {
+    timers.shutdownNow();
     acceptor.close();
   }
 }
--- a/faultsoak/src/test/java/io/jacinthquay/soak/FaultyRouterTest.java
+++ b/faultsoak/src/test/java/io/jacinthquay/soak/FaultyRouterTest.java
@@ -31,7 +31,9 @@
           new RejectionCheck(),
           new ResponseCheck(),
           new ForwardedRequestCheck(),
-          new RoutingCheck());
+          new RoutingCheck(),
+          new LostRequestCheck(),
+          new RequestTimeoutCheck());
 
   private final History history = new History();
 
@@ -80,7 +82,9 @@
     "MIXES_UP_RESPONSES, each success is the whole answer to its own request",
     "FORWARDS_KEY, 'upstreams get the request as it is, its customer, no key and no more time'",
     "EXTENDS_DEADLINE, 'upstreams get the request as it is, its customer, no key and no more time'",
-    "ACCEPTS_UNKNOWN_KEY, routers follow the document in force"
+    "ACCEPTS_UNKNOWN_KEY, routers follow the document in force",
+    "LOSES_ANSWERS, no connection is closed on a request that a sound upstream has read",
+    "IGNORES_TIMEOUT, requests at their timeout are ended within 500 ms"
   })
   void defectIsReported(FaultyRouter.Defect defect, String guarantee) throws Exception {
     sendRequests(defect, () -> !violated(history).isEmpty());
