Soak: an end of a process is reported with its cause

An exit that the soak didn't cause was reported by its code alone, and the last lines were missing where writes to files were refused, as the program's output is a file too. The soak now reads the output from a pipe, notes when a process ended and shows its last lines. After the faults each control VM has to tell the document, so that one that runs and serves nothing is seen. A fault of all control VMs, and that of a replaced one, are recorded for the machines that they affect.

--- a/faultsoak/src/main/java/io/jacinthquay/soak/FaultInjector.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/FaultInjector.java
@@ -1,6 +1,7 @@
 package io.jacinthquay.soak;
 
 import java.io.IOException;
+import java.util.OptionalInt;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -12,7 +13,7 @@
   private static final Logger log = LogManager.getLogger();
 
   /** Time for bytes that a link held back to arrive after the end of a fault. */
-  private static final long SETTLE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+  static final long SETTLE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
   /**
    * Time from listing an upstream as draining to its end. Routers poll the list a few times a
@@ -45,21 +46,23 @@
   /** Injects one fault and returns after its end. */
   void inject(Fault fault) {
     long from = System.nanoTime();
+    OptionalInt target = OptionalInt.of(fault.target());
     try {
-      if (!apply(fault)) {
-        return;
-      }
+      target = apply(fault);
     } catch (IOException e) {
       log.warn("fault {} could not be injected: {}", fault, e.getMessage());
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
-    history.add(
-        new FaultPeriod(fault.kind(), fault.target(), from, System.nanoTime() + SETTLE_NANOS));
+    long until = System.nanoTime() + SETTLE_NANOS;
+    target.ifPresent(number -> history.add(new FaultPeriod(fault.kind(), number, from, until)));
   }
 
-  /** Injects a fault; returns whether it was, or false if it would be more than is tolerated. */
-  private boolean apply(Fault fault) throws IOException, InterruptedException {
+  /**
+   * Injects a fault; returns the target that it affected, -1 for all, or empty if the fault would
+   * be more than is tolerated.
+   */
+  private OptionalInt apply(Fault fault) throws IOException, InterruptedException {
     int target = fault.target();
     if (fault.kind() == FaultKind.CONTROL_WIPED || fault.kind() == FaultKind.CONTROL_REPLACED) {
       return loseDisk(fault);
@@ -82,6 +85,7 @@
         for (int control = 0; control < system.operatorAddresses().size(); control++) {
           system.control(control).start();
         }
+        return OptionalInt.of(-1);
       }
       case CONTROL_SILENT -> applyMode(system.internalLink(target), LinkProxy.Mode.SILENT, fault);
       case CONTROL_ONE_WAY -> applyMode(system.internalLink(target), LinkProxy.Mode.ONE_WAY, fault);
@@ -105,20 +109,21 @@
       case OBSERVER_STALLED -> throw new IllegalArgumentException(fault + " can't be injected");
       default -> throw new IllegalArgumentException("unknown fault " + fault);
     }
-    return true;
+    return OptionalInt.of(target);
   }
 
   /**
    * Deletes the disk of a control VM or replaces the VM, and waits until the new disk has the place
-   * of the lost one; returns false if another lost disk is not replaced yet.
+   * of the lost one. Returns the number of the control VM, or empty if another lost disk is not
+   * replaced yet.
    */
-  private boolean loseDisk(Fault fault) throws IOException, InterruptedException {
+  private OptionalInt loseDisk(Fault fault) throws IOException, InterruptedException {
     if (!diskLoss.tryAcquire()) {
-      return false;
+      return OptionalInt.empty();
     }
     try {
       if (!system.allControlsVote()) {
-        return false;
+        return OptionalInt.empty();
       }
       int target = fault.target();
       if (fault.kind() == FaultKind.CONTROL_WIPED) {
@@ -138,7 +143,7 @@
       while (!system.allControlsVote() && System.nanoTime() - end < 0) {
         TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
       }
-      return true;
+      return OptionalInt.of(target);
     } finally {
       diskLoss.release();
     }
--- a/faultsoak/src/main/java/io/jacinthquay/soak/History.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/History.java
@@ -20,6 +20,7 @@
   private final Collection<Evacuation> evacuations = new ConcurrentLinkedQueue<>();
   private final Collection<Disconnect> disconnects = new ConcurrentLinkedQueue<>();
   private final Collection<Duty> duties = new ConcurrentLinkedQueue<>();
+  private final Collection<OwnEnd> ownEnds = new ConcurrentLinkedQueue<>();
   private final Collection<String> unexpected = new ConcurrentLinkedQueue<>();
 
   /**
@@ -83,6 +84,26 @@
    */
   record Duty(String subject, String holder, long fencingToken, String content) {}
 
+  /**
+   * The end of a process that the soak did not cause.
+   *
+   * @param where whether it was a router or a control VM
+   * @param number number of the router or control VM
+   * @param exitCode its exit code
+   * @param atNanos when it ended, on the monotonic clock
+   * @param lastLines the last lines of its output
+   */
+  record OwnEnd(
+      FaultKind.Where where, int number, int exitCode, long atNanos, List<String> lastLines) {
+    OwnEnd {
+      lastLines = List.copyOf(lastLines);
+    }
+  }
+
+  void add(OwnEnd end) {
+    ownEnds.add(end);
+  }
+
   void add(Call call) {
     calls.add(call);
   }
@@ -168,6 +189,10 @@
     return List.copyOf(acknowledged);
   }
 
+  List<OwnEnd> ownEnds() {
+    return List.copyOf(ownEnds);
+  }
+
   List<Duty> duties() {
     return List.copyOf(duties);
   }
--- a/faultsoak/src/main/java/io/jacinthquay/soak/OperatorCalls.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/OperatorCalls.java
@@ -32,7 +32,12 @@
 
   /** Sends a call once. */
   Either<Failure, HttpResponse> send(String method, String path, String body) {
-    InetSocketAddress control = controls.get(random.nextInt(controls.size()));
+    return send(random.nextInt(controls.size()), method, path, body);
+  }
+
+  /** Sends a call once to the control VM with a number. */
+  Either<Failure, HttpResponse> send(int number, String method, String path, String body) {
+    InetSocketAddress control = controls.get(number);
     return http.call(new HttpCall(method, control, path, List.of(), body, TIMEOUT, () -> true));
   }
 
--- a/faultsoak/src/main/java/io/jacinthquay/soak/OperatorLoop.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/OperatorLoop.java
@@ -71,7 +71,16 @@
   @Override
   public OptionalLong readVersion() {
     long requestedNanos = System.nanoTime();
-    Either<Failure, HttpResponse> response = calls.send("GET", PATH, "");
+    return version(requestedNanos, calls.send("GET", PATH, ""));
+  }
+
+  /** Reads the document from one control VM; returns its version, or empty on failure. */
+  OptionalLong readVersion(int control) {
+    long requestedNanos = System.nanoTime();
+    return version(requestedNanos, calls.send(control, "GET", PATH, ""));
+  }
+
+  private OptionalLong version(long requestedNanos, Either<Failure, HttpResponse> response) {
     if (response.isLeft() || !response.get().isSuccess()) {
       return OptionalLong.empty();
     }
--- a/faultsoak/src/main/java/io/jacinthquay/soak/ProgramProcess.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/ProgramProcess.java
@@ -2,15 +2,23 @@
 
 import java.io.File;
 import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.function.Supplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 
 /** A program that runs as a process and can be stopped, signalled and started again. */
 final class ProgramProcess implements AutoCloseable {
+  private static final Logger log = LogManager.getLogger();
   private static final String LOG_LEVEL = "JQ_LOG_LEVEL";
   private static final String SETTINGS_FILE = "JACINTHQUAY_SETTINGS";
   private static final long KILL_TIMEOUT_SECONDS = 10;
@@ -18,6 +26,10 @@
   /** Exit code of a process that SIGHUP terminated: 128 plus the number of the signal. */
   private static final int SIGHUP_EXIT_CODE = 128 + 1;
 
+  private static final long OUTPUT_TIMEOUT_MILLIS = 1_000;
+  private static final int MAX_LAST_LINES = 4;
+  private static final int MAX_LINE_CHARS = 300;
+
   /** Longer than the grace period of 8 s with which the programs are started. */
   private static final long STOP_TIMEOUT_SECONDS = 9;
 
@@ -31,7 +43,28 @@
   /** Size of the output file when the process was started. */
   private long outputBytesAtStart;
 
-  private final List<Integer> unexpectedExits = new ArrayList<>();
+  private final List<Exit> unexpectedExits = new ArrayList<>();
+
+  /** When the process ended, on the monotonic clock. */
+  private CompletableFuture<Long> endNanos = new CompletableFuture<>();
+
+  /**
+   * Copies the output of the process, which so can write it whatever writes to files are refused.
+   */
+  private Thread outputThread;
+
+  /**
+   * An exit that this class did not cause.
+   *
+   * @param code exit code
+   * @param atNanos when the process ended, on the monotonic clock
+   * @param lastLines the last lines of its output
+   */
+  record Exit(int code, long atNanos, List<String> lastLines) {
+    Exit {
+      lastLines = List.copyOf(lastLines);
+    }
+  }
 
   /**
    * Returns a program that does not run yet.
@@ -58,28 +91,63 @@
     File outputFile = output.toFile();
     outputBytesAtStart = outputFile.length();
     ProcessBuilder builder =
-        new ProcessBuilder(command.get())
-            .directory(root.toFile())
-            .redirectErrorStream(true)
-            .redirectOutput(ProcessBuilder.Redirect.appendTo(outputFile));
+        new ProcessBuilder(command.get()).directory(root.toFile()).redirectErrorStream(true);
     // The soak's own log level must not suppress the log lines of the programs.
     builder.environment().remove(LOG_LEVEL);
     builder.environment().put(SETTINGS_FILE, settings.toString());
-    process = builder.start();
+    Process started = builder.start();
+    endNanos = started.onExit().thenApply(ended -> System.nanoTime());
+    outputThread = new Thread(() -> copyOutput(started), "soak-output");
+    outputThread.setDaemon(true);
+    outputThread.start();
+    process = started;
+  }
+
+  private void copyOutput(Process started) {
+    try (OutputStream file =
+        Files.newOutputStream(output, StandardOpenOption.CREATE, StandardOpenOption.APPEND)) {
+      started.getInputStream().transferTo(file);
+    } catch (IOException e) {
+      log.debug("the output of a process ended: {}", e.getMessage());
+    }
+  }
+
+  private List<String> lastLines() {
+    try {
+      List<String> lines =
+          Files.readString(output, StandardCharsets.ISO_8859_1)
+              .substring((int) outputBytesAtStart)
+              .lines()
+              .map(line -> line.substring(0, Math.min(line.length(), MAX_LINE_CHARS)))
+              .toList();
+      return lines.subList(Math.max(0, lines.size() - MAX_LAST_LINES), lines.size());
+    } catch (IOException e) {
+      return List.of("no output can be read: " + e.getMessage());
+    }
   }
 
   private void recordUnexpectedExit() {
     if (process != null && !process.isAlive() && !stopping) {
+      awaitOutput();
       // SIGHUP terminates a JVM that has not reached the program and its signal handler yet.
       boolean beforeProgram =
           process.exitValue() == SIGHUP_EXIT_CODE && output.toFile().length() == outputBytesAtStart;
       if (!beforeProgram) {
-        unexpectedExits.add(process.exitValue());
+        unexpectedExits.add(
+            new Exit(process.exitValue(), endNanos.getNow(System.nanoTime()), lastLines()));
       }
       stopping = true;
     }
   }
 
+  private void awaitOutput() {
+    try {
+      outputThread.join(OUTPUT_TIMEOUT_MILLIS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   /** Sends a signal to the process if it is alive. */
   synchronized void signal(String name) throws IOException {
     runForProcess(pid -> List.of("kill", "-" + name, pid));
@@ -151,8 +219,8 @@
     }
   }
 
-  /** Returns the exit codes of exits that this class did not cause. */
-  synchronized List<Integer> unexpectedExits() {
+  /** Returns the exits that this class did not cause. */
+  synchronized List<Exit> unexpectedExits() {
     recordUnexpectedExit();
     return List.copyOf(unexpectedExits);
   }
--- a/faultsoak/src/main/java/io/jacinthquay/soak/SoakReport.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/SoakReport.java
@@ -14,7 +14,6 @@
  * @param verdicts results of the checks, by guarantee
  * @param faultPeriods the injected faults
  * @param calls requests of the callers
- * @param unexpectedExits exits of processes that the soak did not cause, with their exit codes
  * @param longestDisconnectDelayNanos longest time that a link delayed the disconnect of a caller
  * @param latencies latencies of successful requests, in microseconds
  */
@@ -23,7 +22,6 @@
     Map<String, Verdict> verdicts,
     List<FaultPeriod> faultPeriods,
     List<Call> calls,
-    List<String> unexpectedExits,
     long longestDisconnectDelayNanos,
     Histogram latencies) {
   private static final int MAX_SHOWN = 5;
@@ -37,7 +35,6 @@
             verdict.violations().stream()
                 .limit(MAX_SHOWN)
                 .forEach(violation -> violations.add(guarantee + ": " + violation)));
-    unexpectedExits.forEach(exit -> violations.add("processes end when they are told to: " + exit));
     return violations;
   }
 
--- a/faultsoak/src/main/java/io/jacinthquay/soak/SoakRun.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/SoakRun.java
@@ -55,6 +55,8 @@
           new ResponseCheck(),
           new ForwardedRequestCheck(),
           new PlannedStopCheck(),
+          new OwnEndCheck(false),
+          new OwnEndCheck(true),
           new LostRequestCheck(),
           new RequestTimeoutCheck(),
           new DocumentCheck(),
@@ -194,14 +196,18 @@
     verdict.judge(
         notServing.isEmpty(),
         "routers " + notServing + " do not serve " + RECOVERY_TIMEOUT.toSeconds() + " s later");
-    boolean read = operator.readVersion().isPresent();
-    while (!read && recovering.getAsBoolean()) {
-      TimeUnit.MILLISECONDS.sleep(PROBE_INTERVAL_MILLIS);
-      read = operator.readVersion().isPresent();
+    boolean anyReads = false;
+    for (int i = 0; i < system.operatorAddresses().size(); i++) {
+      boolean reads = operator.readVersion(i).isPresent();
+      while (!reads && recovering.getAsBoolean()) {
+        TimeUnit.MILLISECONDS.sleep(PROBE_INTERVAL_MILLIS);
+        reads = operator.readVersion(i).isPresent();
+      }
+      verdict.judge(reads, "control VM " + i + " does not tell the document");
+      anyReads |= reads;
     }
-    verdict.judge(read, "no control VM tells the document");
     verdict.judge(
-        !read || awaitVersion(system, operator, recovering),
+        !anyReads || awaitVersion(system, operator, recovering),
         "routers follow versions " + versions(system) + " after the faults");
     return verdict;
   }
@@ -276,6 +282,7 @@
 
   private SoakReport report(SoakSystem system, Map<String, Verdict> afterFaults) {
     Map<String, Verdict> verdicts = new LinkedHashMap<>();
+    system.ownEnds().forEach(history::add);
     CHECKS.forEach(check -> verdicts.put(check.guarantee(), check.judge(history)));
     verdicts.putAll(afterFaults);
     return new SoakReport(
@@ -283,7 +290,6 @@
         verdicts,
         history.faultPeriods(),
         history.calls(),
-        system.unexpectedExits(),
         DisconnectCheck.longestDisconnectDelayNanos(history),
         latencies.getIntervalHistogram());
   }
--- a/faultsoak/src/main/java/io/jacinthquay/soak/SoakSystem.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/SoakSystem.java
@@ -240,21 +240,24 @@
     return killed;
   }
 
-  /** Returns a description of each exit that the soak did not cause. */
-  List<String> unexpectedExits() {
-    List<String> exits = new ArrayList<>();
+  /** Returns each end of a process that the soak did not cause. */
+  List<History.OwnEnd> ownEnds() {
+    List<History.OwnEnd> ends = new ArrayList<>();
     for (int i = 0; i < routers.size(); i++) {
-      exits.addAll(describeExits("router " + i, routers.get(i)));
+      ends.addAll(ownEnds(FaultKind.Where.ROUTER, i, routers.get(i)));
     }
     for (int i = 0; i < controls.size(); i++) {
-      exits.addAll(describeExits("control VM " + i, controls.get(i)));
+      ends.addAll(ownEnds(FaultKind.Where.CONTROL, i, controls.get(i)));
     }
-    return exits;
+    return ends;
   }
 
-  private static List<String> describeExits(String name, ProgramProcess process) {
+  private static List<History.OwnEnd> ownEnds(
+      FaultKind.Where where, int number, ProgramProcess process) {
     return process.unexpectedExits().stream()
-        .map(code -> name + " ended with code " + code)
+        .map(
+            exit ->
+                new History.OwnEnd(where, number, exit.code(), exit.atNanos(), exit.lastLines()))
         .toList();
   }
 
