--- a/faultsoak/src/test/java/io/jacinthquay/soak/ChecksTest.java
+++ b/faultsoak/src/test/java/io/jacinthquay/soak/ChecksTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.jacinthquay.model.RequestId;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.stream.IntStream;
@@ -108,6 +109,41 @@
           history.add(run(CallKind.ONCE, 10, 100));
           history.add(new FaultPeriod(FaultKind.ROUTER_STOPPED, ROUTER, nanos(50), nanos(200)));
         }),
+    CONNECTION_IS_CLOSED_ON_A_REQUEST_THAT_WAS_PASSED_ON(
+        new LostRequestCheck(),
+        history -> {
+          history.add(call(CallKind.ONCE, Call.Ending.BROKEN, 0, "", 100));
+          history.add(new History.Arrival(ID, UPSTREAM, nanos(10)));
+        }),
+    ANSWER_OF_A_SOUND_UPSTREAM_IS_CUT_OFF(
+        new LostRequestCheck(),
+        history -> {
+          history.add(call(CallKind.SAFE, Call.Ending.BROKEN, 200, "answer", 100));
+          history.add(new History.Arrival(ID, UPSTREAM, nanos(10)));
+          history.add(run(CallKind.SAFE, 10, 90));
+        }),
+    CONNECTION_IS_CLOSED_AT_THE_TIMEOUT_WITHOUT_AN_ANSWER(
+        new LostRequestCheck(),
+        history -> {
+          history.add(call(CallKind.ONCE, Call.Ending.BROKEN, 0, "", 3_000));
+          history.add(new History.Arrival(ID, UPSTREAM, nanos(10)));
+        }),
+    REQUEST_IS_UNANSWERED_AFTER_ITS_TIMEOUT(
+        new RequestTimeoutCheck(),
+        history -> history.add(call(CallKind.SAFE, Call.Ending.LEFT, 0, "", 3_501))),
+    ANSWER_COMES_LONG_AFTER_THE_TIMEOUT(
+        new RequestTimeoutCheck(),
+        history ->
+            history.add(call(CallKind.STREAM, Call.Ending.ANSWERED, 200, COMPLETE_STREAM, 3_501))),
+    PROCESS_ENDS_BY_ITSELF(
+        new OwnEndCheck(false), history -> history.add(ownEnd(FaultKind.Where.CONTROL, ROUTER))),
+    PROCESS_ENDS_IN_A_DISTURBANCE(
+        new OwnEndCheck(true),
+        history -> {
+          history.add(ownEnd(FaultKind.Where.CONTROL, ROUTER));
+          history.add(
+              new FaultPeriod(FaultKind.CONTROL_DISK_FULL, ROUTER, nanos(900), nanos(1_500)));
+        }),
     OLDER_DOCUMENT_IS_READ(
         new DocumentCheck(),
         history -> {
@@ -197,7 +233,7 @@
   private static void addArrivals(History history, int count, long fromMillis, long untilMillis) {
     for (int i = 0; i < count; i++) {
       long at = nanos(fromMillis + i * (untilMillis - fromMillis) / Math.max(1, count - 1));
-      history.add(new History.Arrival(ID, Documents.serviceOf(UPSTREAM), at));
+      history.add(new History.Arrival(ID, UPSTREAM, at));
     }
   }
 
@@ -227,6 +263,10 @@
     }
   }
 
+  private static History.OwnEnd ownEnd(FaultKind.Where where, int number) {
+    return new History.OwnEnd(where, number, 1, nanos(1_000), List.of("the last line"));
+  }
+
   private static Call call(
       CallKind kind, Call.Ending ending, int status, String body, long endMillis) {
     return new Call(ID, kind, ROUTER, PORT, 0, nanos(endMillis), ending, status, body, 2_000);
@@ -299,7 +339,7 @@
               200,
               "",
               2_000));
-      history.add(new History.Arrival(id, Documents.serviceOf(UPSTREAM), nanos(sentMillis)));
+      history.add(new History.Arrival(id, UPSTREAM, nanos(sentMillis)));
     }
     addArrivals(history, Deployment.RETRY_EXTRA + 2, 0, 100);
     assertEquals(violations, new RetryBudgetCheck().judge(history).violations().size());
