Log storage: start after a first start that created no segment

A control VM that was killed, lost power or met a full disk between the first write of the watermark and the creation of the first segment never started again: "0.log: synced entries before byte 0 are damaged or missing". The same state follows the erasure of a removed replica, and the replica then takes no part for good.

Cause: the watermark (0, 0), which says that nothing is synced, was held against a log without segments.

A watermark of nothing now requires nothing.

--- a/consensus/src/main/java/io/jacinthquay/consensus/storage/SegmentedLog.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/storage/SegmentedLog.java
@@ -136,7 +136,9 @@
       throw Corruption.of(
           scans.get(0).path(), "entries or a snapshot before this segment are missing");
     }
-    synced.ifPresent(position -> checkSynced(scans, position));
+    synced
+        .filter(position -> !position.equals(NOTHING_SYNCED))
+        .ifPresent(position -> checkSynced(scans, position));
   }
 
   private static void checkSynced(List<SegmentScan> scans, SyncWatermark.Position position) {
--- a/consensus/src/test/java/io/jacinthquay/consensus/storage/FileLogStorageTest.java
+++ b/consensus/src/test/java/io/jacinthquay/consensus/storage/FileLogStorageTest.java
@@ -371,4 +371,23 @@
     assertEquals(12L, lastIndex(indexes(reopen())));
     assertFalse(Files.exists(torn));
   }
+
+  /** The process ends, or its disk is full, after the watermark and before the first segment. */
+  @Test
+  void startsAgainAfterFirstStartThatCreatedNoSegment() throws IOException {
+    ReplicaId first;
+    try (LogStorage storage = open()) {
+      first = storage.self();
+    }
+    Files.delete(lastSegment());
+    try (SyncWatermark watermark = SyncWatermark.open(folder().resolve("synced"))) {
+      watermark.writeDurably(new SyncWatermark.Position(0, 0));
+    }
+    try (LogStorage storage = open()) {
+      assertEquals(first, storage.self());
+      storage.append(commands(1, 1, 1));
+      storage.sync();
+    }
+    assertEquals(List.of(1L), indexes(reopen()));
+  }
 }
