Log storage: keep the log without gaps when removed segments come back after a loss of power

A control VM whose machine lost power shortly after several segments had been removed at once never started again: "entries are missing after index N; synced data is damaged". Its vote, and what it had acknowledged, were gone.

Cause: each removal may be lost on its own until the folder is synced.

Now the last segments are removed first, each durably, and a reset removes all before it creates the new one, so that what remains is a prefix.

--- a/consensus/src/main/java/io/jacinthquay/consensus/storage/SegmentedLog.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/storage/SegmentedLog.java
@@ -98,23 +98,24 @@
     }
   }
 
-  /** Deletes old segments that remain after a crash interrupts the installation of a snapshot. */
+  /**
+   * Deletes segments that the snapshot covers and after which entries are missing: they remain if
+   * power was lost after segments were removed, since each removal may be lost on its own.
+   */
   private static void deleteObsoleteSegments(List<SegmentScan> scans, SnapshotMeta snapshot)
       throws IOException {
-    long first = snapshot.index() + 1;
-    boolean installed =
-        snapshot.index() > 0 && scans.stream().anyMatch(scan -> scan.firstIndex() == first);
-    if (!installed) {
-      return;
-    }
-    List<SegmentScan> older = scans.stream().filter(s -> s.firstIndex() < first).toList();
-    boolean contiguous = !older.isEmpty() && older.get(older.size() - 1).lastIndex() == first - 1;
-    if (!contiguous) {
-      for (SegmentScan scan : older) {
-        Files.delete(scan.path());
+    int obsolete = 0;
+    for (int i = 1; i < scans.size(); i++) {
+      boolean covered = scans.get(i).firstIndex() <= snapshot.index() + 1;
+      if (covered && scans.get(i).firstIndex() != scans.get(i - 1).lastIndex() + 1) {
+        obsolete = i;
       }
-      scans.removeAll(older);
     }
+    List<SegmentScan> older = scans.subList(0, obsolete);
+    for (SegmentScan scan : older) {
+      Files.delete(scan.path());
+    }
+    older.clear();
   }
 
   private static void checkSegments(
@@ -197,12 +198,17 @@
     watermark.writeDurably(
         new SyncWatermark.Position(lastKept.firstIndex(), lastKept.offset(index)));
     while (active() != lastKept) {
-      segments.pollLastEntry().getValue().delete();
+      deleteLastSegment();
     }
-    AtomicFile.syncFolder(folder);
     lastKept.truncateFrom(index);
   }
 
+  /** Deletes the last segment durably, so that a loss of power leaves no gap before a later one. */
+  private void deleteLastSegment() throws IOException {
+    segments.pollLastEntry().getValue().delete();
+    AtomicFile.syncFolder(folder);
+  }
+
   void sync() throws IOException {
     active().sync();
     watermark.write(new SyncWatermark.Position(active().firstIndex(), active().size()));
@@ -217,20 +223,12 @@
 
   /** Removes all entries and starts the log at an index; durable on return. */
   void reset(long firstIndex) throws IOException {
-    List<Segment> oldSegments = new ArrayList<>(segments.values());
-    segments.clear();
-    for (Segment segment : oldSegments) {
-      segment.close();
-    }
     watermark.writeDurably(NOTHING_SYNCED);
+    while (!segments.isEmpty()) {
+      deleteLastSegment();
+    }
     segments.put(firstIndex, Segment.create(folder, firstIndex, preallocationBytes));
     watermark.writeDurably(new SyncWatermark.Position(firstIndex, SegmentScan.HEADER_BYTES));
-    for (Segment segment : oldSegments) {
-      if (segment.firstIndex() != firstIndex) {
-        segment.delete();
-      }
-    }
-    AtomicFile.syncFolder(folder);
   }
 
   @Override
--- a/consensus/src/main/java/io/jacinthquay/consensus/storage/SnapshotFiles.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/storage/SnapshotFiles.java
@@ -7,10 +7,11 @@
 import java.io.BufferedOutputStream;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
-import java.io.FileOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.OutputStream;
 import java.nio.ByteBuffer;
+import java.nio.channels.Channels;
 import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -76,7 +77,13 @@
   /** Writes a snapshot; durable on return. */
   void save(SnapshotMeta meta, SnapshotWriter writer) throws IOException {
     Path temp = folder.resolve(OWN_TEMP);
-    try (FileOutputStream file = new FileOutputStream(temp.toFile())) {
+    try (FileChannel channel =
+        FileChannel.open(
+            temp,
+            StandardOpenOption.CREATE,
+            StandardOpenOption.TRUNCATE_EXISTING,
+            StandardOpenOption.WRITE)) {
+      OutputStream file = Channels.newOutputStream(channel);
       CheckedOutputStream checked =
           new CheckedOutputStream(new BufferedOutputStream(file, BUFFER_BYTES), new CRC32C());
       DataOutputStream out = new DataOutputStream(checked);
@@ -88,7 +95,7 @@
       out.flush();
       out.writeInt((int) checked.getChecksum().getValue());
       out.flush();
-      file.getChannel().force(true);
+      channel.force(true);
     }
     publish(temp, meta);
   }
