Listeners: wait for an address that another socket holds

CallerServer and PlainServer bound once and threw IllegalStateException.

PlainServer, which listened again after an error while it ran, now does so from the start, with a back-off up to 1 s; it tests the address first, since Thrift leaves a socket open when it can't bind it. A stop ends the retries.

--- a/router/src/main/java/io/jacinthquay/router/ForwardRouter.java
+++ b/router/src/main/java/io/jacinthquay/router/ForwardRouter.java
@@ -111,10 +111,11 @@
   public void start() {
     server.start();
     core.thread(server.thread());
+    core.listening(server::isListening);
     server.addListenAddress(endpoints.ready(), ready.apply(core));
     server.addListenAddress(endpoints.metrics(), new MetricsIntake(core.metrics().registry()));
     link.start();
-    log.info("router {} listens on {}", endpoints.name(), endpoints.callers());
+    log.info("router {} started for callers at {}", endpoints.name(), endpoints.callers());
   }
 
   /**
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/CallerServer.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/CallerServer.java
@@ -13,6 +13,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.apache.logging.log4j.LogManager;
@@ -25,7 +26,6 @@
 import org.xnio.StreamConnection;
 import org.xnio.Xnio;
 import org.xnio.XnioWorker;
-import org.xnio.channels.AcceptingChannel;
 import org.xnio.conduits.ConduitStreamSourceChannel;
 import org.xnio.conduits.ReadReadyHandler;
 
@@ -63,7 +63,8 @@
   private final AtomicInteger openConnections = new AtomicInteger();
   private XnioWorker worker;
   private HttpOpenListener http;
-  private AcceptingChannel<StreamConnection> listener;
+  private RetryingListener listener;
+  private final List<RetryingListener> additionalListeners = new CopyOnWriteArrayList<>();
 
   /**
    * Returns a server.
@@ -82,19 +83,29 @@
     this.memory = new BufferBudget(limits.maxBufferedBytes());
   }
 
+  /** Starts the I/O threads, and listens now or, if another socket holds the address, later. */
   @Override
   public void start() {
     http = new HttpOpenListener(buffers, serverOptions());
     http.setRootHandler(new CallerHandler(intake, limits, memory, connectionTracker));
     try {
       worker = Xnio.getInstance().createWorker(workerOptions());
-      listener =
-          worker.createStreamConnectionServer(
-              address, ChannelListeners.openListenerAdapter(this::onAccepted), socketOptions());
-      listener.resumeAccepts();
     } catch (IOException e) {
-      throw new IllegalStateException("cannot listen on " + address + ": " + e.getMessage(), e);
+      throw new IllegalStateException("cannot create the I/O threads: " + e.getMessage(), e);
     }
+    listener = listen(address, this::onAccepted);
+  }
+
+  private RetryingListener listen(
+      InetSocketAddress listenAddress, ChannelListener<StreamConnection> onConnection) {
+    RetryingListener opened =
+        new RetryingListener(
+            listenAddress,
+            worker,
+            socketOptions(),
+            ChannelListeners.openListenerAdapter(onConnection));
+    opened.open();
+    return opened;
   }
 
   private OptionMap workerOptions() {
@@ -163,9 +174,14 @@
     IoUtils.safeClose(connection);
   }
 
-  /** Returns the port that the server listens on. */
+  /** Returns the port that the server listens on, or is to listen on. */
   public int port() {
-    return listener.getLocalAddress(InetSocketAddress.class).getPort();
+    return listener.port();
+  }
+
+  /** Returns whether callers can connect: false until the address was free, and after the end. */
+  public boolean isListening() {
+    return listener.isOpen();
   }
 
   /** Returns the first I/O thread, which is the only one if the server has one. */
@@ -174,29 +190,18 @@
   }
 
   /**
-   * Listens on a further address, with the same I/O threads.
+   * Listens on a further address, with the same I/O threads, now or once the address is free.
    *
    * @param additionalAddress the address to listen on
    * @param additionalIntake handles the requests to that address
-   * @throws IllegalStateException if the server can't listen on the address
    */
   public void addListenAddress(
       InetSocketAddress additionalAddress, RequestIntake additionalIntake) {
     HttpOpenListener openListener = new HttpOpenListener(buffers, serverOptions());
     openListener.setRootHandler(
         new CallerHandler(additionalIntake, limits, memory, connectionTracker));
-    try {
-      worker
-          .createStreamConnectionServer(
-              additionalAddress,
-              ChannelListeners.openListenerAdapter(
-                  connection -> serve(connection, openListener, () -> {})),
-              socketOptions())
-          .resumeAccepts();
-    } catch (IOException e) {
-      throw new IllegalStateException(
-          "cannot listen on " + additionalAddress + ": " + e.getMessage(), e);
-    }
+    additionalListeners.add(
+        listen(additionalAddress, connection -> serve(connection, openListener, () -> {})));
   }
 
   /** Announces to callers by each response from now on that their connection is to be closed. */
@@ -226,9 +231,7 @@
 
   /** Stops accepting connections; open connections are not affected. */
   public void stopAccepting() {
-    if (listener.isOpen()) {
-      IoUtils.safeClose(listener);
-    }
+    listener.close();
   }
 
   @Override
@@ -237,6 +240,7 @@
       return;
     }
     stopAccepting();
+    additionalListeners.forEach(RetryingListener::close);
     connectionTracker.closeAll();
     List<Runnable> unused = worker.shutdownNow();
     try {
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
@@ -28,6 +28,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -88,6 +89,7 @@
   private volatile boolean upstreamsKnown;
   private boolean queuePollScheduled;
   private boolean silenceCheckScheduled;
+  private volatile BooleanSupplier listening = () -> true;
   private volatile boolean leaving;
   private volatile boolean refusingNew;
 
@@ -218,9 +220,15 @@
     return startupQueue.size();
   }
 
+  /** Sets what returns whether callers can connect; they can by default. */
+  public void listening(BooleanSupplier value) {
+    listening = value;
+  }
+
   /** Returns whether requests can be served. */
   public boolean isReady() {
     return isInitialized()
+        && listening.getAsBoolean()
         && !leaving
         && !contact.isIsolated(selector::hasReachableUpstream, clock.getAsLong());
   }
--- a/wire/src/main/java/io/jacinthquay/wire/transport/PlainServer.java
+++ b/wire/src/main/java/io/jacinthquay/wire/transport/PlainServer.java
@@ -1,7 +1,9 @@
 package io.jacinthquay.wire.transport;
 
 import io.jacinthquay.runtime.Service;
+import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
@@ -28,7 +30,8 @@
   /** Number of worker threads; the machines that run this server have one core. */
   private static final int WORKER_THREADS = 2;
 
-  private static final int RESTART_DELAY_MILLIS = 200;
+  private static final long MIN_DELAY_MILLIS = 200;
+  private static final long MAX_DELAY_MILLIS = 1_000;
 
   private final InetSocketAddress address;
   private final TProcessor processor;
@@ -47,17 +50,13 @@
     this.processor = processor;
   }
 
+  /** Starts to listen, now or, if another socket holds the address, once it is free. */
   @Override
   public void start() {
-    try {
-      listen();
-    } catch (TTransportException e) {
-      throw new IllegalStateException("cannot listen on " + address + ": " + e.getMessage(), e);
-    }
-    Thread selector = new Thread(this::serve, "thrift-" + address.getPort());
+    boolean listening = listenUnlessStopped();
+    Thread selector = new Thread(() -> serve(listening), "thrift-" + address.getPort());
     selector.setDaemon(true);
     selector.start();
-    log.info("Thrift server listens on {}", address);
   }
 
   private void listen() throws TTransportException {
@@ -74,18 +73,20 @@
   }
 
   /** Serves until the server is stopped; listens again if the selector ends by an error. */
-  private void serve() {
-    serveOnce();
-    boolean listening = true;
+  private void serve(boolean listensAtStart) {
+    boolean listening = listensAtStart;
+    long delayMillis = MIN_DELAY_MILLIS;
     while (!stopping) {
-      if (listening) {
-        log.error("the Thrift server on {} has ended; it will listen again", address);
-      }
-      pause();
-      listening = listenAgain();
       if (listening) {
         serveOnce();
+        delayMillis = MIN_DELAY_MILLIS;
       }
+      if (listening && !stopping) {
+        log.error("the Thrift server on {} has ended; it will listen again", address);
+      }
+      pause(delayMillis);
+      delayMillis = Math.min(2 * delayMillis, MAX_DELAY_MILLIS);
+      listening = listenUnlessStopped();
     }
   }
 
@@ -99,19 +100,32 @@
     }
   }
 
-  private boolean listenAgain() {
+  private synchronized boolean listenUnlessStopped() {
+    if (stopping) {
+      return false;
+    }
     try {
+      checkAddress();
       listen();
+      log.info("Thrift server listens on {}", address);
       return true;
-    } catch (TTransportException e) {
-      log.warn("cannot listen on {}: {}", address, e.getMessage());
+    } catch (IOException | TTransportException e) {
+      log.warn("cannot listen on {}; it will be tried again: {}", address, e.getMessage());
       return false;
     }
   }
 
-  private static void pause() {
+  /** Checks that the address is free; Thrift leaves a socket open when it can't bind it. */
+  private void checkAddress() throws IOException {
+    try (ServerSocket socket = new ServerSocket()) {
+      socket.setReuseAddress(true);
+      socket.bind(address);
+    }
+  }
+
+  private static void pause(long millis) {
     try {
-      TimeUnit.MILLISECONDS.sleep(RESTART_DELAY_MILLIS);
+      TimeUnit.MILLISECONDS.sleep(millis);
     } catch (InterruptedException e) {
       // Only stop() ends the thread.
       return;
@@ -119,7 +133,7 @@
   }
 
   @Override
-  public void stop() {
+  public synchronized void stop() {
     stopping = true;
     if (server != null) {
       server.stop();
--- a/wire/src/test/java/io/jacinthquay/wire/transport/PlainServerTest.java
+++ b/wire/src/test/java/io/jacinthquay/wire/transport/PlainServerTest.java
@@ -1,5 +1,6 @@
 package io.jacinthquay.wire.transport;
 
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -58,6 +59,52 @@
     }
   }
 
+  private static PlainServer echo(InetSocketAddress address) {
+    return new PlainServer(
+        address,
+        (in, out) -> {
+          out.writeByte(in.readByte());
+          out.getTransport().flush();
+        });
+  }
+
+  /** A control VM ended if another socket held its inner port as it started. */
+  @Test
+  void servesOnceItsAddressIsFree() throws Exception {
+    try (ServerSocket holder = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      InetSocketAddress address =
+          new InetSocketAddress(InetAddress.getLoopbackAddress(), holder.getLocalPort());
+      PlainServer server = echo(address);
+      server.start();
+      TimeUnit.MILLISECONDS.sleep(300);
+      holder.close();
+      try {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+        boolean served = false;
+        while (!served && System.nanoTime() < end) {
+          served = call(address);
+        }
+        assertTrue(served, "no call was served within 10 s");
+      } finally {
+        server.stop();
+      }
+    }
+  }
+
+  @Test
+  void stoppedServerNoLongerWaitsForItsAddress() throws Exception {
+    try (ServerSocket holder = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      InetSocketAddress address =
+          new InetSocketAddress(InetAddress.getLoopbackAddress(), holder.getLocalPort());
+      PlainServer server = echo(address);
+      server.start();
+      server.stop();
+      holder.close();
+      TimeUnit.MILLISECONDS.sleep(1_500);
+      assertFalse(call(address));
+    }
+  }
+
   /** Interrupts the thread that waits for the end of the selector, which ends the server. */
   private static void interruptSelectors() {
     Thread.getAllStackTraces().keySet().stream()
