Soak: upstreams answer late again, close kept connections and send unusual heads

Now some come up to 3 s later on the kept connection, while it is idle or just before the next answer, and never within one. Some answers announce the end of their connection, some a timeout that the upstream doesn't keep, and some have a head that is valid and unusual.

--- a/faultsoak/src/main/java/io/jacinthquay/soak/FakeUpstream.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/FakeUpstream.java
@@ -7,13 +7,18 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.util.SplittableRandom;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 
 /**
  * A fake upstream that draws its behavior from a seed, fails some requests on purpose and records
  * each run.
  */
 final class FakeUpstream implements AutoCloseable {
+  private static final Logger log = LogManager.getLogger();
   private static final int MAX_WORK_MILLIS = 80;
 
   /** Work of a slow request. */
@@ -21,6 +26,12 @@
 
   private static final int MAX_GAP_MILLIS = 60;
 
+  /** Latest time at which the second copy of a response is sent. */
+  private static final int MAX_COPY_DELAY_MILLIS = 3_000;
+
+  /** Longest time for which an upstream keeps an idle connection after it told a timeout. */
+  private static final int MAX_IDLE_MILLIS = 1_000;
+
   /** Pause of a stalled stream; longer than any caller waits. */
   private static final int STALL_MILLIS = 60_000;
 
@@ -29,6 +40,13 @@
   private final History history;
   private final SplittableRandom random;
   private final Acceptor acceptor;
+  private final ScheduledExecutorService timers =
+      Executors.newSingleThreadScheduledExecutor(
+          task -> {
+            Thread thread = new Thread(task, "soak-upstream-timer");
+            thread.setDaemon(true);
+            return thread;
+          });
   private volatile String id;
 
   /**
@@ -66,11 +84,13 @@
 
   private void serve(Socket socket) throws IOException {
     PushbackInputStream in = new PushbackInputStream(socket.getInputStream());
+    ResponseWriter out = new ResponseWriter(socket);
     while (true) {
       HttpCodec.Head head = HttpCodec.readHead(in);
+      socket.setSoTimeout(0);
       StringBuilder body = new StringBuilder();
       HttpCodec.readBody(head, in, body::append);
-      if (!handle(new ReceivedRequest(socket, in, head, body.toString()))) {
+      if (!handle(new ReceivedRequest(socket, in, out, head, body.toString()))) {
         return;
       }
     }
@@ -127,6 +147,50 @@
         request.write(200, "Response-Signature: s\r\n", body);
         return true;
       }
+      default -> {
+        return respondUnusually(request, behavior, body);
+      }
+    }
+  }
+
+  /** Sends a whole response; a part of them is followed by a copy, or the connection by its end. */
+  private boolean respondUnusually(ReceivedRequest request, int behavior, String body)
+      throws IOException {
+    switch (behavior) {
+      case 11, 12 -> {
+        request.write(200, "Response-Signature: s\r\n", body);
+        // The copy may arrive while the connection is idle or just before the next response.
+        String copy = request.message(200, "Response-Signature: s\r\n", body);
+        var unused =
+            timers.schedule(
+                () -> request.out.sendBetweenResponses(copy),
+                nextInt(MAX_COPY_DELAY_MILLIS),
+                TimeUnit.MILLISECONDS);
+        return true;
+      }
+      case 13, 14 -> {
+        request.write(200, "Response-Signature: s\r\nConnection: close\r\n", body);
+        return false;
+      }
+      case 15, 16 -> {
+        request.write(
+            200,
+            "Response-Signature: s\r\nKeep-Alive: timeout=" + (1 + nextInt(60)) + "\r\n",
+            body);
+        request.socket.setSoTimeout(1 + nextInt(MAX_IDLE_MILLIS));
+        return true;
+      }
+      case 17, 18 -> {
+        // Unusual and valid: no reason, a field twice, odd case, spaces and an empty value.
+        request.send(
+            "HTTP/1.1 200 \r\nATTEMPT-ID:"
+                + request.id().value()
+                + "\r\nresponse-signature:   s  \r\nX-Odd:\r\nX-Odd: \t,;=\"\r\ncontent-LENGTH:"
+                + body.length()
+                + "\r\n\r\n"
+                + body);
+        return true;
+      }
       default -> {
         request.write(200, "Response-Signature: s\r\n", body);
         return true;
@@ -144,6 +208,15 @@
   }
 
   private boolean respondStreaming(ReceivedRequest request, int behavior) throws IOException {
+    request.out.beginResponse();
+    try {
+      return sendStream(request, behavior);
+    } finally {
+      request.out.endResponse();
+    }
+  }
+
+  private boolean sendStream(ReceivedRequest request, int behavior) throws IOException {
     int last = ExpectedResponse.eventCount(request.id());
     int first = 1 + (int) request.head.longField("Last-Event-Id").orElse(0);
     if (!request.simulateWork(1 + nextInt(MAX_WORK_MILLIS))) {
@@ -171,20 +244,60 @@
 
   @Override
   public void close() throws IOException {
+    timers.shutdownNow();
     acceptor.close();
   }
 
+  /** Writes responses to a connection; a late copy never falls within one. */
+  private static final class ResponseWriter {
+    private final Socket socket;
+    private boolean withinResponse;
+
+    ResponseWriter(Socket socket) {
+      this.socket = socket;
+    }
+
+    synchronized void beginResponse() {
+      withinResponse = true;
+    }
+
+    synchronized void endResponse() {
+      withinResponse = false;
+    }
+
+    synchronized void send(String text) throws IOException {
+      socket.getOutputStream().write(HttpCodec.encode(text));
+    }
+
+    synchronized void sendBetweenResponses(String text) {
+      try {
+        if (!withinResponse) {
+          send(text);
+        }
+      } catch (IOException e) {
+        log.debug("a copy of a response could not be sent: {}", e.getMessage());
+      }
+    }
+  }
+
   /** A received request and its connection. */
   private final class ReceivedRequest {
     private final Socket socket;
     private final PushbackInputStream in;
+    private final ResponseWriter out;
     private final HttpCodec.Head head;
     private final String body;
     private boolean truncated;
 
-    ReceivedRequest(Socket socket, PushbackInputStream in, HttpCodec.Head head, String body) {
+    ReceivedRequest(
+        Socket socket,
+        PushbackInputStream in,
+        ResponseWriter out,
+        HttpCodec.Head head,
+        String body) {
       this.socket = socket;
       this.in = in;
+      this.out = out;
       this.head = head;
       this.body = body;
     }
@@ -252,11 +365,15 @@
     }
 
     void write(int status, String fields, String content) throws IOException {
-      send(head(status, fields + "Content-Length: " + content.length()) + content);
+      send(message(status, fields, content));
+    }
+
+    String message(int status, String fields, String content) {
+      return head(status, fields + "Content-Length: " + content.length()) + content;
     }
 
     void send(String text) throws IOException {
-      socket.getOutputStream().write(HttpCodec.encode(text));
+      out.send(text);
     }
   }
 }
--- /dev/null
+++ b/faultsoak/src/test/java/io/jacinthquay/soak/FakeUpstreamTest.java
@@ -0,0 +1,105 @@
+package io.jacinthquay.soak;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/** The faults of an upstream that a router has to bear on a connection that it keeps. */
+final class FakeUpstreamTest {
+  private static final int CONNECTIONS = 12;
+  private static final int REQUESTS = 25;
+
+  private final AtomicInteger copies = new AtomicInteger();
+  private final AtomicInteger lateCopies = new AtomicInteger();
+  private final AtomicInteger announcedCloses = new AtomicInteger();
+  private final AtomicInteger brokenConnections = new AtomicInteger();
+  private final AtomicInteger unusualHeads = new AtomicInteger();
+
+  @Test
+  void responsesComeLateAgainAndConnectionsClose() throws Exception {
+    History history = new History();
+    ExecutorService threads = Executors.newCachedThreadPool();
+    try (FakeUpstream upstream = new FakeUpstream(0, 1, 0, history)) {
+      List<Callable<Void>> callers =
+          IntStream.range(0, CONNECTIONS)
+              .<Callable<Void>>mapToObj(number -> () -> call(upstream, number))
+              .toList();
+      for (Future<Void> caller : threads.invokeAll(callers)) {
+        caller.get();
+      }
+    } finally {
+      threads.shutdownNow();
+    }
+    assertTrue(copies.get() > 0);
+    assertTrue(lateCopies.get() > 0);
+    assertTrue(announcedCloses.get() > 0);
+    assertTrue(brokenConnections.get() > 0);
+    assertTrue(unusualHeads.get() > 0);
+    assertEquals(List.of(), history.unexpected());
+  }
+
+  /** Sends requests one after the other, on a new connection after the end of one. */
+  private Void call(FakeUpstream upstream, int number) throws IOException {
+    int sent = 0;
+    while (sent < REQUESTS) {
+      try (Socket socket =
+          new Socket(upstream.address().getAddress(), upstream.address().getPort())) {
+        InputStream in = new BufferedInputStream(socket.getInputStream());
+        List<String> answered = new ArrayList<>();
+        boolean closes = false;
+        while (sent < REQUESTS && !closes) {
+          sent++;
+          String id = "c" + number + "-" + sent;
+          socket.getOutputStream().write(HttpCodec.encode(request(id)));
+          closes = awaitResponse(id, in, answered);
+        }
+      } catch (IOException e) {
+        // The upstream broke off or closed an idle connection.
+        brokenConnections.incrementAndGet();
+      }
+    }
+    return null;
+  }
+
+  private static String request(String id) {
+    return "GET " + CallKind.SAFE.pathPrefix() + id + " HTTP/1.1\r\nAttempt-Id: " + id + "\r\n\r\n";
+  }
+
+  /** Reads up to the response to a request; returns whether the upstream closes the connection. */
+  private boolean awaitResponse(String id, InputStream in, List<String> answered)
+      throws IOException {
+    while (true) {
+      HttpCodec.Head head = HttpCodec.readHead(in);
+      StringBuilder body = new StringBuilder();
+      HttpCodec.readBody(head, in, body::append);
+      String answeredId = head.field("Attempt-Id");
+      if (head.line().equals("HTTP/1.1 200 ")) {
+        unusualHeads.incrementAndGet();
+      }
+      if (answeredId.equals(id)) {
+        answered.add(id);
+        boolean closes = head.field("Connection").equals("close");
+        announcedCloses.addAndGet(closes ? 1 : 0);
+        return closes;
+      }
+      assertTrue(answered.contains(answeredId), "a copy of an answer that was not sent");
+      copies.incrementAndGet();
+      if (!answered.get(answered.size() - 1).equals(answeredId)) {
+        lateCopies.incrementAndGet();
+      }
+    }
+  }
+}
