Soak: held ports, full disks of starts and in turn, signals to starts, hostile callers

Kinds of fault that have to be named play them: a port of a program held over its restart, a start with an empty folder and refused writes, SIGHUP in series and SIGTERM during a start, heads without their end and parts of requests on thousands of connections, and after all faults a disk that is full on one control VM after the other while documents change. What callers send is no disturbance, so it excuses no end of a process. The kinds stay out of all until the programs bear them.

--- a/faultsoak/src/main/java/io/jacinthquay/soak/Deployment.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/Deployment.java
@@ -156,6 +156,17 @@
     return address(ROUTER_SUBNET, number, publicPort);
   }
 
+  /** Returns the addresses on which a router listens. */
+  List<InetSocketAddress> routerPorts(int number) {
+    return List.of(
+        router(number), address(ROUTER_SUBNET, number, internalPort), routerMetrics(number));
+  }
+
+  /** Returns the addresses on which a control VM listens. */
+  List<InetSocketAddress> controlPorts(int place) {
+    return List.of(control(place), internalBindOf(place), controlMetrics(place));
+  }
+
   Path root() {
     return root;
   }
--- a/faultsoak/src/main/java/io/jacinthquay/soak/Disturbances.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/Disturbances.java
@@ -5,7 +5,7 @@
 
 /**
  * Periods in which a fault of a router, an upstream or their links may keep a request from an
- * answer. A reload disturbs nothing.
+ * answer. Reloads and what callers send disturb nothing.
  */
 final class Disturbances {
   /** A router is in touch again this long after a fault. */
@@ -20,7 +20,7 @@
   /** Returns whether a router was out of touch, or its callers' link disturbed, in a period. */
   boolean affectRouter(int router, long fromNanos, long untilNanos) {
     return faultPeriods.stream()
-        .filter(period -> period.kind() != FaultKind.ROUTER_HUP)
+        .filter(period -> period.kind().isDisturbance())
         .filter(period -> period.overlaps(fromNanos - CONTACT_WINDOW_NANOS, untilNanos))
         .anyMatch(
             period ->
--- a/faultsoak/src/main/java/io/jacinthquay/soak/FaultInjector.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/FaultInjector.java
@@ -64,7 +64,7 @@
    */
   private OptionalInt apply(Fault fault) throws IOException, InterruptedException {
     int target = fault.target();
-    if (fault.kind() == FaultKind.CONTROL_WIPED || fault.kind() == FaultKind.CONTROL_REPLACED) {
+    if (fault.kind().losesDisk()) {
       return loseDisk(fault);
     }
     switch (fault.kind()) {
@@ -87,6 +87,32 @@
         }
         return OptionalInt.of(-1);
       }
+      case UPSTREAM_LEAVES -> withdrawUpstream(target, fault);
+      case PLATFORM_SILENT -> applyMode(system.platformLink(), LinkProxy.Mode.SILENT, fault);
+      case ROUTER_PORT_HELD ->
+          StartFaults.holdPort(
+              system.router(target), system.routerPort(target, fault.durationMillis()), fault);
+      case CONTROL_PORT_HELD ->
+          StartFaults.holdPort(
+              system.control(target), system.controlPort(target, fault.durationMillis()), fault);
+      case ROUTER_START_SIGNALLED -> StartFaults.signalStart(system.router(target), fault);
+      case CONTROL_START_SIGNALLED -> StartFaults.signalStart(system.control(target), fault);
+      case ROUTER_HEADS ->
+          HostileCallers.sendHeads(system.routerPort(target, fault.durationMillis()), fault);
+      case CONTROL_HEADS ->
+          HostileCallers.sendHeads(system.controlPort(target, fault.durationMillis()), fault);
+      case ROUTER_PARTIAL_REQUESTS ->
+          HostileCallers.sendPartialRequests(system.routerPort(target, 0), fault);
+      case OBSERVER_STALLED, DISKS_FULL_IN_TURN ->
+          throw new IllegalArgumentException(fault + " can't be injected");
+      default -> applyToLink(fault);
+    }
+    return OptionalInt.of(target);
+  }
+
+  private void applyToLink(Fault fault) throws InterruptedException {
+    int target = fault.target();
+    switch (fault.kind()) {
       case CONTROL_SILENT -> applyMode(system.internalLink(target), LinkProxy.Mode.SILENT, fault);
       case CONTROL_ONE_WAY -> applyMode(system.internalLink(target), LinkProxy.Mode.ONE_WAY, fault);
       case CONTROL_DELAYED -> applyMode(system.internalLink(target), LinkProxy.Mode.DELAYED, fault);
@@ -104,12 +130,8 @@
       case UPSTREAM_DELAYED ->
           applyMode(system.upstreamLink(target), LinkProxy.Mode.DELAYED, fault);
       case UPSTREAM_RESET -> system.upstreamLink(target).reset();
-      case UPSTREAM_LEAVES -> withdrawUpstream(target, fault);
-      case PLATFORM_SILENT -> applyMode(system.platformLink(), LinkProxy.Mode.SILENT, fault);
-      case OBSERVER_STALLED -> throw new IllegalArgumentException(fault + " can't be injected");
       default -> throw new IllegalArgumentException("unknown fault " + fault);
     }
-    return OptionalInt.of(target);
   }
 
   /**
@@ -126,7 +148,11 @@
         return OptionalInt.empty();
       }
       int target = fault.target();
-      if (fault.kind() == FaultKind.CONTROL_WIPED) {
+      if (fault.kind() == FaultKind.CONTROL_WIPED_DISK_FULL) {
+        system.control(target).kill();
+        system.deleteData(target);
+        StartFaults.startWithFullDisk(system.control(target), fault);
+      } else if (fault.kind() == FaultKind.CONTROL_WIPED) {
         system.control(target).kill();
         system.deleteData(target);
         awaitEnd(fault);
@@ -134,7 +160,7 @@
       } else {
         // One after the other, so that soon none is left of those that a suspended router knows.
         target = replacements.getAndIncrement() % system.operatorAddresses().size();
-        end(system.control(target), fault);
+        StartFaults.end(system.control(target), fault);
         if (!system.replaceControl(target)) {
           log.warn("no address is left for a new control VM");
         }
@@ -149,15 +175,6 @@
     }
   }
 
-  /** Ends a process with SIGTERM or, for every other duration, with SIGKILL. */
-  private static void end(ProgramProcess process, Fault fault) throws IOException {
-    if (fault.durationMillis() % 2 == 0) {
-      process.kill();
-    } else if (!process.stop()) {
-      log.warn("a control VM did not stop within its grace period and was killed");
-    }
-  }
-
   private static void fillDisk(ProgramProcess process, Fault fault)
       throws IOException, InterruptedException {
     process.rejectWrites(true);
--- a/faultsoak/src/main/java/io/jacinthquay/soak/FaultKind.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/FaultKind.java
@@ -1,5 +1,10 @@
 package io.jacinthquay.soak;
 
+import java.util.Arrays;
+import java.util.EnumSet;
+import java.util.Set;
+import java.util.stream.Collectors;
+
 /** The kinds of fault that are injected into the system from outside. */
 enum FaultKind {
   /** SIGSTOP to a router, and SIGCONT at the end. */
@@ -52,6 +57,24 @@
   UPSTREAM_LEAVES(Where.UPSTREAM),
   /** The platform's API does not respond; connections stay open. */
   PLATFORM_SILENT(Where.PLATFORM),
+  /** A router ends, and another socket holds one of its ports over its restart. */
+  ROUTER_PORT_HELD(Where.ROUTER, Choice.NAMED),
+  /** A control VM ends, and another socket holds one of its ports over its restart. */
+  CONTROL_PORT_HELD(Where.CONTROL, Choice.NAMED),
+  /** SIGHUP in series and SIGTERM to a router that starts. */
+  ROUTER_START_SIGNALLED(Where.ROUTER, Choice.NAMED),
+  /** SIGHUP in series and SIGTERM to a control VM that starts. */
+  CONTROL_START_SIGNALLED(Where.CONTROL, Choice.NAMED),
+  /** A control VM starts with an empty data folder while its writes fail. */
+  CONTROL_WIPED_DISK_FULL(Where.CONTROL, Choice.NAMED),
+  /** Many connections to a port of a router carry a large part of a head without its end. */
+  ROUTER_HEADS(Where.ROUTER, Choice.NAMED),
+  /** Many connections to a port of a control VM carry a large part of a head without its end. */
+  CONTROL_HEADS(Where.CONTROL, Choice.NAMED),
+  /** Many connections to a router carry three requests and a part of a fourth, and end. */
+  ROUTER_PARTIAL_REQUESTS(Where.ROUTER, Choice.NAMED),
+  /** The writes of one control VM after another fail while documents change, after all faults. */
+  DISKS_FULL_IN_TURN(Where.CONTROL, Choice.NAMED),
   /** The soak process itself was paused, so violations of that time are not judged. */
   OBSERVER_STALLED(Where.OBSERVER);
 
@@ -67,10 +90,56 @@
     OBSERVER
   }
 
+  /** Which runs have a kind of fault. */
+  private enum Choice {
+    /** Those with all kinds, and those that name it. */
+    ALL,
+    /** Only those that name it. */
+    NAMED
+  }
+
   private final Where where;
+  private final Choice choice;
 
   FaultKind(Where where) {
+    this(where, Choice.ALL);
+  }
+
+  FaultKind(Where where, Choice choice) {
     this.where = where;
+    this.choice = choice;
+  }
+
+  /** Returns the kinds of a run that names none. */
+  static Set<FaultKind> all() {
+    return Arrays.stream(values())
+        .filter(kind -> kind.choice == Choice.ALL)
+        .collect(Collectors.toCollection(() -> EnumSet.noneOf(FaultKind.class)));
+  }
+
+  /**
+   * Returns whether a machine may be out of touch because of a fault; callers may do what they
+   * like.
+   */
+  boolean isDisturbance() {
+    return switch (this) {
+      case ROUTER_HUP, ROUTER_HEADS, CONTROL_HEADS, ROUTER_PARTIAL_REQUESTS -> false;
+      default -> true;
+    };
+  }
+
+  /** Returns whether a fault is injected at a time of the schedule. */
+  boolean isScheduled() {
+    return this != OBSERVER_STALLED && this != DISKS_FULL_IN_TURN;
+  }
+
+  /** Returns whether a control VM loses its disk. */
+  boolean losesDisk() {
+    return isWipe() || this == CONTROL_REPLACED;
+  }
+
+  boolean isWipe() {
+    return this == CONTROL_WIPED || this == CONTROL_WIPED_DISK_FULL;
   }
 
   Where where() {
--- a/faultsoak/src/main/java/io/jacinthquay/soak/FaultSchedule.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/FaultSchedule.java
@@ -48,8 +48,7 @@
   /** Returns the faults of a plan, ordered by start. */
   static List<Fault> of(SoakPlan plan) {
     SplittableRandom random = new SplittableRandom(plan.seed());
-    List<FaultKind> kinds =
-        plan.faults().stream().filter(k -> k != FaultKind.OBSERVER_STALLED).sorted().toList();
+    List<FaultKind> kinds = plan.faults().stream().filter(FaultKind::isScheduled).sorted().toList();
     List<Fault> faults = new ArrayList<>();
     if (kinds.isEmpty()) {
       return faults;
@@ -60,9 +59,8 @@
       FaultKind kind = kinds.get(random.nextInt(kinds.size()));
       int target = random.nextInt(plan.targets(kind));
       long durationMillis = random.nextInt(MIN_DURATION_MILLIS, (int) plan.maxFault().toMillis());
-      boolean isWipe = kind == FaultKind.CONTROL_WIPED;
-      boolean losesDisk = isWipe || kind == FaultKind.CONTROL_REPLACED;
-      boolean tolerated = plan.controls() >= MIN_CONTROLS_FOR_DISK_LOSS || !losesDisk;
+      boolean isWipe = kind.isWipe();
+      boolean tolerated = plan.controls() >= MIN_CONTROLS_FOR_DISK_LOSS || !kind.losesDisk();
       if (tolerated && (!isWipe || !noMoreWipes)) {
         faults.add(new Fault(kind, target, startMillis, durationMillis));
         noMoreWipes |= isWipe;
--- a/faultsoak/src/main/java/io/jacinthquay/soak/OwnEndCheck.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/OwnEndCheck.java
@@ -42,7 +42,7 @@
 
   private static boolean isDisturbed(History.OwnEnd end, History history) {
     return history.faultPeriods().stream()
-        .filter(period -> period.kind() != FaultKind.ROUTER_HUP)
+        .filter(period -> period.kind().isDisturbance())
         .filter(period -> period.overlaps(end.atNanos() - AFTERMATH_NANOS, end.atNanos()))
         .filter(period -> period.affects(end.number()))
         .anyMatch(
--- a/faultsoak/src/main/java/io/jacinthquay/soak/ProgramProcess.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/ProgramProcess.java
@@ -176,6 +176,15 @@
     }
   }
 
+  /** Returns whether the program has written something since its start. */
+  synchronized boolean hasWritten() {
+    return output.toFile().length() > outputBytesAtStart;
+  }
+
+  synchronized boolean isAlive() {
+    return process != null && process.isAlive();
+  }
+
   /** Kills the process with SIGKILL and waits for its end. */
   synchronized void kill() {
     recordUnexpectedExit();
--- a/faultsoak/src/main/java/io/jacinthquay/soak/SoakMain.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/SoakMain.java
@@ -152,7 +152,7 @@
   private static Set<FaultKind> parseFaultKinds(String text) {
     Set<FaultKind> kinds = EnumSet.noneOf(FaultKind.class);
     switch (text) {
-      case "all" -> kinds.addAll(EnumSet.allOf(FaultKind.class));
+      case "all" -> kinds.addAll(FaultKind.all());
       case "none" -> {
         // Load without faults.
       }
--- a/faultsoak/src/main/java/io/jacinthquay/soak/SoakRun.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/SoakRun.java
@@ -139,6 +139,16 @@
             operator,
             random.split(),
             DocumentConvergence.Limits.DEFAULT);
+    if (plan.faults().contains(FaultKind.DISKS_FULL_IN_TURN)) {
+      afterFaults.put(
+          "after full disks in turn, a change is acknowledged and told",
+          new DiskRotation(
+                  new RunningControls(system, operator),
+                  operator,
+                  random.split(),
+                  DocumentConvergence.Limits.DEFAULT)
+              .judge());
+    }
     afterFaults.put("in calm, routers apply a document in time", documents.judgeCalm());
     afterFaults.put(
         "an acknowledged document survives the end of all programs", documents.judgeRestart());
--- a/faultsoak/src/main/java/io/jacinthquay/soak/SoakSystem.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/SoakSystem.java
@@ -165,6 +165,18 @@
     return true;
   }
 
+  /** Returns an address on which a router listens; the number chooses one of them. */
+  InetSocketAddress routerPort(int router, long choice) {
+    List<InetSocketAddress> ports = deployment.routerPorts(router);
+    return ports.get((int) (choice % ports.size()));
+  }
+
+  /** Returns an address on which a control VM listens; the number chooses one of them. */
+  InetSocketAddress controlPort(int control, long choice) {
+    List<InetSocketAddress> ports = deployment.controlPorts(control);
+    return ports.get((int) (choice % ports.size()));
+  }
+
   /** Returns whether each control VM says that it votes in the group. */
   boolean allControlsVote() {
     return IntStream.range(0, controls.size())
--- a/faultsoak/src/test/java/io/jacinthquay/soak/FaultScheduleTest.java
+++ b/faultsoak/src/test/java/io/jacinthquay/soak/FaultScheduleTest.java
@@ -34,7 +34,10 @@
   void everyKindIsScheduledAndSomeOverlap(long seed) {
     List<Fault> faults = schedule(seed);
     Set<FaultKind> scheduled = faults.stream().map(Fault::kind).collect(Collectors.toSet());
-    assertEquals(EnumSet.complementOf(EnumSet.of(FaultKind.OBSERVER_STALLED)), scheduled);
+    assertEquals(
+        EnumSet.complementOf(
+            EnumSet.of(FaultKind.OBSERVER_STALLED, FaultKind.DISKS_FULL_IN_TURN, lostWipe(faults))),
+        scheduled);
     boolean overlap = false;
     for (int i = 1; i < faults.size(); i++) {
       Fault previous = faults.get(i - 1);
@@ -75,10 +78,22 @@
                 seed, Duration.ofMinutes(10), 4, 1, 6, 24, EnumSet.allOf(FaultKind.class))));
   }
 
+  /** Returns the kind of wipe of which a schedule has none, as it has one wipe at most. */
+  private static FaultKind lostWipe(List<Fault> faults) {
+    return faults.stream().anyMatch(fault -> fault.kind() == FaultKind.CONTROL_WIPED)
+        ? FaultKind.CONTROL_WIPED_DISK_FULL
+        : FaultKind.CONTROL_WIPED;
+  }
+
+  @Test
+  void kindsThatHaveToBeNamedAreNotPartOfAll() {
+    assertEquals(
+        EnumSet.range(FaultKind.ROUTER_PORT_HELD, FaultKind.DISKS_FULL_IN_TURN),
+        EnumSet.complementOf(EnumSet.copyOf(FaultKind.all())));
+  }
+
   private static long countWipes(SoakPlan plan) {
-    return FaultSchedule.of(plan).stream()
-        .filter(fault -> fault.kind() == FaultKind.CONTROL_WIPED)
-        .count();
+    return FaultSchedule.of(plan).stream().filter(fault -> fault.kind().isWipe()).count();
   }
 
   @Test
--- a/faultsoak/src/test/java/io/jacinthquay/soak/SoakTest.java
+++ b/faultsoak/src/test/java/io/jacinthquay/soak/SoakTest.java
@@ -4,7 +4,6 @@
 
 import java.nio.file.Path;
 import java.time.Duration;
-import java.util.EnumSet;
 import java.util.List;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -17,8 +16,7 @@
   @ValueSource(longs = {12})
   void guaranteesHoldUnderFaults(long seed) throws Exception {
     SoakPlan plan =
-        SoakPlan.withDefaults(
-            seed, Duration.ofSeconds(30), 4, 3, 6, 24, EnumSet.allOf(FaultKind.class));
+        SoakPlan.withDefaults(seed, Duration.ofSeconds(30), 4, 3, 6, 24, FaultKind.all());
     Path folder = ROOT.resolve("target/soak-logs/test-seed-" + seed);
     SoakReport report = new SoakRun(ROOT, folder, plan, progress -> {}).run();
     assertEquals(List.of(), report.violations(), report.text());
