--- a/faultsoak/src/main/java/io/jacinthquay/soak/Deployment.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/Deployment.java
@@ -22,7 +22,7 @@
  * program has its own loopback address.
  */
 final class Deployment {
-  /** Number of failure domains. */
+  /** Number of failure domains of the upstreams, and of the VMs by default. */
   static final int DOMAINS = 3;
 
   /** Retries allowed per request. */
@@ -93,9 +93,14 @@
     }
   }
 
-  /** Returns the failure domain of the VM or upstream with a number. */
+  /** Returns the failure domain of the upstream with a number. */
   static String domain(int number) {
-    return "domain-" + (char) ('a' + number % DOMAINS);
+    return domain(number, DOMAINS);
+  }
+
+  /** Returns the failure domain of the VM with a number, given the number of domains. */
+  static String domain(int number, int domains) {
+    return "domain-" + (char) ('a' + number % domains);
   }
 
   private InetSocketAddress address(int subnet, int number, int port) {
@@ -189,7 +194,7 @@
     Map<String, String> values = new HashMap<>();
     List<String> seeds = seeds();
     values.put("node_name", name);
-    values.put("zone", domain(number));
+    values.put("zone", domain(number, plan.domains()));
     values.put("seed_nodes", String.join(",", seeds));
     values.put("internal_port_range.0", Integer.toString(internalPort));
     values.put("internal_port_range.1", Integer.toString(metricsPort));
--- a/faultsoak/src/main/java/io/jacinthquay/soak/SoakMain.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/SoakMain.java
@@ -17,6 +17,9 @@
 
 /** Runs the fault soak from the command line. */
 public final class SoakMain {
+  /** Domains are named by a letter each. */
+  private static final int MAX_DOMAINS = 26;
+
   private static final Setting<Long> SEED =
       Setting.of("seed", "seed of the first run", "number", Long::parseLong);
   private static final Setting<Integer> SEEDS =
@@ -36,6 +39,10 @@
           .withDefault("0");
   private static final Setting<Integer> CONTROLS =
       Setting.integer("controls", "control VM processes", "processes", 1, 9).withDefault("3");
+  private static final Setting<Integer> DOMAINS =
+      Setting.integer(
+              "domains", "failure domains of routers and control VMs", "domains", 1, MAX_DOMAINS)
+          .withDefault(Integer.toString(Deployment.DOMAINS));
   private static final Setting<Integer> UPSTREAMS =
       Setting.integer("upstreams", "stand-in upstreams", "upstreams", Documents.MIN_UPSTREAMS, 200)
           .withDefault("6");
@@ -70,6 +77,7 @@
               ROUTERS,
               PROCESSES,
               CONTROLS,
+              DOMAINS,
               UPSTREAMS,
               CALLERS,
               REJECTED_PERCENT,
@@ -123,6 +131,7 @@
               Duration.ofSeconds(settings.value(SECONDS)),
               routers(settings),
               settings.value(CONTROLS),
+              settings.value(DOMAINS),
               settings.value(UPSTREAMS),
               settings.value(CALLERS),
               settings.value(REJECTED_PERCENT),
--- a/faultsoak/src/main/java/io/jacinthquay/soak/SoakPlan.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/SoakPlan.java
@@ -10,6 +10,7 @@
  * @param load how long load and faults last
  * @param routers number of router processes
  * @param controls number of control VM processes
+ * @param domains number of failure domains of the routers and control VMs
  * @param upstreams number of stand-in upstreams
  * @param callers number of concurrent callers
  * @param rejectedPercent share of requests that upstreams reject without running them, in percent
@@ -21,6 +22,7 @@
     Duration load,
     int routers,
     int controls,
+    int domains,
     int upstreams,
     int callers,
     int rejectedPercent,
@@ -35,7 +37,7 @@
    * @throws IllegalArgumentException if a number is below 1
    */
   SoakPlan {
-    if (routers < 1 || controls < 1 || upstreams < 1 || callers < 1) {
+    if (routers < 1 || controls < 1 || domains < 1 || upstreams < 1 || callers < 1) {
       throw new IllegalArgumentException("each number must be 1 or more");
     }
     faults = Set.copyOf(faults);
@@ -55,6 +57,7 @@
         load,
         routers,
         controls,
+        Deployment.DOMAINS,
         upstreams,
         callers,
         DEFAULT_REJECTED_PERCENT,
