Program: end with code 1 whatever a start throws

A service whose creation or start threw anything but IllegalStateException left a process whose other threads went on: it neither served nor ended, and its stop waited for the start. Program.serve caught IllegalStateException only, and the factory ran before it. The shutdown hook waited without a limit for the end of the start, so a start that hangs, for example on a disk, outlived SIGTERM.

Everything thrown by the creation or the start is now printed, logged with its stack, and ends the program with code 1; a ServiceGroup and a control VM stop what they had started for errors too. The hook waits up to 5 s for a start under way.

--- a/control/src/main/java/io/jacinthquay/control/ControlService.java
+++ b/control/src/main/java/io/jacinthquay/control/ControlService.java
@@ -229,6 +229,9 @@
     } catch (LogException e) {
       server.stop();
       throw new IllegalStateException(e.getMessage(), e);
+    } catch (RuntimeException | Error e) {
+      server.stop();
+      throw e;
     }
     scheduler = Executors.newScheduledThreadPool(TASK_THREADS);
     schedule(CONFIRM_INTERVAL_MILLIS, this::confirmLeadership);
--- a/runtime/src/main/java/io/jacinthquay/runtime/Program.java
+++ b/runtime/src/main/java/io/jacinthquay/runtime/Program.java
@@ -8,8 +8,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 
 /**
@@ -20,6 +22,9 @@
  * }</pre>
  */
 public final class Program {
+  /** Longest time that a stop waits for a start that is still under way. */
+  private static final long MAX_START_SECONDS = 5;
+
   private final SettingsParser parser;
   private final PrintStream out;
   private final PrintStream err;
@@ -56,7 +61,7 @@
       return ExitCode.OK;
     }
     LogManager.getLogger().info("starting the program");
-    return serve(factory.apply(settings));
+    return serve(() -> factory.apply(settings));
   }
 
   private void printErrors(List<String> errors) {
@@ -65,42 +70,64 @@
     }
   }
 
-  private ExitCode serve(Service service) {
+  private ExitCode serve(Supplier<Service> factory) {
     CountDownLatch startFinished = new CountDownLatch(1);
     CountDownLatch stopped = new CountDownLatch(1);
-    AtomicBoolean started = new AtomicBoolean();
+    AtomicReference<Service> started = new AtomicReference<>();
     Runtime.getRuntime()
         .addShutdownHook(
             new Thread(
                 () -> {
                   // A service that is still starting may have accepted requests already.
-                  if (await(startFinished) && started.get()) {
-                    service.stop();
+                  if (awaitStart(startFinished) && started.get() != null) {
+                    started.get().stop();
                   }
                   LogManager.shutdown();
                   stopped.countDown();
                 },
                 "shutdown"));
     try {
+      Service service = factory.get();
       service.start();
-      started.set(true);
-    } catch (IllegalStateException e) {
-      err.println(e.getMessage());
+      started.set(service);
+    } catch (Throwable e) {
+      reportFailure(e);
       return ExitCode.FAILURE;
     } finally {
       startFinished.countDown();
     }
-    var unused = await(stopped);
+    await(stopped);
     return ExitCode.OK;
   }
 
-  private static boolean await(CountDownLatch latch) {
+  /**
+   * Reports why the service can't start. Also an error must not leave the process running with the
+   * threads that were started before it.
+   */
+  private void reportFailure(Throwable cause) {
+    if (cause instanceof IllegalStateException) {
+      err.println(cause.getMessage());
+      return;
+    }
+    err.println("the program can't start: " + cause);
+    LogManager.getLogger().fatal("the program can't start", cause);
+  }
+
+  /** Waits until the start has ended; returns false if that takes too long for an orderly stop. */
+  private static boolean awaitStart(CountDownLatch startFinished) {
     try {
-      latch.await();
-      return true;
+      return startFinished.await(MAX_START_SECONDS, TimeUnit.SECONDS);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
       return false;
     }
   }
+
+  private static void await(CountDownLatch latch) {
+    try {
+      latch.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
 }
--- a/runtime/src/main/java/io/jacinthquay/runtime/ServiceGroup.java
+++ b/runtime/src/main/java/io/jacinthquay/runtime/ServiceGroup.java
@@ -28,7 +28,7 @@
     for (Service service : services) {
       try {
         service.start();
-      } catch (RuntimeException e) {
+      } catch (RuntimeException | Error e) {
         stop();
         throw e;
       }
