Answer a request whose sending fails in the router itself

An unchecked exception while a request was prepared for an upstream left it to the server, which answered 500, while the router went on to count it as in progress: its timeout then hit the completed exchange and failed too, so that it never left the count and a stop waited for it.

The send is a step like the others: the request gets a final answer at once.

--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardAttempt.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardAttempt.java
@@ -13,6 +13,7 @@
 import io.jacinthquay.router.port.UpstreamRequest;
 import java.nio.ByteBuffer;
 import java.util.List;
+import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -45,11 +46,14 @@
     this.sending = sending;
   }
 
-  void send(UpstreamRequest request) {
-    call = core.client().send(request, this);
-    if (closed) {
-      call.cancel();
-    }
+  void send(Supplier<UpstreamRequest> request) {
+    runStep(
+        () -> {
+          call = core.client().send(request.get(), this);
+          if (closed) {
+            call.cancel();
+          }
+        });
   }
 
   UpstreamState upstream() {
@@ -154,12 +158,12 @@
     exchange.onSending(this);
   }
 
-  /** Runs a step of the answer; if it fails in the router itself, ends the request. */
+  /** Runs a step of the send; if it fails in the router itself, ends the request. */
   private void runStep(Runnable step) {
     try {
       step.run();
     } catch (RuntimeException e) {
-      log.error("request {} failed while its answer was handled", exchange.attemptId(), e);
+      log.error("request {} failed in the router", exchange.attemptId(), e);
       cancel(SendOutcome.UNDECIDED);
       exchange.giveUp(ResultCode.UPSTREAM_BROKE);
     }
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardExchange.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardExchange.java
@@ -196,7 +196,7 @@
             ? events.lastId()
             : request.facts().lastEventId();
     attempt = new ForwardAttempt(this, core, sending);
-    attempt.send(request.toUpstream(core.protocol(), sending, resumeAfter, now));
+    attempt.send(() -> request.toUpstream(core.protocol(), sending, resumeAfter, now));
     core.counters(work.pool()).promptTokens += attempt.unreadTokens();
     core.recordPrefix(upstream.listing().upstream(), work);
   }
