Soak: a stream whose resumption is refused isn't judged as lost

The upstream that ran it wasn't sound, so the answer had to end. A refusal before any answer is judged as before.

--- a/faultsoak/src/main/java/io/jacinthquay/soak/LostRequestCheck.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/LostRequestCheck.java
@@ -39,7 +39,7 @@
       boolean excused =
           disturbances.affectRouter(call.router(), last.atNanos(), call.endNanos())
               || disturbances.affectUpstream(last.upstream(), last.atNanos(), call.endNanos())
-              || isTruncated(last, runs.getOrDefault(call.id(), List.of()))
+              || isTruncated(call, last, runs.getOrDefault(call.id(), List.of()))
               || hadToEnd(call);
       verdict.judgeUnlessExplained(
           call.ending() == Call.Ending.ANSWERED, excused, describe(call, last));
@@ -47,10 +47,18 @@
     return verdict;
   }
 
-  private static boolean isTruncated(History.Arrival last, List<Run> runs) {
-    return runs.stream()
-        .filter(run -> run.upstream() == last.upstream() && run.endNanos() - last.atNanos() >= 0)
-        .anyMatch(Run::truncated);
+  /**
+   * Returns whether the upstream broke off. Where the last one refused to go on with an answer that
+   * had begun, this is the one before it.
+   */
+  private static boolean isTruncated(Call call, History.Arrival last, List<Run> runs) {
+    List<Run> lastRuns =
+        runs.stream()
+            .filter(run -> run.upstream() == last.upstream())
+            .filter(run -> run.endNanos() - last.atNanos() >= 0)
+            .toList();
+    boolean refused = lastRuns.isEmpty();
+    return (refused && call.status() != 0 ? runs : lastRuns).stream().anyMatch(Run::truncated);
   }
 
   /**
--- a/faultsoak/src/test/java/io/jacinthquay/soak/LossChecksTest.java
+++ b/faultsoak/src/test/java/io/jacinthquay/soak/LossChecksTest.java
@@ -117,6 +117,18 @@
     assertEquals(1 - violations, verdict.notJudged());
   }
 
+  /** The upstream that began a stream breaks off, and the one that could resume it refuses. */
+  @ParameterizedTest
+  @CsvSource({"200, true, 0", "200, false, 1", "0, true, 1"})
+  void streamThatCannotBeResumedIsNotLost(int status, boolean truncated, int violations) {
+    History history = new History();
+    history.add(call(CallKind.RESUME, Call.Ending.BROKEN, status, "", 100));
+    history.add(new History.Arrival(ID, UPSTREAM, nanos(10)));
+    history.add(new Run(ID, CallKind.RESUME, UPSTREAM, nanos(10), nanos(50), 10, true, truncated));
+    history.add(new History.Arrival(ID, UPSTREAM + 1, nanos(60)));
+    assertEquals(violations, new LostRequestCheck().judge(history).violations().size());
+  }
+
   @ParameterizedTest
   @CsvSource({"LEFT", "ANSWERED"})
   void requestWhoseCallerLeftOrGotAnAnswerIsNotLost(Call.Ending ending) {
