--- a/consensus/src/main/java/io/jacinthquay/consensus/raft/Leadership.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/raft/Leadership.java
@@ -154,10 +154,11 @@
   }
 
   private void heartbeat(ReplicaId peer, Progress progress) {
-    long prev = progress.nextIndex() - 1;
-    if (progress.isInstallingSnapshot() || state.log.term(prev) < 0) {
-      prev = 0;
+    if (!progress.isInstallingSnapshot() && state.log.term(progress.nextIndex() - 1) < 0) {
+      // The window of a silent peer may be full, so that no append would find this out.
+      startSnapshot(peer, progress);
     }
+    long prev = progress.isInstallingSnapshot() ? 0 : progress.nextIndex() - 1;
     long prevTerm = prev == 0 ? 0 : state.log.term(prev);
     state.outbox.send(request(peer, prev, prevTerm, List.of()));
     progress.allowProbe();
--- a/consensus/src/test/java/io/jacinthquay/consensus/StorageRecoveryTest.java
+++ b/consensus/src/test/java/io/jacinthquay/consensus/StorageRecoveryTest.java
@@ -19,6 +19,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Replicas whose storage fails for a while and works again, without a restart. */
 class StorageRecoveryTest {
@@ -263,4 +264,27 @@
       assertTrue(millis < 4000, "a command was acknowledged only after " + millis + " ms");
     }
   }
+
+  /** While the replica is silent, the leader's window for it fills and the log is compacted. */
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void catchesUpAfterItMissedMoreThanTheLeaderKeeps(boolean fullDisk) throws Exception {
+    try (LogCluster cluster = start(3)) {
+      propose(cluster, "before");
+      MemberId follower = cluster.follower();
+      if (fullDisk) {
+        disks.get(follower).fail(ALL);
+      } else {
+        cluster.network().isolate(follower);
+      }
+      for (int i = 0; i < 200; i++) {
+        propose(cluster, "missed" + i);
+      }
+      disks.get(follower).repair();
+      cluster.network().heal();
+      String last = propose(cluster, "after");
+      cluster.await(
+          "entry after the gap", () -> cluster.machine(follower).commands().contains(last));
+    }
+  }
 }
