Data folder: an erasure survives a loss of power

A removed replica whose machine lost power while its folder was erased didn't start again: "identity: file is missing; synced data is damaged". Its marker could be lost while some removals were kept.

Cause: neither the marker nor the removals were synced. Now the marker is durable before the first removal, and all removals before the marker goes.

The class moves next to the other files of the folder, where the recorded disk is; DataFolderTest moves along unchanged but for its package.

--- a/control/src/main/java/io/jacinthquay/control/service/DataFolder.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/storage/DataFolder.java
@@ -1,8 +1,10 @@
-package io.jacinthquay.control.service;
+package io.jacinthquay.consensus.storage;
 
 import java.io.IOException;
+import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.util.Comparator;
 import java.util.List;
 import java.util.stream.Stream;
@@ -22,25 +24,25 @@
   }
 
   /**
-   * Deletes everything in the folder.
+   * Deletes everything in the folder. The marker is durable before anything is deleted, and stays
+   * until all removals are: what a loss of power leaves is erased before it is used.
    *
    * @throws IOException if a file can't be deleted; {@link #finishErasure} deletes the rest
    */
   public void erase() throws IOException {
-    Files.write(folder.resolve(MARKER), new byte[0]);
-    finishErasure();
-  }
-
-  /**
-   * Finishes an erasure that was interrupted, if there is one.
-   *
-   * @throws IOException if a file can't be deleted
-   */
-  public void finishErasure() throws IOException {
     Path marker = folder.resolve(MARKER);
-    if (!Files.exists(marker)) {
-      return;
+    try (FileChannel channel =
+        FileChannel.open(marker, StandardOpenOption.CREATE, StandardOpenOption.WRITE)) {
+      channel.force(true);
     }
+    AtomicFile.syncFolder(folder);
+    deleteAllExcept(marker);
+    AtomicFile.syncFolder(folder);
+    Files.delete(marker);
+    AtomicFile.syncFolder(folder);
+  }
+
+  private void deleteAllExcept(Path marker) throws IOException {
     try (Stream<Path> files = Files.walk(folder)) {
       List<Path> paths = files.sorted(Comparator.reverseOrder()).toList();
       for (Path path : paths) {
@@ -49,6 +51,16 @@
         }
       }
     }
-    Files.delete(marker);
+  }
+
+  /**
+   * Finishes an erasure that was interrupted, if there is one.
+   *
+   * @throws IOException if a file can't be deleted
+   */
+  public void finishErasure() throws IOException {
+    if (Files.exists(folder.resolve(MARKER))) {
+      erase();
+    }
   }
 }
--- a/control/src/test/java/io/jacinthquay/control/service/DataFolderTest.java
+++ b/consensus/src/test/java/io/jacinthquay/consensus/storage/DataFolderTest.java
@@ -1,4 +1,4 @@
-package io.jacinthquay.control.service;
+package io.jacinthquay.consensus.storage;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
--- a/consensus/src/test/java/io/jacinthquay/consensus/storage/PowerLossTest.java
+++ b/consensus/src/test/java/io/jacinthquay/consensus/storage/PowerLossTest.java
@@ -321,4 +321,59 @@
         e instanceof LogException failure && failure.failure().error() == LogError.STORAGE_CORRUPT;
     return damaged ? List.of(moment + ", opened while full: " + e.getMessage()) : List.of();
   }
+
+  /** A folder whose erasure was interrupted is the old one, or an empty one. */
+  @Test
+  void erasesAllOrNothingAfterLossOfPowerAtAnyMoment() throws IOException {
+    SplittableRandom random = new SplittableRandom(SEED);
+    int operations = eraseUntil(Integer.MAX_VALUE).disk.operations();
+    for (int operation = 0; operation <= operations; operation++) {
+      Life life = eraseUntil(operation);
+      for (int draw = 0; draw < 8 * DRAWS; draw++) {
+        Unsynced unsynced = draw == 0 ? Unsynced.KEPT : draw == 1 ? Unsynced.LOST : Unsynced.DRAWN;
+        Path remains = newFolder();
+        life.disk.writeRemains(remains, unsynced, random);
+        checkErasure("operation " + operation + ", unsynced " + unsynced, life, remains);
+      }
+    }
+    assertEquals(List.of(), failures, failures.size() + " of " + operations + " operations");
+  }
+
+  private Life eraseUntil(int operation) throws IOException {
+    Path old = newFolder();
+    Life written = new Life(old);
+    written.open();
+    written.vote(2);
+    written.appendEach(1, 10, 2);
+    written.saveSnapshot(6, 3);
+    written.close();
+    Life life = new Life(old);
+    life.self = written.self;
+    life.kept = written.kept;
+    life.next = written.kept;
+    life.disk.losePowerBefore(operation);
+    try {
+      new DataFolder(new RecordedFileSystem(life.disk).wrap(old)).erase();
+    } catch (PowerLossError e) {
+      return life;
+    }
+    return life;
+  }
+
+  private void checkErasure(String moment, Life before, Path remains) throws IOException {
+    Life after = new Life(remains);
+    try {
+      new DataFolder(remains).finishErasure();
+      RecoveredState recovered = after.open();
+      if (before.self.equals(Optional.of(after.storage.self()))) {
+        checkKept(before, after.storage.self(), recovered);
+      } else {
+        assertEquals(List.of(), recovered.entries());
+      }
+    } catch (LogException | AssertionError e) {
+      failures.add(moment + ": " + e.getMessage());
+    } finally {
+      after.close();
+    }
+  }
 }
