Soak: a caller that leaves leaves its pipelined request as well

A caller that gave up the first of two pipelined requests noted the second one as broken off by the router if its own time limit was less than a millisecond away. CallerLoopTest failed before: such requests were noted as BROKEN where nobody ever answers.

--- a/faultsoak/src/main/java/io/jacinthquay/soak/CallerLoop.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/CallerLoop.java
@@ -133,8 +133,10 @@
     exchanges.forEach(Exchange::send);
     InputStream in = new BufferedInputStream(limitedInput);
     boolean connectionOpen = true;
+    boolean left = false;
     for (Exchange exchange : exchanges) {
-      Call call = exchange.finish(in, connectionOpen, limitedInput);
+      Call call = exchange.finish(in, connectionOpen, left || limitedInput.isExpired());
+      left |= call.ending() == Call.Ending.LEFT;
       connectionOpen &= call.ending() == Call.Ending.ANSWERED && !exchange.closesConnection;
       history.add(call);
       if (call.isSuccess()) {
@@ -245,8 +247,8 @@
     }
 
     /** Reads the response if the connection is open, and returns what the caller saw. */
-    Call finish(InputStream in, boolean connectionOpen, TimeLimitedInput limitedInput) {
-      Call.Ending ending = limitedInput.isExpired() ? Call.Ending.LEFT : Call.Ending.BROKEN;
+    Call finish(InputStream in, boolean connectionOpen, boolean left) {
+      Call.Ending ending = left ? Call.Ending.LEFT : Call.Ending.BROKEN;
       if (connectionOpen && !sendFailed) {
         try {
           read(in);
