ProgramStartTest: read past the log lines before the start

sigtermEndsAProgramWhoseStartHangs took the first line of standard output for the one of the program; with logging set up, a log line comes first (failed once so). It now waits for the program's line.

--- a/runtime/src/test/java/io/jacinthquay/runtime/ProgramStartTest.java
+++ b/runtime/src/test/java/io/jacinthquay/runtime/ProgramStartTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.jacinthquay.runtime.settings.SettingsParser;
+import java.io.BufferedReader;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
@@ -98,7 +99,8 @@
   void sigtermEndsAProgramWhoseStartHangs() throws Exception {
     Process process = launch("hang");
     try {
-      assertEquals(STARTING, process.inputReader(StandardCharsets.US_ASCII).readLine());
+      BufferedReader output = process.inputReader(StandardCharsets.US_ASCII);
+      assertTrue(output.lines().anyMatch(STARTING::equals));
       process.destroy();
       assertTrue(process.waitFor(20, TimeUnit.SECONDS), "the process does not end");
     } finally {
