End a connection whose listener throws

A caller whose request met an exception in a later read or write got no answer, and its connection stayed open: XNIO logs what a listener throws and does nothing else. Listeners of callers' and upstreams' connections now run under a guard that closes the connection; the body reader, the caller's response and the upstream call also end their request.

The upstream side has no test of its own.

--- a/router/src/main/java/io/jacinthquay/router/adapter/http/BodyReader.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/BodyReader.java
@@ -71,7 +71,7 @@
         });
     ReadAheadSource.allow(exchange, ReadAheadSource.MAX_SKIPPED_BYTES);
     source = exchange.getRequestChannel();
-    source.getReadSetter().set(channel -> readAvailable());
+    source.getReadSetter().set(channel -> ListenerGuard.run(this::readAvailable, this::abort));
     timer =
         exchange
             .getIoThread()
@@ -105,11 +105,15 @@
         }
       }
     } catch (IOException e) {
-      finish();
-      IoUtils.safeClose(exchange.getConnection());
+      abort();
     }
   }
 
+  private void abort() {
+    finish();
+    IoUtils.safeClose(exchange.getConnection());
+  }
+
   /** Passes on a body, unless the exchange was ended before all of it had arrived. */
   private void complete(byte[] received) {
     boolean whole =
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/BoundedSource.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/BoundedSource.java
@@ -35,6 +35,7 @@
 
   /** Installs a limit on a new connection. */
   static BoundedSource of(StreamConnection connection) {
+    ListenerGuard.install(connection);
     ConduitStreamSourceChannel channel = connection.getSourceChannel();
     BoundedSource bounded = new BoundedSource(channel.getConduit());
     channel.setConduit(bounded);
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowCaller.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowCaller.java
@@ -79,7 +79,8 @@
       exchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, "chunked");
     }
     sink = exchange.getResponseChannel();
-    sink.getWriteSetter().set(channel -> flushPending());
+    sink.getWriteSetter()
+        .set(channel -> ListenerGuard.run(this::flushPending, this::onWriteFailed));
   }
 
   @Override
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowUpstreamCall.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowUpstreamCall.java
@@ -134,7 +134,7 @@
     started.setResponseListener(callback(e -> onHead(), this::onBroken));
     unsentBody = ByteBuffer.wrap(request.body());
     StreamSinkChannel sink = started.getRequestChannel();
-    sink.getWriteSetter().set(channel -> sendBody());
+    sink.getWriteSetter().set(channel -> ListenerGuard.run(this::sendBody, this::onBroken));
     sendBody();
   }
 
@@ -184,7 +184,7 @@
       return;
     }
     StreamSourceChannel source = exchange.getResponseChannel();
-    source.getReadSetter().set(channel -> read());
+    source.getReadSetter().set(channel -> ListenerGuard.run(this::read, this::onBroken));
     source.wakeupReads();
   }
 
