Bound the memory of unfinished heads and of pooled buffers

What callers saw: some thousand connections without a key that send a request head without its end ended a router or a control VM with OutOfMemoryError, at any address it listens on; 6,000 connections with pipelined requests left a router that answered nobody for over a minute after they had gone.

Cause: bodies share a bound, heads had none, and small parts of a head take far more than their bytes: 1.4 KB of small headers held 43 KB, 5 KB of parameters 132 KB, 31 KB of large headers 39 KB (heap after a collection, 1,000 connections). A connection whose next requests wait held a pooled 16 KB buffer each; with 64 MB of direct memory used up, the I/O thread slept in Bits.reserveMemory for each event.

Now all addresses of a process share one bound for unfinished heads, an eighth of the heap. Beyond it FairBound gives up the oldest head of the address that holds most, as the bytes are read; a head is read 8 KB at a time, so that other connections get turns. A head in progress counts towards the memory of bodies beyond 8 KB. The readiness and the metrics address hold 256 connections each, by the same decision. Bytes behind a request go back to the read-ahead memory, so that a waiting connection holds no pooled buffer, and pools are bounded (1,024 and 2,048 buffers): at the bound an event fails at once, which closes its connection.

--- a/router/src/main/java/io/jacinthquay/router/ForwardRouter.java
+++ b/router/src/main/java/io/jacinthquay/router/ForwardRouter.java
@@ -11,6 +11,7 @@
 import io.jacinthquay.router.port.RequestIntake;
 import io.jacinthquay.router.service.forward.ForwardCore;
 import io.jacinthquay.router.service.forward.ForwardIntake;
+import io.jacinthquay.router.service.forward.ForwardMetrics;
 import io.jacinthquay.router.service.forward.ForwardOptions;
 import io.jacinthquay.router.service.report.MetricsIntake;
 import io.jacinthquay.runtime.Service;
@@ -104,9 +105,19 @@
     server =
         new CallerServer(
             endpoints.callers(), 1, ListenerLimits.defaults(), new ForwardIntake(core));
+    registerMemory();
     link = new ControlLink(endpoints.name(), options.domain(), endpoints.control(), core, decoder);
   }
 
+  private void registerMemory() {
+    ForwardMetrics metrics = core.metrics();
+    metrics.gauge("jq_forward_caller_connections", server::openConnections);
+    metrics.gauge("jq_forward_unfinished_head_bytes", server::unfinishedHeadBytes);
+    metrics.gauge("jq_forward_connections_given_up_total", server::connectionsGivenUp);
+    metrics.gauge("jq_forward_caller_buffers", server::buffersInUse);
+    metrics.gauge("jq_forward_upstream_buffers", client::buffersInUse);
+  }
+
   @Override
   public void start() {
     server.start();
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/CallerHandler.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/CallerHandler.java
@@ -24,6 +24,9 @@
   /** Time for which the rest of a rejected body is read, in milliseconds. */
   private static final long LINGER_MILLIS = 1_000;
 
+  /** Memory that the head of each request may take outside the shared budget, in bytes. */
+  private static final long OWN_HEAD_BYTES = 8 * 1024;
+
   private final RequestIntake intake;
   private final ListenerLimits limits;
   private final BufferBudget memory;
@@ -46,11 +49,12 @@
       exchange.endExchange();
       return;
     }
-    connections.requestStarted(exchange);
+    long headBytes = connections.requestStarted(exchange);
     RequestId id = intake.nextId();
     RequestHead head = head(exchange);
     UndertowCaller caller = new UndertowCaller(exchange, connections, memory);
-    exchange.dispatch(SameThreadExecutor.INSTANCE, () -> startSafely(exchange, id, head, caller));
+    exchange.dispatch(
+        SameThreadExecutor.INSTANCE, () -> startSafely(exchange, id, head, headBytes, caller));
   }
 
   /**
@@ -58,17 +62,29 @@
    * with 503 to a rejection, even if the request has already been sent to an upstream.
    */
   private void startSafely(
-      HttpServerExchange exchange, RequestId id, RequestHead head, UndertowCaller caller) {
+      HttpServerExchange exchange,
+      RequestId id,
+      RequestHead head,
+      long headBytes,
+      UndertowCaller caller) {
     try {
-      start(exchange, id, head, caller);
+      start(exchange, id, head, headBytes, caller);
     } catch (RejectedExecutionException e) {
       throw new IllegalStateException("the I/O thread accepts no more tasks", e);
     }
   }
 
   private void start(
-      HttpServerExchange exchange, RequestId id, RequestHead head, UndertowCaller caller) {
-    if (headBytes(head) > limits.maxHeadBytes()) {
+      HttpServerExchange exchange,
+      RequestId id,
+      RequestHead head,
+      long headBytes,
+      UndertowCaller caller) {
+    if (!holdHead(exchange, headBytes)) {
+      reject(exchange, id, head, Failure.of(ResultCode.QUEUE_FULL), caller);
+      return;
+    }
+    if (sentBytes(head) > limits.maxHeadBytes()) {
       reject(exchange, id, head, Failure.of(ResultCode.HEAD_TOO_LARGE), caller);
       return;
     }
@@ -140,7 +156,24 @@
     return slash < 0 ? "/" : uri.substring(slash);
   }
 
-  private static long headBytes(RequestHead head) {
+  /** Reserves the memory of a head until the end of its request; returns false if there is none. */
+  private boolean holdHead(HttpServerExchange exchange, long headBytes) {
+    BufferBudget.Reservation reservation = new BufferBudget.Reservation(memory, OWN_HEAD_BYTES);
+    if (!reservation.tryResize(headBytes)) {
+      return false;
+    }
+    if (headBytes > OWN_HEAD_BYTES) {
+      CloseListeners.add(exchange, reservation::release);
+      exchange.addExchangeCompleteListener(
+          (completed, next) -> {
+            reservation.release();
+            next.proceed();
+          });
+    }
+    return true;
+  }
+
+  private static long sentBytes(RequestHead head) {
     long bytes = head.rawPath().length() + head.query().length();
     for (Header header : head.headers()) {
       bytes += header.name().length() + header.value().length() + 4;
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/CallerServer.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/CallerServer.java
@@ -5,8 +5,6 @@
 import io.jacinthquay.router.port.RequestIntake;
 import io.jacinthquay.runtime.Service;
 import io.undertow.UndertowOptions;
-import io.undertow.connector.ByteBufferPool;
-import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.server.protocol.http.HttpOpenListener;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -15,6 +13,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.xnio.ChannelListener;
@@ -27,7 +26,6 @@
 import org.xnio.XnioWorker;
 import org.xnio.channels.AcceptingChannel;
 import org.xnio.conduits.ConduitStreamSourceChannel;
-import org.xnio.conduits.ReadReadyHandler;
 
 /** An HTTP/1.1 server for callers. */
 public final class CallerServer implements Service {
@@ -38,7 +36,13 @@
 
   private static final int BACKLOG = 1_024;
   private static final int MAX_HEADERS = 200;
-  private static final int BUFFER_BYTES = 16 * 1024;
+
+  /** Buffers for reads and for heads of responses; none is held while a request waits. */
+  private static final int MAX_BUFFERS = 1_024;
+
+  /** Largest number of open connections at each further address. */
+  private static final int MAX_FURTHER_CONNECTIONS = 256;
+
   private static final int STOP_SECONDS = 5;
 
   private static final String REJECTION_BODY =
@@ -57,8 +61,8 @@
   private final int ioThreads;
   private final ListenerLimits limits;
   private final RequestIntake intake;
-  private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
-  private final ConnectionTracker connectionTracker = new ConnectionTracker();
+  private final BoundedBufferPool buffers = new BoundedBufferPool(MAX_BUFFERS);
+  private final ConnectionTracker connectionTracker;
   private final BufferBudget memory;
   private final AtomicInteger openConnections = new AtomicInteger();
   private XnioWorker worker;
@@ -80,6 +84,7 @@
     this.limits = limits;
     this.intake = intake;
     this.memory = new BufferBudget(limits.maxBufferedBytes());
+    this.connectionTracker = new ConnectionTracker(limits.maxUnfinishedHeadBytes());
   }
 
   @Override
@@ -131,26 +136,33 @@
       reject(connection);
       return;
     }
-    serve(connection, http, openConnections::decrementAndGet);
+    TrackedConnection unused =
+        serve(connection, http, tracked -> openConnections.decrementAndGet());
   }
 
-  private void serve(StreamConnection connection, HttpOpenListener openListener, Runnable onEnd) {
+  private TrackedConnection serve(
+      StreamConnection connection,
+      HttpOpenListener openListener,
+      Consumer<TrackedConnection> onEnd) {
+    ListenerGuard.install(connection);
     ConduitStreamSourceChannel source = connection.getSourceChannel();
     ReadAhead ahead = new ReadAhead(memory, limits.maxHeadBytes() + limits.maxBodyBytes());
     ReadAheadSource watched =
         new ReadAheadSource(source.getConduit(), ahead, () -> IoUtils.safeClose(connection));
-    watched.setReadReadyHandler(new ReadReadyHandler.ChannelListenerHandler<>(source));
+    watched.setReadReadyHandler(ListenerGuard.reader(connection));
     source.setConduit(watched);
-    connectionTracker.opened(connection, watched);
-    openListener.handleEvent(connection);
+    TrackedConnection tracked = connectionTracker.opened(connection, watched);
+    ListenerGuard.run(
+        () -> openListener.handleEvent(connection), () -> IoUtils.safeClose(connection));
     ChannelListener<? super StreamConnection> onClose = connection.getCloseListener();
     connection.setCloseListener(
         closed -> {
-          onEnd.run();
+          onEnd.accept(tracked);
           connectionTracker.closed(connection);
           ahead.clear();
           ChannelListeners.invokeChannelListener(closed, onClose);
         });
+    return tracked;
   }
 
   private static void reject(StreamConnection connection) {
@@ -185,12 +197,13 @@
     HttpOpenListener openListener = new HttpOpenListener(buffers, serverOptions());
     openListener.setRootHandler(
         new CallerHandler(additionalIntake, limits, memory, connectionTracker));
+    FairBound<TrackedConnection> connections = new FairBound<>(MAX_FURTHER_CONNECTIONS);
     try {
       worker
           .createStreamConnectionServer(
               additionalAddress,
               ChannelListeners.openListenerAdapter(
-                  connection -> serve(connection, openListener, () -> {})),
+                  connection -> serveFurther(connection, openListener, connections)),
               socketOptions())
           .resumeAccepts();
     } catch (IOException e) {
@@ -199,6 +212,32 @@
     }
   }
 
+  private void serveFurther(
+      StreamConnection connection,
+      HttpOpenListener openListener,
+      FairBound<TrackedConnection> connections) {
+    TrackedConnection tracked =
+        serve(connection, openListener, closed -> connections.release(closed.peer(), closed));
+    if (connection.isOpen()) {
+      TrackedConnection.closeAll(connections.hold(tracked.peer(), tracked, 1));
+    }
+  }
+
+  /** Returns the bytes of memory that unfinished request heads take. */
+  public long unfinishedHeadBytes() {
+    return connectionTracker.unfinishedHeadBytes();
+  }
+
+  /** Returns the number of connections closed since unfinished heads took too much memory. */
+  public long connectionsGivenUp() {
+    return connectionTracker.givenUp();
+  }
+
+  /** Returns the number of pooled buffers in use. */
+  public int buffersInUse() {
+    return buffers.inUse();
+  }
+
   /** Announces to callers by each response from now on that their connection is to be closed. */
   public void drain() {
     connectionTracker.drain();
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/ConnectionTracker.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/ConnectionTracker.java
@@ -28,27 +28,47 @@
 
   private final Map<StreamConnection, TrackedConnection> open = new ConcurrentHashMap<>();
   private final AtomicInteger busy = new AtomicInteger();
+  private final FairBound<TrackedConnection> unfinishedHeads;
   private volatile boolean draining;
 
+  /** Returns a tracker that bounds the bytes of memory of unfinished heads. */
+  ConnectionTracker(long maxHeadBytes) {
+    unfinishedHeads = new FairBound<>(maxHeadBytes);
+  }
+
   /** Tracks a connection from its acceptance; to be called before anything is read from it. */
-  void opened(StreamConnection connection, ReadAheadSource source) {
-    open.put(connection, new TrackedConnection(connection, source));
+  TrackedConnection opened(StreamConnection connection, ReadAheadSource source) {
+    TrackedConnection tracked = new TrackedConnection(connection, source, unfinishedHeads);
+    open.put(connection, tracked);
+    return tracked;
   }
 
   /** Forgets a connection that has closed. */
   void closed(StreamConnection connection) {
     TrackedConnection closed = open.remove(connection);
-    if (closed != null && closed.endRequest()) {
+    if (closed == null) {
+      return;
+    }
+    closed.closed();
+    if (closed.endRequest()) {
       busy.decrementAndGet();
     }
   }
 
-  /** Marks the connection of a request as busy until the exchange is complete. */
-  void requestStarted(HttpServerExchange exchange) {
+  /**
+   * Marks the connection of a request as busy until the exchange is complete.
+   *
+   * @return the memory that the head of the request takes, in bytes
+   */
+  long requestStarted(HttpServerExchange exchange) {
     AbstractServerConnection connection = (AbstractServerConnection) exchange.getConnection();
     TrackedConnection tracked = open.get(connection.getChannel());
     if (tracked == null) {
-      return;
+      return 0;
+    }
+    long headBytes = tracked.completeHead();
+    if (connection.getExtraBytes() != null) {
+      connection.getIoThread().execute(() -> tracked.freeBuffer(connection));
     }
     if (tracked.beginRequest()) {
       busy.incrementAndGet();
@@ -63,6 +83,17 @@
           }
           next.proceed();
         });
+    return headBytes;
+  }
+
+  /** Returns the bytes of memory that unfinished heads take. */
+  long unfinishedHeadBytes() {
+    return unfinishedHeads.held();
+  }
+
+  /** Returns the number of connections given up for the memory of their heads. */
+  long givenUp() {
+    return unfinishedHeads.givenUp();
   }
 
   /** Returns the number of requests in flight whose head has been read. */
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/ListenerLimits.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/ListenerLimits.java
@@ -40,6 +40,14 @@
     }
   }
 
+  /**
+   * Returns the most bytes of memory that unfinished request heads may take, over all connections:
+   * half as much as {@link #maxBufferedBytes}.
+   */
+  long maxUnfinishedHeadBytes() {
+    return maxBufferedBytes / 2;
+  }
+
   /** Returns limits for a small VM; bodies may take a quarter of the heap. */
   public static ListenerLimits defaults() {
     long bodyBytes = (long) (Runtime.getRuntime().maxMemory() * BODY_HEAP_SHARE);
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/ReadAhead.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/ReadAhead.java
@@ -37,14 +37,18 @@
   /** Returns a buffer for the next read; it has no room if no more may be held now. */
   ByteBuffer room() {
     int bytes = Math.max(0, Math.min(CHUNK_BYTES, maxBytes - size));
+    return ByteBuffer.allocate(reserve(bytes) ? bytes : 0);
+  }
+
+  private boolean reserve(int bytes) {
     long missingBytes = sharedBytes(size + bytes) - reservedBytes;
     if (missingBytes > 0) {
       if (!memory.tryReserve(missingBytes)) {
-        return ByteBuffer.allocate(0);
+        return false;
       }
       reservedBytes += missingBytes;
     }
-    return ByteBuffer.allocate(bytes);
+    return true;
   }
 
   private static long sharedBytes(int bytes) {
@@ -60,6 +64,17 @@
     releaseUnused();
   }
 
+  /** Adds a copy of bytes before all others; returns false if there is no memory for them. */
+  boolean addFirst(ByteBuffer earlier) {
+    int bytes = earlier.remaining();
+    if (!reserve(bytes)) {
+      return false;
+    }
+    chunks.addFirst(ByteBuffer.allocate(bytes).put(earlier).flip());
+    size += bytes;
+    return true;
+  }
+
   /** Moves bytes into a target buffer and returns their number. */
   int take(ByteBuffer target) {
     int before = target.position();
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/ReadAheadSource.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/ReadAheadSource.java
@@ -6,6 +6,7 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
 import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 import org.xnio.channels.StreamSinkChannel;
@@ -28,6 +29,9 @@
   /** Most consecutive bytes that are no content, the same as for responses of upstreams. */
   static final int MAX_SKIPPED_BYTES = BoundedSource.MAX_SKIPPED_BYTES;
 
+  /** Most bytes of a head that are read before other connections get a turn. */
+  private static final int HEAD_BYTES_PER_TURN = 8 * 1024;
+
   private final Runnable onEnd;
   private final ReadAhead ahead;
   private long allowedBytes = Long.MAX_VALUE;
@@ -35,6 +39,10 @@
   private boolean readsResumed;
   private boolean ended;
   private boolean pastBoundary;
+  private LongConsumer onHeadCost = bytes -> {};
+  private boolean inRequest;
+  private final HeadCost headCost = new HeadCost();
+  private int turnBytes;
 
   /**
    * Wraps a conduit.
@@ -67,6 +75,31 @@
     allow(exchange, Long.MAX_VALUE);
   }
 
+  /** Sets the listener for the memory that the head takes which is being read, in bytes. */
+  void setHeadCostListener(LongConsumer listener) {
+    onHeadCost = listener;
+  }
+
+  /** Records that a head is complete and returns the memory that it takes, in bytes. */
+  long beginRequest() {
+    inRequest = true;
+    return headCost.reset();
+  }
+
+  /** Records that what is read from now on belongs to the next head. */
+  void endRequest() {
+    inRequest = false;
+  }
+
+  /**
+   * Takes back bytes that were passed on, to return them by the next reads.
+   *
+   * @return whether there is memory for them
+   */
+  boolean takeBack(ByteBuffer unused) {
+    return ahead.addFirst(unused);
+  }
+
   /** Records that all bytes passed on so far belong to requests that are complete. */
   void markBoundary() {
     pastBoundary = false;
@@ -98,6 +131,7 @@
   private final class ReadyHandler implements ReadReadyHandler {
     @Override
     public void readReady() {
+      turnBytes = 0;
       if (readsResumed) {
         readerHandler.readReady();
       } else {
@@ -145,13 +179,37 @@
 
   @Override
   public int read(ByteBuffer dst) throws IOException {
-    if (ahead.isEmpty()) {
-      int count = ended ? -1 : deductAllowed(next.read(dst));
-      pastBoundary |= count > 0;
-      return count;
+    int count = inRequest ? readAny(dst) : readHead(dst);
+    pastBoundary |= count > 0;
+    return count;
+  }
+
+  private int readAny(ByteBuffer dst) throws IOException {
+    if (!ahead.isEmpty()) {
+      return ahead.take(dst);
     }
-    pastBoundary = true;
-    return ahead.take(dst);
+    return ended ? -1 : deductAllowed(next.read(dst));
+  }
+
+  private int readHead(ByteBuffer dst) throws IOException {
+    int room = Math.min(dst.remaining(), HEAD_BYTES_PER_TURN - turnBytes);
+    if (room <= 0) {
+      return 0;
+    }
+    int start = dst.position();
+    int limit = dst.limit();
+    dst.limit(start + room);
+    int count;
+    try {
+      count = readAny(dst);
+    } finally {
+      dst.limit(limit);
+    }
+    if (count > 0) {
+      turnBytes += count;
+      onHeadCost.accept(headCost.add(dst, start, dst.position()));
+    }
+    return count;
   }
 
   @Override
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/TrackedConnection.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/TrackedConnection.java
@@ -1,5 +1,10 @@
 package io.jacinthquay.router.adapter.http;
 
+import io.undertow.connector.PooledByteBuffer;
+import io.undertow.server.AbstractServerConnection;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.List;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
 import org.xnio.XnioIoThread;
@@ -8,12 +13,40 @@
 final class TrackedConnection {
   private final StreamConnection connection;
   private final ReadAheadSource source;
+  private final FairBound<TrackedConnection> unfinishedHeads;
+  private final InetAddress peer;
   private boolean used;
   private boolean busy;
 
-  TrackedConnection(StreamConnection connection, ReadAheadSource source) {
+  TrackedConnection(
+      StreamConnection connection,
+      ReadAheadSource source,
+      FairBound<TrackedConnection> unfinishedHeads) {
     this.connection = connection;
     this.source = source;
+    this.unfinishedHeads = unfinishedHeads;
+    this.peer = connection.getPeerAddress(InetSocketAddress.class).getAddress();
+    source.setHeadCostListener(this::holdHead);
+  }
+
+  private void holdHead(long bytes) {
+    closeAll(unfinishedHeads.hold(peer, this, bytes));
+  }
+
+  /** Closes connections that are given up, each on its own I/O thread. */
+  static void closeAll(List<TrackedConnection> givenUp) {
+    for (TrackedConnection connection : givenUp) {
+      if (Thread.currentThread() == connection.thread()) {
+        connection.close();
+      } else {
+        connection.thread().execute(connection::close);
+      }
+    }
+  }
+
+  /** Returns the address of the caller. */
+  InetAddress peer() {
+    return peer;
   }
 
   XnioIoThread thread() {
@@ -26,6 +59,31 @@
     return used;
   }
 
+  /** Records that the head of a request is complete and returns the memory of it, in bytes. */
+  long completeHead() {
+    assertOwnThread();
+    unfinishedHeads.release(peer, this);
+    return source.beginRequest();
+  }
+
+  /**
+   * Frees the pooled buffer of a connection whose later bytes wait for the end of a request, if
+   * there is other memory for them.
+   */
+  void freeBuffer(AbstractServerConnection http) {
+    assertOwnThread();
+    PooledByteBuffer buffer = http.getExtraBytes();
+    if (buffer != null && source.takeBack(buffer.getBuffer())) {
+      http.setExtraBytes(null);
+      buffer.close();
+    }
+  }
+
+  /** Forgets the head that was being read when the connection closed. */
+  void closed() {
+    unfinishedHeads.release(peer, this);
+  }
+
   /** Returns whether the connection becomes busy by this. */
   boolean beginRequest() {
     assertOwnThread();
@@ -40,6 +98,7 @@
     assertOwnThread();
     boolean changed = busy;
     busy = false;
+    source.endRequest();
     return changed;
   }
 
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowUpstreamClient.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowUpstreamClient.java
@@ -4,8 +4,6 @@
 import io.jacinthquay.router.port.UpstreamClient;
 import io.jacinthquay.router.port.UpstreamListener;
 import io.jacinthquay.router.port.UpstreamRequest;
-import io.undertow.connector.ByteBufferPool;
-import io.undertow.server.DefaultByteBufferPool;
 import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -19,9 +17,10 @@
  * carries one request at a time, so responses are in the order of requests.
  */
 public final class UndertowUpstreamClient implements UpstreamClient, AutoCloseable {
-  private static final int BUFFER_BYTES = 16 * 1024;
+  /** Buffers for reads and for responses that callers are slow to take, one each. */
+  private static final int MAX_BUFFERS = 2_048;
 
-  private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
+  private final BoundedBufferPool buffers = new BoundedBufferPool(MAX_BUFFERS);
   private final Map<XnioIoThread, ConnectionPool> pools = new ConcurrentHashMap<>();
   private final AtomicInteger openCount = new AtomicInteger();
   private final Duration connectTimeout;
@@ -69,6 +68,11 @@
     return openCount.get();
   }
 
+  /** Returns the number of pooled buffers in use. */
+  public int buffersInUse() {
+    return buffers.inUse();
+  }
+
   private ConnectionPool newPool(XnioIoThread thread) {
     return new ConnectionPool(thread, buffers, connectTimeout, reuse, openCount);
   }
--- a/router/src/test/java/io/jacinthquay/router/adapter/http/ConnectionThreadTest.java
+++ b/router/src/test/java/io/jacinthquay/router/adapter/http/ConnectionThreadTest.java
@@ -51,6 +51,7 @@
   static Stream<Consumer<TrackedConnection>> uses() {
     return Stream.of(
         TrackedConnection::isUsed,
+        TrackedConnection::completeHead,
         TrackedConnection::beginRequest,
         TrackedConnection::endRequest,
         TrackedConnection::markBoundary,
@@ -67,7 +68,7 @@
             connection.getSourceChannel().getConduit(),
             new ReadAhead(new BufferBudget(1), 1),
             () -> {});
-    TrackedConnection tracked = new TrackedConnection(connection, source);
+    TrackedConnection tracked = new TrackedConnection(connection, source, new FairBound<>(1));
     assertThrows(AssertionError.class, () -> use.accept(tracked));
   }
 }
