Leave descriptors to the other addresses of a program

With 4,100 descriptors, 4,500 idle connections at the callers' port took them all: a router's readiness address didn't answer within 3 s while they were open, and the callers' port not in the first seconds after they had left. The limit was 10,000 connections, more than there are descriptors; it is 3,000 now, and those beyond it are told so and closed.

--- a/router/src/main/java/io/jacinthquay/router/adapter/http/ListenerLimits.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/ListenerLimits.java
@@ -23,6 +23,9 @@
 
   private static final long MAX_BUFFERED_BYTES = 64L * 1024 * 1024;
 
+  /** Leaves a quarter of 4,100 descriptors to the other addresses, upstreams and files. */
+  private static final int MAX_CONNECTIONS = 3_000;
+
   /** The rest is for answers, connections and the tables of the router. */
   private static final double BODY_HEAP_SHARE = 0.25;
 
@@ -55,7 +58,7 @@
         32 * 1024,
         8 * 1024 * 1024,
         Math.min(MAX_BUFFERED_BYTES, bodyBytes),
-        10_000,
+        MAX_CONNECTIONS,
         10_000,
         30_000,
         60_000);
