Soak: the output of a process that is stopped is kept

Process.destroy closes the pipe from which the soak reads the output, so the lines of a stop were lost, and with them unread ones (NamedFaultsTest saw none of the reloads before a SIGTERM once). Processes end by their handle now. A start waits for the output of the run before, so that its lines don't count as written by the new one. ProgramProcessTest failed before: the line of a stop was missing.

--- a/faultsoak/src/main/java/io/jacinthquay/soak/ProgramProcess.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/ProgramProcess.java
@@ -87,6 +87,7 @@
       return;
     }
     recordUnexpectedExit();
+    awaitOutput();
     stopping = false;
     File outputFile = output.toFile();
     outputBytesAtStart = outputFile.length();
@@ -141,6 +142,9 @@
   }
 
   private void awaitOutput() {
+    if (outputThread == null) {
+      return;
+    }
     try {
       outputThread.join(OUTPUT_TIMEOUT_MILLIS);
     } catch (InterruptedException e) {
@@ -190,7 +194,7 @@
     recordUnexpectedExit();
     stopping = true;
     if (process != null) {
-      process.destroyForcibly();
+      process.toHandle().destroyForcibly();
       var unused = await(process, KILL_TIMEOUT_SECONDS);
     }
   }
@@ -210,11 +214,12 @@
       }
       stopping = true;
       signal("CONT");
-      running.destroy();
+      // The end of a process by its own handle leaves its output open.
+      running.toHandle().destroy();
     }
     boolean exited = await(running, STOP_TIMEOUT_SECONDS);
     if (!exited) {
-      running.destroyForcibly();
+      running.toHandle().destroyForcibly();
     }
     return exited;
   }
--- a/faultsoak/src/test/java/io/jacinthquay/soak/ProgramProcessTest.java
+++ b/faultsoak/src/test/java/io/jacinthquay/soak/ProgramProcessTest.java
@@ -58,6 +58,22 @@
     }
   }
 
+  @Test
+  void outputOfAStopIsKept() throws Exception {
+    String script =
+        "trap 'sleep 0.2; echo stopped; exit 0' TERM; echo start; while :; do sleep 0.01; done";
+    try (ProgramProcess program = program(script)) {
+      program.start();
+      while (!program.hasWritten()) {
+        TimeUnit.MILLISECONDS.sleep(10);
+      }
+      assertTrue(program.stop());
+      program.start();
+    }
+    List<String> lines = Files.readAllLines(folder.resolve("output.log"));
+    assertEquals(List.of("start", "stopped"), lines.subList(0, 2));
+  }
+
   @Test
   void exitThatTheSoakCausedIsNotReported() throws Exception {
     try (ProgramProcess program = program("sleep 60")) {
