Listeners: any failure to open is tried again

An unchecked exception in a later attempt ended the retries, so that a router stayed not ready for good. By reading (review); no run showed it.

--- a/router/src/main/java/io/jacinthquay/router/adapter/http/RetryingListener.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/RetryingListener.java
@@ -60,7 +60,7 @@
       channel = worker.createStreamConnectionServer(address, onReady, options);
       channel.resumeAccepts();
       log.info("listens on {}", address);
-    } catch (IOException e) {
+    } catch (IOException | RuntimeException e) {
       log.warn(
           "cannot listen on {}; next attempt in {} ms: {}", address, retryMillis, e.toString());
       retry =
