Router: a request that fails in the router doesn't hold up the others

An unchecked exception for one request ended the check for silent upstreams for good, kept a queue from being offered and expired, and kept the requests behind it from their final answer at a stop. Each request now fails by itself. By reading (review); no run showed it, and there is no test: no input is known that throws there.

--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
@@ -12,6 +12,7 @@
 import io.jacinthquay.decision.routing.RouteTable;
 import io.jacinthquay.model.DomainId;
 import io.jacinthquay.model.PoolName;
+import io.jacinthquay.model.ResultCode;
 import io.jacinthquay.model.UpstreamId;
 import io.jacinthquay.router.port.BufferBudget;
 import io.jacinthquay.router.port.Caller;
@@ -29,6 +30,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -187,7 +189,7 @@
    */
   public void updateQuarantinedParts(Collection<QuarantinedPart> parts) {
     quarantine.updateQuarantined(parts);
-    List.copyOf(active).forEach(ForwardExchange::endIfQuarantined);
+    forEachActive(ForwardExchange::endIfQuarantined);
   }
 
   /**
@@ -257,7 +259,7 @@
    * called from any thread.
    */
   public void endUnansweredRequests() {
-    thread.execute(() -> List.copyOf(active).forEach(ForwardExchange::endBeforeStop));
+    thread.execute(() -> forEachActive(ForwardExchange::endBeforeStop));
   }
 
   /** Returns whether new requests are refused. */
@@ -398,13 +400,35 @@
   /** Retries requests whose upstream is silent; runs again while any request is in progress. */
   private void checkSilentUpstreams() {
     long now = clock.getAsLong();
-    List.copyOf(active).forEach(exchange -> exchange.retryIfSilent(now));
+    forEachActive(exchange -> exchange.retryIfSilent(now));
     silenceCheckScheduled = !active.isEmpty();
     if (silenceCheckScheduled) {
       thread.after(SILENCE_CHECK_MILLIS, this::checkSilentUpstreams);
     }
   }
 
+  /** Runs an action for each request in progress; one that fails must not prevent the others. */
+  private void forEachActive(Consumer<ForwardExchange> action) {
+    for (ForwardExchange exchange : List.copyOf(active)) {
+      try {
+        action.accept(exchange);
+      } catch (RuntimeException e) {
+        log.error("request {} failed in the router", exchange.attemptId(), e);
+      }
+    }
+  }
+
+  /** Offers an upstream to a waiting request; one that fails must not hold up the queue. */
+  private boolean offerDispatch(ForwardExchange exchange, long now) {
+    try {
+      return exchange.tryDispatch(now);
+    } catch (RuntimeException e) {
+      log.error("request {} failed in the router", exchange.attemptId(), e);
+      exchange.giveUp(ResultCode.UPSTREAM_BROKE);
+      return true;
+    }
+  }
+
   void unregister(ForwardExchange exchange) {
     active.remove(exchange);
   }
@@ -448,7 +472,7 @@
     boolean anyWaiting = false;
     for (RequestQueue<ForwardExchange> queue : queues.values()) {
       if (!queue.isEmpty()) {
-        queue.offer(exchange -> exchange.tryDispatch(now));
+        queue.offer(exchange -> offerDispatch(exchange, now));
         queue.expired(now).forEach(ForwardExchange::shed);
         anyWaiting |= !queue.isEmpty();
       }
