Log: requests during the first opening are rejected, and a stop tells whether a write is under way

Operators' reads met a NullPointerException while a control VM opened its storage for the first time. The role is FAILED from the beginning of the start. readsAreRejectedWhileTheFirstStartOpensTheStorage failed before with that exception.

A removed replica erased its folder although a write of it had not returned; that write could then land in the new folder (by reading). The rejoin waits until stop() says that all writes have returned. stopTellsWhetherAWriteIsStillUnderWay guards the new result, which did not exist before.

--- a/consensus/src/main/java/io/jacinthquay/consensus/LogRuntime.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/LogRuntime.java
@@ -58,6 +58,7 @@
   private volatile long reopenDelayMillis = MIN_REOPEN_DELAY_MILLIS;
   private volatile boolean running;
   private volatile boolean stopping;
+  private boolean closed;
   private volatile LogStatus status;
 
   LogRuntime(LogSettings settings, StorageOpener opener) {
@@ -95,6 +96,8 @@
       throw new IllegalStateException("the log was already started");
     }
     started = true;
+    // Requests may come before the storage is open.
+    status = status.failed();
     running = true;
     try {
       openSession();
@@ -141,9 +144,7 @@
 
   private void abandonStart() {
     running = false;
-    if (session != null) {
-      session.close();
-    }
+    closed = session == null || session.close();
   }
 
   private LogStorage openStorage() {
@@ -222,17 +223,20 @@
   }
 
   @Override
-  public synchronized void stop() {
-    if (!running) {
-      return;
+  public synchronized boolean stop() {
+    if (running) {
+      transferLeadership();
+      running = false;
+      settings.transport().stop();
+      recovery.shutdown();
     }
-    transferLeadership();
-    running = false;
-    settings.transport().stop();
-    recovery.shutdown();
-    if (session != null && !session.close()) {
+    if (!closed) {
+      closed = session == null || session.close();
+    }
+    if (!closed) {
       log.warn("replica {} was stopped while a write has not returned", status.self());
     }
+    return closed;
   }
 
   private void transferLeadership() {
--- a/consensus/src/main/java/io/jacinthquay/consensus/ReplicatedLog.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/ReplicatedLog.java
@@ -41,8 +41,13 @@
    */
   void start();
 
-  /** Transfers leadership if possible, stops the threads and closes the data folder. Idempotent. */
-  void stop();
+  /**
+   * Transfers leadership if possible, stops the threads and closes the data folder. May be called
+   * again.
+   *
+   * @return false if a write has not returned yet, so that the folder is still in use
+   */
+  boolean stop();
 
   /**
    * Proposes a command. Only the leader accepts it; other replicas return {@link
--- a/consensus/src/test/java/io/jacinthquay/consensus/StorageRecoveryTest.java
+++ b/consensus/src/test/java/io/jacinthquay/consensus/StorageRecoveryTest.java
@@ -4,9 +4,12 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.jacinthquay.consensus.storage.FileLogStorage;
+import io.jacinthquay.consensus.storage.LogStorage;
 import io.vavr.control.Either;
 import java.io.IOException;
 import java.io.InputStream;
+import java.lang.reflect.Proxy;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -20,6 +23,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -388,4 +392,81 @@
           "entry after the gap", () -> cluster.machine(follower).commands().contains(last));
     }
   }
+
+  @Test
+  void readsAreRejectedWhileTheFirstStartOpensTheStorage() throws Exception {
+    CountDownLatch opening = new CountDownLatch(1);
+    CountDownLatch opens = new CountDownLatch(1);
+    ReplicatedLog log =
+        singleLog(
+            (folder, member, segmentBytes) -> {
+              opening.countDown();
+              awaitUninterruptibly(opens);
+              return FileLogStorage.open(folder, member, segmentBytes);
+            });
+    Thread starter = new Thread(log::start);
+    starter.start();
+    try {
+      assertTrue(opening.await(5, TimeUnit.SECONDS));
+      LogFailure unread = LogCluster.get(log.readIndex()).getLeft();
+      assertEquals(LogError.STORAGE_FAILED, unread.error());
+    } finally {
+      opens.countDown();
+      starter.join();
+      log.stop();
+    }
+  }
+
+  @Test
+  void stopTellsWhetherAWriteIsStillUnderWay() throws Exception {
+    CountDownLatch writing = new CountDownLatch(1);
+    CountDownLatch written = new CountDownLatch(1);
+    ReplicatedLog log =
+        singleLog(
+            (folder, member, segmentBytes) ->
+                hangingOnSync(FileLogStorage.open(folder, member, segmentBytes), writing, written));
+    log.start();
+    try {
+      assertTrue(writing.await(5, TimeUnit.SECONDS));
+      assertFalse(log.stop());
+    } finally {
+      written.countDown();
+    }
+    assertTrue(log.stop());
+  }
+
+  private ReplicatedLog singleLog(StorageOpener storage) {
+    MemberId only = new MemberId("k1");
+    return ReplicatedLog.builder()
+        .member(only)
+        .seeds(Set.of(only))
+        .folder(root.resolve("k1"))
+        .transport(new LocalNetwork().transport(only))
+        .stateMachine(new RecordingStateMachine())
+        .storage(storage)
+        .build();
+  }
+
+  private static LogStorage hangingOnSync(
+      LogStorage storage, CountDownLatch writing, CountDownLatch written) {
+    return (LogStorage)
+        Proxy.newProxyInstance(
+            LogStorage.class.getClassLoader(),
+            new Class<?>[] {LogStorage.class},
+            (proxy, method, arguments) -> {
+              if (method.getName().equals("sync")) {
+                writing.countDown();
+                awaitUninterruptibly(written);
+              }
+              return method.invoke(storage, arguments);
+            });
+  }
+
+  /** Waits as a write waits for a disk that hangs. */
+  private static void awaitUninterruptibly(CountDownLatch latch) {
+    while (latch.getCount() > 0) {
+      LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(10));
+      boolean unused = Thread.interrupted();
+    }
+  }
 }
--- a/control/src/main/java/io/jacinthquay/control/ControlService.java
+++ b/control/src/main/java/io/jacinthquay/control/ControlService.java
@@ -279,7 +279,7 @@
 
   /**
    * Deletes the data of a replica that was removed and rejoins as a new replica; nothing that the
-   * removed one promised counts any more. If the disk fails, the next run tries again.
+   * removed one promised counts any more. If the disk fails or hangs, the next run tries again.
    */
   private void rejoinIfRemoved() {
     if (!rejoining && !removalDetector.isRemoved(replicatedLog.status())) {
@@ -289,7 +289,9 @@
         "replica {} was removed; deleting its data and rejoining as a new replica",
         replicatedLog.status().self());
     rejoining = true;
-    replicatedLog.stop();
+    if (!replicatedLog.stop()) {
+      return;
+    }
     try {
       data.erase();
     } catch (IOException e) {
--- a/control/src/test/java/io/jacinthquay/control/service/ImmediateLog.java
+++ b/control/src/test/java/io/jacinthquay/control/service/ImmediateLog.java
@@ -38,7 +38,9 @@
   public void start() {}
 
   @Override
-  public void stop() {}
+  public boolean stop() {
+    return true;
+  }
 
   @Override
   public CompletionStage<Either<LogFailure, Long>> readIndex() {
--- a/keeper/src/test/java/io/jacinthquay/keeper/service/QuorumContactTest.java
+++ b/keeper/src/test/java/io/jacinthquay/keeper/service/QuorumContactTest.java
@@ -40,7 +40,9 @@
     public void start() {}
 
     @Override
-    public void stop() {}
+    public boolean stop() {
+      return true;
+    }
 
     @Override
     public CompletionStage<Either<LogFailure, AppliedCommand>> propose(byte[] command) {
