--- a/faultsoak/src/main/java/io/jacinthquay/soak/LostRequestCheck.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/LostRequestCheck.java
@@ -52,13 +52,18 @@
    * had begun, this is the one before it.
    */
   private static boolean isTruncated(Call call, History.Arrival last, List<Run> runs) {
-    List<Run> lastRuns =
+    boolean refused =
         runs.stream()
-            .filter(run -> run.upstream() == last.upstream())
-            .filter(run -> run.endNanos() - last.atNanos() >= 0)
-            .toList();
-    boolean refused = lastRuns.isEmpty();
-    return (refused && call.status() != 0 ? runs : lastRuns).stream().anyMatch(Run::truncated);
+            .noneMatch(
+                run -> run.upstream() == last.upstream() && run.endNanos() - last.atNanos() >= 0);
+    if (refused && call.status() == 0) {
+      return false;
+    }
+    return runs.stream()
+        .filter(run -> refused || run.upstream() == last.upstream())
+        .max(Comparator.comparingLong(run -> run.endNanos() - call.sentNanos()))
+        .filter(Run::truncated)
+        .isPresent();
   }
 
   /**
--- a/faultsoak/src/test/java/io/jacinthquay/soak/LossChecksTest.java
+++ b/faultsoak/src/test/java/io/jacinthquay/soak/LossChecksTest.java
@@ -129,6 +129,18 @@
     assertEquals(violations, new LostRequestCheck().judge(history).violations().size());
   }
 
+  @Test
+  void streamThatASoundUpstreamRanLastIsLostAlthoughAnEarlierOneBrokeOff() {
+    History history = new History();
+    history.add(call(CallKind.RESUME, Call.Ending.BROKEN, 200, "", 100));
+    history.add(new History.Arrival(ID, UPSTREAM, nanos(10)));
+    history.add(new Run(ID, CallKind.RESUME, UPSTREAM, nanos(10), nanos(50), 10, true, true));
+    history.add(new History.Arrival(ID, UPSTREAM + 1, nanos(60)));
+    history.add(new Run(ID, CallKind.RESUME, UPSTREAM + 1, nanos(60), nanos(70), 10, true, false));
+    history.add(new History.Arrival(ID, UPSTREAM + 2, nanos(80)));
+    assertEquals(1, new LostRequestCheck().judge(history).violations().size());
+  }
+
   @ParameterizedTest
   @CsvSource({"LEFT", "ANSWERED"})
   void requestWhoseCallerLeftOrGotAnAnswerIsNotLost(Call.Ending ending) {
