--- a/faultsoak/src/main/java/io/jacinthquay/soak/LostRequestCheck.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/LostRequestCheck.java
@@ -52,15 +52,16 @@
    * had begun, this is the one before it.
    */
   private static boolean isTruncated(Call call, History.Arrival last, List<Run> runs) {
-    boolean refused =
+    List<Run> lastRuns =
         runs.stream()
-            .noneMatch(
-                run -> run.upstream() == last.upstream() && run.endNanos() - last.atNanos() >= 0);
-    if (refused && call.status() == 0) {
-      return false;
+            .filter(run -> run.upstream() == last.upstream())
+            .filter(run -> run.endNanos() - last.atNanos() >= 0)
+            .toList();
+    boolean resumptionRefused = lastRuns.isEmpty() && call.status() != 0;
+    if (!resumptionRefused) {
+      return lastRuns.stream().anyMatch(Run::truncated);
     }
     return runs.stream()
-        .filter(run -> refused || run.upstream() == last.upstream())
         .max(Comparator.comparingLong(run -> run.endNanos() - call.sentNanos()))
         .filter(Run::truncated)
         .isPresent();
