--- a/consensus/src/main/java/io/jacinthquay/consensus/LogRuntime.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/LogRuntime.java
@@ -205,11 +205,11 @@
     if (!running) {
       return;
     }
-    boolean closed = session == null || session.close();
+    boolean previousEnded = session == null || session.close();
     if (status.role() != Role.FAILED) {
       statusChanged(status.failed());
     }
-    if (!closed) {
+    if (!previousEnded) {
       throw new IOException("a write of the failed attempt has not returned");
     }
     openSession();
