--- a/control/src/main/java/io/jacinthquay/control/ControlOptions.java
+++ b/control/src/main/java/io/jacinthquay/control/ControlOptions.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 
 /**
  * Settings of a control VM.
@@ -19,7 +20,7 @@
  * @param folder the data folder
  * @param dutyHold least time between calls to the platform by two different VMs; a new leader waits
  *     this long before its first call
- * @param usageWindow length of a usage window
+ * @param usageWindow length of a usage window; empty if usage is not reported
  * @param toleratedLosses number of disks that may be lost at the same time, 1 or more
  */
 public record ControlOptions(
@@ -30,7 +31,7 @@
     List<InetSocketAddress> seeds,
     Path folder,
     Duration dutyHold,
-    Duration usageWindow,
+    Optional<Duration> usageWindow,
     int toleratedLosses) {
   /** Checks that no object is null and copies the seeds. */
   public ControlOptions {
--- a/control/src/main/java/io/jacinthquay/control/ControlService.java
+++ b/control/src/main/java/io/jacinthquay/control/ControlService.java
@@ -108,7 +108,7 @@
   private final PartQuarantine quarantine;
   private final Fleet fleet;
   private final RelayClient relayClient;
-  private final UsageReporter usageReporter;
+  private final Optional<UsageReporter> usageReporter;
   private final PoolScaler poolScaler;
   private final PlainServer server;
   private final DataFolder data;
@@ -138,7 +138,8 @@
     store = new ControlStore(replicatedLog, state, options.voters());
     removalDetector = new RemovalDetector(SERVICE_NAME, seeds());
     leadership = new Leadership(options.name(), options.dutyHold(), ClockReading::now);
-    usageReporter = new UsageReporter(options.usageWindow(), store, routers, fleet);
+    usageReporter =
+        options.usageWindow().map(window -> new UsageReporter(window, store, routers, fleet));
     poolScaler = new PoolScaler(store, routers, upstreamList, fleet, decoder);
     quarantine = new PartQuarantine(store, System::nanoTime, medianClock::wallMillis);
     DomainRelay relay =
@@ -329,7 +330,7 @@
         .lease()
         .ifPresent(
             lease -> {
-              usageReporter.run(lease, medianClock.wallMillis());
+              usageReporter.ifPresent(reporter -> reporter.run(lease, medianClock.wallMillis()));
               poolScaler.run(lease, System.nanoTime());
             });
   }
--- a/control/src/test/java/io/jacinthquay/control/ControlServiceTest.java
+++ b/control/src/test/java/io/jacinthquay/control/ControlServiceTest.java
@@ -30,6 +30,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
@@ -96,7 +97,7 @@
             addresses.subList(0, SEED_COUNT),
             folder.resolve("vm-" + index),
             Duration.ofSeconds(2),
-            Duration.ofSeconds(5),
+            Optional.of(Duration.ofSeconds(5)),
             toleratedLosses);
     ControlService service =
         new ControlService(options, new FakeFleet(), ControlServiceTest::rejectDocument);
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
@@ -111,12 +111,10 @@
     this.client = client;
     this.clock = clock;
     this.journal = new RequestJournal(clock, metrics);
+    ForwardOptions.ColdLimits cold = options.coldLimits().orElse(ForwardOptions.ColdLimits.STATED);
     this.selector =
         new UpstreamSelector(
-            options.domain(),
-            options.coldOverage(),
-            options.coldTolerance(),
-            new SplittableRandom());
+            options.domain(), cold.overage(), cold.tolerance(), new SplittableRandom());
     this.startupQueue = new StartupQueue(System.nanoTime(), options.startHold());
     this.usage = new WindowedUsage(options.usageWindow());
     this.retryBudgets = new RetryBudgets(options, metrics, clock.getAsLong());
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardOptions.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardOptions.java
@@ -3,27 +3,22 @@
 import io.jacinthquay.model.DomainId;
 import java.time.Duration;
 import java.util.Objects;
+import java.util.Optional;
 
 /**
  * Settings for forwarding requests.
  *
  * @param domain failure domain of this router
- * @param retryRatio retries allowed per first send, over all routers
- * @param retryExtra additional retries allowed per window, over all routers
- * @param retryWindow length of the retry budget's window
- * @param coldOverage factor applied to the stated send rate of a cold upstream to get its limit
- * @param coldTolerance additional sends per second allowed to a cold upstream
- * @param usageWindow length of a usage window
+ * @param retryLimits limits on retries; empty if only the routes limit them
+ * @param coldLimits limits on sends to cold upstreams; empty if the deployment states none
+ * @param usageWindow length of a usage window; empty if usage is not counted
  * @param startHold time after startup during which requests wait for the first document
  */
 public record ForwardOptions(
     DomainId domain,
-    double retryRatio,
-    double retryExtra,
-    Duration retryWindow,
-    double coldOverage,
-    double coldTolerance,
-    Duration usageWindow,
+    Optional<RetryLimits> retryLimits,
+    Optional<ColdLimits> coldLimits,
+    Optional<Duration> usageWindow,
     Duration startHold) {
   /**
    * Checks that all parts are present.
@@ -32,8 +27,34 @@
    */
   public ForwardOptions {
     Objects.requireNonNull(domain, "domain");
-    Objects.requireNonNull(retryWindow, "retryWindow");
+    Objects.requireNonNull(retryLimits, "retryLimits");
+    Objects.requireNonNull(coldLimits, "coldLimits");
     Objects.requireNonNull(usageWindow, "usageWindow");
     Objects.requireNonNull(startHold, "startHold");
   }
+
+  /**
+   * Limits on retries, over all routers.
+   *
+   * @param ratio retries allowed per first send
+   * @param extra additional retries allowed per window
+   * @param window length of the window
+   */
+  public record RetryLimits(double ratio, double extra, Duration window) {
+    /** Checks that the window is present. */
+    public RetryLimits {
+      Objects.requireNonNull(window, "window");
+    }
+  }
+
+  /**
+   * Limits on sends to a cold upstream whose pool states a rate.
+   *
+   * @param overage factor applied to the stated rate
+   * @param tolerance additional sends per second
+   */
+  public record ColdLimits(double overage, double tolerance) {
+    /** The stated rate itself. */
+    static final ColdLimits STATED = new ColdLimits(1, 0);
+  }
 }
--- a/router/src/main/java/io/jacinthquay/router/service/forward/RetryBudgets.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/RetryBudgets.java
@@ -3,8 +3,10 @@
 import io.jacinthquay.decision.retry.RouterCount;
 import io.jacinthquay.decision.retry.SharedRetryBudget;
 import io.jacinthquay.model.PoolName;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * The retry budgets of all pools and this router's part of what all routers share; used on one
@@ -22,7 +24,10 @@
     }
   }
 
-  private final ForwardOptions options;
+  /** Period over which the number of routers is estimated if the retries have no window. */
+  private static final Duration DEFAULT_WINDOW = Duration.ofSeconds(10);
+
+  private final Optional<ForwardOptions.RetryLimits> limits;
   private final ForwardMetrics metrics;
   private final long startedAt;
   private final RouterCount routers;
@@ -36,10 +41,12 @@
    * @param startedAt when the router started, on the monotonic clock, in nanoseconds
    */
   RetryBudgets(ForwardOptions options, ForwardMetrics metrics, long startedAt) {
-    this.options = options;
+    this.limits = options.retryLimits();
     this.metrics = metrics;
     this.startedAt = startedAt;
-    this.routers = new RouterCount(options.retryWindow().toNanos());
+    this.routers =
+        new RouterCount(
+            limits.map(ForwardOptions.RetryLimits::window).orElse(DEFAULT_WINDOW).toNanos());
     metrics.gauge("jq_forward_router_count", () -> routerCount);
     metrics.gauge("jq_forward_retry_extra_percent", () -> sharePercent);
   }
@@ -63,17 +70,14 @@
     return share;
   }
 
-  private PoolBudget budget(PoolName pool) {
+  private PoolBudget budget(PoolName pool, ForwardOptions.RetryLimits retries) {
     return budgets.computeIfAbsent(
         pool,
         name -> {
           PoolBudget budget =
               new PoolBudget(
                   new SharedRetryBudget(
-                      options.retryRatio(),
-                      options.retryExtra(),
-                      options.retryWindow().toNanos(),
-                      startedAt));
+                      retries.ratio(), retries.extra(), retries.window().toNanos(), startedAt));
           metrics.gauge(
               "jq_forward_retries_left{pool=\"" + name.value() + "\"}", () -> budget.left);
           return budget;
@@ -82,14 +86,21 @@
 
   /** Records the first send of a request. */
   void countFirstSend(PoolName pool, long now) {
-    PoolBudget budget = budget(pool);
+    if (limits.isEmpty()) {
+      return;
+    }
+    PoolBudget budget = budget(pool, limits.get());
     budget.budget.sent(now);
     budget.left = (long) Math.floor(budget.budget.left(share(now), now));
   }
 
-  /** Takes one retry from the budget of a pool if it allows it. */
+  /** Takes one retry from the budget of a pool if it allows it; always allows it without limits. */
   boolean tryAcquire(PoolName pool, long now) {
-    PoolBudget budget = budget(pool);
+    if (limits.isEmpty()) {
+      metrics.countRetry(pool.value(), true);
+      return true;
+    }
+    PoolBudget budget = budget(pool, limits.get());
     double share = share(now);
     boolean taken = budget.budget.tryTake(share, now);
     budget.left = (long) Math.floor(budget.budget.left(share, now));
--- a/router/src/main/java/io/jacinthquay/router/service/forward/WindowedUsage.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/WindowedUsage.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 
 /** Counts requests whose answer began, by window of the wall clock and by customer. */
@@ -11,17 +12,20 @@
   /** Number of windows that are kept and reported again, so that a new leader gets them too. */
   private static final int KEPT_WINDOWS = 6;
 
-  private final long windowMillis;
+  private final Optional<Duration> window;
   private final TreeMap<Long, Map<CustomerId, Long>> windows = new TreeMap<>();
 
-  WindowedUsage(Duration window) {
-    windowMillis = window.toMillis();
+  /** Returns counts without requests; nothing is counted if there is no window. */
+  WindowedUsage(Optional<Duration> window) {
+    this.window = window;
   }
 
   void countRequest(CustomerId customer, long wallMillis) {
-    windows
-        .computeIfAbsent(Math.floorDiv(wallMillis, windowMillis), window -> new HashMap<>())
-        .merge(customer, 1L, Long::sum);
+    if (window.isEmpty()) {
+      return;
+    }
+    long number = Math.floorDiv(wallMillis, window.get().toMillis());
+    windows.computeIfAbsent(number, key -> new HashMap<>()).merge(customer, 1L, Long::sum);
     while (windows.size() > KEPT_WINDOWS) {
       windows.pollFirstEntry();
     }
@@ -29,7 +33,7 @@
 
   Map<Long, Map<CustomerId, Long>> counts() {
     Map<Long, Map<CustomerId, Long>> copy = new HashMap<>();
-    windows.forEach((window, counts) -> copy.put(window, Map.copyOf(counts)));
+    windows.forEach((number, counts) -> copy.put(number, Map.copyOf(counts)));
     return copy;
   }
 }
--- a/router/src/test/java/io/jacinthquay/router/service/forward/ForwardSimulation.java
+++ b/router/src/test/java/io/jacinthquay/router/service/forward/ForwardSimulation.java
@@ -20,6 +20,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
@@ -81,12 +82,9 @@
     ForwardOptions options =
         new ForwardOptions(
             DOMAINS.get(0),
-            1_000,
-            0,
-            Duration.ofSeconds(10),
-            1.5,
-            5,
-            Duration.ofSeconds(5),
+            Optional.of(new ForwardOptions.RetryLimits(1_000, 0, Duration.ofSeconds(10))),
+            Optional.of(new ForwardOptions.ColdLimits(1.5, 5)),
+            Optional.of(Duration.ofSeconds(5)),
             Duration.ofSeconds(2));
     core =
         new ForwardCore(
--- a/runtime/src/main/java/io/jacinthquay/runtime/settings/Setting.java
+++ b/runtime/src/main/java/io/jacinthquay/runtime/settings/Setting.java
@@ -83,6 +83,19 @@
     return new Setting<>(name, help, unit, reader, Optional.of(text));
   }
 
+  /**
+   * Returns a copy of this setting that may be left out; an empty text counts as left out, since a
+   * deployment that lacks the value passes one.
+   */
+  public Setting<Optional<T>> optional() {
+    return new Setting<>(
+        name,
+        help,
+        unit,
+        text -> text.isEmpty() ? Optional.empty() : Optional.of(reader.apply(text)),
+        Optional.of(""));
+  }
+
   /** Returns the name; the flag is {@code --name}. */
   public String name() {
     return name;
@@ -93,6 +106,10 @@
     return ENVIRONMENT_PREFIX + name.replace('-', '_').toUpperCase(Locale.ROOT);
   }
 
+  boolean mayBeEmpty() {
+    return defaultText.filter(String::isEmpty).isPresent();
+  }
+
   Optional<String> defaultText() {
     return defaultText;
   }
--- a/runtime/src/main/java/io/jacinthquay/runtime/settings/SettingsParser.java
+++ b/runtime/src/main/java/io/jacinthquay/runtime/settings/SettingsParser.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import net.sourceforge.argparse4j.ArgumentParsers;
 import net.sourceforge.argparse4j.impl.Arguments;
+import net.sourceforge.argparse4j.inf.Argument;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
 
@@ -55,7 +56,12 @@
 
   private void addArguments() {
     for (Setting<?> setting : settings) {
-      parser.addArgument("--" + setting.name()).help(setting.description().replace("%", "%%"));
+      Argument argument =
+          parser.addArgument("--" + setting.name()).help(setting.description().replace("%", "%%"));
+      if (setting.mayBeEmpty()) {
+        // A deployment that lacks the value may drop the empty word after the flag.
+        argument.nargs("?").setConst("");
+      }
     }
     addSwitch("help", "print this text and exit");
     addSwitch("version", "print the version and exit");
