--- a/control/src/main/java/io/jacinthquay/control/ControlService.java
+++ b/control/src/main/java/io/jacinthquay/control/ControlService.java
@@ -21,6 +21,7 @@
 import io.jacinthquay.control.service.RelayDirectory;
 import io.jacinthquay.control.service.RemovalDetector;
 import io.jacinthquay.control.service.RouterRegistry;
+import io.jacinthquay.control.service.SignalsTable;
 import io.jacinthquay.control.service.UpstreamListCache;
 import io.jacinthquay.control.service.UsageReporter;
 import io.jacinthquay.control.state.ControlState;
@@ -104,6 +105,7 @@
   private final RouterRegistry routers = new RouterRegistry(System::nanoTime);
   private final MedianClock medianClock =
       new MedianClock(System::nanoTime, System::currentTimeMillis);
+  private final SignalsTable signals = new SignalsTable(System::nanoTime);
   private final UpstreamListCache upstreamList = new UpstreamListCache();
   private final PartQuarantine quarantine;
   private final Fleet fleet;
@@ -140,7 +142,7 @@
     leadership = new Leadership(options.name(), options.dutyHold(), ClockReading::now);
     usageReporter =
         options.usageWindow().map(window -> new UsageReporter(window, store, routers, fleet));
-    poolScaler = new PoolScaler(store, routers, upstreamList, fleet, decoder);
+    poolScaler = new PoolScaler(store, routers, signals, upstreamList, fleet, decoder);
     quarantine = new PartQuarantine(store, System::nanoTime, medianClock::wallMillis);
     DomainRelay relay =
         new DomainRelay(
@@ -154,7 +156,7 @@
         new ControlHandler(
             store,
             leadership,
-            new LeaderClusterView(store, routers, medianClock, quarantine),
+            new LeaderClusterView(store, routers, signals, medianClock, quarantine),
             relay,
             new RelayDirectory(System::nanoTime),
             upstreamList);
--- a/control/src/main/java/io/jacinthquay/control/adapter/ControlHandler.java
+++ b/control/src/main/java/io/jacinthquay/control/adapter/ControlHandler.java
@@ -10,9 +10,11 @@
 import io.jacinthquay.control.service.RelayDirectory;
 import io.jacinthquay.control.service.UpstreamListCache;
 import io.jacinthquay.control.state.ControlTables;
+import io.jacinthquay.decision.cluster.RouterSignals;
 import io.jacinthquay.decision.dispatch.UpstreamListing;
 import io.jacinthquay.decision.dispatch.UpstreamLoad;
 import io.jacinthquay.wire.convert.QuarantineMessages;
+import io.jacinthquay.wire.convert.SignalMessages;
 import io.jacinthquay.wire.convert.UpstreamMessages;
 import io.jacinthquay.wire.gen.Control;
 import io.jacinthquay.wire.gen.ControlViewMessage;
@@ -101,6 +103,7 @@
               report.getReadsSeen(),
               report.getListNumber());
       fill(view, held, leaderView, leaderView.loadsExceptVia(report.getRelay()));
+      setSignals(view, leaderView.signalsExceptVia(report.getRelay()));
     }
     return view;
   }
@@ -140,6 +143,9 @@
             report.getReadsSeen(),
             report.getListNumber());
     fill(view, held, clusterView, clusterView.loadsOfOthers(report.getRouter()));
+    if (report.isSetSignals()) {
+      setSignals(view, clusterView.signalsOfOthers(report.getRouter()));
+    }
   }
 
   /**
@@ -184,6 +190,12 @@
     view.setListAgeMillis((now - snapshot.polledNanos()) / NANOS_PER_MILLI);
   }
 
+  private static void setSignals(ControlViewMessage view, RouterSignals signals) {
+    if (!signals.isEmpty()) {
+      view.setOtherSignals(SignalMessages.toMessage(signals));
+    }
+  }
+
   private static void fillLoads(ControlViewMessage view, Map<String, UpstreamLoad> loads) {
     List<UpstreamLoadMessage> messages = new ArrayList<>();
     loads.forEach((upstream, load) -> messages.add(UpstreamMessages.toMessage(upstream, load)));
--- a/control/src/main/java/io/jacinthquay/control/service/ClusterView.java
+++ b/control/src/main/java/io/jacinthquay/control/service/ClusterView.java
@@ -1,5 +1,6 @@
 package io.jacinthquay.control.service;
 
+import io.jacinthquay.decision.cluster.RouterSignals;
 import io.jacinthquay.decision.dispatch.UpstreamLoad;
 import io.jacinthquay.decision.quarantine.PartId;
 import java.util.List;
@@ -22,6 +23,9 @@
   /** Returns the load of all routers except one, by upstream. */
   Map<String, UpstreamLoad> loadsOfOthers(String router);
 
+  /** Returns the sum of the signals of all routers except one. */
+  RouterSignals signalsOfOthers(String router);
+
   /** Returns the parts of prompts that may have crashed an upstream. */
   List<PartId> suspects();
 
--- a/control/src/main/java/io/jacinthquay/control/service/DomainRelay.java
+++ b/control/src/main/java/io/jacinthquay/control/service/DomainRelay.java
@@ -2,9 +2,11 @@
 
 import io.jacinthquay.consensus.MemberId;
 import io.jacinthquay.control.state.ControlTables;
+import io.jacinthquay.decision.cluster.RouterSignals;
 import io.jacinthquay.decision.dispatch.UpstreamLoad;
 import io.jacinthquay.decision.quarantine.PartId;
 import io.jacinthquay.wire.convert.QuarantineMessages;
+import io.jacinthquay.wire.convert.SignalMessages;
 import io.jacinthquay.wire.convert.UpstreamMessages;
 import io.jacinthquay.wire.gen.ControlViewMessage;
 import io.jacinthquay.wire.gen.RelayReportMessage;
@@ -56,7 +58,9 @@
   private final CachedPrefixLog cachedPrefixes = new CachedPrefixLog();
   private final long numberingTerm = -ThreadLocalRandom.current().nextLong(1, Long.MAX_VALUE);
   private List<RouterReportMessage> pending = new ArrayList<>();
+  private final SignalsTable signals;
   private Map<String, UpstreamLoad> remoteLoads = Map.of();
+  private RouterSignals remoteSignals = RouterSignals.NONE;
   private ControlViewMessage leaderView;
   private MemberId viewSource;
   private long viewNanos;
@@ -84,6 +88,7 @@
     this.upstreamList = upstreamList;
     this.clock = clock;
     this.registry = new RouterRegistry(clock);
+    this.signals = new SignalsTable(clock);
     this.upToDateNanos = clock.getAsLong() - MAX_LAG_NANOS;
     this.pendingSinceNanos = clock.getAsLong();
   }
@@ -91,6 +96,9 @@
   /** Adds the report of a router; the next call to the leader passes it on. */
   public synchronized void addReport(RouterReportMessage report) {
     registry.recordReport(report, "");
+    if (report.isSetSignals()) {
+      signals.record(report.getRouter(), "", SignalMessages.toSignals(report.getSignals()));
+    }
     cachedPrefixes.add(report.getRouter(), report.getReads());
     report.setWallMillis(report.getWallMillis() - pendingMillis());
     if (pending.size() >= MAX_PENDING) {
@@ -186,6 +194,10 @@
     view.getOtherLoads()
         .forEach(load -> loads.put(load.getUpstream(), UpstreamMessages.toLoad(load)));
     remoteLoads = loads;
+    remoteSignals =
+        view.isSetOtherSignals()
+            ? SignalMessages.toSignals(view.getOtherSignals())
+            : RouterSignals.NONE;
     cachedPrefixes.add("", view.getReads());
     long polledNanos = requestNanos - view.getListAgeMillis() * NANOS_PER_MILLI;
     if (view.isSetUpstreams()) {
@@ -220,6 +232,11 @@
     return loads;
   }
 
+  @Override
+  public synchronized RouterSignals signalsOfOthers(String router) {
+    return remoteSignals.plus(signals.ofOthers(router));
+  }
+
   @Override
   public synchronized List<PartId> suspects() {
     return QuarantineMessages.toIds(leaderView.getSuspectParts());
--- a/control/src/main/java/io/jacinthquay/control/service/LeaderClusterView.java
+++ b/control/src/main/java/io/jacinthquay/control/service/LeaderClusterView.java
@@ -1,7 +1,9 @@
 package io.jacinthquay.control.service;
 
+import io.jacinthquay.decision.cluster.RouterSignals;
 import io.jacinthquay.decision.dispatch.UpstreamLoad;
 import io.jacinthquay.decision.quarantine.PartId;
+import io.jacinthquay.wire.convert.SignalMessages;
 import io.jacinthquay.wire.gen.RouterReportMessage;
 import java.util.List;
 import java.util.Map;
@@ -13,15 +15,21 @@
   private final MedianClock clock;
   private final PartQuarantine quarantine;
   private final CachedPrefixLog cachedPrefixes = new CachedPrefixLog();
+  private final SignalsTable signals;
 
   /**
-   * Returns a view that stores the reports in a registry, their times of day in a clock and their
-   * evidence in a quarantine.
+   * Returns a view that stores the reports in a registry, their signals in a table, their times of
+   * day in a clock and their evidence in a quarantine.
    */
   public LeaderClusterView(
-      ControlStore store, RouterRegistry registry, MedianClock clock, PartQuarantine quarantine) {
+      ControlStore store,
+      RouterRegistry registry,
+      SignalsTable signals,
+      MedianClock clock,
+      PartQuarantine quarantine) {
     this.store = store;
     this.registry = registry;
+    this.signals = signals;
     this.clock = clock;
     this.quarantine = quarantine;
   }
@@ -33,6 +41,9 @@
    */
   public void recordReport(RouterReportMessage report, String relay) {
     registry.recordReport(report, relay);
+    if (report.isSetSignals()) {
+      signals.record(report.getRouter(), relay, SignalMessages.toSignals(report.getSignals()));
+    }
     clock.recordTime(report.getRouter(), report.getWallMillis());
     quarantine.recordReport(report);
     cachedPrefixes.add(relay.isEmpty() ? report.getRouter() : relay, report.getReads());
@@ -63,6 +74,16 @@
     return registry.loadsExceptVia(relay);
   }
 
+  @Override
+  public RouterSignals signalsOfOthers(String router) {
+    return signals.ofOthers(router);
+  }
+
+  /** Returns the sum of the signals of all routers except those that report through a relay. */
+  public RouterSignals signalsExceptVia(String relay) {
+    return signals.exceptVia(relay);
+  }
+
   @Override
   public List<PartId> suspects() {
     return quarantine.suspects();
--- a/control/src/main/java/io/jacinthquay/control/service/PoolScaler.java
+++ b/control/src/main/java/io/jacinthquay/control/service/PoolScaler.java
@@ -5,6 +5,7 @@
 import io.jacinthquay.control.port.UpstreamOrder;
 import io.jacinthquay.decision.dispatch.UpstreamListing;
 import io.jacinthquay.decision.dispatch.UpstreamLoad;
+import io.jacinthquay.decision.learning.LearnedRates;
 import io.jacinthquay.decision.scaling.FleetPlan;
 import io.jacinthquay.decision.scaling.FleetPlanner;
 import io.jacinthquay.decision.scaling.PoolLoad;
@@ -35,6 +36,7 @@
 
   private final ControlStore store;
   private final RouterRegistry routers;
+  private final SignalsTable signals;
   private final UpstreamListCache upstreamList;
   private final Fleet fleet;
   private final Function<byte[], Either<Failure, RoutingDocument>> decoder;
@@ -49,6 +51,7 @@
    *
    * @param store holds the document in force
    * @param routers the reports of the routers
+   * @param signals what routers that learn rates report
    * @param upstreamList the platform's list of upstreams
    * @param fleet the platform that takes the orders
    * @param decoder decodes the document
@@ -56,11 +59,13 @@
   public PoolScaler(
       ControlStore store,
       RouterRegistry routers,
+      SignalsTable signals,
       UpstreamListCache upstreamList,
       Fleet fleet,
       Function<byte[], Either<Failure, RoutingDocument>> decoder) {
     this.store = store;
     this.routers = routers;
+    this.signals = signals;
     this.upstreamList = upstreamList;
     this.fleet = fleet;
     this.decoder = decoder;
@@ -120,18 +125,20 @@
     poolRates.record(pool.name().value(), routers.demand(), now);
     PoolLoad load = poolRates.load(totalLoad.inFlight(), totalLoad.promptTokens());
     FleetPlanner planner = planners.computeIfAbsent(pool.name(), name -> new FleetPlanner(spec));
+    LearnedRates learned = new LearnedRates(listings, signals.all().evidence());
     for (FleetPlan plan : planner.plan(listings, load, candidateDomains(listings, spec), now)) {
       Either<Failure, Void> result =
           fleet.orderUpstreams(
               lease, new UpstreamOrder(pool.name(), plan.domain(), plan.cheap(), plan.count()));
       log.info(
-          "order {} {} fence={} need={} load={} listAgeMillis={} sent={}",
+          "order {} {} fence={} need={} load={} listAgeMillis={} tokensPerMilli={} sent={}",
           pool.name(),
           plan,
           lease.fencingToken(),
           planner.need(),
           load,
           (now - snapshot.polledNanos()) / 1_000_000,
+          learned.promptTokensPerMilli(pool.name(), plan.domain()),
           result);
       result.peekLeft(failure -> recordFailure(failure, planner, plan, now));
     }
--- a/control/src/test/java/io/jacinthquay/control/adapter/ControlHandlerTest.java
+++ b/control/src/test/java/io/jacinthquay/control/adapter/ControlHandlerTest.java
@@ -12,6 +12,7 @@
 import io.jacinthquay.control.service.PartQuarantine;
 import io.jacinthquay.control.service.RelayDirectory;
 import io.jacinthquay.control.service.RouterRegistry;
+import io.jacinthquay.control.service.SignalsTable;
 import io.jacinthquay.control.service.UpstreamListCache;
 import io.jacinthquay.control.state.ControlState;
 import io.jacinthquay.runtime.time.ClockReading;
@@ -43,6 +44,7 @@
         new LeaderClusterView(
             store,
             new RouterRegistry(() -> 0),
+            new SignalsTable(() -> 0),
             new MedianClock(() -> 0, () -> 0),
             new PartQuarantine(store, () -> 0, () -> 0)),
         new DomainRelay("127.0.0.1:9", "a", store, upstreamList, () -> 0),
--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamSelector.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamSelector.java
@@ -1,5 +1,7 @@
 package io.jacinthquay.decision.dispatch;
 
+import io.jacinthquay.decision.cluster.RouterSignals;
+import io.jacinthquay.decision.learning.LearnedRates;
 import io.jacinthquay.model.DomainId;
 import io.jacinthquay.model.PoolName;
 import io.jacinthquay.model.UpstreamId;
@@ -58,6 +60,9 @@
    */
   private static final int MANY_ROUTERS = 30;
 
+  /** Age at which the signals of other routers count as none, in nanoseconds. */
+  private static final long SIGNALS_EXPIRY_NANOS = 1_500_000_000L;
+
   /** Cost of an upstream that is due for a probe, in milliseconds; negative so that it is tried. */
   private static final double PROBE_MILLIS = -1;
 
@@ -73,6 +78,8 @@
   private final Map<PoolName, ReservedEngines> reservations = new HashMap<>();
   private final DomainReachability reachability = new DomainReachability();
   private int routerCount = 1;
+  private RouterSignals remoteSignals = RouterSignals.NONE;
+  private long remoteSignalsNanos;
 
   /**
    * Returns a selector without upstreams.
@@ -157,6 +164,24 @@
     states.forEach((id, state) -> state.setRemoteLoad(figures.getOrDefault(id, UpstreamLoad.NONE)));
   }
 
+  /** Sets what the other routers have observed; used only if rates are learned. */
+  public void setRemoteSignals(RouterSignals signals, long now) {
+    remoteSignals = signals;
+    remoteSignalsNanos = now;
+  }
+
+  /** Returns what the other routers have observed; nothing once it is old. */
+  private RouterSignals remoteSignals(long now) {
+    return now - remoteSignalsNanos > SIGNALS_EXPIRY_NANOS ? RouterSignals.NONE : remoteSignals;
+  }
+
+  /** Returns how fast the upstreams work, as far as it is learned. */
+  public LearnedRates learnedRates(long now) {
+    return new LearnedRates(
+        states.values().stream().map(UpstreamState::listing).toList(),
+        remoteSignals(now).evidence());
+  }
+
   /** Returns all listed upstreams and those that still run requests of this router. */
   public Collection<UpstreamState> states() {
     return states.values();
--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/ControlLink.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/ControlLink.java
@@ -1,5 +1,6 @@
 package io.jacinthquay.router.adapter.thrift;
 
+import io.jacinthquay.decision.cluster.RouterSignals;
 import io.jacinthquay.decision.dispatch.PromptPart;
 import io.jacinthquay.decision.dispatch.UpstreamListing;
 import io.jacinthquay.decision.dispatch.UpstreamLoad;
@@ -18,6 +19,7 @@
 import io.jacinthquay.runtime.Service;
 import io.jacinthquay.runtime.settings.SocketAddresses;
 import io.jacinthquay.wire.convert.QuarantineMessages;
+import io.jacinthquay.wire.convert.SignalMessages;
 import io.jacinthquay.wire.convert.UpstreamMessages;
 import io.jacinthquay.wire.gen.Control;
 import io.jacinthquay.wire.gen.ControlViewMessage;
@@ -304,6 +306,7 @@
         new ArrayList<>(report.prefixes().stream().map(ControlLink::toMessage).toList()));
     message.setReadsSeen(prefixesNumber);
     message.setReadsTerm(prefixesTerm);
+    report.signals().ifPresent(s -> message.setSignals(SignalMessages.toMessage(s)));
     return message;
   }
 
@@ -408,7 +411,11 @@
     int count = view.getRouters();
     routerCount = count;
     changes.add(() -> core.recordRemotePrefixes(prefixes));
-    changes.add(() -> core.updatePeers(count, remoteLoads));
+    RouterSignals signals =
+        view.isSetOtherSignals()
+            ? SignalMessages.toSignals(view.getOtherSignals())
+            : RouterSignals.NONE;
+    changes.add(() -> core.updatePeers(count, remoteLoads, signals));
     core.thread().execute(() -> changes.forEach(ControlLink::runGuarded));
   }
 
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
@@ -1,5 +1,6 @@
 package io.jacinthquay.router.service.forward;
 
+import io.jacinthquay.decision.cluster.RouterSignals;
 import io.jacinthquay.decision.dispatch.PoolRequest;
 import io.jacinthquay.decision.dispatch.PromptPart;
 import io.jacinthquay.decision.dispatch.RequestQueue;
@@ -67,6 +68,7 @@
 
   private record SyncedTime(long wallMillis, long syncedNanos) {}
 
+  private final boolean learnsRates;
   private final ForwardProtocol protocol;
   private final UpstreamClient client;
   private final UpstreamSelector selector;
@@ -107,6 +109,7 @@
    */
   ForwardCore(
       ForwardOptions options, ForwardProtocol protocol, UpstreamClient client, LongSupplier clock) {
+    this.learnsRates = options.learnsRates();
     this.protocol = protocol;
     this.client = client;
     this.clock = clock;
@@ -169,16 +172,18 @@
   }
 
   /**
-   * Updates the number of routers and the load that the other routers have in flight.
+   * Updates the number of routers, and what the other routers have in flight and report.
    *
    * @param count number of routers
    * @param loads load of the other routers by upstream
+   * @param signals sum of the signals of the other routers
    */
-  public void updatePeers(int count, Map<UpstreamId, UpstreamLoad> loads) {
+  public void updatePeers(int count, Map<UpstreamId, UpstreamLoad> loads, RouterSignals signals) {
     long now = clock.getAsLong();
     contact.recordControlMessage(now);
     selector.setRouterCount(retryBudgets.updateRouters(count, now));
     selector.setRemoteLoads(loads);
+    selector.setRemoteSignals(signals, now);
   }
 
   /**
@@ -290,11 +295,17 @@
             usage.counts(),
             demand,
             unreportedPrefixes,
+            learnsRates ? Optional.of(signals()) : Optional.empty(),
             quarantine.report(clock.getAsLong()));
     unreportedPrefixes.clear();
     return report;
   }
 
+  /** Returns what this router tells the others. */
+  private RouterSignals signals() {
+    return RouterSignals.NONE;
+  }
+
   /** Records shared prefixes that other routers have sent to upstreams. */
   public void recordRemotePrefixes(List<CachedPrefix> prefixes) {
     long now = clock.getAsLong();
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardOptions.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardOptions.java
@@ -33,6 +33,14 @@
     Objects.requireNonNull(startHold, "startHold");
   }
 
+  /**
+   * Returns whether the router learns what upstreams bear: where the deployment states no limits on
+   * sends to upstreams that start, nothing else tells it.
+   */
+  public boolean learnsRates() {
+    return coldLimits.isEmpty();
+  }
+
   /**
    * Limits on retries, over all routers.
    *
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardReport.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardReport.java
@@ -1,11 +1,13 @@
 package io.jacinthquay.router.service.forward;
 
+import io.jacinthquay.decision.cluster.RouterSignals;
 import io.jacinthquay.decision.dispatch.UpstreamLoad;
 import io.jacinthquay.model.CustomerId;
 import io.jacinthquay.model.PoolName;
 import io.jacinthquay.model.UpstreamId;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * Traffic figures that a router reports to the control VMs.
@@ -14,6 +16,7 @@
  * @param counts requests whose answer began, by window and customer
  * @param demand demand on each pool since the router started
  * @param prefixes shared prefixes that were sent since the last report
+ * @param signals what this router tells the others if it learns rates; empty otherwise
  * @param quarantine evidence about parts of prompts that may crash upstreams
  */
 public record ForwardReport(
@@ -21,6 +24,7 @@
     Map<Long, Map<CustomerId, Long>> counts,
     Map<PoolName, PoolDemand> demand,
     List<CachedPrefix> prefixes,
+    Optional<RouterSignals> signals,
     QuarantineReport quarantine) {
   /** Copies the maps and the list. */
   public ForwardReport {
--- a/router/src/test/java/io/jacinthquay/router/service/forward/ForwardSimulation.java
+++ b/router/src/test/java/io/jacinthquay/router/service/forward/ForwardSimulation.java
@@ -1,5 +1,6 @@
 package io.jacinthquay.router.service.forward;
 
+import io.jacinthquay.decision.cluster.RouterSignals;
 import io.jacinthquay.decision.dispatch.UpstreamListing;
 import io.jacinthquay.decision.dispatch.UpstreamLoad;
 import io.jacinthquay.model.DomainId;
@@ -260,7 +261,7 @@
         loads.put(upstream(i), new UpstreamLoad(slots.get(i), 0, 0, 0));
       }
     }
-    core.updatePeers(2, loads);
+    core.updatePeers(2, loads, RouterSignals.NONE);
   }
 
   private void closedDomains(int detail) {
--- a/wire/src/main/java/io/jacinthquay/wire/gen/ControlViewMessage.java
+++ b/wire/src/main/java/io/jacinthquay/wire/gen/ControlViewMessage.java
@@ -33,6 +33,7 @@
   private static final org.apache.thrift.protocol.TField QUARANTINED_PARTS_FIELD_DESC = new org.apache.thrift.protocol.TField("quarantinedParts", org.apache.thrift.protocol.TType.LIST, (short)21);
   private static final org.apache.thrift.protocol.TField SUSPECT_PARTS_FIELD_DESC = new org.apache.thrift.protocol.TField("suspectParts", org.apache.thrift.protocol.TType.LIST, (short)22);
   private static final org.apache.thrift.protocol.TField TRIAL_PARTS_FIELD_DESC = new org.apache.thrift.protocol.TField("trialParts", org.apache.thrift.protocol.TType.LIST, (short)23);
+  private static final org.apache.thrift.protocol.TField OTHER_SIGNALS_FIELD_DESC = new org.apache.thrift.protocol.TField("otherSignals", org.apache.thrift.protocol.TType.STRUCT, (short)24);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new ControlViewMessageStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new ControlViewMessageTupleSchemeFactory();
@@ -60,6 +61,7 @@
   private @org.apache.thrift.annotation.Nullable java.util.List<QuarantinedPartMessage> quarantinedParts; // optional
   private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.Long> suspectParts; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.Long> trialParts; // required
+  private @org.apache.thrift.annotation.Nullable RouterSignalsMessage otherSignals; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -133,7 +135,11 @@
     /**
      * Quarantined parts with each of which the router may send one request.
      */
-    TRIAL_PARTS((short)23, "trialParts");
+    TRIAL_PARTS((short)23, "trialParts"),
+    /**
+     * Sum over all other routers; set only if one of them reported signals.
+     */
+    OTHER_SIGNALS((short)24, "otherSignals");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -195,6 +201,8 @@
           return SUSPECT_PARTS;
         case 23: // TRIAL_PARTS
           return TRIAL_PARTS;
+        case 24: // OTHER_SIGNALS
+          return OTHER_SIGNALS;
         default:
           return null;
       }
@@ -250,7 +258,7 @@
   private static final int __RELAYS_ISSET_ID = 9;
   private static final int __QUARANTINEINDEX_ISSET_ID = 10;
   private short __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.DOCUMENT,_Fields.CLOSED_DOMAINS,_Fields.UPSTREAMS,_Fields.RELAY,_Fields.QUARANTINED_PARTS};
+  private static final _Fields optionals[] = {_Fields.DOCUMENT,_Fields.CLOSED_DOMAINS,_Fields.UPSTREAMS,_Fields.RELAY,_Fields.QUARANTINED_PARTS,_Fields.OTHER_SIGNALS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -308,6 +316,8 @@
     tmpMap.put(_Fields.TRIAL_PARTS, new org.apache.thrift.meta_data.FieldMetaData("trialParts", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64))));
+    tmpMap.put(_Fields.OTHER_SIGNALS, new org.apache.thrift.meta_data.FieldMetaData("otherSignals", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, RouterSignalsMessage.class)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ControlViewMessage.class, metaDataMap);
   }
@@ -440,6 +450,9 @@
       java.util.List<java.lang.Long> __this__trialParts = new java.util.ArrayList<java.lang.Long>(other.trialParts);
       this.trialParts = __this__trialParts;
     }
+    if (other.isSetOtherSignals()) {
+      this.otherSignals = new RouterSignalsMessage(other.otherSignals);
+    }
   }
 
   @Override
@@ -485,6 +498,7 @@
 
     this.trialParts = new java.util.ArrayList<java.lang.Long>();
 
+    this.otherSignals = null;
   }
 
   /**
@@ -1273,6 +1287,37 @@
     }
   }
 
+  /**
+   * Sum over all other routers; set only if one of them reported signals.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public RouterSignalsMessage getOtherSignals() {
+    return this.otherSignals;
+  }
+
+  /**
+   * Sum over all other routers; set only if one of them reported signals.
+   */
+  public ControlViewMessage setOtherSignals(@org.apache.thrift.annotation.Nullable RouterSignalsMessage otherSignals) {
+    this.otherSignals = otherSignals;
+    return this;
+  }
+
+  public void unsetOtherSignals() {
+    this.otherSignals = null;
+  }
+
+  /** Returns true if field otherSignals is set (has been assigned a value) and false otherwise */
+  public boolean isSetOtherSignals() {
+    return this.otherSignals != null;
+  }
+
+  public void setOtherSignalsIsSet(boolean value) {
+    if (!value) {
+      this.otherSignals = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -1464,6 +1509,14 @@
       }
       break;
 
+    case OTHER_SIGNALS:
+      if (value == null) {
+        unsetOtherSignals();
+      } else {
+        setOtherSignals((RouterSignalsMessage)value);
+      }
+      break;
+
     }
   }
 
@@ -1540,6 +1593,9 @@
     case TRIAL_PARTS:
       return getTrialParts();
 
+    case OTHER_SIGNALS:
+      return getOtherSignals();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -1598,6 +1654,8 @@
       return isSetSuspectParts();
     case TRIAL_PARTS:
       return isSetTrialParts();
+    case OTHER_SIGNALS:
+      return isSetOtherSignals();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -1822,6 +1880,15 @@
         return false;
     }
 
+    boolean this_present_otherSignals = true && this.isSetOtherSignals();
+    boolean that_present_otherSignals = true && that.isSetOtherSignals();
+    if (this_present_otherSignals || that_present_otherSignals) {
+      if (!(this_present_otherSignals && that_present_otherSignals))
+        return false;
+      if (!this.otherSignals.equals(that.otherSignals))
+        return false;
+    }
+
     return true;
   }
 
@@ -1899,6 +1966,10 @@
     if (isSetTrialParts())
       hashCode = hashCode * 8191 + trialParts.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetOtherSignals()) ? 131071 : 524287);
+    if (isSetOtherSignals())
+      hashCode = hashCode * 8191 + otherSignals.hashCode();
+
     return hashCode;
   }
 
@@ -2140,6 +2211,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetOtherSignals(), other.isSetOtherSignals());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetOtherSignals()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.otherSignals, other.otherSignals);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -2313,6 +2394,16 @@
       sb.append(this.trialParts);
     }
     first = false;
+    if (isSetOtherSignals()) {
+      if (!first) sb.append(", ");
+      sb.append("otherSignals:");
+      if (this.otherSignals == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.otherSignals);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -2323,6 +2414,9 @@
     if (upstreams != null) {
       upstreams.validate();
     }
+    if (otherSignals != null) {
+      otherSignals.validate();
+    }
   }
 
   private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
@@ -2382,13 +2476,13 @@
           case 3: // MEMBERS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list88 = iprot.readListBegin();
-                struct.members = new java.util.ArrayList<java.lang.String>(_list88.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem89;
-                for (int _i90 = 0; _i90 < _list88.size; ++_i90)
+                org.apache.thrift.protocol.TList _list114 = iprot.readListBegin();
+                struct.members = new java.util.ArrayList<java.lang.String>(_list114.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem115;
+                for (int _i116 = 0; _i116 < _list114.size; ++_i116)
                 {
-                  _elem89 = iprot.readString();
-                  struct.members.add(_elem89);
+                  _elem115 = iprot.readString();
+                  struct.members.add(_elem115);
                 }
                 iprot.readListEnd();
               }
@@ -2424,13 +2518,13 @@
           case 7: // CLOSED_DOMAINS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list91 = iprot.readListBegin();
-                struct.closedDomains = new java.util.ArrayList<java.lang.String>(_list91.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem92;
-                for (int _i93 = 0; _i93 < _list91.size; ++_i93)
+                org.apache.thrift.protocol.TList _list117 = iprot.readListBegin();
+                struct.closedDomains = new java.util.ArrayList<java.lang.String>(_list117.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem118;
+                for (int _i119 = 0; _i119 < _list117.size; ++_i119)
                 {
-                  _elem92 = iprot.readString();
-                  struct.closedDomains.add(_elem92);
+                  _elem118 = iprot.readString();
+                  struct.closedDomains.add(_elem118);
                 }
                 iprot.readListEnd();
               }
@@ -2467,14 +2561,14 @@
           case 11: // OTHER_LOADS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list94 = iprot.readListBegin();
-                struct.otherLoads = new java.util.ArrayList<UpstreamLoadMessage>(_list94.size);
-                @org.apache.thrift.annotation.Nullable UpstreamLoadMessage _elem95;
-                for (int _i96 = 0; _i96 < _list94.size; ++_i96)
+                org.apache.thrift.protocol.TList _list120 = iprot.readListBegin();
+                struct.otherLoads = new java.util.ArrayList<UpstreamLoadMessage>(_list120.size);
+                @org.apache.thrift.annotation.Nullable UpstreamLoadMessage _elem121;
+                for (int _i122 = 0; _i122 < _list120.size; ++_i122)
                 {
-                  _elem95 = new UpstreamLoadMessage();
-                  _elem95.read(iprot);
-                  struct.otherLoads.add(_elem95);
+                  _elem121 = new UpstreamLoadMessage();
+                  _elem121.read(iprot);
+                  struct.otherLoads.add(_elem121);
                 }
                 iprot.readListEnd();
               }
@@ -2502,14 +2596,14 @@
           case 14: // READS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list97 = iprot.readListBegin();
-                struct.reads = new java.util.ArrayList<PrefixReadMessage>(_list97.size);
-                @org.apache.thrift.annotation.Nullable PrefixReadMessage _elem98;
-                for (int _i99 = 0; _i99 < _list97.size; ++_i99)
+                org.apache.thrift.protocol.TList _list123 = iprot.readListBegin();
+                struct.reads = new java.util.ArrayList<PrefixReadMessage>(_list123.size);
+                @org.apache.thrift.annotation.Nullable PrefixReadMessage _elem124;
+                for (int _i125 = 0; _i125 < _list123.size; ++_i125)
                 {
-                  _elem98 = new PrefixReadMessage();
-                  _elem98.read(iprot);
-                  struct.reads.add(_elem98);
+                  _elem124 = new PrefixReadMessage();
+                  _elem124.read(iprot);
+                  struct.reads.add(_elem124);
                 }
                 iprot.readListEnd();
               }
@@ -2537,13 +2631,13 @@
           case 17: // REPLICAS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list100 = iprot.readListBegin();
-                struct.replicas = new java.util.ArrayList<java.lang.String>(_list100.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem101;
-                for (int _i102 = 0; _i102 < _list100.size; ++_i102)
+                org.apache.thrift.protocol.TList _list126 = iprot.readListBegin();
+                struct.replicas = new java.util.ArrayList<java.lang.String>(_list126.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem127;
+                for (int _i128 = 0; _i128 < _list126.size; ++_i128)
                 {
-                  _elem101 = iprot.readString();
-                  struct.replicas.add(_elem101);
+                  _elem127 = iprot.readString();
+                  struct.replicas.add(_elem127);
                 }
                 iprot.readListEnd();
               }
@@ -2579,14 +2673,14 @@
           case 21: // QUARANTINED_PARTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list103 = iprot.readListBegin();
-                struct.quarantinedParts = new java.util.ArrayList<QuarantinedPartMessage>(_list103.size);
-                @org.apache.thrift.annotation.Nullable QuarantinedPartMessage _elem104;
-                for (int _i105 = 0; _i105 < _list103.size; ++_i105)
+                org.apache.thrift.protocol.TList _list129 = iprot.readListBegin();
+                struct.quarantinedParts = new java.util.ArrayList<QuarantinedPartMessage>(_list129.size);
+                @org.apache.thrift.annotation.Nullable QuarantinedPartMessage _elem130;
+                for (int _i131 = 0; _i131 < _list129.size; ++_i131)
                 {
-                  _elem104 = new QuarantinedPartMessage();
-                  _elem104.read(iprot);
-                  struct.quarantinedParts.add(_elem104);
+                  _elem130 = new QuarantinedPartMessage();
+                  _elem130.read(iprot);
+                  struct.quarantinedParts.add(_elem130);
                 }
                 iprot.readListEnd();
               }
@@ -2598,13 +2692,13 @@
           case 22: // SUSPECT_PARTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list106 = iprot.readListBegin();
-                struct.suspectParts = new java.util.ArrayList<java.lang.Long>(_list106.size);
-                long _elem107;
-                for (int _i108 = 0; _i108 < _list106.size; ++_i108)
+                org.apache.thrift.protocol.TList _list132 = iprot.readListBegin();
+                struct.suspectParts = new java.util.ArrayList<java.lang.Long>(_list132.size);
+                long _elem133;
+                for (int _i134 = 0; _i134 < _list132.size; ++_i134)
                 {
-                  _elem107 = iprot.readI64();
-                  struct.suspectParts.add(_elem107);
+                  _elem133 = iprot.readI64();
+                  struct.suspectParts.add(_elem133);
                 }
                 iprot.readListEnd();
               }
@@ -2616,13 +2710,13 @@
           case 23: // TRIAL_PARTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list109 = iprot.readListBegin();
-                struct.trialParts = new java.util.ArrayList<java.lang.Long>(_list109.size);
-                long _elem110;
-                for (int _i111 = 0; _i111 < _list109.size; ++_i111)
+                org.apache.thrift.protocol.TList _list135 = iprot.readListBegin();
+                struct.trialParts = new java.util.ArrayList<java.lang.Long>(_list135.size);
+                long _elem136;
+                for (int _i137 = 0; _i137 < _list135.size; ++_i137)
                 {
-                  _elem110 = iprot.readI64();
-                  struct.trialParts.add(_elem110);
+                  _elem136 = iprot.readI64();
+                  struct.trialParts.add(_elem136);
                 }
                 iprot.readListEnd();
               }
@@ -2631,6 +2725,15 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 24: // OTHER_SIGNALS
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+              struct.otherSignals = new RouterSignalsMessage();
+              struct.otherSignals.read(iprot);
+              struct.setOtherSignalsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -2659,9 +2762,9 @@
         oprot.writeFieldBegin(MEMBERS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.members.size()));
-          for (java.lang.String _iter112 : struct.members)
+          for (java.lang.String _iter138 : struct.members)
           {
-            oprot.writeString(_iter112);
+            oprot.writeString(_iter138);
           }
           oprot.writeListEnd();
         }
@@ -2685,9 +2788,9 @@
           oprot.writeFieldBegin(CLOSED_DOMAINS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.closedDomains.size()));
-            for (java.lang.String _iter113 : struct.closedDomains)
+            for (java.lang.String _iter139 : struct.closedDomains)
             {
-              oprot.writeString(_iter113);
+              oprot.writeString(_iter139);
             }
             oprot.writeListEnd();
           }
@@ -2711,9 +2814,9 @@
         oprot.writeFieldBegin(OTHER_LOADS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.otherLoads.size()));
-          for (UpstreamLoadMessage _iter114 : struct.otherLoads)
+          for (UpstreamLoadMessage _iter140 : struct.otherLoads)
           {
-            _iter114.write(oprot);
+            _iter140.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -2729,9 +2832,9 @@
         oprot.writeFieldBegin(READS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.reads.size()));
-          for (PrefixReadMessage _iter115 : struct.reads)
+          for (PrefixReadMessage _iter141 : struct.reads)
           {
-            _iter115.write(oprot);
+            _iter141.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -2747,9 +2850,9 @@
         oprot.writeFieldBegin(REPLICAS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.replicas.size()));
-          for (java.lang.String _iter116 : struct.replicas)
+          for (java.lang.String _iter142 : struct.replicas)
           {
-            oprot.writeString(_iter116);
+            oprot.writeString(_iter142);
           }
           oprot.writeListEnd();
         }
@@ -2773,9 +2876,9 @@
           oprot.writeFieldBegin(QUARANTINED_PARTS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.quarantinedParts.size()));
-            for (QuarantinedPartMessage _iter117 : struct.quarantinedParts)
+            for (QuarantinedPartMessage _iter143 : struct.quarantinedParts)
             {
-              _iter117.write(oprot);
+              _iter143.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -2786,9 +2889,9 @@
         oprot.writeFieldBegin(SUSPECT_PARTS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.I64, struct.suspectParts.size()));
-          for (long _iter118 : struct.suspectParts)
+          for (long _iter144 : struct.suspectParts)
           {
-            oprot.writeI64(_iter118);
+            oprot.writeI64(_iter144);
           }
           oprot.writeListEnd();
         }
@@ -2798,14 +2901,21 @@
         oprot.writeFieldBegin(TRIAL_PARTS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.I64, struct.trialParts.size()));
-          for (long _iter119 : struct.trialParts)
+          for (long _iter145 : struct.trialParts)
           {
-            oprot.writeI64(_iter119);
+            oprot.writeI64(_iter145);
           }
           oprot.writeListEnd();
         }
         oprot.writeFieldEnd();
       }
+      if (struct.otherSignals != null) {
+        if (struct.isSetOtherSignals()) {
+          oprot.writeFieldBegin(OTHER_SIGNALS_FIELD_DESC);
+          struct.otherSignals.write(oprot);
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -2894,7 +3004,10 @@
       if (struct.isSetTrialParts()) {
         optionals.set(22);
       }
-      oprot.writeBitSet(optionals, 23);
+      if (struct.isSetOtherSignals()) {
+        optionals.set(23);
+      }
+      oprot.writeBitSet(optionals, 24);
       if (struct.isSetLeads()) {
         oprot.writeBool(struct.leads);
       }
@@ -2904,9 +3017,9 @@
       if (struct.isSetMembers()) {
         {
           oprot.writeI32(struct.members.size());
-          for (java.lang.String _iter120 : struct.members)
+          for (java.lang.String _iter146 : struct.members)
           {
-            oprot.writeString(_iter120);
+            oprot.writeString(_iter146);
           }
         }
       }
@@ -2922,9 +3035,9 @@
       if (struct.isSetClosedDomains()) {
         {
           oprot.writeI32(struct.closedDomains.size());
-          for (java.lang.String _iter121 : struct.closedDomains)
+          for (java.lang.String _iter147 : struct.closedDomains)
           {
-            oprot.writeString(_iter121);
+            oprot.writeString(_iter147);
           }
         }
       }
@@ -2940,9 +3053,9 @@
       if (struct.isSetOtherLoads()) {
         {
           oprot.writeI32(struct.otherLoads.size());
-          for (UpstreamLoadMessage _iter122 : struct.otherLoads)
+          for (UpstreamLoadMessage _iter148 : struct.otherLoads)
           {
-            _iter122.write(oprot);
+            _iter148.write(oprot);
           }
         }
       }
@@ -2955,9 +3068,9 @@
       if (struct.isSetReads()) {
         {
           oprot.writeI32(struct.reads.size());
-          for (PrefixReadMessage _iter123 : struct.reads)
+          for (PrefixReadMessage _iter149 : struct.reads)
           {
-            _iter123.write(oprot);
+            _iter149.write(oprot);
           }
         }
       }
@@ -2970,9 +3083,9 @@
       if (struct.isSetReplicas()) {
         {
           oprot.writeI32(struct.replicas.size());
-          for (java.lang.String _iter124 : struct.replicas)
+          for (java.lang.String _iter150 : struct.replicas)
           {
-            oprot.writeString(_iter124);
+            oprot.writeString(_iter150);
           }
         }
       }
@@ -2988,36 +3101,39 @@
       if (struct.isSetQuarantinedParts()) {
         {
           oprot.writeI32(struct.quarantinedParts.size());
-          for (QuarantinedPartMessage _iter125 : struct.quarantinedParts)
+          for (QuarantinedPartMessage _iter151 : struct.quarantinedParts)
           {
-            _iter125.write(oprot);
+            _iter151.write(oprot);
           }
         }
       }
       if (struct.isSetSuspectParts()) {
         {
           oprot.writeI32(struct.suspectParts.size());
-          for (long _iter126 : struct.suspectParts)
+          for (long _iter152 : struct.suspectParts)
           {
-            oprot.writeI64(_iter126);
+            oprot.writeI64(_iter152);
           }
         }
       }
       if (struct.isSetTrialParts()) {
         {
           oprot.writeI32(struct.trialParts.size());
-          for (long _iter127 : struct.trialParts)
+          for (long _iter153 : struct.trialParts)
           {
-            oprot.writeI64(_iter127);
+            oprot.writeI64(_iter153);
           }
         }
       }
+      if (struct.isSetOtherSignals()) {
+        struct.otherSignals.write(oprot);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, ControlViewMessage struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(23);
+      java.util.BitSet incoming = iprot.readBitSet(24);
       if (incoming.get(0)) {
         struct.leads = iprot.readBool();
         struct.setLeadsIsSet(true);
@@ -3028,13 +3144,13 @@
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list128 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.members = new java.util.ArrayList<java.lang.String>(_list128.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem129;
-          for (int _i130 = 0; _i130 < _list128.size; ++_i130)
+          org.apache.thrift.protocol.TList _list154 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.members = new java.util.ArrayList<java.lang.String>(_list154.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem155;
+          for (int _i156 = 0; _i156 < _list154.size; ++_i156)
           {
-            _elem129 = iprot.readString();
-            struct.members.add(_elem129);
+            _elem155 = iprot.readString();
+            struct.members.add(_elem155);
           }
         }
         struct.setMembersIsSet(true);
@@ -3053,13 +3169,13 @@
       }
       if (incoming.get(6)) {
         {
-          org.apache.thrift.protocol.TList _list131 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.closedDomains = new java.util.ArrayList<java.lang.String>(_list131.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem132;
-          for (int _i133 = 0; _i133 < _list131.size; ++_i133)
+          org.apache.thrift.protocol.TList _list157 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.closedDomains = new java.util.ArrayList<java.lang.String>(_list157.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem158;
+          for (int _i159 = 0; _i159 < _list157.size; ++_i159)
           {
-            _elem132 = iprot.readString();
-            struct.closedDomains.add(_elem132);
+            _elem158 = iprot.readString();
+            struct.closedDomains.add(_elem158);
           }
         }
         struct.setClosedDomainsIsSet(true);
@@ -3079,14 +3195,14 @@
       }
       if (incoming.get(10)) {
         {
-          org.apache.thrift.protocol.TList _list134 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.otherLoads = new java.util.ArrayList<UpstreamLoadMessage>(_list134.size);
-          @org.apache.thrift.annotation.Nullable UpstreamLoadMessage _elem135;
-          for (int _i136 = 0; _i136 < _list134.size; ++_i136)
+          org.apache.thrift.protocol.TList _list160 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.otherLoads = new java.util.ArrayList<UpstreamLoadMessage>(_list160.size);
+          @org.apache.thrift.annotation.Nullable UpstreamLoadMessage _elem161;
+          for (int _i162 = 0; _i162 < _list160.size; ++_i162)
           {
-            _elem135 = new UpstreamLoadMessage();
-            _elem135.read(iprot);
-            struct.otherLoads.add(_elem135);
+            _elem161 = new UpstreamLoadMessage();
+            _elem161.read(iprot);
+            struct.otherLoads.add(_elem161);
           }
         }
         struct.setOtherLoadsIsSet(true);
@@ -3101,14 +3217,14 @@
       }
       if (incoming.get(13)) {
         {
-          org.apache.thrift.protocol.TList _list137 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.reads = new java.util.ArrayList<PrefixReadMessage>(_list137.size);
-          @org.apache.thrift.annotation.Nullable PrefixReadMessage _elem138;
-          for (int _i139 = 0; _i139 < _list137.size; ++_i139)
+          org.apache.thrift.protocol.TList _list163 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.reads = new java.util.ArrayList<PrefixReadMessage>(_list163.size);
+          @org.apache.thrift.annotation.Nullable PrefixReadMessage _elem164;
+          for (int _i165 = 0; _i165 < _list163.size; ++_i165)
           {
-            _elem138 = new PrefixReadMessage();
-            _elem138.read(iprot);
-            struct.reads.add(_elem138);
+            _elem164 = new PrefixReadMessage();
+            _elem164.read(iprot);
+            struct.reads.add(_elem164);
           }
         }
         struct.setReadsIsSet(true);
@@ -3123,13 +3239,13 @@
       }
       if (incoming.get(16)) {
         {
-          org.apache.thrift.protocol.TList _list140 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.replicas = new java.util.ArrayList<java.lang.String>(_list140.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem141;
-          for (int _i142 = 0; _i142 < _list140.size; ++_i142)
+          org.apache.thrift.protocol.TList _list166 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.replicas = new java.util.ArrayList<java.lang.String>(_list166.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem167;
+          for (int _i168 = 0; _i168 < _list166.size; ++_i168)
           {
-            _elem141 = iprot.readString();
-            struct.replicas.add(_elem141);
+            _elem167 = iprot.readString();
+            struct.replicas.add(_elem167);
           }
         }
         struct.setReplicasIsSet(true);
@@ -3148,44 +3264,49 @@
       }
       if (incoming.get(20)) {
         {
-          org.apache.thrift.protocol.TList _list143 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.quarantinedParts = new java.util.ArrayList<QuarantinedPartMessage>(_list143.size);
-          @org.apache.thrift.annotation.Nullable QuarantinedPartMessage _elem144;
-          for (int _i145 = 0; _i145 < _list143.size; ++_i145)
+          org.apache.thrift.protocol.TList _list169 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.quarantinedParts = new java.util.ArrayList<QuarantinedPartMessage>(_list169.size);
+          @org.apache.thrift.annotation.Nullable QuarantinedPartMessage _elem170;
+          for (int _i171 = 0; _i171 < _list169.size; ++_i171)
           {
-            _elem144 = new QuarantinedPartMessage();
-            _elem144.read(iprot);
-            struct.quarantinedParts.add(_elem144);
+            _elem170 = new QuarantinedPartMessage();
+            _elem170.read(iprot);
+            struct.quarantinedParts.add(_elem170);
           }
         }
         struct.setQuarantinedPartsIsSet(true);
       }
       if (incoming.get(21)) {
         {
-          org.apache.thrift.protocol.TList _list146 = iprot.readListBegin(org.apache.thrift.protocol.TType.I64);
-          struct.suspectParts = new java.util.ArrayList<java.lang.Long>(_list146.size);
-          long _elem147;
-          for (int _i148 = 0; _i148 < _list146.size; ++_i148)
+          org.apache.thrift.protocol.TList _list172 = iprot.readListBegin(org.apache.thrift.protocol.TType.I64);
+          struct.suspectParts = new java.util.ArrayList<java.lang.Long>(_list172.size);
+          long _elem173;
+          for (int _i174 = 0; _i174 < _list172.size; ++_i174)
           {
-            _elem147 = iprot.readI64();
-            struct.suspectParts.add(_elem147);
+            _elem173 = iprot.readI64();
+            struct.suspectParts.add(_elem173);
           }
         }
         struct.setSuspectPartsIsSet(true);
       }
       if (incoming.get(22)) {
         {
-          org.apache.thrift.protocol.TList _list149 = iprot.readListBegin(org.apache.thrift.protocol.TType.I64);
-          struct.trialParts = new java.util.ArrayList<java.lang.Long>(_list149.size);
-          long _elem150;
-          for (int _i151 = 0; _i151 < _list149.size; ++_i151)
+          org.apache.thrift.protocol.TList _list175 = iprot.readListBegin(org.apache.thrift.protocol.TType.I64);
+          struct.trialParts = new java.util.ArrayList<java.lang.Long>(_list175.size);
+          long _elem176;
+          for (int _i177 = 0; _i177 < _list175.size; ++_i177)
           {
-            _elem150 = iprot.readI64();
-            struct.trialParts.add(_elem150);
+            _elem176 = iprot.readI64();
+            struct.trialParts.add(_elem176);
           }
         }
         struct.setTrialPartsIsSet(true);
       }
+      if (incoming.get(23)) {
+        struct.otherSignals = new RouterSignalsMessage();
+        struct.otherSignals.read(iprot);
+        struct.setOtherSignalsIsSet(true);
+      }
     }
   }
 
--- a/wire/src/main/java/io/jacinthquay/wire/gen/RouterReportMessage.java
+++ b/wire/src/main/java/io/jacinthquay/wire/gen/RouterReportMessage.java
@@ -28,6 +28,7 @@
   private static final org.apache.thrift.protocol.TField ESTABLISHED_PARTS_FIELD_DESC = new org.apache.thrift.protocol.TField("establishedParts", org.apache.thrift.protocol.TType.LIST, (short)16);
   private static final org.apache.thrift.protocol.TField REJECTED_PARTS_FIELD_DESC = new org.apache.thrift.protocol.TField("rejectedParts", org.apache.thrift.protocol.TType.LIST, (short)17);
   private static final org.apache.thrift.protocol.TField QUARANTINE_INDEX_FIELD_DESC = new org.apache.thrift.protocol.TField("quarantineIndex", org.apache.thrift.protocol.TType.I64, (short)18);
+  private static final org.apache.thrift.protocol.TField SIGNALS_FIELD_DESC = new org.apache.thrift.protocol.TField("signals", org.apache.thrift.protocol.TType.STRUCT, (short)19);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new RouterReportMessageStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new RouterReportMessageTupleSchemeFactory();
@@ -50,6 +51,7 @@
   private @org.apache.thrift.annotation.Nullable java.util.List<EstablishedPartMessage> establishedParts; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.Long> rejectedParts; // required
   private long quarantineIndex; // required
+  private @org.apache.thrift.annotation.Nullable RouterSignalsMessage signals; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -106,7 +108,8 @@
     /**
      * Log index of the quarantined parts in force; -1 for none.
      */
-    QUARANTINE_INDEX((short)18, "quarantineIndex");
+    QUARANTINE_INDEX((short)18, "quarantineIndex"),
+    SIGNALS((short)19, "signals");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -158,6 +161,8 @@
           return REJECTED_PARTS;
         case 18: // QUARANTINE_INDEX
           return QUARANTINE_INDEX;
+        case 19: // SIGNALS
+          return SIGNALS;
         default:
           return null;
       }
@@ -211,6 +216,7 @@
   private static final int __READSTERM_ISSET_ID = 7;
   private static final int __QUARANTINEINDEX_ISSET_ID = 8;
   private short __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.SIGNALS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -257,6 +263,8 @@
             new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64))));
     tmpMap.put(_Fields.QUARANTINE_INDEX, new org.apache.thrift.meta_data.FieldMetaData("quarantineIndex", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.SIGNALS, new org.apache.thrift.meta_data.FieldMetaData("signals", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, RouterSignalsMessage.class)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(RouterReportMessage.class, metaDataMap);
   }
@@ -388,6 +396,9 @@
       this.rejectedParts = __this__rejectedParts;
     }
     this.quarantineIndex = other.quarantineIndex;
+    if (other.isSetSignals()) {
+      this.signals = new RouterSignalsMessage(other.signals);
+    }
   }
 
   @Override
@@ -427,6 +438,7 @@
 
     this.quarantineIndex = -1L;
 
+    this.signals = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -1045,6 +1057,31 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __QUARANTINEINDEX_ISSET_ID, value);
   }
 
+  @org.apache.thrift.annotation.Nullable
+  public RouterSignalsMessage getSignals() {
+    return this.signals;
+  }
+
+  public RouterReportMessage setSignals(@org.apache.thrift.annotation.Nullable RouterSignalsMessage signals) {
+    this.signals = signals;
+    return this;
+  }
+
+  public void unsetSignals() {
+    this.signals = null;
+  }
+
+  /** Returns true if field signals is set (has been assigned a value) and false otherwise */
+  public boolean isSetSignals() {
+    return this.signals != null;
+  }
+
+  public void setSignalsIsSet(boolean value) {
+    if (!value) {
+      this.signals = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -1192,6 +1229,14 @@
       }
       break;
 
+    case SIGNALS:
+      if (value == null) {
+        unsetSignals();
+      } else {
+        setSignals((RouterSignalsMessage)value);
+      }
+      break;
+
     }
   }
 
@@ -1253,6 +1298,9 @@
     case QUARANTINE_INDEX:
       return getQuarantineIndex();
 
+    case SIGNALS:
+      return getSignals();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -1301,6 +1349,8 @@
       return isSetRejectedParts();
     case QUARANTINE_INDEX:
       return isSetQuarantineIndex();
+    case SIGNALS:
+      return isSetSignals();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -1480,6 +1530,15 @@
         return false;
     }
 
+    boolean this_present_signals = true && this.isSetSignals();
+    boolean that_present_signals = true && that.isSetSignals();
+    if (this_present_signals || that_present_signals) {
+      if (!(this_present_signals && that_present_signals))
+        return false;
+      if (!this.signals.equals(that.signals))
+        return false;
+    }
+
     return true;
   }
 
@@ -1541,6 +1600,10 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(quarantineIndex);
 
+    hashCode = hashCode * 8191 + ((isSetSignals()) ? 131071 : 524287);
+    if (isSetSignals())
+      hashCode = hashCode * 8191 + signals.hashCode();
+
     return hashCode;
   }
 
@@ -1732,6 +1795,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetSignals(), other.isSetSignals());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetSignals()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.signals, other.signals);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -1863,6 +1936,16 @@
     sb.append("quarantineIndex:");
     sb.append(this.quarantineIndex);
     first = false;
+    if (isSetSignals()) {
+      if (!first) sb.append(", ");
+      sb.append("signals:");
+      if (this.signals == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.signals);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -1870,6 +1953,9 @@
   public void validate() throws org.apache.thrift.TException {
     // check for required fields
     // check for sub-struct validity
+    if (signals != null) {
+      signals.validate();
+    }
   }
 
   private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
@@ -1961,14 +2047,14 @@
           case 7: // LOADS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list24 = iprot.readListBegin();
-                struct.loads = new java.util.ArrayList<UpstreamLoadMessage>(_list24.size);
-                @org.apache.thrift.annotation.Nullable UpstreamLoadMessage _elem25;
-                for (int _i26 = 0; _i26 < _list24.size; ++_i26)
+                org.apache.thrift.protocol.TList _list50 = iprot.readListBegin();
+                struct.loads = new java.util.ArrayList<UpstreamLoadMessage>(_list50.size);
+                @org.apache.thrift.annotation.Nullable UpstreamLoadMessage _elem51;
+                for (int _i52 = 0; _i52 < _list50.size; ++_i52)
                 {
-                  _elem25 = new UpstreamLoadMessage();
-                  _elem25.read(iprot);
-                  struct.loads.add(_elem25);
+                  _elem51 = new UpstreamLoadMessage();
+                  _elem51.read(iprot);
+                  struct.loads.add(_elem51);
                 }
                 iprot.readListEnd();
               }
@@ -1980,14 +2066,14 @@
           case 8: // COUNTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list27 = iprot.readListBegin();
-                struct.counts = new java.util.ArrayList<CustomerCountMessage>(_list27.size);
-                @org.apache.thrift.annotation.Nullable CustomerCountMessage _elem28;
-                for (int _i29 = 0; _i29 < _list27.size; ++_i29)
+                org.apache.thrift.protocol.TList _list53 = iprot.readListBegin();
+                struct.counts = new java.util.ArrayList<CustomerCountMessage>(_list53.size);
+                @org.apache.thrift.annotation.Nullable CustomerCountMessage _elem54;
+                for (int _i55 = 0; _i55 < _list53.size; ++_i55)
                 {
-                  _elem28 = new CustomerCountMessage();
-                  _elem28.read(iprot);
-                  struct.counts.add(_elem28);
+                  _elem54 = new CustomerCountMessage();
+                  _elem54.read(iprot);
+                  struct.counts.add(_elem54);
                 }
                 iprot.readListEnd();
               }
@@ -1999,14 +2085,14 @@
           case 9: // DEMAND
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list30 = iprot.readListBegin();
-                struct.demand = new java.util.ArrayList<PoolDemandMessage>(_list30.size);
-                @org.apache.thrift.annotation.Nullable PoolDemandMessage _elem31;
-                for (int _i32 = 0; _i32 < _list30.size; ++_i32)
+                org.apache.thrift.protocol.TList _list56 = iprot.readListBegin();
+                struct.demand = new java.util.ArrayList<PoolDemandMessage>(_list56.size);
+                @org.apache.thrift.annotation.Nullable PoolDemandMessage _elem57;
+                for (int _i58 = 0; _i58 < _list56.size; ++_i58)
                 {
-                  _elem31 = new PoolDemandMessage();
-                  _elem31.read(iprot);
-                  struct.demand.add(_elem31);
+                  _elem57 = new PoolDemandMessage();
+                  _elem57.read(iprot);
+                  struct.demand.add(_elem57);
                 }
                 iprot.readListEnd();
               }
@@ -2034,14 +2120,14 @@
           case 12: // READS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list33 = iprot.readListBegin();
-                struct.reads = new java.util.ArrayList<PrefixReadMessage>(_list33.size);
-                @org.apache.thrift.annotation.Nullable PrefixReadMessage _elem34;
-                for (int _i35 = 0; _i35 < _list33.size; ++_i35)
+                org.apache.thrift.protocol.TList _list59 = iprot.readListBegin();
+                struct.reads = new java.util.ArrayList<PrefixReadMessage>(_list59.size);
+                @org.apache.thrift.annotation.Nullable PrefixReadMessage _elem60;
+                for (int _i61 = 0; _i61 < _list59.size; ++_i61)
                 {
-                  _elem34 = new PrefixReadMessage();
-                  _elem34.read(iprot);
-                  struct.reads.add(_elem34);
+                  _elem60 = new PrefixReadMessage();
+                  _elem60.read(iprot);
+                  struct.reads.add(_elem60);
                 }
                 iprot.readListEnd();
               }
@@ -2069,14 +2155,14 @@
           case 15: // BROKEN_SENDS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list36 = iprot.readListBegin();
-                struct.brokenSends = new java.util.ArrayList<BrokenSendMessage>(_list36.size);
-                @org.apache.thrift.annotation.Nullable BrokenSendMessage _elem37;
-                for (int _i38 = 0; _i38 < _list36.size; ++_i38)
+                org.apache.thrift.protocol.TList _list62 = iprot.readListBegin();
+                struct.brokenSends = new java.util.ArrayList<BrokenSendMessage>(_list62.size);
+                @org.apache.thrift.annotation.Nullable BrokenSendMessage _elem63;
+                for (int _i64 = 0; _i64 < _list62.size; ++_i64)
                 {
-                  _elem37 = new BrokenSendMessage();
-                  _elem37.read(iprot);
-                  struct.brokenSends.add(_elem37);
+                  _elem63 = new BrokenSendMessage();
+                  _elem63.read(iprot);
+                  struct.brokenSends.add(_elem63);
                 }
                 iprot.readListEnd();
               }
@@ -2088,14 +2174,14 @@
           case 16: // ESTABLISHED_PARTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list39 = iprot.readListBegin();
-                struct.establishedParts = new java.util.ArrayList<EstablishedPartMessage>(_list39.size);
-                @org.apache.thrift.annotation.Nullable EstablishedPartMessage _elem40;
-                for (int _i41 = 0; _i41 < _list39.size; ++_i41)
+                org.apache.thrift.protocol.TList _list65 = iprot.readListBegin();
+                struct.establishedParts = new java.util.ArrayList<EstablishedPartMessage>(_list65.size);
+                @org.apache.thrift.annotation.Nullable EstablishedPartMessage _elem66;
+                for (int _i67 = 0; _i67 < _list65.size; ++_i67)
                 {
-                  _elem40 = new EstablishedPartMessage();
-                  _elem40.read(iprot);
-                  struct.establishedParts.add(_elem40);
+                  _elem66 = new EstablishedPartMessage();
+                  _elem66.read(iprot);
+                  struct.establishedParts.add(_elem66);
                 }
                 iprot.readListEnd();
               }
@@ -2107,13 +2193,13 @@
           case 17: // REJECTED_PARTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list42 = iprot.readListBegin();
-                struct.rejectedParts = new java.util.ArrayList<java.lang.Long>(_list42.size);
-                long _elem43;
-                for (int _i44 = 0; _i44 < _list42.size; ++_i44)
+                org.apache.thrift.protocol.TList _list68 = iprot.readListBegin();
+                struct.rejectedParts = new java.util.ArrayList<java.lang.Long>(_list68.size);
+                long _elem69;
+                for (int _i70 = 0; _i70 < _list68.size; ++_i70)
                 {
-                  _elem43 = iprot.readI64();
-                  struct.rejectedParts.add(_elem43);
+                  _elem69 = iprot.readI64();
+                  struct.rejectedParts.add(_elem69);
                 }
                 iprot.readListEnd();
               }
@@ -2130,6 +2216,15 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 19: // SIGNALS
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+              struct.signals = new RouterSignalsMessage();
+              struct.signals.read(iprot);
+              struct.setSignalsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -2172,9 +2267,9 @@
         oprot.writeFieldBegin(LOADS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.loads.size()));
-          for (UpstreamLoadMessage _iter45 : struct.loads)
+          for (UpstreamLoadMessage _iter71 : struct.loads)
           {
-            _iter45.write(oprot);
+            _iter71.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -2184,9 +2279,9 @@
         oprot.writeFieldBegin(COUNTS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.counts.size()));
-          for (CustomerCountMessage _iter46 : struct.counts)
+          for (CustomerCountMessage _iter72 : struct.counts)
           {
-            _iter46.write(oprot);
+            _iter72.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -2196,9 +2291,9 @@
         oprot.writeFieldBegin(DEMAND_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.demand.size()));
-          for (PoolDemandMessage _iter47 : struct.demand)
+          for (PoolDemandMessage _iter73 : struct.demand)
           {
-            _iter47.write(oprot);
+            _iter73.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -2214,9 +2309,9 @@
         oprot.writeFieldBegin(READS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.reads.size()));
-          for (PrefixReadMessage _iter48 : struct.reads)
+          for (PrefixReadMessage _iter74 : struct.reads)
           {
-            _iter48.write(oprot);
+            _iter74.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -2232,9 +2327,9 @@
         oprot.writeFieldBegin(BROKEN_SENDS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.brokenSends.size()));
-          for (BrokenSendMessage _iter49 : struct.brokenSends)
+          for (BrokenSendMessage _iter75 : struct.brokenSends)
           {
-            _iter49.write(oprot);
+            _iter75.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -2244,9 +2339,9 @@
         oprot.writeFieldBegin(ESTABLISHED_PARTS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.establishedParts.size()));
-          for (EstablishedPartMessage _iter50 : struct.establishedParts)
+          for (EstablishedPartMessage _iter76 : struct.establishedParts)
           {
-            _iter50.write(oprot);
+            _iter76.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -2256,9 +2351,9 @@
         oprot.writeFieldBegin(REJECTED_PARTS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.I64, struct.rejectedParts.size()));
-          for (long _iter51 : struct.rejectedParts)
+          for (long _iter77 : struct.rejectedParts)
           {
-            oprot.writeI64(_iter51);
+            oprot.writeI64(_iter77);
           }
           oprot.writeListEnd();
         }
@@ -2267,6 +2362,13 @@
       oprot.writeFieldBegin(QUARANTINE_INDEX_FIELD_DESC);
       oprot.writeI64(struct.quarantineIndex);
       oprot.writeFieldEnd();
+      if (struct.signals != null) {
+        if (struct.isSetSignals()) {
+          oprot.writeFieldBegin(SIGNALS_FIELD_DESC);
+          struct.signals.write(oprot);
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -2340,7 +2442,10 @@
       if (struct.isSetQuarantineIndex()) {
         optionals.set(17);
       }
-      oprot.writeBitSet(optionals, 18);
+      if (struct.isSetSignals()) {
+        optionals.set(18);
+      }
+      oprot.writeBitSet(optionals, 19);
       if (struct.isSetRouter()) {
         oprot.writeString(struct.router);
       }
@@ -2362,27 +2467,27 @@
       if (struct.isSetLoads()) {
         {
           oprot.writeI32(struct.loads.size());
-          for (UpstreamLoadMessage _iter52 : struct.loads)
+          for (UpstreamLoadMessage _iter78 : struct.loads)
           {
-            _iter52.write(oprot);
+            _iter78.write(oprot);
           }
         }
       }
       if (struct.isSetCounts()) {
         {
           oprot.writeI32(struct.counts.size());
-          for (CustomerCountMessage _iter53 : struct.counts)
+          for (CustomerCountMessage _iter79 : struct.counts)
           {
-            _iter53.write(oprot);
+            _iter79.write(oprot);
           }
         }
       }
       if (struct.isSetDemand()) {
         {
           oprot.writeI32(struct.demand.size());
-          for (PoolDemandMessage _iter54 : struct.demand)
+          for (PoolDemandMessage _iter80 : struct.demand)
           {
-            _iter54.write(oprot);
+            _iter80.write(oprot);
           }
         }
       }
@@ -2395,9 +2500,9 @@
       if (struct.isSetReads()) {
         {
           oprot.writeI32(struct.reads.size());
-          for (PrefixReadMessage _iter55 : struct.reads)
+          for (PrefixReadMessage _iter81 : struct.reads)
           {
-            _iter55.write(oprot);
+            _iter81.write(oprot);
           }
         }
       }
@@ -2410,39 +2515,42 @@
       if (struct.isSetBrokenSends()) {
         {
           oprot.writeI32(struct.brokenSends.size());
-          for (BrokenSendMessage _iter56 : struct.brokenSends)
+          for (BrokenSendMessage _iter82 : struct.brokenSends)
           {
-            _iter56.write(oprot);
+            _iter82.write(oprot);
           }
         }
       }
       if (struct.isSetEstablishedParts()) {
         {
           oprot.writeI32(struct.establishedParts.size());
-          for (EstablishedPartMessage _iter57 : struct.establishedParts)
+          for (EstablishedPartMessage _iter83 : struct.establishedParts)
           {
-            _iter57.write(oprot);
+            _iter83.write(oprot);
           }
         }
       }
       if (struct.isSetRejectedParts()) {
         {
           oprot.writeI32(struct.rejectedParts.size());
-          for (long _iter58 : struct.rejectedParts)
+          for (long _iter84 : struct.rejectedParts)
           {
-            oprot.writeI64(_iter58);
+            oprot.writeI64(_iter84);
           }
         }
       }
       if (struct.isSetQuarantineIndex()) {
         oprot.writeI64(struct.quarantineIndex);
       }
+      if (struct.isSetSignals()) {
+        struct.signals.write(oprot);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, RouterReportMessage struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(18);
+      java.util.BitSet incoming = iprot.readBitSet(19);
       if (incoming.get(0)) {
         struct.router = iprot.readString();
         struct.setRouterIsSet(true);
@@ -2469,42 +2577,42 @@
       }
       if (incoming.get(6)) {
         {
-          org.apache.thrift.protocol.TList _list59 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.loads = new java.util.ArrayList<UpstreamLoadMessage>(_list59.size);
-          @org.apache.thrift.annotation.Nullable UpstreamLoadMessage _elem60;
-          for (int _i61 = 0; _i61 < _list59.size; ++_i61)
+          org.apache.thrift.protocol.TList _list85 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.loads = new java.util.ArrayList<UpstreamLoadMessage>(_list85.size);
+          @org.apache.thrift.annotation.Nullable UpstreamLoadMessage _elem86;
+          for (int _i87 = 0; _i87 < _list85.size; ++_i87)
           {
-            _elem60 = new UpstreamLoadMessage();
-            _elem60.read(iprot);
-            struct.loads.add(_elem60);
+            _elem86 = new UpstreamLoadMessage();
+            _elem86.read(iprot);
+            struct.loads.add(_elem86);
           }
         }
         struct.setLoadsIsSet(true);
       }
       if (incoming.get(7)) {
         {
-          org.apache.thrift.protocol.TList _list62 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.counts = new java.util.ArrayList<CustomerCountMessage>(_list62.size);
-          @org.apache.thrift.annotation.Nullable CustomerCountMessage _elem63;
-          for (int _i64 = 0; _i64 < _list62.size; ++_i64)
+          org.apache.thrift.protocol.TList _list88 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.counts = new java.util.ArrayList<CustomerCountMessage>(_list88.size);
+          @org.apache.thrift.annotation.Nullable CustomerCountMessage _elem89;
+          for (int _i90 = 0; _i90 < _list88.size; ++_i90)
           {
-            _elem63 = new CustomerCountMessage();
-            _elem63.read(iprot);
-            struct.counts.add(_elem63);
+            _elem89 = new CustomerCountMessage();
+            _elem89.read(iprot);
+            struct.counts.add(_elem89);
           }
         }
         struct.setCountsIsSet(true);
       }
       if (incoming.get(8)) {
         {
-          org.apache.thrift.protocol.TList _list65 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.demand = new java.util.ArrayList<PoolDemandMessage>(_list65.size);
-          @org.apache.thrift.annotation.Nullable PoolDemandMessage _elem66;
-          for (int _i67 = 0; _i67 < _list65.size; ++_i67)
+          org.apache.thrift.protocol.TList _list91 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.demand = new java.util.ArrayList<PoolDemandMessage>(_list91.size);
+          @org.apache.thrift.annotation.Nullable PoolDemandMessage _elem92;
+          for (int _i93 = 0; _i93 < _list91.size; ++_i93)
           {
-            _elem66 = new PoolDemandMessage();
-            _elem66.read(iprot);
-            struct.demand.add(_elem66);
+            _elem92 = new PoolDemandMessage();
+            _elem92.read(iprot);
+            struct.demand.add(_elem92);
           }
         }
         struct.setDemandIsSet(true);
@@ -2519,14 +2627,14 @@
       }
       if (incoming.get(11)) {
         {
-          org.apache.thrift.protocol.TList _list68 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.reads = new java.util.ArrayList<PrefixReadMessage>(_list68.size);
-          @org.apache.thrift.annotation.Nullable PrefixReadMessage _elem69;
-          for (int _i70 = 0; _i70 < _list68.size; ++_i70)
+          org.apache.thrift.protocol.TList _list94 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.reads = new java.util.ArrayList<PrefixReadMessage>(_list94.size);
+          @org.apache.thrift.annotation.Nullable PrefixReadMessage _elem95;
+          for (int _i96 = 0; _i96 < _list94.size; ++_i96)
           {
-            _elem69 = new PrefixReadMessage();
-            _elem69.read(iprot);
-            struct.reads.add(_elem69);
+            _elem95 = new PrefixReadMessage();
+            _elem95.read(iprot);
+            struct.reads.add(_elem95);
           }
         }
         struct.setReadsIsSet(true);
@@ -2541,41 +2649,41 @@
       }
       if (incoming.get(14)) {
         {
-          org.apache.thrift.protocol.TList _list71 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.brokenSends = new java.util.ArrayList<BrokenSendMessage>(_list71.size);
-          @org.apache.thrift.annotation.Nullable BrokenSendMessage _elem72;
-          for (int _i73 = 0; _i73 < _list71.size; ++_i73)
+          org.apache.thrift.protocol.TList _list97 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.brokenSends = new java.util.ArrayList<BrokenSendMessage>(_list97.size);
+          @org.apache.thrift.annotation.Nullable BrokenSendMessage _elem98;
+          for (int _i99 = 0; _i99 < _list97.size; ++_i99)
           {
-            _elem72 = new BrokenSendMessage();
-            _elem72.read(iprot);
-            struct.brokenSends.add(_elem72);
+            _elem98 = new BrokenSendMessage();
+            _elem98.read(iprot);
+            struct.brokenSends.add(_elem98);
           }
         }
         struct.setBrokenSendsIsSet(true);
       }
       if (incoming.get(15)) {
         {
-          org.apache.thrift.protocol.TList _list74 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.establishedParts = new java.util.ArrayList<EstablishedPartMessage>(_list74.size);
-          @org.apache.thrift.annotation.Nullable EstablishedPartMessage _elem75;
-          for (int _i76 = 0; _i76 < _list74.size; ++_i76)
+          org.apache.thrift.protocol.TList _list100 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.establishedParts = new java.util.ArrayList<EstablishedPartMessage>(_list100.size);
+          @org.apache.thrift.annotation.Nullable EstablishedPartMessage _elem101;
+          for (int _i102 = 0; _i102 < _list100.size; ++_i102)
           {
-            _elem75 = new EstablishedPartMessage();
-            _elem75.read(iprot);
-            struct.establishedParts.add(_elem75);
+            _elem101 = new EstablishedPartMessage();
+            _elem101.read(iprot);
+            struct.establishedParts.add(_elem101);
           }
         }
         struct.setEstablishedPartsIsSet(true);
       }
       if (incoming.get(16)) {
         {
-          org.apache.thrift.protocol.TList _list77 = iprot.readListBegin(org.apache.thrift.protocol.TType.I64);
-          struct.rejectedParts = new java.util.ArrayList<java.lang.Long>(_list77.size);
-          long _elem78;
-          for (int _i79 = 0; _i79 < _list77.size; ++_i79)
+          org.apache.thrift.protocol.TList _list103 = iprot.readListBegin(org.apache.thrift.protocol.TType.I64);
+          struct.rejectedParts = new java.util.ArrayList<java.lang.Long>(_list103.size);
+          long _elem104;
+          for (int _i105 = 0; _i105 < _list103.size; ++_i105)
           {
-            _elem78 = iprot.readI64();
-            struct.rejectedParts.add(_elem78);
+            _elem104 = iprot.readI64();
+            struct.rejectedParts.add(_elem104);
           }
         }
         struct.setRejectedPartsIsSet(true);
@@ -2584,6 +2692,11 @@
         struct.quarantineIndex = iprot.readI64();
         struct.setQuarantineIndexIsSet(true);
       }
+      if (incoming.get(18)) {
+        struct.signals = new RouterSignalsMessage();
+        struct.signals.read(iprot);
+        struct.setSignalsIsSet(true);
+      }
     }
   }
 
--- a/wire/src/main/thrift/control.thrift
+++ b/wire/src/main/thrift/control.thrift
@@ -67,6 +67,37 @@
   4: i32 trials
 }
 
+/** What a router has observed of one upstream; sums that decay. */
+struct UpstreamEvidenceMessage {
+  1: string upstream
+  /** Prompt tokens before and of requests whose answer began, and the time to their first token. */
+  2: double readTokens
+  3: double readMillis
+  /** Output tokens after the first event of streams, and the time that they took. */
+  4: double emittedTokens
+  5: double emitMillis
+  /** Answers that were as fast as is usual for the pool. */
+  6: double onTarget
+  /** Answers that were slower, and requests that failed or were rejected. */
+  7: double missed
+}
+
+/** Requests of one tier that wait for a pool. */
+struct WaitingWorkMessage {
+  1: string pool
+  2: i32 tier
+  3: i32 requests
+  4: i64 promptTokens
+}
+
+/** What routers tell each other to decide alike; set only where they learn rates. */
+struct RouterSignalsMessage {
+  1: list<UpstreamEvidenceMessage> evidence
+  2: list<WaitingWorkMessage> waiting
+  /** Tokens served by customer; sums that decay. */
+  3: map<string, double> servedTokens
+}
+
 struct RouterReportMessage {
   1: string router
   /** Drawn at each start of the router. */
@@ -98,6 +129,7 @@
   17: list<i64> rejectedParts = []
   /** Log index of the quarantined parts in force; -1 for none. */
   18: i64 quarantineIndex = -1
+  19: optional RouterSignalsMessage signals
 }
 
 struct ListedUpstreamMessage {
@@ -157,6 +189,8 @@
   22: list<i64> suspectParts = []
   /** Quarantined parts with each of which the router may send one request. */
   23: list<i64> trialParts = []
+  /** Sum over all other routers; set only if one of them reported signals. */
+  24: optional RouterSignalsMessage otherSignals
 }
 
 /** What a relay passes on for the routers of its failure domain. */
