Learned rates: routers record evidence of speed and place requests by it

Cause: placement, silence, pauses and reserved engines used one constant for all engines, and nothing recorded evidence. Fixed rates decide as before.

--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/CandidateSampler.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/CandidateSampler.java
@@ -2,7 +2,9 @@
 
 import io.jacinthquay.model.DomainId;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
+import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
 
 /**
@@ -39,6 +41,39 @@
     return sampled;
   }
 
+  /**
+   * Returns some of the upstreams, in a mutable list.
+   *
+   * @param count most upstreams to return
+   * @param weight how likely an upstream is drawn compared with others, above 0
+   */
+  List<UpstreamState> sample(
+      List<UpstreamState> all, int count, ToDoubleFunction<UpstreamState> weight) {
+    List<UpstreamState> sampled = new ArrayList<>();
+    double[] weights = all.stream().mapToDouble(weight).toArray();
+    for (int drawn = Math.min(count, weights.length); drawn > 0; drawn--) {
+      int index = drawIndex(weights);
+      weights[index] = 0;
+      sampled.add(all.get(index));
+    }
+    return sampled;
+  }
+
+  private int drawIndex(double[] weights) {
+    double left = random.nextDouble() * Arrays.stream(weights).sum();
+    int last = 0;
+    for (int i = 0; i < weights.length; i++) {
+      if (weights[i] > 0) {
+        last = i;
+        left -= weights[i];
+        if (left < 0) {
+          return i;
+        }
+      }
+    }
+    return last;
+  }
+
   private void draw(List<UpstreamState> pool, int count, List<UpstreamState> sampled) {
     for (int i = 0; i < count && !pool.isEmpty(); i++) {
       sampled.add(pool.remove(random.nextInt(pool.size())));
--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/EngineRule.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/EngineRule.java
@@ -1,5 +1,7 @@
 package io.jacinthquay.decision.dispatch;
 
+import io.jacinthquay.decision.learning.FixedRates;
+import io.jacinthquay.decision.learning.UpstreamRates;
 import io.jacinthquay.model.DomainId;
 import io.jacinthquay.model.routing.EngineSpec;
 import java.util.Optional;
@@ -11,12 +13,6 @@
  * than waiting. Long prompts avoid engines whose running streams would pause for too long.
  */
 final class EngineRule implements PlacementRule {
-  /**
-   * Prefill rate beside running streams, in tokens per millisecond. Prefill alone runs at 50.7 to
-   * 61.8; a decoding step comes after each thousand tokens.
-   */
-  private static final double PREFILL_TOKENS_PER_MILLI = 38;
-
   /**
    * Longest prefill backlog of an engine that accepts a request of the highest tier, in
    * milliseconds, that request included. A request whose prefix is cached adds less and is accepted
@@ -42,6 +38,9 @@
   /** Cost of traffic between failure domains, in milliseconds. */
   private static final double REMOTE_MILLIS = 6;
 
+  /** The same where rates are learned, in milliseconds: the round trip between domains. */
+  private static final double LEARNED_REMOTE_MILLIS = 2;
+
   /** Share of engine memory in use above which running requests risk preemption. */
   private static final double SAFE_MEMORY_SHARE = 0.9;
 
@@ -53,12 +52,22 @@
 
   private final EngineSpec spec;
   private final PrefillPause pause;
+  private final CurrentRates rates;
 
-  EngineRule(EngineSpec spec) {
+  EngineRule(EngineSpec spec, CurrentRates rates) {
     this.spec = spec;
+    this.rates = rates;
     this.pause = new PrefillPause(spec);
   }
 
+  /**
+   * Returns whether a request goes to its engine whatever waits there; engines read the prompts of
+   * chats first.
+   */
+  private boolean ignoresBacklog(PoolRequest work) {
+    return rates.isLearned() ? PrefillPause.isChat(work) : pause.exceedsTarget(work);
+  }
+
   private static double maxBacklogMillis(PoolRequest work, double prefillMillis) {
     double limit = MAX_BACKLOG_MILLIS - TIER_REDUCTION_MILLIS * work.tier().value();
     return Math.max(limit, prefillMillis + MIN_EXTRA_BACKLOG_MILLIS);
@@ -81,24 +90,28 @@
     if (load.inFlight() >= upstream.listing().slots()) {
       return UNAVAILABLE;
     }
-    double backlogMillis = load.promptTokens() / PREFILL_TOKENS_PER_MILLI;
+    UpstreamRates current = rates.get();
+    double tokensPerMilli = current.promptTokensPerMilli(upstream.listing());
+    double backlogMillis = load.promptTokens() / tokensPerMilli;
     double cached = cachedTokens(work, upstream, prefix);
     Optional<PrefixTransfer> transfer = prefix.transferTo(upstream, (int) cached);
     int transferred = transfer.map(PrefixTransfer::tokens).orElse(0);
     double unread = Math.max(0, work.promptTokens() - cached - transferred);
-    double prefillMillis = unread / PREFILL_TOKENS_PER_MILLI;
-    if (!pause.exceedsTarget(work)
+    double prefillMillis = unread / tokensPerMilli;
+    if (!ignoresBacklog(work)
         && backlogMillis + prefillMillis > maxBacklogMillis(work, prefillMillis)) {
       return UNAVAILABLE;
     }
-    double cost = (load.promptTokens() + unread) / PREFILL_TOKENS_PER_MILLI;
+    double cost = (load.promptTokens() + unread) / tokensPerMilli;
     cost += transfer.map(PrefixTransfer::millis).orElse(0.0);
     cost += backlogMillis * work.pauseSensitivity();
-    cost += load.pauseSensitivity() * unread * MILLIS_PER_SENSITIVE_TOKEN;
-    cost += load.inFlight() * MILLIS_PER_REQUEST;
+    double slowness = FixedRates.PROMPT_TOKENS_PER_MILLI / tokensPerMilli;
+    cost += load.pauseSensitivity() * unread * MILLIS_PER_SENSITIVE_TOKEN * slowness;
+    cost += load.inFlight() * MILLIS_PER_REQUEST * slowness;
     if (load.memoryTokens() + work.memoryTokens() > SAFE_MEMORY_SHARE * spec.kvCacheTokens()) {
       cost += PREEMPTION_MILLIS;
     }
-    return upstream.listing().domain().equals(local) ? cost : cost + REMOTE_MILLIS;
+    double remoteMillis = rates.isLearned() ? LEARNED_REMOTE_MILLIS : REMOTE_MILLIS;
+    return upstream.listing().domain().equals(local) ? cost : cost + remoteMillis;
   }
 }
--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/PrefillPause.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/PrefillPause.java
@@ -1,5 +1,6 @@
 package io.jacinthquay.decision.dispatch;
 
+import io.jacinthquay.decision.learning.FixedRates;
 import io.jacinthquay.model.routing.EngineSpec;
 
 /**
@@ -15,25 +16,32 @@
   /** Pause sensitivity from which a request counts as a chat: a pause target of at most 0.2 s. */
   private static final double CHAT_SENSITIVITY = 0.5;
 
-  /**
-   * Time for one token while a chunk of a thousand is read, in milliseconds. Chats with three
-   * tokens per event pause for 116 ms (95th percentile) beside long prompts.
-   */
-  private static final double TOKEN_MILLIS = 37;
-
   /** Share of the pause target that may be used, since the pause varies with concurrent load. */
   private static final double USED_SHARE = 0.9;
 
-  private final double pauseMillis;
+  private final int tokensPerEvent;
 
   PrefillPause(EngineSpec spec) {
-    pauseMillis = spec.tokensPerEvent() * TOKEN_MILLIS;
+    tokensPerEvent = spec.tokensPerEvent();
   }
 
   /** Returns whether a request is short and misses its pause target beside a prefill. */
   boolean exceedsTarget(PoolRequest work) {
+    return isChat(work) && exceeds(FixedRates.MILLIS_PER_TOKEN, work.gapTargetMillis());
+  }
+
+  /** Returns whether a request is short and sensitive to pauses. */
+  static boolean isChat(PoolRequest work) {
     return work.pauseSensitivity() >= CHAT_SENSITIVITY
-        && work.promptTokens() <= MAX_SHORT_PROMPT_TOKENS
-        && pauseMillis > USED_SHARE * work.gapTargetMillis();
+        && work.promptTokens() <= MAX_SHORT_PROMPT_TOKENS;
+  }
+
+  /**
+   * Returns whether an event takes longer than a pause target allows.
+   *
+   * @param tokenMillis time for one token beside a prefill, in milliseconds
+   */
+  boolean exceeds(double tokenMillis, int gapTargetMillis) {
+    return tokensPerEvent * tokenMillis > USED_SHARE * gapTargetMillis;
   }
 }
--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/ReservedEngines.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/ReservedEngines.java
@@ -13,7 +13,9 @@
  * <p>While an engine reads a long prompt, every stream on it pauses for too long. If chats ran on
  * all engines, any long prompt would delay some of them. As many engines as the chats need, the
  * same ones at every router, are therefore reserved for chats; long prompts go there only when all
- * other engines are full. Not thread-safe.
+ * other engines are full. Where rates are learned, these are the engines with the shortest pauses,
+ * and none are reserved while enough engines keep the pause target of chats beside any prompt. Not
+ * thread-safe.
  */
 final class ReservedEngines {
   /** Total pause sensitivity per reserved engine: eight chats with a target of 0.12 s. */
@@ -31,7 +33,18 @@
    */
   private static final long SHRINK_NANOS = 5_000_000_000L;
 
+  /**
+   * Ratio of two learned times per token from which one counts as longer; smaller differences vary
+   * by router, and all routers should reserve the same engines.
+   */
+  private static final double DISTINCT_RATIO = 1.5;
+
   private final PrefillPause pause;
+  private final CurrentRates rates;
+  private int chatGapMillis;
+  private long chatGapAt;
+  private long orderedAt;
+  private int orderedFor;
   private Set<UpstreamState> reserved = Set.of();
   private int size = 1;
   private long refreshedAt;
@@ -39,18 +52,44 @@
   private boolean current;
 
   /** Returns an empty reservation. */
-  ReservedEngines(PrefillPause pause) {
+  ReservedEngines(PrefillPause pause, CurrentRates rates) {
     this.pause = pause;
+    this.rates = rates;
   }
 
   /** Returns whether the engines are reserved for requests like this one. */
   boolean isFor(PoolRequest work) {
-    return pause.exceedsTarget(work);
+    return rates.isLearned()
+        ? PrefillPause.isChat(work) && !reserved.isEmpty()
+        : pause.exceedsTarget(work);
+  }
+
+  /** Returns whether a request would pause for too long on an engine that reads prompts. */
+  boolean pausesTooLong(PoolRequest work, UpstreamState engine) {
+    return PrefillPause.isChat(work) && pausesTooLong(engine, work.gapTargetMillis());
+  }
+
+  private boolean pausesTooLong(UpstreamState engine, int gapMillis) {
+    return pause.exceeds(rates.get().longTokenMillis(engine.listing()), gapMillis);
+  }
+
+  /** Records the pause target of a chat; the tightest of the last seconds counts. */
+  void recordTarget(PoolRequest work, long now) {
+    if (!PrefillPause.isChat(work)) {
+      return;
+    }
+    if (chatGapMillis == 0
+        || work.gapTargetMillis() <= chatGapMillis
+        || now - chatGapAt > SHRINK_NANOS) {
+      chatGapMillis = work.gapTargetMillis();
+      chatGapAt = now;
+    }
   }
 
   /** Makes the next refresh immediate because the engines of the pool changed. */
   void invalidate() {
     current = false;
+    orderedFor = 0;
   }
 
   /**
@@ -75,11 +114,33 @@
       size--;
       sizeNeededAt = now;
     }
+    if (rates.isLearned() && orderedFor == size && now - orderedAt < SHRINK_NANOS) {
+      return;
+    }
+    orderedAt = now;
+    orderedFor = size;
+    int maxSize = usable.size() < MIN_POOL_ENGINES ? 0 : usable.size() / 2;
+    int count = rates.isLearned() && !needsReserved(usable) ? 0 : Math.min(size, maxSize);
+    reserved = new HashSet<>(ordered(usable).subList(0, count));
+  }
+
+  /** Returns whether fewer engines than the chats need keep their pause target. */
+  private boolean needsReserved(List<UpstreamState> usable) {
+    return chatGapMillis > 0
+        && usable.stream().filter(state -> !pausesTooLong(state, chatGapMillis)).count() < size;
+  }
+
+  private List<UpstreamState> ordered(List<UpstreamState> usable) {
     List<UpstreamState> ordered = new ArrayList<>(usable);
     ordered.sort(
-        Comparator.comparingLong(state -> RendezvousHash.weight(0, state.listing().upstream())));
-    int maxSize = usable.size() < MIN_POOL_ENGINES ? 0 : usable.size() / 2;
-    reserved = new HashSet<>(ordered.subList(0, Math.min(size, maxSize)));
+        Comparator.comparingLong((UpstreamState state) -> pauseRank(state))
+            .thenComparingLong(state -> RendezvousHash.weight(0, state.listing().upstream())));
+    return ordered;
+  }
+
+  private long pauseRank(UpstreamState state) {
+    double tokenMillis = rates.get().longTokenMillis(state.listing());
+    return Math.round(Math.log(tokenMillis) / Math.log(DISTINCT_RATIO));
   }
 
   boolean contains(UpstreamState state) {
--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamHealth.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamHealth.java
@@ -25,6 +25,7 @@
   private long blockedUntil;
   private boolean blocked;
   private boolean probing;
+  private boolean unavailable;
 
   /** Returns whether a request may be sent. */
   boolean allowsRequest(long now) {
@@ -36,6 +37,14 @@
     return blocked;
   }
 
+  /**
+   * Returns whether failed requests, not an upstream that doesn't exist or can't be reached, are
+   * the reason that requests are blocked.
+   */
+  boolean isBlockedByFailures() {
+    return blocked && !unavailable;
+  }
+
   void recordSend() {
     probing = blocked;
   }
@@ -61,6 +70,7 @@
   void recordGone(long now) {
     probing = false;
     blocked = true;
+    unavailable = true;
     blockNanos = MAX_BLOCKED_NANOS;
     blockedUntil = now + blockNanos;
   }
@@ -78,6 +88,7 @@
     probing = false;
     if (trip && (!blocked || now - blockedUntil >= 0)) {
       blocked = true;
+      unavailable = conclusive;
       blockedUntil = now + blockNanos;
       blockNanos = Math.min(MAX_BLOCKED_NANOS, blockNanos * 2);
     }
--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamSelector.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamSelector.java
@@ -2,6 +2,7 @@
 
 import io.jacinthquay.decision.cluster.RouterSignals;
 import io.jacinthquay.decision.learning.LearnedRates;
+import io.jacinthquay.decision.learning.RateEstimator;
 import io.jacinthquay.model.DomainId;
 import io.jacinthquay.model.PoolName;
 import io.jacinthquay.model.UpstreamId;
@@ -35,23 +36,14 @@
   /** Cost of a cold upstream compared with a warm one, in milliseconds. */
   private static final double COLD_MILLIS = 400;
 
-  /** Cost of placing a chat on an engine that isn't reserved for chats, in milliseconds. */
-  private static final double UNRESERVED_MILLIS = 40;
-
   /** Cost of an upstream in an unreachable domain, in milliseconds; more than any backlog. */
   private static final double UNREACHABLE_MILLIS = 5_000;
 
-  /** Cost of placing a long prompt on an engine that is reserved for chats, in milliseconds. */
-  private static final double RESERVED_MILLIS = 250;
-
   /**
    * Time beyond prefill after which an upstream with requests counts as silent, in milliseconds.
    */
   private static final double SILENCE_MILLIS = 400;
 
-  /** Prefill rate of a slow engine, in tokens per millisecond. */
-  private static final double SLOW_PREFILL_TOKENS_PER_MILLI = 20;
-
   private static final double NANOS_PER_MILLI = 1e6;
 
   /**
@@ -60,9 +52,6 @@
    */
   private static final int MANY_ROUTERS = 30;
 
-  /** Age at which the signals of other routers count as none, in nanoseconds. */
-  private static final long SIGNALS_EXPIRY_NANOS = 1_500_000_000L;
-
   /** Cost of an upstream that is due for a probe, in milliseconds; negative so that it is tried. */
   private static final double PROBE_MILLIS = -1;
 
@@ -70,6 +59,8 @@
   private final double coldOverage;
   private final double coldTolerance;
   private final CandidateSampler sampler;
+  private final CurrentRates rates;
+  private final LearnedChoice learnedChoice;
   private final Map<UpstreamId, UpstreamState> states = new HashMap<>();
   private Map<PoolName, PoolSpec> pools = Map.of();
   private Map<PoolName, PlacementRule> rules = Map.of();
@@ -78,8 +69,6 @@
   private final Map<PoolName, ReservedEngines> reservations = new HashMap<>();
   private final DomainReachability reachability = new DomainReachability();
   private int routerCount = 1;
-  private RouterSignals remoteSignals = RouterSignals.NONE;
-  private long remoteSignalsNanos;
 
   /**
    * Returns a selector without upstreams.
@@ -91,8 +80,28 @@
    */
   public UpstreamSelector(
       DomainId local, double coldOverage, double coldTolerance, RandomGenerator random) {
+    this(local, coldOverage, coldTolerance, random, false);
+  }
+
+  /**
+   * Returns a selector without upstreams.
+   *
+   * @param local the failure domain of this router
+   * @param coldOverage factor on the stated rate of a cold upstream up to which sends are allowed
+   * @param coldTolerance sends per second allowed in addition
+   * @param random selects the upstreams that are compared for a request
+   * @param learnsRates whether the rates of upstreams are learned
+   */
+  public UpstreamSelector(
+      DomainId local,
+      double coldOverage,
+      double coldTolerance,
+      RandomGenerator random,
+      boolean learnsRates) {
     this.local = local;
     this.sampler = new CandidateSampler(local, random);
+    this.rates = new CurrentRates(learnsRates);
+    this.learnedChoice = new LearnedChoice(rates, sampler);
     this.coldOverage = coldOverage;
     this.coldTolerance = coldTolerance;
   }
@@ -114,12 +123,16 @@
     if (previous == null || !previous.engine().equals(pool.engine())) {
       pool.engine()
           .ifPresent(
-              spec -> reservations.put(pool.name(), new ReservedEngines(new PrefillPause(spec))));
+              spec ->
+                  reservations.put(
+                      pool.name(), new ReservedEngines(new PrefillPause(spec), rates)));
     }
   }
 
-  private static PlacementRule rule(PoolSpec pool) {
-    return pool.engine().<PlacementRule>map(EngineRule::new).orElseGet(PlainRule::new);
+  private PlacementRule rule(PoolSpec pool) {
+    return pool.engine()
+        .<PlacementRule>map(spec -> new EngineRule(spec, rates))
+        .orElseGet(() -> new PlainRule(rates));
   }
 
   /** Sets the list of upstreams; those that it no longer names get no more requests. */
@@ -145,6 +158,7 @@
         .values()
         .removeIf(s -> !listedIds.contains(s.listing().upstream()) && s.own().inFlight() <= 0);
     upstreamsByPool = newUpstreams;
+    rates.estimator().ifPresent(estimator -> estimator.retainAll(states.keySet()));
     reservations.values().forEach(ReservedEngines::invalidate);
   }
 
@@ -166,20 +180,29 @@
 
   /** Sets what the other routers have observed; used only if rates are learned. */
   public void setRemoteSignals(RouterSignals signals, long now) {
-    remoteSignals = signals;
-    remoteSignalsNanos = now;
+    rates.estimator().ifPresent(estimator -> estimator.setRemote(signals.evidence(), now));
   }
 
-  /** Returns what the other routers have observed; nothing once it is old. */
-  private RouterSignals remoteSignals(long now) {
-    return now - remoteSignalsNanos > SIGNALS_EXPIRY_NANOS ? RouterSignals.NONE : remoteSignals;
+  /** Returns what this router has observed; empty if it doesn't learn rates. */
+  public Optional<RateEstimator> estimator() {
+    return rates.estimator();
+  }
+
+  /** Returns the output tokens per event of a pool's engines; 0 if it has none. */
+  public int tokensPerEvent(PoolName pool) {
+    return Optional.ofNullable(pools.get(pool))
+        .flatMap(PoolSpec::engine)
+        .map(EngineSpec::tokensPerEvent)
+        .orElse(0);
   }
 
   /** Returns how fast the upstreams work, as far as it is learned. */
   public LearnedRates learnedRates(long now) {
-    return new LearnedRates(
-        states.values().stream().map(UpstreamState::listing).toList(),
-        remoteSignals(now).evidence());
+    return rates.learned(this::listings, now);
+  }
+
+  private Collection<UpstreamListing> listings() {
+    return states.values().stream().map(UpstreamState::listing).toList();
   }
 
   /** Returns all listed upstreams and those that still run requests of this router. */
@@ -219,12 +242,16 @@
     if (rule == null || candidates.isEmpty()) {
       return Optional.empty();
     }
+    rates.refresh(this::listings, now);
     Optional<ReservedEngines> reserved = reserved(work.pool(), candidates, now);
+    reserved.ifPresent(r -> r.recordTarget(work, now));
+    ChatSeparation separation = new ChatSeparation(work, reserved, rates.isLearned());
     SharedPrefix prefix = sharedPrefix(work, candidates, reserved, now);
+    boolean poolFails = rates.isLearned() && poolFails(candidates);
     List<UpstreamState> open = new ArrayList<>();
     for (UpstreamState state : candidates) {
       if (isUsable(state)
-          && isAnswering(state, now)
+          && (isAnswering(state, now) || (poolFails && mayTryDespiteFailures(state, now)))
           && !avoided.contains(state.listing().upstream())) {
         open.add(state);
       }
@@ -232,19 +259,41 @@
     ToDoubleFunction<UpstreamState> cost =
         state ->
             rule.cost(work, state, prefix, local)
-                + mixingCost(work, state, reserved)
-                + conditionCost(work, state, now);
+                + separation.cost(state)
+                + conditionCost(work, state, poolFails, now);
     if (routerCount < MANY_ROUTERS) {
       return cheapest(open, cost);
     }
     boolean chat = reserved.isPresent() && reserved.get().isFor(work);
-    List<UpstreamState> group = open.stream().filter(s -> isReserved(reserved, s) == chat).toList();
+    if (rates.isLearned()) {
+      return learnedChoice.choose(work, open, prefix, separation::suits, cost);
+    }
+    List<UpstreamState> group =
+        open.stream().filter(s -> separation.isReserved(s) == chat).toList();
     List<UpstreamState> compared = sampler.sample(group);
     open.stream().filter(s -> prefix.reducesPrefill(work, s)).forEach(compared::add);
     return cheapest(compared, cost).or(() -> cheapest(open, cost));
   }
 
-  private static Optional<UpstreamState> cheapest(
+  /**
+   * Returns whether failures block most upstreams of a pool. Then the fault isn't that of single
+   * upstreams, and sending to the few others would only overload them.
+   */
+  private boolean poolFails(List<UpstreamState> candidates) {
+    int usable = 0;
+    int failing = 0;
+    for (UpstreamState state : candidates) {
+      usable += isUsable(state) ? 1 : 0;
+      failing += isUsable(state) && state.health().isBlockedByFailures() ? 1 : 0;
+    }
+    return failing * 2 > usable;
+  }
+
+  private boolean mayTryDespiteFailures(UpstreamState state, long now) {
+    return state.health().isBlockedByFailures() && !isSilent(state, now);
+  }
+
+  static Optional<UpstreamState> cheapest(
       List<UpstreamState> compared, ToDoubleFunction<UpstreamState> cost) {
     UpstreamState best = null;
     double leastCost = PlacementRule.UNAVAILABLE;
@@ -299,15 +348,17 @@
     return prefix;
   }
 
-  private double conditionCost(PoolRequest work, UpstreamState state, long now) {
-    double unreachableCost =
+  private double conditionCost(PoolRequest work, UpstreamState state, boolean poolFails, long now) {
+    double extraCost =
         reachability.isAvoided(state.listing().domain(), now) ? UNREACHABLE_MILLIS : 0;
+    // A response that is missed costs its target; fixed rates have no misses.
+    extraCost += work.targetMillis() * rates.get().excessMisses(state.listing());
     if (state.isCold(now)) {
       return state.coldLimiter().isAvailable(coldRate(work.pool()), now)
-          ? unreachableCost + COLD_MILLIS
+          ? extraCost + COLD_MILLIS
           : PlacementRule.UNAVAILABLE;
     }
-    return state.health().isBlockedOrProbing() ? unreachableCost + PROBE_MILLIS : unreachableCost;
+    return state.health().isBlockedOrProbing() && !poolFails ? extraCost + PROBE_MILLIS : extraCost;
   }
 
   /** Returns the sends per second that this router may make to one cold upstream. */
@@ -322,11 +373,12 @@
   private UpstreamState home(
       PoolRequest work, List<UpstreamState> candidates, Optional<ReservedEngines> reserved) {
     long shared = work.sharedId();
-    boolean chat = reserved.isPresent() && reserved.get().isFor(work);
+    ChatSeparation separation = new ChatSeparation(work, reserved, rates.isLearned());
+    boolean chat = separation.isReservedFor();
     UpstreamState home = null;
     long highest = Long.MIN_VALUE;
     for (UpstreamState state : candidates) {
-      if (isUsable(state) && isReserved(reserved, state) == chat) {
+      if (isUsable(state) && separation.isReserved(state) == chat) {
         long weight = RendezvousHash.weight(shared, state.listing().upstream());
         if (home == null || weight > highest) {
           highest = weight;
@@ -337,27 +389,6 @@
     return home;
   }
 
-  /**
-   * Returns the cost of mixing chats and long prompts. Chats prefer the engines reserved for them.
-   * Long prompts avoid these; one at a time may run there if no other engine has capacity.
-   */
-  private static double mixingCost(
-      PoolRequest work, UpstreamState state, Optional<ReservedEngines> reserved) {
-    boolean reservedHere = isReserved(reserved, state);
-    if (reserved.isPresent() && reserved.get().isFor(work)) {
-      return reservedHere ? 0 : UNRESERVED_MILLIS;
-    }
-    if (!reservedHere || work.promptTokens() <= PrefillPause.MAX_SHORT_PROMPT_TOKENS) {
-      return 0;
-    }
-    boolean prefilling = state.load().promptTokens() > PrefillPause.MAX_SHORT_PROMPT_TOKENS;
-    return prefilling ? PlacementRule.UNAVAILABLE : RESERVED_MILLIS;
-  }
-
-  private static boolean isReserved(Optional<ReservedEngines> reserved, UpstreamState state) {
-    return reserved.isPresent() && reserved.get().contains(state);
-  }
-
   /** Records that a request is sent to an upstream. */
   public SentRequest sent(UpstreamState state, PoolRequest work, long now) {
     if (state.isCold(now)) {
@@ -366,6 +397,7 @@
     }
     state.health().recordSend();
     reachability.recordSend(state.listing().domain(), now);
+    long ahead = state.load().promptTokens();
     int cached = state.prefixes().cachedTokens(work.parts());
     SharedPrefix prefix =
         sharedPrefix(
@@ -378,9 +410,11 @@
         Math.max(0, work.promptTokens() - cached - transfer.map(PrefixTransfer::tokens).orElse(0));
     state.addSend(new UpstreamLoad(1, unread, work.memoryTokens(), work.pauseSensitivity()), now);
     transfer.ifPresent(t -> occupyLinks(t, state, now));
-    state.prefixes().recordPrefill(work.parts(), now + prefillNanos(state.load().promptTokens()));
+    state.prefixes().recordPrefill(work.parts(), now + prefillNanos(state));
     Optional<UpstreamListing> source = transfer.map(t -> t.source().listing());
-    return new SentRequest(state, work, unread, source, now);
+    long tokens = work.promptTokens() == 0 ? 0 : Math.max(1, ahead + unread);
+    return new SentRequest(
+        state, work, unread, source, ahead, rates.figure(state.listing(), tokens, now), now);
   }
 
   private static void occupyLinks(PrefixTransfer transfer, UpstreamState target, long now) {
@@ -389,15 +423,17 @@
     target.occupyLinkUntil(until);
   }
 
-  private static long prefillNanos(long tokens) {
-    return (long) (tokens / SLOW_PREFILL_TOKENS_PER_MILLI * NANOS_PER_MILLI);
+  /** Returns the time that an engine takes at most for the prompts that it has. */
+  private long prefillNanos(UpstreamState state) {
+    long tokens = state.load().promptTokens();
+    return (long) (tokens / rates.slowTokensPerMilli(state.listing()) * NANOS_PER_MILLI);
   }
 
   /** Records that another router sent a prompt with shared parts to an upstream. */
   public void recordRemotePrefill(UpstreamId upstream, List<PromptPart> shared, long now) {
     UpstreamState state = states.get(upstream);
     if (state != null) {
-      state.prefixes().recordPrefill(shared, now + prefillNanos(state.load().promptTokens()));
+      state.prefixes().recordPrefill(shared, now + prefillNanos(state));
     }
   }
 
@@ -411,7 +447,8 @@
    * Returns whether an upstream with requests has been silent for longer than their prefill takes.
    */
   public boolean isSilent(UpstreamState state, long now) {
-    double allowed = SILENCE_MILLIS + state.load().promptTokens() / SLOW_PREFILL_TOKENS_PER_MILLI;
+    double allowed =
+        SILENCE_MILLIS + state.load().promptTokens() / rates.slowTokensPerMilli(state.listing());
     return state.silentNanos(now) > allowed * NANOS_PER_MILLI;
   }
 
--- a/router/src/main/java/io/jacinthquay/router/service/forward/EventStreamAnswer.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/EventStreamAnswer.java
@@ -8,6 +8,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.OptionalLong;
+import java.util.function.IntConsumer;
 
 /**
  * Forwards an event stream to the caller, event by event.
@@ -25,7 +26,7 @@
   private final ForwardProtocol protocol;
   private final Caller caller;
   private final BufferBudget.Reservation memory;
-  private final Runnable onEvents;
+  private final IntConsumer onEvents;
   private SseSplitter splitter = new SseSplitter();
   private ResponseHead head;
   private boolean reachedLastId;
@@ -36,20 +37,22 @@
   private byte[] pending;
   private int pendingFrom;
   private int pendingTo;
+  private int pendingEvents;
 
   /**
    * Returns a sink.
    *
    * @param lastId id of the last event that the caller has; empty if it has none
    * @param memory for events that are incomplete
-   * @param onEvents called each time just before complete events are written to the caller
+   * @param onEvents called with the number of events each time just before complete ones are
+   *     written to the caller
    */
   EventStreamAnswer(
       ForwardProtocol protocol,
       Caller caller,
       OptionalLong lastId,
       BufferBudget.Reservation memory,
-      Runnable onEvents) {
+      IntConsumer onEvents) {
     this.memory = memory;
     this.protocol = protocol;
     this.caller = caller;
@@ -122,6 +125,7 @@
       pendingFrom = from;
     }
     pendingTo = to;
+    pendingEvents++;
     return true;
   }
 
@@ -131,7 +135,8 @@
     }
     ByteBuffer events = ByteBuffer.wrap(pending, pendingFrom, pendingTo - pendingFrom);
     pending = null;
-    onEvents.run();
+    onEvents.accept(pendingEvents);
+    pendingEvents = 0;
     if (!caller.hasBegun()) {
       caller.begin(new ResponseHead(head.status(), protocol.toCaller(head)), OptionalLong.empty());
     }
@@ -205,6 +210,7 @@
     splitter = new SseSplitter();
     memory.release();
     pending = null;
+    pendingEvents = 0;
     invalid = false;
   }
 }
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardAttempt.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardAttempt.java
@@ -13,6 +13,7 @@
 import io.jacinthquay.router.port.UpstreamRequest;
 import java.nio.ByteBuffer;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -30,6 +31,7 @@
   private final ForwardExchange exchange;
   private final ForwardCore core;
   private final SentRequest sending;
+  private final Optional<SendEvidence> evidence;
   private UpstreamCall call;
   private boolean begun;
   private boolean established;
@@ -40,10 +42,16 @@
   private boolean sent;
   private boolean provedNotExecuted;
 
-  ForwardAttempt(ForwardExchange exchange, ForwardCore core, SentRequest sending) {
+  /**
+   * Returns a send that hasn't begun.
+   *
+   * @param resumed whether it resumes a stream
+   */
+  ForwardAttempt(ForwardExchange exchange, ForwardCore core, SentRequest sending, boolean resumed) {
     this.exchange = exchange;
     this.core = core;
     this.sending = sending;
+    this.evidence = core.evidence(sending, resumed);
   }
 
   void send(Supplier<UpstreamRequest> request) {
@@ -74,7 +82,8 @@
     if (!begun) {
       begun = true;
       begunNanos = System.nanoTime();
-      core.selector().recordPrefill(sending, System.nanoTime());
+      core.selector().recordPrefill(sending, begunNanos);
+      evidence.ifPresent(e -> e.recordBegin(begunNanos));
     }
   }
 
@@ -83,12 +92,21 @@
     return begun;
   }
 
+  /** Records that events arrived, the first ones of this send included. */
+  void recordEvents(int events) {
+    if (begun) {
+      evidence.ifPresent(e -> e.recordEvents(events, System.nanoTime()));
+      recordProgress();
+    }
+    markBegun();
+  }
+
   /**
    * Records that more of the answer arrived. An answer is established once it has gone on for a
    * while; an upstream that its prompt crashes fails before.
    */
-  void recordProgress() {
-    if (!established && begun && System.nanoTime() - begunNanos >= ESTABLISHED_NANOS) {
+  private void recordProgress() {
+    if (!established && System.nanoTime() - begunNanos >= ESTABLISHED_NANOS) {
       recordEstablished();
     }
   }
@@ -147,14 +165,26 @@
   private void release(SendOutcome end) {
     if (inFlight) {
       inFlight = false;
-      core.selector().recordEnd(sending, begun, end, System.nanoTime());
+      long now = System.nanoTime();
+      core.selector().recordEnd(sending, begun, end, now);
+      evidence.ifPresent(e -> recordEvidence(e, end, now));
       core.capacityFreed();
     }
   }
 
+  /** Records the end of the send; one that the caller ended shows nothing. */
+  private void recordEvidence(SendEvidence observed, SendOutcome end, long now) {
+    if (end == SendOutcome.SUCCEEDED) {
+      observed.recordSuccess(now);
+    } else if (end != SendOutcome.UNDECIDED || provedNotExecuted) {
+      observed.recordMiss(now);
+    }
+  }
+
   @Override
   public void onSending() {
     sent = true;
+    evidence.ifPresent(e -> e.recordOpened(System.nanoTime()));
     exchange.onSending(this);
   }
 
@@ -207,7 +237,11 @@
   @Override
   public boolean onData(ByteBuffer data) {
     runStep(() -> handleData(data));
-    return closed || exchange.acceptsData();
+    boolean accepts = closed || exchange.acceptsData();
+    if (!accepts) {
+      evidence.ifPresent(SendEvidence::recordPause);
+    }
+    return accepts;
   }
 
   private void handleData(ByteBuffer data) {
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
@@ -2,9 +2,9 @@
 
 import io.jacinthquay.decision.cluster.RouterSignals;
 import io.jacinthquay.decision.dispatch.PoolRequest;
-import io.jacinthquay.decision.dispatch.PromptPart;
 import io.jacinthquay.decision.dispatch.RequestQueue;
 import io.jacinthquay.decision.dispatch.RouterIsolation;
+import io.jacinthquay.decision.dispatch.SentRequest;
 import io.jacinthquay.decision.dispatch.UpstreamListing;
 import io.jacinthquay.decision.dispatch.UpstreamLoad;
 import io.jacinthquay.decision.dispatch.UpstreamSelector;
@@ -32,6 +32,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.IntConsumer;
 import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -49,15 +50,6 @@
   /** Interval of the check for silent upstreams, in milliseconds. */
   private static final long SILENCE_CHECK_MILLIS = 100;
 
-  /**
-   * Shortest shared prefix that is reported, in tokens; the prefill of a shorter one takes only a
-   * few milliseconds.
-   */
-  private static final int MIN_REPORTED_PREFIX_TOKENS = 1_000;
-
-  /** Maximum number of shared prefixes in one report. */
-  private static final int MAX_REPORTED_PREFIXES = 256;
-
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
   /** Share of the heap for answers that are buffered, and for events that are incomplete. */
@@ -72,6 +64,7 @@
   private final ForwardProtocol protocol;
   private final UpstreamClient client;
   private final UpstreamSelector selector;
+  private final RateLearning learning;
   private final WindowedUsage usage;
   private final LongSupplier clock;
   private final ForwardMetrics metrics = new ForwardMetrics();
@@ -80,7 +73,7 @@
   private final Map<PoolName, RequestQueue<ForwardExchange>> queues = new HashMap<>();
   private final Map<PoolName, PoolCounters> countersByPool = new HashMap<>();
   private final Set<ForwardExchange> active = ConcurrentHashMap.newKeySet();
-  private final List<CachedPrefix> unreportedPrefixes = new ArrayList<>();
+  private final CachedPrefixLog prefixLog = new CachedPrefixLog();
   private final StartupQueue startupQueue;
   private List<UpstreamListing> listings = List.of();
   private volatile Optional<RouteTable> table = Optional.empty();
@@ -117,7 +110,12 @@
     ForwardOptions.ColdLimits cold = options.coldLimits().orElse(ForwardOptions.ColdLimits.STATED);
     this.selector =
         new UpstreamSelector(
-            options.domain(), cold.overage(), cold.tolerance(), new SplittableRandom());
+            options.domain(),
+            cold.overage(),
+            cold.tolerance(),
+            new SplittableRandom(),
+            learnsRates);
+    this.learning = new RateLearning(selector, metrics);
     this.startupQueue = new StartupQueue(System.nanoTime(), options.startHold());
     this.usage = new WindowedUsage(options.usageWindow());
     this.retryBudgets = new RetryBudgets(options, metrics, clock.getAsLong());
@@ -289,21 +287,24 @@
     Map<PoolName, ForwardReport.PoolDemand> demand = new HashMap<>();
     countersByPool.forEach(
         (pool, counters) -> demand.put(pool, counters.demand(queue(pool).size())));
-    ForwardReport report =
-        new ForwardReport(
-            loads,
-            usage.counts(),
-            demand,
-            unreportedPrefixes,
-            learnsRates ? Optional.of(signals()) : Optional.empty(),
-            quarantine.report(clock.getAsLong()));
-    unreportedPrefixes.clear();
-    return report;
+    return new ForwardReport(
+        loads,
+        usage.counts(),
+        demand,
+        prefixLog.drain(),
+        learnsRates ? Optional.of(signals()) : Optional.empty(),
+        quarantine.report(clock.getAsLong()));
   }
 
   /** Returns what this router tells the others. */
   private RouterSignals signals() {
-    return RouterSignals.NONE;
+    long now = clock.getAsLong();
+    return new RouterSignals(learning.reported(now), Map.of(), Map.of());
+  }
+
+  /** Returns what records the speed of a send; empty if rates are not learned. */
+  Optional<SendEvidence> evidence(SentRequest sending, boolean resumed) {
+    return learning.evidence(sending, resumed);
   }
 
   /** Records shared prefixes that other routers have sent to upstreams. */
@@ -313,13 +314,9 @@
         prefix -> selector.recordRemotePrefill(prefix.upstream(), prefix.parts(), now));
   }
 
-  /** Records the shared prefix of a request for the next report, if it is long enough. */
-  void recordPrefix(UpstreamId upstream, PoolRequest work) {
-    List<PromptPart> shared = work.sharedParts();
-    int tokens = shared.stream().mapToInt(PromptPart::tokens).sum();
-    if (tokens >= MIN_REPORTED_PREFIX_TOKENS && unreportedPrefixes.size() < MAX_REPORTED_PREFIXES) {
-      unreportedPrefixes.add(new CachedPrefix(upstream, shared));
-    }
+  /** Returns the shared prefixes for the next report. */
+  CachedPrefixLog prefixLog() {
+    return prefixLog;
   }
 
   /**
@@ -358,7 +355,7 @@
   }
 
   /** Returns a sink for a stream of events, each within the memory for answers. */
-  AnswerSink newStreamAnswer(Caller caller, OptionalLong lastId, Runnable onEvents) {
+  AnswerSink newStreamAnswer(Caller caller, OptionalLong lastId, IntConsumer onEvents) {
     return new EventStreamAnswer(protocol, caller, lastId, newAnswerMemory(), onEvents);
   }
 
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardExchange.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardExchange.java
@@ -195,10 +195,10 @@
         sink instanceof EventStreamAnswer events && caller.hasBegun()
             ? events.lastId()
             : request.facts().lastEventId();
-    attempt = new ForwardAttempt(this, core, sending);
+    attempt = new ForwardAttempt(this, core, sending, resumeAfter.isPresent());
     attempt.send(() -> request.toUpstream(core.protocol(), sending, resumeAfter, now));
     core.counters(work.pool()).promptTokens += attempt.unreadTokens();
-    core.recordPrefix(upstream.listing().upstream(), work);
+    core.prefixLog().record(upstream.listing().upstream(), work);
   }
 
   /** Cancels the current send, if there is one, and records whether it may have run. */
@@ -223,11 +223,10 @@
   }
 
   /** Called just before events of the answer are written to the caller. */
-  private void onEvents() {
+  private void onEvents(int events) {
     trace.recordEvents(!caller.hasBegun());
     if (attempt != null) {
-      attempt.markBegun();
-      attempt.recordProgress();
+      attempt.recordEvents(events);
     }
     if (!caller.hasBegun()) {
       note("first", "event");
--- a/router/src/main/java/io/jacinthquay/router/service/forward/RequestTrace.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/RequestTrace.java
@@ -4,7 +4,9 @@
 import io.jacinthquay.decision.dispatch.PromptPart;
 import io.jacinthquay.decision.dispatch.SentRequest;
 import io.jacinthquay.decision.dispatch.UpstreamLoad;
+import io.jacinthquay.decision.learning.LearnedFigure;
 import java.util.List;
+import java.util.Locale;
 import java.util.stream.Collectors;
 
 /** What was decided about a request and when, for its line in the log. */
@@ -45,9 +47,23 @@
     note("unread", sending.unreadTokens());
     note("ahead", loadBefore.promptTokens());
     note("beside", loadBefore.inFlight());
+    sending.figure().ifPresent(this::noteFigure);
     sending.source().ifPresent(source -> note("fetches", source.upstream()));
   }
 
+  /** Adds the learned rates on which the upstream was chosen. */
+  private void noteFigure(LearnedFigure figure) {
+    String rounded =
+        String.format(
+            Locale.ROOT,
+            "%.1f/ms,%.1fms/token,age%dms",
+            figure.promptTokensPerMilli(),
+            figure.millisPerToken(),
+            figure.ageMillis());
+    note("learned", rounded);
+    note("expected", Math.round(figure.expectedMillis()));
+  }
+
   /**
    * Records that events of the answer are written to the caller.
    *
