Queue: one order over routers and admission by expected wait where rates are learned

Cause: each router queued by itself and rejected a request after a fixed share of its target, whatever was ahead of it, so that under overload every request waited and was late. Change: package waiting decides by an interface with two implementations; TierLine keeps the queue and limits as they were, SharedLine orders by tier, punctuality, customer and waiting time, and admits by the work ahead at all routers over the drain rate of the pool. Routers report waiting work and tokens served. A request that did not run may return to the queue within the retry budget.

--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamSelector.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamSelector.java
@@ -192,6 +192,11 @@
     return upstreamsByPool.getOrDefault(pool, List.of()).stream().anyMatch(this::isUsable);
   }
 
+  /** Returns the upstreams of a pool that may get new requests. */
+  public List<UpstreamState> usable(PoolName pool) {
+    return upstreamsByPool.getOrDefault(pool, List.of()).stream().filter(this::isUsable).toList();
+  }
+
   /**
    * Returns whether some usable upstream belongs to a domain that isn't known to be unreachable.
    */
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
@@ -3,7 +3,6 @@
 import io.jacinthquay.decision.cluster.RouterSignals;
 import io.jacinthquay.decision.dispatch.PoolRequest;
 import io.jacinthquay.decision.dispatch.PromptPart;
-import io.jacinthquay.decision.dispatch.RequestQueue;
 import io.jacinthquay.decision.dispatch.RouterIsolation;
 import io.jacinthquay.decision.dispatch.UpstreamListing;
 import io.jacinthquay.decision.dispatch.UpstreamLoad;
@@ -13,8 +12,8 @@
 import io.jacinthquay.decision.routing.RouteTable;
 import io.jacinthquay.model.DomainId;
 import io.jacinthquay.model.PoolName;
-import io.jacinthquay.model.ResultCode;
 import io.jacinthquay.model.UpstreamId;
+import io.jacinthquay.model.routing.PoolSpec;
 import io.jacinthquay.router.port.BufferBudget;
 import io.jacinthquay.router.port.Caller;
 import io.jacinthquay.router.port.EventThread;
@@ -43,9 +42,6 @@
 public final class ForwardCore {
   private static final Logger log = LogManager.getLogger();
 
-  /** Interval at which queues are polled while a request waits, in milliseconds. */
-  private static final long QUEUE_POLL_MILLIS = 10;
-
   /** Interval of the check for silent upstreams, in milliseconds. */
   private static final long SILENCE_CHECK_MILLIS = 100;
 
@@ -77,7 +73,8 @@
   private final ForwardMetrics metrics = new ForwardMetrics();
   private final RequestJournal journal;
   private final RetryBudgets retryBudgets;
-  private final Map<PoolName, RequestQueue<ForwardExchange>> queues = new HashMap<>();
+  private final WaitingLines waiting;
+  private final QueueDispatcher queues;
   private final Map<PoolName, PoolCounters> countersByPool = new HashMap<>();
   private final Set<ForwardExchange> active = ConcurrentHashMap.newKeySet();
   private final List<CachedPrefix> unreportedPrefixes = new ArrayList<>();
@@ -91,7 +88,6 @@
       new BufferBudget((long) (Runtime.getRuntime().maxMemory() * ANSWER_HEAP_SHARE));
   private final PromptQuarantine quarantine = new PromptQuarantine(contact);
   private volatile boolean upstreamsKnown;
-  private boolean queuePollScheduled;
   private boolean silenceCheckScheduled;
   private volatile BooleanSupplier listening = () -> true;
   private volatile boolean leaving;
@@ -118,6 +114,9 @@
     this.selector =
         new UpstreamSelector(
             options.domain(), cold.overage(), cold.tolerance(), new SplittableRandom());
+    this.waiting =
+        new WaitingLines(learnsRates, selector, this::hasEngines, metrics, clock.getAsLong());
+    this.queues = new QueueDispatcher(waiting, this::thread, clock);
     this.startupQueue = new StartupQueue(System.nanoTime(), options.startHold());
     this.usage = new WindowedUsage(options.usageWindow());
     this.retryBudgets = new RetryBudgets(options, metrics, clock.getAsLong());
@@ -156,7 +155,7 @@
     upstreamsKnown = true;
     selector.setListings(listings, clock.getAsLong());
     releaseHeld();
-    pollQueues();
+    queues.poll();
   }
 
   private void releaseHeld() {
@@ -184,6 +183,7 @@
     selector.setRouterCount(retryBudgets.updateRouters(count, now));
     selector.setRemoteLoads(loads);
     selector.setRemoteSignals(signals, now);
+    waiting.updateOthers(count, signals, now);
   }
 
   /**
@@ -288,7 +288,7 @@
         .forEach(state -> loads.put(state.listing().upstream(), state.own()));
     Map<PoolName, ForwardReport.PoolDemand> demand = new HashMap<>();
     countersByPool.forEach(
-        (pool, counters) -> demand.put(pool, counters.demand(queue(pool).size())));
+        (pool, counters) -> demand.put(pool, counters.demand(waiting.line(pool).size())));
     ForwardReport report =
         new ForwardReport(
             loads,
@@ -303,7 +303,9 @@
 
   /** Returns what this router tells the others. */
   private RouterSignals signals() {
-    return RouterSignals.NONE;
+    long now = clock.getAsLong();
+    waiting.updateMetrics(now);
+    return waiting.signals(RouterSignals.NONE, now);
   }
 
   /** Records shared prefixes that other routers have sent to upstreams. */
@@ -390,8 +392,22 @@
     return countersByPool.computeIfAbsent(pool, name -> new PoolCounters());
   }
 
-  RequestQueue<ForwardExchange> queue(PoolName pool) {
-    return queues.computeIfAbsent(pool, name -> new RequestQueue<>());
+  /** Returns whether what upstreams bear is learned. */
+  boolean learnsRates() {
+    return learnsRates;
+  }
+
+  WaitingLines waiting() {
+    return waiting;
+  }
+
+  QueueDispatcher queues() {
+    return queues;
+  }
+
+  private boolean hasEngines(PoolName pool) {
+    PoolSpec spec = table.map(RouteTable::pools).orElse(Map.of()).get(pool);
+    return spec != null && spec.engine().isPresent();
   }
 
   RetryBudgets retryBudgets() {
@@ -427,67 +443,12 @@
     }
   }
 
-  /** Offers an upstream to a waiting request; one that fails must not hold up the queue. */
-  private boolean offerDispatch(ForwardExchange exchange, long now) {
-    try {
-      return exchange.tryDispatch(now);
-    } catch (RuntimeException e) {
-      log.error("request {} failed in the router", exchange.attemptId(), e);
-      exchange.giveUp(ResultCode.UPSTREAM_BROKE);
-      return true;
-    }
-  }
-
   void unregister(ForwardExchange exchange) {
     active.remove(exchange);
   }
 
-  /**
-   * Queues a request until an upstream has capacity; may displace a request of lower priority.
-   *
-   * @param expiryNanos when the request is shed, on the monotonic clock
-   * @return false if the queue is full
-   */
-  boolean enqueue(ForwardExchange exchange, PoolRequest work, long expiryNanos) {
-    List<ForwardExchange> displaced = new ArrayList<>();
-    boolean added = queue(work.pool()).add(exchange, work, expiryNanos, displaced);
-    displaced.forEach(ForwardExchange::shed);
-    scheduleQueuePoll();
-    return added;
-  }
-
-  private void scheduleQueuePoll() {
-    if (!queuePollScheduled) {
-      queuePollScheduled = true;
-      thread.after(
-          QUEUE_POLL_MILLIS,
-          () -> {
-            queuePollScheduled = false;
-            pollQueues();
-          });
-    }
-  }
-
   /** Schedules a poll of the queues because a request has ended. */
   void capacityFreed() {
-    if (queues.values().stream().anyMatch(queue -> !queue.isEmpty())) {
-      thread.execute(this::pollQueues);
-    }
-  }
-
-  /** Sends waiting requests to upstreams with capacity and sheds those that waited too long. */
-  void pollQueues() {
-    long now = clock.getAsLong();
-    boolean anyWaiting = false;
-    for (RequestQueue<ForwardExchange> queue : queues.values()) {
-      if (!queue.isEmpty()) {
-        queue.offer(exchange -> offerDispatch(exchange, now));
-        queue.expired(now).forEach(ForwardExchange::shed);
-        anyWaiting |= !queue.isEmpty();
-      }
-    }
-    if (anyWaiting) {
-      scheduleQueuePoll();
-    }
+    queues.pollSoon();
   }
 }
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardExchange.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardExchange.java
@@ -6,6 +6,7 @@
 import io.jacinthquay.decision.dispatch.UpstreamLoad;
 import io.jacinthquay.decision.dispatch.UpstreamState;
 import io.jacinthquay.decision.routing.RouteTable;
+import io.jacinthquay.decision.waiting.Verdict;
 import io.jacinthquay.model.Failure;
 import io.jacinthquay.model.PoolName;
 import io.jacinthquay.model.ResultCode;
@@ -25,17 +26,9 @@
 
 /** Forwards one request, from its admission to the end of its answer. */
 final class ForwardExchange implements CallerListener {
-  private static final long NANOS_PER_MILLI = 1_000_000L;
-
   /** Number of sends without execution after which the request fails. */
   private static final int MAX_UNEXECUTED = 4;
 
-  /** Longest wait for an upstream before a request is shed, as a share of its target time. */
-  private static final double MAX_WAIT_SHARE = 0.8;
-
-  /** Retry delay sent with a refusal, as a share of the request's target time. */
-  private static final double RETRY_DELAY_SHARE = 0.6;
-
   private final ForwardCore core;
   private final ForwardRequest request;
   private final Caller caller;
@@ -43,16 +36,17 @@
   private final PoolRequest work;
   private final Set<UpstreamId> triedUpstreams = new HashSet<>();
   private final RequestTrace trace;
+  private final QueuePlace queue;
+  private final PromptTrial trial;
   private Runnable timer = () -> {};
   private AnswerSink sink;
   private ForwardAttempt attempt;
   private int sends;
+  private long sentNanos;
   private int unexecuted;
   private boolean mayHaveRun;
-  private boolean waiting;
   private boolean success;
   private boolean usageCounted;
-  private boolean sentAsTrial;
   private boolean done;
 
   ForwardExchange(ForwardCore core, ForwardRequest request, Caller caller) {
@@ -62,6 +56,8 @@
     PoolName pool = RouteTable.pool(request.route(), ThreadLocalRandom.current().nextDouble());
     this.work = request.work(pool);
     this.trace = new RequestTrace(request, work);
+    this.queue = new QueuePlace(core, request, work, trace);
+    this.trial = new PromptTrial(core.quarantine(), work.sharedParts());
     this.regularSink =
         request.route().kind() == RequestKind.STREAMING
             ? core.newStreamAnswer(caller, request.facts().lastEventId(), this::onEvents)
@@ -92,9 +88,13 @@
     core.retryBudgets().countFirstSend(work.pool(), now);
     long leftMillis = request.limitMillis() - trace.millisSinceArrival(now);
     timer = caller.thread().after(Math.max(1, leftMillis), this::timedOut);
-    if (!tryDispatch(now)) {
+    boolean next = queue.arrive(now);
+    if (!next || !tryDispatch(now)) {
       enqueue(now);
     }
+    if (!next) {
+      core.queues().pollSoon();
+    }
   }
 
   private void enqueue(long now) {
@@ -102,14 +102,31 @@
       endUnanswered(ResultCode.NO_UPSTREAM, ResultCode.NO_UPSTREAM, "the pool has no upstream");
       return;
     }
-    long maxWaitMillis =
-        Math.min(
-            (long) (work.targetMillis() * MAX_WAIT_SHARE), Math.max(0, request.limitMillis() / 3));
-    waiting = core.enqueue(this, work, now + maxWaitMillis * NANOS_PER_MILLI);
-    note("waits", core.queue(work.pool()).size());
-    if (!waiting) {
-      endUnanswered(ResultCode.QUEUE_FULL, ResultCode.QUEUE_FULL, ResultCode.QUEUE_FULL.meaning());
+    queue
+        .enter(this, now)
+        .ifPresent(failure -> endUnanswered(failure.code(), failure.code(), failure.detail()));
+  }
+
+  /** Returns whether an upstream has capacity for the request now. */
+  boolean hasPlace(long now) {
+    return !done
+        && !isPastDeadline(now)
+        && core.selector().choose(work, triedUpstreams, now).isPresent();
+  }
+
+  /**
+   * Returns a request that did not run to the queue, so that it may go to any upstream again; only
+   * where rates are learned.
+   */
+  private boolean enqueueAgain(long now) {
+    if (!core.learnsRates() || isPastDeadline(now) || done) {
+      return false;
+    }
+    if (sends == 0) {
+      triedUpstreams.clear();
     }
+    queue.enterAgain(this, now);
+    return true;
   }
 
   /** Returns whether the deadline has passed, even if the timer has not fired yet. */
@@ -129,50 +146,29 @@
     if (isPastDeadline(now)) {
       return false;
     }
-    if (rejectIfQuarantined(now)) {
+    if (trial.rejectsSend(now)) {
+      endQuarantined();
       return true;
     }
     Optional<UpstreamState> chosen = core.selector().choose(work, triedUpstreams, now);
     if (chosen.isEmpty()) {
       return false;
     }
-    waiting = false;
+    queue.left();
     send(chosen.get(), now);
     return true;
   }
 
-  /**
-   * Ends the request if a quarantined part of its prompt must not be sent.
-   *
-   * @return whether the request has ended
-   */
-  private boolean rejectIfQuarantined(long now) {
-    if (!core.quarantine().rejects(work.sharedParts())) {
-      return false;
-    }
-    if (!sentAsTrial && core.quarantine().tryAcquireTrial(work.sharedParts(), now)) {
-      sentAsTrial = true;
-      return false;
-    }
-    endQuarantined();
-    return true;
-  }
-
   /** Ends the request if a part of its prompt is quarantined and its answer is not under way. */
   void endIfQuarantined() {
-    if (!done
-        && !sentAsTrial
-        && (attempt == null || !attempt.hasBegun())
-        && core.quarantine().rejects(work.sharedParts())) {
-      if (waiting) {
-        core.queue(work.pool()).remove(this);
-      }
+    if (!done && (attempt == null || !attempt.hasBegun()) && trial.endsRequest()) {
+      queue.leave(this);
       endQuarantined();
     }
   }
 
   private void endQuarantined() {
-    waiting = false;
+    queue.left();
     endUnanswered(
         ResultCode.UPSTREAM_BROKE,
         ResultCode.PROMPT_QUARANTINED,
@@ -190,7 +186,8 @@
     if (work.promptTokens() > 0) {
       trace.notePrompt(sending, loadBefore);
     }
-    core.metrics().countSend(triedUpstreams.size() > 1);
+    core.metrics().countSend(sends + unexecuted > 1);
+    sentNanos = now;
     OptionalLong resumeAfter =
         sink instanceof EventStreamAnswer events && caller.hasBegun()
             ? events.lastId()
@@ -243,6 +240,7 @@
   private void countUsage() {
     if (!usageCounted) {
       usageCounted = true;
+      core.waiting().recordServed(request.customer(), work, System.nanoTime());
       request
           .customer()
           .ifPresent(customer -> core.usage().countRequest(customer, core.timeOfDay()));
@@ -337,9 +335,9 @@
     boolean retry =
         unexecuted < MAX_UNEXECUTED
             && !isPastDeadline(now)
-            && core.selector().choose(work, triedUpstreams, now).isPresent()
+            && (core.learnsRates() || core.selector().choose(work, triedUpstreams, now).isPresent())
             && core.retryBudgets().tryAcquire(work.pool(), now);
-    if (!retry || !tryDispatch(now)) {
+    if (!retry || !(tryDispatch(now) || enqueueAgain(now))) {
       giveUp(ResultCode.UPSTREAM_REFUSED);
     }
   }
@@ -349,7 +347,8 @@
     note("unreachable", from.upstream().listing().upstream());
     sends--;
     unexecuted++;
-    if (unexecuted >= MAX_UNEXECUTED || !tryDispatch(System.nanoTime())) {
+    long now = System.nanoTime();
+    if (unexecuted >= MAX_UNEXECUTED || !(tryDispatch(now) || enqueueAgain(now))) {
       giveUp(ResultCode.UPSTREAM_UNREACHABLE);
     }
   }
@@ -370,9 +369,7 @@
 
   /** Returns whether the prompt of a send that broke might crash another upstream too. */
   private boolean mayCrash(ForwardAttempt from) {
-    return !from.isEstablished()
-        && core.quarantine()
-            .isSuspectBeside(from.upstream().listing().upstream(), work.sharedParts());
+    return !from.isEstablished() && trial.mayCrashBeside(from.upstream().listing().upstream());
   }
 
   /** Retries the request after a failure; the retry was already taken from the budget. */
@@ -384,10 +381,9 @@
   }
 
   /** Refuses the request because it waited too long or was displaced from the queue. */
-  void shed() {
-    waiting = false;
-    endUnanswered(
-        ResultCode.SHED_OVERLOAD, ResultCode.SHED_OVERLOAD, "no place became free in time");
+  void shed(Verdict<ForwardExchange> verdict) {
+    queue.left(verdict);
+    endUnanswered(ResultCode.SHED_OVERLOAD, ResultCode.SHED_OVERLOAD, verdict.admission().text());
   }
 
   /** Ends the request, with a failure if it may have run and a refusal otherwise. */
@@ -421,14 +417,8 @@
     counters.refused++;
     counters.promptTokens += sends == 0 ? work.ownTokens() : 0;
     note("refused", detail);
-    double jitter = 0.5 + ThreadLocalRandom.current().nextDouble();
-    double retrySeconds =
-        code == ResultCode.PROMPT_QUARANTINED
-            ? core.quarantine().millisToTrial(work.sharedParts(), core.timeOfDay()) / 1_000.0
-                + jitter
-            : RETRY_DELAY_SHARE * work.targetMillis() / 1_000 * jitter;
     caller.sendResponse(
-        core.protocol().refusal(Failure.of(code, detail), OptionalDouble.of(retrySeconds)),
+        core.protocol().refusal(Failure.of(code, detail), OptionalDouble.of(queue.refuse(code))),
         new byte[0]);
     finish("refused", false);
   }
@@ -469,6 +459,12 @@
     timer.run();
     sink.discard();
     core.unregister(this);
+    if (core.learnsRates()) {
+      queue.leave(this);
+    }
+    if (served && attempt != null) {
+      core.waiting().recordHold(work.pool(), (System.nanoTime() - sentNanos) / 1e6);
+    }
     long tookNanos = System.nanoTime() - request.arrivedNanos();
     core.metrics().recordEnd(outcome, request.route().name().value(), tookNanos);
     core.journal().logEnd(this, outcome, served);
@@ -487,9 +483,7 @@
     if (done) {
       return;
     }
-    if (waiting) {
-      core.queue(work.pool()).remove(this);
-    }
+    queue.leave(this);
     if (attempt != null) {
       attempt.cancel(SendOutcome.UNDECIDED);
     }
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardMetrics.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardMetrics.java
@@ -72,6 +72,17 @@
     registry.counter("jq_forward_broken_sends_total{begun=\"" + begun + "\"}").inc();
   }
 
+  /**
+   * Counts a rejected request.
+   *
+   * @param reason one of a few words
+   */
+  void countRejection(String pool, String reason) {
+    registry
+        .counter("jq_forward_rejections_total{pool=\"" + pool + "\",reason=\"" + reason + "\"}")
+        .inc();
+  }
+
   /** Counts a connection of a caller that ended before the answer to its request was complete. */
   void countUnansweredClose(DisconnectReason reason) {
     registry.counter("jq_forward_unanswered_closes_total{reason=\"" + reason.text() + "\"}").inc();
--- /dev/null
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/QueuePlace.java
@@ -0,0 +1,104 @@
+package io.jacinthquay.router.service.forward;
+
+import io.jacinthquay.decision.dispatch.PoolRequest;
+import io.jacinthquay.decision.waiting.Admission;
+import io.jacinthquay.decision.waiting.Verdict;
+import io.jacinthquay.decision.waiting.Waiter;
+import io.jacinthquay.decision.waiting.WaitingLine;
+import io.jacinthquay.model.Failure;
+import io.jacinthquay.model.ResultCode;
+import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
+
+/** Whether and where one request waits for an upstream. */
+final class QueuePlace {
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+
+  private final ForwardCore core;
+  private final ForwardRequest request;
+  private final PoolRequest work;
+  private final RequestTrace trace;
+  private boolean waiting;
+
+  QueuePlace(ForwardCore core, ForwardRequest request, PoolRequest work, RequestTrace trace) {
+    this.core = core;
+    this.request = request;
+    this.work = work;
+    this.trace = trace;
+  }
+
+  private WaitingLine<ForwardExchange> line() {
+    return core.waiting().line(work.pool());
+  }
+
+  /** Records the arrival and returns whether the request may be sent ahead of those that wait. */
+  boolean arrive(long now) {
+    return line().arrive(work, now);
+  }
+
+  /**
+   * Queues the request.
+   *
+   * @return why it is rejected; empty if it waits
+   */
+  Optional<Failure> enter(ForwardExchange exchange, long now) {
+    Verdict<ForwardExchange> verdict = core.queues().enqueue(waiter(exchange), now);
+    waiting = verdict.admission().waits();
+    trace.note("waits", line().size());
+    noteEstimate(verdict);
+    if (waiting) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        verdict.admission() == Admission.FULL
+            ? Failure.of(ResultCode.QUEUE_FULL)
+            : Failure.of(ResultCode.SHED_OVERLOAD, verdict.admission().text()));
+  }
+
+  /** Returns the request to the queue after it was sent and did not run. */
+  void enterAgain(ForwardExchange exchange, long now) {
+    waiting = true;
+    trace.note("waitsAgain", line().size());
+    core.queues().enqueueAgain(waiter(exchange), now);
+  }
+
+  private Waiter<ForwardExchange> waiter(ForwardExchange exchange) {
+    long begunNanos = work.deadlineNanos() - request.route().timeoutMillis() * NANOS_PER_MILLI;
+    return new Waiter<>(exchange, work, request.customer(), begunNanos);
+  }
+
+  /** Records that the queue has removed the request, which is sent or ends. */
+  void left() {
+    waiting = false;
+  }
+
+  /** Records that the queue has rejected the request. */
+  void left(Verdict<ForwardExchange> verdict) {
+    left();
+    noteEstimate(verdict);
+  }
+
+  private void noteEstimate(Verdict<ForwardExchange> verdict) {
+    if (!verdict.estimate().isEmpty()) {
+      trace.note("estimate", verdict.admission() + "," + verdict.estimate());
+    }
+  }
+
+  /** Removes the request from the queue if it waits. */
+  void leave(ForwardExchange exchange) {
+    if (waiting) {
+      line().remove(exchange);
+    }
+  }
+
+  /** Counts a refusal and returns the time after which its caller should retry, in seconds. */
+  double refuse(ResultCode code) {
+    core.waiting().countRejection(work.pool(), code.name());
+    double random = ThreadLocalRandom.current().nextDouble();
+    return code == ResultCode.PROMPT_QUARANTINED
+        ? core.quarantine().millisToTrial(work.sharedParts(), core.timeOfDay()) / 1_000.0
+            + 0.5
+            + random
+        : line().retrySeconds(work, System.nanoTime(), random);
+  }
+}
--- /dev/null
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/WaitingLines.java
@@ -0,0 +1,151 @@
+package io.jacinthquay.router.service.forward;
+
+import io.jacinthquay.decision.cluster.RouterSignals;
+import io.jacinthquay.decision.cluster.WaitingWork;
+import io.jacinthquay.decision.dispatch.PoolRequest;
+import io.jacinthquay.decision.dispatch.UpstreamSelector;
+import io.jacinthquay.decision.waiting.SharedLine;
+import io.jacinthquay.decision.waiting.TierLine;
+import io.jacinthquay.decision.waiting.WaitingLine;
+import io.jacinthquay.model.CustomerId;
+import io.jacinthquay.model.PoolName;
+import io.jacinthquay.model.Tier;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+
+/** The queues of all pools; shared by all routers where rates are learned. */
+final class WaitingLines {
+  /**
+   * Tokens that count for a plain call; its 50 to 60 ms of a slot compare with the prefill of a
+   * prompt of this length.
+   */
+  private static final int TOKENS_PER_CALL = 2_000;
+
+  private final boolean learnsRates;
+  private final UpstreamSelector selector;
+  private final Predicate<PoolName> hasEngines;
+  private final ForwardMetrics metrics;
+  private final OtherRouters others;
+  private final Map<PoolName, WaitingLine<ForwardExchange>> lines = new HashMap<>();
+  private final Map<PoolName, LearnedPoolView> views = new HashMap<>();
+  private final Map<WaitingWork.Key, Gauges> gauges = new HashMap<>();
+
+  private static final class Gauges {
+    volatile long requests;
+    volatile long waitMillis;
+  }
+
+  /**
+   * Returns empty queues.
+   *
+   * @param hasEngines whether the upstreams of a pool are model engines
+   */
+  WaitingLines(
+      boolean learnsRates,
+      UpstreamSelector selector,
+      Predicate<PoolName> hasEngines,
+      ForwardMetrics metrics,
+      long now) {
+    this.learnsRates = learnsRates;
+    this.selector = selector;
+    this.hasEngines = hasEngines;
+    this.metrics = metrics;
+    this.others = new OtherRouters(now);
+  }
+
+  /** Returns the queue of a pool. */
+  WaitingLine<ForwardExchange> line(PoolName pool) {
+    return lines.computeIfAbsent(pool, this::newLine);
+  }
+
+  private WaitingLine<ForwardExchange> newLine(PoolName pool) {
+    return learnsRates ? new SharedLine<>(view(pool)) : new TierLine<>();
+  }
+
+  private LearnedPoolView view(PoolName pool) {
+    return views.computeIfAbsent(
+        pool, name -> new LearnedPoolView(name, hasEngines.test(name), selector, others));
+  }
+
+  /** Returns all queues. */
+  Collection<WaitingLine<ForwardExchange>> lines() {
+    return lines.values();
+  }
+
+  /** Returns whether a request waits. */
+  boolean isAnyWaiting() {
+    return lines.values().stream().anyMatch(line -> !line.isEmpty());
+  }
+
+  /** Sets the number of routers, this one included, and the sum of what the others report. */
+  void updateOthers(int count, RouterSignals signals, long now) {
+    others.update(count, signals, now);
+  }
+
+  /** Records that the answer to a request began. */
+  void recordServed(Optional<CustomerId> customer, PoolRequest work, long now) {
+    if (learnsRates && customer.isPresent()) {
+      int tokens = work.ownTokens() + work.outputTokens();
+      others.served().record(customer.get(), tokens == 0 ? TOKENS_PER_CALL : tokens, now);
+    }
+  }
+
+  /** Records how long a served request held its slot, in milliseconds. */
+  void recordHold(PoolName pool, double millis) {
+    if (learnsRates) {
+      view(pool).recordHold(millis);
+    }
+  }
+
+  /** Adds what this router tells the others about its queues and customers. */
+  RouterSignals signals(RouterSignals evidence, long now) {
+    return new RouterSignals(evidence.evidence(), work(), others.served().report(now));
+  }
+
+  private Map<WaitingWork.Key, WaitingWork> work() {
+    Map<WaitingWork.Key, WaitingWork> work = new HashMap<>();
+    lines.values().forEach(line -> work.putAll(line.work()));
+    return work;
+  }
+
+  /** Counts a rejected request. */
+  void countRejection(PoolName pool, String reason) {
+    if (learnsRates) {
+      metrics.countRejection(pool.value(), reason);
+    }
+  }
+
+  /** Updates the metrics of the queues. */
+  void updateMetrics(long now) {
+    if (!learnsRates) {
+      return;
+    }
+    Map<WaitingWork.Key, WaitingWork> work = work();
+    work.keySet().forEach(this::gauges);
+    gauges.forEach(
+        (key, gauge) -> {
+          gauge.requests = work.getOrDefault(key, WaitingWork.NONE).requests();
+          gauge.waitMillis = Math.round(line(key.pool()).waitMillis(key.tier(), now));
+        });
+  }
+
+  private Gauges gauges(WaitingWork.Key key) {
+    return gauges.computeIfAbsent(key, this::newGauges);
+  }
+
+  private Gauges newGauges(WaitingWork.Key key) {
+    Gauges gauge = new Gauges();
+    metrics.gauge(label("jq_forward_waiting", key.pool(), key.tier()), () -> gauge.requests);
+    metrics.gauge(
+        label("jq_forward_estimated_wait_milliseconds", key.pool(), key.tier()),
+        () -> gauge.waitMillis);
+    return gauge;
+  }
+
+  private static String label(String name, PoolName pool, Tier tier) {
+    return name + "{pool=\"" + pool.value() + "\",tier=\"" + tier.value() + "\"}";
+  }
+}
--- a/router/src/test/java/io/jacinthquay/router/service/forward/ForwardExchangeProperties.java
+++ b/router/src/test/java/io/jacinthquay/router/service/forward/ForwardExchangeProperties.java
@@ -19,7 +19,12 @@
 
   record History(List<Integer> slots, boolean initialized, List<ForwardStep> steps) {
     void assertHolds(Invariant invariant) {
-      ForwardSimulation simulation = new ForwardSimulation(slots, initialized);
+      assertHolds(invariant, false);
+      assertHolds(invariant, true);
+    }
+
+    private void assertHolds(Invariant invariant, boolean learnsRates) {
+      ForwardSimulation simulation = new ForwardSimulation(slots, initialized, learnsRates);
       steps.forEach(simulation::play);
       simulation.finish();
       simulation.oracle().assertHolds(invariant);
--- a/router/src/test/java/io/jacinthquay/router/service/forward/ForwardSimulation.java
+++ b/router/src/test/java/io/jacinthquay/router/service/forward/ForwardSimulation.java
@@ -79,12 +79,21 @@
    * @param initialized whether the router knows a document and its upstreams at the start
    */
   ForwardSimulation(List<Integer> slots, boolean initialized) {
+    this(slots, initialized, false);
+  }
+
+  /**
+   * Returns a simulation of one router.
+   *
+   * @param learnsRates whether the router learns what upstreams bear
+   */
+  ForwardSimulation(List<Integer> slots, boolean initialized, boolean learnsRates) {
     this.slots = slots;
     ForwardOptions options =
         new ForwardOptions(
             DOMAINS.get(0),
             Optional.of(new ForwardOptions.RetryLimits(1_000, 0, Duration.ofSeconds(10))),
-            Optional.of(new ForwardOptions.ColdLimits(1.5, 5)),
+            learnsRates ? Optional.empty() : Optional.of(new ForwardOptions.ColdLimits(1.5, 5)),
             Optional.of(Duration.ofSeconds(5)),
             Duration.ofSeconds(2));
     core =
