Fleet planning: pools of engines sized by learned rates

Cause: fixed figures of the first engines (17,000 prompt tokens per second, 9 requests) order two to five times too many of faster ones, and engines are the largest cost. Change: where the deployment states no limits for cold upstreams, LearnedFleetPlanner sizes pools of engines by learned rates by failure domain, the recent crest of the demand and a headroom that follows late and refused answers; FleetPlanner stays for all other pools. Control VMs get the limits for cold upstreams as routers do. A stream also counts as late, once, when a pause exceeds its target. Metrics jq_control_need, _headroom and _missed_share.

--- a/control/src/main/java/io/jacinthquay/control/ControlOptions.java
+++ b/control/src/main/java/io/jacinthquay/control/ControlOptions.java
@@ -22,6 +22,7 @@
  *     this long before its first call
  * @param usageWindow length of a usage window; empty if usage is not reported
  * @param toleratedLosses number of disks that may be lost at the same time, 1 or more
+ * @param learnsRates whether pools of engines are sized by the rates that routers observe
  */
 public record ControlOptions(
     String name,
@@ -32,7 +33,8 @@
     Path folder,
     Duration dutyHold,
     Optional<Duration> usageWindow,
-    int toleratedLosses) {
+    int toleratedLosses,
+    boolean learnsRates) {
   /** Checks that no object is null and copies the seeds. */
   public ControlOptions {
     Objects.requireNonNull(name, "name");
--- a/control/src/main/java/io/jacinthquay/control/ControlService.java
+++ b/control/src/main/java/io/jacinthquay/control/ControlService.java
@@ -142,7 +142,9 @@
     leadership = new Leadership(options.name(), options.dutyHold(), ClockReading::now);
     usageReporter =
         options.usageWindow().map(window -> new UsageReporter(window, store, routers, fleet));
-    poolScaler = new PoolScaler(store, routers, signals, upstreamList, fleet, decoder);
+    poolScaler =
+        new PoolScaler(
+            store, routers, signals, upstreamList, fleet, decoder, options.learnsRates());
     quarantine = new PartQuarantine(store, System::nanoTime, medianClock::wallMillis);
     DomainRelay relay =
         new DomainRelay(
@@ -213,6 +215,7 @@
     registry.gauge("jq_control_suspect_parts", () -> () -> quarantine.suspects().size());
     registry.gauge("jq_control_routers", () -> routers::count);
     registry.gauge("jq_control_upstreams", () -> () -> upstreamList.snapshot().listings().size());
+    poolScaler.register(registry);
   }
 
   private static boolean isVoter(LogStatus status) {
--- a/control/src/main/java/io/jacinthquay/control/service/DemandRates.java
+++ b/control/src/main/java/io/jacinthquay/control/service/DemandRates.java
@@ -1,6 +1,7 @@
 package io.jacinthquay.control.service;
 
 import io.jacinthquay.decision.scaling.PoolLoad;
+import io.jacinthquay.decision.scaling.ServiceQuality;
 import io.jacinthquay.wire.gen.PoolDemandMessage;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -63,4 +64,25 @@
     return new PoolLoad(
         inFlight, waiting, promptTokens, promptTokenSum / seconds, requests / seconds);
   }
+
+  /**
+   * Returns what callers of the pool got within the window.
+   *
+   * @param waitingTokens prompt tokens of requests queued at routers
+   */
+  ServiceQuality quality(long waitingTokens) {
+    Sample oldest = samples.peekFirst();
+    Sample newest = samples.peekLast();
+    long requests = 0;
+    long missed = 0;
+    for (var entry : newest.byRouter().entrySet()) {
+      PoolDemandMessage before = oldest.byRouter().get(entry.getKey());
+      if (before != null) {
+        PoolDemandMessage after = entry.getValue();
+        requests += after.getRequests() - before.getRequests();
+        missed += after.getLate() - before.getLate() + after.getRefused() - before.getRefused();
+      }
+    }
+    return new ServiceQuality(newest.byRouter().size(), requests, missed, waitingTokens);
+  }
 }
--- a/control/src/main/java/io/jacinthquay/control/service/PoolScaler.java
+++ b/control/src/main/java/io/jacinthquay/control/service/PoolScaler.java
@@ -1,19 +1,30 @@
 package io.jacinthquay.control.service;
 
+import com.codahale.metrics.MetricRegistry;
 import io.jacinthquay.control.port.Fleet;
 import io.jacinthquay.control.port.LeaderLease;
 import io.jacinthquay.control.port.UpstreamOrder;
+import io.jacinthquay.decision.cluster.RouterSignals;
+import io.jacinthquay.decision.cluster.UpstreamEvidence;
+import io.jacinthquay.decision.cluster.WaitingWork;
 import io.jacinthquay.decision.dispatch.UpstreamListing;
 import io.jacinthquay.decision.dispatch.UpstreamLoad;
 import io.jacinthquay.decision.learning.LearnedRates;
+import io.jacinthquay.decision.scaling.EngineSpeeds;
+import io.jacinthquay.decision.scaling.FleetObservation;
 import io.jacinthquay.decision.scaling.FleetPlan;
 import io.jacinthquay.decision.scaling.FleetPlanner;
+import io.jacinthquay.decision.scaling.LearnedFleetPlanner;
 import io.jacinthquay.decision.scaling.PoolLoad;
+import io.jacinthquay.decision.scaling.PoolSizer;
+import io.jacinthquay.decision.scaling.ServiceQuality;
+import io.jacinthquay.decision.scaling.SizingStatus;
 import io.jacinthquay.model.DomainId;
 import io.jacinthquay.model.Failure;
 import io.jacinthquay.model.PoolName;
 import io.jacinthquay.model.ResultCode;
 import io.jacinthquay.model.routing.PoolSpec;
+import io.jacinthquay.model.routing.RouteRule;
 import io.jacinthquay.model.routing.RoutingDocument;
 import io.jacinthquay.model.routing.ScalingSpec;
 import io.vavr.control.Either;
@@ -21,9 +32,12 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Function;
+import java.util.function.ToDoubleFunction;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -40,9 +54,13 @@
   private final UpstreamListCache upstreamList;
   private final Fleet fleet;
   private final Function<byte[], Either<Failure, RoutingDocument>> decoder;
-  private final Map<PoolName, FleetPlanner> planners = new HashMap<>();
+  private final boolean learnsRates;
+  private final Map<PoolName, PoolSizer> planners = new HashMap<>();
   private final Map<PoolName, DemandRates> rates = new HashMap<>();
+  private final Map<PoolName, SizingStatus> statuses = new ConcurrentHashMap<>();
+  private volatile Optional<MetricRegistry> metrics = Optional.empty();
   private List<PoolSpec> pools = List.of();
+  private List<RouteRule> routes = List.of();
   private long poolsVersion = Long.MIN_VALUE;
   private long plannersTerm = -1;
 
@@ -55,6 +73,7 @@
    * @param upstreamList the platform's list of upstreams
    * @param fleet the platform that takes the orders
    * @param decoder decodes the document
+   * @param learnsRates whether engines are counted by the rates that routers observe
    */
   public PoolScaler(
       ControlStore store,
@@ -62,13 +81,20 @@
       SignalsTable signals,
       UpstreamListCache upstreamList,
       Fleet fleet,
-      Function<byte[], Either<Failure, RoutingDocument>> decoder) {
+      Function<byte[], Either<Failure, RoutingDocument>> decoder,
+      boolean learnsRates) {
     this.store = store;
     this.routers = routers;
     this.signals = signals;
     this.upstreamList = upstreamList;
     this.fleet = fleet;
     this.decoder = decoder;
+    this.learnsRates = learnsRates;
+  }
+
+  /** Registers the metrics of pools that are planned by learned rates, as soon as they are. */
+  public void register(MetricRegistry registry) {
+    metrics = Optional.of(registry);
   }
 
   /**
@@ -103,7 +129,11 @@
     poolsVersion = store.tables().version();
     decoder
         .apply(document.get())
-        .peek(decoded -> pools = decoded.pools())
+        .peek(
+            decoded -> {
+              pools = decoded.pools();
+              routes = decoded.routes();
+            })
         .peekLeft(failure -> log.error("cannot decode the stored document: {}", failure.detail()));
     return true;
   }
@@ -124,9 +154,16 @@
     DemandRates poolRates = rates.computeIfAbsent(pool.name(), name -> new DemandRates());
     poolRates.record(pool.name().value(), routers.demand(), now);
     PoolLoad load = poolRates.load(totalLoad.inFlight(), totalLoad.promptTokens());
-    FleetPlanner planner = planners.computeIfAbsent(pool.name(), name -> new FleetPlanner(spec));
-    LearnedRates learned = new LearnedRates(listings, signals.all().evidence());
-    for (FleetPlan plan : planner.plan(listings, load, candidateDomains(listings, spec), now)) {
+    PoolSizer planner = planners.computeIfAbsent(pool.name(), name -> newPlanner(pool, spec));
+    RouterSignals all = signals.all();
+    LearnedRates learned = new LearnedRates(listings, all.evidence());
+    Set<DomainId> domains = candidateDomains(listings, spec);
+    ServiceQuality service = poolRates.quality(waitingTokens(pool.name(), all));
+    EngineSpeeds speeds = speeds(pool.name(), listings, domains, all, learned);
+    List<FleetPlan> plans =
+        planner.plan(new FleetObservation(listings, domains, load, service, speeds), now);
+    statuses.put(pool.name(), planner.status());
+    for (FleetPlan plan : plans) {
       Either<Failure, Void> result =
           fleet.orderUpstreams(
               lease, new UpstreamOrder(pool.name(), plan.domain(), plan.cheap(), plan.count()));
@@ -135,17 +172,78 @@
           pool.name(),
           plan,
           lease.fencingToken(),
-          planner.need(),
+          planner.status().need(),
           load,
           (now - snapshot.polledNanos()) / 1_000_000,
           learned.promptTokensPerMilli(pool.name(), plan.domain()),
           result);
       result.peekLeft(failure -> recordFailure(failure, planner, plan, now));
     }
+    if (learnsRates && !plans.isEmpty()) {
+      log.info("orders of {} by {} {} {}", pool.name(), planner.status(), service, speeds);
+    }
+  }
+
+  private PoolSizer newPlanner(PoolSpec pool, ScalingSpec spec) {
+    // Plain services read no prompts, so no prompt rate can be learned of them.
+    if (!learnsRates || pool.engine().isEmpty()) {
+      return new FleetPlanner(spec);
+    }
+    metrics.ifPresent(registry -> register(registry, pool.name()));
+    return new LearnedFleetPlanner(spec);
+  }
+
+  private void register(MetricRegistry registry, PoolName pool) {
+    String label = "{pool=\"" + pool.value() + "\"}";
+    registry.gauge("jq_control_need" + label, () -> () -> status(pool, SizingStatus::need));
+    registry.gauge("jq_control_headroom" + label, () -> () -> status(pool, SizingStatus::headroom));
+    registry.gauge(
+        "jq_control_missed_share" + label, () -> () -> status(pool, SizingStatus::missedShare));
+  }
+
+  private double status(PoolName pool, ToDoubleFunction<SizingStatus> figure) {
+    SizingStatus status = statuses.get(pool);
+    return status == null ? 0 : figure.applyAsDouble(status);
+  }
+
+  private static long waitingTokens(PoolName pool, RouterSignals signals) {
+    return signals.waiting().entrySet().stream()
+        .filter(entry -> entry.getKey().pool().equals(pool))
+        .map(Map.Entry::getValue)
+        .mapToLong(WaitingWork::promptTokens)
+        .sum();
+  }
+
+  private EngineSpeeds speeds(
+      PoolName pool,
+      List<UpstreamListing> listings,
+      Set<DomainId> domains,
+      RouterSignals signals,
+      LearnedRates learned) {
+    Map<DomainId, Double> promptRates = new HashMap<>();
+    domains.forEach(domain -> promptRates.put(domain, learned.promptTokensPerMilli(pool, domain)));
+    double observedMillis =
+        listings.stream()
+            .map(listing -> signals.evidence().get(listing.upstream()))
+            .filter(Objects::nonNull)
+            .mapToDouble(UpstreamEvidence::readMillis)
+            .sum();
+    double millisPerToken =
+        listings.stream().mapToDouble(learned::millisPerToken).average().orElse(0);
+    return new EngineSpeeds(observedMillis, promptRates, millisPerToken, pauseTargetMillis(pool));
+  }
+
+  /** Returns the shortest pause target of the routes to a pool, in milliseconds; 0 for none. */
+  private int pauseTargetMillis(PoolName pool) {
+    return routes.stream()
+        .filter(route -> route.split().stream().anyMatch(part -> part.pool().equals(pool)))
+        .mapToInt(RouteRule::gapTargetMillis)
+        .filter(millis -> millis > 0)
+        .min()
+        .orElse(0);
   }
 
-  private static void recordFailure(
-      Failure failure, FleetPlanner planner, FleetPlan plan, long now) {
+  private static void recordFailure(Failure failure, PoolSizer planner, FleetPlan plan, long now) {
     if (failure.code() == ResultCode.UPSTREAM_REFUSED) {
       planner.refused(plan, now);
     } else {
--- a/control/src/test/java/io/jacinthquay/control/ControlServiceTest.java
+++ b/control/src/test/java/io/jacinthquay/control/ControlServiceTest.java
@@ -98,7 +98,8 @@
             folder.resolve("vm-" + index),
             Duration.ofSeconds(2),
             Optional.of(Duration.ofSeconds(5)),
-            toleratedLosses);
+            toleratedLosses,
+            false);
     ControlService service =
         new ControlService(options, new FakeFleet(), ControlServiceTest::rejectDocument);
     service.start();
--- a/control/src/test/java/io/jacinthquay/control/service/RouterRegistryTest.java
+++ b/control/src/test/java/io/jacinthquay/control/service/RouterRegistryTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.jacinthquay.decision.dispatch.UpstreamLoad;
+import io.jacinthquay.decision.scaling.ServiceQuality;
 import io.jacinthquay.wire.gen.CustomerCountMessage;
 import io.jacinthquay.wire.gen.PoolDemandMessage;
 import io.jacinthquay.wire.gen.PrefixReadMessage;
@@ -75,6 +76,22 @@
     }
   }
 
+  /** Guards against counting what routers answered late before the window. */
+  @Test
+  void countLateAndRefusedRequestsOfTheWindow() {
+    DemandRates rates = new DemandRates();
+    for (int halfSecond = 0; halfSecond <= 10; halfSecond++) {
+      clock.set(halfSecond * NANOS_PER_SECOND / 2);
+      RouterReportMessage report = report("a", 1, 1);
+      int late = halfSecond < 5 ? 50 : 50 + 2 * (halfSecond - 5);
+      report.setDemand(
+          List.of(new PoolDemandMessage("p", 20 * halfSecond, 0, 0, halfSecond, 0, late)));
+      registry.recordReport(report, "");
+      rates.record("p", registry.demand(), clock.get());
+    }
+    assertEquals(new ServiceQuality(1, 60, 9, 700), rates.quality(700));
+  }
+
   private static RouterReportMessage demand(String router, long promptTokens) {
     RouterReportMessage report = report(router, 1, 1);
     report.setDemand(List.of(new PoolDemandMessage("p", 1, promptTokens, 1, 0, 0, 0)));
--- a/decision/src/main/java/io/jacinthquay/decision/scaling/FleetPlanner.java
+++ b/decision/src/main/java/io/jacinthquay/decision/scaling/FleetPlanner.java
@@ -22,7 +22,7 @@
  * grows at once. It shrinks only after the load has been low for long, because a new upstream takes
  * seconds to serve and a stopped one loses its prompt cache. Not thread-safe.
  */
-public final class FleetPlanner {
+public final class FleetPlanner implements PoolSizer {
   /** Prompt tokens per second that one upstream reads while its streams stay on target. */
   private static final double PROMPT_TOKENS_PER_SECOND = 17_000;
 
@@ -86,7 +86,17 @@
     return need;
   }
 
-  /** Records that the platform has no capacity for an order now. */
+  @Override
+  public SizingStatus status() {
+    return new SizingStatus(need, HEADROOM, 0);
+  }
+
+  @Override
+  public List<FleetPlan> plan(FleetObservation observation, long now) {
+    return plan(observation.listings(), observation.load(), observation.domains(), now);
+  }
+
+  @Override
   public void refused(FleetPlan plan, long now) {
     Kind kind = new Kind(plan.domain(), plan.cheap());
     refusedAt.put(kind, now);
@@ -94,7 +104,7 @@
     unknownOutcomes.remove(kind);
   }
 
-  /** Records that the outcome of an order is unknown, so that it is repeated. */
+  @Override
   public void recordUnknownOutcome(FleetPlan plan) {
     unknownOutcomes.add(new Kind(plan.domain(), plan.cheap()));
   }
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
@@ -386,6 +386,11 @@
     return journal;
   }
 
+  /** Returns whether the router learns what upstreams bear, as the deployment doesn't state it. */
+  boolean learnsRates() {
+    return learnsRates;
+  }
+
   PoolCounters counters(PoolName pool) {
     return countersByPool.computeIfAbsent(pool, name -> new PoolCounters());
   }
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardExchange.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardExchange.java
@@ -234,10 +234,8 @@
       core.metrics()
           .recordFirst(request.route().name().value(), System.nanoTime() - request.arrivedNanos());
       countUsage();
-      if (trace.millisSinceArrival(System.nanoTime()) > work.targetMillis()) {
-        core.counters(work.pool()).late++;
-      }
     }
+    trace.countIfLate(core);
   }
 
   private void countUsage() {
--- a/router/src/main/java/io/jacinthquay/router/service/forward/RequestTrace.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/RequestTrace.java
@@ -19,6 +19,8 @@
   private final StringBuilder events = new StringBuilder();
   private long lastEventNanos;
   private long longestPauseNanos;
+  private boolean firstLate;
+  private boolean late;
 
   RequestTrace(ForwardRequest request, PoolRequest work) {
     this.request = request;
@@ -55,12 +57,29 @@
    */
   void recordEvents(boolean first) {
     long now = System.nanoTime();
-    if (!first) {
+    if (first) {
+      firstLate = millisSinceArrival(now) > work.targetMillis();
+    } else {
       longestPauseNanos = Math.max(longestPauseNanos, now - lastEventNanos);
     }
     lastEventNanos = now;
   }
 
+  /**
+   * Counts the stream as late, once: when its first event came after its target, or, where the
+   * router learns rates, when a pause was longer than its target. The fleet is sized by this count.
+   */
+  void countIfLate(ForwardCore core) {
+    boolean longPause =
+        core.learnsRates()
+            && work.gapTargetMillis() > 0
+            && longestPauseNanos > work.gapTargetMillis() * NANOS_PER_MILLI;
+    if (!late && (firstLate || longPause)) {
+      late = true;
+      core.counters(work.pool()).late++;
+    }
+  }
+
   /**
    * Returns the route, the timings and the events of the request.
    *
