Slow start: a window for upstreams that are new or have come back

An empty upstream looked cheapest to all routers until their next exchange, and one success after a tripped breaker restored an upstream fully. Where rates are learned, all routers now share a window of requests in flight for such an upstream, computed from the evidence of all routers and divided by a random number.

--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamHealth.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamHealth.java
@@ -21,11 +21,27 @@
 
   private double failureRate;
   private int consecutiveFailures;
+  private long maxBlockedNanos = MAX_BLOCKED_NANOS;
   private long blockNanos = MIN_BLOCKED_NANOS;
   private long blockedUntil;
   private boolean blocked;
   private boolean probing;
 
+  /**
+   * Blocks a failing upstream for the shortest time only. Used where the window of its slow start
+   * bounds how many requests of all routers probe it.
+   */
+  void blockBriefly() {
+    maxBlockedNanos = MIN_BLOCKED_NANOS;
+  }
+
+  /** Makes the upstream due for a probe because other routers get answers from it. */
+  void allowProbe(long now) {
+    if (now - blockedUntil < 0) {
+      blockedUntil = now;
+    }
+  }
+
   /** Returns whether a request may be sent. */
   boolean allowsRequest(long now) {
     return !blocked || (now - blockedUntil >= 0 && !probing);
@@ -79,7 +95,7 @@
     if (trip && (!blocked || now - blockedUntil >= 0)) {
       blocked = true;
       blockedUntil = now + blockNanos;
-      blockNanos = Math.min(MAX_BLOCKED_NANOS, blockNanos * 2);
+      blockNanos = Math.min(maxBlockedNanos, blockNanos * 2);
     }
   }
 }
--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamSelector.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamSelector.java
@@ -2,6 +2,9 @@
 
 import io.jacinthquay.decision.cluster.RouterSignals;
 import io.jacinthquay.decision.learning.LearnedRates;
+import io.jacinthquay.decision.pace.EvidenceView;
+import io.jacinthquay.decision.pace.Peers;
+import io.jacinthquay.decision.pace.SlowStart;
 import io.jacinthquay.model.DomainId;
 import io.jacinthquay.model.PoolName;
 import io.jacinthquay.model.UpstreamId;
@@ -80,6 +83,7 @@
   private int routerCount = 1;
   private RouterSignals remoteSignals = RouterSignals.NONE;
   private long remoteSignalsNanos;
+  private final UpstreamPacing pacing = new UpstreamPacing();
 
   /**
    * Returns a selector without upstreams.
@@ -97,6 +101,11 @@
     this.coldTolerance = coldTolerance;
   }
 
+  /** Limits sends to upstreams that are new or have come back; call before the first listing. */
+  public void paceBy(SlowStart slowStart) {
+    pacing.enable(slowStart);
+  }
+
   /** Sets the pools of a routing document. */
   public void setPools(Map<PoolName, PoolSpec> newPools) {
     Map<PoolName, PoolSpec> previous = pools;
@@ -136,7 +145,10 @@
       if (state == null) {
         state = new UpstreamState(listing, pool, now);
         states.put(listing.upstream(), state);
+        List<UpstreamState> before = upstreamsByPool.getOrDefault(listing.pool(), List.of());
+        pacing.recordNew(state, before, evidence(now), now);
       } else {
+        pacing.recordListing(state, listing, evidence(now), now);
         state.updateListing(listing, now);
       }
       newUpstreams.computeIfAbsent(listing.pool(), name -> new ArrayList<>()).add(state);
@@ -145,6 +157,7 @@
         .values()
         .removeIf(s -> !listedIds.contains(s.listing().upstream()) && s.own().inFlight() <= 0);
     upstreamsByPool = newUpstreams;
+    pacing.retain(listedIds, now);
     reservations.values().forEach(ReservedEngines::invalidate);
   }
 
@@ -175,6 +188,19 @@
     return now - remoteSignalsNanos > SIGNALS_EXPIRY_NANOS ? RouterSignals.NONE : remoteSignals;
   }
 
+  private EvidenceView evidence(long now) {
+    return new EvidenceView(remoteSignals(now).evidence(), now - remoteSignalsNanos);
+  }
+
+  private void updateWindows(long now) {
+    boolean known = routerCount == 1 || now - remoteSignalsNanos <= SIGNALS_EXPIRY_NANOS;
+    pacing.update(
+        () -> states.values().stream().filter(this::isUsable).toList(),
+        () -> evidence(now),
+        new Peers(routerCount, known),
+        now);
+  }
+
   /** Returns how fast the upstreams work, as far as it is learned. */
   public LearnedRates learnedRates(long now) {
     return new LearnedRates(
@@ -219,14 +245,20 @@
     if (rule == null || candidates.isEmpty()) {
       return Optional.empty();
     }
+    updateWindows(now);
     Optional<ReservedEngines> reserved = reserved(work.pool(), candidates, now);
     SharedPrefix prefix = sharedPrefix(work, candidates, reserved, now);
     List<UpstreamState> open = new ArrayList<>();
+    List<UpstreamState> excess = new ArrayList<>();
     for (UpstreamState state : candidates) {
       if (isUsable(state)
           && isAnswering(state, now)
           && !avoided.contains(state.listing().upstream())) {
-        open.add(state);
+        if (pacing.allows(state)) {
+          open.add(state);
+        } else if (pacing.allowsExcess(state)) {
+          excess.add(state);
+        }
       }
     }
     ToDoubleFunction<UpstreamState> cost =
@@ -235,13 +267,14 @@
                 + mixingCost(work, state, reserved)
                 + conditionCost(work, state, now);
     if (routerCount < MANY_ROUTERS) {
-      return cheapest(open, cost);
+      return cheapest(open, cost).or(() -> cheapest(excess, cost));
     }
     boolean chat = reserved.isPresent() && reserved.get().isFor(work);
     List<UpstreamState> group = open.stream().filter(s -> isReserved(reserved, s) == chat).toList();
     List<UpstreamState> compared = sampler.sample(group);
     open.stream().filter(s -> prefix.reducesPrefill(work, s)).forEach(compared::add);
-    return cheapest(compared, cost).or(() -> cheapest(open, cost));
+    open.stream().filter(pacing::isLimited).forEach(compared::add);
+    return cheapest(compared, cost).or(() -> cheapest(open, cost)).or(() -> cheapest(excess, cost));
   }
 
   private static Optional<UpstreamState> cheapest(
@@ -259,6 +292,7 @@
   }
 
   private boolean isAnswering(UpstreamState state, long now) {
+    pacing.allowProbe(state, now);
     return state.health().allowsRequest(now) && !isSilent(state, now);
   }
 
@@ -442,5 +476,8 @@
       case FAILED -> state.health().recordFailure(false, now);
       default -> state.health().recordUndecided();
     }
+    if (end == SendOutcome.FAILED || end == SendOutcome.UNREACHABLE) {
+      pacing.recordFailure(state, evidence(now), now);
+    }
   }
 }
--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamState.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamState.java
@@ -5,6 +5,12 @@
 
 /** What this router knows about one run of an upstream. */
 public final class UpstreamState {
+  /**
+   * Cold time in a list that shows a new start of a warm upstream, in milliseconds; less may be the
+   * age of the list.
+   */
+  private static final long MIN_COLD_MILLIS = 500;
+
   private UpstreamListing listing;
   private final UpstreamHealth health = new UpstreamHealth();
   private final ColdRateLimiter coldLimiter = new ColdRateLimiter();
@@ -22,6 +28,12 @@
     this.linkFreeAt = now;
   }
 
+  /** Returns whether a newer entry shows that the upstream was started again under the same id. */
+  boolean isRestartedIn(UpstreamListing newListing, long now) {
+    boolean coldAgain = !isCold(now) && newListing.coldMillis() > MIN_COLD_MILLIS;
+    return coldAgain || !newListing.address().equals(listing.address());
+  }
+
   void updateListing(UpstreamListing newListing, long now) {
     listing = newListing;
     coldUntil = now + newListing.coldMillis() * 1_000_000L;
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
@@ -118,6 +118,9 @@
     this.selector =
         new UpstreamSelector(
             options.domain(), cold.overage(), cold.tolerance(), new SplittableRandom());
+    if (learnsRates) {
+      SlowStartReport.enable(selector, metrics, clock);
+    }
     this.startupQueue = new StartupQueue(System.nanoTime(), options.startHold());
     this.usage = new WindowedUsage(options.usageWindow());
     this.retryBudgets = new RetryBudgets(options, metrics, clock.getAsLong());
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardMetrics.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardMetrics.java
@@ -2,6 +2,8 @@
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
+import io.jacinthquay.decision.pace.SlowStart;
+import io.jacinthquay.model.PoolName;
 import io.jacinthquay.router.port.DisconnectReason;
 import io.jacinthquay.router.service.report.LatencyHistograms;
 import java.util.function.LongSupplier;
@@ -28,6 +30,19 @@
     registry.gauge(name, () -> value::getAsLong);
   }
 
+  /** Shows the upstreams of a pool that are in slow start. */
+  void addSlowStart(PoolName pool, SlowStart slowStart) {
+    String label = "{pool=\"" + pool.value() + "\"}";
+    gauge("jq_forward_slow_start_upstreams" + label, () -> figures(slowStart, pool).upstreams());
+    gauge(
+        "jq_forward_slow_start_window" + label,
+        () -> Math.round(figures(slowStart, pool).window()));
+  }
+
+  private static SlowStart.Figures figures(SlowStart slowStart, PoolName pool) {
+    return slowStart.figures().getOrDefault(pool, SlowStart.Figures.NONE);
+  }
+
   /**
    * Counts a request that ended and records its whole latency.
    *
