--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamPacing.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamPacing.java
@@ -66,6 +66,10 @@
     slowStart.ifPresent(s -> s.retain(listed, now));
   }
 
+  boolean isUpdateDue(int routers, long now) {
+    return slowStart.isPresent() && slowStart.get().isDue(routers, now);
+  }
+
   /**
    * Updates the windows if that is due.
    *
--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamSelector.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamSelector.java
@@ -193,9 +193,13 @@
   }
 
   private void updateWindows(long now) {
+    if (!pacing.isUpdateDue(routerCount, now)) {
+      return;
+    }
     boolean known = routerCount == 1 || now - remoteSignalsNanos <= SIGNALS_EXPIRY_NANOS;
     pacing.update(
-        () -> states.values().stream().filter(this::isUsable).toList(),
+        () ->
+            upstreamsByPool.values().stream().flatMap(List::stream).filter(this::isUsable).toList(),
         () -> evidence(now),
         new Peers(routerCount, known),
         now);
--- a/decision/src/main/java/io/jacinthquay/decision/pace/SlowStart.java
+++ b/decision/src/main/java/io/jacinthquay/decision/pace/SlowStart.java
@@ -52,9 +52,9 @@
       UpstreamId upstream, PoolName pool, StartReason reason, UpstreamEvidence seen, long now) {
     UpstreamWindow window = windows.get(upstream);
     if (window != null) {
-      window.restart(reason, seen, now);
+      window.restart(seen, now);
     } else {
-      windows.put(upstream, new UpstreamWindow(pool, reason, seen, random.nextDouble(), now));
+      windows.put(upstream, new UpstreamWindow(pool, seen, random.nextDouble(), now));
       listener.started(upstream, pool, reason);
     }
     current &= reason != StartReason.LISTED;
@@ -86,8 +86,7 @@
    * @param usable the upstreams that may get requests; evaluated only if an update is due
    */
   public void update(Supplier<List<PacedUpstream>> usable, Peers peers, long now) {
-    boolean due = !current || now - updatedNanos >= RouterShare.intervalNanos(peers.count());
-    if (!due) {
+    if (!isDue(peers.count(), now)) {
       return;
     }
     current = true;
@@ -96,21 +95,20 @@
     for (PacedUpstream upstream : usable.get()) {
       byPool.computeIfAbsent(upstream.pool(), name -> new ArrayList<>()).add(upstream);
     }
-    byPool.values().forEach(pool -> update(pool, peers, now));
     Map<PoolName, Figures> sums = new HashMap<>();
-    windows
-        .values()
-        .forEach(
-            w ->
-                sums.merge(
-                    w.pool(),
-                    new Figures(1, w.window()),
-                    (a, b) -> new Figures(a.upstreams + b.upstreams, a.window + b.window)));
+    byPool.forEach((pool, upstreams) -> sums.put(pool, update(upstreams, peers, now)));
     figures = Map.copyOf(sums);
   }
 
-  private void update(List<PacedUpstream> pool, Peers peers, long now) {
+  /** Returns whether an update of the windows is due. */
+  public boolean isDue(int routers, long now) {
+    return !current || now - updatedNanos >= RouterShare.intervalNanos(routers);
+  }
+
+  private Figures update(List<PacedUpstream> pool, Peers peers, long now) {
     PoolUsage usage = PoolUsage.of(pool, windows.keySet());
+    int starting = 0;
+    double sum = 0;
     for (PacedUpstream upstream : pool) {
       UpstreamWindow window = windows.get(upstream.upstream());
       if (window == null && usage.isOutlier(upstream.evidence())) {
@@ -119,9 +117,13 @@
         window.update(upstream, usage, peers, random.nextDouble(), now);
         if (window.isProved(now)) {
           end(upstream.upstream(), true, now);
+        } else {
+          starting++;
+          sum += window.window();
         }
       }
     }
+    return new Figures(starting, sum);
   }
 
   /**
--- a/decision/src/main/java/io/jacinthquay/decision/pace/SlowStartListener.java
+++ b/decision/src/main/java/io/jacinthquay/decision/pace/SlowStartListener.java
@@ -5,6 +5,17 @@
 
 /** Is told when an upstream enters or leaves slow start. */
 public interface SlowStartListener {
+  /** A listener that does nothing. */
+  SlowStartListener NONE =
+      new SlowStartListener() {
+        @Override
+        public void started(UpstreamId upstream, PoolName pool, StartReason reason) {}
+
+        @Override
+        public void ended(
+            UpstreamId upstream, PoolName pool, boolean proved, double window, long nanos) {}
+      };
+
   /** An upstream entered slow start. */
   void started(UpstreamId upstream, PoolName pool, StartReason reason);
 
--- a/decision/src/main/java/io/jacinthquay/decision/pace/UpstreamWindow.java
+++ b/decision/src/main/java/io/jacinthquay/decision/pace/UpstreamWindow.java
@@ -50,7 +50,6 @@
   private static final double PROOF = 2;
 
   private final PoolName pool;
-  private StartReason reason;
   private final double standingDraw;
   private UpstreamEvidence before = UpstreamEvidence.NONE;
   private long beforeNanos;
@@ -72,16 +71,14 @@
    * @param seen observations that precede the start
    * @param standingDraw random number from 0 to 1, decides on places while routers are cut off
    */
-  UpstreamWindow(
-      PoolName pool, StartReason reason, UpstreamEvidence seen, double standingDraw, long now) {
+  UpstreamWindow(PoolName pool, UpstreamEvidence seen, double standingDraw, long now) {
     this.pool = pool;
     this.standingDraw = standingDraw;
-    restart(reason, seen, now);
+    restart(seen, now);
   }
 
   /** Forgets all observations up to now because the upstream failed or was started again. */
-  void restart(StartReason newReason, UpstreamEvidence seen, long now) {
-    reason = newReason;
+  void restart(UpstreamEvidence seen, long now) {
     startedNanos = now;
     forget(seen, now);
     window = 0;
@@ -171,10 +168,6 @@
     return pool;
   }
 
-  StartReason reason() {
-    return reason;
-  }
-
   double window() {
     return window;
   }
--- a/decision/src/test/java/io/jacinthquay/decision/dispatch/ReplayedPool.java
+++ b/decision/src/test/java/io/jacinthquay/decision/dispatch/ReplayedPool.java
@@ -4,9 +4,7 @@
 import io.jacinthquay.decision.cluster.UpstreamEvidence;
 import io.jacinthquay.decision.pace.SlowStart;
 import io.jacinthquay.decision.pace.SlowStartListener;
-import io.jacinthquay.decision.pace.StartReason;
 import io.jacinthquay.model.DomainId;
-import io.jacinthquay.model.PoolName;
 import io.jacinthquay.model.UpstreamId;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -19,7 +17,7 @@
 import java.util.SplittableRandom;
 
 /** Seventy routers that share the engines of a pool and exchange what they see every 300 ms. */
-final class ReplayedPool implements SlowStartListener {
+final class ReplayedPool {
   static final int ROUTERS = 70;
   private static final int EXCHANGE_MILLIS = 300;
 
@@ -34,18 +32,8 @@
     double failShare;
     int inFlight;
     int mostInFlight;
-    int sends;
     int sentAbove;
-    int onTarget;
     int failed;
-
-    void clearCounts() {
-      sends = 0;
-      sentAbove = 0;
-      onTarget = 0;
-      failed = 0;
-      mostInFlight = 0;
-    }
   }
 
   private record Ending(
@@ -73,14 +61,13 @@
   double requestsPerMilli = 1;
   int unplaced;
   int served;
-  int ended;
 
   ReplayedPool(boolean paced, int engineCount, long seed) {
     random = new SplittableRandom(seed);
     for (int i = 0; i < ROUTERS; i++) {
       UpstreamSelector selector = new UpstreamSelector(domain(i), 1, 0, new SplittableRandom(i));
       if (paced) {
-        selector.paceBy(new SlowStart(new SplittableRandom(1_000 + i), this));
+        selector.paceBy(new SlowStart(new SplittableRandom(1_000 + i), SlowStartListener.NONE));
       }
       selector.setPools(Map.of(TestRequests.ENGINES, TestRequests.engines(0)));
       selector.setRouterCount(ROUTERS);
@@ -151,7 +138,6 @@
     Engine engine = engines.get(chosen.get().listing().upstream());
     engine.inFlight++;
     engine.mostInFlight = Math.max(engine.mostInFlight, engine.inFlight);
-    engine.sends++;
     engine.sentAbove += engine.inFlight > engine.bears ? 1 : 0;
     double slowness = Math.max(1, engine.inFlight / engine.bears);
     boolean failed = random.nextDouble() < engine.failShare;
@@ -165,10 +151,8 @@
     UpstreamState state = ending.sending().upstream();
     Engine engine = engines.get(state.listing().upstream());
     engine.inFlight--;
-    engine.onTarget += ending.onTarget() ? 1 : 0;
     engine.failed += ending.failed() ? 1 : 0;
     served += ending.onTarget() ? 1 : 0;
-    ended++;
     UpstreamEvidence answer =
         new UpstreamEvidence(0, 0, 0, 0, ending.onTarget() ? 1 : 0, ending.onTarget() ? 0 : 1);
     router.seen.merge(state.listing().upstream(), answer, UpstreamEvidence::plus);
@@ -197,11 +181,4 @@
     router.selector.setRemoteSignals(
         new RouterSignals(all, Map.of(), Map.of()), millis * TestRequests.MILLI);
   }
-
-  @Override
-  public void started(UpstreamId upstream, PoolName pool, StartReason reason) {}
-
-  @Override
-  public void ended(
-      UpstreamId upstream, PoolName pool, boolean proved, double window, long nanos) {}
 }
--- a/decision/src/test/java/io/jacinthquay/decision/dispatch/SlowStartReplayTest.java
+++ b/decision/src/test/java/io/jacinthquay/decision/dispatch/SlowStartReplayTest.java
@@ -54,7 +54,8 @@
     pool.run(3_000);
     engine.failShare = 0;
     engine.bears = bears;
-    engine.clearCounts();
+    engine.sentAbove = 0;
+    engine.mostInFlight = 0;
     return engine;
   }
 
