--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamHealth.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamHealth.java
@@ -21,12 +21,28 @@
 
   private double failureRate;
   private int consecutiveFailures;
+  private long maxBlockedNanos = MAX_BLOCKED_NANOS;
   private long blockNanos = MIN_BLOCKED_NANOS;
   private long blockedUntil;
   private boolean blocked;
   private boolean probing;
   private boolean unavailable;
 
+  /**
+   * Blocks a failing upstream for the shortest time only. Used where the window of its slow start
+   * bounds how many requests of all routers probe it.
+   */
+  void blockBriefly() {
+    maxBlockedNanos = MIN_BLOCKED_NANOS;
+  }
+
+  /** Makes the upstream due for a probe because other routers get answers from it. */
+  void allowProbe(long now) {
+    if (now - blockedUntil < 0) {
+      blockedUntil = now;
+    }
+  }
+
   /** Returns whether a request may be sent. */
   boolean allowsRequest(long now) {
     return !blocked || (now - blockedUntil >= 0 && !probing);
@@ -90,7 +106,7 @@
       blocked = true;
       unavailable = conclusive;
       blockedUntil = now + blockNanos;
-      blockNanos = Math.min(MAX_BLOCKED_NANOS, blockNanos * 2);
+      blockNanos = Math.min(maxBlockedNanos, blockNanos * 2);
     }
   }
 }
--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamSelector.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamSelector.java
@@ -3,6 +3,9 @@
 import io.jacinthquay.decision.cluster.RouterSignals;
 import io.jacinthquay.decision.learning.LearnedRates;
 import io.jacinthquay.decision.learning.RateEstimator;
+import io.jacinthquay.decision.pace.EvidenceView;
+import io.jacinthquay.decision.pace.Peers;
+import io.jacinthquay.decision.pace.SlowStart;
 import io.jacinthquay.model.DomainId;
 import io.jacinthquay.model.PoolName;
 import io.jacinthquay.model.UpstreamId;
@@ -69,6 +72,7 @@
   private final Map<PoolName, ReservedEngines> reservations = new HashMap<>();
   private final DomainReachability reachability = new DomainReachability();
   private int routerCount = 1;
+  private final UpstreamPacing pacing = new UpstreamPacing();
 
   /**
    * Returns a selector without upstreams.
@@ -106,6 +110,11 @@
     this.coldTolerance = coldTolerance;
   }
 
+  /** Limits sends to upstreams that are new or have come back; call before the first listing. */
+  public void paceBy(SlowStart slowStart) {
+    pacing.enable(slowStart);
+  }
+
   /** Sets the pools of a routing document. */
   public void setPools(Map<PoolName, PoolSpec> newPools) {
     Map<PoolName, PoolSpec> previous = pools;
@@ -149,7 +158,10 @@
       if (state == null) {
         state = new UpstreamState(listing, pool, now);
         states.put(listing.upstream(), state);
+        List<UpstreamState> before = upstreamsByPool.getOrDefault(listing.pool(), List.of());
+        pacing.recordNew(state, before, evidence(now), now);
       } else {
+        pacing.recordListing(state, listing, evidence(now), now);
         state.updateListing(listing, now);
       }
       newUpstreams.computeIfAbsent(listing.pool(), name -> new ArrayList<>()).add(state);
@@ -159,6 +171,7 @@
         .removeIf(s -> !listedIds.contains(s.listing().upstream()) && s.own().inFlight() <= 0);
     upstreamsByPool = newUpstreams;
     rates.estimator().ifPresent(estimator -> estimator.retainAll(states.keySet()));
+    pacing.retain(listedIds, now);
     reservations.values().forEach(ReservedEngines::invalidate);
   }
 
@@ -196,6 +209,23 @@
         .orElse(0);
   }
 
+  private EvidenceView evidence(long now) {
+    return new EvidenceView(rates.estimator().map(e -> e.all(now)).orElse(Map.of()), 0);
+  }
+
+  private void updateWindows(long now) {
+    if (!pacing.isUpdateDue(routerCount, now)) {
+      return;
+    }
+    boolean known = routerCount == 1 || rates.estimator().map(e -> e.hasRemote(now)).orElse(false);
+    pacing.update(
+        () ->
+            upstreamsByPool.values().stream().flatMap(List::stream).filter(this::isUsable).toList(),
+        () -> evidence(now),
+        new Peers(routerCount, known),
+        now);
+  }
+
   /** Returns how fast the upstreams work, as far as it is learned. */
   public LearnedRates learnedRates(long now) {
     return rates.learned(this::listings, now);
@@ -248,17 +278,23 @@
       return Optional.empty();
     }
     rates.refresh(this::listings, now);
+    updateWindows(now);
     Optional<ReservedEngines> reserved = reserved(work.pool(), candidates, now);
     reserved.ifPresent(r -> r.recordTarget(work, now));
     ChatSeparation separation = new ChatSeparation(work, reserved, rates.isLearned());
     SharedPrefix prefix = sharedPrefix(work, candidates, reserved, now);
     boolean poolFails = rates.isLearned() && poolFails(candidates);
     List<UpstreamState> open = new ArrayList<>();
+    List<UpstreamState> excess = new ArrayList<>();
     for (UpstreamState state : candidates) {
       if (isUsable(state)
           && (isAnswering(state, now) || (poolFails && mayTryDespiteFailures(state, now)))
           && !avoided.contains(state.listing().upstream())) {
-        open.add(state);
+        if (pacing.allows(state)) {
+          open.add(state);
+        } else if (pacing.allowsExcess(state)) {
+          excess.add(state);
+        }
       }
     }
     ToDoubleFunction<UpstreamState> cost =
@@ -267,17 +303,20 @@
                 + separation.cost(state)
                 + conditionCost(work, state, poolFails, now);
     if (routerCount < MANY_ROUTERS) {
-      return cheapest(open, cost);
+      return cheapest(open, cost).or(() -> cheapest(excess, cost));
     }
     boolean chat = reserved.isPresent() && reserved.get().isFor(work);
     if (rates.isLearned()) {
-      return learnedChoice.choose(work, open, prefix, separation::suits, cost);
+      return learnedChoice
+          .choose(work, open, prefix, separation::suits, cost)
+          .or(() -> learnedChoice.choose(work, excess, prefix, separation::suits, cost));
     }
     List<UpstreamState> group =
         open.stream().filter(s -> separation.isReserved(s) == chat).toList();
     List<UpstreamState> compared = sampler.sample(group);
     open.stream().filter(s -> prefix.reducesPrefill(work, s)).forEach(compared::add);
-    return cheapest(compared, cost).or(() -> cheapest(open, cost));
+    open.stream().filter(pacing::isLimited).forEach(compared::add);
+    return cheapest(compared, cost).or(() -> cheapest(open, cost)).or(() -> cheapest(excess, cost));
   }
 
   /**
@@ -313,6 +352,7 @@
   }
 
   private boolean isAnswering(UpstreamState state, long now) {
+    pacing.allowProbe(state, now);
     return state.health().allowsRequest(now) && !isSilent(state, now);
   }
 
@@ -484,5 +524,8 @@
       case FAILED -> state.health().recordFailure(false, now);
       default -> state.health().recordUndecided();
     }
+    if (end == SendOutcome.FAILED || end == SendOutcome.UNREACHABLE) {
+      pacing.recordFailure(state, evidence(now), now);
+    }
   }
 }
--- a/decision/src/main/java/io/jacinthquay/decision/learning/RateEstimator.java
+++ b/decision/src/main/java/io/jacinthquay/decision/learning/RateEstimator.java
@@ -55,16 +55,26 @@
    */
   public LearnedRates rates(Supplier<Collection<UpstreamListing>> listings, long now) {
     if (rates == null || now - ratesNanos >= REUSE_NANOS) {
-      Map<UpstreamId, UpstreamEvidence> all = own.evidence(now);
-      if (remoteAgeNanos(now) <= REMOTE_EXPIRY_NANOS) {
-        remote.forEach((upstream, sums) -> all.merge(upstream, sums, UpstreamEvidence::plus));
-      }
-      rates = new LearnedRates(listings.get(), all);
+      rates = new LearnedRates(listings.get(), all(now));
       ratesNanos = now;
     }
     return rates;
   }
 
+  /** Returns the observations of all routers, by upstream. */
+  public Map<UpstreamId, UpstreamEvidence> all(long now) {
+    Map<UpstreamId, UpstreamEvidence> all = own.evidence(now);
+    if (hasRemote(now)) {
+      remote.forEach((upstream, sums) -> all.merge(upstream, sums, UpstreamEvidence::plus));
+    }
+    return all;
+  }
+
+  /** Returns whether the observations of other routers are recent enough to count. */
+  public boolean hasRemote(long now) {
+    return remoteAgeNanos(now) <= REMOTE_EXPIRY_NANOS;
+  }
+
   /** Returns the time since the observations of other routers arrived, in nanoseconds. */
   public long remoteAgeNanos(long now) {
     return now - remoteNanos;
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
@@ -113,6 +113,9 @@
     this.waiting =
         new WaitingLines(learnsRates, selector, this::hasEngines, metrics, clock.getAsLong());
     this.queues = new QueueDispatcher(waiting, this::thread, clock);
+    if (learnsRates) {
+      SlowStartReport.enable(selector, metrics, clock);
+    }
     this.startupQueue = new StartupQueue(System.nanoTime(), options.startHold());
     this.usage = new WindowedUsage(options.usageWindow());
     this.retryBudgets = new RetryBudgets(options, metrics, clock.getAsLong());
@@ -391,11 +394,6 @@
     return countersByPool.computeIfAbsent(pool, name -> new PoolCounters());
   }
 
-  /** Returns whether what upstreams bear is learned. */
-  boolean learnsRates() {
-    return learnsRates;
-  }
-
   WaitingLines waiting() {
     return waiting;
   }
