Callers and internal messages: one budget charged by bytes held; the slowest holders are given up first

Cause: a body in chunks of one byte took an array for each byte while only the bytes were counted; announced lengths were reserved; a turn of one connection had no end; pipelined requests kept the I/O thread from its selector; Thrift allocates messages as they are announced.

Change: BufferBudget over all addresses with heads, bodies in blocks, read-ahead and unread responses; SlowestHolders (pure) names whom ShortageGuard gives up when memory, pooled buffers or connections are short; turns in bodies and TurnQueue for pipelined requests; rejections no longer wait for the rest of a body; FrameSocket shows a message to Thrift once all bytes but the last have arrived.

--- a/control/src/main/java/io/jacinthquay/control/ControlService.java
+++ b/control/src/main/java/io/jacinthquay/control/ControlService.java
@@ -211,6 +211,7 @@
     registry.gauge(
         "jq_control_quarantined_parts", () -> () -> store.tables().quarantine().parts().size());
     registry.gauge("jq_control_suspect_parts", () -> () -> quarantine.suspects().size());
+    registry.gauge("jq_control_incomplete_messages_closed_total", () -> server::closedConnections);
     registry.gauge("jq_control_routers", () -> routers::count);
     registry.gauge("jq_control_upstreams", () -> () -> upstreamList.snapshot().listings().size());
   }
--- /dev/null
+++ b/decision/src/main/java/io/jacinthquay/decision/clients/package-info.java
@@ -0,0 +1,2 @@
+/** Which clients' connections are closed when what they share is short. */
+package io.jacinthquay.decision.clients;
--- a/router/src/main/java/io/jacinthquay/router/ForwardRouter.java
+++ b/router/src/main/java/io/jacinthquay/router/ForwardRouter.java
@@ -80,11 +80,22 @@
       Supplier<List<InetSocketAddress>> control,
       Duration grace) {}
 
+  /** Returns a router with the default limits on callers that has not started. */
+  public ForwardRouter(
+      Endpoints endpoints,
+      ForwardOptions options,
+      ForwardProtocol protocol,
+      Function<ForwardCore, RequestIntake> ready,
+      Function<byte[], Either<Failure, RoutingDocument>> decoder) {
+    this(endpoints, options, ListenerLimits.defaults(), protocol, ready, decoder);
+  }
+
   /**
    * Returns a router that has not started.
    *
    * @param endpoints the addresses that it listens on and connects to
    * @param options settings of the forwarding
+   * @param limits limits on what callers may take
    * @param protocol reads and writes the headers of callers and upstreams
    * @param ready returns the handler of readiness requests
    * @param decoder decodes routing documents
@@ -92,6 +103,7 @@
   public ForwardRouter(
       Endpoints endpoints,
       ForwardOptions options,
+      ListenerLimits limits,
       ForwardProtocol protocol,
       Function<ForwardCore, RequestIntake> ready,
       Function<byte[], Either<Failure, RoutingDocument>> decoder) {
@@ -102,9 +114,7 @@
             CONNECT_TIMEOUT, ReusePolicy.stated(protocol.echoHeader(), NON_IDEMPOTENT_MAX_IDLE));
     core = new ForwardCore(options, protocol, client);
     core.metrics().gauge("jq_forward_upstream_connections", client::openConnections);
-    server =
-        new CallerServer(
-            endpoints.callers(), 1, ListenerLimits.defaults(), new ForwardIntake(core));
+    server = new CallerServer(endpoints.callers(), 1, limits, new ForwardIntake(core));
     registerMemory();
     link = new ControlLink(endpoints.name(), options.domain(), endpoints.control(), core, decoder);
   }
@@ -116,6 +126,11 @@
     metrics.gauge("jq_forward_connections_given_up_total", server::connectionsGivenUp);
     metrics.gauge("jq_forward_caller_buffers", server::buffersInUse);
     metrics.gauge("jq_forward_upstream_buffers", client::buffersInUse);
+    metrics.gauge("jq_forward_caller_memory_bytes", server::callerMemoryBytes);
+    metrics.gauge("jq_forward_slow_callers_given_up_total", server::givenUpForMemory);
+    metrics.gauge("jq_forward_unread_answers_closed_total", server::closedForBuffers);
+    metrics.gauge("jq_forward_idle_connections_closed_total", server::closedForConnections);
+    metrics.gauge("jq_forward_slow_bodies_total", server::slowBodies);
   }
 
   @Override
--- /dev/null
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/BodyBuffer.java
@@ -0,0 +1,88 @@
+package io.jacinthquay.router.adapter.http;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * A body that arrives in parts of any size; small parts share a block of memory, so that many parts
+ * take hardly more memory than their bytes.
+ */
+final class BodyBuffer {
+  private static final int MIN_BLOCK_BYTES = 1_024;
+  private static final int MAX_BLOCK_BYTES = 64 * 1024;
+
+  /** Memory of a block besides its bytes. */
+  private static final int BLOCK_OVERHEAD_BYTES = 80;
+
+  private final List<ByteBuffer> blocks = new ArrayList<>();
+  private final long expectedBytes;
+  private ByteBuffer last = ByteBuffer.allocate(0);
+  private int size;
+  private long memoryBytes;
+
+  /**
+   * Returns an empty body.
+   *
+   * @param expectedBytes its length, or the largest length if it is not known
+   */
+  BodyBuffer(long expectedBytes) {
+    this.expectedBytes = expectedBytes;
+  }
+
+  /** Returns the number of bytes. */
+  int size() {
+    return size;
+  }
+
+  /** Returns the bytes of memory that the body takes once a number of bytes is added. */
+  long memoryBytesWith(int count) {
+    return count <= last.remaining()
+        ? memoryBytes
+        : memoryBytes + blockBytes(count - last.remaining()) + BLOCK_OVERHEAD_BYTES;
+  }
+
+  /** Adds bytes. */
+  void add(ByteBuffer data) {
+    int count = data.remaining();
+    if (count > last.remaining()) {
+      long memoryAfter = memoryBytesWith(count);
+      int shared = last.remaining();
+      last.put(data.slice().limit(shared));
+      data.position(data.position() + shared);
+      last = ByteBuffer.allocate(blockBytes(count - shared));
+      blocks.add(last);
+      memoryBytes = memoryAfter;
+    }
+    last.put(data);
+    size += count;
+  }
+
+  /** Returns the size of a further block for at least the given bytes; as large as all before. */
+  private int blockBytes(int count) {
+    long grown = Math.max(MIN_BLOCK_BYTES, Math.min(size, MAX_BLOCK_BYTES));
+    return (int) Math.max(count, Math.min(grown, expectedBytes - size));
+  }
+
+  /** Returns all bytes and forgets them. */
+  byte[] takeAll() {
+    byte[] body;
+    if (blocks.size() == 1 && !last.hasRemaining()) {
+      body = last.array();
+    } else {
+      ByteBuffer joined = ByteBuffer.allocate(size);
+      blocks.forEach(block -> joined.put(block.flip()));
+      body = joined.array();
+    }
+    clear();
+    return body;
+  }
+
+  /** Forgets all bytes. */
+  void clear() {
+    blocks.clear();
+    last = ByteBuffer.allocate(0);
+    size = 0;
+    memoryBytes = 0;
+  }
+}
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/BoundedBufferPool.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/BoundedBufferPool.java
@@ -19,6 +19,7 @@
   private final int maxBuffers;
   private final ByteBufferPool buffers;
   private final AtomicInteger inUse = new AtomicInteger();
+  private volatile Runnable onShortage = () -> {};
 
   /** Returns a pool of which at most the given number of buffers are in use at a time. */
   BoundedBufferPool(int maxBuffers) {
@@ -34,9 +35,11 @@
    */
   @Override
   public PooledByteBuffer allocate() {
-    if (inUse.incrementAndGet() > maxBuffers) {
-      inUse.decrementAndGet();
-      throw new IllegalStateException("all " + maxBuffers + " buffers are in use");
+    if (!take()) {
+      onShortage.run();
+      if (!take()) {
+        throw new IllegalStateException("all " + maxBuffers + " buffers are in use");
+      }
     }
     try {
       return new CountedBuffer(buffers.allocate());
@@ -46,6 +49,19 @@
     }
   }
 
+  private boolean take() {
+    if (inUse.incrementAndGet() > maxBuffers) {
+      inUse.decrementAndGet();
+      return false;
+    }
+    return true;
+  }
+
+  /** Sets what frees buffers when all are in use. */
+  void setOnShortage(Runnable action) {
+    onShortage = action;
+  }
+
   /** Returns the number of buffers in use. */
   int inUse() {
     return inUse.get();
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/CallerHandler.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/CallerHandler.java
@@ -24,8 +24,8 @@
   /** Time for which the rest of a rejected body is read, in milliseconds. */
   private static final long LINGER_MILLIS = 1_000;
 
-  /** Memory that the head of each request may take outside the shared budget, in bytes. */
-  private static final long OWN_HEAD_BYTES = 8 * 1024;
+  /** Memory that the head of a request may take even if the shared budget is exceeded, in bytes. */
+  private static final long SMALL_HEAD_BYTES = 8 * 1024;
 
   private final RequestIntake intake;
   private final ListenerLimits limits;
@@ -80,7 +80,7 @@
       RequestHead head,
       long headBytes,
       UndertowCaller caller) {
-    if (!holdHead(exchange, headBytes)) {
+    if (headBytes > SMALL_HEAD_BYTES && memory.isExceeded()) {
       reject(exchange, id, head, Failure.of(ResultCode.QUEUE_FULL), caller);
       return;
     }
@@ -105,6 +105,9 @@
       RequestHead head,
       Failure failure,
       UndertowCaller caller) {
+    if (failure.code() == ResultCode.SENDER_TOO_SLOW) {
+      connections.countSlowBody();
+    }
     if (!exchange.isRequestComplete()) {
       closeAfterLinger(exchange);
       ReadAheadSource.allow(
@@ -156,23 +159,6 @@
     return slash < 0 ? "/" : uri.substring(slash);
   }
 
-  /** Reserves the memory of a head until the end of its request; returns false if there is none. */
-  private boolean holdHead(HttpServerExchange exchange, long headBytes) {
-    BufferBudget.Reservation reservation = new BufferBudget.Reservation(memory, OWN_HEAD_BYTES);
-    if (!reservation.tryResize(headBytes)) {
-      return false;
-    }
-    if (headBytes > OWN_HEAD_BYTES) {
-      CloseListeners.add(exchange, reservation::release);
-      exchange.addExchangeCompleteListener(
-          (completed, next) -> {
-            reservation.release();
-            next.proceed();
-          });
-    }
-    return true;
-  }
-
   private static long sentBytes(RequestHead head) {
     long bytes = head.rawPath().length() + head.query().length();
     for (Header header : head.headers()) {
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/CallerServer.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/CallerServer.java
@@ -43,6 +43,9 @@
   /** Largest number of open connections at each further address. */
   private static final int MAX_FURTHER_CONNECTIONS = 256;
 
+  /** Largest body at further addresses, in bytes; readiness and metrics need none. */
+  private static final int MAX_FURTHER_BODY_BYTES = 64 * 1024;
+
   private static final int STOP_SECONDS = 5;
 
   private static final String REJECTION_BODY =
@@ -64,6 +67,8 @@
   private final BoundedBufferPool buffers = new BoundedBufferPool(MAX_BUFFERS);
   private final ConnectionTracker connectionTracker;
   private final BufferBudget memory;
+  private final ShortageGuard shortages;
+  private final TurnQueue turns = new TurnQueue();
   private final AtomicInteger openConnections = new AtomicInteger();
   private XnioWorker worker;
   private HttpOpenListener http;
@@ -85,7 +90,10 @@
     this.limits = limits;
     this.intake = intake;
     this.memory = new BufferBudget(limits.maxBufferedBytes());
-    this.connectionTracker = new ConnectionTracker(limits.maxUnfinishedHeadBytes());
+    this.connectionTracker = new ConnectionTracker(limits, memory);
+    this.shortages = new ShortageGuard(connectionTracker, memory, limits.peerSharePercent());
+    memory.setReclaimer(shortages::freeMemory);
+    buffers.setOnShortage(() -> shortages.freeBuffers(MAX_BUFFERS));
   }
 
   /** Starts the I/O threads, and listens now or, if another socket holds the address, later. */
@@ -143,6 +151,10 @@
 
   private void onAccepted(StreamConnection connection) {
     if (openConnections.incrementAndGet() > limits.maxConnections()) {
+      shortages.freeConnections(
+          limits.maxConnections(), connection.getPeerAddress(InetSocketAddress.class).getAddress());
+    }
+    if (openConnections.get() > limits.maxConnections()) {
       openConnections.decrementAndGet();
       reject(connection);
       return;
@@ -160,9 +172,12 @@
     ReadAhead ahead = new ReadAhead(memory, limits.maxHeadBytes() + limits.maxBodyBytes());
     ReadAheadSource watched =
         new ReadAheadSource(source.getConduit(), ahead, () -> IoUtils.safeClose(connection));
+    watched.setTurns(turns);
     watched.setReadReadyHandler(ListenerGuard.reader(connection));
     source.setConduit(watched);
-    TrackedConnection tracked = connectionTracker.opened(connection, watched);
+    WriteWatch writes = new WriteWatch(connection.getSinkChannel().getConduit());
+    connection.getSinkChannel().setConduit(writes);
+    TrackedConnection tracked = connectionTracker.opened(connection, watched, writes);
     ListenerGuard.run(
         () -> openListener.handleEvent(connection), () -> IoUtils.safeClose(connection));
     ChannelListener<? super StreamConnection> onClose = connection.getCloseListener();
@@ -211,7 +226,11 @@
       InetSocketAddress additionalAddress, RequestIntake additionalIntake) {
     HttpOpenListener openListener = new HttpOpenListener(buffers, serverOptions());
     openListener.setRootHandler(
-        new CallerHandler(additionalIntake, limits, memory, connectionTracker));
+        new CallerHandler(
+            additionalIntake,
+            limits.withMaxBodyBytes(MAX_FURTHER_BODY_BYTES),
+            memory,
+            connectionTracker));
     FairBound<TrackedConnection> connections = new FairBound<>(MAX_FURTHER_CONNECTIONS);
     additionalListeners.add(
         listen(
@@ -239,6 +258,31 @@
     return connectionTracker.givenUp();
   }
 
+  /** Returns the bytes of memory that callers hold, as {@link ListenerLimits} bounds them. */
+  public long callerMemoryBytes() {
+    return memory.heldBytes();
+  }
+
+  /** Returns the number of slow callers given up since memory was short. */
+  public long givenUpForMemory() {
+    return shortages.givenUpForMemory();
+  }
+
+  /** Returns the number of connections closed since all pooled buffers were in use. */
+  public long closedForBuffers() {
+    return shortages.closedForBuffers();
+  }
+
+  /** Returns the number of connections closed to make room for others. */
+  public long closedForConnections() {
+    return shortages.closedForConnections();
+  }
+
+  /** Returns the number of requests rejected as their body arrived too slowly. */
+  public long slowBodies() {
+    return connectionTracker.slowBodies();
+  }
+
   /** Returns the number of pooled buffers in use. */
   public int buffersInUse() {
     return buffers.inUse();
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/ConnectionTracker.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/ConnectionTracker.java
@@ -1,5 +1,6 @@
 package io.jacinthquay.router.adapter.http;
 
+import io.jacinthquay.router.port.BufferBudget;
 import io.undertow.server.AbstractServerConnection;
 import io.undertow.server.HttpServerExchange;
 import java.util.Collection;
@@ -8,6 +9,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
@@ -28,17 +30,31 @@
 
   private final Map<StreamConnection, TrackedConnection> open = new ConcurrentHashMap<>();
   private final AtomicInteger busy = new AtomicInteger();
+  private final AtomicLong slowBodies = new AtomicLong();
   private final FairBound<TrackedConnection> unfinishedHeads;
+  private final BufferBudget memory;
   private volatile boolean draining;
 
-  /** Returns a tracker that bounds the bytes of memory of unfinished heads. */
-  ConnectionTracker(long maxHeadBytes) {
-    unfinishedHeads = new FairBound<>(maxHeadBytes);
+  /**
+   * Returns a tracker.
+   *
+   * @param limits bounds the memory of unfinished heads
+   * @param memory the memory that all connections share
+   */
+  ConnectionTracker(ListenerLimits limits, BufferBudget memory) {
+    unfinishedHeads = new FairBound<>(limits.maxUnfinishedHeadBytes());
+    this.memory = memory;
+  }
+
+  /** Returns the open connections, in no particular order. */
+  Collection<TrackedConnection> connections() {
+    return open.values();
   }
 
   /** Tracks a connection from its acceptance; to be called before anything is read from it. */
-  TrackedConnection opened(StreamConnection connection, ReadAheadSource source) {
-    TrackedConnection tracked = new TrackedConnection(connection, source, unfinishedHeads);
+  TrackedConnection opened(StreamConnection connection, ReadAheadSource source, WriteWatch writes) {
+    TrackedConnection tracked =
+        new TrackedConnection(connection, source, writes, unfinishedHeads, memory);
     open.put(connection, tracked);
     return tracked;
   }
@@ -96,6 +112,16 @@
     return unfinishedHeads.givenUp();
   }
 
+  /** Counts a request that was rejected as its body arrived too slowly. */
+  void countSlowBody() {
+    slowBodies.incrementAndGet();
+  }
+
+  /** Returns the number of requests rejected as their body arrived too slowly. */
+  long slowBodies() {
+    return slowBodies.get();
+  }
+
   /** Returns the number of requests in flight whose head has been read. */
   int busyCount() {
     return busy.get();
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/ReadAhead.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/ReadAhead.java
@@ -7,8 +7,14 @@
 
 /** A buffer of bytes that one connection read ahead; used on one I/O thread. */
 final class ReadAhead {
-  /** Bytes that each connection may hold outside the shared budget. */
-  private static final int OWN_BYTES = 4 * 1024;
+  /** Bytes with which a connection may exceed the shared budget. */
+  private static final int SMALL_BYTES = 4 * 1024;
+
+  /** Part of the budget up to which more is read ahead: bodies need the memory more. */
+  private static final double MAX_BUDGET_SHARE = 0.75;
+
+  /** Memory of a part besides its bytes. */
+  private static final int PART_BYTES = 80;
 
   /** Largest read, in bytes. */
   private static final int CHUNK_BYTES = 4 * 1024;
@@ -22,7 +28,7 @@
   /**
    * Returns an empty buffer.
    *
-   * @param memory the budget, shared by all connections, for bytes beyond {@link #OWN_BYTES}
+   * @param memory the budget, shared by all connections
    * @param maxBytes most bytes that the buffer may hold
    */
   ReadAhead(BufferBudget memory, int maxBytes) {
@@ -41,9 +47,15 @@
   }
 
   private boolean reserve(int bytes) {
-    long missingBytes = sharedBytes(size + bytes) - reservedBytes;
+    long neededBytes = memoryBytes(size + bytes, chunks.size() + 1);
+    long missingBytes = neededBytes - reservedBytes;
     if (missingBytes > 0) {
-      if (!memory.tryReserve(missingBytes)) {
+      boolean reserved =
+          neededBytes <= SMALL_BYTES + PART_BYTES
+              ? memory.tryReserveSmall(missingBytes)
+              : memory.heldBytes() + missingBytes <= MAX_BUDGET_SHARE * memory.maxBytes()
+                  && memory.tryReserve(missingBytes);
+      if (!reserved) {
         return false;
       }
       reservedBytes += missingBytes;
@@ -51,14 +63,15 @@
     return true;
   }
 
-  private static long sharedBytes(int bytes) {
-    return Math.max(0, bytes - OWN_BYTES);
+  private static long memoryBytes(int bytes, int parts) {
+    return bytes + (long) PART_BYTES * parts;
   }
 
   /** Adds the bytes that were read into a buffer returned by {@link #room}. */
   void add(ByteBuffer read) {
     if (read.hasRemaining()) {
-      chunks.addLast(read);
+      // A buffer that is hardly filled would take much more memory than its bytes.
+      chunks.addLast(read.remaining() < read.capacity() ? copyOf(read) : read);
       size += read.remaining();
     }
     releaseUnused();
@@ -70,11 +83,15 @@
     if (!reserve(bytes)) {
       return false;
     }
-    chunks.addFirst(ByteBuffer.allocate(bytes).put(earlier).flip());
+    chunks.addFirst(copyOf(earlier));
     size += bytes;
     return true;
   }
 
+  private static ByteBuffer copyOf(ByteBuffer bytes) {
+    return ByteBuffer.allocate(bytes.remaining()).put(bytes.duplicate()).flip();
+  }
+
   /** Moves bytes into a target buffer and returns their number. */
   int take(ByteBuffer target) {
     int before = target.position();
@@ -93,6 +110,11 @@
     return moved;
   }
 
+  /** Returns the bytes of the budget that are held. */
+  long memoryBytes() {
+    return reservedBytes;
+  }
+
   /** Discards all bytes. */
   void clear() {
     chunks.clear();
@@ -101,7 +123,7 @@
   }
 
   private void releaseUnused() {
-    long unusedBytes = reservedBytes - sharedBytes(size);
+    long unusedBytes = reservedBytes - memoryBytes(size, chunks.size());
     if (unusedBytes > 0) {
       memory.release(unusedBytes);
       reservedBytes -= unusedBytes;
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/ReadAheadSource.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/ReadAheadSource.java
@@ -32,8 +32,18 @@
   /** Most bytes of a head that are read before other connections get a turn. */
   private static final int HEAD_BYTES_PER_TURN = 8 * 1024;
 
+  /** Most bytes of a body that are read before other connections get a turn. */
+  private static final int BODY_BYTES_PER_TURN = 64 * 1024;
+
+  /** The same for a body whose bytes cost more time, as they come in many small chunks. */
+  private static final int COSTLY_BYTES_PER_TURN = 2 * 1024;
+
   private final Runnable onEnd;
   private final ReadAhead ahead;
+  private TurnQueue turns = new TurnQueue();
+  private boolean turnEnded;
+  private final Transfer transfer = new Transfer();
+  private int maxTurnBytes = BODY_BYTES_PER_TURN;
   private long allowedBytes = Long.MAX_VALUE;
   private ReadReadyHandler readerHandler;
   private boolean readsResumed;
@@ -70,6 +80,39 @@
     }
   }
 
+  /** Returns the transfer of the connection of an exchange. */
+  static Transfer transfer(HttpServerExchange exchange) {
+    return exchange.getConnection() instanceof AbstractServerConnection connection
+            && connection.getOriginalSourceConduit() instanceof ReadAheadSource source
+        ? source.transfer
+        : new Transfer();
+  }
+
+  /**
+   * Gives other connections a turn soon, and more often from now on until the end of the request:
+   * what is read costs more time than its number of bytes tells.
+   */
+  static void shortenTurns(HttpServerExchange exchange) {
+    if (exchange.getConnection() instanceof AbstractServerConnection connection
+        && connection.getOriginalSourceConduit() instanceof ReadAheadSource source) {
+      source.maxTurnBytes = COSTLY_BYTES_PER_TURN;
+    }
+  }
+
+  Transfer transfer() {
+    return transfer;
+  }
+
+  /** Sets the queue that the connection shares with others. */
+  void setTurns(TurnQueue queue) {
+    turns = queue;
+  }
+
+  /** Returns the bytes of memory of what was read ahead. */
+  long aheadBytes() {
+    return ahead.memoryBytes();
+  }
+
   /** Returns whether the caller ended the connection while a response was awaited. */
   static boolean hasEnded(HttpServerExchange exchange) {
     return exchange.getConnection() instanceof AbstractServerConnection connection
@@ -96,6 +139,7 @@
   /** Records that what is read from now on belongs to the next head. */
   void endRequest() {
     inRequest = false;
+    maxTurnBytes = BODY_BYTES_PER_TURN;
   }
 
   /**
@@ -139,6 +183,7 @@
     @Override
     public void readReady() {
       turnBytes = 0;
+      turnEnded = false;
       if (readsResumed) {
         readerHandler.readReady();
       } else {
@@ -186,7 +231,7 @@
 
   @Override
   public int read(ByteBuffer dst) throws IOException {
-    int count = inRequest ? readAny(dst) : readHead(dst);
+    int count = inRequest ? readTurn(dst, maxTurnBytes) : readHead(dst);
     pastBoundary |= count > 0;
     return count;
   }
@@ -199,24 +244,30 @@
   }
 
   private int readHead(ByteBuffer dst) throws IOException {
-    int room = Math.min(dst.remaining(), HEAD_BYTES_PER_TURN - turnBytes);
+    int start = dst.position();
+    int count = readTurn(dst, HEAD_BYTES_PER_TURN);
+    if (count > 0) {
+      onHeadCost.accept(headCost.add(dst, start, dst.position()));
+    }
+    return count;
+  }
+
+  /** Reads unless the turn of the connection has ended; the next event begins a new turn. */
+  private int readTurn(ByteBuffer dst, int maxBytes) throws IOException {
+    int room = Math.min(dst.remaining(), maxBytes - turnBytes);
     if (room <= 0) {
+      turnEnded = true;
       return 0;
     }
-    int start = dst.position();
     int limit = dst.limit();
-    dst.limit(start + room);
-    int count;
+    dst.limit(dst.position() + room);
     try {
-      count = readAny(dst);
+      int count = readAny(dst);
+      turnBytes += Math.max(0, count);
+      return count;
     } finally {
       dst.limit(limit);
     }
-    if (count > 0) {
-      turnBytes += count;
-      onHeadCost.accept(headCost.add(dst, start, dst.position()));
-    }
-    return count;
   }
 
   @Override
@@ -254,10 +305,21 @@
   @Override
   public void resumeReads() {
     readsResumed = true;
-    if (!ahead.isEmpty() || ended) {
-      next.wakeupReads();
-    } else {
+    if (ahead.isEmpty() && !ended) {
       next.resumeReads();
+    } else if (turnEnded) {
+      turnEnded = false;
+      var unused =
+          getReadThread().executeAfter(this::startTurn, turns.add(), TimeUnit.MILLISECONDS);
+    } else {
+      next.wakeupReads();
+    }
+  }
+
+  private void startTurn() {
+    turns.remove();
+    if (readsResumed) {
+      next.wakeupReads();
     }
   }
 
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/TrackedConnection.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/TrackedConnection.java
@@ -1,10 +1,14 @@
 package io.jacinthquay.router.adapter.http;
 
+import io.jacinthquay.decision.clients.ClientHolding;
+import io.jacinthquay.router.port.BufferBudget;
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.server.AbstractServerConnection;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
 import org.xnio.XnioIoThread;
@@ -14,23 +18,87 @@
   private final StreamConnection connection;
   private final ReadAheadSource source;
   private final FairBound<TrackedConnection> unfinishedHeads;
+  private final WriteWatch writes;
+  private final Transfer transfer;
+  private final BufferBudget.Reservation head;
   private final InetAddress peer;
+  private long quietSinceNanos = System.nanoTime();
+  private long headBytes;
   private boolean used;
   private boolean busy;
 
   TrackedConnection(
       StreamConnection connection,
       ReadAheadSource source,
-      FairBound<TrackedConnection> unfinishedHeads) {
+      WriteWatch writes,
+      FairBound<TrackedConnection> unfinishedHeads,
+      BufferBudget memory) {
     this.connection = connection;
     this.source = source;
+    this.writes = writes;
+    this.transfer = source.transfer();
     this.unfinishedHeads = unfinishedHeads;
+    this.head = BufferBudget.Reservation.ofAll(memory, Long.MAX_VALUE);
     this.peer = connection.getPeerAddress(InetSocketAddress.class).getAddress();
     source.setHeadCostListener(this::holdHead);
   }
 
   private void holdHead(long bytes) {
+    if (!transfer.isActive()) {
+      transfer.begin(this::close, 0);
+    }
     closeAll(unfinishedHeads.hold(peer, this, bytes));
+    if (!connection.isOpen()) {
+      return;
+    }
+    boolean held = head.tryResize(bytes);
+    if (!connection.isOpen()) {
+      head.release();
+    } else if (held) {
+      transfer.moved(bytes - headBytes, head.reservedBytes());
+      headBytes = bytes;
+    } else {
+      close();
+    }
+  }
+
+  /** Returns what the connection holds of the shared memory and may be given up. */
+  Optional<ClientHolding<TrackedConnection>> memoryHolding(long nowNanos) {
+    if (transfer.isActive()) {
+      return transfer.holding(this, peer, nowNanos);
+    }
+    long blockedMillis = writes.blockedMillis(nowNanos);
+    return blockedMillis >= UndertowCaller.MIN_BLOCKED_MILLIS
+        ? Optional.of(new ClientHolding<>(this, peer, source.aheadBytes(), blockedMillis, 0))
+        : Optional.empty();
+  }
+
+  /** Returns the connection as the holder of a buffer, if its caller reads too slowly. */
+  Optional<ClientHolding<TrackedConnection>> bufferHolding(long nowNanos) {
+    return writes.isBlocked()
+        ? Optional.of(new ClientHolding<>(this, peer, 1, writes.blockedMillis(nowNanos), 0))
+        : Optional.empty();
+  }
+
+  /** Returns the connection as the holder of a descriptor, if no request is in progress on it. */
+  Optional<ClientHolding<TrackedConnection>> descriptorHolding(long nowNanos) {
+    long idleMillis = TimeUnit.NANOSECONDS.toMillis(nowNanos - quietSinceNanos);
+    return busy ? Optional.empty() : Optional.of(new ClientHolding<>(this, peer, 1, idleMillis, 0));
+  }
+
+  /** Returns whether no request has been sent on the connection yet; for use by any thread. */
+  boolean isUnused() {
+    return !used;
+  }
+
+  /** Releases what the connection holds of the shared memory, on its own I/O thread. */
+  void giveUpMemory() {
+    Runnable release = transfer.isActive() ? transfer::giveUp : this::close;
+    if (Thread.currentThread() == thread()) {
+      release.run();
+    } else {
+      thread().execute(release);
+    }
   }
 
   /** Closes connections that are given up, each on its own I/O thread. */
@@ -63,6 +131,8 @@
   long completeHead() {
     assertOwnThread();
     unfinishedHeads.release(peer, this);
+    transfer.end();
+    headBytes = 0;
     return source.beginRequest();
   }
 
@@ -82,6 +152,8 @@
   /** Forgets the head that was being read when the connection closed. */
   void closed() {
     unfinishedHeads.release(peer, this);
+    head.release();
+    transfer.end();
   }
 
   /** Returns whether the connection becomes busy by this. */
@@ -98,6 +170,8 @@
     assertOwnThread();
     boolean changed = busy;
     busy = false;
+    quietSinceNanos = System.nanoTime();
+    head.release();
     source.endRequest();
     return changed;
   }
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowCaller.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowCaller.java
@@ -22,8 +22,14 @@
 
 /** Sends a response to a caller through an Undertow exchange. */
 final class UndertowCaller implements Caller {
-  /** Bytes of a response that a slow caller may leave pending outside the shared memory. */
-  private static final int OWN_PENDING_BYTES = 32 * 1024;
+  /** Bytes of a response with which a slow caller may exceed the shared memory. */
+  private static final int SMALL_PENDING_BYTES = 32 * 1024;
+
+  /** Time for which a caller must have read nothing before its connection may be given up. */
+  static final long MIN_BLOCKED_MILLIS = 1_000;
+
+  /** Memory of a pending part besides its bytes. */
+  private static final int PART_BYTES = 80;
 
   /** Time for a caller to receive the rest of a response that has ended, in milliseconds. */
   private static final long MAX_SEND_MILLIS = 30_000;
@@ -35,6 +41,7 @@
   private StreamSinkChannel sink;
   private final Deque<ByteBuffer> pending = new ArrayDeque<>();
   private final BufferBudget.Reservation memory;
+  private final Transfer transfer;
   private int pendingBytes;
   private XnioExecutor.Key sendTimer;
   private boolean begun;
@@ -42,7 +49,8 @@
   private boolean finished;
 
   UndertowCaller(HttpServerExchange exchange, ConnectionTracker connections, BufferBudget memory) {
-    this.memory = new BufferBudget.Reservation(memory, OWN_PENDING_BYTES);
+    this.memory = BufferBudget.Reservation.ofAll(memory, SMALL_PENDING_BYTES);
+    this.transfer = ReadAheadSource.transfer(exchange);
     this.exchange = exchange;
     this.connections = connections;
     this.thread = new IoThread(exchange.getIoThread());
@@ -126,28 +134,44 @@
 
   /** Keeps a copy of the data; disconnects and returns false if there is no memory for it. */
   private boolean append(ByteBuffer data) {
-    if (!memory.tryResize(pendingBytes + data.remaining())) {
+    if (pending.isEmpty()) {
+      transfer.begin(() -> disconnect(DisconnectReason.NO_MEMORY), MIN_BLOCKED_MILLIS);
+    }
+    if (!memory.tryResize(memoryBytes(pendingBytes + data.remaining(), pending.size() + 1))) {
       disconnect(DisconnectReason.NO_MEMORY);
       return false;
     }
+    if (finished) {
+      // The budget took this caller for the slowest.
+      clearPending();
+      return false;
+    }
     pendingBytes += data.remaining();
     pending.addLast(ByteBuffer.allocate(data.remaining()).put(data).flip());
+    transfer.hold(memory.reservedBytes());
     return true;
   }
 
+  private static long memoryBytes(int bytes, int parts) {
+    return bytes + (long) PART_BYTES * parts;
+  }
+
   private void clearPending() {
     pending.clear();
     pendingBytes = 0;
     memory.release();
+    transfer.end();
   }
 
   private void flushPending() {
     try {
       while (!pending.isEmpty()) {
         ByteBuffer first = pending.peekFirst();
-        if (first.hasRemaining() && sink.write(first) == 0) {
+        int count = first.hasRemaining() ? sink.write(first) : 0;
+        if (count == 0 && first.hasRemaining()) {
           return;
         }
+        transfer.moved(count, memory.reservedBytes());
         if (!first.hasRemaining()) {
           pending.removeFirst();
           pendingBytes -= first.limit();
@@ -188,15 +212,46 @@
   }
 
   private void finish() {
-    if (!finished) {
-      finished = true;
-      cancelSendTimer();
-      exchange.endExchange();
+    if (finished) {
+      return;
+    }
+    if (!exchange.isRequestComplete() && !sendEnd()) {
+      return;
+    }
+    finished = true;
+    cancelSendTimer();
+    exchange.endExchange();
+  }
+
+  /**
+   * Sends the end of a response whose request is not complete; Undertow itself would first read the
+   * rest of the request, which may never come.
+   *
+   * @return whether all is sent; if not, the write listener goes on
+   */
+  private boolean sendEnd() {
+    try {
+      if (sink.isOpen()) {
+        sink.shutdownWrites();
+      }
+      if (!sink.flush()) {
+        sink.resumeWrites();
+        return false;
+      }
+      return true;
+    } catch (IOException e) {
+      disconnect(DisconnectReason.WRITE_FAILED);
+      return false;
     }
   }
 
   private void releaseSent() {
-    boolean unused = memory.tryResize(pendingBytes);
+    boolean unused = memory.tryResize(memoryBytes(pendingBytes, pending.size()));
+    if (pending.isEmpty()) {
+      transfer.end();
+    } else {
+      transfer.hold(memory.reservedBytes());
+    }
   }
 
   private void cancelSendTimer() {
--- a/router/src/main/java/io/jacinthquay/router/port/BufferBudget.java
+++ b/router/src/main/java/io/jacinthquay/router/port/BufferBudget.java
@@ -2,19 +2,62 @@
 
 import java.util.concurrent.atomic.AtomicLong;
 
-/** A budget of bytes that many requests share; for use by any thread. */
+/**
+ * A budget of bytes that many requests share; for use by any thread.
+ *
+ * <p>Requests of a usual size may go beyond it by a quarter, so that they don't fail while others
+ * hold all of it.
+ */
 public final class BufferBudget {
+  /** The part of the budget by which small reservations may exceed it. */
+  private static final double SMALL_EXCESS = 0.25;
+
+  /** Frees bytes when the budget is short. */
+  @FunctionalInterface
+  public interface Reclaimer {
+    /**
+     * Closes holders, whose bytes are released before this method returns or soon after.
+     *
+     * @param missingBytes how many bytes are missing
+     */
+    void reclaim(long missingBytes);
+  }
+
+  private final long maxBytes;
   private final AtomicLong freeBytes;
+  private volatile Reclaimer reclaimer = missingBytes -> {};
 
   /** Returns a budget of the given size, of which nothing is reserved. */
   public BufferBudget(long bytes) {
+    this.maxBytes = bytes;
     this.freeBytes = new AtomicLong(bytes);
   }
 
-  /** Reserves a number of bytes; returns false if fewer are free. */
+  /** Sets what frees bytes when the budget is short. */
+  public void setReclaimer(Reclaimer newReclaimer) {
+    reclaimer = newReclaimer;
+  }
+
+  /** Reserves a number of bytes; returns false if fewer are free and can't be reclaimed. */
   public boolean tryReserve(long bytes) {
-    long remaining = freeBytes.addAndGet(-bytes);
-    if (remaining >= 0) {
+    return tryReserve(bytes, 0);
+  }
+
+  /** Reserves a small number of bytes, if need be by exceeding the budget by a quarter. */
+  public boolean tryReserveSmall(long bytes) {
+    return tryReserve(bytes, (long) (SMALL_EXCESS * maxBytes));
+  }
+
+  private boolean tryReserve(long bytes, long excess) {
+    if (take(bytes, excess)) {
+      return true;
+    }
+    reclaimer.reclaim(bytes - excess - freeBytes.get());
+    return take(bytes, excess);
+  }
+
+  private boolean take(long bytes, long excess) {
+    if (freeBytes.addAndGet(-bytes) >= -excess) {
       return true;
     }
     freeBytes.addAndGet(bytes);
@@ -26,14 +69,31 @@
     freeBytes.addAndGet(bytes);
   }
 
+  /** Returns the size of the budget. */
+  public long maxBytes() {
+    return maxBytes;
+  }
+
+  /** Returns the reserved bytes. */
+  public long heldBytes() {
+    return maxBytes - freeBytes.get();
+  }
+
+  /** Returns whether more is reserved than the size of the budget. */
+  public boolean isExceeded() {
+    return freeBytes.get() < 0;
+  }
+
   /**
    * The reservation of one request, which grows and shrinks; used by one thread at a time.
    *
-   * <p>A small part isn't counted, so that requests of a usual size never depend on the others.
+   * <p>A small part isn't counted, or counted with {@link #tryReserveSmall}, so that requests of a
+   * usual size don't depend on the others.
    */
   public static final class Reservation {
     private final BufferBudget budget;
     private final long ownBytes;
+    private final long smallBytes;
     private long reservedBytes;
 
     /**
@@ -42,8 +102,22 @@
      * @param ownBytes bytes that the request may hold outside the budget
      */
     public Reservation(BufferBudget budget, long ownBytes) {
+      this(budget, ownBytes, 0);
+    }
+
+    private Reservation(BufferBudget budget, long ownBytes, long smallBytes) {
       this.budget = budget;
       this.ownBytes = ownBytes;
+      this.smallBytes = smallBytes;
+    }
+
+    /**
+     * Returns an empty reservation that counts all bytes.
+     *
+     * @param smallBytes bytes that may exceed the budget
+     */
+    public static Reservation ofAll(BufferBudget budget, long smallBytes) {
+      return new Reservation(budget, 0, smallBytes);
     }
 
     /**
@@ -54,8 +128,12 @@
      */
     public boolean tryResize(long heldBytes) {
       long neededBytes = Math.max(0, heldBytes - ownBytes);
-      if (neededBytes > reservedBytes && !budget.tryReserve(neededBytes - reservedBytes)) {
-        return false;
+      long addedBytes = neededBytes - reservedBytes;
+      if (addedBytes > 0) {
+        // Adds rather than sets: the budget may release this reservation to make room.
+        boolean reserved = reserve(addedBytes, neededBytes);
+        reservedBytes += reserved ? addedBytes : 0;
+        return reserved;
       }
       if (neededBytes < reservedBytes) {
         budget.release(reservedBytes - neededBytes);
@@ -64,6 +142,17 @@
       return true;
     }
 
+    private boolean reserve(long addedBytes, long neededBytes) {
+      return neededBytes <= smallBytes
+          ? budget.tryReserveSmall(addedBytes)
+          : budget.tryReserve(addedBytes);
+    }
+
+    /** Returns the reserved bytes. */
+    public long reservedBytes() {
+      return reservedBytes;
+    }
+
     /** Releases all bytes. */
     public void release() {
       budget.release(reservedBytes);
--- a/wire/src/main/java/io/jacinthquay/wire/transport/PlainServer.java
+++ b/wire/src/main/java/io/jacinthquay/wire/transport/PlainServer.java
@@ -12,7 +12,6 @@
 import org.apache.thrift.TProcessor;
 import org.apache.thrift.protocol.TCompactProtocol;
 import org.apache.thrift.server.THsHaServer;
-import org.apache.thrift.transport.TNonblockingServerSocket;
 import org.apache.thrift.transport.TTransportException;
 import org.apache.thrift.transport.layered.TFramedTransport;
 
@@ -27,6 +26,12 @@
   /** Largest message in bytes. */
   public static final int MAX_MESSAGE_BYTES = 16 * 1024 * 1024;
 
+  /** Most bytes of incomplete messages: one of the largest size, which is held twice at its end. */
+  private static final long MAX_INCOMPLETE_BYTES = 2L * MAX_MESSAGE_BYTES;
+
+  /** Most open connections; some hundred VMs hold a few each. */
+  private static final int MAX_CONNECTIONS = 1_024;
+
   /** Number of worker threads; the machines that run this server have one core. */
   private static final int WORKER_THREADS = 2;
 
@@ -37,6 +42,7 @@
   private final TProcessor processor;
   private volatile THsHaServer server;
   private volatile ExecutorService workers;
+  private volatile FrameBudget budget = new FrameBudget(MAX_INCOMPLETE_BYTES, MAX_CONNECTIONS);
   private volatile boolean stopping;
 
   /**
@@ -60,7 +66,8 @@
   }
 
   private void listen() throws TTransportException {
-    TNonblockingServerSocket socket = new TNonblockingServerSocket(address);
+    budget = new FrameBudget(MAX_INCOMPLETE_BYTES, MAX_CONNECTIONS);
+    FrameServerSocket socket = new FrameServerSocket(address, budget, MAX_MESSAGE_BYTES);
     workers = Executors.newFixedThreadPool(WORKER_THREADS);
     THsHaServer.Args args =
         new THsHaServer.Args(socket)
@@ -68,7 +75,8 @@
             .processor(processor)
             .protocolFactory(new TCompactProtocol.Factory())
             .transportFactory(new TFramedTransport.Factory(MAX_MESSAGE_BYTES));
-    args.maxReadBufferBytes = 2L * MAX_MESSAGE_BYTES;
+    // Thrift stops reading from all connections at its own limit; FrameBudget closes slow ones.
+    args.maxReadBufferBytes = Long.MAX_VALUE / 2;
     server = new THsHaServer(args);
   }
 
@@ -123,6 +131,11 @@
     }
   }
 
+  /** Returns how many connections were closed within a message since the server listens. */
+  public long closedConnections() {
+    return budget.closedConnections();
+  }
+
   private static void pause(long millis) {
     try {
       TimeUnit.MILLISECONDS.sleep(millis);
--- a/wire/src/test/java/io/jacinthquay/wire/transport/PlainServerTest.java
+++ b/wire/src/test/java/io/jacinthquay/wire/transport/PlainServerTest.java
@@ -1,5 +1,6 @@
 package io.jacinthquay.wire.transport;
 
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -7,10 +8,17 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.apache.thrift.TException;
+import org.apache.thrift.protocol.TProtocol;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 final class PlainServerTest {
   private static final int TIMEOUT_MILLIS = 1_000;
@@ -105,6 +113,63 @@
     }
   }
 
+  /** A message that arrives in pieces is held back from Thrift until it is almost whole. */
+  @ParameterizedTest
+  @CsvSource({"1, 1", "2, 1", "300, 7", "5000, 1", "100000, 4096"})
+  void servesMessagesThatArriveInPieces(int length, int pieceBytes) throws Exception {
+    InetSocketAddress address = freeAddress();
+    PlainServer server = new PlainServer(address, (in, out) -> answerLast(length, in, out));
+    server.start();
+    try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+      socket.setTcpNoDelay(true);
+      for (byte call = 1; call <= 2; call++) {
+        byte[] message = ByteBuffer.allocate(Integer.BYTES + length).putInt(length).array();
+        message[message.length - 1] = call;
+        for (int from = 0; from < message.length; from += pieceBytes) {
+          socket
+              .getOutputStream()
+              .write(message, from, Math.min(pieceBytes, message.length - from));
+        }
+        assertArrayEquals(new byte[] {0, 0, 0, 1, call}, socket.getInputStream().readNBytes(5));
+      }
+    } finally {
+      server.stop();
+    }
+  }
+
+  private static void answerLast(int length, TProtocol in, TProtocol out) throws TException {
+    byte last = 0;
+    for (int i = 0; i < length; i++) {
+      last = in.readByte();
+    }
+    out.writeByte(last);
+    out.getTransport().flush();
+  }
+
+  /** Connections that stop within large messages used up the memory for messages. */
+  @Test
+  void stalledMessagesMakeRoomForOthers() throws Exception {
+    InetSocketAddress address = freeAddress();
+    PlainServer server = echo(address);
+    server.start();
+    List<Socket> stalled = new ArrayList<>();
+    try {
+      byte[] part = new byte[12 << 20];
+      ByteBuffer.wrap(part).putInt(14 << 20);
+      for (int i = 0; i < 6; i++) {
+        stalled.add(new Socket(address.getAddress(), address.getPort()));
+        stalled.get(i).getOutputStream().write(part);
+      }
+      assertTrue(call(address));
+      assertTrue(server.closedConnections() > 0);
+    } finally {
+      for (Socket socket : stalled) {
+        socket.close();
+      }
+      server.stop();
+    }
+  }
+
   /** Interrupts the thread that waits for the end of the selector, which ends the server. */
   private static void interruptSelectors() {
     Thread.getAllStackTraces().keySet().stream()
