--- a/control/src/main/java/io/jacinthquay/control/service/PoolScaler.java
+++ b/control/src/main/java/io/jacinthquay/control/service/PoolScaler.java
@@ -23,6 +23,7 @@
 import io.jacinthquay.model.Failure;
 import io.jacinthquay.model.PoolName;
 import io.jacinthquay.model.ResultCode;
+import io.jacinthquay.model.routing.EngineSpec;
 import io.jacinthquay.model.routing.PoolSpec;
 import io.jacinthquay.model.routing.RouteRule;
 import io.jacinthquay.model.routing.RoutingDocument;
@@ -159,7 +160,7 @@
     LearnedRates learned = new LearnedRates(listings, all.evidence());
     Set<DomainId> domains = candidateDomains(listings, spec);
     ServiceQuality service = poolRates.quality(waitingTokens(pool.name(), all));
-    EngineSpeeds speeds = speeds(pool.name(), listings, domains, all, learned);
+    EngineSpeeds speeds = speeds(pool, listings, domains, all, learned);
     List<FleetPlan> plans =
         planner.plan(new FleetObservation(listings, domains, load, service, speeds), now);
     statuses.put(pool.name(), planner.status());
@@ -215,13 +216,14 @@
   }
 
   private EngineSpeeds speeds(
-      PoolName pool,
+      PoolSpec pool,
       List<UpstreamListing> listings,
       Set<DomainId> domains,
       RouterSignals signals,
       LearnedRates learned) {
     Map<DomainId, Double> promptRates = new HashMap<>();
-    domains.forEach(domain -> promptRates.put(domain, learned.promptTokensPerMilli(pool, domain)));
+    domains.forEach(
+        domain -> promptRates.put(domain, learned.promptTokensPerMilli(pool.name(), domain)));
     double observedMillis =
         listings.stream()
             .map(listing -> signals.evidence().get(listing.upstream()))
@@ -230,17 +232,20 @@
             .sum();
     double millisPerToken =
         listings.stream().mapToDouble(learned::millisPerToken).average().orElse(0);
-    return new EngineSpeeds(observedMillis, promptRates, millisPerToken, pauseTargetMillis(pool));
+    return new EngineSpeeds(
+        observedMillis, promptRates, millisPerToken, targetMillisPerToken(pool));
   }
 
-  /** Returns the shortest pause target of the routes to a pool, in milliseconds; 0 for none. */
-  private int pauseTargetMillis(PoolName pool) {
-    return routes.stream()
-        .filter(route -> route.split().stream().anyMatch(part -> part.pool().equals(pool)))
-        .mapToInt(RouteRule::gapTargetMillis)
-        .filter(millis -> millis > 0)
-        .min()
-        .orElse(0);
+  /** Returns the time per token at which the shortest pause target is reached; 0 for none. */
+  private double targetMillisPerToken(PoolSpec pool) {
+    int pauseMillis =
+        routes.stream()
+            .filter(route -> route.split().stream().anyMatch(p -> p.pool().equals(pool.name())))
+            .mapToInt(RouteRule::gapTargetMillis)
+            .filter(millis -> millis > 0)
+            .min()
+            .orElse(0);
+    return (double) pauseMillis / pool.engine().map(EngineSpec::tokensPerEvent).orElse(1);
   }
 
   private static void recordFailure(Failure failure, PoolSizer planner, FleetPlan plan, long now) {
--- a/decision/src/main/java/io/jacinthquay/decision/scaling/EngineCapacity.java
+++ b/decision/src/main/java/io/jacinthquay/decision/scaling/EngineCapacity.java
@@ -38,9 +38,6 @@
   /** Share of its slots that an engine may use on average, as arrivals are uneven. */
   private static final double SLOT_UTILIZATION = 0.7;
 
-  /** Output tokens in an event of a stream; engines of all known platforms send up to 6. */
-  private static final int TOKENS_PER_EVENT = 6;
-
   /**
    * Least part of the slots that count when streams are slower than their pause target. Streams
    * that share an engine with prompts are slow whatever their number.
@@ -59,7 +56,7 @@
   void observe(EngineSpeeds speeds, Collection<UpstreamListing> listings, double seconds) {
     double slots =
         listings.stream().mapToInt(UpstreamListing::slots).average().orElse(Double.MAX_VALUE);
-    double allowedMillis = (double) speeds.pauseTargetMillis() / TOKENS_PER_EVENT;
+    double allowedMillis = speeds.targetMillisPerToken();
     double factor =
         allowedMillis <= 0 || speeds.millisPerToken() <= allowedMillis
             ? 1
--- a/decision/src/main/java/io/jacinthquay/decision/scaling/EngineSpeeds.java
+++ b/decision/src/main/java/io/jacinthquay/decision/scaling/EngineSpeeds.java
@@ -11,13 +11,14 @@
  * @param promptTokensPerMilli prompt rate of an engine, by failure domain, in tokens per
  *     millisecond
  * @param millisPerToken time between two output tokens of a stream, in milliseconds
- * @param pauseTargetMillis shortest pause target of the pool's routes, in milliseconds; 0 for none
+ * @param targetMillisPerToken time per token at which the pool's streams reach their shortest pause
+ *     target, in milliseconds; 0 for none
  */
 public record EngineSpeeds(
     double observedMillis,
     Map<DomainId, Double> promptTokensPerMilli,
     double millisPerToken,
-    int pauseTargetMillis) {
+    double targetMillisPerToken) {
   /** Nothing was observed. */
   public static final EngineSpeeds UNKNOWN = new EngineSpeeds(0, Map.of(), 0, 0);
 
--- a/decision/src/test/java/io/jacinthquay/decision/scaling/FleetReplay.java
+++ b/decision/src/test/java/io/jacinthquay/decision/scaling/FleetReplay.java
@@ -200,7 +200,7 @@
         Set.of(A, B, C),
         load,
         service,
-        new EngineSpeeds(observedMillis, rates, 12, 150));
+        new EngineSpeeds(observedMillis, rates, 12, 25));
   }
 
   private List<UpstreamListing> listings() {
