--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/LearnedChoice.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/LearnedChoice.java
@@ -42,29 +42,34 @@
    * @param open upstreams that may get the request
    * @param suits returns whether the request suits an upstream: chats one on which they don't
    *     pause, long prompts one that isn't reserved for chats
+   * @param starting returns whether an upstream is in slow start; any request may use its few
+   *     places, or it would be drawn too rarely to prove itself
    */
   Optional<UpstreamState> choose(
       PoolRequest work,
       List<UpstreamState> open,
       SharedPrefix prefix,
       Predicate<UpstreamState> suits,
+      Predicate<UpstreamState> starting,
       ToDoubleFunction<UpstreamState> cost) {
     ToDoubleFunction<UpstreamState> weight = state -> weight(work, state);
     List<UpstreamState> suitable = new ArrayList<>();
     List<UpstreamState> holders = new ArrayList<>();
-    List<UpstreamState> homes = new ArrayList<>();
+    List<UpstreamState> always = new ArrayList<>();
     for (UpstreamState state : open) {
       if (suits.test(state)) {
         suitable.add(state);
       }
-      if (prefix.reducesPrefill(work, state)) {
-        (prefix.isHome(state) ? homes : holders).add(state);
+      if (starting.test(state)) {
+        always.add(state);
+      } else if (prefix.reducesPrefill(work, state)) {
+        (prefix.isHome(state) ? always : holders).add(state);
       }
     }
     List<UpstreamState> compared = sampler.sample(suitable, SAMPLE_COUNT, weight);
-    compared.addAll(homes);
+    compared.addAll(always);
     compared.addAll(sampler.sample(holders, HOLDER_COUNT, weight));
-    return UpstreamSelector.cheapest(compared, cost)
+    return PlacementRule.cheapest(compared, cost)
         .or(() -> fallback(suitable, weight, cost))
         .or(() -> fallback(open, weight, cost));
   }
@@ -76,7 +81,7 @@
       ToDoubleFunction<UpstreamState> cost) {
     List<UpstreamState> available =
         open.stream().filter(s -> cost.applyAsDouble(s) < PlacementRule.UNAVAILABLE).toList();
-    return UpstreamSelector.cheapest(sampler.sample(available, FALLBACK_COUNT, weight), cost);
+    return PlacementRule.cheapest(sampler.sample(available, FALLBACK_COUNT, weight), cost);
   }
 
   private double weight(PoolRequest work, UpstreamState state) {
--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamPacing.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamPacing.java
@@ -1,6 +1,7 @@
 package io.jacinthquay.decision.dispatch;
 
 import io.jacinthquay.decision.cluster.UpstreamEvidence;
+import io.jacinthquay.decision.learning.RateEstimator;
 import io.jacinthquay.decision.pace.EvidenceView;
 import io.jacinthquay.decision.pace.PacedUpstream;
 import io.jacinthquay.decision.pace.Peers;
@@ -9,6 +10,7 @@
 import io.jacinthquay.model.UpstreamId;
 import java.util.Collection;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Supplier;
@@ -66,22 +68,30 @@
     slowStart.ifPresent(s -> s.retain(listed, now));
   }
 
-  boolean isUpdateDue(int routers, long now) {
-    return slowStart.isPresent() && slowStart.get().isDue(routers, now);
+  /** Returns the observations of all routers; none if rates are not learned. */
+  static EvidenceView evidence(Optional<RateEstimator> estimator, long now) {
+    return new EvidenceView(estimator.map(e -> e.all(now)).orElse(Map.of()), 0);
   }
 
   /**
    * Updates the windows if that is due.
    *
    * @param usable the upstreams that may get requests; evaluated only if an update is due
-   * @param evidence evaluated only if an update is due
+   * @param estimator what was observed of the upstreams
+   * @param routers number of routers that share the windows
    */
-  void update(
+  void updateIfDue(
       Supplier<List<UpstreamState>> usable,
-      Supplier<EvidenceView> evidence,
-      Peers peers,
+      Optional<RateEstimator> estimator,
+      int routers,
       long now) {
-    slowStart.ifPresent(s -> s.update(() -> paced(usable.get(), evidence.get()), peers, now));
+    if (slowStart.isPresent() && slowStart.get().isDue(routers, now)) {
+      boolean known = routers == 1 || estimator.map(e -> e.hasRemote(now)).orElse(false);
+      slowStart
+          .get()
+          .update(
+              () -> paced(usable.get(), evidence(estimator, now)), new Peers(routers, known), now);
+    }
   }
 
   private static List<PacedUpstream> paced(List<UpstreamState> usable, EvidenceView evidence) {
--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamSelector.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamSelector.java
@@ -4,7 +4,6 @@
 import io.jacinthquay.decision.learning.LearnedRates;
 import io.jacinthquay.decision.learning.RateEstimator;
 import io.jacinthquay.decision.pace.EvidenceView;
-import io.jacinthquay.decision.pace.Peers;
 import io.jacinthquay.decision.pace.SlowStart;
 import io.jacinthquay.model.DomainId;
 import io.jacinthquay.model.PoolName;
@@ -210,20 +209,11 @@
   }
 
   private EvidenceView evidence(long now) {
-    return new EvidenceView(rates.estimator().map(e -> e.all(now)).orElse(Map.of()), 0);
+    return UpstreamPacing.evidence(rates.estimator(), now);
   }
 
-  private void updateWindows(long now) {
-    if (!pacing.isUpdateDue(routerCount, now)) {
-      return;
-    }
-    boolean known = routerCount == 1 || rates.estimator().map(e -> e.hasRemote(now)).orElse(false);
-    pacing.update(
-        () ->
-            upstreamsByPool.values().stream().flatMap(List::stream).filter(this::isUsable).toList(),
-        () -> evidence(now),
-        new Peers(routerCount, known),
-        now);
+  private List<UpstreamState> allUsable() {
+    return upstreamsByPool.values().stream().flatMap(List::stream).filter(this::isUsable).toList();
   }
 
   /** Returns how fast the upstreams work, as far as it is learned. */
@@ -278,12 +268,12 @@
       return Optional.empty();
     }
     rates.refresh(this::listings, now);
-    updateWindows(now);
+    pacing.updateIfDue(this::allUsable, rates.estimator(), routerCount, now);
     Optional<ReservedEngines> reserved = reserved(work.pool(), candidates, now);
     reserved.ifPresent(r -> r.recordTarget(work, now));
     ChatSeparation separation = new ChatSeparation(work, reserved, rates.isLearned());
     SharedPrefix prefix = sharedPrefix(work, candidates, reserved, now);
-    boolean poolFails = rates.isLearned() && poolFails(candidates);
+    boolean poolFails = rates.isLearned() && PoolFailure.isFailing(candidates, this::isUsable);
     List<UpstreamState> open = new ArrayList<>();
     List<UpstreamState> excess = new ArrayList<>();
     for (UpstreamState state : candidates) {
@@ -303,54 +293,31 @@
                 + separation.cost(state)
                 + conditionCost(work, state, poolFails, now);
     if (routerCount < MANY_ROUTERS) {
-      return cheapest(open, cost).or(() -> cheapest(excess, cost));
+      return PlacementRule.cheapest(open, cost).or(() -> PlacementRule.cheapest(excess, cost));
     }
     boolean chat = reserved.isPresent() && reserved.get().isFor(work);
     if (rates.isLearned()) {
       return learnedChoice
-          .choose(work, open, prefix, separation::suits, cost)
-          .or(() -> learnedChoice.choose(work, excess, prefix, separation::suits, cost));
+          .choose(work, open, prefix, separation::suits, pacing::isLimited, cost)
+          .or(
+              () ->
+                  learnedChoice.choose(
+                      work, excess, prefix, separation::suits, pacing::isLimited, cost));
     }
     List<UpstreamState> group =
         open.stream().filter(s -> separation.isReserved(s) == chat).toList();
     List<UpstreamState> compared = sampler.sample(group);
     open.stream().filter(s -> prefix.reducesPrefill(work, s)).forEach(compared::add);
     open.stream().filter(pacing::isLimited).forEach(compared::add);
-    return cheapest(compared, cost).or(() -> cheapest(open, cost)).or(() -> cheapest(excess, cost));
-  }
-
-  /**
-   * Returns whether failures block most upstreams of a pool. Then the fault isn't that of single
-   * upstreams, and sending to the few others would only overload them.
-   */
-  private boolean poolFails(List<UpstreamState> candidates) {
-    int usable = 0;
-    int failing = 0;
-    for (UpstreamState state : candidates) {
-      usable += isUsable(state) ? 1 : 0;
-      failing += isUsable(state) && state.health().isBlockedByFailures() ? 1 : 0;
-    }
-    return failing * 2 > usable;
+    return PlacementRule.cheapest(compared, cost)
+        .or(() -> PlacementRule.cheapest(open, cost))
+        .or(() -> PlacementRule.cheapest(excess, cost));
   }
 
   private boolean mayTryDespiteFailures(UpstreamState state, long now) {
     return state.health().isBlockedByFailures() && !isSilent(state, now);
   }
 
-  static Optional<UpstreamState> cheapest(
-      List<UpstreamState> compared, ToDoubleFunction<UpstreamState> cost) {
-    UpstreamState best = null;
-    double leastCost = PlacementRule.UNAVAILABLE;
-    for (UpstreamState state : compared) {
-      double candidateCost = cost.applyAsDouble(state);
-      if (candidateCost < leastCost) {
-        leastCost = candidateCost;
-        best = state;
-      }
-    }
-    return Optional.ofNullable(best);
-  }
-
   private boolean isAnswering(UpstreamState state, long now) {
     pacing.allowProbe(state, now);
     return state.health().allowsRequest(now) && !isSilent(state, now);
--- a/decision/src/main/java/io/jacinthquay/decision/scaling/LearnedFleetPlanner.java
+++ b/decision/src/main/java/io/jacinthquay/decision/scaling/LearnedFleetPlanner.java
@@ -99,6 +99,7 @@
   private record Order(int count, boolean grows, long atNanos, long effectiveWithinNanos) {}
 
   private final ScalingSpec spec;
+  private final FleetPlanner beforeTraffic;
   private final EngineCapacity capacity = new EngineCapacity();
   private final DemandCrest crest = new DemandCrest();
   private final Headroom headroom = new Headroom();
@@ -115,6 +116,7 @@
   /** Returns a planner for one pool. */
   public LearnedFleetPlanner(ScalingSpec spec) {
     this.spec = spec;
+    this.beforeTraffic = new FleetPlanner(spec);
   }
 
   @Override
@@ -124,6 +126,7 @@
 
   @Override
   public void refused(FleetPlan plan, long now) {
+    beforeTraffic.refused(plan, now);
     EngineKind kind = new EngineKind(plan.domain(), plan.cheap());
     refusedAt.put(kind, now);
     openOrders.remove(kind);
@@ -133,6 +136,7 @@
 
   @Override
   public void recordUnknownOutcome(FleetPlan plan) {
+    beforeTraffic.recordUnknownOutcome(plan);
     openOrders.computeIfPresent(
         new EngineKind(plan.domain(), plan.cheap()),
         (kind, order) ->
@@ -143,7 +147,9 @@
   public List<FleetPlan> plan(FleetObservation observation, long now) {
     ServiceQuality service = observation.service();
     if (service.routers() == 0 || observation.load().requestRate() <= 0) {
-      return List.of();
+      // Before the first request nothing is known but the engines that are there. Cheaper ones
+      // replace most of them, as many, so that they serve when traffic begins.
+      return started ? List.of() : beforeTraffic.plan(observation, now);
     }
     if (!started) {
       started = true;
--- a/decision/src/test/java/io/jacinthquay/decision/dispatch/ReplayedPool.java
+++ b/decision/src/test/java/io/jacinthquay/decision/dispatch/ReplayedPool.java
@@ -65,7 +65,8 @@
   ReplayedPool(boolean paced, int engineCount, long seed) {
     random = new SplittableRandom(seed);
     for (int i = 0; i < ROUTERS; i++) {
-      UpstreamSelector selector = new UpstreamSelector(domain(i), 1, 0, new SplittableRandom(i));
+      UpstreamSelector selector =
+          new UpstreamSelector(domain(i), 1, 0, new SplittableRandom(i), true);
       if (paced) {
         selector.paceBy(new SlowStart(new SplittableRandom(1_000 + i), SlowStartListener.NONE));
       }
