--- a/consensus/src/test/java/io/jacinthquay/consensus/LogCluster.java
+++ b/consensus/src/test/java/io/jacinthquay/consensus/LogCluster.java
@@ -8,15 +8,17 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
-import java.util.function.Supplier;
 import java.util.stream.Stream;
 
 /**
@@ -117,10 +119,23 @@
   }
 
   MemberId leader() throws InterruptedException {
-    Supplier<Stream<MemberId>> leaders =
-        () -> logs.keySet().stream().filter(member -> logs.get(member).status().isLeader());
-    await("a leader", () -> leaders.get().findAny().isPresent());
-    return leaders.get().max(Comparator.comparingLong(m -> logs.get(m).status().term())).get();
+    AtomicReference<Optional<MemberId>> found = new AtomicReference<>(Optional.empty());
+    await(
+        "a leader",
+        () -> {
+          // Looked up once, since a leader may step down between two lookups.
+          found.set(newestLeader());
+          return found.get().isPresent();
+        });
+    return found.get().orElseThrow();
+  }
+
+  private Optional<MemberId> newestLeader() {
+    Map<MemberId, LogStatus> statuses = new HashMap<>();
+    logs.forEach((member, log) -> statuses.put(member, log.status()));
+    return statuses.keySet().stream()
+        .filter(member -> statuses.get(member).isLeader())
+        .max(Comparator.comparingLong(member -> statuses.get(member).term()));
   }
 
   MemberId follower() throws InterruptedException {
