--- a/router/src/test/java/io/jacinthquay/router/service/forward/SendEvidenceTest.java
+++ b/router/src/test/java/io/jacinthquay/router/service/forward/SendEvidenceTest.java
@@ -9,6 +9,7 @@
 import io.jacinthquay.decision.dispatch.SentRequest;
 import io.jacinthquay.decision.dispatch.UpstreamListing;
 import io.jacinthquay.decision.dispatch.UpstreamSelector;
+import io.jacinthquay.decision.learning.RateUse;
 import io.jacinthquay.model.DomainId;
 import io.jacinthquay.model.PoolName;
 import io.jacinthquay.model.Tier;
