Evidence of upstreams: one decay, one expiry, looked up where it is needed

EvidenceView wrapped a map with an age that was always 0, and repeated the decay of EvidenceLog. UpstreamSelector merged the observations of all upstreams for each entry of a new list and for each failure, also without slow start; UpstreamPacing now looks up the one upstream that begins slow start. Behavior unchanged; tests unchanged.

--- a/control/src/main/java/io/jacinthquay/control/service/SignalsTable.java
+++ b/control/src/main/java/io/jacinthquay/control/service/SignalsTable.java
@@ -7,9 +7,6 @@
 
 /** The last signals of each router and their sums. Thread-safe. */
 public final class SignalsTable {
-  /** Time after which the signals of a silent router count as none, in nanoseconds. */
-  private static final long EXPIRY_NANOS = 1_500_000_000L;
-
   /**
    * Time for which a sum over all routers is reused, in nanoseconds; hundreds of routers would
    * otherwise have it computed anew for each exchange.
@@ -43,7 +40,7 @@
   public synchronized RouterSignals all() {
     long now = clock.getAsLong();
     if (!hasSum || now - summedNanos >= SUM_REUSE_NANOS) {
-      entries.values().removeIf(entry -> now - entry.atNanos() > EXPIRY_NANOS);
+      entries.values().removeIf(entry -> now - entry.atNanos() > RouterSignals.EXPIRY_NANOS);
       summed = Map.copyOf(entries);
       sum = RouterSignals.NONE;
       summed.values().forEach(entry -> sum = sum.plus(entry.signals()));
--- a/decision/src/main/java/io/jacinthquay/decision/cluster/RouterSignals.java
+++ b/decision/src/main/java/io/jacinthquay/decision/cluster/RouterSignals.java
@@ -17,6 +17,9 @@
     Map<UpstreamId, UpstreamEvidence> evidence,
     Map<WaitingWork.Key, WaitingWork> waiting,
     Map<CustomerId, Double> servedTokens) {
+  /** Age from which the signals of a router count as none, in nanoseconds. */
+  public static final long EXPIRY_NANOS = 1_500_000_000L;
+
   /** Nothing. */
   public static final RouterSignals NONE = new RouterSignals(Map.of(), Map.of(), Map.of());
 
--- a/decision/src/main/java/io/jacinthquay/decision/cluster/UpstreamEvidence.java
+++ b/decision/src/main/java/io/jacinthquay/decision/cluster/UpstreamEvidence.java
@@ -20,6 +20,9 @@
   /** No observations. */
   public static final UpstreamEvidence NONE = new UpstreamEvidence(0, 0, 0, 0, 0, 0);
 
+  /** Time in which the influence of an observation falls to 37 %, in nanoseconds. */
+  private static final double DECAY_NANOS = 5e9;
+
   /** Sum below which evidence has no influence on a decision. */
   private static final double NEGLIGIBLE = 0.02;
 
@@ -45,6 +48,11 @@
         Math.max(0, missed - other.missed));
   }
 
+  /** Returns the factor by which the influence of observations falls in a time. */
+  public static double decay(long nanos) {
+    return Math.exp(-nanos / DECAY_NANOS);
+  }
+
   /** Returns these observations with a smaller influence, 0 to 1. */
   public UpstreamEvidence times(double factor) {
     return new UpstreamEvidence(
--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamPacing.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamPacing.java
@@ -2,7 +2,6 @@
 
 import io.jacinthquay.decision.cluster.UpstreamEvidence;
 import io.jacinthquay.decision.learning.RateEstimator;
-import io.jacinthquay.decision.pace.EvidenceView;
 import io.jacinthquay.decision.pace.PacedUpstream;
 import io.jacinthquay.decision.pace.Peers;
 import io.jacinthquay.decision.pace.SlowStart;
@@ -10,15 +9,24 @@
 import io.jacinthquay.model.UpstreamId;
 import java.util.Collection;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Supplier;
 
 /** Applies slow start to the upstreams of a selector; without it, all upstreams count as proved. */
 final class UpstreamPacing {
+  private final Optional<RateEstimator> estimator;
   private Optional<SlowStart> slowStart = Optional.empty();
 
+  /**
+   * Returns a pacing without slow start.
+   *
+   * @param estimator what was observed of the upstreams; empty if nothing is
+   */
+  UpstreamPacing(Optional<RateEstimator> estimator) {
+    this.estimator = estimator;
+  }
+
   void enable(SlowStart newSlowStart) {
     slowStart = Optional.of(newSlowStart);
   }
@@ -30,37 +38,32 @@
    *
    * @param listedBefore the upstreams of the pool in the list before
    */
-  void recordNew(
-      UpstreamState state,
-      Collection<UpstreamState> listedBefore,
-      EvidenceView evidence,
-      long now) {
+  void recordNew(UpstreamState state, Collection<UpstreamState> listedBefore, long now) {
     if (slowStart.isPresent()) {
       state.health().blockBriefly();
       if (!listedBefore.isEmpty()) {
-        begin(state, StartReason.LISTED, evidence, now);
+        begin(state, StartReason.LISTED, now);
       }
     }
   }
 
   /** Begins the slow start of an upstream if its new entry shows that it was started again. */
-  void recordListing(
-      UpstreamState state, UpstreamListing newListing, EvidenceView evidence, long now) {
+  void recordListing(UpstreamState state, UpstreamListing newListing, long now) {
     if (slowStart.isPresent() && state.isRestartedIn(newListing, now)) {
-      begin(state, StartReason.RESTARTED, evidence, now);
+      begin(state, StartReason.RESTARTED, now);
     }
   }
 
   /** Begins the slow start of an upstream if its circuit breaker has tripped. */
-  void recordFailure(UpstreamState state, EvidenceView evidence, long now) {
+  void recordFailure(UpstreamState state, long now) {
     if (slowStart.isPresent() && state.health().isBlockedOrProbing()) {
-      begin(state, StartReason.FAILED, evidence, now);
+      begin(state, StartReason.FAILED, now);
     }
   }
 
-  private void begin(UpstreamState state, StartReason reason, EvidenceView evidence, long now) {
+  private void begin(UpstreamState state, StartReason reason, long now) {
     UpstreamListing listing = state.listing();
-    UpstreamEvidence seen = evidence.of(listing.upstream());
+    UpstreamEvidence seen = evidence(state, now);
     slowStart.ifPresent(s -> s.begin(listing.upstream(), listing.pool(), reason, seen, now));
   }
 
@@ -68,33 +71,24 @@
     slowStart.ifPresent(s -> s.retain(listed, now));
   }
 
-  /** Returns the observations of all routers; none if rates are not learned. */
-  static EvidenceView evidence(Optional<RateEstimator> estimator, long now) {
-    return new EvidenceView(estimator.map(e -> e.all(now)).orElse(Map.of()), 0);
+  private UpstreamEvidence evidence(UpstreamState state, long now) {
+    return estimator.map(e -> e.evidence(id(state), now)).orElse(UpstreamEvidence.NONE);
   }
 
   /**
    * Updates the windows if that is due.
    *
    * @param usable the upstreams that may get requests; evaluated only if an update is due
-   * @param estimator what was observed of the upstreams
    * @param routers number of routers that share the windows
    */
-  void updateIfDue(
-      Supplier<List<UpstreamState>> usable,
-      Optional<RateEstimator> estimator,
-      int routers,
-      long now) {
-    if (slowStart.isPresent() && slowStart.get().isDue(routers, now)) {
+  void updateIfDue(Supplier<List<UpstreamState>> usable, int routers, long now) {
+    if (slowStart.isPresent()) {
       boolean known = routers == 1 || estimator.map(e -> e.hasRemote(now)).orElse(false);
-      slowStart
-          .get()
-          .update(
-              () -> paced(usable.get(), evidence(estimator, now)), new Peers(routers, known), now);
+      slowStart.get().update(() -> paced(usable.get(), now), new Peers(routers, known), now);
     }
   }
 
-  private static List<PacedUpstream> paced(List<UpstreamState> usable, EvidenceView evidence) {
+  private List<PacedUpstream> paced(List<UpstreamState> usable, long now) {
     return usable.stream()
         .map(
             state ->
@@ -104,7 +98,7 @@
                     state.listing().slots(),
                     state.own().inFlight(),
                     state.load().inFlight(),
-                    evidence.of(id(state))))
+                    evidence(state, now)))
         .toList();
   }
 
--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamSelector.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamSelector.java
@@ -4,7 +4,6 @@
 import io.jacinthquay.decision.learning.LearnedRates;
 import io.jacinthquay.decision.learning.RateEstimator;
 import io.jacinthquay.decision.learning.RateUse;
-import io.jacinthquay.decision.pace.EvidenceView;
 import io.jacinthquay.decision.pace.SlowStart;
 import io.jacinthquay.model.DomainId;
 import io.jacinthquay.model.PoolName;
@@ -72,7 +71,7 @@
   private final Map<PoolName, ReservedEngines> reservations = new HashMap<>();
   private final DomainReachability reachability = new DomainReachability();
   private int routerCount = 1;
-  private final UpstreamPacing pacing = new UpstreamPacing();
+  private final UpstreamPacing pacing;
 
   /**
    * Returns a selector without upstreams.
@@ -105,6 +104,7 @@
     this.local = local;
     this.sampler = new CandidateSampler(local, random);
     this.rates = new CurrentRates(rateUse);
+    this.pacing = new UpstreamPacing(rates.estimator());
     this.learnedChoice = new LearnedChoice(rates, sampler);
     this.coldOverage = coldOverage;
     this.coldTolerance = coldTolerance;
@@ -159,9 +159,9 @@
         state = new UpstreamState(listing, pool, now);
         states.put(listing.upstream(), state);
         List<UpstreamState> before = upstreamsByPool.getOrDefault(listing.pool(), List.of());
-        pacing.recordNew(state, before, evidence(now), now);
+        pacing.recordNew(state, before, now);
       } else {
-        pacing.recordListing(state, listing, evidence(now), now);
+        pacing.recordListing(state, listing, now);
         state.updateListing(listing, now);
       }
       newUpstreams.computeIfAbsent(listing.pool(), name -> new ArrayList<>()).add(state);
@@ -209,10 +209,6 @@
         .orElse(0);
   }
 
-  private EvidenceView evidence(long now) {
-    return UpstreamPacing.evidence(rates.estimator(), now);
-  }
-
   private List<UpstreamState> allUsable() {
     return upstreamsByPool.values().stream().flatMap(List::stream).filter(this::isUsable).toList();
   }
@@ -269,7 +265,7 @@
       return Optional.empty();
     }
     rates.refresh(this::listings, now);
-    pacing.updateIfDue(this::allUsable, rates.estimator(), routerCount, now);
+    pacing.updateIfDue(this::allUsable, routerCount, now);
     Optional<ReservedEngines> reserved = reserved(work.pool(), candidates, now);
     reserved.ifPresent(r -> r.recordTarget(work, now));
     ChatSeparation separation = new ChatSeparation(work, reserved, rates.isLearned());
@@ -493,7 +489,7 @@
       default -> state.health().recordUndecided();
     }
     if (end == SendOutcome.FAILED || end == SendOutcome.UNREACHABLE) {
-      pacing.recordFailure(state, evidence(now), now);
+      pacing.recordFailure(state, now);
     }
   }
 }
--- a/decision/src/main/java/io/jacinthquay/decision/learning/EvidenceLog.java
+++ b/decision/src/main/java/io/jacinthquay/decision/learning/EvidenceLog.java
@@ -16,9 +16,6 @@
  * engine that fails at once would look fast. Not thread-safe.
  */
 public final class EvidenceLog {
-  /** Time in which the influence of an observation falls to 37 %, in nanoseconds. */
-  private static final double TIME_CONSTANT_NANOS = 5e9;
-
   /** Largest factor between an observed time that counts and the expected one. */
   private static final double MAX_FACTOR = 4;
 
@@ -41,7 +38,7 @@
 
     UpstreamEvidence at(long now) {
       long elapsed = Math.max(0, now - atNanos);
-      return evidence.times(Math.exp(-elapsed / TIME_CONSTANT_NANOS));
+      return evidence.times(UpstreamEvidence.decay(elapsed));
     }
 
     void add(UpstreamEvidence observed, long now) {
@@ -104,6 +101,13 @@
     sums.keySet().retainAll(upstreams);
   }
 
+  /** Returns the observations of one upstream; none if they have no influence any more. */
+  UpstreamEvidence evidence(UpstreamId upstream, long now) {
+    Sums recorded = sums.get(upstream);
+    UpstreamEvidence current = recorded == null ? UpstreamEvidence.NONE : recorded.at(now);
+    return current.isNegligible() ? UpstreamEvidence.NONE : current;
+  }
+
   /** Returns the observations of each upstream, as far as they still have influence. */
   public Map<UpstreamId, UpstreamEvidence> evidence(long now) {
     Map<UpstreamId, UpstreamEvidence> current = new HashMap<>();
--- a/decision/src/main/java/io/jacinthquay/decision/learning/RateEstimator.java
+++ b/decision/src/main/java/io/jacinthquay/decision/learning/RateEstimator.java
@@ -1,5 +1,6 @@
 package io.jacinthquay.decision.learning;
 
+import io.jacinthquay.decision.cluster.RouterSignals;
 import io.jacinthquay.decision.cluster.UpstreamEvidence;
 import io.jacinthquay.decision.dispatch.UpstreamListing;
 import io.jacinthquay.model.PoolName;
@@ -18,9 +19,6 @@
   /** Time for which rates are reused, in nanoseconds; reports of other routers come as often. */
   private static final long REUSE_NANOS = 250_000_000L;
 
-  /** Age at which the observations of other routers count as none, in nanoseconds. */
-  private static final long REMOTE_EXPIRY_NANOS = 1_500_000_000L;
-
   /** Weight of the newest observation in the error. */
   private static final double NEWEST_WEIGHT = 0.05;
 
@@ -61,8 +59,16 @@
     return rates;
   }
 
+  /** Returns the observations of one upstream by all routers. */
+  public UpstreamEvidence evidence(UpstreamId upstream, long now) {
+    UpstreamEvidence observed = own.evidence(upstream, now);
+    return hasRemote(now)
+        ? observed.plus(remote.getOrDefault(upstream, UpstreamEvidence.NONE))
+        : observed;
+  }
+
   /** Returns the observations of all routers, by upstream. */
-  public Map<UpstreamId, UpstreamEvidence> all(long now) {
+  private Map<UpstreamId, UpstreamEvidence> all(long now) {
     Map<UpstreamId, UpstreamEvidence> all = own.evidence(now);
     if (hasRemote(now)) {
       remote.forEach((upstream, sums) -> all.merge(upstream, sums, UpstreamEvidence::plus));
@@ -72,7 +78,7 @@
 
   /** Returns whether the observations of other routers are recent enough to count. */
   public boolean hasRemote(long now) {
-    return remoteAgeNanos(now) <= REMOTE_EXPIRY_NANOS;
+    return remoteAgeNanos(now) <= RouterSignals.EXPIRY_NANOS;
   }
 
   /** Returns the time since the observations of other routers arrived, in nanoseconds. */
--- a/decision/src/main/java/io/jacinthquay/decision/pace/SlowStart.java
+++ b/decision/src/main/java/io/jacinthquay/decision/pace/SlowStart.java
@@ -100,8 +100,7 @@
     figures = Map.copyOf(sums);
   }
 
-  /** Returns whether an update of the windows is due. */
-  public boolean isDue(int routers, long now) {
+  private boolean isDue(int routers, long now) {
     return !current || now - updatedNanos >= RouterShare.intervalNanos(routers);
   }
 
--- a/decision/src/main/java/io/jacinthquay/decision/pace/UpstreamWindow.java
+++ b/decision/src/main/java/io/jacinthquay/decision/pace/UpstreamWindow.java
@@ -101,7 +101,7 @@
   /** Updates the window and this router's places in it. */
   void update(PacedUpstream upstream, PoolUsage usage, Peers peers, double draw, long now) {
     UpstreamEvidence seen = upstream.evidence();
-    double decay = EvidenceView.decay(now - beforeNanos);
+    double decay = UpstreamEvidence.decay(now - beforeNanos);
     double onTarget =
         Math.max(0, seen.onTarget() - OLD_ANSWERS_TOLERANCE * decay * before.onTarget());
     double missed = Math.max(0, seen.missed() - OLD_MISSES_TOLERANCE * decay * before.missed());
--- a/router/src/main/java/io/jacinthquay/router/service/forward/OtherRouters.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/OtherRouters.java
@@ -7,9 +7,6 @@
 
 /** What the other routers last reported about waiting requests and customers. */
 final class OtherRouters {
-  /** Age at which the reports count as none, in nanoseconds, as for other signals. */
-  private static final long EXPIRY_NANOS = 1_500_000_000L;
-
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
   private final ServedTokens served;
@@ -33,7 +30,7 @@
 
   /** Returns the work that waits at the other routers; none once the report is old. */
   WaitingWork waiting(WaitingWork.Key key, long now) {
-    return now - updatedNanos > EXPIRY_NANOS
+    return now - updatedNanos > RouterSignals.EXPIRY_NANOS
         ? WaitingWork.NONE
         : waiting.getOrDefault(key, WaitingWork.NONE);
   }
