Upstreams that state a limit: routers take turns in it

Cause: nothing read the limit. Class: what an upstream says of itself is passed on and not obeyed; a bound that all routers share is kept by none of them.

ForwardProtocol reads the notice of an answer, StatedLimits keeps the limits, and UpstreamSelector sends only in this router's turns (StatedLimit), which follow from its place among the routers. The leader and relays tell that place with each view. Ruled out: a limit that each router keeps by itself, as the sum is one for each router; equal shares, as one of 95 routers may send less than once a minute and all may do so at once.

StatedLimitTest of platform: 142, 150 and 151 requests in 4 s of limits of 0.4, 1.2 and 5 before (allowed 7, 12, 35), within the bound after. StatedLimitTest of decision: 1 to 95 routers with clocks 100 ms apart and orders that change, within 1.5 times the limit and 5 in any 4 s, and at least 0.7 of the limit used where all have requests. Not done: a limit is not passed on to routers that haven't heard of it.

--- a/control/src/main/java/io/jacinthquay/control/adapter/ControlHandler.java
+++ b/control/src/main/java/io/jacinthquay/control/adapter/ControlHandler.java
@@ -103,6 +103,7 @@
               report.getReadsSeen(),
               report.getListNumber());
       fill(view, held, leaderView, leaderView.loadsExceptVia(report.getRelay()));
+      view.setPosition(leaderView.position(report.getDomain(), ""));
       setSignals(view, leaderView.signalsExceptVia(report.getRelay()));
     }
     return view;
@@ -143,6 +144,7 @@
             report.getReadsSeen(),
             report.getListNumber());
     fill(view, held, clusterView, clusterView.loadsOfOthers(report.getRouter()));
+    view.setPosition(clusterView.position(report.getDomain(), report.getRouter()));
     if (report.isSetSignals()) {
       setSignals(view, clusterView.signalsOfOthers(report.getRouter()));
     }
--- a/control/src/main/java/io/jacinthquay/control/service/ClusterView.java
+++ b/control/src/main/java/io/jacinthquay/control/service/ClusterView.java
@@ -20,6 +20,12 @@
   /** Returns the number of routers. */
   int routers();
 
+  /**
+   * Returns how many routers come before one in the order of all routers, by failure domain and
+   * name.
+   */
+  int position(String domain, String router);
+
   /** Returns the load of all routers except one, by upstream. */
   Map<String, UpstreamLoad> loadsOfOthers(String router);
 
--- a/control/src/main/java/io/jacinthquay/control/service/DomainRelay.java
+++ b/control/src/main/java/io/jacinthquay/control/service/DomainRelay.java
@@ -225,6 +225,11 @@
     return leaderView.getRouters();
   }
 
+  @Override
+  public synchronized int position(String routerDomain, String router) {
+    return leaderView.getPosition() + registry.position(routerDomain, router);
+  }
+
   @Override
   public synchronized Map<String, UpstreamLoad> loadsOfOthers(String router) {
     Map<String, UpstreamLoad> loads = new HashMap<>(remoteLoads);
--- a/control/src/main/java/io/jacinthquay/control/service/LeaderClusterView.java
+++ b/control/src/main/java/io/jacinthquay/control/service/LeaderClusterView.java
@@ -64,6 +64,11 @@
     return registry.count();
   }
 
+  @Override
+  public int position(String domain, String router) {
+    return registry.position(domain, router);
+  }
+
   @Override
   public Map<String, UpstreamLoad> loadsOfOthers(String router) {
     return registry.loadsOfOthers(router);
--- a/control/src/main/java/io/jacinthquay/control/service/RouterRegistry.java
+++ b/control/src/main/java/io/jacinthquay/control/service/RouterRegistry.java
@@ -67,6 +67,22 @@
     return routers.size();
   }
 
+  /**
+   * Returns how many routers come before one in the order by failure domain and name.
+   *
+   * @param router name of the router; empty to count those of the domains before
+   */
+  public synchronized int position(String domain, String router) {
+    int before = 0;
+    for (Map.Entry<String, LastReport> other : routers.entrySet()) {
+      int order = other.getValue().message().getDomain().compareTo(domain);
+      if (order < 0 || (order == 0 && other.getKey().compareTo(router) < 0)) {
+        before++;
+      }
+    }
+    return before;
+  }
+
   /** Returns the load of all routers except one, by upstream. */
   public synchronized Map<String, UpstreamLoad> loadsOfOthers(String router) {
     return loads((name, last) -> !name.equals(router));
--- a/control/src/test/java/io/jacinthquay/control/service/RouterRegistryTest.java
+++ b/control/src/test/java/io/jacinthquay/control/service/RouterRegistryTest.java
@@ -56,6 +56,25 @@
     assertEquals(1, registry.count());
   }
 
+  /** Routers with the same position would send to an upstream with a stated limit at once. */
+  @Test
+  void positionsOfLeaderAndRelayAgree() {
+    RouterRegistry relayRegistry = new RouterRegistry(clock::get);
+    for (String name : List.of("b-2", "a-1", "b-1", "c-1", "a-2")) {
+      RouterReportMessage report = report(name, 1, 1).setDomain(name.substring(0, 1));
+      registry.recordReport(report, "");
+      if (report.getDomain().equals("b")) {
+        relayRegistry.recordReport(report, "");
+      }
+    }
+    assertEquals(0, registry.position("a", "a-1"));
+    assertEquals(3, registry.position("b", "b-2"));
+    assertEquals(4, registry.position("c", "c-1"));
+    int offset = registry.position("b", "");
+    assertEquals(registry.position("b", "b-1"), offset + relayRegistry.position("b", "b-1"));
+    assertEquals(registry.position("b", "b-2"), offset + relayRegistry.position("b", "b-2"));
+  }
+
   /**
    * A disconnected failure domain returns: the requests that its routers received meanwhile must
    * not count as a burst.
--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamSelector.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamSelector.java
@@ -72,6 +72,7 @@
   private final DomainReachability reachability = new DomainReachability();
   private int routerCount = 1;
   private final UpstreamPacing pacing;
+  private final StatedLimits limits = new StatedLimits();
 
   /**
    * Returns a selector without upstreams.
@@ -172,6 +173,7 @@
     upstreamsByPool = newUpstreams;
     rates.estimator().ifPresent(estimator -> estimator.retainAll(states.keySet()));
     pacing.retain(listedIds, now);
+    limits.retain(states.keySet());
     reservations.values().forEach(ReservedEngines::invalidate);
   }
 
@@ -186,6 +188,11 @@
     routerCount = Math.max(1, count);
   }
 
+  /** Returns the limits that upstreams state. */
+  public StatedLimits statedLimits() {
+    return limits;
+  }
+
   /** Sets the load of other routers at each upstream. */
   public void setRemoteLoads(Map<UpstreamId, UpstreamLoad> figures) {
     states.forEach((id, state) -> state.setRemoteLoad(figures.getOrDefault(id, UpstreamLoad.NONE)));
@@ -276,7 +283,8 @@
     for (UpstreamState state : candidates) {
       if (isUsable(state)
           && (isAnswering(state, now) || (poolFails && mayTryDespiteFailures(state, now)))
-          && !avoided.contains(state.listing().upstream())) {
+          && !avoided.contains(state.listing().upstream())
+          && limits.allows(state, now)) {
         if (pacing.allows(state)) {
           open.add(state);
         } else if (pacing.allowsExcess(state)) {
@@ -387,7 +395,7 @@
     UpstreamState home = null;
     long highest = Long.MIN_VALUE;
     for (UpstreamState state : candidates) {
-      if (isUsable(state) && separation.isReserved(state) == chat) {
+      if (isUsable(state) && !limits.isLimited(state) && separation.isReserved(state) == chat) {
         long weight = RendezvousHash.weight(shared, state.listing().upstream());
         if (home == null || weight > highest) {
           highest = weight;
@@ -404,6 +412,7 @@
       boolean within = state.coldLimiter().tryAcquire(coldRate(work.pool()), now);
       assert within : "selected a cold upstream beyond its rate limit";
     }
+    limits.recordSend(state, now);
     state.health().recordSend();
     reachability.recordSend(state.listing().domain(), now);
     long ahead = state.load().promptTokens();
@@ -418,7 +427,7 @@
     int unread =
         Math.max(0, work.promptTokens() - cached - transfer.map(PrefixTransfer::tokens).orElse(0));
     state.addSend(new UpstreamLoad(1, unread, work.memoryTokens(), work.pauseSensitivity()), now);
-    transfer.ifPresent(t -> occupyLinks(t, state, now));
+    transfer.ifPresent(t -> t.occupyLinks(state, now));
     state.prefixes().recordPrefill(work.parts(), now + prefillNanos(state));
     Optional<UpstreamListing> source = transfer.map(t -> t.source().listing());
     long tokens = work.promptTokens() == 0 ? 0 : Math.max(1, ahead + unread);
@@ -426,12 +435,6 @@
         state, work, unread, source, ahead, rates.figure(state.listing(), tokens, now), now);
   }
 
-  private static void occupyLinks(PrefixTransfer transfer, UpstreamState target, long now) {
-    long until = now + (long) (transfer.millis() * NANOS_PER_MILLI);
-    transfer.source().occupyLinkUntil(until);
-    target.occupyLinkUntil(until);
-  }
-
   /** Returns the time that an engine takes at most for the prompts that it has. */
   private long prefillNanos(UpstreamState state) {
     long tokens = state.load().promptTokens();
--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/ControlLink.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/ControlLink.java
@@ -416,6 +416,11 @@
             ? SignalMessages.toSignals(view.getOtherSignals())
             : RouterSignals.NONE;
     changes.add(() -> core.updatePeers(count, remoteLoads, signals));
+    // A relay may know fewer routers than the leader, and an older control VM states no position.
+    int position =
+        Math.floorMod(
+            view.isSetPosition() ? view.getPosition() : router.hashCode(), Math.max(1, count));
+    changes.add(() -> core.updateTurn(position, Math.max(1, count)));
     core.thread().execute(() -> changes.forEach(ControlLink::runGuarded));
   }
 
--- a/router/src/main/java/io/jacinthquay/router/port/ForwardProtocol.java
+++ b/router/src/main/java/io/jacinthquay/router/port/ForwardProtocol.java
@@ -21,6 +21,9 @@
   /** Classifies an upstream's response by its head. */
   AnswerKind responseKind(ResponseHead head);
 
+  /** Returns what an upstream's response says of the upstream itself. */
+  UpstreamNotice notice(ResponseHead head);
+
   /** Returns the headers of an upstream's response that are forwarded to the caller. */
   List<Header> toCaller(ResponseHead head);
 
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardAttempt.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardAttempt.java
@@ -204,12 +204,20 @@
     runStep(() -> handleHead(head));
   }
 
+  /** Returns whether a head is known to come from the upstream that the request was sent to. */
+  private static boolean isFromUpstream(ResponseHead head, AnswerKind kind) {
+    return kind != AnswerKind.SPOILT && head.status() != MISDIRECTED;
+  }
+
   private void handleHead(ResponseHead head) {
     recordContact();
+    AnswerKind kind = core.protocol().responseKind(head);
+    if (isFromUpstream(head, kind)) {
+      core.notices().record(sending, core.protocol().notice(head), System.nanoTime());
+    }
     if (closed) {
       return;
     }
-    AnswerKind kind = core.protocol().responseKind(head);
     switch (kind) {
       case NOT_RUN -> {
         provedNotExecuted = true;
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
@@ -2,6 +2,7 @@
 
 import io.jacinthquay.decision.cluster.RouterSignals;
 import io.jacinthquay.decision.dispatch.RouterIsolation;
+import io.jacinthquay.decision.dispatch.RouterTurn;
 import io.jacinthquay.decision.dispatch.SentRequest;
 import io.jacinthquay.decision.dispatch.UpstreamListing;
 import io.jacinthquay.decision.dispatch.UpstreamLoad;
@@ -59,6 +60,7 @@
   private final ForwardProtocol protocol;
   private final UpstreamClient client;
   private final UpstreamSelector selector;
+  private final UpstreamNotices notices;
   private final RateLearning learning;
   private final WindowedUsage usage;
   private final LongSupplier clock;
@@ -111,6 +113,7 @@
             cold.tolerance(),
             new SplittableRandom(),
             options.rateUse());
+    this.notices = new UpstreamNotices(selector.statedLimits(), metrics);
     this.learning = new RateLearning(selector, metrics);
     this.waiting =
         new WaitingLines(sharesQueue, selector, this::hasEngines, metrics, clock.getAsLong());
@@ -187,6 +190,18 @@
     waiting.updateOthers(count, signals, now);
   }
 
+  /**
+   * Sets this router's place in the order in which routers send to upstreams that state a limit.
+   *
+   * @param position number of routers before this one, 0 or more
+   * @param count number of routers, above the position
+   */
+  public void updateTurn(int position, int count) {
+    long now = clock.getAsLong();
+    long sharedNanos = timeOfDay() * NANOS_PER_MILLI;
+    selector.statedLimits().setTurn(new RouterTurn(position, count, sharedNanos - now), now);
+  }
+
   /**
    * Sets the quarantined parts of prompts and cancels sends with such a part whose answer is not
    * under way, since each may crash an upstream.
@@ -371,6 +386,10 @@
     return client;
   }
 
+  UpstreamNotices notices() {
+    return notices;
+  }
+
   UpstreamSelector selector() {
     return selector;
   }
--- a/router/src/main/java/io/jacinthquay/router/service/forward/QueuePlace.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/QueuePlace.java
@@ -13,6 +13,7 @@
 /** Whether and where one request waits for an upstream. */
 final class QueuePlace {
   private static final long NANOS_PER_MILLI = 1_000_000L;
+  private static final double MILLIS_PER_SECOND = 1_000;
 
   private final ForwardCore core;
   private final ForwardRequest request;
@@ -42,6 +43,10 @@
    * @return why it is rejected; empty if it waits
    */
   Optional<Failure> enter(ForwardExchange exchange, long now) {
+    if (limitedWaitMillis() > work.targetMillis()) {
+      return Optional.of(
+          Failure.of(ResultCode.SHED_OVERLOAD, "all upstreams limit the requests that they take"));
+    }
     Verdict<ForwardExchange> verdict = core.queues().enqueue(waiter(exchange), now);
     waiting = verdict.admission().waits();
     trace.note("waits", line().size());
@@ -55,6 +60,16 @@
             : Failure.of(ResultCode.SHED_OVERLOAD, verdict.admission().text()));
   }
 
+  /**
+   * Returns how long a request that arrives now would wait for upstreams that all state limits, in
+   * milliseconds; 0 if one of them states none.
+   */
+  private double limitedWaitMillis() {
+    double perSecond =
+        core.selector().statedLimits().ownPerSecond(core.selector().usable(work.pool()));
+    return (line().size() + 1) * MILLIS_PER_SECOND / perSecond;
+  }
+
   /** Returns the request to the queue after it was sent and did not run. */
   void enterAgain(ForwardExchange exchange, long now) {
     waiting = true;
@@ -99,6 +114,8 @@
         ? core.quarantine().millisToTrial(work.sharedParts(), core.timeOfDay()) / 1_000.0
             + 0.5
             + random
-        : line().retrySeconds(work, System.nanoTime(), random);
+        : Math.max(
+            limitedWaitMillis() / MILLIS_PER_SECOND * (1 + random),
+            line().retrySeconds(work, System.nanoTime(), random));
   }
 }
--- a/router/src/test/java/io/jacinthquay/router/service/forward/MinimalForwardProtocol.java
+++ b/router/src/test/java/io/jacinthquay/router/service/forward/MinimalForwardProtocol.java
@@ -7,6 +7,7 @@
 import io.jacinthquay.router.port.RequestHead;
 import io.jacinthquay.router.port.RequestMetadata;
 import io.jacinthquay.router.port.ResponseHead;
+import io.jacinthquay.router.port.UpstreamNotice;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
@@ -57,6 +58,11 @@
     return ATTEMPT;
   }
 
+  @Override
+  public UpstreamNotice notice(ResponseHead head) {
+    return UpstreamNotice.NONE;
+  }
+
   @Override
   public AnswerKind responseKind(ResponseHead head) {
     if (head.header(PROOF).isPresent()) {
--- a/wire/src/main/java/io/jacinthquay/wire/gen/ControlSnapshot.java
+++ b/wire/src/main/java/io/jacinthquay/wire/gen/ControlSnapshot.java
@@ -891,13 +891,13 @@
           case 3: // CLOSED_DOMAINS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list170 = iprot.readListBegin();
-                struct.closedDomains = new java.util.ArrayList<java.lang.String>(_list170.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem171;
-                for (int _i172 = 0; _i172 < _list170.size; ++_i172)
+                org.apache.thrift.protocol.TList _list196 = iprot.readListBegin();
+                struct.closedDomains = new java.util.ArrayList<java.lang.String>(_list196.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem197;
+                for (int _i198 = 0; _i198 < _list196.size; ++_i198)
                 {
-                  _elem171 = iprot.readString();
-                  struct.closedDomains.add(_elem171);
+                  _elem197 = iprot.readString();
+                  struct.closedDomains.add(_elem197);
                 }
                 iprot.readListEnd();
               }
@@ -917,27 +917,27 @@
           case 5: // SEALED
             if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
               {
-                org.apache.thrift.protocol.TMap _map173 = iprot.readMapBegin();
-                struct.sealed = new java.util.HashMap<java.lang.Long,java.util.Map<java.lang.String,java.lang.Long>>(2*_map173.size);
-                long _key174;
-                @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,java.lang.Long> _val175;
-                for (int _i176 = 0; _i176 < _map173.size; ++_i176)
+                org.apache.thrift.protocol.TMap _map199 = iprot.readMapBegin();
+                struct.sealed = new java.util.HashMap<java.lang.Long,java.util.Map<java.lang.String,java.lang.Long>>(2*_map199.size);
+                long _key200;
+                @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,java.lang.Long> _val201;
+                for (int _i202 = 0; _i202 < _map199.size; ++_i202)
                 {
-                  _key174 = iprot.readI64();
+                  _key200 = iprot.readI64();
                   {
-                    org.apache.thrift.protocol.TMap _map177 = iprot.readMapBegin();
-                    _val175 = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map177.size);
-                    @org.apache.thrift.annotation.Nullable java.lang.String _key178;
-                    long _val179;
-                    for (int _i180 = 0; _i180 < _map177.size; ++_i180)
+                    org.apache.thrift.protocol.TMap _map203 = iprot.readMapBegin();
+                    _val201 = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map203.size);
+                    @org.apache.thrift.annotation.Nullable java.lang.String _key204;
+                    long _val205;
+                    for (int _i206 = 0; _i206 < _map203.size; ++_i206)
                     {
-                      _key178 = iprot.readString();
-                      _val179 = iprot.readI64();
-                      _val175.put(_key178, _val179);
+                      _key204 = iprot.readString();
+                      _val205 = iprot.readI64();
+                      _val201.put(_key204, _val205);
                     }
                     iprot.readMapEnd();
                   }
-                  struct.sealed.put(_key174, _val175);
+                  struct.sealed.put(_key200, _val201);
                 }
                 iprot.readMapEnd();
               }
@@ -949,14 +949,14 @@
           case 6: // QUARANTINED_PARTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list181 = iprot.readListBegin();
-                struct.quarantinedParts = new java.util.ArrayList<QuarantinedPartMessage>(_list181.size);
-                @org.apache.thrift.annotation.Nullable QuarantinedPartMessage _elem182;
-                for (int _i183 = 0; _i183 < _list181.size; ++_i183)
+                org.apache.thrift.protocol.TList _list207 = iprot.readListBegin();
+                struct.quarantinedParts = new java.util.ArrayList<QuarantinedPartMessage>(_list207.size);
+                @org.apache.thrift.annotation.Nullable QuarantinedPartMessage _elem208;
+                for (int _i209 = 0; _i209 < _list207.size; ++_i209)
                 {
-                  _elem182 = new QuarantinedPartMessage();
-                  _elem182.read(iprot);
-                  struct.quarantinedParts.add(_elem182);
+                  _elem208 = new QuarantinedPartMessage();
+                  _elem208.read(iprot);
+                  struct.quarantinedParts.add(_elem208);
                 }
                 iprot.readListEnd();
               }
@@ -1003,9 +1003,9 @@
         oprot.writeFieldBegin(CLOSED_DOMAINS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.closedDomains.size()));
-          for (java.lang.String _iter184 : struct.closedDomains)
+          for (java.lang.String _iter210 : struct.closedDomains)
           {
-            oprot.writeString(_iter184);
+            oprot.writeString(_iter210);
           }
           oprot.writeListEnd();
         }
@@ -1018,15 +1018,15 @@
         oprot.writeFieldBegin(SEALED_FIELD_DESC);
         {
           oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.I64, org.apache.thrift.protocol.TType.MAP, struct.sealed.size()));
-          for (java.util.Map.Entry<java.lang.Long, java.util.Map<java.lang.String,java.lang.Long>> _iter185 : struct.sealed.entrySet())
+          for (java.util.Map.Entry<java.lang.Long, java.util.Map<java.lang.String,java.lang.Long>> _iter211 : struct.sealed.entrySet())
           {
-            oprot.writeI64(_iter185.getKey());
+            oprot.writeI64(_iter211.getKey());
             {
-              oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64, _iter185.getValue().size()));
-              for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter186 : _iter185.getValue().entrySet())
+              oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64, _iter211.getValue().size()));
+              for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter212 : _iter211.getValue().entrySet())
               {
-                oprot.writeString(_iter186.getKey());
-                oprot.writeI64(_iter186.getValue());
+                oprot.writeString(_iter212.getKey());
+                oprot.writeI64(_iter212.getValue());
               }
               oprot.writeMapEnd();
             }
@@ -1039,9 +1039,9 @@
         oprot.writeFieldBegin(QUARANTINED_PARTS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.quarantinedParts.size()));
-          for (QuarantinedPartMessage _iter187 : struct.quarantinedParts)
+          for (QuarantinedPartMessage _iter213 : struct.quarantinedParts)
           {
-            _iter187.write(oprot);
+            _iter213.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1100,9 +1100,9 @@
       if (struct.isSetClosedDomains()) {
         {
           oprot.writeI32(struct.closedDomains.size());
-          for (java.lang.String _iter188 : struct.closedDomains)
+          for (java.lang.String _iter214 : struct.closedDomains)
           {
-            oprot.writeString(_iter188);
+            oprot.writeString(_iter214);
           }
         }
       }
@@ -1112,15 +1112,15 @@
       if (struct.isSetSealed()) {
         {
           oprot.writeI32(struct.sealed.size());
-          for (java.util.Map.Entry<java.lang.Long, java.util.Map<java.lang.String,java.lang.Long>> _iter189 : struct.sealed.entrySet())
+          for (java.util.Map.Entry<java.lang.Long, java.util.Map<java.lang.String,java.lang.Long>> _iter215 : struct.sealed.entrySet())
           {
-            oprot.writeI64(_iter189.getKey());
+            oprot.writeI64(_iter215.getKey());
             {
-              oprot.writeI32(_iter189.getValue().size());
-              for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter190 : _iter189.getValue().entrySet())
+              oprot.writeI32(_iter215.getValue().size());
+              for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter216 : _iter215.getValue().entrySet())
               {
-                oprot.writeString(_iter190.getKey());
-                oprot.writeI64(_iter190.getValue());
+                oprot.writeString(_iter216.getKey());
+                oprot.writeI64(_iter216.getValue());
               }
             }
           }
@@ -1129,9 +1129,9 @@
       if (struct.isSetQuarantinedParts()) {
         {
           oprot.writeI32(struct.quarantinedParts.size());
-          for (QuarantinedPartMessage _iter191 : struct.quarantinedParts)
+          for (QuarantinedPartMessage _iter217 : struct.quarantinedParts)
           {
-            _iter191.write(oprot);
+            _iter217.write(oprot);
           }
         }
       }
@@ -1154,13 +1154,13 @@
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list192 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.closedDomains = new java.util.ArrayList<java.lang.String>(_list192.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem193;
-          for (int _i194 = 0; _i194 < _list192.size; ++_i194)
+          org.apache.thrift.protocol.TList _list218 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.closedDomains = new java.util.ArrayList<java.lang.String>(_list218.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem219;
+          for (int _i220 = 0; _i220 < _list218.size; ++_i220)
           {
-            _elem193 = iprot.readString();
-            struct.closedDomains.add(_elem193);
+            _elem219 = iprot.readString();
+            struct.closedDomains.add(_elem219);
           }
         }
         struct.setClosedDomainsIsSet(true);
@@ -1171,40 +1171,40 @@
       }
       if (incoming.get(4)) {
         {
-          org.apache.thrift.protocol.TMap _map195 = iprot.readMapBegin(org.apache.thrift.protocol.TType.I64, org.apache.thrift.protocol.TType.MAP); 
-          struct.sealed = new java.util.HashMap<java.lang.Long,java.util.Map<java.lang.String,java.lang.Long>>(2*_map195.size);
-          long _key196;
-          @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,java.lang.Long> _val197;
-          for (int _i198 = 0; _i198 < _map195.size; ++_i198)
+          org.apache.thrift.protocol.TMap _map221 = iprot.readMapBegin(org.apache.thrift.protocol.TType.I64, org.apache.thrift.protocol.TType.MAP); 
+          struct.sealed = new java.util.HashMap<java.lang.Long,java.util.Map<java.lang.String,java.lang.Long>>(2*_map221.size);
+          long _key222;
+          @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,java.lang.Long> _val223;
+          for (int _i224 = 0; _i224 < _map221.size; ++_i224)
           {
-            _key196 = iprot.readI64();
+            _key222 = iprot.readI64();
             {
-              org.apache.thrift.protocol.TMap _map199 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64); 
-              _val197 = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map199.size);
-              @org.apache.thrift.annotation.Nullable java.lang.String _key200;
-              long _val201;
-              for (int _i202 = 0; _i202 < _map199.size; ++_i202)
+              org.apache.thrift.protocol.TMap _map225 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64); 
+              _val223 = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map225.size);
+              @org.apache.thrift.annotation.Nullable java.lang.String _key226;
+              long _val227;
+              for (int _i228 = 0; _i228 < _map225.size; ++_i228)
               {
-                _key200 = iprot.readString();
-                _val201 = iprot.readI64();
-                _val197.put(_key200, _val201);
+                _key226 = iprot.readString();
+                _val227 = iprot.readI64();
+                _val223.put(_key226, _val227);
               }
             }
-            struct.sealed.put(_key196, _val197);
+            struct.sealed.put(_key222, _val223);
           }
         }
         struct.setSealedIsSet(true);
       }
       if (incoming.get(5)) {
         {
-          org.apache.thrift.protocol.TList _list203 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.quarantinedParts = new java.util.ArrayList<QuarantinedPartMessage>(_list203.size);
-          @org.apache.thrift.annotation.Nullable QuarantinedPartMessage _elem204;
-          for (int _i205 = 0; _i205 < _list203.size; ++_i205)
+          org.apache.thrift.protocol.TList _list229 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.quarantinedParts = new java.util.ArrayList<QuarantinedPartMessage>(_list229.size);
+          @org.apache.thrift.annotation.Nullable QuarantinedPartMessage _elem230;
+          for (int _i231 = 0; _i231 < _list229.size; ++_i231)
           {
-            _elem204 = new QuarantinedPartMessage();
-            _elem204.read(iprot);
-            struct.quarantinedParts.add(_elem204);
+            _elem230 = new QuarantinedPartMessage();
+            _elem230.read(iprot);
+            struct.quarantinedParts.add(_elem230);
           }
         }
         struct.setQuarantinedPartsIsSet(true);
--- a/wire/src/main/java/io/jacinthquay/wire/gen/ControlViewMessage.java
+++ b/wire/src/main/java/io/jacinthquay/wire/gen/ControlViewMessage.java
@@ -34,6 +34,7 @@
   private static final org.apache.thrift.protocol.TField SUSPECT_PARTS_FIELD_DESC = new org.apache.thrift.protocol.TField("suspectParts", org.apache.thrift.protocol.TType.LIST, (short)22);
   private static final org.apache.thrift.protocol.TField TRIAL_PARTS_FIELD_DESC = new org.apache.thrift.protocol.TField("trialParts", org.apache.thrift.protocol.TType.LIST, (short)23);
   private static final org.apache.thrift.protocol.TField OTHER_SIGNALS_FIELD_DESC = new org.apache.thrift.protocol.TField("otherSignals", org.apache.thrift.protocol.TType.STRUCT, (short)24);
+  private static final org.apache.thrift.protocol.TField POSITION_FIELD_DESC = new org.apache.thrift.protocol.TField("position", org.apache.thrift.protocol.TType.I32, (short)25);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new ControlViewMessageStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new ControlViewMessageTupleSchemeFactory();
@@ -62,6 +63,7 @@
   private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.Long> suspectParts; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.Long> trialParts; // required
   private @org.apache.thrift.annotation.Nullable RouterSignalsMessage otherSignals; // optional
+  private int position; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -139,7 +141,12 @@
     /**
      * Sum over all other routers; set only if one of them reported signals.
      */
-    OTHER_SIGNALS((short)24, "otherSignals");
+    OTHER_SIGNALS((short)24, "otherSignals"),
+    /**
+     * Routers before the caller in the order of all routers, by failure domain and name; for a relay,
+     * those of the domains before its own.
+     */
+    POSITION((short)25, "position");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -203,6 +210,8 @@
           return TRIAL_PARTS;
         case 24: // OTHER_SIGNALS
           return OTHER_SIGNALS;
+        case 25: // POSITION
+          return POSITION;
         default:
           return null;
       }
@@ -257,8 +266,9 @@
   private static final int __READSTERM_ISSET_ID = 8;
   private static final int __RELAYS_ISSET_ID = 9;
   private static final int __QUARANTINEINDEX_ISSET_ID = 10;
+  private static final int __POSITION_ISSET_ID = 11;
   private short __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.DOCUMENT,_Fields.CLOSED_DOMAINS,_Fields.UPSTREAMS,_Fields.RELAY,_Fields.QUARANTINED_PARTS,_Fields.OTHER_SIGNALS};
+  private static final _Fields optionals[] = {_Fields.DOCUMENT,_Fields.CLOSED_DOMAINS,_Fields.UPSTREAMS,_Fields.RELAY,_Fields.QUARANTINED_PARTS,_Fields.OTHER_SIGNALS,_Fields.POSITION};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -318,6 +328,8 @@
             new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64))));
     tmpMap.put(_Fields.OTHER_SIGNALS, new org.apache.thrift.meta_data.FieldMetaData("otherSignals", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, RouterSignalsMessage.class)));
+    tmpMap.put(_Fields.POSITION, new org.apache.thrift.meta_data.FieldMetaData("position", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ControlViewMessage.class, metaDataMap);
   }
@@ -453,6 +465,7 @@
     if (other.isSetOtherSignals()) {
       this.otherSignals = new RouterSignalsMessage(other.otherSignals);
     }
+    this.position = other.position;
   }
 
   @Override
@@ -499,6 +512,8 @@
     this.trialParts = new java.util.ArrayList<java.lang.Long>();
 
     this.otherSignals = null;
+    setPositionIsSet(false);
+    this.position = 0;
   }
 
   /**
@@ -1318,6 +1333,37 @@
     }
   }
 
+  /**
+   * Routers before the caller in the order of all routers, by failure domain and name; for a relay,
+   * those of the domains before its own.
+   */
+  public int getPosition() {
+    return this.position;
+  }
+
+  /**
+   * Routers before the caller in the order of all routers, by failure domain and name; for a relay,
+   * those of the domains before its own.
+   */
+  public ControlViewMessage setPosition(int position) {
+    this.position = position;
+    setPositionIsSet(true);
+    return this;
+  }
+
+  public void unsetPosition() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __POSITION_ISSET_ID);
+  }
+
+  /** Returns true if field position is set (has been assigned a value) and false otherwise */
+  public boolean isSetPosition() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __POSITION_ISSET_ID);
+  }
+
+  public void setPositionIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __POSITION_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -1517,6 +1563,14 @@
       }
       break;
 
+    case POSITION:
+      if (value == null) {
+        unsetPosition();
+      } else {
+        setPosition((java.lang.Integer)value);
+      }
+      break;
+
     }
   }
 
@@ -1596,6 +1650,9 @@
     case OTHER_SIGNALS:
       return getOtherSignals();
 
+    case POSITION:
+      return getPosition();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -1656,6 +1713,8 @@
       return isSetTrialParts();
     case OTHER_SIGNALS:
       return isSetOtherSignals();
+    case POSITION:
+      return isSetPosition();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -1889,6 +1948,15 @@
         return false;
     }
 
+    boolean this_present_position = true && this.isSetPosition();
+    boolean that_present_position = true && that.isSetPosition();
+    if (this_present_position || that_present_position) {
+      if (!(this_present_position && that_present_position))
+        return false;
+      if (this.position != that.position)
+        return false;
+    }
+
     return true;
   }
 
@@ -1970,6 +2038,10 @@
     if (isSetOtherSignals())
       hashCode = hashCode * 8191 + otherSignals.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetPosition()) ? 131071 : 524287);
+    if (isSetPosition())
+      hashCode = hashCode * 8191 + position;
+
     return hashCode;
   }
 
@@ -2221,6 +2293,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetPosition(), other.isSetPosition());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetPosition()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.position, other.position);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -2404,6 +2486,12 @@
       }
       first = false;
     }
+    if (isSetPosition()) {
+      if (!first) sb.append(", ");
+      sb.append("position:");
+      sb.append(this.position);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -2734,6 +2822,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 25: // POSITION
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.position = iprot.readI32();
+              struct.setPositionIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -2916,6 +3012,11 @@
           oprot.writeFieldEnd();
         }
       }
+      if (struct.isSetPosition()) {
+        oprot.writeFieldBegin(POSITION_FIELD_DESC);
+        oprot.writeI32(struct.position);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -3007,7 +3108,10 @@
       if (struct.isSetOtherSignals()) {
         optionals.set(23);
       }
-      oprot.writeBitSet(optionals, 24);
+      if (struct.isSetPosition()) {
+        optionals.set(24);
+      }
+      oprot.writeBitSet(optionals, 25);
       if (struct.isSetLeads()) {
         oprot.writeBool(struct.leads);
       }
@@ -3128,12 +3232,15 @@
       if (struct.isSetOtherSignals()) {
         struct.otherSignals.write(oprot);
       }
+      if (struct.isSetPosition()) {
+        oprot.writeI32(struct.position);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, ControlViewMessage struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(24);
+      java.util.BitSet incoming = iprot.readBitSet(25);
       if (incoming.get(0)) {
         struct.leads = iprot.readBool();
         struct.setLeadsIsSet(true);
@@ -3307,6 +3414,10 @@
         struct.otherSignals.read(iprot);
         struct.setOtherSignalsIsSet(true);
       }
+      if (incoming.get(24)) {
+        struct.position = iprot.readI32();
+        struct.setPositionIsSet(true);
+      }
     }
   }
 
--- a/wire/src/main/java/io/jacinthquay/wire/gen/ListedUpstreamsMessage.java
+++ b/wire/src/main/java/io/jacinthquay/wire/gen/ListedUpstreamsMessage.java
@@ -336,14 +336,14 @@
           case 1: // UPSTREAMS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list80 = iprot.readListBegin();
-                struct.upstreams = new java.util.ArrayList<ListedUpstreamMessage>(_list80.size);
-                @org.apache.thrift.annotation.Nullable ListedUpstreamMessage _elem81;
-                for (int _i82 = 0; _i82 < _list80.size; ++_i82)
+                org.apache.thrift.protocol.TList _list106 = iprot.readListBegin();
+                struct.upstreams = new java.util.ArrayList<ListedUpstreamMessage>(_list106.size);
+                @org.apache.thrift.annotation.Nullable ListedUpstreamMessage _elem107;
+                for (int _i108 = 0; _i108 < _list106.size; ++_i108)
                 {
-                  _elem81 = new ListedUpstreamMessage();
-                  _elem81.read(iprot);
-                  struct.upstreams.add(_elem81);
+                  _elem107 = new ListedUpstreamMessage();
+                  _elem107.read(iprot);
+                  struct.upstreams.add(_elem107);
                 }
                 iprot.readListEnd();
               }
@@ -372,9 +372,9 @@
         oprot.writeFieldBegin(UPSTREAMS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.upstreams.size()));
-          for (ListedUpstreamMessage _iter83 : struct.upstreams)
+          for (ListedUpstreamMessage _iter109 : struct.upstreams)
           {
-            _iter83.write(oprot);
+            _iter109.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -406,9 +406,9 @@
       if (struct.isSetUpstreams()) {
         {
           oprot.writeI32(struct.upstreams.size());
-          for (ListedUpstreamMessage _iter84 : struct.upstreams)
+          for (ListedUpstreamMessage _iter110 : struct.upstreams)
           {
-            _iter84.write(oprot);
+            _iter110.write(oprot);
           }
         }
       }
@@ -420,14 +420,14 @@
       java.util.BitSet incoming = iprot.readBitSet(1);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list85 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.upstreams = new java.util.ArrayList<ListedUpstreamMessage>(_list85.size);
-          @org.apache.thrift.annotation.Nullable ListedUpstreamMessage _elem86;
-          for (int _i87 = 0; _i87 < _list85.size; ++_i87)
+          org.apache.thrift.protocol.TList _list111 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.upstreams = new java.util.ArrayList<ListedUpstreamMessage>(_list111.size);
+          @org.apache.thrift.annotation.Nullable ListedUpstreamMessage _elem112;
+          for (int _i113 = 0; _i113 < _list111.size; ++_i113)
           {
-            _elem86 = new ListedUpstreamMessage();
-            _elem86.read(iprot);
-            struct.upstreams.add(_elem86);
+            _elem112 = new ListedUpstreamMessage();
+            _elem112.read(iprot);
+            struct.upstreams.add(_elem112);
           }
         }
         struct.setUpstreamsIsSet(true);
--- a/wire/src/main/java/io/jacinthquay/wire/gen/RelayReportMessage.java
+++ b/wire/src/main/java/io/jacinthquay/wire/gen/RelayReportMessage.java
@@ -802,14 +802,14 @@
           case 3: // REPORTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list152 = iprot.readListBegin();
-                struct.reports = new java.util.ArrayList<RouterReportMessage>(_list152.size);
-                @org.apache.thrift.annotation.Nullable RouterReportMessage _elem153;
-                for (int _i154 = 0; _i154 < _list152.size; ++_i154)
+                org.apache.thrift.protocol.TList _list178 = iprot.readListBegin();
+                struct.reports = new java.util.ArrayList<RouterReportMessage>(_list178.size);
+                @org.apache.thrift.annotation.Nullable RouterReportMessage _elem179;
+                for (int _i180 = 0; _i180 < _list178.size; ++_i180)
                 {
-                  _elem153 = new RouterReportMessage();
-                  _elem153.read(iprot);
-                  struct.reports.add(_elem153);
+                  _elem179 = new RouterReportMessage();
+                  _elem179.read(iprot);
+                  struct.reports.add(_elem179);
                 }
                 iprot.readListEnd();
               }
@@ -872,9 +872,9 @@
         oprot.writeFieldBegin(REPORTS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.reports.size()));
-          for (RouterReportMessage _iter155 : struct.reports)
+          for (RouterReportMessage _iter181 : struct.reports)
           {
-            _iter155.write(oprot);
+            _iter181.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -936,9 +936,9 @@
       if (struct.isSetReports()) {
         {
           oprot.writeI32(struct.reports.size());
-          for (RouterReportMessage _iter156 : struct.reports)
+          for (RouterReportMessage _iter182 : struct.reports)
           {
-            _iter156.write(oprot);
+            _iter182.write(oprot);
           }
         }
       }
@@ -967,14 +967,14 @@
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list157 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.reports = new java.util.ArrayList<RouterReportMessage>(_list157.size);
-          @org.apache.thrift.annotation.Nullable RouterReportMessage _elem158;
-          for (int _i159 = 0; _i159 < _list157.size; ++_i159)
+          org.apache.thrift.protocol.TList _list183 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.reports = new java.util.ArrayList<RouterReportMessage>(_list183.size);
+          @org.apache.thrift.annotation.Nullable RouterReportMessage _elem184;
+          for (int _i185 = 0; _i185 < _list183.size; ++_i185)
           {
-            _elem158 = new RouterReportMessage();
-            _elem158.read(iprot);
-            struct.reports.add(_elem158);
+            _elem184 = new RouterReportMessage();
+            _elem184.read(iprot);
+            struct.reports.add(_elem184);
           }
         }
         struct.setReportsIsSet(true);
--- a/wire/src/main/java/io/jacinthquay/wire/gen/SealCountsCommand.java
+++ b/wire/src/main/java/io/jacinthquay/wire/gen/SealCountsCommand.java
@@ -419,15 +419,15 @@
           case 2: // COUNTS
             if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
               {
-                org.apache.thrift.protocol.TMap _map160 = iprot.readMapBegin();
-                struct.counts = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map160.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _key161;
-                long _val162;
-                for (int _i163 = 0; _i163 < _map160.size; ++_i163)
+                org.apache.thrift.protocol.TMap _map186 = iprot.readMapBegin();
+                struct.counts = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map186.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _key187;
+                long _val188;
+                for (int _i189 = 0; _i189 < _map186.size; ++_i189)
                 {
-                  _key161 = iprot.readString();
-                  _val162 = iprot.readI64();
-                  struct.counts.put(_key161, _val162);
+                  _key187 = iprot.readString();
+                  _val188 = iprot.readI64();
+                  struct.counts.put(_key187, _val188);
                 }
                 iprot.readMapEnd();
               }
@@ -459,10 +459,10 @@
         oprot.writeFieldBegin(COUNTS_FIELD_DESC);
         {
           oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64, struct.counts.size()));
-          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter164 : struct.counts.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter190 : struct.counts.entrySet())
           {
-            oprot.writeString(_iter164.getKey());
-            oprot.writeI64(_iter164.getValue());
+            oprot.writeString(_iter190.getKey());
+            oprot.writeI64(_iter190.getValue());
           }
           oprot.writeMapEnd();
         }
@@ -500,10 +500,10 @@
       if (struct.isSetCounts()) {
         {
           oprot.writeI32(struct.counts.size());
-          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter165 : struct.counts.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter191 : struct.counts.entrySet())
           {
-            oprot.writeString(_iter165.getKey());
-            oprot.writeI64(_iter165.getValue());
+            oprot.writeString(_iter191.getKey());
+            oprot.writeI64(_iter191.getValue());
           }
         }
       }
@@ -519,15 +519,15 @@
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TMap _map166 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64); 
-          struct.counts = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map166.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _key167;
-          long _val168;
-          for (int _i169 = 0; _i169 < _map166.size; ++_i169)
+          org.apache.thrift.protocol.TMap _map192 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64); 
+          struct.counts = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map192.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _key193;
+          long _val194;
+          for (int _i195 = 0; _i195 < _map192.size; ++_i195)
           {
-            _key167 = iprot.readString();
-            _val168 = iprot.readI64();
-            struct.counts.put(_key167, _val168);
+            _key193 = iprot.readString();
+            _val194 = iprot.readI64();
+            struct.counts.put(_key193, _val194);
           }
         }
         struct.setCountsIsSet(true);
--- a/wire/src/main/thrift/control.thrift
+++ b/wire/src/main/thrift/control.thrift
@@ -191,6 +191,11 @@
   23: list<i64> trialParts = []
   /** Sum over all other routers; set only if one of them reported signals. */
   24: optional RouterSignalsMessage otherSignals
+  /**
+   * Routers before the caller in the order of all routers, by failure domain and name; for a relay,
+   * those of the domains before its own.
+   */
+  25: optional i32 position
 }
 
 /** What a relay passes on for the routers of its failure domain. */
