--- a/faultsoak/src/main/java/io/jacinthquay/soak/FakePlatform.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/FakePlatform.java
@@ -42,10 +42,12 @@
             + "\",\"cold_remaining_ms\":0,\"address\":\""
             + SocketAddresses.format(address)
             + "\"}");
+    history.add(new History.Listed(number, !draining, System.nanoTime()));
   }
 
   void removeUpstream(int number) {
     entries.remove(number);
+    history.add(new History.Listed(number, false, System.nanoTime()));
   }
 
   private void serve(Socket socket) throws IOException {
--- a/faultsoak/src/main/java/io/jacinthquay/soak/FakeUpstream.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/FakeUpstream.java
@@ -98,9 +98,11 @@
 
   /** Responds to a request; returns whether the connection stays open. */
   private boolean handle(ReceivedRequest request) throws IOException {
-    history.add(new History.Arrival(request.id(), number, System.nanoTime()));
+    long arrivedNanos = System.nanoTime();
     String expected = request.head.field("Expected-Instance");
-    if (!expected.isEmpty() && !expected.equals(id)) {
+    boolean misdirected = !expected.isEmpty() && !expected.equals(id);
+    history.add(new History.Arrival(request.id(), number, arrivedNanos, misdirected));
+    if (misdirected) {
       request.write(421, "Not-Executed: 1\r\n", "another one answers here");
       return true;
     }
--- a/faultsoak/src/main/java/io/jacinthquay/soak/History.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/History.java
@@ -13,6 +13,7 @@
   private final Collection<Call> calls = new ConcurrentLinkedQueue<>();
   private final Collection<Run> runs = new ConcurrentLinkedQueue<>();
   private final Collection<Arrival> arrivals = new ConcurrentLinkedQueue<>();
+  private final Collection<Listed> listed = new ConcurrentLinkedQueue<>();
   private final Collection<FaultPeriod> faultPeriods = new ConcurrentLinkedQueue<>();
   private final Collection<Read> reads = new ConcurrentLinkedQueue<>();
   private final Collection<Proposed> proposed = new ConcurrentLinkedQueue<>();
@@ -28,13 +29,28 @@
    *
    * @param upstream number of the upstream
    * @param atNanos when it had been read, on the monotonic clock
+   * @param misdirected whether it named another lifetime of the upstream, which refused it with 421
    */
-  record Arrival(RequestId id, int upstream, long atNanos) {
+  record Arrival(RequestId id, int upstream, long atNanos, boolean misdirected) {
+    /** An arrival that names the upstream's current lifetime, or none. */
+    Arrival(RequestId id, int upstream, long atNanos) {
+      this(id, upstream, atNanos, false);
+    }
+
     String service() {
       return Documents.serviceOf(upstream);
     }
   }
 
+  /**
+   * A change of an upstream's entry in the platform's list.
+   *
+   * @param upstream number of the upstream
+   * @param ready whether the list shows it as ready, and not as draining or not at all
+   * @param atNanos when the list first showed it so, on the monotonic clock
+   */
+  record Listed(int upstream, boolean ready, long atNanos) {}
+
   /**
    * A version of the document that an operator read.
    *
@@ -116,6 +132,10 @@
     arrivals.add(arrival);
   }
 
+  void add(Listed change) {
+    listed.add(change);
+  }
+
   void add(FaultPeriod period) {
     faultPeriods.add(period);
   }
@@ -165,6 +185,10 @@
     return List.copyOf(arrivals);
   }
 
+  List<Listed> listed() {
+    return List.copyOf(listed);
+  }
+
   List<FaultPeriod> faultPeriods() {
     return List.copyOf(faultPeriods);
   }
--- a/faultsoak/src/main/java/io/jacinthquay/soak/SoakRun.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/SoakRun.java
@@ -62,6 +62,7 @@
           new DocumentCheck(),
           new RoutingCheck(),
           new EvacuationCheck(),
+          new DrainCheck(),
           new DutyCheck(),
           new RetryBudgetCheck());
 
