Take lists of upstreams from any control VM while nobody leads

Cause: only the leader and relays sent the list, and routers took one only from them.

A control VM that neither leads nor relays now returns its list with its number and age to a router whose own list is older than 700 ms (list number -2 says that none is needed, so a search of the usual length costs nothing). A router applies a list of another VM only if the platform was certainly polled for it later than for the one in force, by the age that the VM states and the router's monotonic clock; the control VMs' own cache follows the same rule. The last list of each VM is kept, so that it is sent only where it changed. While it searches, a router asks a VM that answered again after each one that didn't, whose timeout may take 700 ms. First numbers of lists are random, since a VM that starts again at its address would otherwise repeat a number that routers hold.

--- a/control/src/main/java/io/jacinthquay/control/ControlService.java
+++ b/control/src/main/java/io/jacinthquay/control/ControlService.java
@@ -44,6 +44,7 @@
 import java.util.Set;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.stream.Collectors;
@@ -66,10 +67,14 @@
 
   /**
    * Age in nanoseconds at which a VM that doesn't lead polls the list again, so that it has a
-   * recent list when it becomes the leader.
+   * recent list when it becomes the leader. While nobody leads, or routers ask this VM for the list
+   * since they find no leader, it polls as often as the leader does, as far as the platform allows.
    */
   private static final long STANDBY_LIST_AGE_NANOS = 2_000_000_000L;
 
+  /** Bound on the random number before the first list, far below an overflow. */
+  private static final long MAX_NUMBER_BEFORE_LISTS = 1L << 62;
+
   /** Delay between two calls of the relay to the leader, in milliseconds. */
   private static final int RELAY_INTERVAL_MILLIS = 100;
 
@@ -106,7 +111,8 @@
   private final MedianClock medianClock =
       new MedianClock(System::nanoTime, System::currentTimeMillis);
   private final SignalsTable signals = new SignalsTable(System::nanoTime);
-  private final UpstreamListCache upstreamList = new UpstreamListCache();
+  private final UpstreamListCache upstreamList =
+      new UpstreamListCache(ThreadLocalRandom.current().nextLong(MAX_NUMBER_BEFORE_LISTS));
   private final PartQuarantine quarantine;
   private final Fleet fleet;
   private final RelayClient relayClient;
@@ -319,8 +325,9 @@
 
   private void pollUpstreamList() {
     long requestTime = System.nanoTime();
-    boolean recent = requestTime - upstreamList.snapshot().polledNanos() < STANDBY_LIST_AGE_NANOS;
-    if (!leadership.isConfirmed() && upstreamList.snapshot().number() > 0 && recent) {
+    UpstreamListCache.Snapshot held = upstreamList.snapshot();
+    boolean recent = requestTime - held.polledNanos() < standbyListAgeNanos(requestTime);
+    if (!leadership.isConfirmed() && held.number() > 0 && recent) {
       return;
     }
     fleet
@@ -331,6 +338,15 @@
                 log.warn("could not read the platform's list of upstreams: {}", failure.detail()));
   }
 
+  /** Returns the age at which a VM that doesn't lead polls the list again, in nanoseconds. */
+  private long standbyListAgeNanos(long now) {
+    if (store.leader().isPresent() && !upstreamList.isSearched(now)) {
+      return STANDBY_LIST_AGE_NANOS;
+    }
+    int members = store.status().membership().replicas().size();
+    return Math.min(STANDBY_LIST_AGE_NANOS, fleet.leastListInterval(members).toNanos());
+  }
+
   private void runLeaderTasks() {
     leadership
         .lease()
--- a/control/src/main/java/io/jacinthquay/control/adapter/ControlHandler.java
+++ b/control/src/main/java/io/jacinthquay/control/adapter/ControlHandler.java
@@ -29,7 +29,8 @@
 
 /**
  * Handles the calls of routers and relays. The leader and the relays return what the caller doesn't
- * hold yet; any other VM returns only the members and the leader.
+ * hold yet. Any other VM returns only the members, the leader and, to a router whose list of
+ * upstreams is not recent, its own list: upstreams leave also while nobody leads.
  *
  * <p>Lock order: the locks of the registry, the relay and the list of upstreams are taken one after
  * the other and never nested, except that the relay uses its registry and the list of upstreams
@@ -41,6 +42,9 @@
   /** Replaces a list number that another leader assigned, which means nothing here. */
   private static final long UNKNOWN_LIST = -1;
 
+  /** List number of a router that needs no list unless this VM leads or relays. */
+  private static final long LIST_NOT_NEEDED = -2;
+
   private final ControlStore store;
   private final Leadership leadership;
   private final LeaderClusterView leaderView;
@@ -80,6 +84,9 @@
       relay.addReport(report);
       view.setRelays(true);
       fill(view, report, relay);
+    } else if (report.getListNumber() != LIST_NOT_NEEDED) {
+      upstreamList.recordSearch(System.nanoTime());
+      fillList(view, report.getListNumber());
     }
     return view;
   }
--- a/control/src/main/java/io/jacinthquay/control/port/Fleet.java
+++ b/control/src/main/java/io/jacinthquay/control/port/Fleet.java
@@ -5,6 +5,7 @@
 import io.jacinthquay.model.Failure;
 import io.jacinthquay.model.ResultCode;
 import io.vavr.control.Either;
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 
@@ -16,6 +17,14 @@
   /** Returns the list of upstreams, or the reason why it could not be read. */
   Either<Failure, List<UpstreamListing>> listUpstreams();
 
+  /**
+   * Returns the least time between two reads of the list by each of several VMs that read it at the
+   * same time, so that all of them together stay within the calls that the platform allows.
+   */
+  default Duration leastListInterval(int readers) {
+    return Duration.ZERO;
+  }
+
   /**
    * Reports the usage of a window: the number of requests of each customer that began in it.
    *
--- a/control/src/main/java/io/jacinthquay/control/service/DomainRelay.java
+++ b/control/src/main/java/io/jacinthquay/control/service/DomainRelay.java
@@ -47,6 +47,9 @@
    */
   private static final int MAX_PENDING = 512;
 
+  /** Number of a list that this relay doesn't hold. */
+  private static final long UNKNOWN_LIST = -1;
+
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
   private final String address;
@@ -162,7 +165,7 @@
     long waitedMillis = pendingMillis();
     pending.forEach(report -> report.setWallMillis(report.getWallMillis() + waitedMillis));
     message.setReports(pending);
-    message.setListNumber(sameLeader ? leaderView.getListNumber() : -1);
+    message.setListNumber(sameLeader ? leaderView.getListNumber() : UNKNOWN_LIST);
     message.setReadsSeen(sameLeader ? leaderView.getReadsNumber() : 0);
     message.setReadsTerm(sameLeader ? leaderView.getReadsTerm() : -1);
     pending = new ArrayList<>();
@@ -201,10 +204,15 @@
     cachedPrefixes.add("", view.getReads());
     long polledNanos = requestNanos - view.getListAgeMillis() * NANOS_PER_MILLI;
     if (view.isSetUpstreams()) {
-      upstreamList.update(
-          view.getUpstreams().getUpstreams().stream().map(UpstreamMessages::toListing).toList(),
-          requestNanos,
-          polledNanos);
+      boolean replaced =
+          upstreamList.update(
+              view.getUpstreams().getUpstreams().stream().map(UpstreamMessages::toListing).toList(),
+              requestNanos,
+              polledNanos);
+      if (!replaced) {
+        // The leader's list is needed again once it is newer than what this VM has polled itself.
+        view.setListNumber(UNKNOWN_LIST);
+      }
     } else {
       upstreamList.recordUnchanged(polledNanos);
     }
--- a/control/src/main/java/io/jacinthquay/control/service/UpstreamListCache.java
+++ b/control/src/main/java/io/jacinthquay/control/service/UpstreamListCache.java
@@ -3,15 +3,43 @@
 import io.jacinthquay.decision.dispatch.UpstreamListing;
 import java.util.List;
 
-/** The last list of upstreams that was polled from the platform. Thread-safe. */
+/**
+ * The last list of upstreams that was polled from the platform, by this VM or by the leader. An
+ * older list never replaces a newer one. Thread-safe.
+ */
 public final class UpstreamListCache {
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
+  /**
+   * Time in nanoseconds for which a search of a router counts. Routers that find no leader ask each
+   * VM again within it, also after timeouts at two others.
+   */
+  private static final long SEARCH_NANOS = 3_000_000_000L;
+
   private List<UpstreamListing> listings = List.of();
+  private long lastNumber;
   private long number;
+  private boolean searched;
+  private long searchedNanos;
   private long measuredNanos;
   private long polledNanos;
 
+  /** Returns an empty cache that numbers its lists from 1. */
+  public UpstreamListCache() {
+    this(0);
+  }
+
+  /**
+   * Returns an empty cache.
+   *
+   * @param numberBefore the number before that of the first list. Processes that follow each other
+   *     at one address need numbers that differ, since routers tell by the number which list they
+   *     hold of an address.
+   */
+  public UpstreamListCache(long numberBefore) {
+    this.lastNumber = numberBefore;
+  }
+
   /**
    * The list at one poll.
    *
@@ -30,25 +58,45 @@
   }
 
   /**
-   * Replaces the list. A change of the remaining cold start times alone doesn't change its number.
+   * Replaces the list unless it is newer. A change of the remaining cold start times alone doesn't
+   * change its number.
    *
    * @param measuredAtNanos when the remaining cold start times in it were true, on the monotonic
    *     clock
    * @param polledAtNanos when the platform was polled for it, on the monotonic clock
+   * @return whether the list was replaced
    */
-  public synchronized void update(
+  public synchronized boolean update(
       List<UpstreamListing> newListings, long measuredAtNanos, long polledAtNanos) {
+    if (number > 0 && polledAtNanos - polledNanos < 0) {
+      return false;
+    }
     measuredNanos = measuredAtNanos;
     polledNanos = polledAtNanos;
     if (number == 0 || !fingerprint(newListings).equals(fingerprint(listings))) {
-      number++;
+      lastNumber++;
+      number = lastNumber;
     }
     listings = List.copyOf(newListings);
+    return true;
   }
 
   /** Records that the platform was polled again and its list is the same. */
   public synchronized void recordUnchanged(long polledAtNanos) {
-    polledNanos = polledAtNanos;
+    if (polledAtNanos - polledNanos > 0) {
+      polledNanos = polledAtNanos;
+    }
+  }
+
+  /** Records that a router without a recent list found no leader and asked this VM. */
+  public synchronized void recordSearch(long now) {
+    searched = true;
+    searchedNanos = now;
+  }
+
+  /** Returns whether a router without a recent list asked this VM a moment ago. */
+  public synchronized boolean isSearched(long now) {
+    return searched && now - searchedNanos < SEARCH_NANOS;
   }
 
   private static List<String> fingerprint(List<UpstreamListing> listings) {
--- a/control/src/test/java/io/jacinthquay/control/adapter/ControlHandlerTest.java
+++ b/control/src/test/java/io/jacinthquay/control/adapter/ControlHandlerTest.java
@@ -1,6 +1,7 @@
 package io.jacinthquay.control.adapter;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.jacinthquay.control.service.ControlStore;
@@ -22,6 +23,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -37,7 +39,15 @@
 
   private ControlHandler leaderHandler() {
     leadership.recordConfirmation(store.status(), new ClockReading(0, 0));
+    return handler();
+  }
+
+  private ControlHandler handler() {
     upstreamList.update(List.of(), 0, 0);
+    return newHandler();
+  }
+
+  private ControlHandler newHandler() {
     return new ControlHandler(
         store,
         leadership,
@@ -78,6 +88,38 @@
     assertEquals(listSent, view.isSetUpstreams());
   }
 
+  /**
+   * While nobody leads, routers learn from any VM that an upstream leaves; the list is sent only to
+   * those that need it and don't hold it.
+   */
+  @ParameterizedTest
+  @CsvSource({"-1, true, true", "0, true, true", "1, false, true", "-2, false, false"})
+  void vmThatDoesNotLeadSendsItsList(long heldNumber, boolean listSent, boolean searched) {
+    long polledNanos = System.nanoTime() - 5_000_000_000L;
+    ControlHandler handler = handler();
+    upstreamList.recordUnchanged(polledNanos);
+    RouterReportMessage report = report(0);
+    report.setListNumber(heldNumber);
+    ControlViewMessage view = handler.exchange(report);
+    assertFalse(view.isLeads() || view.isRelays());
+    assertEquals(listSent, view.isSetUpstreams());
+    assertEquals(searched, upstreamList.isSearched(System.nanoTime()));
+    assertEquals(searched ? LIST_NUMBER : 0, view.getListNumber());
+    if (searched) {
+      assertTrue(view.getListAgeMillis() >= 5_000, view.getListAgeMillis() + " ms");
+    }
+    assertFalse(view.isSetDocument() || view.isSetClosedDomains());
+  }
+
+  /** A VM that has not polled the platform yet has no list, not an empty one. */
+  @Test
+  void vmWithoutAListSendsNone() {
+    RouterReportMessage report = report(0);
+    report.setListNumber(-1);
+    ControlHandler handler = newHandler();
+    assertFalse(handler.exchange(report).isSetUpstreams());
+  }
+
   @ParameterizedTest
   @CsvSource({"1, false", "0, true"})
   void sendsListAgainToRelayThatHoldsOneOfAnotherTerm(long relayTerm, boolean listSent) {
--- a/faultsoak/src/test/java/io/jacinthquay/soak/LeaderlessDrainTest.java
+++ b/faultsoak/src/test/java/io/jacinthquay/soak/LeaderlessDrainTest.java
@@ -63,7 +63,6 @@
   /** One control VM of three runs on; two can't elect a leader without each other. */
   @ParameterizedTest
   @EnumSource(Loss.class)
-  @Tag("known-red")
   void upstreamLeavesWhileOneControlVmRuns(Loss loss) throws Exception {
     assertDrains(loss, CONTROLS - 1);
   }
--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/ControlLink.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/ControlLink.java
@@ -39,6 +39,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
@@ -58,7 +59,8 @@
  *
  * <p>It asks the members and the seeds in turn until it finds the leader. Views are applied on the
  * I/O thread. If the leader names a relay in this router's failure domain, the exchange continues
- * with the relay.
+ * with the relay. While it finds no leader, it takes the lists of upstreams of the other control
+ * VMs.
  */
 public final class ControlLink implements Service {
   private static final Logger log = LogManager.getLogger();
@@ -98,6 +100,19 @@
   /** Delay after an exchange that found no leader, in milliseconds. */
   private static final long SEARCH_DELAY_MILLIS = 60;
 
+  /**
+   * Age in milliseconds from which the list of upstreams is not recent: the leader polls each 400
+   * ms, and exchanges follow each other faster. Then any control VM is asked for its list, and one
+   * that has answered is asked again after each one that has not, whose timeout may take 700 ms.
+   */
+  private static final long RECENT_LIST_MILLIS = 700;
+
+  /** Number of a list for a VM none of whose lists is held. */
+  private static final long NO_LIST = -1;
+
+  /** Number of a list for a VM that is asked for it only if it leads or relays. */
+  private static final long LIST_NOT_NEEDED = -2;
+
   /** Timeouts for connecting to and for reading from a control VM, in milliseconds. */
   private static final int CONNECT_TIMEOUT_MILLIS = 300;
 
@@ -118,7 +133,6 @@
   private Channel channel;
   private long closedDomainsIndex = -1;
   private long quarantineIndex = -1;
-  private long listingNumber = -1;
   private int routerCount = 1;
   private boolean viaRelay;
   private long relayAvoidedUntilNanos = System.nanoTime();
@@ -126,7 +140,11 @@
   private long countsSentNanos;
   private long prefixesNumber;
   private long prefixesTerm = -1;
-  private String listingSource = "";
+  private final ListInForce list;
+
+  /** The last control VM that answered and neither leads nor relays; empty if it failed since. */
+  private Optional<String> informant = Optional.empty();
+
   private volatile boolean running;
 
   /**
@@ -152,7 +170,8 @@
         new LeaderSearch(
             () -> seeds.get().stream().map(SocketAddresses::format).toList(),
             new SplittableRandom());
-    this.monitor = new ControlLinkMonitor(core.metrics(), System::nanoTime);
+    this.list = new ListInForce(this::applyListings);
+    this.monitor = new ControlLinkMonitor(core.metrics(), list, System::nanoTime);
     thread.setDaemon(true);
   }
 
@@ -202,6 +221,7 @@
       target = search.next();
     }
     ControlViewMessage view;
+    long requestNanos;
     try {
       if (channel == null) {
         channel =
@@ -210,16 +230,21 @@
       }
       Control.Client client =
           new Control.Client(new TMultiplexedProtocol(channel.protocol(), SERVICE));
-      view = client.exchange(report());
+      RouterReportMessage report = report();
+      requestNanos = System.nanoTime();
+      view = client.exchange(report);
     } catch (IOException | TException e) {
       if (search.recordFailure(target)) {
         log.info("control VM {} is not reachable: {}", target, e.getMessage());
       }
-      searchOn();
+      informant = informant.filter(address -> !address.equals(target));
+      searchOn(informant.filter(address -> !isListRecent()));
       return false;
     }
+    recordList(view, requestNanos);
     if (view.isLeads() || view.isRelays()) {
       search.recordView(target, view.getMembers());
+      list.retain(search.known());
       viaRelay = view.isRelays();
       monitor.recordView(target, view, core.version(), search.known().size());
       apply(view);
@@ -227,16 +252,47 @@
       return true;
     }
     search.recordAnswer(target, view.getMembers(), view.getLeader());
-    searchOn();
+    informant = Optional.of(target);
+    searchOn(Optional.empty());
     return false;
   }
 
-  private void searchOn() {
+  /** Searches on with a given address, or else with the next one of the search. */
+  private void searchOn(Optional<String> address) {
     leaveTarget();
-    target = search.next();
+    target = address.orElseGet(search::next);
     monitor.recordSearch(search, core.version());
   }
 
+  private boolean isListRecent() {
+    return list.age(System.nanoTime()).toMillis() < RECENT_LIST_MILLIS;
+  }
+
+  private void recordList(ControlViewMessage view, long requestNanos) {
+    ListInForce.Source source =
+        view.isLeads()
+            ? ListInForce.Source.LEADER
+            : view.isRelays() ? ListInForce.Source.RELAY : ListInForce.Source.OTHER_VM;
+    Optional<List<UpstreamListing>> sent =
+        Optional.ofNullable(view.getUpstreams())
+            .map(message -> message.getUpstreams().stream())
+            .map(upstreams -> upstreams.map(UpstreamMessages::toListing).toList());
+    list.record(
+        new ListInForce.Answer(
+            target,
+            source,
+            view.getListNumber(),
+            sent,
+            view.getListAgeMillis(),
+            requestNanos,
+            System.nanoTime()));
+    monitor.recordList();
+  }
+
+  private void applyListings(List<UpstreamListing> listings) {
+    core.thread().execute(() -> runGuarded(() -> core.updateListings(listings)));
+  }
+
   /** Switches to the relay of this router's failure domain, if the leader names one. */
   private void switchToRelay(ControlViewMessage view) {
     if (view.isSetRelay() && System.nanoTime() - relayAvoidedUntilNanos >= 0) {
@@ -289,7 +345,8 @@
     message.setDomain(domain.value());
     message.setDocumentVersion(core.version());
     message.setClosedIndex(closedDomainsIndex);
-    message.setListNumber(target.equals(listingSource) ? listingNumber : -1);
+    message.setListNumber(
+        list.numberFrom(target).orElse(isListRecent() ? LIST_NOT_NEEDED : NO_LIST));
     long wallMillis = System.currentTimeMillis();
     message.setWallMillis(wallMillis);
     message.setQuarantineIndex(quarantineIndex);
@@ -394,13 +451,6 @@
     List<PartId> suspects = QuarantineMessages.toIds(view.getSuspectParts());
     List<PartId> trials = QuarantineMessages.toIds(view.getTrialParts());
     changes.add(() -> core.updateSuspectParts(suspects, trials));
-    if (view.isSetUpstreams()) {
-      listingNumber = view.getListNumber();
-      listingSource = target;
-      List<UpstreamListing> listings =
-          view.getUpstreams().getUpstreams().stream().map(UpstreamMessages::toListing).toList();
-      changes.add(() -> core.updateListings(listings));
-    }
     Map<UpstreamId, UpstreamLoad> remoteLoads = new HashMap<>();
     for (UpstreamLoadMessage load : view.getOtherLoads()) {
       remoteLoads.put(new UpstreamId(load.getUpstream()), UpstreamMessages.toLoad(load));
--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/ControlLinkMonitor.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/ControlLinkMonitor.java
@@ -24,8 +24,10 @@
   private static final long NONE = -1;
 
   private final LongSupplier clock;
+  private final ListInForce list;
   private final Counter unusableDocuments;
   private final long startNanos;
+  private String listKind = ListInForce.Source.NONE.kind();
   private String followed = "";
   private long followedSinceNanos;
   private long followLineNanos;
@@ -40,10 +42,12 @@
   /**
    * Registers the metrics.
    *
+   * @param list the list of upstreams in force
    * @param clock monotonic, in nanoseconds
    */
-  ControlLinkMonitor(ForwardMetrics metrics, LongSupplier clock) {
+  ControlLinkMonitor(ForwardMetrics metrics, ListInForce list, LongSupplier clock) {
     this.clock = clock;
+    this.list = list;
     this.startNanos = clock.getAsLong();
     this.followLineNanos = startNanos - LINE_INTERVAL_NANOS;
     this.searchLineNanos = startNanos;
@@ -54,6 +58,8 @@
     metrics.gauge("jq_forward_control_view_age_milliseconds", this::viewAgeMillis);
     metrics.gauge("jq_forward_control_document_version", () -> namedVersion);
     metrics.gauge("jq_forward_control_members", () -> knownMembers);
+    metrics.gauge("jq_forward_list_age_milliseconds", this::listAgeMillis);
+    metrics.gauge("jq_forward_list_source", () -> list.source().ordinal());
   }
 
   /** Returns the time since the last view, or since the start if there was none. */
@@ -61,6 +67,25 @@
     return (clock.getAsLong() - viewNanos) / NANOS_PER_MILLI;
   }
 
+  /** Returns the age of the list of upstreams in force, or {@link #NONE}. */
+  private long listAgeMillis() {
+    return list.source() == ListInForce.Source.NONE ? NONE : list.age(clock.getAsLong()).toMillis();
+  }
+
+  /** Records that a list of upstreams may have come into force. */
+  synchronized void recordList() {
+    ListInForce.Source source = list.source();
+    if (source != ListInForce.Source.NONE && source.kind() != listKind) {
+      log.info(
+          "the list of upstreams comes from {} ({}) now, before from {}; it is {} ms old",
+          source.kind(),
+          list.origin(),
+          listKind,
+          listAgeMillis());
+      listKind = source.kind();
+    }
+  }
+
   /** Records a view of the leader or a relay. */
   void recordView(String source, ControlViewMessage view, long versionInForce, int known) {
     long now = clock.getAsLong();
--- a/wire/src/main/thrift/control.thrift
+++ b/wire/src/main/thrift/control.thrift
@@ -107,7 +107,10 @@
   4: i64 documentVersion
   /** Log index of the closed domains in force; -1 for none. */
   5: i64 closedIndex
-  /** Number of the list of upstreams held; -1 for none. */
+  /**
+   * Number of the list of upstreams held of the VM that is asked; -1 for none, -2 if it is needed
+   * only from a leader or a relay.
+   */
   6: i64 listNumber
   7: list<UpstreamLoadMessage> loads
   8: list<CustomerCountMessage> counts
@@ -150,7 +153,10 @@
 }
 
 struct ControlViewMessage {
-  /** Whether the answering VM leads; nothing but leader and members is set where it does not. */
+  /**
+   * Whether the answering VM leads. One that neither leads nor relays sets nothing but leader,
+   * members and, if the router needs it, the list of upstreams with its number and age.
+   */
   1: bool leads
   /** Address of the leader, ip:port; empty if not known. */
   2: string leader
@@ -170,7 +176,7 @@
   /** Sum over all other routers. */
   11: list<UpstreamLoadMessage> otherLoads
   12: i64 wallMillis
-  /** How old the list of upstreams is, in ms. */
+  /** Time since the platform was polled for the list of upstreams, in ms. */
   13: i64 listAgeMillis
   /** Reads of other routers after the last one seen, and the number of the newest. */
   14: list<PrefixReadMessage> reads
