--- a/wire/src/main/java/io/jacinthquay/wire/gen/ControlViewMessage.java
+++ b/wire/src/main/java/io/jacinthquay/wire/gen/ControlViewMessage.java
@@ -68,7 +68,8 @@
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     /**
-     * Whether the answering VM leads; nothing but leader and members is set where it does not.
+     * Whether the answering VM leads. One that neither leads nor relays sets nothing but leader,
+     * members and, if the router needs it, the list of upstreams with its number and age.
      */
     LEADS((short)1, "leads"),
     /**
@@ -104,7 +105,7 @@
     OTHER_LOADS((short)11, "otherLoads"),
     WALL_MILLIS((short)12, "wallMillis"),
     /**
-     * How old the list of upstreams is, in ms.
+     * Time since the platform was polled for the list of upstreams, in ms.
      */
     LIST_AGE_MILLIS((short)13, "listAgeMillis"),
     /**
@@ -517,14 +518,16 @@
   }
 
   /**
-   * Whether the answering VM leads; nothing but leader and members is set where it does not.
+   * Whether the answering VM leads. One that neither leads nor relays sets nothing but leader,
+   * members and, if the router needs it, the list of upstreams with its number and age.
    */
   public boolean isLeads() {
     return this.leads;
   }
 
   /**
-   * Whether the answering VM leads; nothing but leader and members is set where it does not.
+   * Whether the answering VM leads. One that neither leads nor relays sets nothing but leader,
+   * members and, if the router needs it, the list of upstreams with its number and age.
    */
   public ControlViewMessage setLeads(boolean leads) {
     this.leads = leads;
@@ -910,14 +913,14 @@
   }
 
   /**
-   * How old the list of upstreams is, in ms.
+   * Time since the platform was polled for the list of upstreams, in ms.
    */
   public long getListAgeMillis() {
     return this.listAgeMillis;
   }
 
   /**
-   * How old the list of upstreams is, in ms.
+   * Time since the platform was polled for the list of upstreams, in ms.
    */
   public ControlViewMessage setListAgeMillis(long listAgeMillis) {
     this.listAgeMillis = listAgeMillis;
--- a/wire/src/main/java/io/jacinthquay/wire/gen/RouterReportMessage.java
+++ b/wire/src/main/java/io/jacinthquay/wire/gen/RouterReportMessage.java
@@ -70,7 +70,8 @@
      */
     CLOSED_INDEX((short)5, "closedIndex"),
     /**
-     * Number of the list of upstreams held; -1 for none.
+     * Number of the list of upstreams held of the VM that is asked; -1 for none, -2 if it is needed
+     * only from a leader or a relay.
      */
     LIST_NUMBER((short)6, "listNumber"),
     LOADS((short)7, "loads"),
@@ -579,14 +580,16 @@
   }
 
   /**
-   * Number of the list of upstreams held; -1 for none.
+   * Number of the list of upstreams held of the VM that is asked; -1 for none, -2 if it is needed
+   * only from a leader or a relay.
    */
   public long getListNumber() {
     return this.listNumber;
   }
 
   /**
-   * Number of the list of upstreams held; -1 for none.
+   * Number of the list of upstreams held of the VM that is asked; -1 for none, -2 if it is needed
+   * only from a leader or a relay.
    */
   public RouterReportMessage setListNumber(long listNumber) {
     this.listNumber = listNumber;
