Soak: upstreams that spoil answers, and two measures of the retry budget

An upstream of the soak failed some requests, but never most of them, and in few ways. UPSTREAM_SPOILS answers 85 % with one of 14 kinds that are no answer: garbage, truncated and endless heads and bodies, resets, refusals with and without proof. CONTROLS_PAUSED stops all control VMs at once, so that nobody leads. Both have to be named.

RetryBudgetCheck judged windows that begin at an event only, so it missed an excess in a window that begins or ends between events. It now judges one start in each range in which no count changes; the planted case "2000, 0, 999" shows the difference. RetryShareCheck sums the parts of the extra retries that routers tell by their metrics, which shows a sum above one long before so many requests fail that upstreams get too many. The report has the fullest windows.

--- a/faultsoak/src/main/java/io/jacinthquay/soak/FakeUpstream.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/FakeUpstream.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -47,6 +48,7 @@
             thread.setDaemon(true);
             return thread;
           });
+  private final AtomicInteger spoiling = new AtomicInteger();
   private volatile String id;
 
   /**
@@ -78,6 +80,15 @@
     acceptor.reset();
   }
 
+  /** Begins to spoil most answers, until {@link #stopSpoiling} was called as often as this. */
+  void startSpoiling() {
+    spoiling.incrementAndGet();
+  }
+
+  void stopSpoiling() {
+    spoiling.decrementAndGet();
+  }
+
   private synchronized int nextInt(int bound) {
     return random.nextInt(bound);
   }
@@ -104,6 +115,9 @@
       request.write(421, "Not-Executed: 1\r\n", "another one answers here");
       return true;
     }
+    if (spoiling.get() > 0 && SpoiltAnswers.isSpoilt(nextInt(100))) {
+      return spoil(request);
+    }
     int behavior = nextInt(100);
     if (behavior < rejectedPercent) {
       request.write(503, "Not-Executed: 1\r\n", "full");
@@ -119,6 +133,23 @@
     }
   }
 
+  private boolean spoil(ReceivedRequest request) throws IOException {
+    SpoiltAnswers.Kind[] kinds = SpoiltAnswers.Kind.values();
+    SpoiltAnswers.Kind kind = kinds[nextInt(kinds.length)];
+    int first = 1 + (int) request.head.longField("Last-Event-Id").orElse(0);
+    long began = System.nanoTime();
+    request.truncated = true;
+    request.out.beginResponse();
+    try {
+      return SpoiltAnswers.send(kind, request.id(), first, request.socket);
+    } finally {
+      request.out.endResponse();
+      if (kind != SpoiltAnswers.Kind.NOT_EXECUTED) {
+        history.add(request.run(began));
+      }
+    }
+  }
+
   private boolean respond(ReceivedRequest request, int behavior) throws IOException {
     if (!request.simulateWork(behavior < 5 ? LONG_WORK_MILLIS : 1 + nextInt(MAX_WORK_MILLIS))) {
       return false;
--- a/faultsoak/src/main/java/io/jacinthquay/soak/FaultInjector.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/FaultInjector.java
@@ -87,6 +87,11 @@
         }
         return OptionalInt.of(-1);
       }
+      case CONTROLS_PAUSED -> {
+        pauseControls(fault.durationMillis());
+        return OptionalInt.of(-1);
+      }
+      case UPSTREAM_SPOILS -> spoilAnswers(system.upstream(target), fault);
       case UPSTREAM_LEAVES -> withdrawUpstream(target, fault);
       case PLATFORM_SILENT -> applyMode(system.platformLink(), LinkProxy.Mode.SILENT, fault);
       case ROUTER_PORT_HELD ->
@@ -199,6 +204,29 @@
     }
   }
 
+  private void pauseControls(long millis) throws IOException, InterruptedException {
+    int controls = system.operatorAddresses().size();
+    for (int control = 0; control < controls; control++) {
+      system.control(control).signal("STOP");
+    }
+    try {
+      TimeUnit.MILLISECONDS.sleep(millis);
+    } finally {
+      for (int control = 0; control < controls; control++) {
+        system.control(control).signal("CONT");
+      }
+    }
+  }
+
+  private static void spoilAnswers(FakeUpstream upstream, Fault fault) throws InterruptedException {
+    upstream.startSpoiling();
+    try {
+      awaitEnd(fault);
+    } finally {
+      upstream.stopSpoiling();
+    }
+  }
+
   private static void kill(ProgramProcess process, Fault fault)
       throws IOException, InterruptedException {
     process.kill();
--- a/faultsoak/src/main/java/io/jacinthquay/soak/History.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/History.java
@@ -21,6 +21,7 @@
   private final Collection<Disconnect> disconnects = new ConcurrentLinkedQueue<>();
   private final Collection<Duty> duties = new ConcurrentLinkedQueue<>();
   private final Collection<OwnEnd> ownEnds = new ConcurrentLinkedQueue<>();
+  private final Collection<RetryShare> retryShares = new ConcurrentLinkedQueue<>();
   private final Collection<String> unexpected = new ConcurrentLinkedQueue<>();
 
   /**
@@ -100,6 +101,21 @@
     }
   }
 
+  /**
+   * The part of the shared extra retries that a router said it uses.
+   *
+   * @param percent the part, in percent of all extra retries
+   */
+  record RetryShare(int router, long percent, long atNanos) {}
+
+  void add(RetryShare share) {
+    retryShares.add(share);
+  }
+
+  List<RetryShare> retryShares() {
+    return List.copyOf(retryShares);
+  }
+
   void add(OwnEnd end) {
     ownEnds.add(end);
   }
--- a/faultsoak/src/main/java/io/jacinthquay/soak/RetryBudgetCheck.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/RetryBudgetCheck.java
@@ -76,9 +76,16 @@
     long[] requests = traffic.requests.build().sorted().toArray();
     double worstExcess = Double.NEGATIVE_INFINITY;
     long worstStart = 0;
-    long[] starts = LongStream.concat(Arrays.stream(repeats), Arrays.stream(requests)).toArray();
-    for (long start : starts) {
-      double excess = count(repeats, start) - allowed(requests, start);
+    double greatestShare = Double.NEGATIVE_INFINITY;
+    long fullestStart = 0;
+    for (long start : starts(repeats, requests)) {
+      int repeated = count(repeats, start);
+      double allowed = allowed(requests, start);
+      double excess = repeated - allowed;
+      if (repeated / allowed > greatestShare) {
+        greatestShare = repeated / allowed;
+        fullestStart = start;
+      }
       if (excess > worstExcess) {
         worstExcess = excess;
         worstStart = start;
@@ -90,14 +97,44 @@
             .filter(period -> period.kind() == FaultKind.OBSERVER_STALLED)
             .anyMatch(period -> period.overlaps(from, from + WINDOW_NANOS));
     verdict.judgeUnlessExplained(
-        worstExcess <= 0,
-        observerStalled,
-        String.format(
-            Locale.ROOT,
-            "%s got %d repeated arrivals where %.1f were allowed",
-            service,
-            count(repeats, from),
-            allowed(requests, from)));
+        worstExcess <= 0, observerStalled, describe(service, repeats, requests, worstStart));
+    verdict.remark(
+        "fullest retry window: "
+            + describe(service, repeats, requests, fullestStart)
+            + "; "
+            + repeats.length
+            + " repeated arrivals and "
+            + requests.length
+            + " requests in the run");
+  }
+
+  private static String describe(String service, long[] repeats, long[] requests, long start) {
+    return String.format(
+        Locale.ROOT,
+        "%s got %d repeated arrivals where %.1f were allowed",
+        service,
+        count(repeats, start),
+        allowed(requests, start));
+  }
+
+  /**
+   * Returns a start in each range in which no count of a window changes. Between two of them every
+   * window has the same repeats and requests.
+   */
+  private static long[] starts(long[] repeats, long[] requests) {
+    LongStream changes =
+        LongStream.concat(
+            Arrays.stream(repeats).flatMap(at -> LongStream.of(at, at - WINDOW_NANOS)),
+            Arrays.stream(requests)
+                .flatMap(
+                    at ->
+                        LongStream.of(
+                            at - WINDOW_NANOS,
+                            at - WINDOW_NANOS / 2,
+                            at,
+                            at + WINDOW_NANOS / 2,
+                            at + WINDOW_NANOS)));
+    return changes.flatMap(at -> LongStream.of(at, at + 1)).sorted().distinct().toArray();
   }
 
   private static double allowed(long[] requests, long start) {
--- a/faultsoak/src/main/java/io/jacinthquay/soak/SoakReport.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/SoakReport.java
@@ -76,6 +76,9 @@
                 .append(", broken ")
                 .append(verdict.violations().size())
                 .append(')'));
+    verdicts.values().stream()
+        .flatMap(verdict -> verdict.remarks().stream())
+        .forEach(remark -> text.append("\n  ").append(remark));
     violations().forEach(violation -> text.append("\n    ").append(violation));
     return text.toString();
   }
--- a/faultsoak/src/main/java/io/jacinthquay/soak/SoakRun.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/SoakRun.java
@@ -63,7 +63,8 @@
           new RoutingCheck(),
           new EvacuationCheck(),
           new DutyCheck(),
-          new RetryBudgetCheck());
+          new RetryBudgetCheck(),
+          new RetryShareCheck());
 
   private final Path root;
   private final Path folder;
@@ -168,6 +169,9 @@
     ScheduledExecutorService faults = Executors.newScheduledThreadPool(FAULT_THREADS);
     threads.execute(new StallDetector(history, () -> underLoad));
     operators.forEach(threads::execute);
+    for (int i = 0; i < plan.routers(); i++) {
+      threads.execute(new RetryShareSampler(system, i, history, () -> underLoad));
+    }
     for (int i = 0; i < plan.callers(); i++) {
       threads.execute(
           new CallerLoop(
--- a/faultsoak/src/main/java/io/jacinthquay/soak/SoakSystem.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/SoakSystem.java
@@ -189,6 +189,11 @@
     return MetricsReader.read(deployment.routerMetrics(router), "jq_forward_document_version");
   }
 
+  /** Returns the part of the shared extra retries that a router uses; empty if it tells none. */
+  OptionalLong retryExtraPercent(int router) {
+    return MetricsReader.read(deployment.routerMetrics(router), "jq_forward_retry_extra_percent");
+  }
+
   /** Deletes the stored data of a control VM; its process must not be running. */
   void deleteData(int control) throws IOException {
     deleteRecursively(dataFolder(control));
--- /dev/null
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/SpoiltAnswers.java
@@ -0,0 +1,143 @@
+package io.jacinthquay.soak;
+
+import io.jacinthquay.model.RequestId;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.Socket;
+
+/**
+ * What an upstream sends that answers most requests with something that is no answer. Each kind
+ * makes a router decide anew whether it sends the request once more.
+ */
+final class SpoiltAnswers {
+  /** Share of the requests that an upstream spoils while it does so, in percent. */
+  private static final int SPOILT_PERCENT = 85;
+
+  /** Bytes after which an answer without end is broken off, if the router has not closed it. */
+  private static final int MAX_ENDLESS_BYTES = 4 * 1024 * 1024;
+
+  private static final int PIECE_BYTES = 8 * 1024;
+
+  /** One way to spoil an answer. */
+  enum Kind {
+    /** Bytes that are no HTTP. */
+    GARBAGE,
+    /** The connection ends within the head. */
+    TRUNCATED_HEAD,
+    /** The connection ends within the body. */
+    TRUNCATED_BODY,
+    /** The connection ends within the first event that the caller lacks, or within the body. */
+    BROKEN_STREAM,
+    /** Fields of a head that doesn't end. */
+    ENDLESS_HEAD,
+    /** A body that ends with its connection, and doesn't end. */
+    ENDLESS_BODY,
+    /** A chunk whose extension doesn't end. */
+    ENDLESS_EXTENSION,
+    /** The connection is reset after the request was read. */
+    RESET,
+    /** The connection is closed after the request was read. */
+    CLOSED,
+    /** The answer is marked as one to another request. */
+    OTHER_ID,
+    /** A success without a signature. */
+    UNSIGNED,
+    /** Status 503 without a proof that the request didn't run. */
+    REFUSED,
+    /** Status 503 with the proof. */
+    NOT_EXECUTED,
+    /** Status 500. */
+    FAILED
+  }
+
+  private SpoiltAnswers() {}
+
+  /** Returns whether a request is spoilt, given a number below 100 that was drawn for it. */
+  static boolean isSpoilt(int drawn) {
+    return drawn < SPOILT_PERCENT;
+  }
+
+  /**
+   * Sends a spoilt answer.
+   *
+   * @param first number of the first event that the caller lacks
+   * @return whether the connection stays open
+   */
+  static boolean send(Kind kind, RequestId id, int first, Socket socket) throws IOException {
+    OutputStream out = socket.getOutputStream();
+    String body = ExpectedResponse.body(id);
+    String half = body.substring(0, body.length() / 2);
+    switch (kind) {
+      case GARBAGE -> write(out, "\u0001\u0002 no answer \u00ff\r\n\r\n" + half);
+      case TRUNCATED_HEAD -> write(out, "HTTP/1.1 200 OK\r\nAttempt-Id: " + id.value());
+      case TRUNCATED_BODY ->
+          write(out, head(200, id, "Response-Signature: s", body.length()) + half);
+      case BROKEN_STREAM ->
+          write(
+              out,
+              "HTTP/1.1 200 OK\r\nAttempt-Id: "
+                  + id.value()
+                  + "\r\nResponse-Signature: s\r\nContent-Type: text/event-stream\r\n"
+                  + "Transfer-Encoding: chunked\r\n\r\n"
+                  + HttpCodec.encodeChunk(ExpectedResponse.event(id, first)));
+      case ENDLESS_HEAD -> {
+        write(out, "HTTP/1.1 200 OK\r\nAttempt-Id: " + id.value() + "\r\n");
+        writeEndlessly(out, "X-Field: y\r\n");
+      }
+      case ENDLESS_BODY -> {
+        write(
+            out,
+            "HTTP/1.1 200 OK\r\nAttempt-Id: " + id.value() + "\r\nResponse-Signature: s\r\n\r\n");
+        writeEndlessly(out, "z");
+      }
+      case ENDLESS_EXTENSION -> {
+        write(
+            out,
+            "HTTP/1.1 200 OK\r\nAttempt-Id: "
+                + id.value()
+                + "\r\nResponse-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n1;");
+        writeEndlessly(out, "x");
+      }
+      case RESET -> Acceptor.reset(socket);
+      case OTHER_ID ->
+          write(
+              out,
+              head(200, new RequestId("other"), "Response-Signature: s", body.length()) + body);
+      case UNSIGNED -> write(out, head(200, id, "X-Odd: 1", body.length()) + body);
+      case REFUSED -> write(out, head(503, id, "X-Odd: 1", 0));
+      case NOT_EXECUTED -> write(out, head(503, id, "Not-Executed: 1", 0));
+      case FAILED -> write(out, head(500, id, "Response-Signature: s", 0));
+      default -> {
+        // CLOSED: the end of the connection is all that the router gets.
+      }
+    }
+    return switch (kind) {
+      case UNSIGNED, REFUSED, NOT_EXECUTED, FAILED -> true;
+      default -> false;
+    };
+  }
+
+  private static String head(int status, RequestId id, String field, int length) {
+    return "HTTP/1.1 "
+        + status
+        + " Status\r\nAttempt-Id: "
+        + id.value()
+        + "\r\n"
+        + field
+        + "\r\nContent-Length: "
+        + length
+        + "\r\n\r\n";
+  }
+
+  private static void write(OutputStream out, String text) throws IOException {
+    out.write(HttpCodec.encode(text));
+  }
+
+  /** Writes a text again and again until the router closes the connection. */
+  private static void writeEndlessly(OutputStream out, String text) throws IOException {
+    String piece = text.repeat(PIECE_BYTES / text.length());
+    for (int sent = 0; sent < MAX_ENDLESS_BYTES; sent += piece.length()) {
+      write(out, piece);
+    }
+  }
+}
--- a/faultsoak/src/main/java/io/jacinthquay/soak/Verdict.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/Verdict.java
@@ -6,6 +6,7 @@
 /** The result of one check: counts of cases and descriptions of violations. */
 final class Verdict {
   private final List<String> violations = new ArrayList<>();
+  private final List<String> remarks = new ArrayList<>();
   private int judged;
   private int notJudged;
 
@@ -31,6 +32,15 @@
     notJudged++;
   }
 
+  /** Adds a measured figure to the report. */
+  void remark(String text) {
+    remarks.add(text);
+  }
+
+  List<String> remarks() {
+    return List.copyOf(remarks);
+  }
+
   List<String> violations() {
     return List.copyOf(violations);
   }
--- a/faultsoak/src/test/java/io/jacinthquay/soak/ChecksTest.java
+++ b/faultsoak/src/test/java/io/jacinthquay/soak/ChecksTest.java
@@ -345,6 +345,61 @@
     assertEquals(violations, new RetryBudgetCheck().judge(history).violations().size());
   }
 
+  /**
+   * Arrivals of one request at the times of a window, and five requests for which one more arrival
+   * is allowed. The window may begin at any time, also at one at which nothing happens.
+   */
+  @ParameterizedTest
+  @CsvSource({
+    // In the window itself, in the one half a window before, and in the one before.
+    "9999, 0, 9999, 0",
+    "-5000, 0, 9999, 0",
+    "-10000, 0, 9999, 0",
+    // One millisecond too early for each window that has all arrivals.
+    "-10001, 0, 9999, 1",
+    "-1, 0, 999, 0",
+    // Too late for a window that has all arrivals and begins and ends while nothing happens.
+    "2000, 0, 999, 1",
+    // Ten seconds from the first arrival to the last are more than one window.
+    "30000, 0, 10000, 0"
+  })
+  void anyWindowMayExceedTheRetryBudget(
+      long requestsMillis, long firstMillis, long lastMillis, int violations) {
+    History history = new History();
+    for (int i = 0; i < 5; i++) {
+      RequestId id = new RequestId("c3-" + i);
+      history.add(
+          new Call(
+              id,
+              CallKind.SAFE,
+              ROUTER,
+              PORT,
+              nanos(requestsMillis),
+              nanos(requestsMillis + 10),
+              Call.Ending.ANSWERED,
+              200,
+              "",
+              2_000));
+      history.add(new History.Arrival(id, UPSTREAM, nanos(requestsMillis)));
+    }
+    // The first arrival of the request precedes all windows, so that each one counts as repeated.
+    history.add(new History.Arrival(ID, UPSTREAM, nanos(-60_000)));
+    addArrivals(history, Deployment.RETRY_EXTRA + 1, firstMillis, lastMillis);
+    assertEquals(violations, new RetryBudgetCheck().judge(history).violations().size());
+  }
+
+  /** Parts in percent of three routers, and when the third one had its part. */
+  @ParameterizedTest
+  @CsvSource({"50, 50, 20000, 0", "33, 33, 5000, 0", "50, 50, 5000, 1", "50, 18, 10000, 1"})
+  void partsOfTheExtraRetriesAreSummedOverAWindow(
+      long first, long second, long thirdMillis, int violations) {
+    History history = new History();
+    history.add(new History.RetryShare(0, first, 0));
+    history.add(new History.RetryShare(1, second, nanos(100)));
+    history.add(new History.RetryShare(2, 34, nanos(thirdMillis)));
+    assertEquals(violations, new RetryShareCheck().judge(history).violations().size());
+  }
+
   static Stream<FaultPeriod> explainingPeriods() {
     return Stream.of(
         new FaultPeriod(FaultKind.ROUTER_PAUSED, ROUTER, nanos(900), nanos(1_700)),
