Soak: upstreams that state a limit, and a check of what they get

No run of real processes judged whether routers together keep the limit that an upstream states. UPSTREAM_LIMITED has to be named; StatedLimitCheck sums the arrivals from routers that were told, in any 4 s, as the users' rule does.

--- a/faultsoak/src/main/java/io/jacinthquay/soak/FakeUpstream.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/FakeUpstream.java
@@ -6,6 +6,7 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
+import java.util.OptionalDouble;
 import java.util.SplittableRandom;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -49,6 +50,7 @@
             return thread;
           });
   private final AtomicInteger spoiling = new AtomicInteger();
+  private volatile OptionalDouble statedLimit = OptionalDouble.empty();
   private volatile String id;
 
   /**
@@ -89,6 +91,11 @@
     spoiling.decrementAndGet();
   }
 
+  /** Sets the requests per second that its answers state from now on; empty for none. */
+  void stateLimit(OptionalDouble requestsPerSecond) {
+    statedLimit = requestsPerSecond;
+  }
+
   private synchronized int nextInt(int bound) {
     return random.nextInt(bound);
   }
@@ -388,11 +395,16 @@
     }
 
     String head(int status, String fields) {
+      OptionalDouble limit = statedLimit;
+      if (limit.isPresent()) {
+        history.add(new History.StatedLimit(id(), number, limit.getAsDouble(), System.nanoTime()));
+      }
       return "HTTP/1.1 "
           + status
           + " Status\r\nAttempt-Id: "
           + id().value()
           + "\r\n"
+          + (limit.isPresent() ? "Server-Limit: " + limit.getAsDouble() + "\r\n" : "")
           + fields
           + "\r\n\r\n";
     }
--- a/faultsoak/src/main/java/io/jacinthquay/soak/FaultInjector.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/FaultInjector.java
@@ -1,6 +1,7 @@
 package io.jacinthquay.soak;
 
 import java.io.IOException;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
@@ -10,6 +11,12 @@
 
 /** Injects faults into the system and records the period in which each one was active. */
 final class FaultInjector {
+  /** Limits that upstreams state, in requests per second; far below what they get otherwise. */
+  private static final double LOWEST_LIMIT = 0.4;
+
+  private static final double LIMIT_STEP = 0.8;
+  private static final int LIMITS = 3;
+
   private static final Logger log = LogManager.getLogger();
 
   /** Time for bytes that a link held back to arrive after the end of a fault. */
@@ -92,6 +99,7 @@
         return OptionalInt.of(-1);
       }
       case UPSTREAM_SPOILS -> spoilAnswers(system.upstream(target), fault);
+      case UPSTREAM_LIMITED -> system.upstream(target).stateLimit(OptionalDouble.of(limit(target)));
       case UPSTREAM_LEAVES -> withdrawUpstream(target, fault);
       case PLATFORM_SILENT -> applyMode(system.platformLink(), LinkProxy.Mode.SILENT, fault);
       case ROUTER_PORT_HELD ->
@@ -115,6 +123,11 @@
     return OptionalInt.of(target);
   }
 
+  /** Returns the limit that an upstream states, in requests per second. */
+  private static double limit(int upstream) {
+    return LOWEST_LIMIT + LIMIT_STEP * (upstream % LIMITS);
+  }
+
   private void applyToLink(Fault fault) throws InterruptedException {
     int target = fault.target();
     switch (fault.kind()) {
--- a/faultsoak/src/main/java/io/jacinthquay/soak/History.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/History.java
@@ -13,6 +13,7 @@
   private final Collection<Call> calls = new ConcurrentLinkedQueue<>();
   private final Collection<Run> runs = new ConcurrentLinkedQueue<>();
   private final Collection<Arrival> arrivals = new ConcurrentLinkedQueue<>();
+  private final Collection<StatedLimit> statedLimits = new ConcurrentLinkedQueue<>();
   private final Collection<Listed> listed = new ConcurrentLinkedQueue<>();
   private final Collection<FaultPeriod> faultPeriods = new ConcurrentLinkedQueue<>();
   private final Collection<Read> reads = new ConcurrentLinkedQueue<>();
@@ -52,6 +53,16 @@
    */
   record Listed(int upstream, boolean ready, long atNanos) {}
 
+  /**
+   * An answer in which an upstream states how many requests it takes.
+   *
+   * @param id the answered request
+   * @param upstream number of the upstream
+   * @param perSecond requests per second from all routers together
+   * @param atNanos when it was sent, on the monotonic clock
+   */
+  record StatedLimit(RequestId id, int upstream, double perSecond, long atNanos) {}
+
   /**
    * A version of the document that an operator read.
    *
@@ -132,6 +143,15 @@
     return List.copyOf(retryShares);
   }
 
+  void add(StatedLimit limit) {
+    statedLimits.add(limit);
+  }
+
+  /** Returns the statements of limits, in any order. */
+  Collection<StatedLimit> statedLimits() {
+    return statedLimits;
+  }
+
   void add(OwnEnd end) {
     ownEnds.add(end);
   }
--- a/faultsoak/src/main/java/io/jacinthquay/soak/SoakRun.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/SoakRun.java
@@ -63,6 +63,7 @@
           new RoutingCheck(),
           new EvacuationCheck(),
           new DrainCheck(),
+          new StatedLimitCheck(),
           new DutyCheck(),
           new RetryBudgetCheck(),
           new RetryShareCheck());
