Elections: log and count campaigns and refused votes with their reasons

The record of two incidents shows two of three control VMs without a leader for 30 s and can't tell whether they stood for election, in vain or never: nothing logged or counted it. Each pre-vote, campaign and refused vote is an event now, logged once a second of each kind and peer at most and counted in jq_control_election_events_total. No change of what is decided.

--- a/consensus/src/main/java/io/jacinthquay/consensus/LogRuntime.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/LogRuntime.java
@@ -1,5 +1,6 @@
 package io.jacinthquay.consensus;
 
+import io.jacinthquay.consensus.raft.ElectionEvent;
 import io.jacinthquay.consensus.raft.Message;
 import io.jacinthquay.consensus.raft.RaftNode;
 import io.jacinthquay.consensus.raft.RaftOptions;
@@ -8,6 +9,7 @@
 import io.jacinthquay.consensus.storage.LogStorage;
 import io.vavr.control.Either;
 import java.io.IOException;
+import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -45,6 +47,7 @@
   private final LogSettings settings;
   private final StorageOpener opener;
   private final PendingCommands pendingCommands = new PendingCommands();
+  private final ElectionMonitor elections = new ElectionMonitor(System::nanoTime);
   private final ScheduledExecutorService recovery =
       Executors.newSingleThreadScheduledExecutor(this::newRecoveryThread);
   private boolean started;
@@ -152,7 +155,8 @@
   }
 
   private LogSession newSession(LogStorage storage, SnapshotMeta applied) {
-    return new LogSession(settings, raftOptions(), storage, applied, pendingCommands, this);
+    return new LogSession(
+        settings, raftOptions(), storage, applied, pendingCommands, elections, this);
   }
 
   @Override
@@ -304,6 +308,11 @@
     return status;
   }
 
+  @Override
+  public Map<ElectionEvent.Kind, Long> electionCounts() {
+    return elections.counts();
+  }
+
   private void receive(Message message) {
     LogSession current = session;
     if (current != null) {
--- a/consensus/src/main/java/io/jacinthquay/consensus/LogSession.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/LogSession.java
@@ -50,6 +50,7 @@
   private final LogSettings settings;
   private final LogStorage storage;
   private final PendingCommands pendingCommands;
+  private final ElectionMonitor elections;
   private final Listener listener;
   private final HardState recoveredHardState;
   private final SnapshotMeta recoveredSnapshot;
@@ -82,11 +83,13 @@
       LogStorage storage,
       SnapshotMeta applied,
       PendingCommands pendingCommands,
+      ElectionMonitor elections,
       Listener listener) {
     this.settings = settings;
     this.storage = storage;
     this.applied = applied;
     this.pendingCommands = pendingCommands;
+    this.elections = elections;
     this.listener = listener;
     RecoveredState recovered = storage.takeRecovered();
     recoveredHardState = recovered.hardState();
@@ -288,6 +291,7 @@
   }
 
   private void process(Ready ready) {
+    ready.electionEvents().forEach(event -> elections.record(storage.self(), event));
     ready.immediateMessages().forEach(settings.transport()::send);
     if (ready.needsStorage()) {
       storageWorker.add(ready);
--- a/consensus/src/main/java/io/jacinthquay/consensus/ReplicatedLog.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/ReplicatedLog.java
@@ -1,6 +1,8 @@
 package io.jacinthquay.consensus;
 
+import io.jacinthquay.consensus.raft.ElectionEvent;
 import io.vavr.control.Either;
+import java.util.Map;
 import java.util.concurrent.CompletionStage;
 
 /**
@@ -82,4 +84,11 @@
    * @return the status
    */
   LogStatus status();
+
+  /**
+   * Returns how often each kind of event of an election has occurred here since the start.
+   *
+   * @return the counts of all kinds
+   */
+  Map<ElectionEvent.Kind, Long> electionCounts();
 }
--- a/consensus/src/main/java/io/jacinthquay/consensus/raft/Outbox.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/raft/Outbox.java
@@ -19,6 +19,7 @@
   private List<SnapshotWrite> snapshotWrites = new ArrayList<>();
   private List<SnapshotRead> snapshotReads = new ArrayList<>();
   private List<ReadState> reads = new ArrayList<>();
+  private List<ElectionEvent> electionEvents = new ArrayList<>();
   private Optional<SnapshotMeta> restore = Optional.empty();
   private boolean hardStateChanged;
   private long sequence;
@@ -47,6 +48,10 @@
     reads.add(new ReadState(requestId, index));
   }
 
+  void addElectionEvent(ElectionEvent event) {
+    electionEvents.add(event);
+  }
+
   void requestRestore(SnapshotMeta meta) {
     restore = Optional.of(meta);
   }
@@ -99,7 +104,8 @@
             snapshotReads,
             restore,
             takeCommitted(state),
-            reads);
+            reads,
+            electionEvents);
     clear();
     return ready;
   }
@@ -129,6 +135,7 @@
     snapshotWrites = new ArrayList<>();
     snapshotReads = new ArrayList<>();
     reads = new ArrayList<>();
+    electionEvents = new ArrayList<>();
     restore = Optional.empty();
   }
 }
--- a/consensus/src/main/java/io/jacinthquay/consensus/raft/RaftNode.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/raft/RaftNode.java
@@ -167,6 +167,7 @@
   private void receive(VoteRequest request) {
     if (request.term() > state.term) {
       if (state.hasRecentLeader() && !request.leadershipTransfer()) {
+        election.recordRefusal(request, request.lastIndex(), request.lastTerm());
         return;
       }
       becomeFollower(request.term(), Optional.empty());
--- a/consensus/src/main/java/io/jacinthquay/consensus/raft/Ready.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/raft/Ready.java
@@ -22,6 +22,7 @@
  * @param restore the installed snapshot that replaces the state of the state machine, if any
  * @param committed committed entries to apply, all durable on this replica
  * @param reads the results of reads
+ * @param electionEvents what happened in elections, for logs and metrics
  */
 public record Ready(
     long sequence,
@@ -33,7 +34,8 @@
     List<SnapshotRead> snapshotReads,
     Optional<SnapshotMeta> restore,
     List<Entry> committed,
-    List<ReadState> reads) {
+    List<ReadState> reads,
+    List<ElectionEvent> electionEvents) {
 
   /**
    * A chunk of an incoming snapshot.
--- a/control/src/main/java/io/jacinthquay/control/ControlService.java
+++ b/control/src/main/java/io/jacinthquay/control/ControlService.java
@@ -7,6 +7,7 @@
 import io.jacinthquay.consensus.MemberId;
 import io.jacinthquay.consensus.ReplicatedLog;
 import io.jacinthquay.consensus.Role;
+import io.jacinthquay.consensus.raft.ElectionEvent;
 import io.jacinthquay.consensus.storage.DataFolder;
 import io.jacinthquay.control.adapter.ControlHandler;
 import io.jacinthquay.control.port.Fleet;
@@ -209,6 +210,11 @@
     registry.gauge("jq_control_commit_index", () -> () -> store.status().commitIndex());
     registry.gauge("jq_control_voters", () -> () -> store.status().membership().voters().size());
     registry.gauge("jq_control_votes", () -> () -> isVoter(store.status()) ? 1 : 0);
+    for (ElectionEvent.Kind kind : ElectionEvent.Kind.values()) {
+      registry.gauge(
+          "jq_control_election_events_total{kind=\"" + kind.label() + "\"}",
+          () -> () -> replicatedLog.electionCounts().get(kind));
+    }
     registry.gauge("jq_control_document_version", () -> () -> store.tables().version());
     registry.gauge(
         "jq_control_quarantined_parts", () -> () -> store.tables().quarantine().parts().size());
--- a/control/src/test/java/io/jacinthquay/control/service/ImmediateLog.java
+++ b/control/src/test/java/io/jacinthquay/control/service/ImmediateLog.java
@@ -9,9 +9,11 @@
 import io.jacinthquay.consensus.ReplicaId;
 import io.jacinthquay.consensus.ReplicatedLog;
 import io.jacinthquay.consensus.Role;
+import io.jacinthquay.consensus.raft.ElectionEvent;
 import io.jacinthquay.control.state.ControlState;
 import io.vavr.control.Either;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -52,6 +54,11 @@
     throw new UnsupportedOperationException();
   }
 
+  @Override
+  public Map<ElectionEvent.Kind, Long> electionCounts() {
+    throw new UnsupportedOperationException();
+  }
+
   @Override
   public LogStatus status() {
     ReplicaId self = new ReplicaId(new MemberId("127.0.0.1:9"), 1);
--- a/keeper/src/test/java/io/jacinthquay/keeper/service/QuorumContactTest.java
+++ b/keeper/src/test/java/io/jacinthquay/keeper/service/QuorumContactTest.java
@@ -8,9 +8,11 @@
 import io.jacinthquay.consensus.Membership;
 import io.jacinthquay.consensus.MembershipChange;
 import io.jacinthquay.consensus.ReplicatedLog;
+import io.jacinthquay.consensus.raft.ElectionEvent;
 import io.jacinthquay.runtime.time.ClockReading;
 import io.vavr.control.Either;
 import java.time.Duration;
+import java.util.Map;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -54,6 +56,11 @@
       throw new UnsupportedOperationException();
     }
 
+    @Override
+    public Map<ElectionEvent.Kind, Long> electionCounts() {
+      throw new UnsupportedOperationException();
+    }
+
     @Override
     public LogStatus status() {
       throw new UnsupportedOperationException();
