--- a/faultsoak/src/main/java/io/jacinthquay/soak/LinkProxy.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/LinkProxy.java
@@ -45,6 +45,9 @@
   private Mode mode = Mode.PASSES;
   private boolean closed;
 
+  /** How often the open connections were cut; a connection opened before the last time is dead. */
+  private int cuts;
+
   LinkProxy(Supplier<InetSocketAddress> server) throws IOException {
     this(server, port -> {});
   }
@@ -80,16 +83,34 @@
     acceptor.reset();
   }
 
+  /**
+   * Holds back all bytes and ends of the open connections from now on, without closing them, as a
+   * network does that has lost their state. Later connections are forwarded.
+   */
+  void cutOpenConnections() {
+    synchronized (modeLock) {
+      cuts++;
+    }
+  }
+
+  private int cuts() {
+    synchronized (modeLock) {
+      return cuts;
+    }
+  }
+
   private void serve(Socket client) throws IOException {
-    awaitForwarding(true);
+    int cutsAtStart = cuts();
+    awaitForwarding(true, cutsAtStart);
     try (Socket serverSocket = new Socket()) {
       serverSocket.setTcpNoDelay(true);
       serverSocket.connect(server.get(), CONNECT_TIMEOUT_MILLIS);
-      Thread responseThread = new Thread(() -> forward(serverSocket, client, false), "soak-link");
+      Thread responseThread =
+          new Thread(() -> forward(serverSocket, client, false, cutsAtStart), "soak-link");
       responseThread.setDaemon(true);
       responseThread.start();
       int port = client.getPort();
-      forward(client, serverSocket, true);
+      forward(client, serverSocket, true, cutsAtStart);
       disconnectListener.onDisconnect(port);
       responseThread.join();
     } catch (InterruptedException e) {
@@ -97,12 +118,12 @@
     }
   }
 
-  private void forward(Socket from, Socket to, boolean toServer) {
+  private void forward(Socket from, Socket to, boolean toServer, int cutsAtStart) {
     byte[] buffer = new byte[BUFFER_BYTES];
     try {
       while (true) {
         int count = from.getInputStream().read(buffer);
-        awaitForwarding(toServer);
+        awaitForwarding(toServer, cutsAtStart);
         if (count < 0) {
           to.shutdownOutput();
           return;
@@ -116,13 +137,13 @@
     }
   }
 
-  private void awaitForwarding(boolean toServer) throws IOException {
+  private void awaitForwarding(boolean toServer, int cutsAtStart) throws IOException {
     try {
       synchronized (modeLock) {
         if (mode == Mode.DELAYED) {
           modeLock.wait(DELAY_MILLIS);
         }
-        while (!closed && (mode == Mode.SILENT || mode == Mode.ONE_WAY && !toServer)) {
+        while (!closed && (cuts > cutsAtStart || holdsBack(toServer))) {
           modeLock.wait(TimeUnit.SECONDS.toMillis(1));
         }
       }
@@ -132,6 +153,10 @@
     }
   }
 
+  private boolean holdsBack(boolean toServer) {
+    return mode == Mode.SILENT || mode == Mode.ONE_WAY && !toServer;
+  }
+
   @Override
   public void close() throws IOException {
     synchronized (modeLock) {
--- a/faultsoak/src/main/java/io/jacinthquay/soak/SoakSystem.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/SoakSystem.java
@@ -184,6 +184,12 @@
         .allMatch(address -> MetricsReader.read(address, "jq_control_votes").orElse(0) == 1);
   }
 
+  /** Returns whether a control VM says that a quorum has confirmed it as the leader. */
+  boolean leads(int control) {
+    return MetricsReader.read(deployment.controlMetrics(control), "jq_control_leads").orElse(0)
+        == 1;
+  }
+
   /** Returns the version of the document that a router follows; empty if it does not tell. */
   OptionalLong versionInForce(int router) {
     return MetricsReader.read(deployment.routerMetrics(router), "jq_forward_document_version");
