--- a/consensus/src/main/java/io/jacinthquay/consensus/LogSession.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/LogSession.java
@@ -50,6 +50,7 @@
   private final LogSettings settings;
   private final LogStorage storage;
   private final PendingCommands pendingCommands;
+  private final ElectionMonitor elections;
   private final Listener listener;
   private final HardState recoveredHardState;
   private final SnapshotMeta recoveredSnapshot;
@@ -82,11 +83,13 @@
       LogStorage storage,
       SnapshotMeta applied,
       PendingCommands pendingCommands,
+      ElectionMonitor elections,
       Listener listener) {
     this.settings = settings;
     this.storage = storage;
     this.applied = applied;
     this.pendingCommands = pendingCommands;
+    this.elections = elections;
     this.listener = listener;
     RecoveredState recovered = storage.takeRecovered();
     recoveredHardState = recovered.hardState();
@@ -215,6 +218,10 @@
     loop.offer(() -> node.receive(message, now()), MAX_QUEUED_EVENTS);
   }
 
+  void avoidLeader(MemberId leader) {
+    loop.offer(() -> node.avoidLeader(leader, now()), MAX_QUEUED_EVENTS);
+  }
+
   /** Queues a command; returns false if the queue is full or the session has ended. */
   boolean propose(byte[] command, PendingResult<AppliedCommand> result) {
     return submit(result, () -> proposeAndTrack(result, now -> node.propose(command, now)));
@@ -288,6 +295,7 @@
   }
 
   private void process(Ready ready) {
+    ready.electionEvents().forEach(event -> elections.record(storage.self(), event));
     ready.immediateMessages().forEach(settings.transport()::send);
     if (ready.needsStorage()) {
       storageWorker.add(ready);
--- a/consensus/src/main/java/io/jacinthquay/consensus/ReplicatedLog.java
+++ b/consensus/src/main/java/io/jacinthquay/consensus/ReplicatedLog.java
@@ -1,6 +1,8 @@
 package io.jacinthquay.consensus;
 
+import io.jacinthquay.consensus.raft.ElectionEvent;
 import io.vavr.control.Either;
+import java.util.Map;
 import java.util.concurrent.CompletionStage;
 
 /**
@@ -82,4 +84,19 @@
    * @return the status
    */
   LogStatus status();
+
+  /**
+   * Reports that the leader answers no calls although it sends messages to replicas. This replica
+   * ignores its messages for a few election timeouts; if a majority does, another one is elected.
+   *
+   * @param leader the member that doesn't answer; ignored if this replica doesn't follow it
+   */
+  void avoidLeader(MemberId leader);
+
+  /**
+   * Returns how often each kind of event of an election has occurred here since the start.
+   *
+   * @return the counts of all kinds
+   */
+  Map<ElectionEvent.Kind, Long> electionCounts();
 }
--- a/keeper/src/test/java/io/jacinthquay/keeper/service/QuorumContactTest.java
+++ b/keeper/src/test/java/io/jacinthquay/keeper/service/QuorumContactTest.java
@@ -5,12 +5,15 @@
 import io.jacinthquay.consensus.AppliedCommand;
 import io.jacinthquay.consensus.LogFailure;
 import io.jacinthquay.consensus.LogStatus;
+import io.jacinthquay.consensus.MemberId;
 import io.jacinthquay.consensus.Membership;
 import io.jacinthquay.consensus.MembershipChange;
 import io.jacinthquay.consensus.ReplicatedLog;
+import io.jacinthquay.consensus.raft.ElectionEvent;
 import io.jacinthquay.runtime.time.ClockReading;
 import io.vavr.control.Either;
 import java.time.Duration;
+import java.util.Map;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -54,6 +57,16 @@
       throw new UnsupportedOperationException();
     }
 
+    @Override
+    public void avoidLeader(MemberId leader) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public Map<ElectionEvent.Kind, Long> electionCounts() {
+      throw new UnsupportedOperationException();
+    }
+
     @Override
     public LogStatus status() {
       throw new UnsupportedOperationException();
