Let routers read the platform's list while no control VM answers

Cause: routers learned of the list from control VMs only.

A router that has heard the leader or a relay before, hears neither for 1 s and holds no control VM's list polled within 1.3 s now reads the platform's list, in a thread of its own.

The tag known-red and its entry are gone.

--- a/control/src/main/java/io/jacinthquay/control/ControlService.java
+++ b/control/src/main/java/io/jacinthquay/control/ControlService.java
@@ -326,7 +326,7 @@
   private void pollUpstreamList() {
     long requestTime = System.nanoTime();
     UpstreamListCache.Snapshot held = upstreamList.snapshot();
-    boolean recent = requestTime - held.polledNanos() < standbyListAgeNanos(requestTime);
+    boolean recent = requestTime - held.polledNanos() < standbyListAgeNanos(requestTime, held);
     if (!leadership.isConfirmed() && held.number() > 0 && recent) {
       return;
     }
@@ -339,12 +339,13 @@
   }
 
   /** Returns the age at which a VM that doesn't lead polls the list again, in nanoseconds. */
-  private long standbyListAgeNanos(long now) {
+  private long standbyListAgeNanos(long now, UpstreamListCache.Snapshot held) {
     if (store.leader().isPresent() && !upstreamList.isSearched(now)) {
       return STANDBY_LIST_AGE_NANOS;
     }
     int members = store.status().membership().replicas().size();
-    return Math.min(STANDBY_LIST_AGE_NANOS, fleet.leastListInterval(members).toNanos());
+    return Math.min(
+        STANDBY_LIST_AGE_NANOS, fleet.leastListInterval(members, held.listings().size()).toNanos());
   }
 
   private void runLeaderTasks() {
--- a/control/src/main/java/io/jacinthquay/control/port/Fleet.java
+++ b/control/src/main/java/io/jacinthquay/control/port/Fleet.java
@@ -20,8 +20,12 @@
   /**
    * Returns the least time between two reads of the list by each of several VMs that read it at the
    * same time, so that all of them together stay within the calls that the platform allows.
+   *
+   * @param readers number of VMs, 1 or more
+   * @param upstreams number of upstreams in the last known list, from which the number of calls is
+   *     estimated before the first read
    */
-  default Duration leastListInterval(int readers) {
+  default Duration leastListInterval(int readers, int upstreams) {
     return Duration.ZERO;
   }
 
--- a/faultsoak/src/main/java/io/jacinthquay/soak/Deployment.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/Deployment.java
@@ -199,6 +199,7 @@
     values.put("internal_port_range.0", Integer.toString(internalPort));
     values.put("internal_port_range.1", Integer.toString(metricsPort));
     values.put("cloud_api.address", format(platform));
+    values.put("cloud_api.rate_per_s", Double.toString(FakePlatform.CALLS_PER_SECOND));
     values.put("fault_tolerance.machines", plan.controls() >= 3 ? "1" : "0");
     values.put("bounds.grace_period_s", "8");
     values.put("bounds.report_window_s", "5");
--- a/faultsoak/src/main/java/io/jacinthquay/soak/FakePlatform.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/FakePlatform.java
@@ -7,6 +7,8 @@
 import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.Map;
 import java.util.concurrent.ConcurrentSkipListMap;
 
@@ -14,9 +16,16 @@
 final class FakePlatform implements AutoCloseable {
   private static final ObjectMapper MAPPER = new ObjectMapper();
 
+  /** Reads of the list that all VMs together may make in a second; others get 429. */
+  static final int CALLS_PER_SECOND = 47;
+
+  private static final long SECOND_NANOS = 1_000_000_000L;
+
   private final History history;
   private final Acceptor acceptor;
   private final Map<Integer, String> entries = new ConcurrentSkipListMap<>();
+  private final Deque<Long> reads = new ArrayDeque<>();
+  private int refusedReads;
 
   FakePlatform(History history) throws IOException {
     this.history = history;
@@ -45,6 +54,25 @@
     history.add(new History.Listed(number, !draining, System.nanoTime()));
   }
 
+  /** Returns how many reads of the list were refused because there were too many. */
+  synchronized int refusedReads() {
+    return refusedReads;
+  }
+
+  /** Counts a read of the list; returns whether it is within the rate. */
+  private synchronized boolean admitRead() {
+    long now = System.nanoTime();
+    while (!reads.isEmpty() && now - reads.getFirst() >= SECOND_NANOS) {
+      reads.removeFirst();
+    }
+    if (reads.size() >= CALLS_PER_SECOND) {
+      refusedReads++;
+      return false;
+    }
+    reads.addLast(now);
+    return true;
+  }
+
   void removeUpstream(int number) {
     entries.remove(number);
     history.add(new History.Listed(number, false, System.nanoTime()));
@@ -60,15 +88,19 @@
       if (path.startsWith("/usage") || path.startsWith("/scaling")) {
         recordDuty(path, head, body.toString());
       }
+      boolean isRead = path.startsWith("/instances");
+      String status = isRead && !admitRead() ? "429 Too Many Requests" : "200 OK";
       String response =
-          path.startsWith("/instances")
+          isRead
               ? "{\"instances\":[" + String.join(",", entries.values()) + "],\"next\":null}"
               : "{}";
       socket
           .getOutputStream()
           .write(
               HttpCodec.encode(
-                  "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: "
+                  "HTTP/1.1 "
+                      + status
+                      + "\r\nContent-Type: application/json\r\nContent-Length: "
                       + response.length()
                       + "\r\n\r\n"
                       + response));
--- a/faultsoak/src/main/java/io/jacinthquay/soak/SoakSystem.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/SoakSystem.java
@@ -108,6 +108,11 @@
         number, upstreams.get(number).id(), upstreamLinks.get(number).address(), draining);
   }
 
+  /** Returns how many reads of the platform's list were refused because there were too many. */
+  int refusedReads() {
+    return platform.refusedReads();
+  }
+
   void unlistUpstream(int number) {
     platform.removeUpstream(number);
   }
--- a/faultsoak/src/test/java/io/jacinthquay/soak/LeaderlessDrainTest.java
+++ b/faultsoak/src/test/java/io/jacinthquay/soak/LeaderlessDrainTest.java
@@ -18,7 +18,6 @@
 import java.util.function.BooleanSupplier;
 import java.util.stream.IntStream;
 import org.HdrHistogram.Recorder;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -70,7 +69,6 @@
 
   /** Routers hear no control VM, while the platform answers. */
   @Test
-  @Tag("known-red")
   void upstreamLeavesWhileNoControlVmRuns() throws Exception {
     assertDrains(Loss.PAUSED, CONTROLS);
   }
@@ -109,6 +107,7 @@
       assertTrue(usedBefore > 0, "without a leader, the upstream was not used before it left");
       Verdict verdict = new DrainCheck().judge(history);
       assertEquals(List.of(), verdict.violations());
+      assertEquals(0, system.refusedReads());
     } finally {
       http.stop();
     }
--- a/router/src/main/java/io/jacinthquay/router/ForwardRouter.java
+++ b/router/src/main/java/io/jacinthquay/router/ForwardRouter.java
@@ -9,6 +9,7 @@
 import io.jacinthquay.router.adapter.thrift.ControlLink;
 import io.jacinthquay.router.port.ForwardProtocol;
 import io.jacinthquay.router.port.RequestIntake;
+import io.jacinthquay.router.port.UpstreamDirectory;
 import io.jacinthquay.router.service.forward.ForwardCore;
 import io.jacinthquay.router.service.forward.ForwardIntake;
 import io.jacinthquay.router.service.forward.ForwardMetrics;
@@ -19,6 +20,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
@@ -87,7 +89,7 @@
       ForwardProtocol protocol,
       Function<ForwardCore, RequestIntake> ready,
       Function<byte[], Either<Failure, RoutingDocument>> decoder) {
-    this(endpoints, options, ListenerLimits.defaults(), protocol, ready, decoder);
+    this(endpoints, options, ListenerLimits.defaults(), protocol, ready, decoder, Optional.empty());
   }
 
   /**
@@ -99,6 +101,7 @@
    * @param protocol reads and writes the headers of callers and upstreams
    * @param ready returns the handler of readiness requests
    * @param decoder decodes routing documents
+   * @param directory the platform's list of upstreams, for times without any control VM
    */
   public ForwardRouter(
       Endpoints endpoints,
@@ -106,7 +109,8 @@
       ListenerLimits limits,
       ForwardProtocol protocol,
       Function<ForwardCore, RequestIntake> ready,
-      Function<byte[], Either<Failure, RoutingDocument>> decoder) {
+      Function<byte[], Either<Failure, RoutingDocument>> decoder,
+      Optional<UpstreamDirectory> directory) {
     this.endpoints = endpoints;
     this.ready = ready;
     client =
@@ -116,7 +120,9 @@
     core.metrics().gauge("jq_forward_upstream_connections", client::openConnections);
     server = new CallerServer(endpoints.callers(), 1, limits, new ForwardIntake(core));
     registerMemory();
-    link = new ControlLink(endpoints.name(), options.domain(), endpoints.control(), core, decoder);
+    link =
+        new ControlLink(
+            endpoints.name(), options.domain(), endpoints.control(), core, decoder, directory);
   }
 
   private void registerMemory() {
--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/ControlLink.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/ControlLink.java
@@ -12,6 +12,7 @@
 import io.jacinthquay.model.PoolName;
 import io.jacinthquay.model.UpstreamId;
 import io.jacinthquay.model.routing.RoutingDocument;
+import io.jacinthquay.router.port.UpstreamDirectory;
 import io.jacinthquay.router.service.forward.CachedPrefix;
 import io.jacinthquay.router.service.forward.ForwardCore;
 import io.jacinthquay.router.service.forward.ForwardReport;
@@ -128,12 +129,13 @@
   private final long incarnation = ThreadLocalRandom.current().nextLong(1, Long.MAX_VALUE);
   private final LeaderSearch search;
   private final ControlLinkMonitor monitor;
+  private final Optional<ListPoller> poller;
   private final Thread thread = new Thread(this::run, "control-link");
   private String target;
   private Channel channel;
   private long closedDomainsIndex = -1;
   private long quarantineIndex = -1;
-  private int routerCount = 1;
+  private volatile int routerCount = 1;
   private boolean viaRelay;
   private long relayAvoidedUntilNanos = System.nanoTime();
   private boolean countsSent;
@@ -155,13 +157,15 @@
    * @param seeds returns the control VMs of the current settings, at least one
    * @param core the core that views are applied to
    * @param decoder decodes documents
+   * @param directory the platform's list of upstreams, for times without any control VM
    */
   public ControlLink(
       String router,
       DomainId domain,
       Supplier<List<InetSocketAddress>> seeds,
       ForwardCore core,
-      Function<byte[], Either<Failure, RoutingDocument>> decoder) {
+      Function<byte[], Either<Failure, RoutingDocument>> decoder,
+      Optional<UpstreamDirectory> directory) {
     this.router = router;
     this.domain = domain;
     this.core = core;
@@ -172,6 +176,11 @@
             new SplittableRandom());
     this.list = new ListInForce(this::applyListings);
     this.monitor = new ControlLinkMonitor(core.metrics(), list, System::nanoTime);
+    this.poller =
+        directory.map(
+            list ->
+                new ListPoller(
+                    list, this.list, monitor, () -> routerCount, new SplittableRandom()));
     thread.setDaemon(true);
   }
 
@@ -179,12 +188,14 @@
   public void start() {
     running = true;
     thread.start();
+    poller.ifPresent(ListPoller::start);
   }
 
   @Override
   public void stop() {
     running = false;
     thread.interrupt();
+    poller.ifPresent(ListPoller::stop);
   }
 
   private void run() {
@@ -269,23 +280,7 @@
   }
 
   private void recordList(ControlViewMessage view, long requestNanos) {
-    ListInForce.Source source =
-        view.isLeads()
-            ? ListInForce.Source.LEADER
-            : view.isRelays() ? ListInForce.Source.RELAY : ListInForce.Source.OTHER_VM;
-    Optional<List<UpstreamListing>> sent =
-        Optional.ofNullable(view.getUpstreams())
-            .map(message -> message.getUpstreams().stream())
-            .map(upstreams -> upstreams.map(UpstreamMessages::toListing).toList());
-    list.record(
-        new ListInForce.Answer(
-            target,
-            source,
-            view.getListNumber(),
-            sent,
-            view.getListAgeMillis(),
-            requestNanos,
-            System.nanoTime()));
+    list.record(ListInForce.Answer.of(target, view, requestNanos, System.nanoTime()));
     monitor.recordList();
   }
 
--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/ControlLinkMonitor.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/ControlLinkMonitor.java
@@ -9,7 +9,8 @@
 
 /**
  * Logs which control VM a router follows and maintains the metrics of its link; docs/METRICS.md
- * lists them. Methods are called by the thread of the link, the metrics are read by others.
+ * lists them. Methods are called by the thread of the link, except those about lists, which that of
+ * the poller calls too; the metrics are read by others.
  */
 final class ControlLinkMonitor {
   private static final Logger log = LogManager.getLogger();
@@ -67,6 +68,11 @@
     return (clock.getAsLong() - viewNanos) / NANOS_PER_MILLI;
   }
 
+  /** Returns whether the leader or a relay was heard before, but not within a time. */
+  boolean isSilentFor(long millis) {
+    return heard && viewAgeMillis() >= millis;
+  }
+
   /** Returns the age of the list of upstreams in force, or {@link #NONE}. */
   private long listAgeMillis() {
     return list.source() == ListInForce.Source.NONE ? NONE : list.age(clock.getAsLong()).toMillis();
--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/ListInForce.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/ListInForce.java
@@ -1,6 +1,8 @@
 package io.jacinthquay.router.adapter.thrift;
 
 import io.jacinthquay.decision.dispatch.UpstreamListing;
+import io.jacinthquay.wire.convert.UpstreamMessages;
+import io.jacinthquay.wire.gen.ControlViewMessage;
 import java.time.Duration;
 import java.util.Collection;
 import java.util.HashMap;
@@ -78,7 +80,21 @@
       Optional<List<UpstreamListing>> listings,
       long ageMillis,
       long requestNanos,
-      long answerNanos) {}
+      long answerNanos) {
+    /** Returns what a view says of the list of the VM that returned it. */
+    static Answer of(String vm, ControlViewMessage view, long requestNanos, long answerNanos) {
+      Source other = view.isRelays() ? Source.RELAY : Source.OTHER_VM;
+      return new Answer(
+          vm,
+          view.isLeads() ? Source.LEADER : other,
+          view.getListNumber(),
+          Optional.ofNullable(view.getUpstreams())
+              .map(sent -> sent.getUpstreams().stream().map(UpstreamMessages::toListing).toList()),
+          view.getListAgeMillis(),
+          requestNanos,
+          answerNanos);
+    }
+  }
 
   private static final long NANOS_PER_MILLI = 1_000_000L;
   private static final String PLATFORM = "the platform";
@@ -195,6 +211,11 @@
         : Duration.ofNanos(now - earliestPollNanos);
   }
 
+  /** Returns the number of upstreams in the list in force. */
+  synchronized int size() {
+    return inForce.size();
+  }
+
   /** Returns where the list in force comes from. */
   synchronized Source source() {
     return source;
