Soak: a spoilt body without an end is reset, not closed

A body without a length is complete when its connection ends, so that the router was right to pass it on.

--- a/faultsoak/src/main/java/io/jacinthquay/soak/SpoiltAnswers.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/SpoiltAnswers.java
@@ -82,13 +82,13 @@
                   + HttpCodec.encodeChunk(ExpectedResponse.event(id, first)));
       case ENDLESS_HEAD -> {
         write(out, "HTTP/1.1 200 OK\r\nAttempt-Id: " + id.value() + "\r\n");
-        writeEndlessly(out, "X-Field: y\r\n");
+        writeEndlessly(socket, "X-Field: y\r\n");
       }
       case ENDLESS_BODY -> {
         write(
             out,
             "HTTP/1.1 200 OK\r\nAttempt-Id: " + id.value() + "\r\nResponse-Signature: s\r\n\r\n");
-        writeEndlessly(out, "z");
+        writeEndlessly(socket, "z");
       }
       case ENDLESS_EXTENSION -> {
         write(
@@ -96,7 +96,7 @@
             "HTTP/1.1 200 OK\r\nAttempt-Id: "
                 + id.value()
                 + "\r\nResponse-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n1;");
-        writeEndlessly(out, "x");
+        writeEndlessly(socket, "x");
       }
       case RESET -> Acceptor.reset(socket);
       case OTHER_ID ->
@@ -133,11 +133,16 @@
     out.write(HttpCodec.encode(text));
   }
 
-  /** Writes a text again and again until the router closes the connection. */
-  private static void writeEndlessly(OutputStream out, String text) throws IOException {
+  /**
+   * Writes a text again and again until the router closes the connection, and resets it after too
+   * many bytes: an end of the connection would complete a body without a length.
+   */
+  private static void writeEndlessly(Socket socket, String text) throws IOException {
+    OutputStream out = socket.getOutputStream();
     String piece = text.repeat(PIECE_BYTES / text.length());
     for (int sent = 0; sent < MAX_ENDLESS_BYTES; sent += piece.length()) {
       write(out, piece);
     }
+    Acceptor.reset(socket);
   }
 }
