Soak: check the time that a request sent once more is handed

ForwardedRequestCheck compares the time of each send with the caller's, but not with what is left at a later send. RepeatedDeadlineCheck does, as the users' rule states it.

--- a/faultsoak/src/main/java/io/jacinthquay/soak/SoakRun.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/SoakRun.java
@@ -64,7 +64,8 @@
           new EvacuationCheck(),
           new DutyCheck(),
           new RetryBudgetCheck(),
-          new RetryShareCheck());
+          new RetryShareCheck(),
+          new RepeatedDeadlineCheck());
 
   private final Path root;
   private final Path folder;
--- a/faultsoak/src/test/java/io/jacinthquay/soak/ChecksTest.java
+++ b/faultsoak/src/test/java/io/jacinthquay/soak/ChecksTest.java
@@ -400,6 +400,29 @@
     assertEquals(violations, new RetryShareCheck().judge(history).violations().size());
   }
 
+  /** The request has 2,000 ms from its begin on, and so has its first send at 10 ms. */
+  @ParameterizedTest
+  @CsvSource({"510, 2000, 0", "600, 1400, 0", "600, 1910, 0", "600, 1911, 1", "1200, 2000, 1"})
+  void repeatedRequestGetsTheTimeThatIsLeft(long againMillis, long waitMillis, int violations) {
+    History history = new History();
+    history.add(call(CallKind.SAFE, Call.Ending.ANSWERED, 200, COMPLETE_BODY, 1_900));
+    history.add(runWithDeadline(10, 2_000));
+    history.add(runWithDeadline(againMillis, waitMillis));
+    assertEquals(violations, new RepeatedDeadlineCheck().judge(history).violations().size());
+  }
+
+  private static Run runWithDeadline(long beganMillis, long waitMillis) {
+    return new Run(
+        ID,
+        CallKind.SAFE,
+        UPSTREAM,
+        nanos(beganMillis),
+        nanos(beganMillis + 5),
+        waitMillis,
+        true,
+        false);
+  }
+
   static Stream<FaultPeriod> explainingPeriods() {
     return Stream.of(
         new FaultPeriod(FaultKind.ROUTER_PAUSED, ROUTER, nanos(900), nanos(1_700)),
