--- a/faultsoak/src/main/java/io/jacinthquay/soak/FaultKind.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/FaultKind.java
@@ -73,12 +73,12 @@
   CONTROL_HEADS(Where.CONTROL, Choice.NAMED),
   /** Many connections to a router carry three requests and a part of a fourth, and end. */
   ROUTER_PARTIAL_REQUESTS(Where.ROUTER, Choice.NAMED),
-  /** The writes of one control VM after another fail while documents change, after all faults. */
-  DISKS_FULL_IN_TURN(Where.CONTROL, Choice.NAMED),
   /** An upstream answers most requests with something that is no answer. */
   UPSTREAM_SPOILS(Where.UPSTREAM, Choice.NAMED),
   /** SIGSTOP to all control VMs, and SIGCONT at the end, so that nobody leads meanwhile. */
   CONTROLS_PAUSED(Where.CONTROL, Choice.NAMED),
+  /** The writes of one control VM after another fail while documents change, after all faults. */
+  DISKS_FULL_IN_TURN(Where.CONTROL, Choice.NAMED),
   /** The soak process itself was paused, so violations of that time are not judged. */
   OBSERVER_STALLED(Where.OBSERVER);
 
