--- a/faultsoak/src/main/java/io/jacinthquay/soak/SoakRun.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/SoakRun.java
@@ -66,7 +66,8 @@
           new StatedLimitCheck(),
           new DutyCheck(),
           new RetryBudgetCheck(),
-          new RetryShareCheck());
+          new RetryShareCheck(),
+          new RepeatedDeadlineCheck());
 
   private final Path root;
   private final Path folder;
