--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/ListPoller.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/ListPoller.java
@@ -32,8 +32,11 @@
    */
   private static final long STALE_LIST_MILLIS = 1_300;
 
-  /** Delay between two checks whether polls are needed, in milliseconds. */
-  private static final long CHECK_MILLIS = 50;
+  /**
+   * Delay between two checks whether polls are needed, in milliseconds; each one wakes a thread of
+   * every router, on all days.
+   */
+  private static final long CHECK_MILLIS = 250;
 
   /** Least time between two polls, in milliseconds; the leader polls as often. */
   private static final long MIN_INTERVAL_MILLIS = 400;
