--- a/control/src/main/java/io/jacinthquay/control/service/RelayClient.java
+++ b/control/src/main/java/io/jacinthquay/control/service/RelayClient.java
@@ -11,6 +11,7 @@
 import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.apache.thrift.TApplicationException;
 import org.apache.thrift.TException;
 import org.apache.thrift.protocol.TMultiplexedProtocol;
 
@@ -78,6 +79,11 @@
       } else {
         relay.requeue(report);
       }
+    } catch (TApplicationException e) {
+      // The leader answers, so that another one would gain nothing from the same report.
+      reachability.recordAnswer();
+      log.warn("the leader {} failed to take a report: {}", leader.get(), e.getMessage());
+      close();
     } catch (IOException | TException e) {
       log.info("relay cannot reach the leader {}: {}", leader.get(), e.getMessage());
       relay.requeue(report);
--- a/decision/src/main/java/io/jacinthquay/decision/retry/SharedRetryBudget.java
+++ b/decision/src/main/java/io/jacinthquay/decision/retry/SharedRetryBudget.java
@@ -7,7 +7,7 @@
  *
  * <p>In any window, the budget of a pool is a ratio of the first sends plus a fixed extra. Each
  * router spends at most the ratio of its own first sends in the last window plus its part of the
- * extra, so that the sum stays within the budget in every window without communication.
+ * extra, so that the sum stays within the budget without communication.
  *
  * <p>This answers callers that move between routers, as they do when routers end: some routers may
  * just have spent the budget of requests that others get now. So a router uses little of the ratio
--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/ControlLink.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/ControlLink.java
@@ -178,9 +178,8 @@
     this.monitor = new ControlLinkMonitor(core.metrics(), list, System::nanoTime);
     this.poller =
         directory.map(
-            list ->
-                new ListPoller(
-                    list, this.list, monitor, () -> routerCount, new SplittableRandom()));
+            platform ->
+                new ListPoller(platform, list, monitor, () -> routerCount, new SplittableRandom()));
     thread.setDaemon(true);
   }
 
--- a/runtime/src/main/java/io/jacinthquay/runtime/http/BoundedSource.java
+++ b/runtime/src/main/java/io/jacinthquay/runtime/http/BoundedSource.java
@@ -33,7 +33,10 @@
   /** A head is held by the parser, as the response, and by the response to the caller. */
   private static final int COPIES = 3;
 
-  /** Memory of a usual head, in bytes; it may be held while others hold all of the memory. */
+  /**
+   * Memory of a usual head of up to 28 lines, in bytes; it may be held while others hold all of the
+   * memory.
+   */
   private static final int SMALL_HEAD_BYTES = COPIES * 8 * 1024;
 
   private final AnswerMemory memory;
