Retry budget: the metric of a router's part ends with the part

Traced in its logs: routers 1 and 2 had started while router 3 was suspended, so they counted three routers; router 3, which had no view for 22 s, had no part any more, but its gauge showed the one computed before. The budget itself was right.

--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
@@ -123,7 +123,7 @@
     }
     this.startupQueue = new StartupQueue(System.nanoTime(), options.startHold());
     this.usage = new WindowedUsage(options.usageWindow());
-    this.retryBudgets = new RetryBudgets(options, metrics, clock.getAsLong());
+    this.retryBudgets = new RetryBudgets(options, metrics, clock);
     metrics.gauge("jq_forward_in_progress", active::size);
     metrics.gauge("jq_forward_held", startupQueue::size);
     metrics.gauge("jq_forward_quarantined_parts", quarantine::size);
--- a/router/src/main/java/io/jacinthquay/router/service/forward/RetryBudgets.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/RetryBudgets.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.LongSupplier;
 
 /**
  * The retry budgets of all pools and this router's part of what all routers share; used on one
@@ -30,25 +31,27 @@
   private final Optional<ForwardOptions.RetryLimits> limits;
   private final ForwardMetrics metrics;
   private final long startedAt;
+  private final long windowNanos;
   private final RouterCount routers;
   private final Map<PoolName, PoolBudget> budgets = new HashMap<>();
   private volatile long routerCount;
   private volatile long sharePercent;
+  private volatile long updatedAt;
 
   /**
-   * Returns budgets of which nothing is spent.
+   * Returns budgets of which nothing is spent, for a router that starts now.
    *
-   * @param startedAt when the router started, on the monotonic clock, in nanoseconds
+   * @param clock monotonic, in nanoseconds
    */
-  RetryBudgets(ForwardOptions options, ForwardMetrics metrics, long startedAt) {
+  RetryBudgets(ForwardOptions options, ForwardMetrics metrics, LongSupplier clock) {
     this.limits = options.retryLimits();
     this.metrics = metrics;
-    this.startedAt = startedAt;
-    this.routers =
-        new RouterCount(
-            limits.map(ForwardOptions.RetryLimits::window).orElse(DEFAULT_WINDOW).toNanos());
+    this.startedAt = clock.getAsLong();
+    this.windowNanos =
+        limits.map(ForwardOptions.RetryLimits::window).orElse(DEFAULT_WINDOW).toNanos();
+    this.routers = new RouterCount(windowNanos);
     metrics.gauge("jq_forward_router_count", () -> routerCount);
-    metrics.gauge("jq_forward_retry_extra_percent", () -> sharePercent);
+    metrics.gauge("jq_forward_retry_extra_percent", () -> shownSharePercent(clock.getAsLong()));
   }
 
   /**
@@ -58,11 +61,20 @@
    */
   int updateRouters(int count, long now) {
     routers.update(count, now);
+    updatedAt = now;
     routerCount = routers.value(now);
     share(now);
     return routers.value(now);
   }
 
+  /**
+   * Returns this router's part for the metrics. A router that was suspended has no part until the
+   * next report of the leader, which is computed only when a request needs it.
+   */
+  private long shownSharePercent(long now) {
+    return now - updatedAt <= windowNanos ? sharePercent : 0;
+  }
+
   /** Returns this router's part of the shared extra and shows it in the metrics. */
   private double share(long now) {
     double share = routers.share(now);
