Soak: the check of stated limits begins anew with each lifetime of an upstream

Its logs show the check's own fault: upstream 0 had started again as i-0-5, and all 12 arrivals of callers came within 0.8 s after the new lifetime's first statement, when the users' rule doesn't count yet; none came later. The upstream's earlier lifetime had been limited as well, and the check joined both.

--- a/faultsoak/src/main/java/io/jacinthquay/soak/FakeUpstream.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/FakeUpstream.java
@@ -397,7 +397,8 @@
     String head(int status, String fields) {
       OptionalDouble limit = statedLimit;
       if (limit.isPresent()) {
-        history.add(new History.StatedLimit(id(), number, limit.getAsDouble(), System.nanoTime()));
+        history.add(
+            new History.StatedLimit(id(), number, id, limit.getAsDouble(), System.nanoTime()));
       }
       return "HTTP/1.1 "
           + status
--- a/faultsoak/src/main/java/io/jacinthquay/soak/History.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/History.java
@@ -58,10 +58,11 @@
    *
    * @param id the answered request
    * @param upstream number of the upstream
+   * @param lifetime id of its lifetime; a new one has told nobody yet
    * @param perSecond requests per second from all routers together
    * @param atNanos when it was sent, on the monotonic clock
    */
-  record StatedLimit(RequestId id, int upstream, double perSecond, long atNanos) {}
+  record StatedLimit(RequestId id, int upstream, String lifetime, double perSecond, long atNanos) {}
 
   /**
    * A version of the document that an operator read.
--- a/faultsoak/src/main/java/io/jacinthquay/soak/StatedLimitCheck.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/StatedLimitCheck.java
@@ -33,18 +33,18 @@
   @Override
   public Verdict judge(History history) {
     Verdict verdict = new Verdict();
-    Map<Integer, List<History.StatedLimit>> byUpstream = new HashMap<>();
+    Map<String, List<History.StatedLimit>> byLifetime = new HashMap<>();
     history
         .statedLimits()
         .forEach(
             limit ->
-                byUpstream.computeIfAbsent(limit.upstream(), u -> new ArrayList<>()).add(limit));
-    byUpstream.forEach((upstream, limits) -> judge(upstream, limits, history, verdict));
+                byLifetime.computeIfAbsent(limit.lifetime(), id -> new ArrayList<>()).add(limit));
+    byLifetime.values().forEach(limits -> judge(limits, history, verdict));
     return verdict;
   }
 
-  private static void judge(
-      int upstream, List<History.StatedLimit> limits, History history, Verdict verdict) {
+  private static void judge(List<History.StatedLimit> limits, History history, Verdict verdict) {
+    int upstream = limits.get(0).upstream();
     limits.sort(Comparator.comparingLong(History.StatedLimit::atNanos));
     long from = limits.get(0).atNanos() + CONTACT_NANOS;
     long until = limits.get(limits.size() - 1).atNanos();
--- a/faultsoak/src/test/java/io/jacinthquay/soak/StatedLimitCheckTest.java
+++ b/faultsoak/src/test/java/io/jacinthquay/soak/StatedLimitCheckTest.java
@@ -4,6 +4,7 @@
 
 import io.jacinthquay.model.RequestId;
 import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -15,6 +16,7 @@
   private static final double PER_SECOND = 1;
 
   private final History history = new History();
+  private String lifetime = "i-5-0";
   private int requests;
 
   private void send(int router, long atMillis, boolean told) {
@@ -35,7 +37,7 @@
             2_000));
     history.add(new History.Arrival(id, UPSTREAM, nanos));
     if (told) {
-      history.add(new History.StatedLimit(id, UPSTREAM, PER_SECOND, nanos));
+      history.add(new History.StatedLimit(id, UPSTREAM, lifetime, PER_SECOND, nanos));
     }
   }
 
@@ -69,4 +71,20 @@
     send(1, 60_000, true);
     assertEquals(expected, new StatedLimitCheck().judge(history).violations().size());
   }
+
+  /** An upstream that starts again has told nobody, so that the time for contact begins anew. */
+  @Test
+  void newLifetimeBeginsAnew() {
+    send(1, 0, true);
+    send(1, 9_000, true);
+    lifetime = "i-5-1";
+    for (int i = 0; i < 20; i++) {
+      send(1, 10_000 + 100L * i, true);
+    }
+    assertEquals(0, new StatedLimitCheck().judge(history).violations().size());
+    for (int i = 0; i < 20; i++) {
+      send(1, 14_000 + 100L * i, true);
+    }
+    assertEquals(9, new StatedLimitCheck().judge(history).violations().size());
+  }
 }
