List in force, limited waits: no work where nothing has changed

ListInForce copied and compared the whole list at each exchange, many a second, also where the view only confirms it; it now keeps which received list is in force. QueuePlace collected the usable upstreams for each waiting request where none states a limit.

--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/ListInForce.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/ListInForce.java
@@ -102,6 +102,10 @@
   private final Consumer<List<UpstreamListing>> apply;
   private final Map<String, Received> lastByVm = new HashMap<>();
   private Set<UpstreamListing> inForce = Set.of();
+
+  /** The list of a VM that is in force; empty if it is one of the platform, or none. */
+  private Optional<Received> inForceOfVm = Optional.empty();
+
   private Source source = Source.NONE;
   private String origin = "";
 
@@ -146,7 +150,14 @@
     long earliestNanos = answer.requestNanos() - ageNanos - NANOS_PER_MILLI;
     long latestNanos = answer.answerNanos() - ageNanos;
     if (isNewer(answer.vm(), earliestNanos, latestNanos)) {
-      replace(answer.vm(), answer.source(), last.at(answer.answerNanos()));
+      // Most views confirm the list in force, and are many a second.
+      boolean confirms = inForceOfVm.filter(received -> received == last).isPresent();
+      if (!confirms) {
+        replace(last.at(answer.answerNanos()));
+        inForceOfVm = Optional.of(last);
+      }
+      source = answer.source();
+      origin = answer.vm();
       earliestPollNanos = earliestNanos;
       latestPollNanos = latestNanos;
     }
@@ -156,7 +167,10 @@
   synchronized void recordPlatform(
       List<UpstreamListing> listings, long requestNanos, long answerNanos) {
     if (isNewer(PLATFORM, requestNanos, answerNanos)) {
-      replace(PLATFORM, Source.PLATFORM, listings);
+      replace(listings);
+      inForceOfVm = Optional.empty();
+      source = Source.PLATFORM;
+      origin = PLATFORM;
       earliestPollNanos = requestNanos;
       latestPollNanos = answerNanos;
     }
@@ -175,12 +189,10 @@
         : earliestNanos - latestPollNanos > 0;
   }
 
-  private void replace(String from, Source newSource, List<UpstreamListing> listings) {
-    boolean changed = source == Source.NONE || !withoutTimes(listings).equals(inForce);
-    source = newSource;
-    origin = from;
-    if (changed) {
-      inForce = withoutTimes(listings);
+  private void replace(List<UpstreamListing> listings) {
+    Set<UpstreamListing> upstreams = withoutTimes(listings);
+    if (source == Source.NONE || !upstreams.equals(inForce)) {
+      inForce = upstreams;
       apply.accept(listings);
     }
   }
--- a/router/src/main/java/io/jacinthquay/router/service/forward/QueuePlace.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/QueuePlace.java
@@ -65,6 +65,9 @@
    * milliseconds; 0 if one of them states none.
    */
   private double limitedWaitMillis() {
+    if (core.selector().statedLimits().size() == 0) {
+      return 0;
+    }
     double perSecond =
         core.selector().statedLimits().ownPerSecond(core.selector().usable(work.pool()));
     return (line().size() + 1) * MILLIS_PER_SECOND / perSecond;
