--- a/control/src/main/java/io/jacinthquay/control/adapter/ControlHandler.java
+++ b/control/src/main/java/io/jacinthquay/control/adapter/ControlHandler.java
@@ -22,8 +22,11 @@
 import io.jacinthquay.wire.gen.ListedUpstreamsMessage;
 import io.jacinthquay.wire.gen.RelayReportMessage;
 import io.jacinthquay.wire.gen.RouterReportMessage;
+import io.jacinthquay.wire.gen.StreamOriginsMessage;
+import io.jacinthquay.wire.gen.StreamQuestionMessage;
 import io.jacinthquay.wire.gen.UpstreamLoadMessage;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -116,6 +119,11 @@
     return view;
   }
 
+  @Override
+  public StreamOriginsMessage findOrigins(List<StreamQuestionMessage> questions) {
+    return new StreamOriginsMessage(leadership.isConfirmed(), new ArrayList<>(), new HashMap<>());
+  }
+
   /** Returns the part of a view that every VM knows: the members and the leader. */
   private ControlViewMessage newView() {
     ControlViewMessage view = new ControlViewMessage();
--- a/control/src/main/java/io/jacinthquay/control/service/UpstreamListCache.java
+++ b/control/src/main/java/io/jacinthquay/control/service/UpstreamListCache.java
@@ -108,6 +108,9 @@
                     + listing.draining()
                     + " "
                     + (listing.coldMillis() > 0)
+                    + " "
+                    + listing.version()
+                    + " "
                     + listing.address())
         .sorted()
         .toList();
--- a/control/src/main/java/io/jacinthquay/control/state/ControlState.java
+++ b/control/src/main/java/io/jacinthquay/control/state/ControlState.java
@@ -105,7 +105,8 @@
             tables.closedDomainsIndex(),
             sealed,
             QuarantineMessages.toMessages(tables.quarantine().entries()),
-            tables.quarantine().index());
+            tables.quarantine().index(),
+            new ArrayList<>());
     tables.document().ifPresent(message::setDocument);
     return message;
   }
--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamListing.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamListing.java
@@ -2,6 +2,7 @@
 
 import io.jacinthquay.model.DomainId;
 import io.jacinthquay.model.PoolName;
+import io.jacinthquay.model.SoftwareVersion;
 import io.jacinthquay.model.UpstreamId;
 import java.net.InetSocketAddress;
 import java.util.Objects;
@@ -17,6 +18,7 @@
  * @param cheap whether the platform may reclaim it
  * @param slots requests that it can run concurrently, 1 or more
  * @param coldMillis time until it is warm, in milliseconds from when the list was read
+ * @param version version of its software
  */
 public record UpstreamListing(
     UpstreamId upstream,
@@ -26,7 +28,8 @@
     boolean draining,
     boolean cheap,
     int slots,
-    long coldMillis) {
+    long coldMillis,
+    SoftwareVersion version) {
   /**
    * Checks the range.
    *
@@ -37,8 +40,31 @@
     Objects.requireNonNull(pool, "pool");
     Objects.requireNonNull(domain, "domain");
     Objects.requireNonNull(address, "address");
+    Objects.requireNonNull(version, "version");
     if (slots < 1) {
       throw new IllegalArgumentException("slots must be 1 or more");
     }
   }
+
+  /** Returns an upstream for which the platform states no version of its software. */
+  public UpstreamListing(
+      UpstreamId upstream,
+      PoolName pool,
+      DomainId domain,
+      InetSocketAddress address,
+      boolean draining,
+      boolean cheap,
+      int slots,
+      long coldMillis) {
+    this(
+        upstream,
+        pool,
+        domain,
+        address,
+        draining,
+        cheap,
+        slots,
+        coldMillis,
+        SoftwareVersion.UNSPECIFIED);
+  }
 }
--- a/router/src/main/java/io/jacinthquay/router/port/RequestMetadata.java
+++ b/router/src/main/java/io/jacinthquay/router/port/RequestMetadata.java
@@ -17,6 +17,7 @@
  * @param outputTokens limit of output tokens, 0 if not stated
  * @param promptParts the parts of the prompt, in order
  * @param lastEventId number of the last event that the caller has received, if it resumes a stream
+ * @param resumedAttempt id of the attempt that brought the stream's first event, if it names one
  */
 public record RequestMetadata(
     String attemptId,
@@ -26,7 +27,8 @@
     int promptTokens,
     int outputTokens,
     List<PromptPart> promptParts,
-    OptionalLong lastEventId) {
+    OptionalLong lastEventId,
+    Optional<String> resumedAttempt) {
   /**
    * Copies the parts of the prompt.
    *
@@ -36,6 +38,7 @@
     Objects.requireNonNull(attemptId, "attemptId");
     Objects.requireNonNull(host, "host");
     Objects.requireNonNull(key, "key");
+    Objects.requireNonNull(resumedAttempt, "resumedAttempt");
     promptParts = List.copyOf(promptParts);
   }
 }
--- a/router/src/test/java/io/jacinthquay/router/service/forward/MinimalForwardProtocol.java
+++ b/router/src/test/java/io/jacinthquay/router/service/forward/MinimalForwardProtocol.java
@@ -45,7 +45,8 @@
         0,
         0,
         List.of(),
-        OptionalLong.empty());
+        OptionalLong.empty(),
+        Optional.empty());
   }
 
   @Override
--- a/wire/src/main/java/io/jacinthquay/wire/convert/UpstreamMessages.java
+++ b/wire/src/main/java/io/jacinthquay/wire/convert/UpstreamMessages.java
@@ -4,6 +4,7 @@
 import io.jacinthquay.decision.dispatch.UpstreamLoad;
 import io.jacinthquay.model.DomainId;
 import io.jacinthquay.model.PoolName;
+import io.jacinthquay.model.SoftwareVersion;
 import io.jacinthquay.model.UpstreamId;
 import io.jacinthquay.runtime.settings.SocketAddresses;
 import io.jacinthquay.wire.gen.ListedUpstreamMessage;
@@ -46,7 +47,8 @@
         listing.draining(),
         listing.cheap(),
         listing.slots(),
-        Math.max(0, listing.coldMillis() - ageMillis));
+        Math.max(0, listing.coldMillis() - ageMillis),
+        listing.version().value());
   }
 
   /**
@@ -63,6 +65,7 @@
         message.isDraining(),
         message.isCheap(),
         message.getSlots(),
-        message.getColdMillis());
+        message.getColdMillis(),
+        new SoftwareVersion(message.getVersion()));
   }
 }
--- a/wire/src/main/java/io/jacinthquay/wire/gen/Control.java
+++ b/wire/src/main/java/io/jacinthquay/wire/gen/Control.java
@@ -20,6 +20,13 @@
      */
     public ControlViewMessage relay(RelayReportMessage report) throws org.apache.thrift.TException;
 
+    /**
+     * Answers which versions began some streams.
+     * 
+     * @param questions
+     */
+    public StreamOriginsMessage findOrigins(java.util.List<StreamQuestionMessage> questions) throws org.apache.thrift.TException;
+
   }
 
   public interface AsyncIface {
@@ -28,6 +35,8 @@
 
     public void relay(RelayReportMessage report, org.apache.thrift.async.AsyncMethodCallback<ControlViewMessage> resultHandler) throws org.apache.thrift.TException;
 
+    public void findOrigins(java.util.List<StreamQuestionMessage> questions, org.apache.thrift.async.AsyncMethodCallback<StreamOriginsMessage> resultHandler) throws org.apache.thrift.TException;
+
   }
 
   public static class Client extends org.apache.thrift.TServiceClient implements Iface {
@@ -100,6 +109,30 @@
       throw new org.apache.thrift.TApplicationException(org.apache.thrift.TApplicationException.MISSING_RESULT, "relay failed: unknown result");
     }
 
+    @Override
+    public StreamOriginsMessage findOrigins(java.util.List<StreamQuestionMessage> questions) throws org.apache.thrift.TException
+    {
+      send_findOrigins(questions);
+      return recv_findOrigins();
+    }
+
+    public void send_findOrigins(java.util.List<StreamQuestionMessage> questions) throws org.apache.thrift.TException
+    {
+      findOrigins_args args = new findOrigins_args();
+      args.setQuestions(questions);
+      sendBase("findOrigins", args);
+    }
+
+    public StreamOriginsMessage recv_findOrigins() throws org.apache.thrift.TException
+    {
+      findOrigins_result result = new findOrigins_result();
+      receiveBase(result, "findOrigins");
+      if (result.isSetSuccess()) {
+        return result.success;
+      }
+      throw new org.apache.thrift.TApplicationException(org.apache.thrift.TApplicationException.MISSING_RESULT, "findOrigins failed: unknown result");
+    }
+
   }
   public static class AsyncClient extends org.apache.thrift.async.TAsyncClient implements AsyncIface {
     public static class Factory implements org.apache.thrift.async.TAsyncClientFactory<AsyncClient> {
@@ -189,6 +222,41 @@
       }
     }
 
+    @Override
+    public void findOrigins(java.util.List<StreamQuestionMessage> questions, org.apache.thrift.async.AsyncMethodCallback<StreamOriginsMessage> resultHandler) throws org.apache.thrift.TException {
+      checkReady();
+      findOrigins_call method_call = new findOrigins_call(questions, resultHandler, this, ___protocolFactory, ___transport);
+      this.___currentMethod = method_call;
+      ___manager.call(method_call);
+    }
+
+    public static class findOrigins_call extends org.apache.thrift.async.TAsyncMethodCall<StreamOriginsMessage> {
+      private java.util.List<StreamQuestionMessage> questions;
+      public findOrigins_call(java.util.List<StreamQuestionMessage> questions, org.apache.thrift.async.AsyncMethodCallback<StreamOriginsMessage> resultHandler, org.apache.thrift.async.TAsyncClient client, org.apache.thrift.protocol.TProtocolFactory protocolFactory, org.apache.thrift.transport.TNonblockingTransport transport) throws org.apache.thrift.TException {
+        super(client, protocolFactory, transport, resultHandler, false);
+        this.questions = questions;
+      }
+
+      @Override
+      public void write_args(org.apache.thrift.protocol.TProtocol prot) throws org.apache.thrift.TException {
+        prot.writeMessageBegin(new org.apache.thrift.protocol.TMessage("findOrigins", org.apache.thrift.protocol.TMessageType.CALL, 0));
+        findOrigins_args args = new findOrigins_args();
+        args.setQuestions(questions);
+        args.write(prot);
+        prot.writeMessageEnd();
+      }
+
+      @Override
+      public StreamOriginsMessage getResult() throws org.apache.thrift.TException {
+        if (getState() != org.apache.thrift.async.TAsyncMethodCall.State.RESPONSE_READ) {
+          throw new java.lang.IllegalStateException("Method call not finished!");
+        }
+        org.apache.thrift.transport.TMemoryInputTransport memoryTransport = new org.apache.thrift.transport.TMemoryInputTransport(getFrameBuffer().array());
+        org.apache.thrift.protocol.TProtocol prot = client.getProtocolFactory().getProtocol(memoryTransport);
+        return (new Client(prot)).recv_findOrigins();
+      }
+    }
+
   }
 
   public static class Processor<I extends Iface> extends org.apache.thrift.TBaseProcessor<I> implements org.apache.thrift.TProcessor {
@@ -204,6 +272,7 @@
     private static <I extends Iface> java.util.Map<java.lang.String,  org.apache.thrift.ProcessFunction<I, ? extends org.apache.thrift.TBase>> getProcessMap(java.util.Map<java.lang.String, org.apache.thrift.ProcessFunction<I, ? extends  org.apache.thrift.TBase>> processMap) {
       processMap.put("exchange", new exchange());
       processMap.put("relay", new relay());
+      processMap.put("findOrigins", new findOrigins());
       return processMap;
     }
 
@@ -263,6 +332,34 @@
       }
     }
 
+    public static class findOrigins<I extends Iface> extends org.apache.thrift.ProcessFunction<I, findOrigins_args> {
+      public findOrigins() {
+        super("findOrigins");
+      }
+
+      @Override
+      public findOrigins_args getEmptyArgsInstance() {
+        return new findOrigins_args();
+      }
+
+      @Override
+      protected boolean isOneway() {
+        return false;
+      }
+
+      @Override
+      protected boolean rethrowUnhandledExceptions() {
+        return false;
+      }
+
+      @Override
+      public findOrigins_result getResult(I iface, findOrigins_args args) throws org.apache.thrift.TException {
+        findOrigins_result result = new findOrigins_result();
+        result.success = iface.findOrigins(args.questions);
+        return result;
+      }
+    }
+
   }
 
   public static class AsyncProcessor<I extends AsyncIface> extends org.apache.thrift.TBaseAsyncProcessor<I> {
@@ -278,6 +375,7 @@
     private static <I extends AsyncIface> java.util.Map<java.lang.String,  org.apache.thrift.AsyncProcessFunction<I, ? extends  org.apache.thrift.TBase,?>> getProcessMap(java.util.Map<java.lang.String,  org.apache.thrift.AsyncProcessFunction<I, ? extends  org.apache.thrift.TBase, ?>> processMap) {
       processMap.put("exchange", new exchange());
       processMap.put("relay", new relay());
+      processMap.put("findOrigins", new findOrigins());
       return processMap;
     }
 
@@ -415,6 +513,73 @@
       }
     }
 
+    public static class findOrigins<I extends AsyncIface> extends org.apache.thrift.AsyncProcessFunction<I, findOrigins_args, StreamOriginsMessage> {
+      public findOrigins() {
+        super("findOrigins");
+      }
+
+      @Override
+      public findOrigins_args getEmptyArgsInstance() {
+        return new findOrigins_args();
+      }
+
+      @Override
+      public org.apache.thrift.async.AsyncMethodCallback<StreamOriginsMessage> getResultHandler(final org.apache.thrift.server.AbstractNonblockingServer.AsyncFrameBuffer fb, final int seqid) {
+        final org.apache.thrift.AsyncProcessFunction fcall = this;
+        return new org.apache.thrift.async.AsyncMethodCallback<StreamOriginsMessage>() { 
+          @Override
+          public void onComplete(StreamOriginsMessage o) {
+            findOrigins_result result = new findOrigins_result();
+            result.success = o;
+            try {
+              fcall.sendResponse(fb, result, org.apache.thrift.protocol.TMessageType.REPLY,seqid);
+            } catch (org.apache.thrift.transport.TTransportException e) {
+              _LOGGER.error("TTransportException writing to internal frame buffer", e);
+              fb.close();
+            } catch (java.lang.Exception e) {
+              _LOGGER.error("Exception writing to internal frame buffer", e);
+              onError(e);
+            }
+          }
+          @Override
+          public void onError(java.lang.Exception e) {
+            byte msgType = org.apache.thrift.protocol.TMessageType.REPLY;
+            org.apache.thrift.TSerializable msg;
+            findOrigins_result result = new findOrigins_result();
+            if (e instanceof org.apache.thrift.transport.TTransportException) {
+              _LOGGER.error("TTransportException inside handler", e);
+              fb.close();
+              return;
+            } else if (e instanceof org.apache.thrift.TApplicationException) {
+              _LOGGER.error("TApplicationException inside handler", e);
+              msgType = org.apache.thrift.protocol.TMessageType.EXCEPTION;
+              msg = (org.apache.thrift.TApplicationException)e;
+            } else {
+              _LOGGER.error("Exception inside handler", e);
+              msgType = org.apache.thrift.protocol.TMessageType.EXCEPTION;
+              msg = new org.apache.thrift.TApplicationException(org.apache.thrift.TApplicationException.INTERNAL_ERROR, e.getMessage());
+            }
+            try {
+              fcall.sendResponse(fb,msg,msgType,seqid);
+            } catch (java.lang.Exception ex) {
+              _LOGGER.error("Exception writing to internal frame buffer", ex);
+              fb.close();
+            }
+          }
+        };
+      }
+
+      @Override
+      protected boolean isOneway() {
+        return false;
+      }
+
+      @Override
+      public void start(I iface, findOrigins_args args, org.apache.thrift.async.AsyncMethodCallback<StreamOriginsMessage> resultHandler) throws org.apache.thrift.TException {
+        iface.findOrigins(args.questions,resultHandler);
+      }
+    }
+
   }
 
   @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
@@ -1951,4 +2116,821 @@
     }
   }
 
+  @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
+  public static class findOrigins_args implements org.apache.thrift.TBase<findOrigins_args, findOrigins_args._Fields>, java.io.Serializable, Cloneable, Comparable<findOrigins_args>   {
+    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("findOrigins_args");
+
+    private static final org.apache.thrift.protocol.TField QUESTIONS_FIELD_DESC = new org.apache.thrift.protocol.TField("questions", org.apache.thrift.protocol.TType.LIST, (short)1);
+
+    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new findOrigins_argsStandardSchemeFactory();
+    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new findOrigins_argsTupleSchemeFactory();
+
+    private @org.apache.thrift.annotation.Nullable java.util.List<StreamQuestionMessage> questions; // required
+
+    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+      QUESTIONS((short)1, "questions");
+
+      private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
+
+      static {
+        for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+          byName.put(field.getFieldName(), field);
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByThriftId(int fieldId) {
+        switch(fieldId) {
+          case 1: // QUESTIONS
+            return QUESTIONS;
+          default:
+            return null;
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, throwing an exception
+       * if it is not found.
+       */
+      public static _Fields findByThriftIdOrThrow(int fieldId) {
+        _Fields fields = findByThriftId(fieldId);
+        if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+        return fields;
+      }
+
+      /**
+       * Find the _Fields constant that matches name, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByName(java.lang.String name) {
+        return byName.get(name);
+      }
+
+      private final short _thriftId;
+      private final java.lang.String _fieldName;
+
+      _Fields(short thriftId, java.lang.String fieldName) {
+        _thriftId = thriftId;
+        _fieldName = fieldName;
+      }
+
+      @Override
+      public short getThriftFieldId() {
+        return _thriftId;
+      }
+
+      @Override
+      public java.lang.String getFieldName() {
+        return _fieldName;
+      }
+    }
+
+    // isset id assignments
+    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    static {
+      java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+      tmpMap.put(_Fields.QUESTIONS, new org.apache.thrift.meta_data.FieldMetaData("questions", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+          new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+              new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, StreamQuestionMessage.class))));
+      metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+      org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(findOrigins_args.class, metaDataMap);
+    }
+
+    public findOrigins_args() {
+    }
+
+    public findOrigins_args(
+      java.util.List<StreamQuestionMessage> questions)
+    {
+      this();
+      this.questions = questions;
+    }
+
+    /**
+     * Performs a deep copy on <i>other</i>.
+     */
+    public findOrigins_args(findOrigins_args other) {
+      if (other.isSetQuestions()) {
+        java.util.List<StreamQuestionMessage> __this__questions = new java.util.ArrayList<StreamQuestionMessage>(other.questions.size());
+        for (StreamQuestionMessage other_element : other.questions) {
+          __this__questions.add(new StreamQuestionMessage(other_element));
+        }
+        this.questions = __this__questions;
+      }
+    }
+
+    @Override
+    public findOrigins_args deepCopy() {
+      return new findOrigins_args(this);
+    }
+
+    @Override
+    public void clear() {
+      this.questions = null;
+    }
+
+    public int getQuestionsSize() {
+      return (this.questions == null) ? 0 : this.questions.size();
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    public java.util.Iterator<StreamQuestionMessage> getQuestionsIterator() {
+      return (this.questions == null) ? null : this.questions.iterator();
+    }
+
+    public void addToQuestions(StreamQuestionMessage elem) {
+      if (this.questions == null) {
+        this.questions = new java.util.ArrayList<StreamQuestionMessage>();
+      }
+      this.questions.add(elem);
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    public java.util.List<StreamQuestionMessage> getQuestions() {
+      return this.questions;
+    }
+
+    public findOrigins_args setQuestions(@org.apache.thrift.annotation.Nullable java.util.List<StreamQuestionMessage> questions) {
+      this.questions = questions;
+      return this;
+    }
+
+    public void unsetQuestions() {
+      this.questions = null;
+    }
+
+    /** Returns true if field questions is set (has been assigned a value) and false otherwise */
+    public boolean isSetQuestions() {
+      return this.questions != null;
+    }
+
+    public void setQuestionsIsSet(boolean value) {
+      if (!value) {
+        this.questions = null;
+      }
+    }
+
+    @Override
+    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+      switch (field) {
+      case QUESTIONS:
+        if (value == null) {
+          unsetQuestions();
+        } else {
+          setQuestions((java.util.List<StreamQuestionMessage>)value);
+        }
+        break;
+
+      }
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public java.lang.Object getFieldValue(_Fields field) {
+      switch (field) {
+      case QUESTIONS:
+        return getQuestions();
+
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+    @Override
+    public boolean isSet(_Fields field) {
+      if (field == null) {
+        throw new java.lang.IllegalArgumentException();
+      }
+
+      switch (field) {
+      case QUESTIONS:
+        return isSetQuestions();
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    @Override
+    public boolean equals(java.lang.Object that) {
+      if (that instanceof findOrigins_args)
+        return this.equals((findOrigins_args)that);
+      return false;
+    }
+
+    public boolean equals(findOrigins_args that) {
+      if (that == null)
+        return false;
+      if (this == that)
+        return true;
+
+      boolean this_present_questions = true && this.isSetQuestions();
+      boolean that_present_questions = true && that.isSetQuestions();
+      if (this_present_questions || that_present_questions) {
+        if (!(this_present_questions && that_present_questions))
+          return false;
+        if (!this.questions.equals(that.questions))
+          return false;
+      }
+
+      return true;
+    }
+
+    @Override
+    public int hashCode() {
+      int hashCode = 1;
+
+      hashCode = hashCode * 8191 + ((isSetQuestions()) ? 131071 : 524287);
+      if (isSetQuestions())
+        hashCode = hashCode * 8191 + questions.hashCode();
+
+      return hashCode;
+    }
+
+    @Override
+    public int compareTo(findOrigins_args other) {
+      if (!getClass().equals(other.getClass())) {
+        return getClass().getName().compareTo(other.getClass().getName());
+      }
+
+      int lastComparison = 0;
+
+      lastComparison = java.lang.Boolean.compare(isSetQuestions(), other.isSetQuestions());
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+      if (isSetQuestions()) {
+        lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.questions, other.questions);
+        if (lastComparison != 0) {
+          return lastComparison;
+        }
+      }
+      return 0;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public _Fields fieldForId(int fieldId) {
+      return _Fields.findByThriftId(fieldId);
+    }
+
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+      scheme(iprot).read(iprot, this);
+    }
+
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+      scheme(oprot).write(oprot, this);
+    }
+
+    @Override
+    public java.lang.String toString() {
+      java.lang.StringBuilder sb = new java.lang.StringBuilder("findOrigins_args(");
+      boolean first = true;
+
+      sb.append("questions:");
+      if (this.questions == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.questions);
+      }
+      first = false;
+      sb.append(")");
+      return sb.toString();
+    }
+
+    public void validate() throws org.apache.thrift.TException {
+      // check for required fields
+      // check for sub-struct validity
+    }
+
+    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+      try {
+        write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+      try {
+        read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private static class findOrigins_argsStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public findOrigins_argsStandardScheme getScheme() {
+        return new findOrigins_argsStandardScheme();
+      }
+    }
+
+    private static class findOrigins_argsStandardScheme extends org.apache.thrift.scheme.StandardScheme<findOrigins_args> {
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol iprot, findOrigins_args struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TField schemeField;
+        iprot.readStructBegin();
+        while (true)
+        {
+          schemeField = iprot.readFieldBegin();
+          if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+            break;
+          }
+          switch (schemeField.id) {
+            case 1: // QUESTIONS
+              if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+                {
+                  org.apache.thrift.protocol.TList _list282 = iprot.readListBegin();
+                  struct.questions = new java.util.ArrayList<StreamQuestionMessage>(_list282.size);
+                  @org.apache.thrift.annotation.Nullable StreamQuestionMessage _elem283;
+                  for (int _i284 = 0; _i284 < _list282.size; ++_i284)
+                  {
+                    _elem283 = new StreamQuestionMessage();
+                    _elem283.read(iprot);
+                    struct.questions.add(_elem283);
+                  }
+                  iprot.readListEnd();
+                }
+                struct.setQuestionsIsSet(true);
+              } else { 
+                org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+              }
+              break;
+            default:
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+          }
+          iprot.readFieldEnd();
+        }
+        iprot.readStructEnd();
+
+        // check for required fields of primitive type, which can't be checked in the validate method
+        struct.validate();
+      }
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol oprot, findOrigins_args struct) throws org.apache.thrift.TException {
+        struct.validate();
+
+        oprot.writeStructBegin(STRUCT_DESC);
+        if (struct.questions != null) {
+          oprot.writeFieldBegin(QUESTIONS_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.questions.size()));
+            for (StreamQuestionMessage _iter285 : struct.questions)
+            {
+              _iter285.write(oprot);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+        oprot.writeFieldStop();
+        oprot.writeStructEnd();
+      }
+
+    }
+
+    private static class findOrigins_argsTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public findOrigins_argsTupleScheme getScheme() {
+        return new findOrigins_argsTupleScheme();
+      }
+    }
+
+    private static class findOrigins_argsTupleScheme extends org.apache.thrift.scheme.TupleScheme<findOrigins_args> {
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol prot, findOrigins_args struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet optionals = new java.util.BitSet();
+        if (struct.isSetQuestions()) {
+          optionals.set(0);
+        }
+        oprot.writeBitSet(optionals, 1);
+        if (struct.isSetQuestions()) {
+          {
+            oprot.writeI32(struct.questions.size());
+            for (StreamQuestionMessage _iter286 : struct.questions)
+            {
+              _iter286.write(oprot);
+            }
+          }
+        }
+      }
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol prot, findOrigins_args struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet incoming = iprot.readBitSet(1);
+        if (incoming.get(0)) {
+          {
+            org.apache.thrift.protocol.TList _list287 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+            struct.questions = new java.util.ArrayList<StreamQuestionMessage>(_list287.size);
+            @org.apache.thrift.annotation.Nullable StreamQuestionMessage _elem288;
+            for (int _i289 = 0; _i289 < _list287.size; ++_i289)
+            {
+              _elem288 = new StreamQuestionMessage();
+              _elem288.read(iprot);
+              struct.questions.add(_elem288);
+            }
+          }
+          struct.setQuestionsIsSet(true);
+        }
+      }
+    }
+
+    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+      return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+    }
+  }
+
+  @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
+  public static class findOrigins_result implements org.apache.thrift.TBase<findOrigins_result, findOrigins_result._Fields>, java.io.Serializable, Cloneable, Comparable<findOrigins_result>   {
+    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("findOrigins_result");
+
+    private static final org.apache.thrift.protocol.TField SUCCESS_FIELD_DESC = new org.apache.thrift.protocol.TField("success", org.apache.thrift.protocol.TType.STRUCT, (short)0);
+
+    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new findOrigins_resultStandardSchemeFactory();
+    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new findOrigins_resultTupleSchemeFactory();
+
+    private @org.apache.thrift.annotation.Nullable StreamOriginsMessage success; // required
+
+    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+      SUCCESS((short)0, "success");
+
+      private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
+
+      static {
+        for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+          byName.put(field.getFieldName(), field);
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByThriftId(int fieldId) {
+        switch(fieldId) {
+          case 0: // SUCCESS
+            return SUCCESS;
+          default:
+            return null;
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, throwing an exception
+       * if it is not found.
+       */
+      public static _Fields findByThriftIdOrThrow(int fieldId) {
+        _Fields fields = findByThriftId(fieldId);
+        if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+        return fields;
+      }
+
+      /**
+       * Find the _Fields constant that matches name, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByName(java.lang.String name) {
+        return byName.get(name);
+      }
+
+      private final short _thriftId;
+      private final java.lang.String _fieldName;
+
+      _Fields(short thriftId, java.lang.String fieldName) {
+        _thriftId = thriftId;
+        _fieldName = fieldName;
+      }
+
+      @Override
+      public short getThriftFieldId() {
+        return _thriftId;
+      }
+
+      @Override
+      public java.lang.String getFieldName() {
+        return _fieldName;
+      }
+    }
+
+    // isset id assignments
+    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    static {
+      java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+      tmpMap.put(_Fields.SUCCESS, new org.apache.thrift.meta_data.FieldMetaData("success", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+          new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, StreamOriginsMessage.class)));
+      metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+      org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(findOrigins_result.class, metaDataMap);
+    }
+
+    public findOrigins_result() {
+    }
+
+    public findOrigins_result(
+      StreamOriginsMessage success)
+    {
+      this();
+      this.success = success;
+    }
+
+    /**
+     * Performs a deep copy on <i>other</i>.
+     */
+    public findOrigins_result(findOrigins_result other) {
+      if (other.isSetSuccess()) {
+        this.success = new StreamOriginsMessage(other.success);
+      }
+    }
+
+    @Override
+    public findOrigins_result deepCopy() {
+      return new findOrigins_result(this);
+    }
+
+    @Override
+    public void clear() {
+      this.success = null;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    public StreamOriginsMessage getSuccess() {
+      return this.success;
+    }
+
+    public findOrigins_result setSuccess(@org.apache.thrift.annotation.Nullable StreamOriginsMessage success) {
+      this.success = success;
+      return this;
+    }
+
+    public void unsetSuccess() {
+      this.success = null;
+    }
+
+    /** Returns true if field success is set (has been assigned a value) and false otherwise */
+    public boolean isSetSuccess() {
+      return this.success != null;
+    }
+
+    public void setSuccessIsSet(boolean value) {
+      if (!value) {
+        this.success = null;
+      }
+    }
+
+    @Override
+    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+      switch (field) {
+      case SUCCESS:
+        if (value == null) {
+          unsetSuccess();
+        } else {
+          setSuccess((StreamOriginsMessage)value);
+        }
+        break;
+
+      }
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public java.lang.Object getFieldValue(_Fields field) {
+      switch (field) {
+      case SUCCESS:
+        return getSuccess();
+
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+    @Override
+    public boolean isSet(_Fields field) {
+      if (field == null) {
+        throw new java.lang.IllegalArgumentException();
+      }
+
+      switch (field) {
+      case SUCCESS:
+        return isSetSuccess();
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    @Override
+    public boolean equals(java.lang.Object that) {
+      if (that instanceof findOrigins_result)
+        return this.equals((findOrigins_result)that);
+      return false;
+    }
+
+    public boolean equals(findOrigins_result that) {
+      if (that == null)
+        return false;
+      if (this == that)
+        return true;
+
+      boolean this_present_success = true && this.isSetSuccess();
+      boolean that_present_success = true && that.isSetSuccess();
+      if (this_present_success || that_present_success) {
+        if (!(this_present_success && that_present_success))
+          return false;
+        if (!this.success.equals(that.success))
+          return false;
+      }
+
+      return true;
+    }
+
+    @Override
+    public int hashCode() {
+      int hashCode = 1;
+
+      hashCode = hashCode * 8191 + ((isSetSuccess()) ? 131071 : 524287);
+      if (isSetSuccess())
+        hashCode = hashCode * 8191 + success.hashCode();
+
+      return hashCode;
+    }
+
+    @Override
+    public int compareTo(findOrigins_result other) {
+      if (!getClass().equals(other.getClass())) {
+        return getClass().getName().compareTo(other.getClass().getName());
+      }
+
+      int lastComparison = 0;
+
+      lastComparison = java.lang.Boolean.compare(isSetSuccess(), other.isSetSuccess());
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+      if (isSetSuccess()) {
+        lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.success, other.success);
+        if (lastComparison != 0) {
+          return lastComparison;
+        }
+      }
+      return 0;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public _Fields fieldForId(int fieldId) {
+      return _Fields.findByThriftId(fieldId);
+    }
+
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+      scheme(iprot).read(iprot, this);
+    }
+
+    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+      scheme(oprot).write(oprot, this);
+      }
+
+    @Override
+    public java.lang.String toString() {
+      java.lang.StringBuilder sb = new java.lang.StringBuilder("findOrigins_result(");
+      boolean first = true;
+
+      sb.append("success:");
+      if (this.success == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.success);
+      }
+      first = false;
+      sb.append(")");
+      return sb.toString();
+    }
+
+    public void validate() throws org.apache.thrift.TException {
+      // check for required fields
+      // check for sub-struct validity
+      if (success != null) {
+        success.validate();
+      }
+    }
+
+    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+      try {
+        write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+      try {
+        read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private static class findOrigins_resultStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public findOrigins_resultStandardScheme getScheme() {
+        return new findOrigins_resultStandardScheme();
+      }
+    }
+
+    private static class findOrigins_resultStandardScheme extends org.apache.thrift.scheme.StandardScheme<findOrigins_result> {
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol iprot, findOrigins_result struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TField schemeField;
+        iprot.readStructBegin();
+        while (true)
+        {
+          schemeField = iprot.readFieldBegin();
+          if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+            break;
+          }
+          switch (schemeField.id) {
+            case 0: // SUCCESS
+              if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+                struct.success = new StreamOriginsMessage();
+                struct.success.read(iprot);
+                struct.setSuccessIsSet(true);
+              } else { 
+                org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+              }
+              break;
+            default:
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+          }
+          iprot.readFieldEnd();
+        }
+        iprot.readStructEnd();
+
+        // check for required fields of primitive type, which can't be checked in the validate method
+        struct.validate();
+      }
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol oprot, findOrigins_result struct) throws org.apache.thrift.TException {
+        struct.validate();
+
+        oprot.writeStructBegin(STRUCT_DESC);
+        if (struct.success != null) {
+          oprot.writeFieldBegin(SUCCESS_FIELD_DESC);
+          struct.success.write(oprot);
+          oprot.writeFieldEnd();
+        }
+        oprot.writeFieldStop();
+        oprot.writeStructEnd();
+      }
+
+    }
+
+    private static class findOrigins_resultTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public findOrigins_resultTupleScheme getScheme() {
+        return new findOrigins_resultTupleScheme();
+      }
+    }
+
+    private static class findOrigins_resultTupleScheme extends org.apache.thrift.scheme.TupleScheme<findOrigins_result> {
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol prot, findOrigins_result struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet optionals = new java.util.BitSet();
+        if (struct.isSetSuccess()) {
+          optionals.set(0);
+        }
+        oprot.writeBitSet(optionals, 1);
+        if (struct.isSetSuccess()) {
+          struct.success.write(oprot);
+        }
+      }
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol prot, findOrigins_result struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet incoming = iprot.readBitSet(1);
+        if (incoming.get(0)) {
+          struct.success = new StreamOriginsMessage();
+          struct.success.read(iprot);
+          struct.setSuccessIsSet(true);
+        }
+      }
+    }
+
+    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+      return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+    }
+  }
+
 }
--- a/wire/src/main/java/io/jacinthquay/wire/gen/ControlCommand.java
+++ b/wire/src/main/java/io/jacinthquay/wire/gen/ControlCommand.java
@@ -14,6 +14,7 @@
   private static final org.apache.thrift.protocol.TField SEAL_COUNTS_FIELD_DESC = new org.apache.thrift.protocol.TField("sealCounts", org.apache.thrift.protocol.TType.STRUCT, (short)3);
   private static final org.apache.thrift.protocol.TField QUARANTINE_PART_FIELD_DESC = new org.apache.thrift.protocol.TField("quarantinePart", org.apache.thrift.protocol.TType.STRUCT, (short)4);
   private static final org.apache.thrift.protocol.TField RELEASE_PART_FIELD_DESC = new org.apache.thrift.protocol.TField("releasePart", org.apache.thrift.protocol.TType.STRUCT, (short)5);
+  private static final org.apache.thrift.protocol.TField POOL_VERSIONS_FIELD_DESC = new org.apache.thrift.protocol.TField("poolVersions", org.apache.thrift.protocol.TType.STRUCT, (short)6);
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -21,7 +22,8 @@
     CLOSE_DOMAIN((short)2, "closeDomain"),
     SEAL_COUNTS((short)3, "sealCounts"),
     QUARANTINE_PART((short)4, "quarantinePart"),
-    RELEASE_PART((short)5, "releasePart");
+    RELEASE_PART((short)5, "releasePart"),
+    POOL_VERSIONS((short)6, "poolVersions");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -47,6 +49,8 @@
           return QUARANTINE_PART;
         case 5: // RELEASE_PART
           return RELEASE_PART;
+        case 6: // POOL_VERSIONS
+          return POOL_VERSIONS;
         default:
           return null;
       }
@@ -102,6 +106,8 @@
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, QuarantinePartCommand.class)));
     tmpMap.put(_Fields.RELEASE_PART, new org.apache.thrift.meta_data.FieldMetaData("releasePart", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, ReleasePartCommand.class)));
+    tmpMap.put(_Fields.POOL_VERSIONS, new org.apache.thrift.meta_data.FieldMetaData("poolVersions", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, PoolVersionsCommand.class)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ControlCommand.class, metaDataMap);
   }
@@ -152,6 +158,12 @@
     return x;
   }
 
+  public static ControlCommand poolVersions(PoolVersionsCommand value) {
+    ControlCommand x = new ControlCommand();
+    x.setPoolVersions(value);
+    return x;
+  }
+
 
   @Override
   protected void checkType(_Fields setField, java.lang.Object value) throws java.lang.ClassCastException {
@@ -181,6 +193,11 @@
           break;
         }
         throw new java.lang.ClassCastException("Was expecting value of type ReleasePartCommand for field 'releasePart', but got " + value.getClass().getSimpleName());
+      case POOL_VERSIONS:
+        if (value instanceof PoolVersionsCommand) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type PoolVersionsCommand for field 'poolVersions', but got " + value.getClass().getSimpleName());
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -241,6 +258,16 @@
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
             return null;
           }
+        case POOL_VERSIONS:
+          if (field.type == POOL_VERSIONS_FIELD_DESC.type) {
+            PoolVersionsCommand poolVersions;
+            poolVersions = new PoolVersionsCommand();
+            poolVersions.read(iprot);
+            return poolVersions;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -273,6 +300,10 @@
         ReleasePartCommand releasePart = (ReleasePartCommand)value_;
         releasePart.write(oprot);
         return;
+      case POOL_VERSIONS:
+        PoolVersionsCommand poolVersions = (PoolVersionsCommand)value_;
+        poolVersions.write(oprot);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -308,6 +339,11 @@
           releasePart = new ReleasePartCommand();
           releasePart.read(iprot);
           return releasePart;
+        case POOL_VERSIONS:
+          PoolVersionsCommand poolVersions;
+          poolVersions = new PoolVersionsCommand();
+          poolVersions.read(iprot);
+          return poolVersions;
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -339,6 +375,10 @@
         ReleasePartCommand releasePart = (ReleasePartCommand)value_;
         releasePart.write(oprot);
         return;
+      case POOL_VERSIONS:
+        PoolVersionsCommand poolVersions = (PoolVersionsCommand)value_;
+        poolVersions.write(oprot);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -357,6 +397,8 @@
         return QUARANTINE_PART_FIELD_DESC;
       case RELEASE_PART:
         return RELEASE_PART_FIELD_DESC;
+      case POOL_VERSIONS:
+        return POOL_VERSIONS_FIELD_DESC;
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -444,6 +486,19 @@
     value_ = java.util.Objects.requireNonNull(value,"_Fields.RELEASE_PART");
   }
 
+  public PoolVersionsCommand getPoolVersions() {
+    if (getSetField() == _Fields.POOL_VERSIONS) {
+      return (PoolVersionsCommand)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'poolVersions' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setPoolVersions(PoolVersionsCommand value) {
+    setField_ = _Fields.POOL_VERSIONS;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.POOL_VERSIONS");
+  }
+
   public boolean isSetDocument() {
     return setField_ == _Fields.DOCUMENT;
   }
@@ -469,6 +524,11 @@
   }
 
 
+  public boolean isSetPoolVersions() {
+    return setField_ == _Fields.POOL_VERSIONS;
+  }
+
+
   public boolean equals(java.lang.Object other) {
     if (other instanceof ControlCommand) {
       return equals((ControlCommand)other);
--- a/wire/src/main/java/io/jacinthquay/wire/gen/ControlSnapshot.java
+++ b/wire/src/main/java/io/jacinthquay/wire/gen/ControlSnapshot.java
@@ -17,6 +17,7 @@
   private static final org.apache.thrift.protocol.TField SEALED_FIELD_DESC = new org.apache.thrift.protocol.TField("sealed", org.apache.thrift.protocol.TType.MAP, (short)5);
   private static final org.apache.thrift.protocol.TField QUARANTINED_PARTS_FIELD_DESC = new org.apache.thrift.protocol.TField("quarantinedParts", org.apache.thrift.protocol.TType.LIST, (short)6);
   private static final org.apache.thrift.protocol.TField QUARANTINE_INDEX_FIELD_DESC = new org.apache.thrift.protocol.TField("quarantineIndex", org.apache.thrift.protocol.TType.I64, (short)7);
+  private static final org.apache.thrift.protocol.TField POOL_VERSIONS_FIELD_DESC = new org.apache.thrift.protocol.TField("poolVersions", org.apache.thrift.protocol.TType.LIST, (short)8);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new ControlSnapshotStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new ControlSnapshotTupleSchemeFactory();
@@ -28,6 +29,7 @@
   private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.Long,java.util.Map<java.lang.String,java.lang.Long>> sealed; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<QuarantinedPartMessage> quarantinedParts; // required
   private long quarantineIndex; // required
+  private @org.apache.thrift.annotation.Nullable java.util.List<PoolVersionsMessage> poolVersions; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -37,7 +39,11 @@
     CLOSED_INDEX((short)4, "closedIndex"),
     SEALED((short)5, "sealed"),
     QUARANTINED_PARTS((short)6, "quarantinedParts"),
-    QUARANTINE_INDEX((short)7, "quarantineIndex");
+    QUARANTINE_INDEX((short)7, "quarantineIndex"),
+    /**
+     * Versions of pools, oldest first.
+     */
+    POOL_VERSIONS((short)8, "poolVersions");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -67,6 +73,8 @@
           return QUARANTINED_PARTS;
         case 7: // QUARANTINE_INDEX
           return QUARANTINE_INDEX;
+        case 8: // POOL_VERSIONS
+          return POOL_VERSIONS;
         default:
           return null;
       }
@@ -138,6 +146,9 @@
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, QuarantinedPartMessage.class))));
     tmpMap.put(_Fields.QUARANTINE_INDEX, new org.apache.thrift.meta_data.FieldMetaData("quarantineIndex", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.POOL_VERSIONS, new org.apache.thrift.meta_data.FieldMetaData("poolVersions", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, PoolVersionsMessage.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ControlSnapshot.class, metaDataMap);
   }
@@ -147,6 +158,8 @@
 
     this.quarantineIndex = 0L;
 
+    this.poolVersions = new java.util.ArrayList<PoolVersionsMessage>();
+
   }
 
   public ControlSnapshot(
@@ -155,7 +168,8 @@
     long closedIndex,
     java.util.Map<java.lang.Long,java.util.Map<java.lang.String,java.lang.Long>> sealed,
     java.util.List<QuarantinedPartMessage> quarantinedParts,
-    long quarantineIndex)
+    long quarantineIndex,
+    java.util.List<PoolVersionsMessage> poolVersions)
   {
     this();
     this.version = version;
@@ -167,6 +181,7 @@
     this.quarantinedParts = quarantinedParts;
     this.quarantineIndex = quarantineIndex;
     setQuarantineIndexIsSet(true);
+    this.poolVersions = poolVersions;
   }
 
   /**
@@ -206,6 +221,13 @@
       this.quarantinedParts = __this__quarantinedParts;
     }
     this.quarantineIndex = other.quarantineIndex;
+    if (other.isSetPoolVersions()) {
+      java.util.List<PoolVersionsMessage> __this__poolVersions = new java.util.ArrayList<PoolVersionsMessage>(other.poolVersions.size());
+      for (PoolVersionsMessage other_element : other.poolVersions) {
+        __this__poolVersions.add(new PoolVersionsMessage(other_element));
+      }
+      this.poolVersions = __this__poolVersions;
+    }
   }
 
   @Override
@@ -226,6 +248,8 @@
 
     this.quarantineIndex = 0L;
 
+    this.poolVersions = new java.util.ArrayList<PoolVersionsMessage>();
+
   }
 
   public long getVersion() {
@@ -449,6 +473,53 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __QUARANTINEINDEX_ISSET_ID, value);
   }
 
+  public int getPoolVersionsSize() {
+    return (this.poolVersions == null) ? 0 : this.poolVersions.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<PoolVersionsMessage> getPoolVersionsIterator() {
+    return (this.poolVersions == null) ? null : this.poolVersions.iterator();
+  }
+
+  public void addToPoolVersions(PoolVersionsMessage elem) {
+    if (this.poolVersions == null) {
+      this.poolVersions = new java.util.ArrayList<PoolVersionsMessage>();
+    }
+    this.poolVersions.add(elem);
+  }
+
+  /**
+   * Versions of pools, oldest first.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<PoolVersionsMessage> getPoolVersions() {
+    return this.poolVersions;
+  }
+
+  /**
+   * Versions of pools, oldest first.
+   */
+  public ControlSnapshot setPoolVersions(@org.apache.thrift.annotation.Nullable java.util.List<PoolVersionsMessage> poolVersions) {
+    this.poolVersions = poolVersions;
+    return this;
+  }
+
+  public void unsetPoolVersions() {
+    this.poolVersions = null;
+  }
+
+  /** Returns true if field poolVersions is set (has been assigned a value) and false otherwise */
+  public boolean isSetPoolVersions() {
+    return this.poolVersions != null;
+  }
+
+  public void setPoolVersionsIsSet(boolean value) {
+    if (!value) {
+      this.poolVersions = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -512,6 +583,14 @@
       }
       break;
 
+    case POOL_VERSIONS:
+      if (value == null) {
+        unsetPoolVersions();
+      } else {
+        setPoolVersions((java.util.List<PoolVersionsMessage>)value);
+      }
+      break;
+
     }
   }
 
@@ -540,6 +619,9 @@
     case QUARANTINE_INDEX:
       return getQuarantineIndex();
 
+    case POOL_VERSIONS:
+      return getPoolVersions();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -566,6 +648,8 @@
       return isSetQuarantinedParts();
     case QUARANTINE_INDEX:
       return isSetQuarantineIndex();
+    case POOL_VERSIONS:
+      return isSetPoolVersions();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -646,6 +730,15 @@
         return false;
     }
 
+    boolean this_present_poolVersions = true && this.isSetPoolVersions();
+    boolean that_present_poolVersions = true && that.isSetPoolVersions();
+    if (this_present_poolVersions || that_present_poolVersions) {
+      if (!(this_present_poolVersions && that_present_poolVersions))
+        return false;
+      if (!this.poolVersions.equals(that.poolVersions))
+        return false;
+    }
+
     return true;
   }
 
@@ -675,6 +768,10 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(quarantineIndex);
 
+    hashCode = hashCode * 8191 + ((isSetPoolVersions()) ? 131071 : 524287);
+    if (isSetPoolVersions())
+      hashCode = hashCode * 8191 + poolVersions.hashCode();
+
     return hashCode;
   }
 
@@ -756,6 +853,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetPoolVersions(), other.isSetPoolVersions());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetPoolVersions()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.poolVersions, other.poolVersions);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -825,6 +932,14 @@
     sb.append("quarantineIndex:");
     sb.append(this.quarantineIndex);
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("poolVersions:");
+    if (this.poolVersions == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.poolVersions);
+    }
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -891,13 +1006,13 @@
           case 3: // CLOSED_DOMAINS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list196 = iprot.readListBegin();
-                struct.closedDomains = new java.util.ArrayList<java.lang.String>(_list196.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem197;
-                for (int _i198 = 0; _i198 < _list196.size; ++_i198)
+                org.apache.thrift.protocol.TList _list238 = iprot.readListBegin();
+                struct.closedDomains = new java.util.ArrayList<java.lang.String>(_list238.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem239;
+                for (int _i240 = 0; _i240 < _list238.size; ++_i240)
                 {
-                  _elem197 = iprot.readString();
-                  struct.closedDomains.add(_elem197);
+                  _elem239 = iprot.readString();
+                  struct.closedDomains.add(_elem239);
                 }
                 iprot.readListEnd();
               }
@@ -917,27 +1032,27 @@
           case 5: // SEALED
             if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
               {
-                org.apache.thrift.protocol.TMap _map199 = iprot.readMapBegin();
-                struct.sealed = new java.util.HashMap<java.lang.Long,java.util.Map<java.lang.String,java.lang.Long>>(2*_map199.size);
-                long _key200;
-                @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,java.lang.Long> _val201;
-                for (int _i202 = 0; _i202 < _map199.size; ++_i202)
+                org.apache.thrift.protocol.TMap _map241 = iprot.readMapBegin();
+                struct.sealed = new java.util.HashMap<java.lang.Long,java.util.Map<java.lang.String,java.lang.Long>>(2*_map241.size);
+                long _key242;
+                @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,java.lang.Long> _val243;
+                for (int _i244 = 0; _i244 < _map241.size; ++_i244)
                 {
-                  _key200 = iprot.readI64();
+                  _key242 = iprot.readI64();
                   {
-                    org.apache.thrift.protocol.TMap _map203 = iprot.readMapBegin();
-                    _val201 = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map203.size);
-                    @org.apache.thrift.annotation.Nullable java.lang.String _key204;
-                    long _val205;
-                    for (int _i206 = 0; _i206 < _map203.size; ++_i206)
+                    org.apache.thrift.protocol.TMap _map245 = iprot.readMapBegin();
+                    _val243 = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map245.size);
+                    @org.apache.thrift.annotation.Nullable java.lang.String _key246;
+                    long _val247;
+                    for (int _i248 = 0; _i248 < _map245.size; ++_i248)
                     {
-                      _key204 = iprot.readString();
-                      _val205 = iprot.readI64();
-                      _val201.put(_key204, _val205);
+                      _key246 = iprot.readString();
+                      _val247 = iprot.readI64();
+                      _val243.put(_key246, _val247);
                     }
                     iprot.readMapEnd();
                   }
-                  struct.sealed.put(_key200, _val201);
+                  struct.sealed.put(_key242, _val243);
                 }
                 iprot.readMapEnd();
               }
@@ -949,14 +1064,14 @@
           case 6: // QUARANTINED_PARTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list207 = iprot.readListBegin();
-                struct.quarantinedParts = new java.util.ArrayList<QuarantinedPartMessage>(_list207.size);
-                @org.apache.thrift.annotation.Nullable QuarantinedPartMessage _elem208;
-                for (int _i209 = 0; _i209 < _list207.size; ++_i209)
+                org.apache.thrift.protocol.TList _list249 = iprot.readListBegin();
+                struct.quarantinedParts = new java.util.ArrayList<QuarantinedPartMessage>(_list249.size);
+                @org.apache.thrift.annotation.Nullable QuarantinedPartMessage _elem250;
+                for (int _i251 = 0; _i251 < _list249.size; ++_i251)
                 {
-                  _elem208 = new QuarantinedPartMessage();
-                  _elem208.read(iprot);
-                  struct.quarantinedParts.add(_elem208);
+                  _elem250 = new QuarantinedPartMessage();
+                  _elem250.read(iprot);
+                  struct.quarantinedParts.add(_elem250);
                 }
                 iprot.readListEnd();
               }
@@ -973,6 +1088,25 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 8: // POOL_VERSIONS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list252 = iprot.readListBegin();
+                struct.poolVersions = new java.util.ArrayList<PoolVersionsMessage>(_list252.size);
+                @org.apache.thrift.annotation.Nullable PoolVersionsMessage _elem253;
+                for (int _i254 = 0; _i254 < _list252.size; ++_i254)
+                {
+                  _elem253 = new PoolVersionsMessage();
+                  _elem253.read(iprot);
+                  struct.poolVersions.add(_elem253);
+                }
+                iprot.readListEnd();
+              }
+              struct.setPoolVersionsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1003,9 +1137,9 @@
         oprot.writeFieldBegin(CLOSED_DOMAINS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.closedDomains.size()));
-          for (java.lang.String _iter210 : struct.closedDomains)
+          for (java.lang.String _iter255 : struct.closedDomains)
           {
-            oprot.writeString(_iter210);
+            oprot.writeString(_iter255);
           }
           oprot.writeListEnd();
         }
@@ -1018,15 +1152,15 @@
         oprot.writeFieldBegin(SEALED_FIELD_DESC);
         {
           oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.I64, org.apache.thrift.protocol.TType.MAP, struct.sealed.size()));
-          for (java.util.Map.Entry<java.lang.Long, java.util.Map<java.lang.String,java.lang.Long>> _iter211 : struct.sealed.entrySet())
+          for (java.util.Map.Entry<java.lang.Long, java.util.Map<java.lang.String,java.lang.Long>> _iter256 : struct.sealed.entrySet())
           {
-            oprot.writeI64(_iter211.getKey());
+            oprot.writeI64(_iter256.getKey());
             {
-              oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64, _iter211.getValue().size()));
-              for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter212 : _iter211.getValue().entrySet())
+              oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64, _iter256.getValue().size()));
+              for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter257 : _iter256.getValue().entrySet())
               {
-                oprot.writeString(_iter212.getKey());
-                oprot.writeI64(_iter212.getValue());
+                oprot.writeString(_iter257.getKey());
+                oprot.writeI64(_iter257.getValue());
               }
               oprot.writeMapEnd();
             }
@@ -1039,9 +1173,9 @@
         oprot.writeFieldBegin(QUARANTINED_PARTS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.quarantinedParts.size()));
-          for (QuarantinedPartMessage _iter213 : struct.quarantinedParts)
+          for (QuarantinedPartMessage _iter258 : struct.quarantinedParts)
           {
-            _iter213.write(oprot);
+            _iter258.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1050,6 +1184,18 @@
       oprot.writeFieldBegin(QUARANTINE_INDEX_FIELD_DESC);
       oprot.writeI64(struct.quarantineIndex);
       oprot.writeFieldEnd();
+      if (struct.poolVersions != null) {
+        oprot.writeFieldBegin(POOL_VERSIONS_FIELD_DESC);
+        {
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.poolVersions.size()));
+          for (PoolVersionsMessage _iter259 : struct.poolVersions)
+          {
+            _iter259.write(oprot);
+          }
+          oprot.writeListEnd();
+        }
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1090,7 +1236,10 @@
       if (struct.isSetQuarantineIndex()) {
         optionals.set(6);
       }
-      oprot.writeBitSet(optionals, 7);
+      if (struct.isSetPoolVersions()) {
+        optionals.set(7);
+      }
+      oprot.writeBitSet(optionals, 8);
       if (struct.isSetVersion()) {
         oprot.writeI64(struct.version);
       }
@@ -1100,9 +1249,9 @@
       if (struct.isSetClosedDomains()) {
         {
           oprot.writeI32(struct.closedDomains.size());
-          for (java.lang.String _iter214 : struct.closedDomains)
+          for (java.lang.String _iter260 : struct.closedDomains)
           {
-            oprot.writeString(_iter214);
+            oprot.writeString(_iter260);
           }
         }
       }
@@ -1112,15 +1261,15 @@
       if (struct.isSetSealed()) {
         {
           oprot.writeI32(struct.sealed.size());
-          for (java.util.Map.Entry<java.lang.Long, java.util.Map<java.lang.String,java.lang.Long>> _iter215 : struct.sealed.entrySet())
+          for (java.util.Map.Entry<java.lang.Long, java.util.Map<java.lang.String,java.lang.Long>> _iter261 : struct.sealed.entrySet())
           {
-            oprot.writeI64(_iter215.getKey());
+            oprot.writeI64(_iter261.getKey());
             {
-              oprot.writeI32(_iter215.getValue().size());
-              for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter216 : _iter215.getValue().entrySet())
+              oprot.writeI32(_iter261.getValue().size());
+              for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter262 : _iter261.getValue().entrySet())
               {
-                oprot.writeString(_iter216.getKey());
-                oprot.writeI64(_iter216.getValue());
+                oprot.writeString(_iter262.getKey());
+                oprot.writeI64(_iter262.getValue());
               }
             }
           }
@@ -1129,21 +1278,30 @@
       if (struct.isSetQuarantinedParts()) {
         {
           oprot.writeI32(struct.quarantinedParts.size());
-          for (QuarantinedPartMessage _iter217 : struct.quarantinedParts)
+          for (QuarantinedPartMessage _iter263 : struct.quarantinedParts)
           {
-            _iter217.write(oprot);
+            _iter263.write(oprot);
           }
         }
       }
       if (struct.isSetQuarantineIndex()) {
         oprot.writeI64(struct.quarantineIndex);
       }
+      if (struct.isSetPoolVersions()) {
+        {
+          oprot.writeI32(struct.poolVersions.size());
+          for (PoolVersionsMessage _iter264 : struct.poolVersions)
+          {
+            _iter264.write(oprot);
+          }
+        }
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, ControlSnapshot struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(7);
+      java.util.BitSet incoming = iprot.readBitSet(8);
       if (incoming.get(0)) {
         struct.version = iprot.readI64();
         struct.setVersionIsSet(true);
@@ -1154,13 +1312,13 @@
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list218 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.closedDomains = new java.util.ArrayList<java.lang.String>(_list218.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem219;
-          for (int _i220 = 0; _i220 < _list218.size; ++_i220)
+          org.apache.thrift.protocol.TList _list265 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.closedDomains = new java.util.ArrayList<java.lang.String>(_list265.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem266;
+          for (int _i267 = 0; _i267 < _list265.size; ++_i267)
           {
-            _elem219 = iprot.readString();
-            struct.closedDomains.add(_elem219);
+            _elem266 = iprot.readString();
+            struct.closedDomains.add(_elem266);
           }
         }
         struct.setClosedDomainsIsSet(true);
@@ -1171,40 +1329,40 @@
       }
       if (incoming.get(4)) {
         {
-          org.apache.thrift.protocol.TMap _map221 = iprot.readMapBegin(org.apache.thrift.protocol.TType.I64, org.apache.thrift.protocol.TType.MAP); 
-          struct.sealed = new java.util.HashMap<java.lang.Long,java.util.Map<java.lang.String,java.lang.Long>>(2*_map221.size);
-          long _key222;
-          @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,java.lang.Long> _val223;
-          for (int _i224 = 0; _i224 < _map221.size; ++_i224)
+          org.apache.thrift.protocol.TMap _map268 = iprot.readMapBegin(org.apache.thrift.protocol.TType.I64, org.apache.thrift.protocol.TType.MAP); 
+          struct.sealed = new java.util.HashMap<java.lang.Long,java.util.Map<java.lang.String,java.lang.Long>>(2*_map268.size);
+          long _key269;
+          @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,java.lang.Long> _val270;
+          for (int _i271 = 0; _i271 < _map268.size; ++_i271)
           {
-            _key222 = iprot.readI64();
+            _key269 = iprot.readI64();
             {
-              org.apache.thrift.protocol.TMap _map225 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64); 
-              _val223 = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map225.size);
-              @org.apache.thrift.annotation.Nullable java.lang.String _key226;
-              long _val227;
-              for (int _i228 = 0; _i228 < _map225.size; ++_i228)
+              org.apache.thrift.protocol.TMap _map272 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64); 
+              _val270 = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map272.size);
+              @org.apache.thrift.annotation.Nullable java.lang.String _key273;
+              long _val274;
+              for (int _i275 = 0; _i275 < _map272.size; ++_i275)
               {
-                _key226 = iprot.readString();
-                _val227 = iprot.readI64();
-                _val223.put(_key226, _val227);
+                _key273 = iprot.readString();
+                _val274 = iprot.readI64();
+                _val270.put(_key273, _val274);
               }
             }
-            struct.sealed.put(_key222, _val223);
+            struct.sealed.put(_key269, _val270);
           }
         }
         struct.setSealedIsSet(true);
       }
       if (incoming.get(5)) {
         {
-          org.apache.thrift.protocol.TList _list229 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.quarantinedParts = new java.util.ArrayList<QuarantinedPartMessage>(_list229.size);
-          @org.apache.thrift.annotation.Nullable QuarantinedPartMessage _elem230;
-          for (int _i231 = 0; _i231 < _list229.size; ++_i231)
+          org.apache.thrift.protocol.TList _list276 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.quarantinedParts = new java.util.ArrayList<QuarantinedPartMessage>(_list276.size);
+          @org.apache.thrift.annotation.Nullable QuarantinedPartMessage _elem277;
+          for (int _i278 = 0; _i278 < _list276.size; ++_i278)
           {
-            _elem230 = new QuarantinedPartMessage();
-            _elem230.read(iprot);
-            struct.quarantinedParts.add(_elem230);
+            _elem277 = new QuarantinedPartMessage();
+            _elem277.read(iprot);
+            struct.quarantinedParts.add(_elem277);
           }
         }
         struct.setQuarantinedPartsIsSet(true);
@@ -1213,6 +1371,20 @@
         struct.quarantineIndex = iprot.readI64();
         struct.setQuarantineIndexIsSet(true);
       }
+      if (incoming.get(7)) {
+        {
+          org.apache.thrift.protocol.TList _list279 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.poolVersions = new java.util.ArrayList<PoolVersionsMessage>(_list279.size);
+          @org.apache.thrift.annotation.Nullable PoolVersionsMessage _elem280;
+          for (int _i281 = 0; _i281 < _list279.size; ++_i281)
+          {
+            _elem280 = new PoolVersionsMessage();
+            _elem280.read(iprot);
+            struct.poolVersions.add(_elem280);
+          }
+        }
+        struct.setPoolVersionsIsSet(true);
+      }
     }
   }
 
--- a/wire/src/main/java/io/jacinthquay/wire/gen/ControlViewMessage.java
+++ b/wire/src/main/java/io/jacinthquay/wire/gen/ControlViewMessage.java
@@ -35,6 +35,7 @@
   private static final org.apache.thrift.protocol.TField TRIAL_PARTS_FIELD_DESC = new org.apache.thrift.protocol.TField("trialParts", org.apache.thrift.protocol.TType.LIST, (short)23);
   private static final org.apache.thrift.protocol.TField OTHER_SIGNALS_FIELD_DESC = new org.apache.thrift.protocol.TField("otherSignals", org.apache.thrift.protocol.TType.STRUCT, (short)24);
   private static final org.apache.thrift.protocol.TField POSITION_FIELD_DESC = new org.apache.thrift.protocol.TField("position", org.apache.thrift.protocol.TType.I32, (short)25);
+  private static final org.apache.thrift.protocol.TField ORIGINS_EPOCH_FIELD_DESC = new org.apache.thrift.protocol.TField("originsEpoch", org.apache.thrift.protocol.TType.I64, (short)26);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new ControlViewMessageStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new ControlViewMessageTupleSchemeFactory();
@@ -64,6 +65,7 @@
   private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.Long> trialParts; // required
   private @org.apache.thrift.annotation.Nullable RouterSignalsMessage otherSignals; // optional
   private int position; // optional
+  private long originsEpoch; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -147,7 +149,12 @@
      * Routers before the caller in the order of all routers, by failure domain and name; for a relay,
      * those of the domains before its own.
      */
-    POSITION((short)25, "position");
+    POSITION((short)25, "position"),
+    /**
+     * Drawn by the leader when it begins to remember streams; a router that sees another one reports
+     * all streams that it remembers.
+     */
+    ORIGINS_EPOCH((short)26, "originsEpoch");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -213,6 +220,8 @@
           return OTHER_SIGNALS;
         case 25: // POSITION
           return POSITION;
+        case 26: // ORIGINS_EPOCH
+          return ORIGINS_EPOCH;
         default:
           return null;
       }
@@ -268,6 +277,7 @@
   private static final int __RELAYS_ISSET_ID = 9;
   private static final int __QUARANTINEINDEX_ISSET_ID = 10;
   private static final int __POSITION_ISSET_ID = 11;
+  private static final int __ORIGINSEPOCH_ISSET_ID = 12;
   private short __isset_bitfield = 0;
   private static final _Fields optionals[] = {_Fields.DOCUMENT,_Fields.CLOSED_DOMAINS,_Fields.UPSTREAMS,_Fields.RELAY,_Fields.QUARANTINED_PARTS,_Fields.OTHER_SIGNALS,_Fields.POSITION};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
@@ -331,6 +341,8 @@
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, RouterSignalsMessage.class)));
     tmpMap.put(_Fields.POSITION, new org.apache.thrift.meta_data.FieldMetaData("position", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
+    tmpMap.put(_Fields.ORIGINS_EPOCH, new org.apache.thrift.meta_data.FieldMetaData("originsEpoch", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ControlViewMessage.class, metaDataMap);
   }
@@ -340,6 +352,8 @@
 
     this.trialParts = new java.util.ArrayList<java.lang.Long>();
 
+    this.originsEpoch = 0L;
+
   }
 
   public ControlViewMessage(
@@ -360,7 +374,8 @@
     boolean relays,
     long quarantineIndex,
     java.util.List<java.lang.Long> suspectParts,
-    java.util.List<java.lang.Long> trialParts)
+    java.util.List<java.lang.Long> trialParts,
+    long originsEpoch)
   {
     this();
     this.leads = leads;
@@ -392,6 +407,8 @@
     setQuarantineIndexIsSet(true);
     this.suspectParts = suspectParts;
     this.trialParts = trialParts;
+    this.originsEpoch = originsEpoch;
+    setOriginsEpochIsSet(true);
   }
 
   /**
@@ -467,6 +484,7 @@
       this.otherSignals = new RouterSignalsMessage(other.otherSignals);
     }
     this.position = other.position;
+    this.originsEpoch = other.originsEpoch;
   }
 
   @Override
@@ -515,6 +533,8 @@
     this.otherSignals = null;
     setPositionIsSet(false);
     this.position = 0;
+    this.originsEpoch = 0L;
+
   }
 
   /**
@@ -1367,6 +1387,37 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __POSITION_ISSET_ID, value);
   }
 
+  /**
+   * Drawn by the leader when it begins to remember streams; a router that sees another one reports
+   * all streams that it remembers.
+   */
+  public long getOriginsEpoch() {
+    return this.originsEpoch;
+  }
+
+  /**
+   * Drawn by the leader when it begins to remember streams; a router that sees another one reports
+   * all streams that it remembers.
+   */
+  public ControlViewMessage setOriginsEpoch(long originsEpoch) {
+    this.originsEpoch = originsEpoch;
+    setOriginsEpochIsSet(true);
+    return this;
+  }
+
+  public void unsetOriginsEpoch() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __ORIGINSEPOCH_ISSET_ID);
+  }
+
+  /** Returns true if field originsEpoch is set (has been assigned a value) and false otherwise */
+  public boolean isSetOriginsEpoch() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __ORIGINSEPOCH_ISSET_ID);
+  }
+
+  public void setOriginsEpochIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __ORIGINSEPOCH_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -1574,6 +1625,14 @@
       }
       break;
 
+    case ORIGINS_EPOCH:
+      if (value == null) {
+        unsetOriginsEpoch();
+      } else {
+        setOriginsEpoch((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -1656,6 +1715,9 @@
     case POSITION:
       return getPosition();
 
+    case ORIGINS_EPOCH:
+      return getOriginsEpoch();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -1718,6 +1780,8 @@
       return isSetOtherSignals();
     case POSITION:
       return isSetPosition();
+    case ORIGINS_EPOCH:
+      return isSetOriginsEpoch();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -1960,6 +2024,15 @@
         return false;
     }
 
+    boolean this_present_originsEpoch = true;
+    boolean that_present_originsEpoch = true;
+    if (this_present_originsEpoch || that_present_originsEpoch) {
+      if (!(this_present_originsEpoch && that_present_originsEpoch))
+        return false;
+      if (this.originsEpoch != that.originsEpoch)
+        return false;
+    }
+
     return true;
   }
 
@@ -2045,6 +2118,8 @@
     if (isSetPosition())
       hashCode = hashCode * 8191 + position;
 
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(originsEpoch);
+
     return hashCode;
   }
 
@@ -2306,6 +2381,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetOriginsEpoch(), other.isSetOriginsEpoch());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetOriginsEpoch()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.originsEpoch, other.originsEpoch);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -2495,6 +2580,10 @@
       sb.append(this.position);
       first = false;
     }
+    if (!first) sb.append(", ");
+    sb.append("originsEpoch:");
+    sb.append(this.originsEpoch);
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -2567,13 +2656,13 @@
           case 3: // MEMBERS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list114 = iprot.readListBegin();
-                struct.members = new java.util.ArrayList<java.lang.String>(_list114.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem115;
-                for (int _i116 = 0; _i116 < _list114.size; ++_i116)
+                org.apache.thrift.protocol.TList _list122 = iprot.readListBegin();
+                struct.members = new java.util.ArrayList<java.lang.String>(_list122.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem123;
+                for (int _i124 = 0; _i124 < _list122.size; ++_i124)
                 {
-                  _elem115 = iprot.readString();
-                  struct.members.add(_elem115);
+                  _elem123 = iprot.readString();
+                  struct.members.add(_elem123);
                 }
                 iprot.readListEnd();
               }
@@ -2609,13 +2698,13 @@
           case 7: // CLOSED_DOMAINS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list117 = iprot.readListBegin();
-                struct.closedDomains = new java.util.ArrayList<java.lang.String>(_list117.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem118;
-                for (int _i119 = 0; _i119 < _list117.size; ++_i119)
+                org.apache.thrift.protocol.TList _list125 = iprot.readListBegin();
+                struct.closedDomains = new java.util.ArrayList<java.lang.String>(_list125.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem126;
+                for (int _i127 = 0; _i127 < _list125.size; ++_i127)
                 {
-                  _elem118 = iprot.readString();
-                  struct.closedDomains.add(_elem118);
+                  _elem126 = iprot.readString();
+                  struct.closedDomains.add(_elem126);
                 }
                 iprot.readListEnd();
               }
@@ -2652,14 +2741,14 @@
           case 11: // OTHER_LOADS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list120 = iprot.readListBegin();
-                struct.otherLoads = new java.util.ArrayList<UpstreamLoadMessage>(_list120.size);
-                @org.apache.thrift.annotation.Nullable UpstreamLoadMessage _elem121;
-                for (int _i122 = 0; _i122 < _list120.size; ++_i122)
+                org.apache.thrift.protocol.TList _list128 = iprot.readListBegin();
+                struct.otherLoads = new java.util.ArrayList<UpstreamLoadMessage>(_list128.size);
+                @org.apache.thrift.annotation.Nullable UpstreamLoadMessage _elem129;
+                for (int _i130 = 0; _i130 < _list128.size; ++_i130)
                 {
-                  _elem121 = new UpstreamLoadMessage();
-                  _elem121.read(iprot);
-                  struct.otherLoads.add(_elem121);
+                  _elem129 = new UpstreamLoadMessage();
+                  _elem129.read(iprot);
+                  struct.otherLoads.add(_elem129);
                 }
                 iprot.readListEnd();
               }
@@ -2687,14 +2776,14 @@
           case 14: // READS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list123 = iprot.readListBegin();
-                struct.reads = new java.util.ArrayList<PrefixReadMessage>(_list123.size);
-                @org.apache.thrift.annotation.Nullable PrefixReadMessage _elem124;
-                for (int _i125 = 0; _i125 < _list123.size; ++_i125)
+                org.apache.thrift.protocol.TList _list131 = iprot.readListBegin();
+                struct.reads = new java.util.ArrayList<PrefixReadMessage>(_list131.size);
+                @org.apache.thrift.annotation.Nullable PrefixReadMessage _elem132;
+                for (int _i133 = 0; _i133 < _list131.size; ++_i133)
                 {
-                  _elem124 = new PrefixReadMessage();
-                  _elem124.read(iprot);
-                  struct.reads.add(_elem124);
+                  _elem132 = new PrefixReadMessage();
+                  _elem132.read(iprot);
+                  struct.reads.add(_elem132);
                 }
                 iprot.readListEnd();
               }
@@ -2722,13 +2811,13 @@
           case 17: // REPLICAS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list126 = iprot.readListBegin();
-                struct.replicas = new java.util.ArrayList<java.lang.String>(_list126.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem127;
-                for (int _i128 = 0; _i128 < _list126.size; ++_i128)
+                org.apache.thrift.protocol.TList _list134 = iprot.readListBegin();
+                struct.replicas = new java.util.ArrayList<java.lang.String>(_list134.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem135;
+                for (int _i136 = 0; _i136 < _list134.size; ++_i136)
                 {
-                  _elem127 = iprot.readString();
-                  struct.replicas.add(_elem127);
+                  _elem135 = iprot.readString();
+                  struct.replicas.add(_elem135);
                 }
                 iprot.readListEnd();
               }
@@ -2764,14 +2853,14 @@
           case 21: // QUARANTINED_PARTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list129 = iprot.readListBegin();
-                struct.quarantinedParts = new java.util.ArrayList<QuarantinedPartMessage>(_list129.size);
-                @org.apache.thrift.annotation.Nullable QuarantinedPartMessage _elem130;
-                for (int _i131 = 0; _i131 < _list129.size; ++_i131)
+                org.apache.thrift.protocol.TList _list137 = iprot.readListBegin();
+                struct.quarantinedParts = new java.util.ArrayList<QuarantinedPartMessage>(_list137.size);
+                @org.apache.thrift.annotation.Nullable QuarantinedPartMessage _elem138;
+                for (int _i139 = 0; _i139 < _list137.size; ++_i139)
                 {
-                  _elem130 = new QuarantinedPartMessage();
-                  _elem130.read(iprot);
-                  struct.quarantinedParts.add(_elem130);
+                  _elem138 = new QuarantinedPartMessage();
+                  _elem138.read(iprot);
+                  struct.quarantinedParts.add(_elem138);
                 }
                 iprot.readListEnd();
               }
@@ -2783,13 +2872,13 @@
           case 22: // SUSPECT_PARTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list132 = iprot.readListBegin();
-                struct.suspectParts = new java.util.ArrayList<java.lang.Long>(_list132.size);
-                long _elem133;
-                for (int _i134 = 0; _i134 < _list132.size; ++_i134)
+                org.apache.thrift.protocol.TList _list140 = iprot.readListBegin();
+                struct.suspectParts = new java.util.ArrayList<java.lang.Long>(_list140.size);
+                long _elem141;
+                for (int _i142 = 0; _i142 < _list140.size; ++_i142)
                 {
-                  _elem133 = iprot.readI64();
-                  struct.suspectParts.add(_elem133);
+                  _elem141 = iprot.readI64();
+                  struct.suspectParts.add(_elem141);
                 }
                 iprot.readListEnd();
               }
@@ -2801,13 +2890,13 @@
           case 23: // TRIAL_PARTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list135 = iprot.readListBegin();
-                struct.trialParts = new java.util.ArrayList<java.lang.Long>(_list135.size);
-                long _elem136;
-                for (int _i137 = 0; _i137 < _list135.size; ++_i137)
+                org.apache.thrift.protocol.TList _list143 = iprot.readListBegin();
+                struct.trialParts = new java.util.ArrayList<java.lang.Long>(_list143.size);
+                long _elem144;
+                for (int _i145 = 0; _i145 < _list143.size; ++_i145)
                 {
-                  _elem136 = iprot.readI64();
-                  struct.trialParts.add(_elem136);
+                  _elem144 = iprot.readI64();
+                  struct.trialParts.add(_elem144);
                 }
                 iprot.readListEnd();
               }
@@ -2833,6 +2922,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 26: // ORIGINS_EPOCH
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.originsEpoch = iprot.readI64();
+              struct.setOriginsEpochIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -2861,9 +2958,9 @@
         oprot.writeFieldBegin(MEMBERS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.members.size()));
-          for (java.lang.String _iter138 : struct.members)
+          for (java.lang.String _iter146 : struct.members)
           {
-            oprot.writeString(_iter138);
+            oprot.writeString(_iter146);
           }
           oprot.writeListEnd();
         }
@@ -2887,9 +2984,9 @@
           oprot.writeFieldBegin(CLOSED_DOMAINS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.closedDomains.size()));
-            for (java.lang.String _iter139 : struct.closedDomains)
+            for (java.lang.String _iter147 : struct.closedDomains)
             {
-              oprot.writeString(_iter139);
+              oprot.writeString(_iter147);
             }
             oprot.writeListEnd();
           }
@@ -2913,9 +3010,9 @@
         oprot.writeFieldBegin(OTHER_LOADS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.otherLoads.size()));
-          for (UpstreamLoadMessage _iter140 : struct.otherLoads)
+          for (UpstreamLoadMessage _iter148 : struct.otherLoads)
           {
-            _iter140.write(oprot);
+            _iter148.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -2931,9 +3028,9 @@
         oprot.writeFieldBegin(READS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.reads.size()));
-          for (PrefixReadMessage _iter141 : struct.reads)
+          for (PrefixReadMessage _iter149 : struct.reads)
           {
-            _iter141.write(oprot);
+            _iter149.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -2949,9 +3046,9 @@
         oprot.writeFieldBegin(REPLICAS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.replicas.size()));
-          for (java.lang.String _iter142 : struct.replicas)
+          for (java.lang.String _iter150 : struct.replicas)
           {
-            oprot.writeString(_iter142);
+            oprot.writeString(_iter150);
           }
           oprot.writeListEnd();
         }
@@ -2975,9 +3072,9 @@
           oprot.writeFieldBegin(QUARANTINED_PARTS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.quarantinedParts.size()));
-            for (QuarantinedPartMessage _iter143 : struct.quarantinedParts)
+            for (QuarantinedPartMessage _iter151 : struct.quarantinedParts)
             {
-              _iter143.write(oprot);
+              _iter151.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -2988,9 +3085,9 @@
         oprot.writeFieldBegin(SUSPECT_PARTS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.I64, struct.suspectParts.size()));
-          for (long _iter144 : struct.suspectParts)
+          for (long _iter152 : struct.suspectParts)
           {
-            oprot.writeI64(_iter144);
+            oprot.writeI64(_iter152);
           }
           oprot.writeListEnd();
         }
@@ -3000,9 +3097,9 @@
         oprot.writeFieldBegin(TRIAL_PARTS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.I64, struct.trialParts.size()));
-          for (long _iter145 : struct.trialParts)
+          for (long _iter153 : struct.trialParts)
           {
-            oprot.writeI64(_iter145);
+            oprot.writeI64(_iter153);
           }
           oprot.writeListEnd();
         }
@@ -3020,6 +3117,9 @@
         oprot.writeI32(struct.position);
         oprot.writeFieldEnd();
       }
+      oprot.writeFieldBegin(ORIGINS_EPOCH_FIELD_DESC);
+      oprot.writeI64(struct.originsEpoch);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -3114,7 +3214,10 @@
       if (struct.isSetPosition()) {
         optionals.set(24);
       }
-      oprot.writeBitSet(optionals, 25);
+      if (struct.isSetOriginsEpoch()) {
+        optionals.set(25);
+      }
+      oprot.writeBitSet(optionals, 26);
       if (struct.isSetLeads()) {
         oprot.writeBool(struct.leads);
       }
@@ -3124,9 +3227,9 @@
       if (struct.isSetMembers()) {
         {
           oprot.writeI32(struct.members.size());
-          for (java.lang.String _iter146 : struct.members)
+          for (java.lang.String _iter154 : struct.members)
           {
-            oprot.writeString(_iter146);
+            oprot.writeString(_iter154);
           }
         }
       }
@@ -3142,9 +3245,9 @@
       if (struct.isSetClosedDomains()) {
         {
           oprot.writeI32(struct.closedDomains.size());
-          for (java.lang.String _iter147 : struct.closedDomains)
+          for (java.lang.String _iter155 : struct.closedDomains)
           {
-            oprot.writeString(_iter147);
+            oprot.writeString(_iter155);
           }
         }
       }
@@ -3160,9 +3263,9 @@
       if (struct.isSetOtherLoads()) {
         {
           oprot.writeI32(struct.otherLoads.size());
-          for (UpstreamLoadMessage _iter148 : struct.otherLoads)
+          for (UpstreamLoadMessage _iter156 : struct.otherLoads)
           {
-            _iter148.write(oprot);
+            _iter156.write(oprot);
           }
         }
       }
@@ -3175,9 +3278,9 @@
       if (struct.isSetReads()) {
         {
           oprot.writeI32(struct.reads.size());
-          for (PrefixReadMessage _iter149 : struct.reads)
+          for (PrefixReadMessage _iter157 : struct.reads)
           {
-            _iter149.write(oprot);
+            _iter157.write(oprot);
           }
         }
       }
@@ -3190,9 +3293,9 @@
       if (struct.isSetReplicas()) {
         {
           oprot.writeI32(struct.replicas.size());
-          for (java.lang.String _iter150 : struct.replicas)
+          for (java.lang.String _iter158 : struct.replicas)
           {
-            oprot.writeString(_iter150);
+            oprot.writeString(_iter158);
           }
         }
       }
@@ -3208,27 +3311,27 @@
       if (struct.isSetQuarantinedParts()) {
         {
           oprot.writeI32(struct.quarantinedParts.size());
-          for (QuarantinedPartMessage _iter151 : struct.quarantinedParts)
+          for (QuarantinedPartMessage _iter159 : struct.quarantinedParts)
           {
-            _iter151.write(oprot);
+            _iter159.write(oprot);
           }
         }
       }
       if (struct.isSetSuspectParts()) {
         {
           oprot.writeI32(struct.suspectParts.size());
-          for (long _iter152 : struct.suspectParts)
+          for (long _iter160 : struct.suspectParts)
           {
-            oprot.writeI64(_iter152);
+            oprot.writeI64(_iter160);
           }
         }
       }
       if (struct.isSetTrialParts()) {
         {
           oprot.writeI32(struct.trialParts.size());
-          for (long _iter153 : struct.trialParts)
+          for (long _iter161 : struct.trialParts)
           {
-            oprot.writeI64(_iter153);
+            oprot.writeI64(_iter161);
           }
         }
       }
@@ -3238,12 +3341,15 @@
       if (struct.isSetPosition()) {
         oprot.writeI32(struct.position);
       }
+      if (struct.isSetOriginsEpoch()) {
+        oprot.writeI64(struct.originsEpoch);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, ControlViewMessage struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(25);
+      java.util.BitSet incoming = iprot.readBitSet(26);
       if (incoming.get(0)) {
         struct.leads = iprot.readBool();
         struct.setLeadsIsSet(true);
@@ -3254,13 +3360,13 @@
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list154 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.members = new java.util.ArrayList<java.lang.String>(_list154.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem155;
-          for (int _i156 = 0; _i156 < _list154.size; ++_i156)
+          org.apache.thrift.protocol.TList _list162 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.members = new java.util.ArrayList<java.lang.String>(_list162.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem163;
+          for (int _i164 = 0; _i164 < _list162.size; ++_i164)
           {
-            _elem155 = iprot.readString();
-            struct.members.add(_elem155);
+            _elem163 = iprot.readString();
+            struct.members.add(_elem163);
           }
         }
         struct.setMembersIsSet(true);
@@ -3279,13 +3385,13 @@
       }
       if (incoming.get(6)) {
         {
-          org.apache.thrift.protocol.TList _list157 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.closedDomains = new java.util.ArrayList<java.lang.String>(_list157.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem158;
-          for (int _i159 = 0; _i159 < _list157.size; ++_i159)
+          org.apache.thrift.protocol.TList _list165 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.closedDomains = new java.util.ArrayList<java.lang.String>(_list165.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem166;
+          for (int _i167 = 0; _i167 < _list165.size; ++_i167)
           {
-            _elem158 = iprot.readString();
-            struct.closedDomains.add(_elem158);
+            _elem166 = iprot.readString();
+            struct.closedDomains.add(_elem166);
           }
         }
         struct.setClosedDomainsIsSet(true);
@@ -3305,14 +3411,14 @@
       }
       if (incoming.get(10)) {
         {
-          org.apache.thrift.protocol.TList _list160 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.otherLoads = new java.util.ArrayList<UpstreamLoadMessage>(_list160.size);
-          @org.apache.thrift.annotation.Nullable UpstreamLoadMessage _elem161;
-          for (int _i162 = 0; _i162 < _list160.size; ++_i162)
+          org.apache.thrift.protocol.TList _list168 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.otherLoads = new java.util.ArrayList<UpstreamLoadMessage>(_list168.size);
+          @org.apache.thrift.annotation.Nullable UpstreamLoadMessage _elem169;
+          for (int _i170 = 0; _i170 < _list168.size; ++_i170)
           {
-            _elem161 = new UpstreamLoadMessage();
-            _elem161.read(iprot);
-            struct.otherLoads.add(_elem161);
+            _elem169 = new UpstreamLoadMessage();
+            _elem169.read(iprot);
+            struct.otherLoads.add(_elem169);
           }
         }
         struct.setOtherLoadsIsSet(true);
@@ -3327,14 +3433,14 @@
       }
       if (incoming.get(13)) {
         {
-          org.apache.thrift.protocol.TList _list163 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.reads = new java.util.ArrayList<PrefixReadMessage>(_list163.size);
-          @org.apache.thrift.annotation.Nullable PrefixReadMessage _elem164;
-          for (int _i165 = 0; _i165 < _list163.size; ++_i165)
+          org.apache.thrift.protocol.TList _list171 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.reads = new java.util.ArrayList<PrefixReadMessage>(_list171.size);
+          @org.apache.thrift.annotation.Nullable PrefixReadMessage _elem172;
+          for (int _i173 = 0; _i173 < _list171.size; ++_i173)
           {
-            _elem164 = new PrefixReadMessage();
-            _elem164.read(iprot);
-            struct.reads.add(_elem164);
+            _elem172 = new PrefixReadMessage();
+            _elem172.read(iprot);
+            struct.reads.add(_elem172);
           }
         }
         struct.setReadsIsSet(true);
@@ -3349,13 +3455,13 @@
       }
       if (incoming.get(16)) {
         {
-          org.apache.thrift.protocol.TList _list166 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.replicas = new java.util.ArrayList<java.lang.String>(_list166.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem167;
-          for (int _i168 = 0; _i168 < _list166.size; ++_i168)
+          org.apache.thrift.protocol.TList _list174 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.replicas = new java.util.ArrayList<java.lang.String>(_list174.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem175;
+          for (int _i176 = 0; _i176 < _list174.size; ++_i176)
           {
-            _elem167 = iprot.readString();
-            struct.replicas.add(_elem167);
+            _elem175 = iprot.readString();
+            struct.replicas.add(_elem175);
           }
         }
         struct.setReplicasIsSet(true);
@@ -3374,40 +3480,40 @@
       }
       if (incoming.get(20)) {
         {
-          org.apache.thrift.protocol.TList _list169 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.quarantinedParts = new java.util.ArrayList<QuarantinedPartMessage>(_list169.size);
-          @org.apache.thrift.annotation.Nullable QuarantinedPartMessage _elem170;
-          for (int _i171 = 0; _i171 < _list169.size; ++_i171)
+          org.apache.thrift.protocol.TList _list177 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.quarantinedParts = new java.util.ArrayList<QuarantinedPartMessage>(_list177.size);
+          @org.apache.thrift.annotation.Nullable QuarantinedPartMessage _elem178;
+          for (int _i179 = 0; _i179 < _list177.size; ++_i179)
           {
-            _elem170 = new QuarantinedPartMessage();
-            _elem170.read(iprot);
-            struct.quarantinedParts.add(_elem170);
+            _elem178 = new QuarantinedPartMessage();
+            _elem178.read(iprot);
+            struct.quarantinedParts.add(_elem178);
           }
         }
         struct.setQuarantinedPartsIsSet(true);
       }
       if (incoming.get(21)) {
         {
-          org.apache.thrift.protocol.TList _list172 = iprot.readListBegin(org.apache.thrift.protocol.TType.I64);
-          struct.suspectParts = new java.util.ArrayList<java.lang.Long>(_list172.size);
-          long _elem173;
-          for (int _i174 = 0; _i174 < _list172.size; ++_i174)
+          org.apache.thrift.protocol.TList _list180 = iprot.readListBegin(org.apache.thrift.protocol.TType.I64);
+          struct.suspectParts = new java.util.ArrayList<java.lang.Long>(_list180.size);
+          long _elem181;
+          for (int _i182 = 0; _i182 < _list180.size; ++_i182)
           {
-            _elem173 = iprot.readI64();
-            struct.suspectParts.add(_elem173);
+            _elem181 = iprot.readI64();
+            struct.suspectParts.add(_elem181);
           }
         }
         struct.setSuspectPartsIsSet(true);
       }
       if (incoming.get(22)) {
         {
-          org.apache.thrift.protocol.TList _list175 = iprot.readListBegin(org.apache.thrift.protocol.TType.I64);
-          struct.trialParts = new java.util.ArrayList<java.lang.Long>(_list175.size);
-          long _elem176;
-          for (int _i177 = 0; _i177 < _list175.size; ++_i177)
+          org.apache.thrift.protocol.TList _list183 = iprot.readListBegin(org.apache.thrift.protocol.TType.I64);
+          struct.trialParts = new java.util.ArrayList<java.lang.Long>(_list183.size);
+          long _elem184;
+          for (int _i185 = 0; _i185 < _list183.size; ++_i185)
           {
-            _elem176 = iprot.readI64();
-            struct.trialParts.add(_elem176);
+            _elem184 = iprot.readI64();
+            struct.trialParts.add(_elem184);
           }
         }
         struct.setTrialPartsIsSet(true);
@@ -3421,6 +3527,10 @@
         struct.position = iprot.readI32();
         struct.setPositionIsSet(true);
       }
+      if (incoming.get(25)) {
+        struct.originsEpoch = iprot.readI64();
+        struct.setOriginsEpochIsSet(true);
+      }
     }
   }
 
--- a/wire/src/main/java/io/jacinthquay/wire/gen/ListedUpstreamMessage.java
+++ b/wire/src/main/java/io/jacinthquay/wire/gen/ListedUpstreamMessage.java
@@ -18,6 +18,7 @@
   private static final org.apache.thrift.protocol.TField CHEAP_FIELD_DESC = new org.apache.thrift.protocol.TField("cheap", org.apache.thrift.protocol.TType.BOOL, (short)6);
   private static final org.apache.thrift.protocol.TField SLOTS_FIELD_DESC = new org.apache.thrift.protocol.TField("slots", org.apache.thrift.protocol.TType.I32, (short)7);
   private static final org.apache.thrift.protocol.TField COLD_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("coldMillis", org.apache.thrift.protocol.TType.I64, (short)8);
+  private static final org.apache.thrift.protocol.TField VERSION_FIELD_DESC = new org.apache.thrift.protocol.TField("version", org.apache.thrift.protocol.TType.STRING, (short)9);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new ListedUpstreamMessageStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new ListedUpstreamMessageTupleSchemeFactory();
@@ -30,6 +31,7 @@
   private boolean cheap; // required
   private int slots; // required
   private long coldMillis; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String version; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -46,7 +48,11 @@
     /**
      * How much longer it is cold, in ms from when the list was read.
      */
-    COLD_MILLIS((short)8, "coldMillis");
+    COLD_MILLIS((short)8, "coldMillis"),
+    /**
+     * Version of its software; empty if the platform states none.
+     */
+    VERSION((short)9, "version");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -78,6 +84,8 @@
           return SLOTS;
         case 8: // COLD_MILLIS
           return COLD_MILLIS;
+        case 9: // VERSION
+          return VERSION;
         default:
           return null;
       }
@@ -145,11 +153,15 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     tmpMap.put(_Fields.COLD_MILLIS, new org.apache.thrift.meta_data.FieldMetaData("coldMillis", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.VERSION, new org.apache.thrift.meta_data.FieldMetaData("version", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ListedUpstreamMessage.class, metaDataMap);
   }
 
   public ListedUpstreamMessage() {
+    this.version = "";
+
   }
 
   public ListedUpstreamMessage(
@@ -160,7 +172,8 @@
     boolean draining,
     boolean cheap,
     int slots,
-    long coldMillis)
+    long coldMillis,
+    java.lang.String version)
   {
     this();
     this.upstream = upstream;
@@ -175,6 +188,7 @@
     setSlotsIsSet(true);
     this.coldMillis = coldMillis;
     setColdMillisIsSet(true);
+    this.version = version;
   }
 
   /**
@@ -198,6 +212,9 @@
     this.cheap = other.cheap;
     this.slots = other.slots;
     this.coldMillis = other.coldMillis;
+    if (other.isSetVersion()) {
+      this.version = other.version;
+    }
   }
 
   @Override
@@ -219,6 +236,8 @@
     this.slots = 0;
     setColdMillisIsSet(false);
     this.coldMillis = 0;
+    this.version = "";
+
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -425,6 +444,37 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __COLDMILLIS_ISSET_ID, value);
   }
 
+  /**
+   * Version of its software; empty if the platform states none.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getVersion() {
+    return this.version;
+  }
+
+  /**
+   * Version of its software; empty if the platform states none.
+   */
+  public ListedUpstreamMessage setVersion(@org.apache.thrift.annotation.Nullable java.lang.String version) {
+    this.version = version;
+    return this;
+  }
+
+  public void unsetVersion() {
+    this.version = null;
+  }
+
+  /** Returns true if field version is set (has been assigned a value) and false otherwise */
+  public boolean isSetVersion() {
+    return this.version != null;
+  }
+
+  public void setVersionIsSet(boolean value) {
+    if (!value) {
+      this.version = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -492,6 +542,14 @@
       }
       break;
 
+    case VERSION:
+      if (value == null) {
+        unsetVersion();
+      } else {
+        setVersion((java.lang.String)value);
+      }
+      break;
+
     }
   }
 
@@ -523,6 +581,9 @@
     case COLD_MILLIS:
       return getColdMillis();
 
+    case VERSION:
+      return getVersion();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -551,6 +612,8 @@
       return isSetSlots();
     case COLD_MILLIS:
       return isSetColdMillis();
+    case VERSION:
+      return isSetVersion();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -640,6 +703,15 @@
         return false;
     }
 
+    boolean this_present_version = true && this.isSetVersion();
+    boolean that_present_version = true && that.isSetVersion();
+    if (this_present_version || that_present_version) {
+      if (!(this_present_version && that_present_version))
+        return false;
+      if (!this.version.equals(that.version))
+        return false;
+    }
+
     return true;
   }
 
@@ -671,6 +743,10 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(coldMillis);
 
+    hashCode = hashCode * 8191 + ((isSetVersion()) ? 131071 : 524287);
+    if (isSetVersion())
+      hashCode = hashCode * 8191 + version.hashCode();
+
     return hashCode;
   }
 
@@ -762,6 +838,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetVersion(), other.isSetVersion());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetVersion()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.version, other.version);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -833,6 +919,14 @@
     sb.append("coldMillis:");
     sb.append(this.coldMillis);
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("version:");
+    if (this.version == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.version);
+    }
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -944,6 +1038,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 9: // VERSION
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.version = iprot.readString();
+              struct.setVersionIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -992,6 +1094,11 @@
       oprot.writeFieldBegin(COLD_MILLIS_FIELD_DESC);
       oprot.writeI64(struct.coldMillis);
       oprot.writeFieldEnd();
+      if (struct.version != null) {
+        oprot.writeFieldBegin(VERSION_FIELD_DESC);
+        oprot.writeString(struct.version);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1035,7 +1142,10 @@
       if (struct.isSetColdMillis()) {
         optionals.set(7);
       }
-      oprot.writeBitSet(optionals, 8);
+      if (struct.isSetVersion()) {
+        optionals.set(8);
+      }
+      oprot.writeBitSet(optionals, 9);
       if (struct.isSetUpstream()) {
         oprot.writeString(struct.upstream);
       }
@@ -1060,12 +1170,15 @@
       if (struct.isSetColdMillis()) {
         oprot.writeI64(struct.coldMillis);
       }
+      if (struct.isSetVersion()) {
+        oprot.writeString(struct.version);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, ListedUpstreamMessage struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(8);
+      java.util.BitSet incoming = iprot.readBitSet(9);
       if (incoming.get(0)) {
         struct.upstream = iprot.readString();
         struct.setUpstreamIsSet(true);
@@ -1098,6 +1211,10 @@
         struct.coldMillis = iprot.readI64();
         struct.setColdMillisIsSet(true);
       }
+      if (incoming.get(8)) {
+        struct.version = iprot.readString();
+        struct.setVersionIsSet(true);
+      }
     }
   }
 
--- a/wire/src/main/java/io/jacinthquay/wire/gen/ListedUpstreamsMessage.java
+++ b/wire/src/main/java/io/jacinthquay/wire/gen/ListedUpstreamsMessage.java
@@ -336,14 +336,14 @@
           case 1: // UPSTREAMS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list106 = iprot.readListBegin();
-                struct.upstreams = new java.util.ArrayList<ListedUpstreamMessage>(_list106.size);
-                @org.apache.thrift.annotation.Nullable ListedUpstreamMessage _elem107;
-                for (int _i108 = 0; _i108 < _list106.size; ++_i108)
+                org.apache.thrift.protocol.TList _list114 = iprot.readListBegin();
+                struct.upstreams = new java.util.ArrayList<ListedUpstreamMessage>(_list114.size);
+                @org.apache.thrift.annotation.Nullable ListedUpstreamMessage _elem115;
+                for (int _i116 = 0; _i116 < _list114.size; ++_i116)
                 {
-                  _elem107 = new ListedUpstreamMessage();
-                  _elem107.read(iprot);
-                  struct.upstreams.add(_elem107);
+                  _elem115 = new ListedUpstreamMessage();
+                  _elem115.read(iprot);
+                  struct.upstreams.add(_elem115);
                 }
                 iprot.readListEnd();
               }
@@ -372,9 +372,9 @@
         oprot.writeFieldBegin(UPSTREAMS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.upstreams.size()));
-          for (ListedUpstreamMessage _iter109 : struct.upstreams)
+          for (ListedUpstreamMessage _iter117 : struct.upstreams)
           {
-            _iter109.write(oprot);
+            _iter117.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -406,9 +406,9 @@
       if (struct.isSetUpstreams()) {
         {
           oprot.writeI32(struct.upstreams.size());
-          for (ListedUpstreamMessage _iter110 : struct.upstreams)
+          for (ListedUpstreamMessage _iter118 : struct.upstreams)
           {
-            _iter110.write(oprot);
+            _iter118.write(oprot);
           }
         }
       }
@@ -420,14 +420,14 @@
       java.util.BitSet incoming = iprot.readBitSet(1);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list111 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.upstreams = new java.util.ArrayList<ListedUpstreamMessage>(_list111.size);
-          @org.apache.thrift.annotation.Nullable ListedUpstreamMessage _elem112;
-          for (int _i113 = 0; _i113 < _list111.size; ++_i113)
+          org.apache.thrift.protocol.TList _list119 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.upstreams = new java.util.ArrayList<ListedUpstreamMessage>(_list119.size);
+          @org.apache.thrift.annotation.Nullable ListedUpstreamMessage _elem120;
+          for (int _i121 = 0; _i121 < _list119.size; ++_i121)
           {
-            _elem112 = new ListedUpstreamMessage();
-            _elem112.read(iprot);
-            struct.upstreams.add(_elem112);
+            _elem120 = new ListedUpstreamMessage();
+            _elem120.read(iprot);
+            struct.upstreams.add(_elem120);
           }
         }
         struct.setUpstreamsIsSet(true);
--- a/wire/src/main/java/io/jacinthquay/wire/gen/RelayReportMessage.java
+++ b/wire/src/main/java/io/jacinthquay/wire/gen/RelayReportMessage.java
@@ -802,14 +802,14 @@
           case 3: // REPORTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list178 = iprot.readListBegin();
-                struct.reports = new java.util.ArrayList<RouterReportMessage>(_list178.size);
-                @org.apache.thrift.annotation.Nullable RouterReportMessage _elem179;
-                for (int _i180 = 0; _i180 < _list178.size; ++_i180)
+                org.apache.thrift.protocol.TList _list204 = iprot.readListBegin();
+                struct.reports = new java.util.ArrayList<RouterReportMessage>(_list204.size);
+                @org.apache.thrift.annotation.Nullable RouterReportMessage _elem205;
+                for (int _i206 = 0; _i206 < _list204.size; ++_i206)
                 {
-                  _elem179 = new RouterReportMessage();
-                  _elem179.read(iprot);
-                  struct.reports.add(_elem179);
+                  _elem205 = new RouterReportMessage();
+                  _elem205.read(iprot);
+                  struct.reports.add(_elem205);
                 }
                 iprot.readListEnd();
               }
@@ -872,9 +872,9 @@
         oprot.writeFieldBegin(REPORTS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.reports.size()));
-          for (RouterReportMessage _iter181 : struct.reports)
+          for (RouterReportMessage _iter207 : struct.reports)
           {
-            _iter181.write(oprot);
+            _iter207.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -936,9 +936,9 @@
       if (struct.isSetReports()) {
         {
           oprot.writeI32(struct.reports.size());
-          for (RouterReportMessage _iter182 : struct.reports)
+          for (RouterReportMessage _iter208 : struct.reports)
           {
-            _iter182.write(oprot);
+            _iter208.write(oprot);
           }
         }
       }
@@ -967,14 +967,14 @@
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list183 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.reports = new java.util.ArrayList<RouterReportMessage>(_list183.size);
-          @org.apache.thrift.annotation.Nullable RouterReportMessage _elem184;
-          for (int _i185 = 0; _i185 < _list183.size; ++_i185)
+          org.apache.thrift.protocol.TList _list209 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.reports = new java.util.ArrayList<RouterReportMessage>(_list209.size);
+          @org.apache.thrift.annotation.Nullable RouterReportMessage _elem210;
+          for (int _i211 = 0; _i211 < _list209.size; ++_i211)
           {
-            _elem184 = new RouterReportMessage();
-            _elem184.read(iprot);
-            struct.reports.add(_elem184);
+            _elem210 = new RouterReportMessage();
+            _elem210.read(iprot);
+            struct.reports.add(_elem210);
           }
         }
         struct.setReportsIsSet(true);
--- a/wire/src/main/java/io/jacinthquay/wire/gen/RouterReportMessage.java
+++ b/wire/src/main/java/io/jacinthquay/wire/gen/RouterReportMessage.java
@@ -29,6 +29,7 @@
   private static final org.apache.thrift.protocol.TField REJECTED_PARTS_FIELD_DESC = new org.apache.thrift.protocol.TField("rejectedParts", org.apache.thrift.protocol.TType.LIST, (short)17);
   private static final org.apache.thrift.protocol.TField QUARANTINE_INDEX_FIELD_DESC = new org.apache.thrift.protocol.TField("quarantineIndex", org.apache.thrift.protocol.TType.I64, (short)18);
   private static final org.apache.thrift.protocol.TField SIGNALS_FIELD_DESC = new org.apache.thrift.protocol.TField("signals", org.apache.thrift.protocol.TType.STRUCT, (short)19);
+  private static final org.apache.thrift.protocol.TField ORIGINS_FIELD_DESC = new org.apache.thrift.protocol.TField("origins", org.apache.thrift.protocol.TType.LIST, (short)20);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new RouterReportMessageStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new RouterReportMessageTupleSchemeFactory();
@@ -52,6 +53,7 @@
   private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.Long> rejectedParts; // required
   private long quarantineIndex; // required
   private @org.apache.thrift.annotation.Nullable RouterSignalsMessage signals; // optional
+  private @org.apache.thrift.annotation.Nullable java.util.List<StreamOriginMessage> origins; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -110,7 +112,11 @@
      * Log index of the quarantined parts in force; -1 for none.
      */
     QUARANTINE_INDEX((short)18, "quarantineIndex"),
-    SIGNALS((short)19, "signals");
+    SIGNALS((short)19, "signals"),
+    /**
+     * Streams that began since the last report, or all that are remembered if the epoch changed.
+     */
+    ORIGINS((short)20, "origins");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -164,6 +170,8 @@
           return QUARANTINE_INDEX;
         case 19: // SIGNALS
           return SIGNALS;
+        case 20: // ORIGINS
+          return ORIGINS;
         default:
           return null;
       }
@@ -266,6 +274,9 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.SIGNALS, new org.apache.thrift.meta_data.FieldMetaData("signals", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, RouterSignalsMessage.class)));
+    tmpMap.put(_Fields.ORIGINS, new org.apache.thrift.meta_data.FieldMetaData("origins", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, StreamOriginMessage.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(RouterReportMessage.class, metaDataMap);
   }
@@ -279,6 +290,8 @@
 
     this.quarantineIndex = -1L;
 
+    this.origins = new java.util.ArrayList<StreamOriginMessage>();
+
   }
 
   public RouterReportMessage(
@@ -299,7 +312,8 @@
     java.util.List<BrokenSendMessage> brokenSends,
     java.util.List<EstablishedPartMessage> establishedParts,
     java.util.List<java.lang.Long> rejectedParts,
-    long quarantineIndex)
+    long quarantineIndex,
+    java.util.List<StreamOriginMessage> origins)
   {
     this();
     this.router = router;
@@ -329,6 +343,7 @@
     this.rejectedParts = rejectedParts;
     this.quarantineIndex = quarantineIndex;
     setQuarantineIndexIsSet(true);
+    this.origins = origins;
   }
 
   /**
@@ -400,6 +415,13 @@
     if (other.isSetSignals()) {
       this.signals = new RouterSignalsMessage(other.signals);
     }
+    if (other.isSetOrigins()) {
+      java.util.List<StreamOriginMessage> __this__origins = new java.util.ArrayList<StreamOriginMessage>(other.origins.size());
+      for (StreamOriginMessage other_element : other.origins) {
+        __this__origins.add(new StreamOriginMessage(other_element));
+      }
+      this.origins = __this__origins;
+    }
   }
 
   @Override
@@ -440,6 +462,8 @@
     this.quarantineIndex = -1L;
 
     this.signals = null;
+    this.origins = new java.util.ArrayList<StreamOriginMessage>();
+
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -1085,6 +1109,53 @@
     }
   }
 
+  public int getOriginsSize() {
+    return (this.origins == null) ? 0 : this.origins.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<StreamOriginMessage> getOriginsIterator() {
+    return (this.origins == null) ? null : this.origins.iterator();
+  }
+
+  public void addToOrigins(StreamOriginMessage elem) {
+    if (this.origins == null) {
+      this.origins = new java.util.ArrayList<StreamOriginMessage>();
+    }
+    this.origins.add(elem);
+  }
+
+  /**
+   * Streams that began since the last report, or all that are remembered if the epoch changed.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<StreamOriginMessage> getOrigins() {
+    return this.origins;
+  }
+
+  /**
+   * Streams that began since the last report, or all that are remembered if the epoch changed.
+   */
+  public RouterReportMessage setOrigins(@org.apache.thrift.annotation.Nullable java.util.List<StreamOriginMessage> origins) {
+    this.origins = origins;
+    return this;
+  }
+
+  public void unsetOrigins() {
+    this.origins = null;
+  }
+
+  /** Returns true if field origins is set (has been assigned a value) and false otherwise */
+  public boolean isSetOrigins() {
+    return this.origins != null;
+  }
+
+  public void setOriginsIsSet(boolean value) {
+    if (!value) {
+      this.origins = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -1240,6 +1311,14 @@
       }
       break;
 
+    case ORIGINS:
+      if (value == null) {
+        unsetOrigins();
+      } else {
+        setOrigins((java.util.List<StreamOriginMessage>)value);
+      }
+      break;
+
     }
   }
 
@@ -1304,6 +1383,9 @@
     case SIGNALS:
       return getSignals();
 
+    case ORIGINS:
+      return getOrigins();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -1354,6 +1436,8 @@
       return isSetQuarantineIndex();
     case SIGNALS:
       return isSetSignals();
+    case ORIGINS:
+      return isSetOrigins();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -1542,6 +1626,15 @@
         return false;
     }
 
+    boolean this_present_origins = true && this.isSetOrigins();
+    boolean that_present_origins = true && that.isSetOrigins();
+    if (this_present_origins || that_present_origins) {
+      if (!(this_present_origins && that_present_origins))
+        return false;
+      if (!this.origins.equals(that.origins))
+        return false;
+    }
+
     return true;
   }
 
@@ -1607,6 +1700,10 @@
     if (isSetSignals())
       hashCode = hashCode * 8191 + signals.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetOrigins()) ? 131071 : 524287);
+    if (isSetOrigins())
+      hashCode = hashCode * 8191 + origins.hashCode();
+
     return hashCode;
   }
 
@@ -1808,6 +1905,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetOrigins(), other.isSetOrigins());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetOrigins()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.origins, other.origins);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -1949,6 +2056,14 @@
       }
       first = false;
     }
+    if (!first) sb.append(", ");
+    sb.append("origins:");
+    if (this.origins == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.origins);
+    }
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -2228,6 +2343,25 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 20: // ORIGINS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list71 = iprot.readListBegin();
+                struct.origins = new java.util.ArrayList<StreamOriginMessage>(_list71.size);
+                @org.apache.thrift.annotation.Nullable StreamOriginMessage _elem72;
+                for (int _i73 = 0; _i73 < _list71.size; ++_i73)
+                {
+                  _elem72 = new StreamOriginMessage();
+                  _elem72.read(iprot);
+                  struct.origins.add(_elem72);
+                }
+                iprot.readListEnd();
+              }
+              struct.setOriginsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -2270,9 +2404,9 @@
         oprot.writeFieldBegin(LOADS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.loads.size()));
-          for (UpstreamLoadMessage _iter71 : struct.loads)
+          for (UpstreamLoadMessage _iter74 : struct.loads)
           {
-            _iter71.write(oprot);
+            _iter74.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -2282,9 +2416,9 @@
         oprot.writeFieldBegin(COUNTS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.counts.size()));
-          for (CustomerCountMessage _iter72 : struct.counts)
+          for (CustomerCountMessage _iter75 : struct.counts)
           {
-            _iter72.write(oprot);
+            _iter75.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -2294,9 +2428,9 @@
         oprot.writeFieldBegin(DEMAND_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.demand.size()));
-          for (PoolDemandMessage _iter73 : struct.demand)
+          for (PoolDemandMessage _iter76 : struct.demand)
           {
-            _iter73.write(oprot);
+            _iter76.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -2312,9 +2446,9 @@
         oprot.writeFieldBegin(READS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.reads.size()));
-          for (PrefixReadMessage _iter74 : struct.reads)
+          for (PrefixReadMessage _iter77 : struct.reads)
           {
-            _iter74.write(oprot);
+            _iter77.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -2330,9 +2464,9 @@
         oprot.writeFieldBegin(BROKEN_SENDS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.brokenSends.size()));
-          for (BrokenSendMessage _iter75 : struct.brokenSends)
+          for (BrokenSendMessage _iter78 : struct.brokenSends)
           {
-            _iter75.write(oprot);
+            _iter78.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -2342,9 +2476,9 @@
         oprot.writeFieldBegin(ESTABLISHED_PARTS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.establishedParts.size()));
-          for (EstablishedPartMessage _iter76 : struct.establishedParts)
+          for (EstablishedPartMessage _iter79 : struct.establishedParts)
           {
-            _iter76.write(oprot);
+            _iter79.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -2354,9 +2488,9 @@
         oprot.writeFieldBegin(REJECTED_PARTS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.I64, struct.rejectedParts.size()));
-          for (long _iter77 : struct.rejectedParts)
+          for (long _iter80 : struct.rejectedParts)
           {
-            oprot.writeI64(_iter77);
+            oprot.writeI64(_iter80);
           }
           oprot.writeListEnd();
         }
@@ -2372,6 +2506,18 @@
           oprot.writeFieldEnd();
         }
       }
+      if (struct.origins != null) {
+        oprot.writeFieldBegin(ORIGINS_FIELD_DESC);
+        {
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.origins.size()));
+          for (StreamOriginMessage _iter81 : struct.origins)
+          {
+            _iter81.write(oprot);
+          }
+          oprot.writeListEnd();
+        }
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -2448,7 +2594,10 @@
       if (struct.isSetSignals()) {
         optionals.set(18);
       }
-      oprot.writeBitSet(optionals, 19);
+      if (struct.isSetOrigins()) {
+        optionals.set(19);
+      }
+      oprot.writeBitSet(optionals, 20);
       if (struct.isSetRouter()) {
         oprot.writeString(struct.router);
       }
@@ -2470,27 +2619,27 @@
       if (struct.isSetLoads()) {
         {
           oprot.writeI32(struct.loads.size());
-          for (UpstreamLoadMessage _iter78 : struct.loads)
+          for (UpstreamLoadMessage _iter82 : struct.loads)
           {
-            _iter78.write(oprot);
+            _iter82.write(oprot);
           }
         }
       }
       if (struct.isSetCounts()) {
         {
           oprot.writeI32(struct.counts.size());
-          for (CustomerCountMessage _iter79 : struct.counts)
+          for (CustomerCountMessage _iter83 : struct.counts)
           {
-            _iter79.write(oprot);
+            _iter83.write(oprot);
           }
         }
       }
       if (struct.isSetDemand()) {
         {
           oprot.writeI32(struct.demand.size());
-          for (PoolDemandMessage _iter80 : struct.demand)
+          for (PoolDemandMessage _iter84 : struct.demand)
           {
-            _iter80.write(oprot);
+            _iter84.write(oprot);
           }
         }
       }
@@ -2503,9 +2652,9 @@
       if (struct.isSetReads()) {
         {
           oprot.writeI32(struct.reads.size());
-          for (PrefixReadMessage _iter81 : struct.reads)
+          for (PrefixReadMessage _iter85 : struct.reads)
           {
-            _iter81.write(oprot);
+            _iter85.write(oprot);
           }
         }
       }
@@ -2518,27 +2667,27 @@
       if (struct.isSetBrokenSends()) {
         {
           oprot.writeI32(struct.brokenSends.size());
-          for (BrokenSendMessage _iter82 : struct.brokenSends)
+          for (BrokenSendMessage _iter86 : struct.brokenSends)
           {
-            _iter82.write(oprot);
+            _iter86.write(oprot);
           }
         }
       }
       if (struct.isSetEstablishedParts()) {
         {
           oprot.writeI32(struct.establishedParts.size());
-          for (EstablishedPartMessage _iter83 : struct.establishedParts)
+          for (EstablishedPartMessage _iter87 : struct.establishedParts)
           {
-            _iter83.write(oprot);
+            _iter87.write(oprot);
           }
         }
       }
       if (struct.isSetRejectedParts()) {
         {
           oprot.writeI32(struct.rejectedParts.size());
-          for (long _iter84 : struct.rejectedParts)
+          for (long _iter88 : struct.rejectedParts)
           {
-            oprot.writeI64(_iter84);
+            oprot.writeI64(_iter88);
           }
         }
       }
@@ -2548,12 +2697,21 @@
       if (struct.isSetSignals()) {
         struct.signals.write(oprot);
       }
+      if (struct.isSetOrigins()) {
+        {
+          oprot.writeI32(struct.origins.size());
+          for (StreamOriginMessage _iter89 : struct.origins)
+          {
+            _iter89.write(oprot);
+          }
+        }
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, RouterReportMessage struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(19);
+      java.util.BitSet incoming = iprot.readBitSet(20);
       if (incoming.get(0)) {
         struct.router = iprot.readString();
         struct.setRouterIsSet(true);
@@ -2580,42 +2738,42 @@
       }
       if (incoming.get(6)) {
         {
-          org.apache.thrift.protocol.TList _list85 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.loads = new java.util.ArrayList<UpstreamLoadMessage>(_list85.size);
-          @org.apache.thrift.annotation.Nullable UpstreamLoadMessage _elem86;
-          for (int _i87 = 0; _i87 < _list85.size; ++_i87)
+          org.apache.thrift.protocol.TList _list90 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.loads = new java.util.ArrayList<UpstreamLoadMessage>(_list90.size);
+          @org.apache.thrift.annotation.Nullable UpstreamLoadMessage _elem91;
+          for (int _i92 = 0; _i92 < _list90.size; ++_i92)
           {
-            _elem86 = new UpstreamLoadMessage();
-            _elem86.read(iprot);
-            struct.loads.add(_elem86);
+            _elem91 = new UpstreamLoadMessage();
+            _elem91.read(iprot);
+            struct.loads.add(_elem91);
           }
         }
         struct.setLoadsIsSet(true);
       }
       if (incoming.get(7)) {
         {
-          org.apache.thrift.protocol.TList _list88 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.counts = new java.util.ArrayList<CustomerCountMessage>(_list88.size);
-          @org.apache.thrift.annotation.Nullable CustomerCountMessage _elem89;
-          for (int _i90 = 0; _i90 < _list88.size; ++_i90)
+          org.apache.thrift.protocol.TList _list93 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.counts = new java.util.ArrayList<CustomerCountMessage>(_list93.size);
+          @org.apache.thrift.annotation.Nullable CustomerCountMessage _elem94;
+          for (int _i95 = 0; _i95 < _list93.size; ++_i95)
           {
-            _elem89 = new CustomerCountMessage();
-            _elem89.read(iprot);
-            struct.counts.add(_elem89);
+            _elem94 = new CustomerCountMessage();
+            _elem94.read(iprot);
+            struct.counts.add(_elem94);
           }
         }
         struct.setCountsIsSet(true);
       }
       if (incoming.get(8)) {
         {
-          org.apache.thrift.protocol.TList _list91 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.demand = new java.util.ArrayList<PoolDemandMessage>(_list91.size);
-          @org.apache.thrift.annotation.Nullable PoolDemandMessage _elem92;
-          for (int _i93 = 0; _i93 < _list91.size; ++_i93)
+          org.apache.thrift.protocol.TList _list96 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.demand = new java.util.ArrayList<PoolDemandMessage>(_list96.size);
+          @org.apache.thrift.annotation.Nullable PoolDemandMessage _elem97;
+          for (int _i98 = 0; _i98 < _list96.size; ++_i98)
           {
-            _elem92 = new PoolDemandMessage();
-            _elem92.read(iprot);
-            struct.demand.add(_elem92);
+            _elem97 = new PoolDemandMessage();
+            _elem97.read(iprot);
+            struct.demand.add(_elem97);
           }
         }
         struct.setDemandIsSet(true);
@@ -2630,14 +2788,14 @@
       }
       if (incoming.get(11)) {
         {
-          org.apache.thrift.protocol.TList _list94 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.reads = new java.util.ArrayList<PrefixReadMessage>(_list94.size);
-          @org.apache.thrift.annotation.Nullable PrefixReadMessage _elem95;
-          for (int _i96 = 0; _i96 < _list94.size; ++_i96)
+          org.apache.thrift.protocol.TList _list99 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.reads = new java.util.ArrayList<PrefixReadMessage>(_list99.size);
+          @org.apache.thrift.annotation.Nullable PrefixReadMessage _elem100;
+          for (int _i101 = 0; _i101 < _list99.size; ++_i101)
           {
-            _elem95 = new PrefixReadMessage();
-            _elem95.read(iprot);
-            struct.reads.add(_elem95);
+            _elem100 = new PrefixReadMessage();
+            _elem100.read(iprot);
+            struct.reads.add(_elem100);
           }
         }
         struct.setReadsIsSet(true);
@@ -2652,41 +2810,41 @@
       }
       if (incoming.get(14)) {
         {
-          org.apache.thrift.protocol.TList _list97 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.brokenSends = new java.util.ArrayList<BrokenSendMessage>(_list97.size);
-          @org.apache.thrift.annotation.Nullable BrokenSendMessage _elem98;
-          for (int _i99 = 0; _i99 < _list97.size; ++_i99)
+          org.apache.thrift.protocol.TList _list102 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.brokenSends = new java.util.ArrayList<BrokenSendMessage>(_list102.size);
+          @org.apache.thrift.annotation.Nullable BrokenSendMessage _elem103;
+          for (int _i104 = 0; _i104 < _list102.size; ++_i104)
           {
-            _elem98 = new BrokenSendMessage();
-            _elem98.read(iprot);
-            struct.brokenSends.add(_elem98);
+            _elem103 = new BrokenSendMessage();
+            _elem103.read(iprot);
+            struct.brokenSends.add(_elem103);
           }
         }
         struct.setBrokenSendsIsSet(true);
       }
       if (incoming.get(15)) {
         {
-          org.apache.thrift.protocol.TList _list100 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.establishedParts = new java.util.ArrayList<EstablishedPartMessage>(_list100.size);
-          @org.apache.thrift.annotation.Nullable EstablishedPartMessage _elem101;
-          for (int _i102 = 0; _i102 < _list100.size; ++_i102)
+          org.apache.thrift.protocol.TList _list105 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.establishedParts = new java.util.ArrayList<EstablishedPartMessage>(_list105.size);
+          @org.apache.thrift.annotation.Nullable EstablishedPartMessage _elem106;
+          for (int _i107 = 0; _i107 < _list105.size; ++_i107)
           {
-            _elem101 = new EstablishedPartMessage();
-            _elem101.read(iprot);
-            struct.establishedParts.add(_elem101);
+            _elem106 = new EstablishedPartMessage();
+            _elem106.read(iprot);
+            struct.establishedParts.add(_elem106);
           }
         }
         struct.setEstablishedPartsIsSet(true);
       }
       if (incoming.get(16)) {
         {
-          org.apache.thrift.protocol.TList _list103 = iprot.readListBegin(org.apache.thrift.protocol.TType.I64);
-          struct.rejectedParts = new java.util.ArrayList<java.lang.Long>(_list103.size);
-          long _elem104;
-          for (int _i105 = 0; _i105 < _list103.size; ++_i105)
+          org.apache.thrift.protocol.TList _list108 = iprot.readListBegin(org.apache.thrift.protocol.TType.I64);
+          struct.rejectedParts = new java.util.ArrayList<java.lang.Long>(_list108.size);
+          long _elem109;
+          for (int _i110 = 0; _i110 < _list108.size; ++_i110)
           {
-            _elem104 = iprot.readI64();
-            struct.rejectedParts.add(_elem104);
+            _elem109 = iprot.readI64();
+            struct.rejectedParts.add(_elem109);
           }
         }
         struct.setRejectedPartsIsSet(true);
@@ -2700,6 +2858,20 @@
         struct.signals.read(iprot);
         struct.setSignalsIsSet(true);
       }
+      if (incoming.get(19)) {
+        {
+          org.apache.thrift.protocol.TList _list111 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.origins = new java.util.ArrayList<StreamOriginMessage>(_list111.size);
+          @org.apache.thrift.annotation.Nullable StreamOriginMessage _elem112;
+          for (int _i113 = 0; _i113 < _list111.size; ++_i113)
+          {
+            _elem112 = new StreamOriginMessage();
+            _elem112.read(iprot);
+            struct.origins.add(_elem112);
+          }
+        }
+        struct.setOriginsIsSet(true);
+      }
     }
   }
 
--- a/wire/src/main/java/io/jacinthquay/wire/gen/SealCountsCommand.java
+++ b/wire/src/main/java/io/jacinthquay/wire/gen/SealCountsCommand.java
@@ -419,15 +419,15 @@
           case 2: // COUNTS
             if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
               {
-                org.apache.thrift.protocol.TMap _map186 = iprot.readMapBegin();
-                struct.counts = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map186.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _key187;
-                long _val188;
-                for (int _i189 = 0; _i189 < _map186.size; ++_i189)
+                org.apache.thrift.protocol.TMap _map212 = iprot.readMapBegin();
+                struct.counts = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map212.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _key213;
+                long _val214;
+                for (int _i215 = 0; _i215 < _map212.size; ++_i215)
                 {
-                  _key187 = iprot.readString();
-                  _val188 = iprot.readI64();
-                  struct.counts.put(_key187, _val188);
+                  _key213 = iprot.readString();
+                  _val214 = iprot.readI64();
+                  struct.counts.put(_key213, _val214);
                 }
                 iprot.readMapEnd();
               }
@@ -459,10 +459,10 @@
         oprot.writeFieldBegin(COUNTS_FIELD_DESC);
         {
           oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64, struct.counts.size()));
-          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter190 : struct.counts.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter216 : struct.counts.entrySet())
           {
-            oprot.writeString(_iter190.getKey());
-            oprot.writeI64(_iter190.getValue());
+            oprot.writeString(_iter216.getKey());
+            oprot.writeI64(_iter216.getValue());
           }
           oprot.writeMapEnd();
         }
@@ -500,10 +500,10 @@
       if (struct.isSetCounts()) {
         {
           oprot.writeI32(struct.counts.size());
-          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter191 : struct.counts.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter217 : struct.counts.entrySet())
           {
-            oprot.writeString(_iter191.getKey());
-            oprot.writeI64(_iter191.getValue());
+            oprot.writeString(_iter217.getKey());
+            oprot.writeI64(_iter217.getValue());
           }
         }
       }
@@ -519,15 +519,15 @@
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TMap _map192 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64); 
-          struct.counts = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map192.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _key193;
-          long _val194;
-          for (int _i195 = 0; _i195 < _map192.size; ++_i195)
+          org.apache.thrift.protocol.TMap _map218 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64); 
+          struct.counts = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map218.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _key219;
+          long _val220;
+          for (int _i221 = 0; _i221 < _map218.size; ++_i221)
           {
-            _key193 = iprot.readString();
-            _val194 = iprot.readI64();
-            struct.counts.put(_key193, _val194);
+            _key219 = iprot.readString();
+            _val220 = iprot.readI64();
+            struct.counts.put(_key219, _val220);
           }
         }
         struct.setCountsIsSet(true);
--- a/wire/src/main/thrift/control.thrift
+++ b/wire/src/main/thrift/control.thrift
@@ -98,6 +98,16 @@
   3: map<string, double> servedTokens
 }
 
+/** Which version of an upstream's software began a stream. */
+struct StreamOriginMessage {
+  /** Digest of the customer and of the attempt that brought the first event. */
+  1: binary stream
+  2: string pool
+  3: string version
+  /** Time since the first event, in ms. */
+  4: i64 ageMillis
+}
+
 struct RouterReportMessage {
   1: string router
   /** Drawn at each start of the router. */
@@ -133,6 +143,8 @@
   /** Log index of the quarantined parts in force; -1 for none. */
   18: i64 quarantineIndex = -1
   19: optional RouterSignalsMessage signals
+  /** Streams that began since the last report, or all that are remembered if the epoch changed. */
+  20: list<StreamOriginMessage> origins = []
 }
 
 struct ListedUpstreamMessage {
@@ -146,6 +158,8 @@
   7: i32 slots
   /** How much longer it is cold, in ms from when the list was read. */
   8: i64 coldMillis
+  /** Version of its software; empty if the platform states none. */
+  9: string version = ""
 }
 
 struct ListedUpstreamsMessage {
@@ -202,6 +216,27 @@
    * those of the domains before its own.
    */
   25: optional i32 position
+  /**
+   * Drawn by the leader when it begins to remember streams; a router that sees another one reports
+   * all streams that it remembers.
+   */
+  26: i64 originsEpoch = 0
+}
+
+/** A stream that a caller takes up, and the pool that its route leads to. */
+struct StreamQuestionMessage {
+  1: binary stream
+  2: string pool
+}
+
+/** What the leader knows of streams that callers take up. */
+struct StreamOriginsMessage {
+  /** Whether the answering VM leads; one that doesn't knows nothing. */
+  1: bool leads
+  /** The streams that it remembers. */
+  2: list<StreamOriginMessage> found
+  /** Versions of the pools that have had one version for longer than streams last, by pool. */
+  3: map<string, string> onlyVersions
 }
 
 /** What a relay passes on for the routers of its failure domain. */
@@ -224,6 +259,8 @@
   ControlViewMessage exchange(1: RouterReportMessage report)
   /** Answers what all routers beside those of the relay have under way, and no documents. */
   ControlViewMessage relay(1: RelayReportMessage report)
+  /** Answers which versions began some streams. */
+  StreamOriginsMessage findOrigins(1: list<StreamQuestionMessage> questions)
 }
 
 /** A document as the operator sent it. */
@@ -243,6 +280,22 @@
   2: map<string, i64> counts
 }
 
+/** Records which versions of its software a pool has, whenever that changes. */
+struct PoolVersionsCommand {
+  1: string pool
+  2: list<string> versions
+  /** Wall clock of the leader, ms since the epoch. */
+  3: i64 wallMillis
+}
+
+/** The versions of a pool from a moment on. */
+struct PoolVersionsMessage {
+  1: string pool
+  2: list<string> versions
+  /** ms since the epoch */
+  3: i64 sinceMillis
+}
+
 /** Quarantines a part of a prompt, or changes when it is tried again. */
 struct QuarantinePartCommand {
   1: QuarantinedPartMessage part
@@ -258,6 +311,7 @@
   3: SealCountsCommand sealCounts
   4: QuarantinePartCommand quarantinePart
   5: ReleasePartCommand releasePart
+  6: PoolVersionsCommand poolVersions
 }
 
 struct ControlSnapshot {
@@ -268,4 +322,6 @@
   5: map<i64, map<string, i64>> sealed
   6: list<QuarantinedPartMessage> quarantinedParts = []
   7: i64 quarantineIndex = 0
+  /** Versions of pools, oldest first. */
+  8: list<PoolVersionsMessage> poolVersions = []
 }
