Streams go on at the version that began them

Callers saw streams joined from events of two versions of the upstreams' software. Cause: placement of a send that goes on with a stream, within one answer or for a caller that takes it up, did not regard the version. Now a request is bound to the version that brought its first event; a take-up is bound to the version that StreamOrigins tells, refused at once where none of it is left, and refused where it can't be told and several versions serve.

What remains: routers know only the list until control VMs remember streams.

--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/PoolRequest.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/PoolRequest.java
@@ -1,9 +1,11 @@
 package io.jacinthquay.decision.dispatch;
 
 import io.jacinthquay.model.PoolName;
+import io.jacinthquay.model.SoftwareVersion;
 import io.jacinthquay.model.Tier;
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 
 /**
  * The resources and targets of a request to a pool.
@@ -17,6 +19,7 @@
  * @param gapTargetMillis target for the longest pause between events, in milliseconds; 0 for none
  * @param arrivedNanos arrival time, on the monotonic clock
  * @param deadlineNanos time at which the caller stops waiting, on the monotonic clock
+ * @param version the version of the software that alone may serve it; empty if any version may
  */
 public record PoolRequest(
     PoolName pool,
@@ -27,7 +30,8 @@
     int targetMillis,
     int gapTargetMillis,
     long arrivedNanos,
-    long deadlineNanos) {
+    long deadlineNanos,
+    Optional<SoftwareVersion> version) {
   /** Pause target of a request with a sensitivity of 1, in milliseconds. */
   private static final double REFERENCE_GAP_MILLIS = 100;
 
@@ -35,9 +39,54 @@
   public PoolRequest {
     Objects.requireNonNull(pool, "pool");
     Objects.requireNonNull(tier, "tier");
+    Objects.requireNonNull(version, "version");
     parts = List.copyOf(parts);
   }
 
+  /** Returns a request that any version may serve. */
+  public PoolRequest(
+      PoolName pool,
+      Tier tier,
+      int promptTokens,
+      int outputTokens,
+      List<PromptPart> parts,
+      int targetMillis,
+      int gapTargetMillis,
+      long arrivedNanos,
+      long deadlineNanos) {
+    this(
+        pool,
+        tier,
+        promptTokens,
+        outputTokens,
+        parts,
+        targetMillis,
+        gapTargetMillis,
+        arrivedNanos,
+        deadlineNanos,
+        Optional.empty());
+  }
+
+  /** Returns this request, to be served by one version only. */
+  public PoolRequest boundTo(SoftwareVersion only) {
+    return new PoolRequest(
+        pool,
+        tier,
+        promptTokens,
+        outputTokens,
+        parts,
+        targetMillis,
+        gapTargetMillis,
+        arrivedNanos,
+        deadlineNanos,
+        Optional.of(only));
+  }
+
+  /** Returns whether the version of an upstream may serve the request. */
+  public boolean accepts(UpstreamListing listing) {
+    return version.isEmpty() || version.get().equals(listing.version());
+  }
+
   /** Returns the most tokens that the request keeps in engine memory. */
   public long memoryTokens() {
     return (long) promptTokens + outputTokens;
--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamSelector.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamSelector.java
@@ -234,9 +234,9 @@
     return states.values();
   }
 
-  /** Returns whether the pool has a usable upstream. */
-  public boolean isServed(PoolName pool) {
-    return upstreamsByPool.getOrDefault(pool, List.of()).stream().anyMatch(this::isUsable);
+  /** Returns whether the pool has a usable upstream whose version may serve the request. */
+  public boolean isServed(PoolRequest work) {
+    return usable(work.pool()).stream().anyMatch(state -> serves(state, work));
   }
 
   /** Returns the upstreams of a pool that may get new requests. */
@@ -248,16 +248,18 @@
    * Returns whether some usable upstream belongs to a domain that isn't known to be unreachable.
    */
   public boolean hasReachableUpstream() {
-    return upstreamsByPool.values().stream()
-        .flatMap(List::stream)
-        .anyMatch(
-            state -> isUsable(state) && !reachability.isUnreachable(state.listing().domain()));
+    return allUsable().stream()
+        .anyMatch(state -> !reachability.isUnreachable(state.listing().domain()));
   }
 
   private boolean isUsable(UpstreamState state) {
     return !state.listing().draining() && !closedDomains.contains(state.listing().domain());
   }
 
+  private boolean serves(UpstreamState state, PoolRequest work) {
+    return isUsable(state) && work.accepts(state.listing());
+  }
+
   /**
    * Selects the upstream with the least cost. With many routers, only a sample of upstreams is
    * compared, and all of them only if none of the sample has capacity.
@@ -281,7 +283,7 @@
     List<UpstreamState> open = new ArrayList<>();
     List<UpstreamState> excess = new ArrayList<>();
     for (UpstreamState state : candidates) {
-      if (isUsable(state)
+      if (serves(state, work)
           && (isAnswering(state, now) || (poolFails && mayTryDespiteFailures(state, now)))
           && !avoided.contains(state.listing().upstream())
           && limits.allows(state, now)) {
@@ -395,7 +397,7 @@
     UpstreamState home = null;
     long highest = Long.MIN_VALUE;
     for (UpstreamState state : candidates) {
-      if (isUsable(state) && !limits.isLimited(state) && separation.isReserved(state) == chat) {
+      if (serves(state, work) && !limits.isLimited(state) && separation.isReserved(state) == chat) {
         long weight = RendezvousHash.weight(shared, state.listing().upstream());
         if (home == null || weight > highest) {
           highest = weight;
--- a/model/src/main/java/io/jacinthquay/model/ResultCode.java
+++ b/model/src/main/java/io/jacinthquay/model/ResultCode.java
@@ -148,6 +148,20 @@
       Outcome.NOT_RUN,
       "Upstreams crashed as answers on a part of the prompt began.",
       "Change the prompt, or retry after the time in Retry-After."),
+  /** No upstream of the version that began the stream is left. */
+  STREAM_VERSION_GONE(
+      1208,
+      503,
+      Outcome.NOT_RUN,
+      "No upstream of the version that began the stream is left.",
+      "Start the stream anew."),
+  /** Several versions may have begun the stream, and a stream may go on only at its own. */
+  STREAM_ORIGIN_UNKNOWN(
+      1209,
+      503,
+      Outcome.NOT_RUN,
+      "It isn't known which version began the stream.",
+      "Retry after the time in Retry-After, or start the stream anew."),
   /** The upstream rejected the request before executing it. */
   UPSTREAM_REFUSED(
       1300,
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardAttempt.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardAttempt.java
@@ -3,6 +3,7 @@
 import io.jacinthquay.decision.dispatch.PromptPart;
 import io.jacinthquay.decision.dispatch.SendOutcome;
 import io.jacinthquay.decision.dispatch.SentRequest;
+import io.jacinthquay.decision.dispatch.UpstreamListing;
 import io.jacinthquay.decision.dispatch.UpstreamState;
 import io.jacinthquay.model.ResultCode;
 import io.jacinthquay.router.port.ForwardProtocol.AnswerKind;
@@ -31,6 +32,7 @@
   private final ForwardExchange exchange;
   private final ForwardCore core;
   private final SentRequest sending;
+  private final UpstreamListing listing;
   private final Optional<SendEvidence> evidence;
   private UpstreamCall call;
   private boolean begun;
@@ -51,6 +53,7 @@
     this.exchange = exchange;
     this.core = core;
     this.sending = sending;
+    this.listing = sending.upstream().listing();
     this.evidence = core.evidence(sending, resumed);
   }
 
@@ -68,6 +71,11 @@
     return sending.upstream();
   }
 
+  /** Returns the upstream as it was listed when the request was sent to it. */
+  UpstreamListing listing() {
+    return listing;
+  }
+
   int unreadTokens() {
     return sending.unreadTokens();
   }
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
@@ -17,6 +17,7 @@
 import io.jacinthquay.router.port.Caller;
 import io.jacinthquay.router.port.EventThread;
 import io.jacinthquay.router.port.ForwardProtocol;
+import io.jacinthquay.router.port.StreamOrigins;
 import io.jacinthquay.router.port.UpstreamClient;
 import io.jacinthquay.runtime.http.BufferBudget;
 import java.util.Collection;
@@ -77,6 +78,7 @@
   private volatile Optional<RouteTable> table = Optional.empty();
   private volatile Optional<SyncedTime> syncedTime = Optional.empty();
   private EventThread thread;
+  private StreamOrigins streamOrigins;
   private final RouterIsolation contact = new RouterIsolation();
   private final BufferBudget answerMemory =
       new BufferBudget((long) (Runtime.getRuntime().maxMemory() * ANSWER_HEAP_SHARE));
@@ -113,6 +115,7 @@
             cold.tolerance(),
             new SplittableRandom(),
             options.rateUse());
+    this.streamOrigins = new ListedOrigins(selector);
     this.notices = new UpstreamNotices(selector.statedLimits(), metrics);
     this.learning = new RateLearning(selector, metrics);
     this.waiting =
@@ -136,6 +139,15 @@
     thread = ioThread;
   }
 
+  /** Sets what remembers which versions began streams; call before the first request. */
+  public void streamOrigins(StreamOrigins origins) {
+    streamOrigins = origins;
+  }
+
+  StreamOrigins streamOrigins() {
+    return streamOrigins;
+  }
+
   /** Returns the I/O thread, on which all methods run that do not say otherwise. */
   public EventThread thread() {
     return thread;
@@ -159,6 +171,7 @@
     upstreamsKnown = true;
     selector.setListings(listings, clock.getAsLong());
     releaseHeld();
+    forEachActive(ForwardExchange::endIfVersionGone);
     queues.poll();
   }
 
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardExchange.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardExchange.java
@@ -17,39 +17,27 @@
 import io.jacinthquay.router.port.DisconnectReason;
 import io.jacinthquay.router.port.ResponseHead;
 import java.nio.ByteBuffer;
-import java.util.HashSet;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 
 /** Forwards one request, from its admission to the end of its answer. */
 final class ForwardExchange implements CallerListener {
-  /** Number of sends without execution after which the request fails. */
-  private static final int MAX_UNEXECUTED = 4;
-
-  /** The same where a request may return to the queue between two sends. */
-  private static final int MAX_UNEXECUTED_QUEUED = 6;
-
-  /** Sends without execution from which a request returns to the queue before the next one. */
-  private static final int QUEUED_FROM = 2;
-
   private final ForwardCore core;
   private final ForwardRequest request;
   private final Caller caller;
   private final AnswerSink regularSink;
-  private final PoolRequest work;
-  private final Set<UpstreamId> triedUpstreams = new HashSet<>();
+  private final StreamBinding binding;
+  private final SendHistory history;
   private final RequestTrace trace;
   private final QueuePlace queue;
   private final PromptTrial trial;
+  private PoolRequest work;
   private Runnable timer = () -> {};
   private AnswerSink sink;
   private ForwardAttempt attempt;
-  private int sends;
   private long sentNanos;
-  private int unexecuted;
   private boolean mayHaveRun;
   private boolean success;
   private boolean usageCounted;
@@ -61,7 +49,9 @@
     this.caller = caller;
     PoolName pool = RouteTable.pool(request.route(), ThreadLocalRandom.current().nextDouble());
     this.work = request.work(pool);
+    this.history = new SendHistory(core, request.route());
     this.trace = new RequestTrace(request, work);
+    this.binding = new StreamBinding(core, request, pool, trace);
     this.queue = new QueuePlace(core, request, work, trace);
     this.trial = new PromptTrial(core.quarantine(), work.sharedParts());
     this.regularSink =
@@ -94,6 +84,30 @@
     core.retryBudgets().countFirstSend(work.pool(), now);
     long leftMillis = request.limitMillis() - trace.millisSinceArrival(now);
     timer = caller.thread().after(Math.max(1, leftMillis), this::timedOut);
+    if (binding.isTakeUp()) {
+      binding.findOrigin(this::enterBound, this::reject);
+    } else {
+      enter(now);
+    }
+  }
+
+  private void enterBound(PoolRequest boundWork) {
+    if (!done) {
+      bindTo(boundWork);
+      enter(System.nanoTime());
+    }
+  }
+
+  private void bindTo(PoolRequest boundWork) {
+    work = boundWork;
+    queue.rebind(boundWork);
+  }
+
+  private void reject(Failure failure) {
+    endUnanswered(failure.code(), failure.code(), failure.detail());
+  }
+
+  private void enter(long now) {
     boolean next = queue.arrive(now);
     if (!next || !tryDispatch(now)) {
       enqueue(now);
@@ -104,20 +118,24 @@
   }
 
   private void enqueue(long now) {
-    if (!core.selector().isServed(work.pool())) {
-      endUnanswered(ResultCode.NO_UPSTREAM, ResultCode.NO_UPSTREAM, "the pool has no upstream");
-      return;
+    if (!core.selector().isServed(work)) {
+      reject(binding.unserved());
+    } else {
+      queue.enter(this, now).ifPresent(this::reject);
+    }
+  }
+
+  /** Ends a request that waits for a version of which no upstream is left. */
+  void endIfVersionGone() {
+    if (queue.isWaiting() && work.version().isPresent() && !core.selector().isServed(work)) {
+      queue.leave(this);
+      reject(binding.unserved());
     }
-    queue
-        .enter(this, now)
-        .ifPresent(failure -> endUnanswered(failure.code(), failure.code(), failure.detail()));
   }
 
   /** Returns whether an upstream has capacity for the request now. */
   boolean hasPlace(long now) {
-    return !done
-        && !isPastDeadline(now)
-        && core.selector().choose(work, triedUpstreams, now).isPresent();
+    return !done && !isPastDeadline(now) && history.choose(work, now).isPresent();
   }
 
   /**
@@ -128,9 +146,7 @@
     if (!core.sharesQueue() || isPastDeadline(now) || done) {
       return false;
     }
-    if (sends == 0) {
-      triedUpstreams.clear();
-    }
+    history.forgetUnlessRun();
     queue.enterAgain(this, now);
     return true;
   }
@@ -156,7 +172,7 @@
       endQuarantined();
       return true;
     }
-    Optional<UpstreamState> chosen = core.selector().choose(work, triedUpstreams, now);
+    Optional<UpstreamState> chosen = history.choose(work, now);
     if (chosen.isEmpty()) {
       return false;
     }
@@ -184,20 +200,16 @@
   private void send(UpstreamState upstream, long now) {
     cancelSend();
     sink = regularSink;
-    sends++;
-    triedUpstreams.add(upstream.listing().upstream());
+    history.recordSend(upstream.listing().upstream());
     UpstreamLoad loadBefore = upstream.load();
     SentRequest sending = core.selector().sent(upstream, work, now);
     note("sent", upstream.listing().upstream());
     if (work.promptTokens() > 0) {
       trace.notePrompt(sending, loadBefore);
     }
-    core.metrics().countSend(sends + unexecuted > 1);
+    core.metrics().countSend(history.isRepeated());
     sentNanos = now;
-    OptionalLong resumeAfter =
-        sink instanceof EventStreamAnswer events && caller.hasBegun()
-            ? events.lastId()
-            : request.facts().lastEventId();
+    OptionalLong resumeAfter = binding.resumeAfter(sink, caller.hasBegun());
     attempt = new ForwardAttempt(this, core, sending, resumeAfter.isPresent());
     attempt.send(() -> request.toUpstream(core.protocol(), sending, resumeAfter, now));
     core.counters(work.pool()).promptTokens += attempt.unreadTokens();
@@ -230,6 +242,7 @@
     trace.recordEvents(!caller.hasBegun());
     if (attempt != null) {
       attempt.recordEvents(events);
+      bindTo(binding.bindFirst(work, attempt.listing()));
     }
     if (!caller.hasBegun()) {
       note("first", "event");
@@ -310,11 +323,7 @@
 
   /** Returns whether the request may be retried now; if so, takes a retry from the budget. */
   boolean tryAcquireRetry(long now) {
-    return request.route().isRetryable()
-        && sends < request.route().maxAttempts()
-        && !isPastDeadline(now)
-        && core.selector().choose(work, triedUpstreams, now).isPresent()
-        && core.retryBudgets().tryAcquire(work.pool(), now);
+    return history.tryAcquireRetry(work, now);
   }
 
   /** Retries the request at another upstream if its upstream is silent and a retry is allowed. */
@@ -332,16 +341,10 @@
   /** Called when the upstream proved that it did not run the request. */
   void onNotExecuted(ResponseHead head) {
     note("notRun", head.status());
-    sends--;
-    unexecuted++;
+    history.recordNotRun();
     long now = System.nanoTime();
-    boolean retry =
-        unexecuted < (core.sharesQueue() ? MAX_UNEXECUTED_QUEUED : MAX_UNEXECUTED)
-            && !isPastDeadline(now)
-            && (core.sharesQueue() || core.selector().choose(work, triedUpstreams, now).isPresent())
-            && core.retryBudgets().tryAcquire(work.pool(), now);
-    boolean atOnce = !core.sharesQueue() || unexecuted < QUEUED_FROM;
-    if (!retry || !((atOnce && tryDispatch(now)) || enqueueAgain(now))) {
+    if (!history.tryAcquireAnother(work, now)
+        || !((history.mayGoAtOnce() && tryDispatch(now)) || enqueueAgain(now))) {
       giveUp(ResultCode.UPSTREAM_REFUSED);
     }
   }
@@ -349,10 +352,9 @@
   /** Called when the upstream could not be reached; nothing of the request was sent. */
   void onUnreachable(ForwardAttempt from) {
     note("unreachable", from.upstream().listing().upstream());
-    sends--;
-    unexecuted++;
+    history.recordNotRun();
     long now = System.nanoTime();
-    if (unexecuted >= MAX_UNEXECUTED || !(tryDispatch(now) || enqueueAgain(now))) {
+    if (!history.mayReachAnother() || !(tryDispatch(now) || enqueueAgain(now))) {
       giveUp(ResultCode.UPSTREAM_UNREACHABLE);
     }
   }
@@ -419,7 +421,7 @@
   private void refuse(ResultCode code, String detail) {
     PoolCounters counters = core.counters(work.pool());
     counters.refused++;
-    counters.promptTokens += sends == 0 ? work.ownTokens() : 0;
+    counters.promptTokens += history.hasSends() ? 0 : work.ownTokens();
     note("refused", detail);
     caller.sendResponse(
         core.protocol().refusal(Failure.of(code, detail), OptionalDouble.of(queue.refuse(code))),
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardMetrics.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardMetrics.java
@@ -5,7 +5,9 @@
 import io.jacinthquay.decision.pace.SlowStart;
 import io.jacinthquay.model.PoolName;
 import io.jacinthquay.router.port.DisconnectReason;
+import io.jacinthquay.router.port.StreamOrigins;
 import io.jacinthquay.router.service.report.LatencyHistograms;
+import java.util.Locale;
 import java.util.function.LongSupplier;
 
 /** Counters and latency histograms of forwarded requests; docs/METRICS.md lists them. */
@@ -98,6 +100,16 @@
         .inc();
   }
 
+  /** Counts a stream that a caller takes up. */
+  void countTakeUp(StreamOrigins.Knowledge knowledge) {
+    registry
+        .counter(
+            "jq_forward_take_ups_total{origin=\""
+                + knowledge.name().toLowerCase(Locale.ROOT)
+                + "\"}")
+        .inc();
+  }
+
   /** Counts a connection of a caller that ended before the answer to its request was complete. */
   void countUnansweredClose(DisconnectReason reason) {
     registry.counter("jq_forward_unanswered_closes_total{reason=\"" + reason.text() + "\"}").inc();
--- a/router/src/main/java/io/jacinthquay/router/service/forward/QueuePlace.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/QueuePlace.java
@@ -17,7 +17,7 @@
 
   private final ForwardCore core;
   private final ForwardRequest request;
-  private final PoolRequest work;
+  private PoolRequest work;
   private final RequestTrace trace;
   private boolean waiting;
 
@@ -28,6 +28,11 @@
     this.trace = trace;
   }
 
+  /** Sets the work of the request, which must not wait now. */
+  void rebind(PoolRequest newWork) {
+    work = newWork;
+  }
+
   private WaitingLine<ForwardExchange> line() {
     return core.waiting().line(work.pool());
   }
@@ -85,6 +90,10 @@
     return new Waiter<>(exchange, work, request.customer(), begunNanos);
   }
 
+  boolean isWaiting() {
+    return waiting;
+  }
+
   /** Records that the queue has removed the request, which is sent or ends. */
   void left() {
     waiting = false;
--- /dev/null
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/StreamBinding.java
@@ -0,0 +1,135 @@
+package io.jacinthquay.router.service.forward;
+
+import io.jacinthquay.decision.dispatch.PoolRequest;
+import io.jacinthquay.decision.dispatch.UpstreamListing;
+import io.jacinthquay.model.Failure;
+import io.jacinthquay.model.PoolName;
+import io.jacinthquay.model.ResultCode;
+import io.jacinthquay.model.StreamId;
+import io.jacinthquay.model.routing.WeightedPool;
+import io.jacinthquay.router.port.StreamOrigins;
+import io.jacinthquay.router.port.StreamOrigins.Origin;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+
+/**
+ * Binds one stream to the version of the software that began it.
+ *
+ * <p>What two versions write doesn't fit together, and upstreams don't check whether they began a
+ * stream that they go on with. Handles upstreams that fail while several versions serve: the stream
+ * goes on at its own version, within one answer and over the attempts of its caller, or not at all.
+ */
+final class StreamBinding {
+  private final ForwardCore core;
+  private final ForwardRequest request;
+  private final PoolName drawnPool;
+  private final RequestTrace trace;
+  private boolean bound;
+
+  /**
+   * Returns a binding to no version.
+   *
+   * @param drawnPool the pool that was drawn for the request among those of its route
+   */
+  StreamBinding(ForwardCore core, ForwardRequest request, PoolName drawnPool, RequestTrace trace) {
+    this.core = core;
+    this.request = request;
+    this.drawnPool = drawnPool;
+    this.trace = trace;
+  }
+
+  /** Returns whether the caller takes up a stream of an earlier attempt. */
+  boolean isTakeUp() {
+    return request.facts().lastEventId().isPresent();
+  }
+
+  /**
+   * Finds the pool and the version that began the stream; calls one of the two consumers, possibly
+   * before this method returns.
+   *
+   * @param found receives the work, to be served by that version only
+   * @param refused receives the reason why the stream can't go on here
+   */
+  void findOrigin(Consumer<PoolRequest> found, Consumer<Failure> refused) {
+    find(pools(), found, refused);
+  }
+
+  /** Returns the pools that may have begun the stream, the drawn one first. */
+  private List<PoolName> pools() {
+    return Stream.concat(
+            Stream.of(drawnPool),
+            request.route().split().stream()
+                .filter(weighted -> weighted.weight() > 0)
+                .map(WeightedPool::pool))
+        .distinct()
+        .toList();
+  }
+
+  private void find(List<PoolName> pools, Consumer<PoolRequest> found, Consumer<Failure> refused) {
+    PoolName pool = pools.get(0);
+    Optional<StreamId> stream = request.facts().resumedAttempt().map(this::streamId);
+    core.streamOrigins()
+        .find(
+            stream,
+            pool,
+            origin -> {
+              if (origin.knowledge() == StreamOrigins.Knowledge.UNKNOWN && pools.size() > 1) {
+                find(pools.subList(1, pools.size()), found, refused);
+              } else {
+                conclude(pool, origin, found, refused);
+              }
+            });
+  }
+
+  private void conclude(
+      PoolName pool, Origin origin, Consumer<PoolRequest> found, Consumer<Failure> refused) {
+    core.metrics().countTakeUp(origin.knowledge());
+    trace.note("origin", origin.version().map(Object::toString).orElse("" + origin.knowledge()));
+    switch (origin.knowledge()) {
+      case KNOWN -> {
+        bound = true;
+        found.accept(request.work(pool).boundTo(origin.version().orElseThrow()));
+      }
+      case UNKNOWN -> refused.accept(Failure.of(ResultCode.STREAM_ORIGIN_UNKNOWN));
+      default ->
+          refused.accept(
+              Failure.of(
+                  ResultCode.STREAM_ORIGIN_UNKNOWN, "no control VM told which version began it"));
+    }
+  }
+
+  private StreamId streamId(String attempt) {
+    return StreamId.of(request.customer(), attempt);
+  }
+
+  /**
+   * Binds the work of a stream to the version that brings its first event, unless it is bound, and
+   * records that version for take-ups by the caller.
+   *
+   * @param upstream the upstream as it was listed when the request was sent to it
+   */
+  PoolRequest bindFirst(PoolRequest work, UpstreamListing upstream) {
+    if (bound) {
+      return work;
+    }
+    bound = true;
+    core.streamOrigins()
+        .record(streamId(request.facts().attemptId()), work.pool(), upstream.version());
+    return work.boundTo(upstream.version());
+  }
+
+  /** Returns why the request is rejected when no upstream is left that may serve it. */
+  Failure unserved() {
+    return Failure.of(bound ? ResultCode.STREAM_VERSION_GONE : ResultCode.NO_UPSTREAM);
+  }
+
+  /** Returns the id after which the next send has to go on; empty if the caller has no event. */
+  OptionalLong resumeAfter(AnswerSink sink, boolean begun) {
+    return begun && sink instanceof EventStreamAnswer events
+        ? events.lastId()
+        : request.facts().lastEventId();
+  }
+}
