--- a/router/src/main/java/io/jacinthquay/router/service/forward/StreamBinding.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/StreamBinding.java
@@ -116,6 +116,7 @@
       return work;
     }
     bound = true;
+    trace.note("begunBy", upstream.version());
     core.streamOrigins()
         .record(streamId(request.facts().attemptId()), work.pool(), upstream.version());
     return work.boundTo(upstream.version());
