Streams may go on at upstreams that have just begun to leave, if no other one of their version is left

In a release all upstreams of a version leave together. They still serve for seconds; a take-up was refused though two of them served.

--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamSelector.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamSelector.java
@@ -67,7 +67,7 @@
   private Map<PoolName, PoolSpec> pools = Map.of();
   private Map<PoolName, PlacementRule> rules = Map.of();
   private Map<PoolName, List<UpstreamState>> upstreamsByPool = Map.of();
-  private Set<DomainId> closedDomains = Set.of();
+  private final Eligibility eligibility = new Eligibility();
   private final Map<PoolName, ReservedEngines> reservations = new HashMap<>();
   private final DomainReachability reachability = new DomainReachability();
   private int routerCount = 1;
@@ -179,7 +179,7 @@
 
   /** Sets the failure domains that get no new requests. */
   public void setClosedDomains(Set<DomainId> domains) {
-    closedDomains = Set.copyOf(domains);
+    eligibility.setClosedDomains(domains);
     reservations.values().forEach(ReservedEngines::invalidate);
   }
 
@@ -217,7 +217,10 @@
   }
 
   private List<UpstreamState> allUsable() {
-    return upstreamsByPool.values().stream().flatMap(List::stream).filter(this::isUsable).toList();
+    return upstreamsByPool.values().stream()
+        .flatMap(List::stream)
+        .filter(eligibility::isUsable)
+        .toList();
   }
 
   /** Returns how fast the upstreams work, as far as it is learned. */
@@ -234,14 +237,18 @@
     return states.values();
   }
 
-  /** Returns whether the pool has a usable upstream whose version may serve the request. */
-  public boolean isServed(PoolRequest work) {
-    return usable(work.pool()).stream().anyMatch(state -> serves(state, work));
+  /** Returns whether the pool has an upstream that may serve the request, now or later. */
+  public boolean isServed(PoolRequest work, long now) {
+    return !eligibility.serving(upstreams(work.pool()), work, now).isEmpty();
   }
 
   /** Returns the upstreams of a pool that may get new requests. */
   public List<UpstreamState> usable(PoolName pool) {
-    return upstreamsByPool.getOrDefault(pool, List.of()).stream().filter(this::isUsable).toList();
+    return upstreams(pool).stream().filter(eligibility::isUsable).toList();
+  }
+
+  private List<UpstreamState> upstreams(PoolName pool) {
+    return upstreamsByPool.getOrDefault(pool, List.of());
   }
 
   /**
@@ -252,14 +259,6 @@
         .anyMatch(state -> !reachability.isUnreachable(state.listing().domain()));
   }
 
-  private boolean isUsable(UpstreamState state) {
-    return !state.listing().draining() && !closedDomains.contains(state.listing().domain());
-  }
-
-  private boolean serves(UpstreamState state, PoolRequest work) {
-    return isUsable(state) && work.accepts(state.listing());
-  }
-
   /**
    * Selects the upstream with the least cost. With many routers, only a sample of upstreams is
    * compared, and all of them only if none of the sample has capacity.
@@ -268,23 +267,24 @@
    * @return empty if no upstream has capacity now
    */
   public Optional<UpstreamState> choose(PoolRequest work, Set<UpstreamId> avoided, long now) {
-    List<UpstreamState> candidates = upstreamsByPool.getOrDefault(work.pool(), List.of());
+    List<UpstreamState> candidates = upstreams(work.pool());
     PlacementRule rule = rules.get(work.pool());
     if (rule == null || candidates.isEmpty()) {
       return Optional.empty();
     }
     rates.refresh(this::listings, now);
     pacing.updateIfDue(this::allUsable, routerCount, now);
-    Optional<ReservedEngines> reserved = reserved(work.pool(), candidates, now);
+    Optional<ReservedEngines> reserved = reserved(work.pool(), now);
     reserved.ifPresent(r -> r.recordTarget(work, now));
     ChatSeparation separation = new ChatSeparation(work, reserved, rates.isLearned());
-    SharedPrefix prefix = sharedPrefix(work, candidates, reserved, now);
-    boolean poolFails = rates.isLearned() && PoolFailure.isFailing(candidates, this::isUsable);
+    List<UpstreamState> serving = eligibility.serving(candidates, work, now);
+    SharedPrefix prefix = sharedPrefix(work, serving, reserved, now);
+    boolean poolFails =
+        rates.isLearned() && PoolFailure.isFailing(candidates, eligibility::isUsable);
     List<UpstreamState> open = new ArrayList<>();
     List<UpstreamState> excess = new ArrayList<>();
-    for (UpstreamState state : candidates) {
-      if (serves(state, work)
-          && (isAnswering(state, now) || (poolFails && mayTryDespiteFailures(state, now)))
+    for (UpstreamState state : serving) {
+      if ((isAnswering(state, now) || (poolFails && mayTryDespiteFailures(state, now)))
           && !avoided.contains(state.listing().upstream())
           && limits.allows(state, now)) {
         if (pacing.allows(state)) {
@@ -336,29 +336,25 @@
   private boolean isTransferSource(UpstreamState state, long now) {
     DomainId domain = state.listing().domain();
     return isAnswering(state, now)
-        && !closedDomains.contains(domain)
+        && !eligibility.isClosed(domain)
         && !reachability.isAvoided(domain, now);
   }
 
-  private Optional<ReservedEngines> reserved(
-      PoolName pool, List<UpstreamState> candidates, long now) {
+  private Optional<ReservedEngines> reserved(PoolName pool, long now) {
     Optional<ReservedEngines> share = Optional.ofNullable(reservations.get(pool));
-    share.ifPresent(s -> s.refresh(() -> candidates.stream().filter(this::isUsable).toList(), now));
+    share.ifPresent(s -> s.refresh(() -> usable(pool), now));
     return share;
   }
 
   private SharedPrefix sharedPrefix(
-      PoolRequest work,
-      List<UpstreamState> candidates,
-      Optional<ReservedEngines> reserved,
-      long now) {
+      PoolRequest work, List<UpstreamState> serving, Optional<ReservedEngines> reserved, long now) {
     if (work.sharedId() == 0) {
       return new SharedPrefix(null, 0, now);
     }
     double rate =
         pools.get(work.pool()).engine().map(EngineSpec::transferTokensPerMilli).orElse(0.0);
-    SharedPrefix prefix = new SharedPrefix(home(work, candidates, reserved), rate, now);
-    for (UpstreamState state : candidates) {
+    SharedPrefix prefix = new SharedPrefix(home(work, serving, reserved), rate, now);
+    for (UpstreamState state : upstreams(work.pool())) {
       int read = rate > 0 ? state.prefixes().readTokens(work.sharedParts(), now) : 0;
       if (read > 0 && isTransferSource(state, now)) {
         prefix.addHolder(state, read);
@@ -390,14 +386,14 @@
 
   /** Returns the home upstream of a shared prefix, the same at every router. */
   private UpstreamState home(
-      PoolRequest work, List<UpstreamState> candidates, Optional<ReservedEngines> reserved) {
+      PoolRequest work, List<UpstreamState> serving, Optional<ReservedEngines> reserved) {
     long shared = work.sharedId();
     ChatSeparation separation = new ChatSeparation(work, reserved, rates.isLearned());
     boolean chat = separation.isReservedFor();
     UpstreamState home = null;
     long highest = Long.MIN_VALUE;
-    for (UpstreamState state : candidates) {
-      if (serves(state, work) && !limits.isLimited(state) && separation.isReserved(state) == chat) {
+    for (UpstreamState state : serving) {
+      if (!limits.isLimited(state) && separation.isReserved(state) == chat) {
         long weight = RendezvousHash.weight(shared, state.listing().upstream());
         if (home == null || weight > highest) {
           highest = weight;
@@ -422,7 +418,7 @@
     SharedPrefix prefix =
         sharedPrefix(
             work,
-            upstreamsByPool.getOrDefault(work.pool(), List.of()),
+            eligibility.serving(upstreams(work.pool()), work, now),
             Optional.ofNullable(reservations.get(work.pool())),
             now);
     Optional<PrefixTransfer> transfer = prefix.transferTo(state, cached);
--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamState.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamState.java
@@ -20,6 +20,8 @@
   private long coldUntil;
   private long silentSince;
   private long linkFreeAt;
+  private boolean seenToLeave;
+  private long leavingSince;
 
   UpstreamState(UpstreamListing listing, PoolSpec pool, long now) {
     this.listing = listing;
@@ -31,14 +33,28 @@
   /** Returns whether a newer entry shows that the upstream was started again under the same id. */
   boolean isRestartedIn(UpstreamListing newListing, long now) {
     boolean coldAgain = !isCold(now) && newListing.coldMillis() > MIN_COLD_MILLIS;
-    return coldAgain || !newListing.address().equals(listing.address());
+    return coldAgain
+        || !newListing.address().equals(listing.address())
+        || !newListing.version().equals(listing.version());
   }
 
   void updateListing(UpstreamListing newListing, long now) {
+    if (newListing.draining() && !listing.draining()) {
+      seenToLeave = true;
+      leavingSince = now;
+    }
     listing = newListing;
     coldUntil = now + newListing.coldMillis() * 1_000_000L;
   }
 
+  /**
+   * Returns for how long the upstream has been leaving, in nanoseconds; the greatest value if it
+   * isn't leaving or was not seen to begin.
+   */
+  long hasLeftFor(long now) {
+    return seenToLeave && listing.draining() ? now - leavingSince : Long.MAX_VALUE;
+  }
+
   void setRemoteLoad(UpstreamLoad figures) {
     remoteLoad = figures;
   }
--- a/decision/src/test/java/io/jacinthquay/decision/dispatch/UpstreamSelectorTest.java
+++ b/decision/src/test/java/io/jacinthquay/decision/dispatch/UpstreamSelectorTest.java
@@ -392,7 +392,7 @@
     assertEquals("far", choose(TestRequests.call(0), 0));
     selector.setClosedDomains(Set.of(REMOTE));
     assertEquals(Optional.empty(), selector.choose(TestRequests.call(0), Set.of(), 0));
-    assertFalse(selector.isServed(TestRequests.call(0)));
+    assertFalse(selector.isServed(TestRequests.call(0), 0));
   }
 
   @Test
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
@@ -169,9 +169,10 @@
   public void updateListings(Collection<UpstreamListing> upstreams) {
     listings = List.copyOf(upstreams);
     upstreamsKnown = true;
-    selector.setListings(listings, clock.getAsLong());
+    long now = clock.getAsLong();
+    selector.setListings(listings, now);
     releaseHeld();
-    forEachActive(ForwardExchange::endIfVersionGone);
+    forEachActive(exchange -> exchange.endIfVersionGone(now));
     queues.poll();
   }
 
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardExchange.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardExchange.java
@@ -118,7 +118,7 @@
   }
 
   private void enqueue(long now) {
-    if (!core.selector().isServed(work)) {
+    if (!core.selector().isServed(work, now)) {
       reject(binding.unserved());
     } else {
       queue.enter(this, now).ifPresent(this::reject);
@@ -126,8 +126,8 @@
   }
 
   /** Ends a request that waits for a version of which no upstream is left. */
-  void endIfVersionGone() {
-    if (queue.isWaiting() && work.version().isPresent() && !core.selector().isServed(work)) {
+  void endIfVersionGone(long now) {
+    if (queue.isWaiting() && work.version().isPresent() && !core.selector().isServed(work, now)) {
       queue.leave(this);
       reject(binding.unserved());
     }
