Routers remember and report which version began a stream: first form

Skeleton for the wiring of the forwarding core: ControlStreamOrigins implements StreamOrigins. Not compiled yet; the control VMs answer no question yet.

--- a/router/src/main/java/io/jacinthquay/router/ForwardRouter.java
+++ b/router/src/main/java/io/jacinthquay/router/ForwardRouter.java
@@ -7,6 +7,7 @@
 import io.jacinthquay.router.adapter.http.ReusePolicy;
 import io.jacinthquay.router.adapter.http.UndertowUpstreamClient;
 import io.jacinthquay.router.adapter.thrift.ControlLink;
+import io.jacinthquay.router.adapter.thrift.ControlStreamOrigins;
 import io.jacinthquay.router.port.ForwardProtocol;
 import io.jacinthquay.router.port.RequestIntake;
 import io.jacinthquay.router.port.UpstreamDirectory;
@@ -61,6 +62,7 @@
   private final UndertowUpstreamClient client;
   private final ForwardCore core;
   private final CallerServer server;
+  private final ControlStreamOrigins origins;
   private final ControlLink link;
   private final Function<ForwardCore, RequestIntake> ready;
 
@@ -120,9 +122,16 @@
     core.metrics().gauge("jq_forward_upstream_connections", client::openConnections);
     server = new CallerServer(endpoints.callers(), 1, limits, new ForwardIntake(core));
     registerMemory();
+    origins = new ControlStreamOrigins(endpoints.control(), core::thread, core.metrics());
     link =
         new ControlLink(
-            endpoints.name(), options.domain(), endpoints.control(), core, decoder, directory);
+            endpoints.name(),
+            options.domain(),
+            endpoints.control(),
+            core,
+            origins,
+            decoder,
+            directory);
   }
 
   private void registerMemory() {
@@ -148,6 +157,7 @@
     core.listening(server::isListening);
     server.addListenAddress(endpoints.ready(), ready.apply(core));
     server.addListenAddress(endpoints.metrics(), new MetricsIntake(core.metrics().registry()));
+    origins.start();
     link.start();
     log.info("router {} started for callers at {}", endpoints.name(), endpoints.callers());
   }
@@ -188,6 +198,7 @@
       Thread.currentThread().interrupt();
     }
     link.stop();
+    origins.stop();
     server.stop();
     client.close();
     log.info("router {} stopped with {} requests in progress", endpoints.name(), core.inProgress());
--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/ControlLink.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/ControlLink.java
@@ -1,7 +1,6 @@
 package io.jacinthquay.router.adapter.thrift;
 
 import io.jacinthquay.decision.cluster.RouterSignals;
-import io.jacinthquay.decision.dispatch.PromptPart;
 import io.jacinthquay.decision.dispatch.UpstreamListing;
 import io.jacinthquay.decision.dispatch.UpstreamLoad;
 import io.jacinthquay.decision.quarantine.PartId;
@@ -9,14 +8,12 @@
 import io.jacinthquay.decision.routing.RouteTable;
 import io.jacinthquay.model.DomainId;
 import io.jacinthquay.model.Failure;
-import io.jacinthquay.model.PoolName;
 import io.jacinthquay.model.UpstreamId;
 import io.jacinthquay.model.routing.RoutingDocument;
 import io.jacinthquay.router.port.UpstreamDirectory;
 import io.jacinthquay.router.service.forward.CachedPrefix;
 import io.jacinthquay.router.service.forward.ForwardCore;
 import io.jacinthquay.router.service.forward.ForwardReport;
-import io.jacinthquay.router.service.forward.QuarantineReport;
 import io.jacinthquay.runtime.Service;
 import io.jacinthquay.runtime.settings.SocketAddresses;
 import io.jacinthquay.wire.convert.QuarantineMessages;
@@ -25,9 +22,7 @@
 import io.jacinthquay.wire.gen.Control;
 import io.jacinthquay.wire.gen.ControlViewMessage;
 import io.jacinthquay.wire.gen.CustomerCountMessage;
-import io.jacinthquay.wire.gen.EstablishedPartMessage;
 import io.jacinthquay.wire.gen.PoolDemandMessage;
-import io.jacinthquay.wire.gen.PrefixReadMessage;
 import io.jacinthquay.wire.gen.RouterReportMessage;
 import io.jacinthquay.wire.gen.UpstreamLoadMessage;
 import io.jacinthquay.wire.transport.Channel;
@@ -125,6 +120,7 @@
   private final String router;
   private final DomainId domain;
   private final ForwardCore core;
+  private final ControlStreamOrigins origins;
   private final Function<byte[], Either<Failure, RoutingDocument>> decoder;
   private final long incarnation = ThreadLocalRandom.current().nextLong(1, Long.MAX_VALUE);
   private final LeaderSearch search;
@@ -156,6 +152,7 @@
    * @param domain the failure domain of this router
    * @param seeds returns the control VMs of the current settings, at least one
    * @param core the core that views are applied to
+   * @param origins the streams to report
    * @param decoder decodes documents
    * @param directory the platform's list of upstreams, for times without any control VM
    */
@@ -164,11 +161,13 @@
       DomainId domain,
       Supplier<List<InetSocketAddress>> seeds,
       ForwardCore core,
+      ControlStreamOrigins origins,
       Function<byte[], Either<Failure, RoutingDocument>> decoder,
       Optional<UpstreamDirectory> directory) {
     this.router = router;
     this.domain = domain;
     this.core = core;
+    this.origins = origins;
     this.decoder = decoder;
     this.search =
         new LeaderSearch(
@@ -254,6 +253,9 @@
     recordList(view, requestNanos);
     if (view.isLeads() || view.isRelays()) {
       search.recordView(target, view.getMembers());
+      origins.recordView(view.getOriginsEpoch());
+      origins.controls().recordAnswer(view.getLeader(), search.known());
+      origins.controls().recordRouters(view.getRouters());
       list.retain(search.known());
       viaRelay = view.isRelays();
       monitor.recordView(target, view, core.version(), search.known().size());
@@ -262,6 +264,7 @@
       return true;
     }
     search.recordAnswer(target, view.getMembers(), view.getLeader());
+    origins.controls().recordAnswer(view.getLeader(), search.known());
     informant = Optional.of(target);
     searchOn(Optional.empty());
     return false;
@@ -301,6 +304,7 @@
     if (viaRelay) {
       relayAvoidedUntilNanos = System.nanoTime() + AVOID_RELAY_NANOS;
       viaRelay = false;
+      origins.recordRelayLoss();
     }
     disconnect();
   }
@@ -344,40 +348,24 @@
     long wallMillis = System.currentTimeMillis();
     message.setWallMillis(wallMillis);
     message.setQuarantineIndex(quarantineIndex);
-    addEvidence(message, report.quarantine(), wallMillis);
+    ReportMessages.addEvidence(message, report.quarantine(), wallMillis);
     message.setLeaving(core.isLeaving());
     List<UpstreamLoadMessage> loads = new ArrayList<>();
     report.loads().forEach((id, load) -> loads.add(UpstreamMessages.toMessage(id.value(), load)));
     message.setLoads(loads);
     message.setCounts(counts(report));
     List<PoolDemandMessage> demand = new ArrayList<>();
-    report.demand().forEach((pool, d) -> demand.add(toMessage(pool, d)));
+    report.demand().forEach((pool, d) -> demand.add(ReportMessages.toMessage(pool, d)));
     message.setDemand(demand);
     message.setReads(
-        new ArrayList<>(report.prefixes().stream().map(ControlLink::toMessage).toList()));
+        new ArrayList<>(report.prefixes().stream().map(ReportMessages::toMessage).toList()));
     message.setReadsSeen(prefixesNumber);
     message.setReadsTerm(prefixesTerm);
+    message.setOrigins(origins.report());
     report.signals().ifPresent(s -> message.setSignals(SignalMessages.toMessage(s)));
     return message;
   }
 
-  private static void addEvidence(
-      RouterReportMessage message, QuarantineReport report, long wallMillis) {
-    report
-        .brokenSends()
-        .forEach(
-            (send, ageMillis) ->
-                message.addToBrokenSends(
-                    QuarantineMessages.toMessage(send, wallMillis - ageMillis)));
-    report
-        .establishedParts()
-        .forEach(
-            (part, ageMillis) ->
-                message.addToEstablishedParts(
-                    new EstablishedPartMessage(part.value(), wallMillis - ageMillis)));
-    message.setRejectedParts(QuarantineMessages.toValues(report.rejectedParts()));
-  }
-
   private List<CustomerCountMessage> counts(ForwardReport report) {
     List<CustomerCountMessage> counts = new ArrayList<>();
     long now = System.nanoTime();
@@ -396,32 +384,6 @@
     return counts;
   }
 
-  private static PrefixReadMessage toMessage(CachedPrefix read) {
-    return new PrefixReadMessage(
-        read.upstream().value(),
-        new ArrayList<>(read.parts().stream().map(PromptPart::id).toList()),
-        new ArrayList<>(read.parts().stream().map(PromptPart::tokens).toList()));
-  }
-
-  private static CachedPrefix prefix(PrefixReadMessage message) {
-    List<PromptPart> parts = new ArrayList<>();
-    for (int i = 0; i < message.getPartsSize() && i < message.getTokensSize(); i++) {
-      parts.add(new PromptPart(message.getParts().get(i), message.getTokens().get(i)));
-    }
-    return new CachedPrefix(new UpstreamId(message.getUpstream()), parts);
-  }
-
-  private static PoolDemandMessage toMessage(PoolName pool, ForwardReport.PoolDemand demand) {
-    return new PoolDemandMessage(
-        pool.value(),
-        demand.requests(),
-        demand.promptTokens(),
-        demand.outputTokens(),
-        demand.refused(),
-        demand.waiting(),
-        demand.late());
-  }
-
   /** Applies a view in a single task on the I/O thread, because each task wakes the thread. */
   private void apply(ControlViewMessage view) {
     List<Runnable> changes = new ArrayList<>();
@@ -451,7 +413,7 @@
     }
     prefixesNumber = view.getReadsNumber();
     prefixesTerm = view.getReadsTerm();
-    List<CachedPrefix> prefixes = view.getReads().stream().map(ControlLink::prefix).toList();
+    List<CachedPrefix> prefixes = view.getReads().stream().map(ReportMessages::toPrefix).toList();
     int count = view.getRouters();
     routerCount = count;
     changes.add(() -> core.recordRemotePrefixes(prefixes));
--- /dev/null
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/OriginAnswer.java
@@ -0,0 +1,80 @@
+package io.jacinthquay.router.adapter.thrift;
+
+import io.jacinthquay.decision.origin.OriginTable;
+import io.jacinthquay.model.PoolName;
+import io.jacinthquay.model.SoftwareVersion;
+import io.jacinthquay.model.StreamId;
+import io.jacinthquay.model.StreamOrigin;
+import io.jacinthquay.router.port.StreamOrigins.Origin;
+import io.jacinthquay.wire.convert.OriginMessages;
+import io.jacinthquay.wire.gen.StreamOriginMessage;
+import io.jacinthquay.wire.gen.StreamOriginsMessage;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * What the leader knows of the streams that a router asked for.
+ *
+ * @param found the streams that it remembers
+ * @param onlyVersions versions of the pools that have had one version for longer than streams last
+ * @param recovering whether routers may not have reported all their streams to this leader yet
+ * @param atNanos when the answer arrived, on the monotonic clock
+ */
+record OriginAnswer(
+    Map<StreamId, OriginTable.Aged> found,
+    Map<PoolName, SoftwareVersion> onlyVersions,
+    boolean recovering,
+    long atNanos) {
+  /**
+   * Time in nanoseconds for which a stream that isn't found is asked for again: the longest way of
+   * a report, an exchange of 300 ms with a relay and 100 ms until the relay calls the leader.
+   */
+  static final long REPORT_NANOS = 500_000_000L;
+
+  /** What a question gets. */
+  record Resolution(OriginMonitor.Outcome outcome, Origin origin) {
+    static final Resolution NO_ANSWER =
+        new Resolution(OriginMonitor.Outcome.NO_ANSWER, Origin.NO_ANSWER);
+  }
+
+  /**
+   * Returns the answer that a message carries.
+   *
+   * @throws IllegalArgumentException if a value is out of range
+   */
+  static OriginAnswer of(StreamOriginsMessage message, long atNanos) {
+    Map<StreamId, OriginTable.Aged> found = new HashMap<>();
+    for (StreamOriginMessage origin : message.getFound()) {
+      OriginTable.Aged aged = OriginMessages.toOrigin(origin);
+      found.put(aged.origin().stream(), aged);
+    }
+    Map<PoolName, SoftwareVersion> versions = new HashMap<>();
+    message
+        .getOnlyVersions()
+        .forEach((pool, version) -> versions.put(new PoolName(pool), new SoftwareVersion(version)));
+    return new OriginAnswer(found, versions, message.isRecovering(), atNanos);
+  }
+
+  /** Returns what a question gets; empty if it is to be asked again. */
+  Optional<Resolution> resolve(OriginQuestion question) {
+    Optional<StreamOrigin> origin =
+        question.stream().map(found::get).map(OriginTable.Aged::origin);
+    if (origin.isPresent()) {
+      return Optional.of(
+          origin.get().pool().equals(question.pool())
+              ? new Resolution(
+                  OriginMonitor.Outcome.FOUND, Origin.of(origin.get().version()))
+              : new Resolution(OriginMonitor.Outcome.OTHER_POOL, Origin.UNKNOWN));
+    }
+    SoftwareVersion only = onlyVersions.get(question.pool());
+    if (only != null) {
+      return Optional.of(new Resolution(OriginMonitor.Outcome.ONLY_VERSION, Origin.of(only)));
+    }
+    boolean reportMayCome =
+        question.stream().isPresent() && atNanos - question.askedNanos() < REPORT_NANOS;
+    return recovering || reportMayCome
+        ? Optional.empty()
+        : Optional.of(new Resolution(OriginMonitor.Outcome.UNKNOWN, Origin.UNKNOWN));
+  }
+}
--- /dev/null
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/OriginFinder.java
@@ -0,0 +1,249 @@
+package io.jacinthquay.router.adapter.thrift;
+
+import io.jacinthquay.model.PoolName;
+import io.jacinthquay.model.StreamId;
+import io.jacinthquay.router.port.StreamOrigins.Origin;
+import io.jacinthquay.runtime.Service;
+import io.jacinthquay.runtime.settings.SocketAddresses;
+import io.jacinthquay.wire.convert.OriginMessages;
+import io.jacinthquay.wire.gen.Control;
+import io.jacinthquay.wire.gen.StreamOriginsMessage;
+import io.jacinthquay.wire.gen.StreamQuestionMessage;
+import io.jacinthquay.wire.transport.Channel;
+import io.jacinthquay.wire.transport.PlainChannel;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.apache.thrift.TException;
+import org.apache.thrift.protocol.TMultiplexedProtocol;
+
+/**
+ * Asks the leading control VM which versions began streams, in a thread of its own, all pending
+ * questions in one call. The connection is opened on demand and closed when it is idle.
+ */
+final class OriginFinder implements Service {
+  private static final Logger log = LogManager.getLogger();
+
+  /** Name of the Thrift service on a control VM's multiplexed port. */
+  private static final String SERVICE = "control";
+
+  /** Maximum number of questions that wait; further ones get no answer at once. */
+  private static final int MAX_QUESTIONS = 512;
+
+  /**
+   * Time in nanoseconds after which a question gets no answer; a call that is under way then is
+   * awaited. A caller that waits for longer does better with a refusal and another attempt.
+   */
+  private static final long LIMIT_NANOS = 1_000_000_000L;
+
+  /** Shortest time between two calls to the leader, in milliseconds. */
+  private static final long MIN_INTERVAL_MILLIS = 50;
+
+  /**
+   * Time between two calls to the leader, in milliseconds per router, as between two exchanges of
+   * the link, so that a flood of questions doesn't take the leader from the exchanges.
+   */
+  private static final double INTERVAL_MILLIS_PER_ROUTER = 3.2;
+
+  /** Longest time between two calls, in milliseconds; a question is asked three times at least. */
+  private static final long MAX_INTERVAL_MILLIS = 300;
+
+  /** Timeouts for connecting to and for reading from a control VM, in milliseconds. */
+  private static final int CONNECT_TIMEOUT_MILLIS = 200;
+
+  private static final int READ_TIMEOUT_MILLIS = 300;
+
+  /** Time without a question after which the connection is closed, in milliseconds. */
+  private static final long IDLE_MILLIS = 5_000;
+
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+
+  private final KnownControls controls;
+  private final StreamOriginLog origins;
+  private final OriginMonitor monitor;
+  private final Executor ioThread;
+  private final BlockingQueue<OriginQuestion> queue = new ArrayBlockingQueue<>(MAX_QUESTIONS);
+  private final Thread thread = new Thread(this::run, "origin-finder");
+  private List<OriginQuestion> pending = new ArrayList<>();
+  private String target;
+  private Channel channel;
+  private long calledNanos = System.nanoTime() - MAX_INTERVAL_MILLIS * NANOS_PER_MILLI;
+  private volatile boolean running;
+
+  /**
+   * Returns a finder that has not started.
+   *
+   * @param controls the control VMs that may lead
+   * @param origins receives what is found
+   * @param ioThread runs what the questions get
+   */
+  OriginFinder(
+      KnownControls controls, StreamOriginLog origins, OriginMonitor monitor, Executor ioThread) {
+    this.controls = controls;
+    this.origins = origins;
+    this.monitor = monitor;
+    this.ioThread = ioThread;
+    thread.setDaemon(true);
+  }
+
+  @Override
+  public void start() {
+    running = true;
+    thread.start();
+  }
+
+  @Override
+  public void stop() {
+    running = false;
+    thread.interrupt();
+  }
+
+  /** Asks a question. Called on the I/O thread, which {@code found} runs on, too. */
+  void ask(Optional<StreamId> stream, PoolName pool, Consumer<Origin> found) {
+    if (!running || !queue.offer(new OriginQuestion(stream, pool, System.nanoTime(), found))) {
+      monitor.recordAnswer(OriginMonitor.Outcome.NO_ANSWER);
+      found.accept(Origin.NO_ANSWER);
+    }
+  }
+
+  private void run() {
+    while (running) {
+      try {
+        awaitQuestions();
+        tryStep();
+      } catch (InterruptedException e) {
+        break;
+      }
+    }
+    running = false;
+    queue.drainTo(pending);
+    resolve(question -> Optional.of(OriginAnswer.Resolution.NO_ANSWER));
+    disconnect();
+  }
+
+  /** Waits until there are questions and the next call is due. */
+  private void awaitQuestions() throws InterruptedException {
+    if (pending.isEmpty()) {
+      OriginQuestion first = queue.poll(IDLE_MILLIS, TimeUnit.MILLISECONDS);
+      if (first == null) {
+        disconnect();
+        return;
+      }
+      pending.add(first);
+    }
+    long waitNanos = calledNanos + intervalNanos() - System.nanoTime();
+    if (waitNanos > 0) {
+      TimeUnit.NANOSECONDS.sleep(waitNanos);
+    }
+    queue.drainTo(pending, MAX_QUESTIONS - pending.size());
+  }
+
+  private long intervalNanos() {
+    double millis = INTERVAL_MILLIS_PER_ROUTER * controls.routers();
+    return Math.min(MAX_INTERVAL_MILLIS, Math.max(MIN_INTERVAL_MILLIS, (long) millis))
+        * NANOS_PER_MILLI;
+  }
+
+  /** Asks once; nothing that is thrown may end the thread, which nothing would replace. */
+  private void tryStep() {
+    if (pending.isEmpty()) {
+      return;
+    }
+    try {
+      askLeader().ifPresent(leader -> resolve(question -> leader.resolve(question)));
+    } catch (RuntimeException | Error e) {
+      log.error("the question for the versions of streams failed", e);
+      disconnect();
+    }
+    long now = System.nanoTime();
+    resolve(
+        question ->
+            now - question.askedNanos() >= LIMIT_NANOS
+                ? Optional.of(OriginAnswer.Resolution.NO_ANSWER)
+                : Optional.empty());
+  }
+
+  private void resolve(Function<OriginQuestion, Optional<OriginAnswer.Resolution>> resolver) {
+    List<OriginQuestion> open = new ArrayList<>();
+    for (OriginQuestion question : pending) {
+      Optional<OriginAnswer.Resolution> resolution = resolver.apply(question);
+      resolution.ifPresent(result -> deliver(question, result));
+      if (resolution.isEmpty()) {
+        open.add(question);
+      }
+    }
+    pending = open;
+  }
+
+  private void deliver(OriginQuestion question, OriginAnswer.Resolution resolution) {
+    monitor.recordAnswer(resolution.outcome());
+    ioThread.execute(() -> question.found().accept(resolution.origin()));
+  }
+
+  /** Asks the control VMs in turn until the leader answers; empty if none of them does. */
+  private Optional<OriginAnswer> askLeader() {
+    calledNanos = System.nanoTime();
+    List<StreamQuestionMessage> questions = new ArrayList<>();
+    pending.forEach(
+        question ->
+            questions.add(OriginMessages.toQuestion(question.stream(), question.pool())));
+    Set<String> asked = new HashSet<>();
+    for (Optional<String> next = next(asked); next.isPresent(); next = next(asked)) {
+      asked.add(next.get());
+      Optional<StreamOriginsMessage> answer = call(next.get(), questions);
+      if (answer.isPresent() && answer.get().isLeads()) {
+        OriginAnswer leader = OriginAnswer.of(answer.get(), System.nanoTime());
+        leader.found().values().forEach(origins::recordFound);
+        return Optional.of(leader);
+      }
+      disconnect();
+      if (!running || System.nanoTime() - calledNanos >= LIMIT_NANOS) {
+        break;
+      }
+    }
+    return Optional.empty();
+  }
+
+  /** Returns the control VM to ask: the one that is connected, or else one not asked yet. */
+  private Optional<String> next(Set<String> asked) {
+    return channel != null
+        ? Optional.of(target)
+        : controls.candidates().stream().filter(address -> !asked.contains(address)).findFirst();
+  }
+
+  private Optional<StreamOriginsMessage> call(
+      String address, List<StreamQuestionMessage> questions) {
+    try {
+      if (channel == null) {
+        target = address;
+        channel =
+            PlainChannel.open(
+                SocketAddresses.parse(address), CONNECT_TIMEOUT_MILLIS, READ_TIMEOUT_MILLIS);
+      }
+      return Optional.of(
+          new Control.Client(new TMultiplexedProtocol(channel.protocol(), SERVICE))
+              .findOrigins(questions));
+    } catch (IOException | TException e) {
+      monitor.recordUnreachable(address, e);
+      return Optional.empty();
+    }
+  }
+
+  private void disconnect() {
+    if (channel != null) {
+      channel.close();
+      channel = null;
+    }
+  }
+}
--- /dev/null
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/StreamOriginLog.java
@@ -0,0 +1,109 @@
+package io.jacinthquay.router.adapter.thrift;
+
+import io.jacinthquay.decision.origin.OriginTable;
+import io.jacinthquay.model.StreamId;
+import io.jacinthquay.model.StreamOrigin;
+import io.jacinthquay.wire.convert.OriginMessages;
+import io.jacinthquay.wire.gen.StreamOriginMessage;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.LongSupplier;
+
+/**
+ * The origins of streams that this router began or asked for, and which of them the leader still
+ * has to be told. The I/O thread records and finds; the link's thread reports.
+ */
+final class StreamOriginLog {
+  /**
+   * Maximum number of streams: 136 new ones a second for as long as callers may take them up, about
+   * 2 MB of memory. Only streams whose first event has arrived are recorded, so the rate of the
+   * upstreams bounds them, not that of the callers.
+   */
+  static final int MAX_STREAMS = 8_192;
+
+  /** Maximum number of streams in one report, about 25 KB. The others follow in later reports. */
+  static final int MAX_REPORTED = 512;
+
+  private static final String THIS_ROUTER = "";
+
+  private final LongSupplier clock;
+  private final OriginTable table;
+  private final Set<StreamId> unreported = new LinkedHashSet<>();
+  private List<StreamId> underWay = List.of();
+  private long epoch;
+
+  /**
+   * Returns an empty log.
+   *
+   * @param clock monotonic, in nanoseconds
+   */
+  StreamOriginLog(LongSupplier clock) {
+    this.clock = clock;
+    this.table = new OriginTable(MAX_STREAMS, MAX_STREAMS, clock.getAsLong());
+  }
+
+  /** Records a stream that began now, for the next report. */
+  synchronized OriginTable.Result recordBegun(StreamOrigin origin) {
+    OriginTable.Result result = table.record(origin, THIS_ROUTER, 0, clock.getAsLong());
+    if (result == OriginTable.Result.RECORDED) {
+      unreported.add(origin.stream());
+    }
+    return result;
+  }
+
+  /** Records what the leader answered; it is reported only to another leader. */
+  synchronized void recordFound(OriginTable.Aged found) {
+    table.record(found.origin(), THIS_ROUTER, found.ageMillis(), clock.getAsLong());
+  }
+
+  /** Returns the origin of a stream. */
+  synchronized Optional<StreamOrigin> find(StreamId stream) {
+    return table.find(stream, clock.getAsLong()).map(OriginTable.Aged::origin);
+  }
+
+  synchronized int size() {
+    return table.size();
+  }
+
+  /** Returns what the next report carries; {@link #recordView} tells that it has arrived. */
+  synchronized List<StreamOriginMessage> report() {
+    long now = clock.getAsLong();
+    List<StreamOriginMessage> messages = new ArrayList<>();
+    List<StreamId> reported = new ArrayList<>();
+    for (StreamId stream : unreported) {
+      if (reported.size() >= MAX_REPORTED) {
+        break;
+      }
+      reported.add(stream);
+      table
+          .find(stream, now)
+          .ifPresent(origin -> messages.add(OriginMessages.toMessage(origin)));
+    }
+    underWay = reported;
+    return messages;
+  }
+
+  /**
+   * Records that a report has arrived. A leader with another epoch lacks what was reported before.
+   *
+   * @return the number of streams that were reported
+   */
+  synchronized int recordView(long newEpoch) {
+    int reported = underWay.size();
+    underWay.forEach(unreported::remove);
+    underWay = List.of();
+    if (newEpoch != epoch) {
+      epoch = newEpoch;
+      reportAllAgain();
+    }
+    return reported;
+  }
+
+  /** Reports all streams again, after a relay was lost that may not have passed some on. */
+  synchronized void reportAllAgain() {
+    unreported.addAll(table.streams(clock.getAsLong()));
+  }
+}
--- a/wire/src/main/java/io/jacinthquay/wire/gen/StreamOriginsMessage.java
+++ b/wire/src/main/java/io/jacinthquay/wire/gen/StreamOriginsMessage.java
@@ -16,6 +16,7 @@
   private static final org.apache.thrift.protocol.TField LEADS_FIELD_DESC = new org.apache.thrift.protocol.TField("leads", org.apache.thrift.protocol.TType.BOOL, (short)1);
   private static final org.apache.thrift.protocol.TField FOUND_FIELD_DESC = new org.apache.thrift.protocol.TField("found", org.apache.thrift.protocol.TType.LIST, (short)2);
   private static final org.apache.thrift.protocol.TField ONLY_VERSIONS_FIELD_DESC = new org.apache.thrift.protocol.TField("onlyVersions", org.apache.thrift.protocol.TType.MAP, (short)3);
+  private static final org.apache.thrift.protocol.TField RECOVERING_FIELD_DESC = new org.apache.thrift.protocol.TField("recovering", org.apache.thrift.protocol.TType.BOOL, (short)4);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new StreamOriginsMessageStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new StreamOriginsMessageTupleSchemeFactory();
@@ -23,6 +24,7 @@
   private boolean leads; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<StreamOriginMessage> found; // required
   private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,java.lang.String> onlyVersions; // required
+  private boolean recovering; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -37,7 +39,11 @@
     /**
      * Versions of the pools that have had one version for longer than streams last, by pool.
      */
-    ONLY_VERSIONS((short)3, "onlyVersions");
+    ONLY_VERSIONS((short)3, "onlyVersions"),
+    /**
+     * Whether routers may not have reported all streams to this leader yet.
+     */
+    RECOVERING((short)4, "recovering");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -59,6 +65,8 @@
           return FOUND;
         case 3: // ONLY_VERSIONS
           return ONLY_VERSIONS;
+        case 4: // RECOVERING
+          return RECOVERING;
         default:
           return null;
       }
@@ -103,7 +111,9 @@
 
   // isset id assignments
   private static final int __LEADS_ISSET_ID = 0;
+  private static final int __RECOVERING_ISSET_ID = 1;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.RECOVERING};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -116,6 +126,8 @@
         new org.apache.thrift.meta_data.MapMetaData(org.apache.thrift.protocol.TType.MAP, 
             new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING), 
             new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING))));
+    tmpMap.put(_Fields.RECOVERING, new org.apache.thrift.meta_data.FieldMetaData("recovering", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(StreamOriginsMessage.class, metaDataMap);
   }
@@ -152,6 +164,7 @@
       java.util.Map<java.lang.String,java.lang.String> __this__onlyVersions = new java.util.HashMap<java.lang.String,java.lang.String>(other.onlyVersions);
       this.onlyVersions = __this__onlyVersions;
     }
+    this.recovering = other.recovering;
   }
 
   @Override
@@ -165,6 +178,8 @@
     this.leads = false;
     this.found = null;
     this.onlyVersions = null;
+    setRecoveringIsSet(false);
+    this.recovering = false;
   }
 
   /**
@@ -285,6 +300,35 @@
     }
   }
 
+  /**
+   * Whether routers may not have reported all streams to this leader yet.
+   */
+  public boolean isRecovering() {
+    return this.recovering;
+  }
+
+  /**
+   * Whether routers may not have reported all streams to this leader yet.
+   */
+  public StreamOriginsMessage setRecovering(boolean recovering) {
+    this.recovering = recovering;
+    setRecoveringIsSet(true);
+    return this;
+  }
+
+  public void unsetRecovering() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __RECOVERING_ISSET_ID);
+  }
+
+  /** Returns true if field recovering is set (has been assigned a value) and false otherwise */
+  public boolean isSetRecovering() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __RECOVERING_ISSET_ID);
+  }
+
+  public void setRecoveringIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __RECOVERING_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -312,6 +356,14 @@
       }
       break;
 
+    case RECOVERING:
+      if (value == null) {
+        unsetRecovering();
+      } else {
+        setRecovering((java.lang.Boolean)value);
+      }
+      break;
+
     }
   }
 
@@ -328,6 +380,9 @@
     case ONLY_VERSIONS:
       return getOnlyVersions();
 
+    case RECOVERING:
+      return isRecovering();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -346,6 +401,8 @@
       return isSetFound();
     case ONLY_VERSIONS:
       return isSetOnlyVersions();
+    case RECOVERING:
+      return isSetRecovering();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -390,6 +447,15 @@
         return false;
     }
 
+    boolean this_present_recovering = true && this.isSetRecovering();
+    boolean that_present_recovering = true && that.isSetRecovering();
+    if (this_present_recovering || that_present_recovering) {
+      if (!(this_present_recovering && that_present_recovering))
+        return false;
+      if (this.recovering != that.recovering)
+        return false;
+    }
+
     return true;
   }
 
@@ -407,6 +473,10 @@
     if (isSetOnlyVersions())
       hashCode = hashCode * 8191 + onlyVersions.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetRecovering()) ? 131071 : 524287);
+    if (isSetRecovering())
+      hashCode = hashCode * 8191 + ((recovering) ? 131071 : 524287);
+
     return hashCode;
   }
 
@@ -448,6 +518,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetRecovering(), other.isSetRecovering());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetRecovering()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.recovering, other.recovering);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -491,6 +571,12 @@
       sb.append(this.onlyVersions);
     }
     first = false;
+    if (isSetRecovering()) {
+      if (!first) sb.append(", ");
+      sb.append("recovering:");
+      sb.append(this.recovering);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -585,6 +671,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 4: // RECOVERING
+            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
+              struct.recovering = iprot.readBool();
+              struct.setRecoveringIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -629,6 +723,11 @@
         }
         oprot.writeFieldEnd();
       }
+      if (struct.isSetRecovering()) {
+        oprot.writeFieldBegin(RECOVERING_FIELD_DESC);
+        oprot.writeBool(struct.recovering);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -657,7 +756,10 @@
       if (struct.isSetOnlyVersions()) {
         optionals.set(2);
       }
-      oprot.writeBitSet(optionals, 3);
+      if (struct.isSetRecovering()) {
+        optionals.set(3);
+      }
+      oprot.writeBitSet(optionals, 4);
       if (struct.isSetLeads()) {
         oprot.writeBool(struct.leads);
       }
@@ -680,12 +782,15 @@
           }
         }
       }
+      if (struct.isSetRecovering()) {
+        oprot.writeBool(struct.recovering);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, StreamOriginsMessage struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(3);
+      java.util.BitSet incoming = iprot.readBitSet(4);
       if (incoming.get(0)) {
         struct.leads = iprot.readBool();
         struct.setLeadsIsSet(true);
@@ -719,6 +824,10 @@
         }
         struct.setOnlyVersionsIsSet(true);
       }
+      if (incoming.get(3)) {
+        struct.recovering = iprot.readBool();
+        struct.setRecoveringIsSet(true);
+      }
     }
   }
 
--- a/wire/src/main/thrift/control.thrift
+++ b/wire/src/main/thrift/control.thrift
@@ -237,6 +237,8 @@
   2: list<StreamOriginMessage> found
   /** Versions of the pools that have had one version for longer than streams last, by pool. */
   3: map<string, string> onlyVersions
+  /** Whether routers may not have reported all streams to this leader yet. */
+  4: optional bool recovering
 }
 
 /** What a relay passes on for the routers of its failure domain. */
