The leading control VM remembers which version began a stream

What a router had seen ended with it: after the loss of all routers nobody could tell which version began a stream that a caller takes up. Reports carry new streams to the leader, which answers routers that ask. The log records the versions of each pool, so that a stream that nobody knows goes on where one version alone may have begun it.

--- a/control/src/main/java/io/jacinthquay/control/ControlService.java
+++ b/control/src/main/java/io/jacinthquay/control/ControlService.java
@@ -18,14 +18,18 @@
 import io.jacinthquay.control.service.MedianClock;
 import io.jacinthquay.control.service.PartQuarantine;
 import io.jacinthquay.control.service.PoolScaler;
+import io.jacinthquay.control.service.PoolVersionMonitor;
 import io.jacinthquay.control.service.RelayClient;
 import io.jacinthquay.control.service.RelayDirectory;
 import io.jacinthquay.control.service.RemovalDetector;
 import io.jacinthquay.control.service.RouterRegistry;
 import io.jacinthquay.control.service.SignalsTable;
+import io.jacinthquay.control.service.StreamOriginAnswers;
+import io.jacinthquay.control.service.StreamOriginsTable;
 import io.jacinthquay.control.service.UpstreamListCache;
 import io.jacinthquay.control.service.UsageReporter;
 import io.jacinthquay.control.state.ControlState;
+import io.jacinthquay.decision.dispatch.UpstreamListing;
 import io.jacinthquay.keeper.adapter.thrift.ThriftPeerTransport;
 import io.jacinthquay.model.Failure;
 import io.jacinthquay.model.routing.RoutingDocument;
@@ -41,6 +45,7 @@
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Executors;
@@ -80,7 +85,7 @@
   private static final int RELAY_INTERVAL_MILLIS = 100;
 
   /** One thread for each periodic task, as some block while they wait for another VM. */
-  private static final int TASK_THREADS = 6;
+  private static final int TASK_THREADS = 7;
 
   /** Delay between two runs of the leader's tasks, in milliseconds. */
   private static final int LEADER_TASKS_INTERVAL_MILLIS = 500;
@@ -115,6 +120,9 @@
   private final UpstreamListCache upstreamList =
       new UpstreamListCache(ThreadLocalRandom.current().nextLong(MAX_NUMBER_BEFORE_LISTS));
   private final PartQuarantine quarantine;
+  private final StreamOriginsTable origins;
+  private final PoolVersionMonitor poolVersions;
+  private final StreamOriginAnswers originAnswers;
   private final Fleet fleet;
   private final RelayClient relayClient;
   private final Optional<UsageReporter> usageReporter;
@@ -153,6 +161,10 @@
         new PoolScaler(
             store, routers, signals, upstreamList, fleet, decoder, options.learnsRates());
     quarantine = new PartQuarantine(store, System::nanoTime, medianClock::wallMillis);
+    origins = new StreamOriginsTable(System::nanoTime, () -> store.status().term());
+    poolVersions =
+        new PoolVersionMonitor(store, upstreamList, System::nanoTime, medianClock::wallMillis);
+    originAnswers = new StreamOriginAnswers(leadership, origins, poolVersions);
     DomainRelay relay =
         new DomainRelay(
             member(options.listen()).value(),
@@ -165,10 +177,11 @@
         new ControlHandler(
             store,
             leadership,
-            new LeaderClusterView(store, routers, signals, medianClock, quarantine),
+            new LeaderClusterView(store, routers, signals, medianClock, quarantine, origins),
             relay,
             new RelayDirectory(System::nanoTime),
-            upstreamList);
+            upstreamList,
+            originAnswers);
     TMultiplexedProcessor processor = new TMultiplexedProcessor();
     processor.registerProcessor(SERVICE_NAME, new Control.Processor<>(handler));
     processor.registerDefault(transport.unauthenticatedProcessor());
@@ -229,6 +242,9 @@
     registry.gauge("jq_control_routers", () -> routers::count);
     registry.gauge("jq_control_upstreams", () -> () -> upstreamList.snapshot().listings().size());
     poolScaler.register(registry);
+    origins.register(registry);
+    poolVersions.register(registry);
+    originAnswers.register(registry);
   }
 
   private static boolean isVoter(LogStatus status) {
@@ -257,6 +273,7 @@
     schedule(LIST_INTERVAL_MILLIS, this::pollUpstreamList);
     schedule(RELAY_INTERVAL_MILLIS, relayClient::run);
     schedule(CONFIRM_INTERVAL_MILLIS, this::confirmQuarantine);
+    schedule(LIST_INTERVAL_MILLIS, poolVersions::observe);
     schedule(LEADER_TASKS_INTERVAL_MILLIS, this::runLeaderTasks);
     schedule(REMOVAL_CHECK_INTERVAL_MILLIS, this::rejoinIfRemoved);
     log.info("control VM {} started with seeds {}", options.name(), options.seeds());
@@ -338,12 +355,19 @@
     }
     fleet
         .listUpstreams()
-        .peek(list -> upstreamList.update(list, requestTime, requestTime))
+        .peek(list -> applyList(list, requestTime))
         .peekLeft(
             failure ->
                 log.warn("could not read the platform's list of upstreams: {}", failure.detail()));
   }
 
+  private void applyList(List<UpstreamListing> list, long requestTime) {
+    upstreamList.update(list, requestTime, requestTime);
+    if (leadership.isConfirmed()) {
+      poolVersions.propose();
+    }
+  }
+
   /** Returns the age at which a VM that doesn't lead polls the list again, in nanoseconds. */
   private long standbyListAgeNanos(long now, UpstreamListCache.Snapshot held) {
     if (store.leader().isPresent() && !upstreamList.isSearched(now)) {
--- a/control/src/main/java/io/jacinthquay/control/adapter/ControlHandler.java
+++ b/control/src/main/java/io/jacinthquay/control/adapter/ControlHandler.java
@@ -8,6 +8,7 @@
 import io.jacinthquay.control.service.LeaderClusterView;
 import io.jacinthquay.control.service.Leadership;
 import io.jacinthquay.control.service.RelayDirectory;
+import io.jacinthquay.control.service.StreamOriginAnswers;
 import io.jacinthquay.control.service.UpstreamListCache;
 import io.jacinthquay.control.state.ControlTables;
 import io.jacinthquay.decision.cluster.RouterSignals;
@@ -26,7 +27,6 @@
 import io.jacinthquay.wire.gen.StreamQuestionMessage;
 import io.jacinthquay.wire.gen.UpstreamLoadMessage;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -35,9 +35,9 @@
  * hold yet. Any other VM returns only the members, the leader and, to a router whose list of
  * upstreams is not recent, its own list: upstreams leave also while nobody leads.
  *
- * <p>Lock order: the locks of the registry, the relay and the list of upstreams are taken one after
- * the other and never nested, except that the relay uses its registry and the list of upstreams
- * while it holds its own lock.
+ * <p>Lock order: the locks of the registry, the relay, the tables of streams and the list of
+ * upstreams are taken one after the other and never nested, except that the relay uses its registry
+ * and the list of upstreams, and the versions of pools the list, while they hold their own lock.
  */
 public final class ControlHandler implements Control.Iface {
   private static final long NANOS_PER_MILLI = 1_000_000L;
@@ -54,6 +54,7 @@
   private final DomainRelay relay;
   private final RelayDirectory relayDirectory;
   private final UpstreamListCache upstreamList;
+  private final StreamOriginAnswers originAnswers;
 
   /** Returns a handler. */
   public ControlHandler(
@@ -62,13 +63,15 @@
       LeaderClusterView leaderView,
       DomainRelay relay,
       RelayDirectory relayDirectory,
-      UpstreamListCache upstreamList) {
+      UpstreamListCache upstreamList,
+      StreamOriginAnswers originAnswers) {
     this.store = store;
     this.leadership = leadership;
     this.leaderView = leaderView;
     this.relay = relay;
     this.relayDirectory = relayDirectory;
     this.upstreamList = upstreamList;
+    this.originAnswers = originAnswers;
   }
 
   @Override
@@ -121,7 +124,7 @@
 
   @Override
   public StreamOriginsMessage findOrigins(List<StreamQuestionMessage> questions) {
-    return new StreamOriginsMessage(leadership.isConfirmed(), new ArrayList<>(), new HashMap<>());
+    return originAnswers.answer(questions);
   }
 
   /** Returns the part of a view that every VM knows: the members and the leader. */
@@ -188,6 +191,7 @@
     view.setSuspectParts(QuarantineMessages.toValues(clusterView.suspects()));
     view.setRouters(clusterView.routers());
     view.setWallMillis(clusterView.wallMillis());
+    view.setOriginsEpoch(clusterView.originsEpoch());
   }
 
   private static void fillPrefixes(
--- a/control/src/main/java/io/jacinthquay/control/service/ClusterView.java
+++ b/control/src/main/java/io/jacinthquay/control/service/ClusterView.java
@@ -35,6 +35,12 @@
   /** Returns the parts of prompts that may have crashed an upstream. */
   List<PartId> suspects();
 
+  /**
+   * Returns the epoch of the origins of streams that the leader remembers; with another one,
+   * routers report all that they know.
+   */
+  long originsEpoch();
+
   /** Returns the median time of day of the VMs, in milliseconds since the epoch. */
   long wallMillis();
 }
--- a/control/src/main/java/io/jacinthquay/control/service/DomainRelay.java
+++ b/control/src/main/java/io/jacinthquay/control/service/DomainRelay.java
@@ -18,6 +18,8 @@
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.LongSupplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 
 /**
  * Relays between the routers of a failure domain and the leader.
@@ -28,6 +30,8 @@
  * replica lacks a change that the leader has.
  */
 public final class DomainRelay implements ClusterView {
+  private static final Logger log = LogManager.getLogger();
+
   /**
    * Age in nanoseconds from which the leader's view is stale, and routers call the leader instead.
    */
@@ -44,7 +48,7 @@
 
   /**
    * Number of reports that wait for a leader; the oldest are dropped, since sums are cumulative and
-   * later reports include them.
+   * later reports include them. Streams are reported once, hence all again after a loss.
    */
   private static final int MAX_PENDING = 512;
 
@@ -70,6 +74,7 @@
   private long viewNanos;
   private long upToDateNanos;
   private long pendingSinceNanos;
+  private long lostReports;
 
   /**
    * Returns a relay that has no view of the leader yet.
@@ -106,7 +111,10 @@
     cachedPrefixes.add(report.getRouter(), report.getReads());
     report.setWallMillis(report.getWallMillis() - pendingMillis());
     if (pending.size() >= MAX_PENDING) {
-      pending.remove(0);
+      RouterReportMessage dropped = pending.remove(0);
+      if (dropped.getOriginsSize() > 0) {
+        recordLostReports();
+      }
     }
     pending.add(report);
   }
@@ -184,6 +192,12 @@
     pending = reports;
   }
 
+  /** Records that the leader will not get reports, so that routers report all streams again. */
+  public synchronized void recordLostReports() {
+    lostReports++;
+    log.warn("reports of routers were lost; they report all streams again");
+  }
+
   /**
    * Applies the view that a leader returned.
    *
@@ -256,6 +270,11 @@
     return QuarantineMessages.toIds(leaderView.getSuspectParts());
   }
 
+  @Override
+  public synchronized long originsEpoch() {
+    return leaderView.getOriginsEpoch() + lostReports;
+  }
+
   @Override
   public synchronized long wallMillis() {
     return leaderView.getWallMillis() + (clock.getAsLong() - viewNanos) / NANOS_PER_MILLI;
--- a/control/src/main/java/io/jacinthquay/control/service/LeaderClusterView.java
+++ b/control/src/main/java/io/jacinthquay/control/service/LeaderClusterView.java
@@ -5,6 +5,7 @@
 import io.jacinthquay.decision.quarantine.PartId;
 import io.jacinthquay.wire.convert.SignalMessages;
 import io.jacinthquay.wire.gen.RouterReportMessage;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 
@@ -16,22 +17,25 @@
   private final PartQuarantine quarantine;
   private final CachedPrefixLog cachedPrefixes = new CachedPrefixLog();
   private final SignalsTable signals;
+  private final StreamOriginsTable origins;
 
   /**
-   * Returns a view that stores the reports in a registry, their signals in a table, their times of
-   * day in a clock and their evidence in a quarantine.
+   * Returns a view that stores the reports in a registry, their signals and streams in tables,
+   * their times of day in a clock and their evidence in a quarantine.
    */
   public LeaderClusterView(
       ControlStore store,
       RouterRegistry registry,
       SignalsTable signals,
       MedianClock clock,
-      PartQuarantine quarantine) {
+      PartQuarantine quarantine,
+      StreamOriginsTable origins) {
     this.store = store;
     this.registry = registry;
     this.signals = signals;
     this.clock = clock;
     this.quarantine = quarantine;
+    this.origins = origins;
   }
 
   /**
@@ -46,6 +50,9 @@
     }
     clock.recordTime(report.getRouter(), report.getWallMillis());
     quarantine.recordReport(report);
+    origins.recordReport(report);
+    // The registry keeps the report, which may hold hundreds of streams.
+    report.setOrigins(new ArrayList<>());
     cachedPrefixes.add(relay.isEmpty() ? report.getRouter() : relay, report.getReads());
   }
 
@@ -99,6 +106,11 @@
     return quarantine.trials(report);
   }
 
+  @Override
+  public long originsEpoch() {
+    return origins.epoch();
+  }
+
   @Override
   public long wallMillis() {
     return clock.wallMillis();
--- a/control/src/main/java/io/jacinthquay/control/service/RelayClient.java
+++ b/control/src/main/java/io/jacinthquay/control/service/RelayClient.java
@@ -83,6 +83,7 @@
       // The leader answers, so that another one would gain nothing from the same report.
       reachability.recordAnswer();
       log.warn("the leader {} failed to take a report: {}", leader.get(), e.getMessage());
+      relay.recordLostReports();
       close();
     } catch (IOException | TException e) {
       log.info("relay cannot reach the leader {}: {}", leader.get(), e.getMessage());
--- a/control/src/main/java/io/jacinthquay/control/state/ControlState.java
+++ b/control/src/main/java/io/jacinthquay/control/state/ControlState.java
@@ -10,6 +10,8 @@
 import io.jacinthquay.wire.gen.ControlCommand;
 import io.jacinthquay.wire.gen.ControlSnapshot;
 import io.jacinthquay.wire.gen.DocumentCommand;
+import io.jacinthquay.wire.gen.PoolVersionsCommand;
+import io.jacinthquay.wire.gen.PoolVersionsMessage;
 import io.jacinthquay.wire.gen.QuarantinePartCommand;
 import io.jacinthquay.wire.gen.ReleasePartCommand;
 import io.jacinthquay.wire.gen.SealCountsCommand;
@@ -20,6 +22,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import org.apache.thrift.TException;
 
@@ -62,6 +65,13 @@
     return ThriftCodec.encode(ControlCommand.releasePart(new ReleasePartCommand(part.value())));
   }
 
+  /** Returns the command that records which versions of its software a pool has. */
+  public static byte[] poolVersionsCommand(String pool, List<String> versions, long wallMillis) {
+    return ThriftCodec.encode(
+        ControlCommand.poolVersions(
+            new PoolVersionsCommand(pool, new ArrayList<>(versions), wallMillis)));
+  }
+
   @Override
   public byte[] apply(long index, byte[] bytes) {
     ControlCommand command;
@@ -85,6 +95,13 @@
     } else if (command.isSetReleasePart()) {
       PartId part = new PartId(command.getReleasePart().getPart());
       tables = tables.withQuarantine(tables.quarantine().without(part, index));
+    } else if (command.isSetPoolVersions()) {
+      PoolVersionsCommand change = command.getPoolVersions();
+      tables =
+          tables.withPoolVersions(
+              tables
+                  .poolVersions()
+                  .with(change.getPool(), change.getVersions(), change.getWallMillis(), index));
     }
     return NO_RESULT;
   }
@@ -106,11 +123,42 @@
             sealed,
             QuarantineMessages.toMessages(tables.quarantine().entries()),
             tables.quarantine().index(),
-            new ArrayList<>());
+            poolVersions(tables.poolVersions()));
     tables.document().ifPresent(message::setDocument);
     return message;
   }
 
+  private static List<PoolVersionsMessage> poolVersions(PoolVersions versions) {
+    List<PoolVersionsMessage> messages = new ArrayList<>();
+    versions
+        .sets()
+        .forEach(
+            (pool, sets) ->
+                sets.forEach(
+                    set ->
+                        messages.add(
+                            new PoolVersionsMessage(
+                                pool,
+                                set.versions().toJavaList(),
+                                set.sinceMillis(),
+                                set.index()))));
+    return messages;
+  }
+
+  private static PoolVersions poolVersions(List<PoolVersionsMessage> messages) {
+    PoolVersions versions = PoolVersions.EMPTY;
+    for (PoolVersionsMessage message : messages) {
+      versions =
+          versions.restoring(
+              message.getPool(),
+              new PoolVersions.Since(
+                  TreeSet.ofAll(message.getVersions()),
+                  message.getSinceMillis(),
+                  message.getIndex()));
+    }
+    return versions;
+  }
+
   @Override
   public void restore(long index, InputStream in) throws IOException {
     ControlSnapshot message;
@@ -132,6 +180,7 @@
             sealed,
             QuarantineTable.of(
                 QuarantineMessages.toParts(message.getQuarantinedParts()),
-                message.getQuarantineIndex()));
+                message.getQuarantineIndex()),
+            poolVersions(message.getPoolVersions()));
   }
 }
--- a/control/src/main/java/io/jacinthquay/control/state/ControlTables.java
+++ b/control/src/main/java/io/jacinthquay/control/state/ControlTables.java
@@ -15,6 +15,7 @@
  * @param closedDomainsIndex log index of the last change of the closed domains, 0 if there was none
  * @param sealedCounts final request counts, by window and customer
  * @param quarantine parts of prompts with which requests are rejected
+ * @param poolVersions versions of the software of each pool
  */
 @SuppressWarnings("ArrayRecordComponent")
 public record ControlTables(
@@ -23,11 +24,18 @@
     TreeSet<String> closedDomains,
     long closedDomainsIndex,
     TreeMap<Long, Map<String, Long>> sealedCounts,
-    QuarantineTable quarantine) {
+    QuarantineTable quarantine,
+    PoolVersions poolVersions) {
   /** The state before the first change. */
   public static final ControlTables EMPTY =
       new ControlTables(
-          -1, Optional.empty(), TreeSet.empty(), 0, TreeMap.empty(), QuarantineTable.EMPTY);
+          -1,
+          Optional.empty(),
+          TreeSet.empty(),
+          0,
+          TreeMap.empty(),
+          QuarantineTable.EMPTY,
+          PoolVersions.EMPTY);
 
   /** Number of sealed windows that are kept, so that a new leader repeats a report exactly. */
   private static final int MAX_SEALED_WINDOWS = 24;
@@ -41,7 +49,8 @@
             closedDomains,
             closedDomainsIndex,
             sealedCounts,
-            quarantine);
+            quarantine,
+            poolVersions);
   }
 
   ControlTables withDomain(String domain, boolean closed, long index) {
@@ -53,7 +62,8 @@
             closed ? closedDomains.add(domain) : closedDomains.remove(domain),
             index,
             sealedCounts,
-            quarantine);
+            quarantine,
+            poolVersions);
   }
 
   /** Adds the counts of a window, unless it is already sealed or older than all kept windows. */
@@ -67,13 +77,32 @@
       newCounts = newCounts.remove(newCounts.head()._1);
     }
     return new ControlTables(
-        version, document, closedDomains, closedDomainsIndex, newCounts, quarantine);
+        version, document, closedDomains, closedDomainsIndex, newCounts, quarantine, poolVersions);
   }
 
   ControlTables withQuarantine(QuarantineTable newQuarantine) {
     return newQuarantine == quarantine
         ? this
         : new ControlTables(
-            version, document, closedDomains, closedDomainsIndex, sealedCounts, newQuarantine);
+            version,
+            document,
+            closedDomains,
+            closedDomainsIndex,
+            sealedCounts,
+            newQuarantine,
+            poolVersions);
+  }
+
+  ControlTables withPoolVersions(PoolVersions newVersions) {
+    return newVersions == poolVersions
+        ? this
+        : new ControlTables(
+            version,
+            document,
+            closedDomains,
+            closedDomainsIndex,
+            sealedCounts,
+            quarantine,
+            newVersions);
   }
 }
--- a/control/src/test/java/io/jacinthquay/control/adapter/ControlHandlerTest.java
+++ b/control/src/test/java/io/jacinthquay/control/adapter/ControlHandlerTest.java
@@ -11,18 +11,28 @@
 import io.jacinthquay.control.service.Leadership;
 import io.jacinthquay.control.service.MedianClock;
 import io.jacinthquay.control.service.PartQuarantine;
+import io.jacinthquay.control.service.PoolVersionMonitor;
 import io.jacinthquay.control.service.RelayDirectory;
 import io.jacinthquay.control.service.RouterRegistry;
 import io.jacinthquay.control.service.SignalsTable;
+import io.jacinthquay.control.service.StreamOriginAnswers;
+import io.jacinthquay.control.service.StreamOriginsTable;
 import io.jacinthquay.control.service.UpstreamListCache;
 import io.jacinthquay.control.state.ControlState;
+import io.jacinthquay.model.PoolName;
+import io.jacinthquay.model.StreamId;
 import io.jacinthquay.runtime.time.ClockReading;
+import io.jacinthquay.wire.convert.OriginMessages;
 import io.jacinthquay.wire.gen.ControlViewMessage;
 import io.jacinthquay.wire.gen.RelayReportMessage;
 import io.jacinthquay.wire.gen.RouterReportMessage;
+import io.jacinthquay.wire.gen.StreamOriginMessage;
+import io.jacinthquay.wire.gen.StreamOriginsMessage;
+import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -48,6 +58,8 @@
   }
 
   private ControlHandler newHandler() {
+    StreamOriginsTable origins = new StreamOriginsTable(() -> 0, () -> 1);
+    PoolVersionMonitor versions = new PoolVersionMonitor(store, upstreamList, () -> 0, () -> 0);
     return new ControlHandler(
         store,
         leadership,
@@ -56,10 +68,12 @@
             new RouterRegistry(() -> 0),
             new SignalsTable(() -> 0),
             new MedianClock(() -> 0, () -> 0),
-            new PartQuarantine(store, () -> 0, () -> 0)),
+            new PartQuarantine(store, () -> 0, () -> 0),
+            origins),
         new DomainRelay("127.0.0.1:9", "a", store, upstreamList, () -> 0),
         new RelayDirectory(() -> 0),
-        upstreamList);
+        upstreamList,
+        new StreamOriginAnswers(leadership, origins, versions));
   }
 
   private static RouterReportMessage report(long term) {
@@ -130,4 +144,26 @@
     assertEquals(listSent, view.isSetUpstreams());
     assertEquals(1, view.getRouters());
   }
+
+  /** A router reports a stream and ends; another one asks for it, and for one that nobody knows. */
+  @ParameterizedTest
+  @CsvSource({"true, 1", "false, 0"})
+  void onlyTheLeaderAnswersForStreams(boolean leads, int found) {
+    ControlHandler handler = leads ? leaderHandler() : handler();
+    RouterReportMessage report = report(1);
+    StreamId stream = StreamId.of(Optional.empty(), "attempt-1");
+    report.addToOrigins(new StreamOriginMessage(ByteBuffer.wrap(stream.bytes()), "p", "v1", 5));
+    assertEquals(leads, handler.exchange(report).getOriginsEpoch() != 0);
+    StreamOriginsMessage answer =
+        handler.findOrigins(
+            List.of(
+                OriginMessages.toQuestion(Optional.of(stream), new PoolName("p")),
+                OriginMessages.toQuestion(
+                    Optional.of(StreamId.of(Optional.empty(), "other")), new PoolName("p")),
+                OriginMessages.toQuestion(Optional.empty(), new PoolName("p"))));
+    assertEquals(leads, answer.isLeads());
+    assertEquals(leads, answer.isRecovering());
+    assertEquals(found, answer.getFoundSize());
+    assertTrue(answer.getFound().stream().allMatch(origin -> origin.getVersion().equals("v1")));
+  }
 }
--- a/control/src/test/java/io/jacinthquay/control/service/DomainRelayTest.java
+++ b/control/src/test/java/io/jacinthquay/control/service/DomainRelayTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.jacinthquay.consensus.MemberId;
@@ -11,7 +12,9 @@
 import io.jacinthquay.wire.gen.PrefixReadMessage;
 import io.jacinthquay.wire.gen.RelayReportMessage;
 import io.jacinthquay.wire.gen.RouterReportMessage;
+import io.jacinthquay.wire.gen.StreamOriginMessage;
 import io.jacinthquay.wire.gen.UpstreamLoadMessage;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -166,4 +169,25 @@
     now += 100 * NANOS_PER_MILLI;
     assertTrue(relay.isDue());
   }
+
+  /** Streams are reported once, so those in a report that the leader never gets must come again. */
+  @Test
+  void changesTheEpochOfStreamsOnceAReportWithStreamsIsLost() {
+    ControlViewMessage view = view(1);
+    view.setOriginsEpoch(77);
+    relay.applyView(LEADER, view, now);
+    assertEquals(77, relay.originsEpoch());
+    RouterReportMessage report = report("r1", 1);
+    report.addToOrigins(new StreamOriginMessage(ByteBuffer.allocate(16), "p", "v1", 0));
+    relay.addReport(report);
+    for (int other = 0; other < 511; other++) {
+      relay.addReport(report("r2", 1));
+    }
+    assertEquals(77, relay.originsEpoch());
+    relay.addReport(report("r2", 1));
+    assertNotEquals(77, relay.originsEpoch());
+    long epoch = relay.originsEpoch();
+    relay.addReport(report("r2", 1));
+    assertEquals(epoch, relay.originsEpoch());
+  }
 }
--- a/control/src/test/java/io/jacinthquay/control/state/ControlStateTest.java
+++ b/control/src/test/java/io/jacinthquay/control/state/ControlStateTest.java
@@ -77,6 +77,9 @@
     apply(ControlState.closeDomainCommand("b", true));
     apply(ControlState.sealCommand(10, Map.of("a", 5L, "b", 0L)));
     apply(ControlState.quarantineCommand(new QuarantinedPart(new PartId(-1), 5, 6, 7)));
+    for (int change = 0; change < 2 * PoolVersions.MAX_SETS; change++) {
+      apply(ControlState.poolVersionsCommand("p", List.of("v1", "v" + change % 2), change));
+    }
     ByteArrayOutputStream out = new ByteArrayOutputStream();
     state.snapshot().writeTo(out);
     ControlState restored = new ControlState();
@@ -87,6 +90,21 @@
     assertEquals(state.tables().closedDomainsIndex(), restored.tables().closedDomainsIndex());
     assertEquals(state.tables().sealedCounts(), restored.tables().sealedCounts());
     assertEquals(state.tables().quarantine(), restored.tables().quarantine());
+    assertEquals(PoolVersions.MAX_SETS, state.tables().poolVersions().sets("p").size());
+    assertEquals(state.tables().poolVersions(), restored.tables().poolVersions());
+  }
+
+  /** A version whose set is joined with a later one still counts. */
+  @Test
+  void versionsOfAPoolAreBoundedWithoutForgettingAny() {
+    apply(ControlState.poolVersionsCommand("p", List.of("first"), 5));
+    for (int change = 0; change < 3 * PoolVersions.MAX_SETS; change++) {
+      apply(ControlState.poolVersionsCommand("p", List.of("v" + change % 3), 6 + change));
+    }
+    PoolVersions.Since oldest = state.tables().poolVersions().sets("p").head();
+    assertEquals(List.of("first", "v0", "v1", "v2"), oldest.versions().toJavaList());
+    assertEquals(5, oldest.sinceMillis());
+    assertEquals(PoolVersions.MAX_SETS, state.tables().poolVersions().sets("p").size());
   }
 
   private List<Long> quarantined() {
--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/OriginAnswer.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/OriginAnswer.java
@@ -58,13 +58,11 @@
 
   /** Returns what a question gets; empty if it is to be asked again. */
   Optional<Resolution> resolve(OriginQuestion question) {
-    Optional<StreamOrigin> origin =
-        question.stream().map(found::get).map(OriginTable.Aged::origin);
+    Optional<StreamOrigin> origin = question.stream().map(found::get).map(OriginTable.Aged::origin);
     if (origin.isPresent()) {
       return Optional.of(
           origin.get().pool().equals(question.pool())
-              ? new Resolution(
-                  OriginMonitor.Outcome.FOUND, Origin.of(origin.get().version()))
+              ? new Resolution(OriginMonitor.Outcome.FOUND, Origin.of(origin.get().version()))
               : new Resolution(OriginMonitor.Outcome.OTHER_POOL, Origin.UNKNOWN));
     }
     SoftwareVersion only = onlyVersions.get(question.pool());
--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/OriginFinder.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/OriginFinder.java
@@ -196,8 +196,7 @@
     calledNanos = System.nanoTime();
     List<StreamQuestionMessage> questions = new ArrayList<>();
     pending.forEach(
-        question ->
-            questions.add(OriginMessages.toQuestion(question.stream(), question.pool())));
+        question -> questions.add(OriginMessages.toQuestion(question.stream(), question.pool())));
     Set<String> asked = new HashSet<>();
     for (Optional<String> next = next(asked); next.isPresent(); next = next(asked)) {
       asked.add(next.get());
--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/ReportMessages.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/ReportMessages.java
@@ -19,8 +19,7 @@
   private ReportMessages() {}
 
   /** Adds what a router has seen of prompts that crash upstreams. */
-  static void addEvidence(
-      RouterReportMessage message, QuarantineReport report, long wallMillis) {
+  static void addEvidence(RouterReportMessage message, QuarantineReport report, long wallMillis) {
     report
         .brokenSends()
         .forEach(
--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/StreamOriginLog.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/StreamOriginLog.java
@@ -78,9 +78,7 @@
         break;
       }
       reported.add(stream);
-      table
-          .find(stream, now)
-          .ifPresent(origin -> messages.add(OriginMessages.toMessage(origin)));
+      table.find(stream, now).ifPresent(origin -> messages.add(OriginMessages.toMessage(origin)));
     }
     underWay = reported;
     return messages;
--- a/wire/src/main/java/io/jacinthquay/wire/gen/PoolVersionsMessage.java
+++ b/wire/src/main/java/io/jacinthquay/wire/gen/PoolVersionsMessage.java
@@ -16,6 +16,7 @@
   private static final org.apache.thrift.protocol.TField POOL_FIELD_DESC = new org.apache.thrift.protocol.TField("pool", org.apache.thrift.protocol.TType.STRING, (short)1);
   private static final org.apache.thrift.protocol.TField VERSIONS_FIELD_DESC = new org.apache.thrift.protocol.TField("versions", org.apache.thrift.protocol.TType.LIST, (short)2);
   private static final org.apache.thrift.protocol.TField SINCE_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("sinceMillis", org.apache.thrift.protocol.TType.I64, (short)3);
+  private static final org.apache.thrift.protocol.TField INDEX_FIELD_DESC = new org.apache.thrift.protocol.TField("index", org.apache.thrift.protocol.TType.I64, (short)4);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new PoolVersionsMessageStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new PoolVersionsMessageTupleSchemeFactory();
@@ -23,6 +24,7 @@
   private @org.apache.thrift.annotation.Nullable java.lang.String pool; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> versions; // required
   private long sinceMillis; // required
+  private long index; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -31,7 +33,11 @@
     /**
      * ms since the epoch
      */
-    SINCE_MILLIS((short)3, "sinceMillis");
+    SINCE_MILLIS((short)3, "sinceMillis"),
+    /**
+     * Log index of the change.
+     */
+    INDEX((short)4, "index");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -53,6 +59,8 @@
           return VERSIONS;
         case 3: // SINCE_MILLIS
           return SINCE_MILLIS;
+        case 4: // INDEX
+          return INDEX;
         default:
           return null;
       }
@@ -97,6 +105,7 @@
 
   // isset id assignments
   private static final int __SINCEMILLIS_ISSET_ID = 0;
+  private static final int __INDEX_ISSET_ID = 1;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
@@ -108,6 +117,8 @@
             new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING))));
     tmpMap.put(_Fields.SINCE_MILLIS, new org.apache.thrift.meta_data.FieldMetaData("sinceMillis", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.INDEX, new org.apache.thrift.meta_data.FieldMetaData("index", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(PoolVersionsMessage.class, metaDataMap);
   }
@@ -118,13 +129,16 @@
   public PoolVersionsMessage(
     java.lang.String pool,
     java.util.List<java.lang.String> versions,
-    long sinceMillis)
+    long sinceMillis,
+    long index)
   {
     this();
     this.pool = pool;
     this.versions = versions;
     this.sinceMillis = sinceMillis;
     setSinceMillisIsSet(true);
+    this.index = index;
+    setIndexIsSet(true);
   }
 
   /**
@@ -140,6 +154,7 @@
       this.versions = __this__versions;
     }
     this.sinceMillis = other.sinceMillis;
+    this.index = other.index;
   }
 
   @Override
@@ -153,6 +168,8 @@
     this.versions = null;
     setSinceMillisIsSet(false);
     this.sinceMillis = 0;
+    setIndexIsSet(false);
+    this.index = 0;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -250,6 +267,35 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SINCEMILLIS_ISSET_ID, value);
   }
 
+  /**
+   * Log index of the change.
+   */
+  public long getIndex() {
+    return this.index;
+  }
+
+  /**
+   * Log index of the change.
+   */
+  public PoolVersionsMessage setIndex(long index) {
+    this.index = index;
+    setIndexIsSet(true);
+    return this;
+  }
+
+  public void unsetIndex() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __INDEX_ISSET_ID);
+  }
+
+  /** Returns true if field index is set (has been assigned a value) and false otherwise */
+  public boolean isSetIndex() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __INDEX_ISSET_ID);
+  }
+
+  public void setIndexIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __INDEX_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -277,6 +323,14 @@
       }
       break;
 
+    case INDEX:
+      if (value == null) {
+        unsetIndex();
+      } else {
+        setIndex((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -293,6 +347,9 @@
     case SINCE_MILLIS:
       return getSinceMillis();
 
+    case INDEX:
+      return getIndex();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -311,6 +368,8 @@
       return isSetVersions();
     case SINCE_MILLIS:
       return isSetSinceMillis();
+    case INDEX:
+      return isSetIndex();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -355,6 +414,15 @@
         return false;
     }
 
+    boolean this_present_index = true;
+    boolean that_present_index = true;
+    if (this_present_index || that_present_index) {
+      if (!(this_present_index && that_present_index))
+        return false;
+      if (this.index != that.index)
+        return false;
+    }
+
     return true;
   }
 
@@ -372,6 +440,8 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(sinceMillis);
 
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(index);
+
     return hashCode;
   }
 
@@ -413,6 +483,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetIndex(), other.isSetIndex());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetIndex()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.index, other.index);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -456,6 +536,10 @@
     sb.append("sinceMillis:");
     sb.append(this.sinceMillis);
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("index:");
+    sb.append(this.index);
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -537,6 +621,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 4: // INDEX
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.index = iprot.readI64();
+              struct.setIndexIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -573,6 +665,9 @@
       oprot.writeFieldBegin(SINCE_MILLIS_FIELD_DESC);
       oprot.writeI64(struct.sinceMillis);
       oprot.writeFieldEnd();
+      oprot.writeFieldBegin(INDEX_FIELD_DESC);
+      oprot.writeI64(struct.index);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -601,7 +696,10 @@
       if (struct.isSetSinceMillis()) {
         optionals.set(2);
       }
-      oprot.writeBitSet(optionals, 3);
+      if (struct.isSetIndex()) {
+        optionals.set(3);
+      }
+      oprot.writeBitSet(optionals, 4);
       if (struct.isSetPool()) {
         oprot.writeString(struct.pool);
       }
@@ -617,12 +715,15 @@
       if (struct.isSetSinceMillis()) {
         oprot.writeI64(struct.sinceMillis);
       }
+      if (struct.isSetIndex()) {
+        oprot.writeI64(struct.index);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, PoolVersionsMessage struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(3);
+      java.util.BitSet incoming = iprot.readBitSet(4);
       if (incoming.get(0)) {
         struct.pool = iprot.readString();
         struct.setPoolIsSet(true);
@@ -644,6 +745,10 @@
         struct.sinceMillis = iprot.readI64();
         struct.setSinceMillisIsSet(true);
       }
+      if (incoming.get(3)) {
+        struct.index = iprot.readI64();
+        struct.setIndexIsSet(true);
+      }
     }
   }
 
--- a/wire/src/main/thrift/control.thrift
+++ b/wire/src/main/thrift/control.thrift
@@ -296,6 +296,8 @@
   2: list<string> versions
   /** ms since the epoch */
   3: i64 sinceMillis
+  /** Log index of the change. */
+  4: i64 index
 }
 
 /** Quarantines a part of a prompt, or changes when it is tried again. */
