Tests of whom a router asks for the version of a stream, and of older peers

A control VM whose answer is invalid counts as one that gave none, so that the next is asked. The time limit of a question is an argument, so that tests don't depend on the speed of the machine.

--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/ControlStreamOrigins.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/ControlStreamOrigins.java
@@ -42,7 +42,9 @@
       ForwardMetrics metrics) {
     controls = new KnownControls(() -> seeds.get().stream().map(SocketAddresses::format).toList());
     monitor = new OriginMonitor(metrics, origins, System::nanoTime);
-    finder = new OriginFinder(controls, origins, monitor, task -> ioThread.get().execute(task));
+    finder =
+        new OriginFinder(
+            controls, origins, monitor, OriginFinder.LIMIT, task -> ioThread.get().execute(task));
   }
 
   @Override
--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/OriginFinder.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/OriginFinder.java
@@ -12,6 +12,7 @@
 import io.jacinthquay.wire.transport.Channel;
 import io.jacinthquay.wire.transport.PlainChannel;
 import java.io.IOException;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -42,10 +43,10 @@
   private static final int MAX_QUESTIONS = 512;
 
   /**
-   * Time in nanoseconds after which a question gets no answer; a call that is under way then is
-   * awaited. A caller that waits for longer does better with a refusal and another attempt.
+   * Time after which a question gets no answer; a call that is under way then is awaited. A caller
+   * that waits for longer does better with a refusal and another attempt.
    */
-  private static final long LIMIT_NANOS = 1_000_000_000L;
+  static final Duration LIMIT = Duration.ofSeconds(1);
 
   /** Shortest time between two calls to the leader, in milliseconds. */
   private static final long MIN_INTERVAL_MILLIS = 50;
@@ -72,6 +73,7 @@
   private final KnownControls controls;
   private final StreamOriginLog origins;
   private final OriginMonitor monitor;
+  private final long limitNanos;
   private final Executor ioThread;
   private final BlockingQueue<OriginQuestion> queue = new ArrayBlockingQueue<>(MAX_QUESTIONS);
   private final Thread thread = new Thread(this::run, "origin-finder");
@@ -86,10 +88,16 @@
    *
    * @param controls the control VMs that may lead
    * @param origins receives what is found
+   * @param limit time after which a question gets no answer
    * @param ioThread runs what the questions get
    */
   OriginFinder(
-      KnownControls controls, StreamOriginLog origins, OriginMonitor monitor, Executor ioThread) {
+      KnownControls controls,
+      StreamOriginLog origins,
+      OriginMonitor monitor,
+      Duration limit,
+      Executor ioThread) {
+    this.limitNanos = limit.toNanos();
     this.controls = controls;
     this.origins = origins;
     this.monitor = monitor;
@@ -169,7 +177,7 @@
     long now = System.nanoTime();
     resolve(
         question ->
-            now - question.askedNanos() >= LIMIT_NANOS
+            now - question.askedNanos() >= limitNanos
                 ? Optional.of(OriginAnswer.Resolution.NO_ANSWER)
                 : Optional.empty());
   }
@@ -200,14 +208,13 @@
     Set<String> asked = new HashSet<>();
     for (Optional<String> next = next(asked); next.isPresent(); next = next(asked)) {
       asked.add(next.get());
-      Optional<StreamOriginsMessage> answer = call(next.get(), questions);
-      if (answer.isPresent() && answer.get().isLeads()) {
-        OriginAnswer leader = OriginAnswer.of(answer.get(), System.nanoTime());
-        leader.found().values().forEach(origins::recordFound);
-        return Optional.of(leader);
+      Optional<OriginAnswer> answer = call(next.get(), questions);
+      if (answer.isPresent()) {
+        answer.get().found().values().forEach(origins::recordFound);
+        return answer;
       }
       disconnect();
-      if (!running || System.nanoTime() - calledNanos >= LIMIT_NANOS) {
+      if (!running || System.nanoTime() - calledNanos >= limitNanos) {
         break;
       }
     }
@@ -221,8 +228,8 @@
         : controls.candidates().stream().filter(address -> !asked.contains(address)).findFirst();
   }
 
-  private Optional<StreamOriginsMessage> call(
-      String address, List<StreamQuestionMessage> questions) {
+  /** Asks a control VM; empty if it doesn't lead or gave no usable answer. */
+  private Optional<OriginAnswer> call(String address, List<StreamQuestionMessage> questions) {
     try {
       if (channel == null) {
         target = address;
@@ -230,11 +237,14 @@
             PlainChannel.open(
                 SocketAddresses.parse(address), CONNECT_TIMEOUT_MILLIS, READ_TIMEOUT_MILLIS);
       }
-      return Optional.of(
+      StreamOriginsMessage answer =
           new Control.Client(new TMultiplexedProtocol(channel.protocol(), SERVICE))
-              .findOrigins(questions));
-    } catch (IOException | TException e) {
-      monitor.recordUnreachable(address, e);
+              .findOrigins(questions);
+      return answer.isLeads()
+          ? Optional.of(OriginAnswer.of(answer, System.nanoTime()))
+          : Optional.empty();
+    } catch (IOException | TException | IllegalArgumentException e) {
+      monitor.recordFailedCall(address, e);
       return Optional.empty();
     }
   }
--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/OriginMonitor.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/OriginMonitor.java
@@ -93,8 +93,8 @@
     }
   }
 
-  /** Records that a control VM could not be asked; the link logs which ones it reaches. */
-  void recordUnreachable(String address, Exception cause) {
+  /** Records that a control VM gave no usable answer; the link logs which ones it reaches. */
+  void recordFailedCall(String address, Exception cause) {
     failedCalls.inc();
     log.debug("control VM {} could not be asked for streams: {}", address, cause.toString());
   }
--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/StreamOriginLog.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/StreamOriginLog.java
@@ -24,7 +24,7 @@
    */
   static final int MAX_STREAMS = 8_192;
 
-  /** Maximum number of streams in one report, about 25 KB. The others follow in later reports. */
+  /** Maximum number of streams in one report, about 20 KB. The others follow in later reports. */
   static final int MAX_REPORTED = 512;
 
   private static final String THIS_ROUTER = "";
--- /dev/null
+++ b/router/src/test/java/io/jacinthquay/router/adapter/thrift/OriginFinderTest.java
@@ -0,0 +1,236 @@
+package io.jacinthquay.router.adapter.thrift;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.jacinthquay.model.PoolName;
+import io.jacinthquay.model.StreamId;
+import io.jacinthquay.router.port.StreamOrigins.Knowledge;
+import io.jacinthquay.router.port.StreamOrigins.Origin;
+import io.jacinthquay.router.service.forward.ForwardMetrics;
+import io.jacinthquay.runtime.settings.SocketAddresses;
+import io.jacinthquay.wire.gen.Control;
+import io.jacinthquay.wire.gen.ControlViewMessage;
+import io.jacinthquay.wire.gen.RelayReportMessage;
+import io.jacinthquay.wire.gen.RouterReportMessage;
+import io.jacinthquay.wire.gen.StreamOriginMessage;
+import io.jacinthquay.wire.gen.StreamOriginsMessage;
+import io.jacinthquay.wire.gen.StreamQuestionMessage;
+import io.jacinthquay.wire.transport.PlainServer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.apache.thrift.ProcessFunction;
+import org.apache.thrift.TBase;
+import org.apache.thrift.TMultiplexedProcessor;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Tests whom a router asks for the version that began a stream. */
+final class OriginFinderTest {
+  private static final StreamId STREAM = StreamId.of(Optional.empty(), "attempt");
+  private static final PoolName POOL = new PoolName("p");
+
+  /** Timeout that only ends a test that hangs; nothing is measured against it. */
+  private static final long HANG_TIMEOUT_SECONDS = 60;
+
+  /** Long where an answer is expected, so that a busy machine doesn't change the result. */
+  private static final Duration LONG_LIMIT = Duration.ofSeconds(30);
+
+  private static final Duration SHORT_LIMIT = Duration.ofMillis(700);
+
+  private final List<PlainServer> servers = new ArrayList<>();
+  private final CountDownLatch testEnd = new CountDownLatch(1);
+  private final StreamOriginLog origins = new StreamOriginLog(System::nanoTime);
+  private OriginFinder finder;
+
+  /** How a control VM behaves. */
+  private enum Behaviour {
+    KNOWS,
+    FOLLOWS,
+    /** Leads, and learns of the stream from the third question on. */
+    RECOVERS,
+    /** Leads, and no router has reported the stream so far. */
+    RECOVERING,
+    STALLS,
+    /** Answers with a stream id that is too short. */
+    INVALID,
+    /** Has no such method. */
+    OLDER,
+    GONE
+  }
+
+  private final class ControlVm implements Control.Iface {
+    private final Behaviour behaviour;
+    private final AtomicInteger questions = new AtomicInteger();
+
+    ControlVm(Behaviour behaviour) {
+      this.behaviour = behaviour;
+    }
+
+    @Override
+    public StreamOriginsMessage findOrigins(List<StreamQuestionMessage> asked) {
+      boolean late = questions.incrementAndGet() >= 3;
+      StreamOriginsMessage answer =
+          new StreamOriginsMessage(
+              behaviour != Behaviour.FOLLOWS, new ArrayList<>(), new HashMap<>());
+      switch (behaviour) {
+        case KNOWS -> answer.addToFound(found(STREAM.bytes()));
+        case INVALID -> answer.addToFound(found(new byte[3]));
+        case RECOVERS, RECOVERING -> {
+          answer.setRecovering(true);
+          if (late && behaviour == Behaviour.RECOVERS) {
+            answer.addToFound(found(STREAM.bytes()));
+          }
+        }
+        case STALLS -> awaitTestEnd();
+        default -> {}
+      }
+      return answer;
+    }
+
+    private void awaitTestEnd() {
+      try {
+        boolean unused = testEnd.await(HANG_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    }
+
+    private static StreamOriginMessage found(byte[] stream) {
+      return new StreamOriginMessage(ByteBuffer.wrap(stream), POOL.value(), "v1", 10);
+    }
+
+    @Override
+    public ControlViewMessage exchange(RouterReportMessage report) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public ControlViewMessage relay(RelayReportMessage report) {
+      throw new UnsupportedOperationException();
+    }
+  }
+
+  /** Serves the methods of a map, from which a test may remove some. */
+  private static final class MapProcessor extends Control.Processor<Control.Iface> {
+    MapProcessor(
+        Control.Iface handler,
+        Map<String, ProcessFunction<Control.Iface, ? extends TBase<?, ?>>> methods) {
+      super(handler, rawMap(methods));
+    }
+
+    @SuppressWarnings({"unchecked", "rawtypes"})
+    private static Map<String, ProcessFunction<Control.Iface, ? extends TBase>> rawMap(
+        Map<String, ProcessFunction<Control.Iface, ? extends TBase<?, ?>>> methods) {
+      return (Map) methods;
+    }
+  }
+
+  private String start(Behaviour behaviour) {
+    InetSocketAddress address = freeAddress();
+    if (behaviour != Behaviour.GONE) {
+      Map<String, ProcessFunction<Control.Iface, ? extends TBase<?, ?>>> methods = new HashMap<>();
+      MapProcessor processor = new MapProcessor(new ControlVm(behaviour), methods);
+      if (behaviour == Behaviour.OLDER) {
+        methods.remove("findOrigins");
+      }
+      TMultiplexedProcessor services = new TMultiplexedProcessor();
+      services.registerProcessor("control", processor);
+      PlainServer server = new PlainServer(address, services);
+      server.start();
+      servers.add(server);
+    }
+    return SocketAddresses.format(address);
+  }
+
+  private static InetSocketAddress freeAddress() {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
+    } catch (IOException e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  private void startFinder(List<String> addresses, Duration limit) {
+    finder =
+        new OriginFinder(
+            new KnownControls(() -> addresses),
+            origins,
+            new OriginMonitor(new ForwardMetrics(), origins, System::nanoTime),
+            limit,
+            Runnable::run);
+    finder.start();
+  }
+
+  @AfterEach
+  void stop() {
+    testEnd.countDown();
+    finder.stop();
+    servers.forEach(PlainServer::stop);
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "KNOWS, KNOWN",
+    "FOLLOWS KNOWS, KNOWN",
+    "GONE GONE KNOWS, KNOWN",
+    "STALLS KNOWS, KNOWN",
+    "INVALID KNOWS, KNOWN",
+    "OLDER KNOWS, KNOWN",
+    "RECOVERS, KNOWN",
+    "RECOVERING, NO_ANSWER",
+    "FOLLOWS FOLLOWS, NO_ANSWER",
+    "STALLS, NO_ANSWER",
+    "INVALID, NO_ANSWER",
+    "OLDER, NO_ANSWER",
+    "GONE, NO_ANSWER"
+  })
+  void asksControlVmsUntilTheLeaderKnows(String behaviours, Knowledge expected) throws Exception {
+    List<String> addresses = new ArrayList<>();
+    for (String behaviour : behaviours.split(" ")) {
+      addresses.add(start(Behaviour.valueOf(behaviour)));
+    }
+    startFinder(addresses, expected == Knowledge.KNOWN ? LONG_LIMIT : SHORT_LIMIT);
+    CompletableFuture<Origin> found = new CompletableFuture<>();
+    finder.ask(Optional.of(STREAM), POOL, found::complete);
+    assertEquals(expected, found.get(HANG_TIMEOUT_SECONDS, TimeUnit.SECONDS).knowledge());
+    assertEquals(expected == Knowledge.KNOWN, origins.find(STREAM).isPresent());
+  }
+
+  /** Questions that nobody answers must neither be held without bound nor be forgotten. */
+  @Test
+  void floodOfQuestionsIsAnsweredOnceEach() throws Exception {
+    int questions = 5_000;
+    AtomicInteger answers = new AtomicInteger();
+    CountDownLatch answered = new CountDownLatch(questions);
+    startFinder(List.of(start(Behaviour.GONE)), SHORT_LIMIT);
+    for (int i = 0; i < questions; i++) {
+      finder.ask(
+          Optional.of(StreamId.of(Optional.empty(), "flood-" + i)),
+          POOL,
+          origin -> {
+            assertEquals(Origin.NO_ANSWER, origin);
+            answers.incrementAndGet();
+            answered.countDown();
+          });
+    }
+    assertTrue(answers.get() >= questions - 2 * 512, "too many questions are held");
+    assertTrue(answered.await(HANG_TIMEOUT_SECONDS, TimeUnit.SECONDS));
+    assertEquals(questions, answers.get());
+  }
+}
