Versions of a pool: a list that lacks entries for a moment causes no changes

A new version is recorded at once; the end of one once the list has lacked it for 2 s, which is safe, as a version counts for longer then. An origin without a stream, pool or version is refused like one out of range, and doesn't end the exchange.

--- a/control/src/main/java/io/jacinthquay/control/service/PoolVersionMonitor.java
+++ b/control/src/main/java/io/jacinthquay/control/service/PoolVersionMonitor.java
@@ -45,6 +45,12 @@
   /** Age of the list from which it may lack a version that other VMs have seen. */
   static final Duration MAX_LIST_AGE = Duration.ofSeconds(5);
 
+  /**
+   * Time for which a version must be missing in the list before that is recorded. A list that lacks
+   * entries for a moment causes no changes, and to record the end late is safe.
+   */
+  static final Duration MISSING = Duration.ofSeconds(2);
+
   /** Time for which a proposal is awaited before it is made again, in nanoseconds. */
   private static final long PROPOSAL_TIMEOUT_NANOS = 2_000_000_000L;
 
@@ -60,6 +66,10 @@
   private final LongSupplier clock;
   private final LongSupplier wallMillis;
   private final Map<String, Proposal> proposals = new HashMap<>();
+
+  /** Since when the list lacks recorded versions of a pool, and has no other ones. */
+  private final Map<String, Long> missingSinceNanos = new HashMap<>();
+
   private final Counter proposed = new Counter();
   private final Counter failed = new Counter();
 
@@ -129,12 +139,23 @@
     pools.addAll(recorded.sets().keySet().toJavaSet());
     for (String pool : pools) {
       Set<String> versions = PoolVersions.bounded(listed.getOrDefault(pool, TreeSet.empty()));
-      if (!recorded.newest(pool).map(versions::equals).orElse(false)) {
+      if (isChange(pool, versions, recorded.newest(pool))) {
         propose(pool, versions);
       }
     }
   }
 
+  private boolean isChange(String pool, Set<String> versions, Optional<Set<String>> recorded) {
+    boolean missingOnly = recorded.isPresent() && recorded.get().containsAll(versions);
+    if (!missingOnly || recorded.get().equals(versions)) {
+      missingSinceNanos.remove(pool);
+      return !missingOnly;
+    }
+    long now = clock.getAsLong();
+    missingSinceNanos.putIfAbsent(pool, now);
+    return now - missingSinceNanos.get(pool) >= MISSING.toNanos();
+  }
+
   private Map<String, Set<String>> listedVersions() {
     Map<String, Set<String>> versions = new TreeMap<>();
     for (UpstreamListing listing : list.snapshot().listings()) {
--- a/control/src/test/java/io/jacinthquay/control/service/StreamOriginsTableTest.java
+++ b/control/src/test/java/io/jacinthquay/control/service/StreamOriginsTableTest.java
@@ -52,6 +52,7 @@
         "r",
         message(new byte[3], "p"),
         message(stream("a").bytes(), ""),
+        new StreamOriginMessage(),
         message(stream("b").bytes(), "p"));
     assertEquals(1, table.size());
     assertTrue(table.find(stream("b")).isPresent());
--- a/wire/src/main/java/io/jacinthquay/wire/convert/OriginMessages.java
+++ b/wire/src/main/java/io/jacinthquay/wire/convert/OriginMessages.java
@@ -29,9 +29,12 @@
   /**
    * Returns the origin that a message carries.
    *
-   * @throws IllegalArgumentException if a value is out of range
+   * @throws IllegalArgumentException if a value is missing or out of range
    */
   public static OriginTable.Aged toOrigin(StreamOriginMessage message) {
+    if (!message.isSetStream() || !message.isSetPool() || !message.isSetVersion()) {
+      throw new IllegalArgumentException("an origin needs a stream, a pool and a version");
+    }
     return new OriginTable.Aged(
         new StreamOrigin(
             StreamId.of(message.getStream()),
