--- a/wire/src/main/thrift/control.thrift
+++ b/wire/src/main/thrift/control.thrift
@@ -237,6 +237,8 @@
   2: list<StreamOriginMessage> found
   /** Versions of the pools that have had one version for longer than streams last, by pool. */
   3: map<string, string> onlyVersions
+  /** Whether routers may not have reported all streams to this leader yet. */
+  4: optional bool recovering
 }
 
 /** What a relay passes on for the routers of its failure domain. */
@@ -294,6 +296,8 @@
   2: list<string> versions
   /** ms since the epoch */
   3: i64 sinceMillis
+  /** Log index of the change. */
+  4: i64 index
 }
 
 /** Quarantines a part of a prompt, or changes when it is tried again. */
