--- a/router/src/main/java/io/jacinthquay/router/ForwardRouter.java
+++ b/router/src/main/java/io/jacinthquay/router/ForwardRouter.java
@@ -123,6 +123,7 @@
     server = new CallerServer(endpoints.callers(), 1, limits, new ForwardIntake(core));
     registerMemory();
     origins = new ControlStreamOrigins(endpoints.control(), core::thread, core.metrics());
+    core.streamOrigins(origins);
     link =
         new ControlLink(
             endpoints.name(),
