Lists of upstreams in force keep the versions

Routers rebuilt each entry without its version, so that every stream counted as begun by the same one.

--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamListing.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamListing.java
@@ -67,4 +67,10 @@
         coldMillis,
         SoftwareVersion.UNSPECIFIED);
   }
+
+  /** Returns this upstream with another time until it is warm, in milliseconds. */
+  public UpstreamListing withColdMillis(long millis) {
+    return new UpstreamListing(
+        upstream, pool, domain, address, draining, cheap, slots, millis, version);
+  }
 }
--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/ListInForce.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/ListInForce.java
@@ -57,7 +57,7 @@
     List<UpstreamListing> at(long now) {
       long passedMillis = (now - receivedNanos) / NANOS_PER_MILLI;
       return listings.stream()
-          .map(listing -> withColdMillis(listing, Math.max(0, listing.coldMillis() - passedMillis)))
+          .map(listing -> listing.withColdMillis(Math.max(0, listing.coldMillis() - passedMillis)))
           .toList();
     }
   }
@@ -200,22 +200,10 @@
   /** Returns the upstreams without their remaining cold start times, which pass by themselves. */
   private static Set<UpstreamListing> withoutTimes(List<UpstreamListing> listings) {
     return listings.stream()
-        .map(listing -> withColdMillis(listing, listing.coldMillis() > 0 ? 1 : 0))
+        .map(listing -> listing.withColdMillis(listing.coldMillis() > 0 ? 1 : 0))
         .collect(Collectors.toUnmodifiableSet());
   }
 
-  private static UpstreamListing withColdMillis(UpstreamListing listing, long coldMillis) {
-    return new UpstreamListing(
-        listing.upstream(),
-        listing.pool(),
-        listing.domain(),
-        listing.address(),
-        listing.draining(),
-        listing.cheap(),
-        listing.slots(),
-        coldMillis);
-  }
-
   /** Returns the age of the list in force, or the longest time if there is none. */
   synchronized Duration age(long now) {
     return source == Source.NONE
--- a/router/src/test/java/io/jacinthquay/router/adapter/thrift/ListInForceTest.java
+++ b/router/src/test/java/io/jacinthquay/router/adapter/thrift/ListInForceTest.java
@@ -5,6 +5,7 @@
 import io.jacinthquay.decision.dispatch.UpstreamListing;
 import io.jacinthquay.model.DomainId;
 import io.jacinthquay.model.PoolName;
+import io.jacinthquay.model.SoftwareVersion;
 import io.jacinthquay.model.UpstreamId;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -32,7 +33,8 @@
         draining,
         false,
         1,
-        coldMillis);
+        coldMillis,
+        new SoftwareVersion("v1"));
   }
 
   private static long nanos(long millis) {
