A chunk whose size is no number breaks an answer

Callers got a part of an answer as a complete 200, or no answer until their route's timeout, when an upstream sent a chunk whose size is no number. Calls of JsonHttpClient had the same.

Cause: Undertow's parser ends a size at the first character that is no digit; no digits are then the last chunk. Class: the end of an answer was believed from one parser that accepts more than HTTP allows.

ResponseFraming reads the bytes of each answer besides the parser, ChunkedFraming the chunks, both without a copy of the content. BoundedSource fails a connection whose framing is invalid like a broken one, and an answer is complete only if the parser and the framing say so.

--- a/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowUpstreamCall.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowUpstreamCall.java
@@ -104,7 +104,7 @@
     }
     mayHaveRun = true;
     opened.recordRequest(request.id());
-    opened.source().beginHead();
+    opened.source().beginHead(request.method());
     opened.http().sendRequest(clientRequest(), callback(this::onRequestStarted, this::onBroken));
   }
 
@@ -247,6 +247,10 @@
       source.resumeReads();
       return;
     }
+    if (!connection.source().isResponseComplete()) {
+      onBroken();
+      return;
+    }
     if (!discarded) {
       listener.onEnd();
     }
@@ -258,7 +262,11 @@
 
   private void releaseConnection() {
     String close = exchange.getResponse().getResponseHeaders().getFirst(Headers.CONNECTION);
-    boolean reusable = bodySent && connection.isOpen() && !"close".equalsIgnoreCase(close);
+    boolean reusable =
+        bodySent
+            && connection.isOpen()
+            && connection.source().isReusable()
+            && !"close".equalsIgnoreCase(close);
     if (reusable) {
       String keepAlive = exchange.getResponse().getResponseHeaders().getFirst(KEEP_ALIVE);
       pool.release(request.address(), connection, keepAlive);
--- a/runtime/src/main/java/io/jacinthquay/runtime/http/BodyReader.java
+++ b/runtime/src/main/java/io/jacinthquay/runtime/http/BodyReader.java
@@ -73,6 +73,9 @@
     for (int turn = 0; turn < READS_PER_TURN && !released; turn++) {
       int count = channel.read(buffer);
       if (count < 0) {
+        if (!source.isResponseComplete()) {
+          throw source.givenUp("its body broke off");
+        }
         done(body.toString(StandardCharsets.UTF_8));
         return;
       }
--- a/runtime/src/main/java/io/jacinthquay/runtime/http/BoundedSource.java
+++ b/runtime/src/main/java/io/jacinthquay/runtime/http/BoundedSource.java
@@ -15,7 +15,8 @@
  * <p>The parser above this conduit has no limits of its own: it reads a head until it ends, without
  * returning if bytes arrive fast enough, and skips chunk framing and trailers. Here, reading more
  * than the limit fails in the same way as a broken connection. So does a head for which no memory
- * is left: a head of many small lines takes a hundred times its bytes as objects.
+ * is left: a head of many small lines takes a hundred times its bytes as objects. A response whose
+ * framing is invalid fails too, as the parser may take it for complete.
  */
 public final class BoundedSource extends AbstractStreamSourceConduit<StreamSourceConduit> {
   /**
@@ -43,6 +44,7 @@
   private final BufferBudget.Reservation head;
   private final SocketAddress server;
   private final HeadCost cost = new HeadCost();
+  private final ResponseFraming framing = new ResponseFraming();
   private boolean inHead;
   private long allowedBytes = MAX_HEAD_BYTES;
 
@@ -63,9 +65,14 @@
     return bounded;
   }
 
-  /** Limits the bytes of a head that is going to be read, and the memory that it takes. */
-  public void beginHead() {
+  /**
+   * Limits the bytes of a head that is going to be read, and the memory that it takes.
+   *
+   * @param method the method of the request that it responds to
+   */
+  public void beginHead(String method) {
     release();
+    framing.begin(method);
     inHead = true;
     allowedBytes = MAX_HEAD_BYTES;
   }
@@ -92,11 +99,22 @@
     }
   }
 
+  /** Returns whether all bytes of the response were read, by its own framing. */
+  public boolean isResponseComplete() {
+    return framing.isComplete();
+  }
+
+  /** Returns whether another response may follow on the connection. */
+  public boolean isReusable() {
+    return framing.isComplete() && !framing.hasExcess();
+  }
+
   @Override
   public int read(ByteBuffer target) throws IOException {
     int start = target.position();
     int count = super.read(target);
     deductAllowed(count);
+    checkFraming(target, start, count);
     if (inHead && count > 0) {
       holdHead(cost.add(target, start, target.position()));
     }
@@ -113,6 +131,18 @@
     return 0;
   }
 
+  private void checkFraming(ByteBuffer read, int start, int count) throws IOException {
+    if (count < 0) {
+      framing.end();
+      return;
+    }
+    try {
+      framing.read(read, start, start + count);
+    } catch (InvalidFramingException e) {
+      throw givenUp(e.getMessage());
+    }
+  }
+
   private void deductAllowed(long count) throws IOException {
     allowedBytes -= Math.max(0, count);
     if (allowedBytes < 0) {
--- a/runtime/src/main/java/io/jacinthquay/runtime/http/JsonHttpClient.java
+++ b/runtime/src/main/java/io/jacinthquay/runtime/http/JsonHttpClient.java
@@ -201,7 +201,7 @@
         fail(notSent(), "the call was abandoned or is no longer allowed");
         return;
       }
-      source.beginHead();
+      source.beginHead(call.method());
       opened.sendRequest(request(), new Exchange());
     }
 
--- /dev/null
+++ b/runtime/src/main/java/io/jacinthquay/runtime/http/ResponseFraming.java
@@ -0,0 +1,154 @@
+package io.jacinthquay.runtime.http;
+
+import java.nio.ByteBuffer;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * Finds the end of each response on a connection and checks its framing, besides the parser that
+ * reads the response. A response is complete only if both find so.
+ *
+ * <p>Source: RFC 9112, sections 2, 4 to 7.
+ */
+final class ResponseFraming {
+  private static final Pattern STATUS_LINE =
+      Pattern.compile("HTTP/1\\.(\\d) (\\d{3})(?: .*)?", Pattern.DOTALL);
+
+  private static final int NO_CONTENT = 204;
+  private static final int NOT_MODIFIED = 304;
+  private static final int STATUS_CLASS = 100;
+
+  /** What the next byte belongs to. */
+  private enum State {
+    STATUS_LINE,
+    FIELDS,
+    CHUNKS,
+    CONTENT,
+    UNTIL_END,
+    COMPLETE
+  }
+
+  private final FieldLine line = new FieldLine();
+  private final ChunkedFraming chunks = new ChunkedFraming();
+  private State state = State.COMPLETE;
+  private boolean toHead;
+  private int status;
+  private boolean chunked;
+  private long length;
+  private boolean excess;
+
+  /**
+   * Begins a response.
+   *
+   * @param method the method of its request
+   */
+  void begin(String method) {
+    toHead = method.equals("HEAD");
+    excess = false;
+    beginHead();
+  }
+
+  private void beginHead() {
+    state = State.STATUS_LINE;
+    line.clear();
+    chunked = false;
+    length = -1;
+  }
+
+  /** Returns whether the whole response was read. */
+  boolean isComplete() {
+    return state == State.COMPLETE;
+  }
+
+  /** Returns whether bytes were read behind the end of the response; they belong to no request. */
+  boolean hasExcess() {
+    return excess;
+  }
+
+  /**
+   * Reads the part of a buffer between two positions.
+   *
+   * @throws InvalidFramingException if the end of the response can't be known
+   */
+  void read(ByteBuffer buffer, int from, int to) throws InvalidFramingException {
+    int next = from;
+    while (next < to && state != State.COMPLETE) {
+      next = readPart(buffer, next, to);
+    }
+    excess |= next < to;
+  }
+
+  private int readPart(ByteBuffer buffer, int from, int to) throws InvalidFramingException {
+    return switch (state) {
+      case CHUNKS -> {
+        int next = chunks.read(buffer, from, to);
+        state = chunks.isComplete() ? State.COMPLETE : State.CHUNKS;
+        yield next;
+      }
+      case CONTENT -> {
+        int skipped = (int) Math.min(length, to - from);
+        length -= skipped;
+        state = length == 0 ? State.COMPLETE : State.CONTENT;
+        yield from + skipped;
+      }
+      case UNTIL_END -> to;
+      default -> {
+        if (line.add(buffer.get(from))) {
+          readLine();
+        }
+        yield from + 1;
+      }
+    };
+  }
+
+  /** Records that the connection has ended, which also ends a response without a length. */
+  void end() {
+    if (state == State.UNTIL_END) {
+      state = State.COMPLETE;
+    }
+  }
+
+  private void readLine() throws InvalidFramingException {
+    if (state == State.STATUS_LINE) {
+      readStatusLine();
+      state = State.FIELDS;
+    } else if (line.isEmpty()) {
+      endHead();
+    } else {
+      line.checkField();
+      readField();
+    }
+  }
+
+  private void readStatusLine() {
+    Matcher matcher = STATUS_LINE.matcher(line.text());
+    status = matcher.matches() ? Integer.parseInt(matcher.group(2)) : 0;
+  }
+
+  private void readField() throws InvalidFramingException {
+    if (line.isNamed("Transfer-Encoding")) {
+      chunked = line.value().equalsIgnoreCase("chunked");
+    } else if (line.isNamed("Content-Length")) {
+      try {
+        length = Long.parseLong(line.value());
+      } catch (NumberFormatException e) {
+        throw new InvalidFramingException("the length is no number");
+      }
+    }
+  }
+
+  private void endHead() {
+    if (status / STATUS_CLASS == 1) {
+      beginHead();
+    } else if (toHead || status == NO_CONTENT || status == NOT_MODIFIED) {
+      state = State.COMPLETE;
+    } else if (chunked) {
+      chunks.restart();
+      state = State.CHUNKS;
+    } else if (length >= 0) {
+      state = length == 0 ? State.COMPLETE : State.CONTENT;
+    } else {
+      state = State.UNTIL_END;
+    }
+  }
+}
