An answer with contradicting or invalid lengths is none

Callers got a 200 with a part of a body, or with framing as its content, when an answer had two different lengths, a length with a sign, or a transfer encoding other than chunked alone, or together with a length or in HTTP/1.0. Undertow's client takes the first length, Long.parseLong's signs, and any other transfer encoding for none. Same class as the chunk whose size is no number.

ResponseFraming now accepts a length of 1 to 18 digits, repeated only with the same value, or chunked alone in HTTP/1.1 and later.

Each case runs end to end with a sound second upstream.

--- a/runtime/src/main/java/io/jacinthquay/runtime/http/ResponseFraming.java
+++ b/runtime/src/main/java/io/jacinthquay/runtime/http/ResponseFraming.java
@@ -14,6 +14,9 @@
   private static final Pattern STATUS_LINE =
       Pattern.compile("HTTP/1\\.(\\d) (\\d{3})(?: .*)?", Pattern.DOTALL);
 
+  /** Digits of any length that 63 bits hold. */
+  private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}");
+
   private static final int NO_CONTENT = 204;
   private static final int NOT_MODIFIED = 304;
   private static final int STATUS_CLASS = 100;
@@ -33,6 +36,7 @@
   private State state = State.COMPLETE;
   private boolean toHead;
   private int status;
+  private boolean oldVersion;
   private boolean chunked;
   private long length;
   private boolean excess;
@@ -123,21 +127,36 @@
   private void readStatusLine() {
     Matcher matcher = STATUS_LINE.matcher(line.text());
     status = matcher.matches() ? Integer.parseInt(matcher.group(2)) : 0;
+    oldVersion = matcher.matches() && matcher.group(1).equals("0");
   }
 
   private void readField() throws InvalidFramingException {
     if (line.isNamed("Transfer-Encoding")) {
-      chunked = line.value().equalsIgnoreCase("chunked");
-    } else if (line.isNamed("Content-Length")) {
-      try {
-        length = Long.parseLong(line.value());
-      } catch (NumberFormatException e) {
-        throw new InvalidFramingException("the length is no number");
+      if (chunked || !line.value().equalsIgnoreCase("chunked")) {
+        throw new InvalidFramingException("its transfer encoding is not chunked alone");
       }
+      chunked = true;
+    } else if (line.isNamed("Content-Length")) {
+      readLength(line.value());
+    }
+  }
+
+  /** A length may be repeated, but not be another one: the parser knows only the first. */
+  private void readLength(String value) throws InvalidFramingException {
+    if (!LENGTH.matcher(value).matches()) {
+      throw new InvalidFramingException("its length is no number");
     }
+    long bytes = Long.parseLong(value);
+    if (length >= 0 && length != bytes) {
+      throw new InvalidFramingException("it has two lengths");
+    }
+    length = bytes;
   }
 
-  private void endHead() {
+  private void endHead() throws InvalidFramingException {
+    if (chunked && (length >= 0 || oldVersion)) {
+      throw new InvalidFramingException("its transfer encoding contradicts its length or version");
+    }
     if (status / STATUS_CLASS == 1) {
       beginHead();
     } else if (toHead || status == NO_CONTENT || status == NOT_MODIFIED) {
--- a/runtime/src/test/java/io/jacinthquay/runtime/http/InvalidFramingTest.java
+++ b/runtime/src/test/java/io/jacinthquay/runtime/http/InvalidFramingTest.java
@@ -66,6 +66,22 @@
     assertEquals(ResultCode.UPSTREAM_BROKE, call(CHUNKED + chunks, false).getLeft().code());
   }
 
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "Content-Length: 5\r\nContent-Length: 3",
+        "Content-Length: +5",
+        "Content-Length: -5",
+        "Content-Length : 5",
+        "Transfer-Encoding: gzip, chunked",
+        "Transfer-Encoding: chunked\r\nContent-Length: 15"
+      })
+  void invalidLengthsBreakAResponse(String fields) throws Exception {
+    String response = "HTTP/1.1 200 OK\r\n" + fields + "\r\n\r\n5\r\nwrong\r\n0\r\n\r\n";
+    assertEquals(ResultCode.UPSTREAM_BROKE, call(response, true).getLeft().code());
+    assertEquals(ResultCode.UPSTREAM_BROKE, call(response, false).getLeft().code());
+  }
+
   @ParameterizedTest
   @ValueSource(
       strings = {
