Messages between VMs: bound the elements of containers

Seen: a message of 40 bytes to the inner port of a control VM ended its process with code 3 (FAULT), and with it the calls of all routers and operators there.

Cause: generated code allocates a list by the size in its header, and an object for each element. Thrift checks that size against its largest message of 100 MB, and not at all for lists of structures. A list that states 2,147,483,647 elements fails with "Requested array size exceeds VM limit", which ends a process by its option although the heap is nearly empty.

Change: servers and channels read with BoundedProtocol. A container may state no more elements than bytes are left of the message, and a message may have 200,000 in all. The same protocol reads the replies in routers.

--- /dev/null
+++ b/wire/src/main/java/io/jacinthquay/wire/transport/BoundedProtocol.java
@@ -0,0 +1,90 @@
+package io.jacinthquay.wire.transport;
+
+import org.apache.thrift.TException;
+import org.apache.thrift.protocol.TCompactProtocol;
+import org.apache.thrift.protocol.TList;
+import org.apache.thrift.protocol.TMap;
+import org.apache.thrift.protocol.TMessage;
+import org.apache.thrift.protocol.TProtocol;
+import org.apache.thrift.protocol.TProtocolException;
+import org.apache.thrift.protocol.TProtocolFactory;
+import org.apache.thrift.protocol.TSet;
+import org.apache.thrift.transport.TTransport;
+
+/**
+ * A compact protocol that bounds how many elements a message may have.
+ *
+ * <p>Generated code allocates a container by the size that its header states, and an object for
+ * each element. Thrift checks that size against the largest message only, and not at all for lists
+ * of structures, so a message of a few bytes could take all of the heap.
+ */
+final class BoundedProtocol extends TCompactProtocol {
+  /**
+   * Most elements of all containers of a message. An element takes up to 250 bytes of memory, and
+   * programs have a heap of 96 MB or more.
+   */
+  static final int MAX_ELEMENTS = 200_000;
+
+  private int elements;
+
+  private BoundedProtocol(TTransport transport) {
+    super(transport);
+  }
+
+  /** Returns a protocol that reads whole messages from a transport. */
+  static BoundedProtocol on(TTransport transport) {
+    return new BoundedProtocol(transport);
+  }
+
+  /** Creates protocols for the connections of a server. */
+  static final class Factory implements TProtocolFactory {
+    private static final long serialVersionUID = 1L;
+
+    @Override
+    public TProtocol getProtocol(TTransport transport) {
+      return on(transport);
+    }
+  }
+
+  @Override
+  public TMessage readMessageBegin() throws TException {
+    elements = 0;
+    return super.readMessageBegin();
+  }
+
+  @Override
+  public TList readListBegin() throws TException {
+    TList list = super.readListBegin();
+    count(list.size);
+    return list;
+  }
+
+  @Override
+  public TSet readSetBegin() throws TException {
+    TSet set = super.readSetBegin();
+    count(set.size);
+    return set;
+  }
+
+  @Override
+  public TMap readMapBegin() throws TException {
+    TMap map = super.readMapBegin();
+    count(map.size);
+    return map;
+  }
+
+  /** Checks a container; each of its elements takes one byte of the message or more. */
+  private void count(int size) throws TProtocolException {
+    int remaining = getTransport().getBytesRemainingInBuffer();
+    if (size < 0 || (remaining >= 0 && size > remaining)) {
+      throw new TProtocolException(
+          TProtocolException.SIZE_LIMIT,
+          "a container states " + size + " elements in " + remaining + " bytes");
+    }
+    if (size > MAX_ELEMENTS - elements) {
+      throw new TProtocolException(
+          TProtocolException.SIZE_LIMIT, "a message has more than " + MAX_ELEMENTS + " elements");
+    }
+    elements += size;
+  }
+}
--- a/wire/src/main/java/io/jacinthquay/wire/transport/PlainChannel.java
+++ b/wire/src/main/java/io/jacinthquay/wire/transport/PlainChannel.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
-import org.apache.thrift.protocol.TCompactProtocol;
 import org.apache.thrift.protocol.TProtocol;
 import org.apache.thrift.transport.TSocket;
 import org.apache.thrift.transport.TTransportException;
@@ -37,7 +36,7 @@
       TSocket socket = new TSocket(tcpSocket);
       socket.setTimeout(readMillis);
       TFramedTransport framed = new TFramedTransport(socket, PlainServer.MAX_MESSAGE_BYTES);
-      return new PlainChannel(socket, new TCompactProtocol(framed));
+      return new PlainChannel(socket, BoundedProtocol.on(framed));
     } catch (IOException | TTransportException e) {
       tcpSocket.close();
       throw e instanceof IOException io ? io : new IOException(e);
--- a/wire/src/main/java/io/jacinthquay/wire/transport/PlainServer.java
+++ b/wire/src/main/java/io/jacinthquay/wire/transport/PlainServer.java
@@ -10,7 +10,6 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.apache.thrift.TProcessor;
-import org.apache.thrift.protocol.TCompactProtocol;
 import org.apache.thrift.server.THsHaServer;
 import org.apache.thrift.transport.TTransportException;
 import org.apache.thrift.transport.layered.TFramedTransport;
@@ -73,7 +72,7 @@
         new THsHaServer.Args(socket)
             .executorService(workers)
             .processor(processor)
-            .protocolFactory(new TCompactProtocol.Factory())
+            .protocolFactory(new BoundedProtocol.Factory())
             .transportFactory(new TFramedTransport.Factory(MAX_MESSAGE_BYTES));
     // Thrift stops reading from all connections at its own limit; FrameBudget closes slow ones.
     args.maxReadBufferBytes = Long.MAX_VALUE / 2;
--- a/wire/src/main/java/io/jacinthquay/wire/transport/SecureChannel.java
+++ b/wire/src/main/java/io/jacinthquay/wire/transport/SecureChannel.java
@@ -5,7 +5,6 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import javax.net.ssl.SSLSocket;
-import org.apache.thrift.protocol.TCompactProtocol;
 import org.apache.thrift.protocol.TProtocol;
 import org.apache.thrift.transport.TSocket;
 import org.apache.thrift.transport.TTransportException;
@@ -54,7 +53,7 @@
       TSocket socket = new TSocket(tlsSocket);
       socket.setTimeout(timeoutMillis);
       TFramedTransport framed = new TFramedTransport(socket, SecureServer.MAX_MESSAGE_BYTES);
-      return new SecureChannel(socket, new TCompactProtocol(framed));
+      return new SecureChannel(socket, BoundedProtocol.on(framed));
     } catch (IOException | TTransportException e) {
       tcpSocket.close();
       throw e instanceof IOException io ? io : new IOException(e);
--- a/wire/src/main/java/io/jacinthquay/wire/transport/SecureServer.java
+++ b/wire/src/main/java/io/jacinthquay/wire/transport/SecureServer.java
@@ -22,7 +22,6 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.apache.thrift.TProcessor;
-import org.apache.thrift.protocol.TCompactProtocol;
 import org.apache.thrift.protocol.TProtocol;
 import org.apache.thrift.server.ServerContext;
 import org.apache.thrift.server.TServerEventHandler;
@@ -117,7 +116,7 @@
             .executorService(workers)
             .stopTimeoutVal(STOP_TIMEOUT_SECONDS)
             .transportFactory(new TFramedTransport.Factory(MAX_MESSAGE_BYTES))
-            .protocolFactory(new TCompactProtocol.Factory())
+            .protocolFactory(new BoundedProtocol.Factory())
             .processorFactory(new PeerProcessors());
     TThreadPoolServer threadPoolServer = new TThreadPoolServer(args);
     threadPoolServer.setServerEventHandler(new ConnectionTracker());
