Soak: more answers that are none, from all upstreams at once

Callers got statuses that are none, and parts of answers as whole ones; the soak had no such answers. Upstreams that spoil answers now also send chunks of one byte and trailers of small lines without an end, a chunk size that is no number, the statuses 000, 600, 999 and +200, and a part without a length followed by a reset, for a tenth of the uploads before their end. The new kind upstreams_spoil lets all upstreams do so at once. ResponseCheck demands a status of the protocol, which the caller reads strictly, and tells how an answer was spoilt.

--- a/faultsoak/src/main/java/io/jacinthquay/soak/CallerLoop.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/CallerLoop.java
@@ -438,7 +438,7 @@
     private void read(InputStream in) throws IOException {
       boolean slow = random.nextInt(SLOW_READ_ONE_IN) == 0;
       HttpCodec.Head head = HttpCodec.readHead(in);
-      status = Integer.parseInt(head.secondWord());
+      status = status(head.secondWord());
       retryAfterMillis = retryAfterMillis(head.field("Retry-After"));
       closesConnection = head.field("Connection").equalsIgnoreCase("close");
       String echoedId = head.field("Attempt-Id");
@@ -456,6 +456,14 @@
           });
     }
 
+    /** Returns a status, which has three digits. */
+    private int status(String text) {
+      if (!text.matches("\\d{3}")) {
+        history.addUnexpected(id.value() + " got the status " + text);
+      }
+      return Integer.parseInt(text);
+    }
+
     private long retryAfterMillis(String text) {
       return text.isEmpty() ? 0 : Math.round(Double.parseDouble(text) * MILLIS_PER_SECOND);
     }
--- a/faultsoak/src/main/java/io/jacinthquay/soak/FakeUpstream.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/FakeUpstream.java
@@ -135,6 +135,11 @@
     while (true) {
       HttpCodec.Head head = HttpCodec.readHead(in);
       socket.setSoTimeout(0);
+      if (spoilsUpload(head)) {
+        // The body stays unread, so only the head is compared with what the caller sent.
+        spoilUpload(new ReceivedRequest(socket, in, out, head, CallerLoop.body(streamOf(head))));
+        return;
+      }
       StringBuilder body = new StringBuilder();
       HttpCodec.readBody(head, in, body::append);
       if (!handle(new ReceivedRequest(socket, in, out, head, body.toString()))) {
@@ -149,6 +154,26 @@
     return new RequestId(path.substring(CallKind.of(path).pathPrefix().length()));
   }
 
+  /** Returns whether a request is answered with something that is no answer before it is read. */
+  private boolean spoilsUpload(HttpCodec.Head head) {
+    return spoiling.get() > 0
+        && head.line().startsWith("POST ")
+        && head.field("Expected-Instance").equals(lifetime.id())
+        && SpoiltAnswers.isSpoiltBeforeItsEnd(nextInt(100));
+  }
+
+  private void spoilUpload(ReceivedRequest request) throws IOException {
+    long began = System.nanoTime();
+    history.add(new History.Arrival(request.id(), number, began, false));
+    history.add(new History.SpoiltAnswer(request.id(), "PART_BEFORE_THE_END_OF_THE_UPLOAD"));
+    request.truncated = true;
+    try {
+      SpoiltAnswers.sendPartAndReset(request.id(), request.socket);
+    } finally {
+      history.add(request.run(began));
+    }
+  }
+
   /** Responds to a request; returns whether the connection stays open. */
   private boolean handle(ReceivedRequest request) throws IOException {
     long arrivedNanos = System.nanoTime();
@@ -181,6 +206,7 @@
     SpoiltAnswers.Kind[] kinds = SpoiltAnswers.Kind.values();
     SpoiltAnswers.Kind kind = kinds[nextInt(kinds.length)];
     int first = 1 + (int) request.head.longField("Last-Event-Id").orElse(0);
+    history.add(new History.SpoiltAnswer(request.id(), kind.name()));
     long began = System.nanoTime();
     request.truncated = true;
     request.out.beginResponse();
--- a/faultsoak/src/main/java/io/jacinthquay/soak/FaultInjector.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/FaultInjector.java
@@ -141,6 +141,10 @@
         }
       }
       case CONTROLS_PAUSED -> pauseControls(fault.durationMillis());
+      case UPSTREAMS_SPOIL ->
+          spoilAnswers(
+              IntStream.range(0, system.upstreamCount()).mapToObj(system::upstream).toList(),
+              fault);
       case ROUTERS_KILLED -> killRouters(OptionalInt.empty(), fault);
       case ROUTERS_AND_CONTROL_KILLED -> killRouters(OptionalInt.of(controlToKill(fault)), fault);
       default -> throw new IllegalArgumentException(fault + " affects one target");
--- a/faultsoak/src/main/java/io/jacinthquay/soak/FaultKind.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/FaultKind.java
@@ -82,6 +82,8 @@
   UPSTREAM_LIMITED(Where.UPSTREAM, Choice.NAMED),
   /** SIGSTOP to all control VMs, and SIGCONT at the end, so that nobody leads meanwhile. */
   CONTROLS_PAUSED(Where.CONTROL, Choice.NAMED),
+  /** All upstreams answer most requests with something that is no answer, at the same time. */
+  UPSTREAMS_SPOIL(Where.UPSTREAM, Choice.NAMED),
   /**
    * An upstream is listed as draining, is unlisted, and one with a newer version replaces it. Pools
    * have two versions from the start of such a run on.
@@ -149,7 +151,12 @@
   /** Returns whether a fault affects all that it can, whatever its target. */
   boolean affectsAll() {
     return switch (this) {
-      case CONTROLS_KILLED, CONTROLS_PAUSED, ROUTERS_KILLED, ROUTERS_AND_CONTROL_KILLED -> true;
+      case CONTROLS_KILLED,
+          CONTROLS_PAUSED,
+          ROUTERS_KILLED,
+          ROUTERS_AND_CONTROL_KILLED,
+          UPSTREAMS_SPOIL ->
+          true;
       default -> false;
     };
   }
--- a/faultsoak/src/main/java/io/jacinthquay/soak/History.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/History.java
@@ -25,6 +25,7 @@
   private final Collection<Duty> duties = new ConcurrentLinkedQueue<>();
   private final Collection<OwnEnd> ownEnds = new ConcurrentLinkedQueue<>();
   private final Collection<RetryShare> retryShares = new ConcurrentLinkedQueue<>();
+  private final Collection<SpoiltAnswer> spoiltAnswers = new ConcurrentLinkedQueue<>();
   private final Collection<String> unexpected = new ConcurrentLinkedQueue<>();
 
   /**
@@ -143,6 +144,25 @@
    */
   record RetryShare(int router, long percent, long atNanos) {}
 
+  /**
+   * An answer that an upstream spoilt.
+   *
+   * @param how what was wrong with it
+   */
+  record SpoiltAnswer(RequestId id, String how) {}
+
+  void add(SpoiltAnswer answer) {
+    spoiltAnswers.add(answer);
+  }
+
+  /** Returns what was wrong with the spoilt answers to each request. */
+  Map<RequestId, List<String>> spoiltAnswers() {
+    return spoiltAnswers.stream()
+        .collect(
+            Collectors.groupingBy(
+                SpoiltAnswer::id, Collectors.mapping(SpoiltAnswer::how, Collectors.toList())));
+  }
+
   void add(RetryShare share) {
     retryShares.add(share);
   }
--- a/faultsoak/src/main/java/io/jacinthquay/soak/SoakSystem.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/SoakSystem.java
@@ -119,6 +119,10 @@
         number, upstreams.get(number).lifetime(), upstreamLinks.get(number).address(), draining);
   }
 
+  int upstreamCount() {
+    return upstreams.size();
+  }
+
   /** Returns how many reads of the platform's list were refused because there were too many. */
   int refusedReads() {
     return platform.refusedReads();
--- a/faultsoak/src/main/java/io/jacinthquay/soak/SpoiltAnswers.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/SpoiltAnswers.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.Socket;
+import java.util.concurrent.TimeUnit;
 
 /**
  * What an upstream sends that answers most requests with something that is no answer. Each kind
@@ -13,6 +14,12 @@
   /** Share of the requests that an upstream spoils while it does so, in percent. */
   private static final int SPOILT_PERCENT = 85;
 
+  /** Share of the requests with a body that are spoilt before the body is read, in percent. */
+  private static final int SPOILT_UPLOAD_PERCENT = 10;
+
+  /** Time in which a router can read what was sent before a reset. */
+  private static final long BEFORE_RESET_MILLIS = 30;
+
   /** Bytes after which an answer without end is broken off, if the router has not closed it. */
   private static final int MAX_ENDLESS_BYTES = 4 * 1024 * 1024;
 
@@ -34,6 +41,22 @@
     ENDLESS_BODY,
     /** A chunk whose extension doesn't end. */
     ENDLESS_EXTENSION,
+    /** Chunks of one byte that don't end. */
+    ENDLESS_SMALL_CHUNKS,
+    /** Small lines after the last chunk that don't end. */
+    ENDLESS_TRAILERS,
+    /** A chunk whose size is no number follows the first part. */
+    INVALID_CHUNK_SIZE,
+    /** A part of a body without a length, and a reset. */
+    PART_WITHOUT_LENGTH,
+    /** Status 000. */
+    STATUS_ZERO,
+    /** Status 600. */
+    STATUS_TOO_LARGE,
+    /** Status 999. */
+    STATUS_LARGEST,
+    /** Status 200 with a sign, and a part of the body. */
+    STATUS_WITH_SIGN,
     /** The connection is reset after the request was read. */
     RESET,
     /** The connection is closed after the request was read. */
@@ -57,6 +80,28 @@
     return drawn < SPOILT_PERCENT;
   }
 
+  /** Returns whether a request is spoilt before its body is read, given a number below 100. */
+  static boolean isSpoiltBeforeItsEnd(int drawn) {
+    return drawn < SPOILT_UPLOAD_PERCENT;
+  }
+
+  /** Sends a part of a body without a length, and resets the connection. */
+  static void sendPartAndReset(RequestId id, Socket socket) throws IOException {
+    String body = ExpectedResponse.body(id);
+    write(
+        socket.getOutputStream(),
+        "HTTP/1.1 200 OK\r\nAttempt-Id: "
+            + id.value()
+            + "\r\nResponse-Signature: s\r\n\r\n"
+            + body.substring(0, body.length() / 2));
+    try {
+      TimeUnit.MILLISECONDS.sleep(BEFORE_RESET_MILLIS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    Acceptor.reset(socket);
+  }
+
   /**
    * Sends a spoilt answer.
    *
@@ -71,7 +116,7 @@
       case GARBAGE -> write(out, "\u0001\u0002 no answer \u00ff\r\n\r\n" + half);
       case TRUNCATED_HEAD -> write(out, "HTTP/1.1 200 OK\r\nAttempt-Id: " + id.value());
       case TRUNCATED_BODY ->
-          write(out, head(200, id, "Response-Signature: s", body.length()) + half);
+          write(out, head("200", id, "Response-Signature: s", body.length()) + half);
       case BROKEN_STREAM ->
           write(
               out,
@@ -91,25 +136,22 @@
         writeEndlessly(socket, "z");
       }
       case ENDLESS_EXTENSION -> {
-        write(
-            out,
-            "HTTP/1.1 200 OK\r\nAttempt-Id: "
-                + id.value()
-                + "\r\nResponse-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n1;");
+        write(out, chunkedHead(id) + "1;");
         writeEndlessly(socket, "x");
       }
       case RESET -> Acceptor.reset(socket);
       case OTHER_ID ->
           write(
               out,
-              head(200, new RequestId("other"), "Response-Signature: s", body.length()) + body);
-      case UNSIGNED -> write(out, head(200, id, "X-Odd: 1", body.length()) + body);
-      case REFUSED -> write(out, head(503, id, "X-Odd: 1", 0));
-      case NOT_EXECUTED -> write(out, head(503, id, "Not-Executed: 1", 0));
-      case FAILED -> write(out, head(500, id, "Response-Signature: s", 0));
-      default -> {
-        // CLOSED: the end of the connection is all that the router gets.
+              head("200", new RequestId("other"), "Response-Signature: s", body.length()) + body);
+      case UNSIGNED -> write(out, head("200", id, "X-Odd: 1", body.length()) + body);
+      case REFUSED -> write(out, head("503", id, "X-Odd: 1", 0));
+      case NOT_EXECUTED -> write(out, head("503", id, "Not-Executed: 1", 0));
+      case FAILED -> write(out, head("500", id, "Response-Signature: s", 0));
+      case CLOSED -> {
+        // The end of the connection is all that the router gets.
       }
+      default -> sendMalformed(kind, id, half, socket);
     }
     return switch (kind) {
       case UNSIGNED, REFUSED, NOT_EXECUTED, FAILED -> true;
@@ -117,7 +159,41 @@
     };
   }
 
-  private static String head(int status, RequestId id, String field, int length) {
+  /** Sends an answer that is no HTTP in one place, and a part of the body around it. */
+  private static void sendMalformed(Kind kind, RequestId id, String half, Socket socket)
+      throws IOException {
+    OutputStream out = socket.getOutputStream();
+    switch (kind) {
+      case ENDLESS_SMALL_CHUNKS -> {
+        write(out, chunkedHead(id));
+        writeEndlessly(socket, HttpCodec.encodeChunk("x"));
+      }
+      case ENDLESS_TRAILERS -> {
+        write(out, chunkedHead(id) + HttpCodec.encodeChunk(half) + "0\r\n");
+        writeEndlessly(socket, "X: y\r\n");
+      }
+      case INVALID_CHUNK_SIZE ->
+          write(out, chunkedHead(id) + HttpCodec.encodeChunk(half) + "zz\r\n\r\n");
+      case PART_WITHOUT_LENGTH -> sendPartAndReset(id, socket);
+      case STATUS_ZERO ->
+          write(out, head("000", id, "Response-Signature: s", half.length()) + half);
+      case STATUS_TOO_LARGE ->
+          write(out, head("600", id, "Response-Signature: s", half.length()) + half);
+      case STATUS_LARGEST ->
+          write(out, head("999", id, "Response-Signature: s", half.length()) + half);
+      case STATUS_WITH_SIGN ->
+          write(out, head("+200", id, "Response-Signature: s", half.length()) + half);
+      default -> throw new IllegalArgumentException("no such answer: " + kind);
+    }
+  }
+
+  private static String chunkedHead(RequestId id) {
+    return "HTTP/1.1 200 OK\r\nAttempt-Id: "
+        + id.value()
+        + "\r\nResponse-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n";
+  }
+
+  private static String head(String status, RequestId id, String field, int length) {
     return "HTTP/1.1 "
         + status
         + " Status\r\nAttempt-Id: "
--- a/faultsoak/src/test/java/io/jacinthquay/soak/ChecksTest.java
+++ b/faultsoak/src/test/java/io/jacinthquay/soak/ChecksTest.java
@@ -89,6 +89,9 @@
                     200,
                     StreamTexts.event(ID, 1) + StreamTexts.event(ID, 1),
                     100))),
+    STATUS_IS_NO_STATUS(
+        new ResponseCheck(),
+        history -> history.add(call(CallKind.SAFE, Call.Ending.ANSWERED, 600, "", 100))),
     UNEXPECTED_BYTES(new ResponseCheck(), history -> history.addUnexpected("more bytes")),
     DEADLINE_IS_EXTENDED(
         new ForwardedRequestCheck(),
