--- a/faultsoak/src/main/java/io/jacinthquay/soak/History.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/History.java
@@ -2,6 +2,7 @@
 
 import io.jacinthquay.model.RequestId;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -24,6 +25,7 @@
   private final Collection<Duty> duties = new ConcurrentLinkedQueue<>();
   private final Collection<OwnEnd> ownEnds = new ConcurrentLinkedQueue<>();
   private final Collection<RetryShare> retryShares = new ConcurrentLinkedQueue<>();
+  private final Collection<SpoiltAnswer> spoiltAnswers = new ConcurrentLinkedQueue<>();
   private final Collection<String> unexpected = new ConcurrentLinkedQueue<>();
 
   /**
@@ -50,8 +52,14 @@
    * @param upstream number of the upstream
    * @param ready whether the list shows it as ready, and not as draining or not at all
    * @param atNanos when the list first showed it so, on the monotonic clock
+   * @param version version of its software; empty if it is not listed
    */
-  record Listed(int upstream, boolean ready, long atNanos) {}
+  record Listed(int upstream, boolean ready, long atNanos, String version) {
+    /** A change for which the version does not matter. */
+    Listed(int upstream, boolean ready, long atNanos) {
+      this(upstream, ready, atNanos, "");
+    }
+  }
 
   /**
    * An answer in which an upstream states how many requests it takes.
@@ -136,6 +144,25 @@
    */
   record RetryShare(int router, long percent, long atNanos) {}
 
+  /**
+   * An answer that an upstream spoilt.
+   *
+   * @param how what was wrong with it
+   */
+  record SpoiltAnswer(RequestId id, String how) {}
+
+  void add(SpoiltAnswer answer) {
+    spoiltAnswers.add(answer);
+  }
+
+  /** Returns what was wrong with the spoilt answers to each request. */
+  Map<RequestId, List<String>> spoiltAnswers() {
+    return spoiltAnswers.stream()
+        .collect(
+            Collectors.groupingBy(
+                SpoiltAnswer::id, Collectors.mapping(SpoiltAnswer::how, Collectors.toList())));
+  }
+
   void add(RetryShare share) {
     retryShares.add(share);
   }
@@ -210,6 +237,14 @@
     return List.copyOf(calls);
   }
 
+  /** Returns all attempts at each stream in the order in which they were sent, by the first id. */
+  Map<RequestId, List<Call>> streams() {
+    return calls.stream()
+        .filter(call -> call.kind().isStream())
+        .sorted(Comparator.comparingLong(Call::sentNanos))
+        .collect(Collectors.groupingBy(Call::stream));
+  }
+
   Map<RequestId, Call> callsById() {
     return calls.stream().collect(Collectors.toMap(Call::id, Function.identity()));
   }
