Messages between VMs: bound texts by the rest of their frame

Callers lost a control VM, or a router, to a frame of 20 bytes at an internal port: a text that states 99 MB is allocated before it is read, and Thrift checks its length against its largest message of 100 MB only.

--- a/wire/src/main/java/io/jacinthquay/wire/transport/PlainChannel.java
+++ b/wire/src/main/java/io/jacinthquay/wire/transport/PlainChannel.java
@@ -6,7 +6,6 @@
 import org.apache.thrift.protocol.TProtocol;
 import org.apache.thrift.transport.TSocket;
 import org.apache.thrift.transport.TTransportException;
-import org.apache.thrift.transport.layered.TFramedTransport;
 
 /** A connection to a {@link PlainServer}, for trusted networks; used by one thread at a time. */
 public final class PlainChannel implements Channel {
@@ -35,7 +34,7 @@
       tcpSocket.setSoTimeout(readMillis);
       TSocket socket = new TSocket(tcpSocket);
       socket.setTimeout(readMillis);
-      TFramedTransport framed = new TFramedTransport(socket, PlainServer.MAX_MESSAGE_BYTES);
+      BoundedFrames framed = new BoundedFrames(socket, PlainServer.MAX_MESSAGE_BYTES);
       return new PlainChannel(socket, BoundedProtocol.on(framed));
     } catch (IOException | TTransportException e) {
       tcpSocket.close();
--- a/wire/src/main/java/io/jacinthquay/wire/transport/PlainServer.java
+++ b/wire/src/main/java/io/jacinthquay/wire/transport/PlainServer.java
@@ -12,7 +12,6 @@
 import org.apache.thrift.TProcessor;
 import org.apache.thrift.server.THsHaServer;
 import org.apache.thrift.transport.TTransportException;
-import org.apache.thrift.transport.layered.TFramedTransport;
 
 /**
  * A Thrift server without encryption, for trusted networks.
@@ -73,7 +72,7 @@
             .executorService(workers)
             .processor(processor)
             .protocolFactory(new BoundedProtocol.Factory())
-            .transportFactory(new TFramedTransport.Factory(MAX_MESSAGE_BYTES));
+            .transportFactory(new BoundedFrames.Factory(MAX_MESSAGE_BYTES));
     // Thrift stops reading from all connections at its own limit; FrameBudget closes slow ones.
     args.maxReadBufferBytes = Long.MAX_VALUE / 2;
     server = new THsHaServer(args);
--- a/wire/src/main/java/io/jacinthquay/wire/transport/SecureChannel.java
+++ b/wire/src/main/java/io/jacinthquay/wire/transport/SecureChannel.java
@@ -8,7 +8,6 @@
 import org.apache.thrift.protocol.TProtocol;
 import org.apache.thrift.transport.TSocket;
 import org.apache.thrift.transport.TTransportException;
-import org.apache.thrift.transport.layered.TFramedTransport;
 
 /**
  * One connection to a {@link SecureServer}; used by one thread at a time.
@@ -52,7 +51,7 @@
       tlsSocket.startHandshake();
       TSocket socket = new TSocket(tlsSocket);
       socket.setTimeout(timeoutMillis);
-      TFramedTransport framed = new TFramedTransport(socket, SecureServer.MAX_MESSAGE_BYTES);
+      BoundedFrames framed = new BoundedFrames(socket, SecureServer.MAX_MESSAGE_BYTES);
       return new SecureChannel(socket, BoundedProtocol.on(framed));
     } catch (IOException | TTransportException e) {
       tcpSocket.close();
--- a/wire/src/main/java/io/jacinthquay/wire/transport/SecureServer.java
+++ b/wire/src/main/java/io/jacinthquay/wire/transport/SecureServer.java
@@ -30,7 +30,6 @@
 import org.apache.thrift.transport.TSocket;
 import org.apache.thrift.transport.TTransport;
 import org.apache.thrift.transport.TTransportException;
-import org.apache.thrift.transport.layered.TFramedTransport;
 
 /**
  * A Thrift server that accepts only peers with a certificate of its own authority.
@@ -115,7 +114,7 @@
         new TThreadPoolServer.Args(new TServerSocket(socket, CLIENT_TIMEOUT_MILLIS))
             .executorService(workers)
             .stopTimeoutVal(STOP_TIMEOUT_SECONDS)
-            .transportFactory(new TFramedTransport.Factory(MAX_MESSAGE_BYTES))
+            .transportFactory(new BoundedFrames.Factory(MAX_MESSAGE_BYTES))
             .protocolFactory(new BoundedProtocol.Factory())
             .processorFactory(new PeerProcessors());
     TThreadPoolServer threadPoolServer = new TThreadPoolServer(args);
