Take-ups that wait are refused once their version may not serve any more

A take-up that waited for its version was told so only when the list of upstreams changed, though upstreams that leave may go on with streams for a second only and a failure domain may be closed: callers waited for nothing. Now each poll of the queue and each change of the closed failure domains checks it. A route without streams doesn't take a Last-Event-Id for a take-up.

--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
@@ -172,10 +172,14 @@
     long now = clock.getAsLong();
     selector.setListings(listings, now);
     releaseHeld();
-    forEachActive(exchange -> exchange.endIfVersionGone(now));
+    endRequestsOfGoneVersions(now);
     queues.poll();
   }
 
+  private void endRequestsOfGoneVersions(long now) {
+    forEachActive(exchange -> exchange.endIfVersionGone(now));
+  }
+
   private void releaseHeld() {
     if (isInitialized()) {
       startupQueue.release();
@@ -186,6 +190,7 @@
   public void updateClosedDomains(Set<DomainId> domains) {
     log.info("closed failure domains: {}", domains);
     selector.setClosedDomains(domains);
+    endRequestsOfGoneVersions(clock.getAsLong());
   }
 
   /**
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardExchange.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardExchange.java
@@ -125,12 +125,14 @@
     }
   }
 
-  /** Ends a request that waits for a version of which no upstream is left. */
-  void endIfVersionGone(long now) {
-    if (queue.isWaiting() && work.version().isPresent() && !core.selector().isServed(work, now)) {
-      queue.leave(this);
-      reject(binding.unserved());
+  /** Ends a request that waits for a version of which no upstream is left; returns if it did. */
+  boolean endIfVersionGone(long now) {
+    if (!queue.isWaiting() || work.version().isEmpty() || core.selector().isServed(work, now)) {
+      return false;
     }
+    queue.leave(this);
+    reject(binding.unserved());
+    return true;
   }
 
   /** Returns whether an upstream has capacity for the request now. */
@@ -174,7 +176,7 @@
     }
     Optional<UpstreamState> chosen = history.choose(work, now);
     if (chosen.isEmpty()) {
-      return false;
+      return endIfVersionGone(now);
     }
     queue.left();
     send(chosen.get(), now);
@@ -191,10 +193,8 @@
 
   private void endQuarantined() {
     queue.left();
-    endUnanswered(
-        ResultCode.UPSTREAM_BROKE,
-        ResultCode.PROMPT_QUARANTINED,
-        ResultCode.PROMPT_QUARANTINED.meaning());
+    ResultCode refusal = ResultCode.PROMPT_QUARANTINED;
+    endUnanswered(ResultCode.UPSTREAM_BROKE, refusal, refusal.meaning());
   }
 
   private void send(UpstreamState upstream, long now) {
--- a/router/src/main/java/io/jacinthquay/router/service/forward/StreamBinding.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/StreamBinding.java
@@ -6,6 +6,7 @@
 import io.jacinthquay.model.PoolName;
 import io.jacinthquay.model.ResultCode;
 import io.jacinthquay.model.StreamId;
+import io.jacinthquay.model.routing.RequestKind;
 import io.jacinthquay.model.routing.WeightedPool;
 import io.jacinthquay.router.port.StreamOrigins;
 import io.jacinthquay.router.port.StreamOrigins.Origin;
@@ -43,7 +44,8 @@
 
   /** Returns whether the caller takes up a stream of an earlier attempt. */
   boolean isTakeUp() {
-    return request.facts().lastEventId().isPresent();
+    return request.route().kind() == RequestKind.STREAMING
+        && request.facts().lastEventId().isPresent();
   }
 
   /**
