An answer whose status line isn't one of HTTP/1.x is none

Undertow's parser takes any text as a version and any integer as a status. JsonHttpClient returned 000, 600 and 999 as responses.

ResponseFraming accepts HTTP/1. and a digit, a blank, three digits from 100 to 599, and ends a response that switches protocols. The request counts as one that may have run.

--- a/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowUpstreamCall.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowUpstreamCall.java
@@ -32,9 +32,6 @@
   /** Lower statuses are interim responses; the parser would leave the final response unread. */
   private static final int FIRST_FINAL_STATUS = 200;
 
-  /** Greater statuses have more than three digits, which the client's parser accepts. */
-  private static final int LAST_STATUS = 999;
-
   /** Consecutive reads before other tasks of the thread get a turn. */
   private static final int READS_PER_TURN = 8;
 
@@ -174,7 +171,7 @@
     ClientResponse response = exchange.getResponse();
     String echoed = response.getResponseHeaders().getFirst(pool.idHeader());
     int status = response.getResponseCode();
-    if (status < FIRST_FINAL_STATUS || status > LAST_STATUS) {
+    if (status < FIRST_FINAL_STATUS) {
       onBroken();
       return;
     }
--- a/runtime/src/main/java/io/jacinthquay/runtime/http/ResponseFraming.java
+++ b/runtime/src/main/java/io/jacinthquay/runtime/http/ResponseFraming.java
@@ -12,11 +12,12 @@
  */
 final class ResponseFraming {
   private static final Pattern STATUS_LINE =
-      Pattern.compile("HTTP/1\\.(\\d) (\\d{3})(?: .*)?", Pattern.DOTALL);
+      Pattern.compile("HTTP/1\\.([0-9]) ([1-5][0-9]{2})(?: .*)?", Pattern.DOTALL);
 
   /** Digits of any length that 63 bits hold. */
   private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}");
 
+  private static final int SWITCHING_PROTOCOLS = 101;
   private static final int NO_CONTENT = 204;
   private static final int NOT_MODIFIED = 304;
   private static final int STATUS_CLASS = 100;
@@ -124,10 +125,16 @@
     }
   }
 
-  private void readStatusLine() {
+  private void readStatusLine() throws InvalidFramingException {
     Matcher matcher = STATUS_LINE.matcher(line.text());
-    status = matcher.matches() ? Integer.parseInt(matcher.group(2)) : 0;
-    oldVersion = matcher.matches() && matcher.group(1).equals("0");
+    if (!matcher.matches()) {
+      throw new InvalidFramingException("its first line is no status line of HTTP/1");
+    }
+    oldVersion = matcher.group(1).equals("0");
+    status = Integer.parseInt(matcher.group(2));
+    if (status == SWITCHING_PROTOCOLS) {
+      throw new InvalidFramingException("it switches to a protocol that nobody asked for");
+    }
   }
 
   private void readField() throws InvalidFramingException {
--- a/runtime/src/test/java/io/jacinthquay/runtime/http/InvalidFramingTest.java
+++ b/runtime/src/test/java/io/jacinthquay/runtime/http/InvalidFramingTest.java
@@ -82,6 +82,14 @@
     assertEquals(ResultCode.UPSTREAM_BROKE, call(response, false).getLeft().code());
   }
 
+  @ParameterizedTest
+  @ValueSource(strings = {"000", "600", "999", "+200", "2OO", "0200", "101"})
+  void invalidStatusIsNoResponse(String status) throws Exception {
+    String response = "HTTP/1.1 " + status + " OK\r\nContent-Length: 5\r\n\r\nwrong";
+    assertEquals(ResultCode.UPSTREAM_BROKE, call(response, true).getLeft().code());
+    assertEquals(ResultCode.UPSTREAM_BROKE, call(response, false).getLeft().code());
+  }
+
   @ParameterizedTest
   @ValueSource(
       strings = {
