A request with invalid chunks is rejected

A caller whose chunked body had a size that is no number, or no CR and LF behind a chunk, had its request run with a part of its body, and what followed ran as a request of its own (UNASKED: smuggled inside another one). A proxy before the router that reads such chunks otherwise would pass it on.

Cause: as for answers, the server's parser alone decided where a body ends. RequestChunks reads the chunks of each request besides it, from the head on; bytes that were read with the head, or taken back from it, are read once. A request with invalid chunks gets 400, and its connection is closed.

--- a/router/src/main/java/io/jacinthquay/router/adapter/http/BodyReader.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/BodyReader.java
@@ -64,6 +64,10 @@
       fail(ResultCode.BODY_TOO_LARGE);
       return;
     }
+    if (ReadAheadSource.hasInvalidChunks(exchange)) {
+      fail(ResultCode.BAD_REQUEST);
+      return;
+    }
     if (exchange.isRequestComplete()) {
       complete(EMPTY);
       return;
@@ -118,6 +122,10 @@
       while (true) {
         buffer.clear();
         int count = source.read(buffer);
+        if (ReadAheadSource.hasInvalidChunks(exchange)) {
+          fail(ResultCode.BAD_REQUEST);
+          return;
+        }
         if (count == 0) {
           source.resumeReads();
           return;
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/ConnectionTracker.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/ConnectionTracker.java
@@ -83,6 +83,7 @@
       return 0;
     }
     long headBytes = tracked.completeHead();
+    tracked.checkChunks(exchange);
     if (connection.getExtraBytes() != null) {
       connection.getIoThread().execute(() -> tracked.freeBuffer(connection));
     }
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/ReadAheadSource.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/ReadAheadSource.java
@@ -54,6 +54,7 @@
   private LongConsumer onHeadCost = bytes -> {};
   private boolean inRequest;
   private final HeadCost headCost = new HeadCost();
+  private final RequestChunks chunks = new RequestChunks();
   private int turnBytes;
 
   /**
@@ -122,6 +123,13 @@
         && source.ended;
   }
 
+  /** Returns whether the chunks of a request that were read so far are invalid. */
+  static boolean hasInvalidChunks(HttpServerExchange exchange) {
+    return exchange.getConnection() instanceof AbstractServerConnection connection
+        && connection.getOriginalSourceConduit() instanceof ReadAheadSource source
+        && source.chunks.isInvalid();
+  }
+
   /** Removes the limit; the parser limits the size of a head. */
   static void allowAll(HttpServerExchange exchange) {
     allow(exchange, Long.MAX_VALUE);
@@ -138,9 +146,15 @@
     return headCost.reset();
   }
 
+  /** Begins to check the chunks of a request whose head is complete. */
+  void checkChunks(HttpServerExchange exchange) {
+    chunks.begin(exchange);
+  }
+
   /** Records that what is read from now on belongs to the next head. */
   void endRequest() {
     inRequest = false;
+    chunks.end();
     maxTurnBytes = BODY_BYTES_PER_TURN;
   }
 
@@ -150,7 +164,12 @@
    * @return whether there is memory for them
    */
   boolean takeBack(ByteBuffer unused) {
-    return ahead.addFirst(unused);
+    int bytes = unused.remaining();
+    boolean taken = ahead.addFirst(unused);
+    if (taken) {
+      chunks.takenBack(bytes);
+    }
+    return taken;
   }
 
   /** Records that all bytes passed on so far belong to requests that are complete. */
@@ -233,7 +252,16 @@
 
   @Override
   public int read(ByteBuffer dst) throws IOException {
+    int start = dst.position();
     int count = inRequest ? readTurn(dst, maxTurnBytes) : readHead(dst);
+    if (inRequest && count > 0) {
+      chunks.read(dst, start, dst.position());
+      if (chunks.isInvalid()) {
+        // The parser would end the request, or close the connection without an answer.
+        dst.position(start);
+        return 0;
+      }
+    }
     pastBoundary |= count > 0;
     return count;
   }
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/TrackedConnection.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/TrackedConnection.java
@@ -4,6 +4,7 @@
 import io.jacinthquay.runtime.http.BufferBudget;
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.server.AbstractServerConnection;
+import io.undertow.server.HttpServerExchange;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.List;
@@ -136,6 +137,12 @@
     return source.beginRequest();
   }
 
+  /** Begins to check the chunks of a request whose head is complete. */
+  void checkChunks(HttpServerExchange exchange) {
+    assertOwnThread();
+    source.checkChunks(exchange);
+  }
+
   /**
    * Frees the pooled buffer of a connection whose later bytes wait for the end of a request, if
    * there is other memory for them.
