Uploads of more than 2 MiB are served; the document's limit holds

Callers got 400, which they don't repeat, or a reset for uploads of more than 2 MiB, although the document allowed 4 MiB and the router's own limit is 8 MiB. The same held for operators' documents.

Cause: Undertow's default for the size of an entity, 2 MiB, since the listener set none. BodyReader limits bodies already, with 413 and within the memory that all callers share, so the library's limit is off. The document's limit on bodies was read nowhere; it now holds where it is below the router's own, also for a request that came before the document.

--- a/decision/src/main/java/io/jacinthquay/decision/routing/RouteTable.java
+++ b/decision/src/main/java/io/jacinthquay/decision/routing/RouteTable.java
@@ -43,6 +43,11 @@
     return document.version();
   }
 
+  /** Returns the size of the largest body of a request, in bytes. */
+  public int maxBodyBytes() {
+    return document.maxBodyBytes();
+  }
+
   /** Returns all pools by name. */
   public Map<PoolName, PoolSpec> pools() {
     return pools;
--- a/model/src/main/java/io/jacinthquay/model/routing/RoutingDocument.java
+++ b/model/src/main/java/io/jacinthquay/model/routing/RoutingDocument.java
@@ -15,18 +15,31 @@
  * @param pools the pools, including every pool that a route names
  * @param keysRequired whether routes that are not open require a key
  * @param holders the customers and their keys; no two customers have the same key
+ * @param maxBodyBytes size of the largest body of a request, in bytes, 1 or more; the limit of the
+ *     router also holds
  */
 public record RoutingDocument(
     long version,
     List<RouteRule> routes,
     List<PoolSpec> pools,
     boolean keysRequired,
-    List<KeyHolder> holders) {
+    List<KeyHolder> holders,
+    int maxBodyBytes) {
+  /** Returns a document without a limit on bodies. */
+  public RoutingDocument(
+      long version,
+      List<RouteRule> routes,
+      List<PoolSpec> pools,
+      boolean keysRequired,
+      List<KeyHolder> holders) {
+    this(version, routes, pools, keysRequired, holders, Integer.MAX_VALUE);
+  }
+
   /**
    * Copies the lists and validates the references and the uniqueness of routes and keys.
    *
    * @throws IllegalArgumentException if a route names an unknown pool, two routes have the same
-   *     host and prefix, or two customers have the same key
+   *     host and prefix, two customers have the same key, or the size is below 1
    */
   public RoutingDocument {
     routes = List.copyOf(routes);
@@ -34,6 +47,9 @@
     holders = List.copyOf(holders);
     checkRoutes(routes, pools);
     checkKeys(holders);
+    if (maxBodyBytes < 1) {
+      throw new IllegalArgumentException("the size of the largest body must be 1 or more");
+    }
   }
 
   private static void checkRoutes(List<RouteRule> routes, List<PoolSpec> pools) {
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/CallerHandler.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/CallerHandler.java
@@ -93,7 +93,8 @@
       reject(exchange, id, head, admitted.getLeft(), caller);
       return;
     }
-    BodyReader reader = new BodyReader(exchange, limits, memory);
+    int maxBodyBytes = Math.min(limits.maxBodyBytes(), admitted.get().maxBodyBytes());
+    BodyReader reader = new BodyReader(exchange, limits.withMaxBodyBytes(maxBodyBytes), memory);
     reader.read(
         body -> admitted.get().run(body, caller),
         failure -> reject(exchange, id, head, failure, caller));
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/CallerServer.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/CallerServer.java
@@ -47,6 +47,8 @@
   /** Largest body at further addresses, in bytes; readiness and metrics need none. */
   private static final int MAX_FURTHER_BODY_BYTES = 64 * 1024;
 
+  private static final long UNLIMITED = -1;
+
   private static final int STOP_SECONDS = 5;
 
   private static final String REJECTION_BODY =
@@ -145,6 +147,8 @@
         .set(UndertowOptions.MAX_HEADER_SIZE, limits.maxHeadBytes() * PARSER_HEAD_FACTOR)
         .set(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
         .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, limits.headMillis())
+        // BodyReader limits bodies; beyond this limit Undertow itself would answer with 400.
+        .set(UndertowOptions.MAX_ENTITY_SIZE, UNLIMITED)
         .set(UndertowOptions.NO_REQUEST_TIMEOUT, limits.idleMillis())
         .set(UndertowOptions.ALWAYS_SET_DATE, false)
         .getMap();
--- a/router/src/main/java/io/jacinthquay/router/port/RequestIntake.java
+++ b/router/src/main/java/io/jacinthquay/router/port/RequestIntake.java
@@ -18,6 +18,11 @@
   /** A request whose head was admitted. */
   @FunctionalInterface
   interface AdmittedHead {
+    /** Returns the size of the largest body, in bytes; the limit of the server also holds. */
+    default int maxBodyBytes() {
+      return Integer.MAX_VALUE;
+    }
+
     /** Runs the request; the caller gets exactly one response. */
     void run(byte[] body, Caller caller);
   }
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardIntake.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardIntake.java
@@ -52,10 +52,32 @@
           (body, caller) ->
               queue(id, new StartupQueue.QueuedRequest(head, body, caller, arrivedNanos)));
     }
-    return resolve(head)
-        .map(
-            resolved ->
-                (body, caller) -> start(id, resolved.with(head, body, arrivedNanos), caller));
+    return resolve(head).map(resolved -> new ForwardableHead(id, head, resolved, arrivedNanos));
+  }
+
+  /** A request that the document in force allows. */
+  private final class ForwardableHead implements AdmittedHead {
+    private final RequestId id;
+    private final RequestHead head;
+    private final ResolvedRequest resolved;
+    private final long arrivedNanos;
+
+    ForwardableHead(RequestId id, RequestHead head, ResolvedRequest resolved, long arrivedNanos) {
+      this.id = id;
+      this.head = head;
+      this.resolved = resolved;
+      this.arrivedNanos = arrivedNanos;
+    }
+
+    @Override
+    public int maxBodyBytes() {
+      return resolved.maxBodyBytes();
+    }
+
+    @Override
+    public void run(byte[] body, Caller caller) {
+      start(id, resolved.with(head, body, arrivedNanos), caller);
+    }
   }
 
   /** Queues a request that is fully read, or forwards it if the router is initialized by now. */
@@ -78,6 +100,7 @@
 
   private void forward(RequestId id, StartupQueue.QueuedRequest queued) {
     resolve(queued.head())
+        .flatMap(resolved -> resolved.checkSize(queued.body()))
         .map(resolved -> resolved.with(queued.head(), queued.body(), queued.arrivedNanos()))
         .peek(request -> start(id, request, queued.caller()))
         .peekLeft(failure -> refuse(id, queued.head(), failure, queued.caller()));
@@ -103,7 +126,13 @@
 
   /** The route and the key holder of a request by the document in force. */
   private record ResolvedRequest(
-      RequestMetadata facts, RouteRule route, Optional<KeyHolder> holder) {
+      RequestMetadata facts, RouteRule route, Optional<KeyHolder> holder, int maxBodyBytes) {
+    Either<Failure, ResolvedRequest> checkSize(byte[] body) {
+      return body.length > maxBodyBytes
+          ? Either.left(Failure.of(ResultCode.BODY_TOO_LARGE))
+          : Either.right(this);
+    }
+
     ForwardRequest with(RequestHead head, byte[] body, long arrivedNanos) {
       return new ForwardRequest(head, facts, route, holder, body, arrivedNanos);
     }
@@ -132,7 +161,7 @@
         return Either.left(Failure.of(ResultCode.KEY_UNKNOWN));
       }
     }
-    return Either.right(new ResolvedRequest(facts, route.get(), holder));
+    return Either.right(new ResolvedRequest(facts, route.get(), holder, table.maxBodyBytes()));
   }
 
   @Override
