A part of an answer without a length isn't whole before its request is written

JsonHttpClient follows the same rule.

Not told apart: an orderly end after the kernel has taken the whole upload, 1.9 MB on a loopback; it counts as whole as before.

--- a/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowUpstreamCall.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowUpstreamCall.java
@@ -244,7 +244,7 @@
       source.resumeReads();
       return;
     }
-    if (!connection.source().isResponseComplete()) {
+    if (!connection.source().isResponseComplete(bodySent)) {
       onBroken();
       return;
     }
--- a/runtime/src/main/java/io/jacinthquay/runtime/http/BodyReader.java
+++ b/runtime/src/main/java/io/jacinthquay/runtime/http/BodyReader.java
@@ -49,6 +49,9 @@
     memory.release();
   }
 
+  /** Returns whether the whole request was written. */
+  abstract boolean isRequestWritten();
+
   /** Called with the whole body. */
   abstract void done(String text);
 
@@ -73,7 +76,7 @@
     for (int turn = 0; turn < READS_PER_TURN && !released; turn++) {
       int count = channel.read(buffer);
       if (count < 0) {
-        if (!source.isResponseComplete()) {
+        if (!source.isResponseComplete(isRequestWritten())) {
           throw source.givenUp("its body broke off");
         }
         done(body.toString(StandardCharsets.UTF_8));
--- a/runtime/src/main/java/io/jacinthquay/runtime/http/BoundedSource.java
+++ b/runtime/src/main/java/io/jacinthquay/runtime/http/BoundedSource.java
@@ -99,9 +99,15 @@
     }
   }
 
-  /** Returns whether all bytes of the response were read, by its own framing. */
-  public boolean isResponseComplete() {
-    return framing.isComplete();
+  /**
+   * Returns whether the whole response was read. One that ends with its connection is whole only if
+   * its request was written: a server that ends the connection before it has read the request may
+   * as well have failed.
+   *
+   * @param requestWritten whether the whole request was written
+   */
+  public boolean isResponseComplete(boolean requestWritten) {
+    return framing.isComplete() && (requestWritten || !framing.endedByConnection());
   }
 
   /** Returns whether another response may follow on the connection. */
--- a/runtime/src/main/java/io/jacinthquay/runtime/http/JsonHttpClient.java
+++ b/runtime/src/main/java/io/jacinthquay/runtime/http/JsonHttpClient.java
@@ -148,6 +148,7 @@
     private final AtomicReference<CallState> state = new AtomicReference<>(CallState.CONNECTING);
     private BoundedOpener opener;
     private BoundedSource source;
+    private StringWriteChannelListener writer;
     private BodyReader body;
     private boolean ended;
 
@@ -242,7 +243,8 @@
       public void completed(ClientExchange exchange) {
         exchange.setResponseListener(new ResponseReader());
         if (!call.body().isEmpty()) {
-          new StringWriteChannelListener(call.body()).setup(exchange.getRequestChannel());
+          writer = new StringWriteChannelListener(call.body());
+          writer.setup(exchange.getRequestChannel());
         }
       }
 
@@ -263,6 +265,11 @@
         source.allowSkipped();
         body =
             new BodyReader(BUFFERS, chunkListener, source, memory) {
+              @Override
+              boolean isRequestWritten() {
+                return writer == null || !writer.hasRemaining();
+              }
+
               @Override
               void done(String body) {
                 result.complete(Either.right(new HttpResponse(status, body)));
--- a/runtime/src/main/java/io/jacinthquay/runtime/http/ResponseFraming.java
+++ b/runtime/src/main/java/io/jacinthquay/runtime/http/ResponseFraming.java
@@ -41,6 +41,8 @@
   private boolean chunked;
   private long length;
   private boolean excess;
+  private int headEnd;
+  private boolean endedByConnection;
 
   /**
    * Begins a response.
@@ -50,6 +52,7 @@
   void begin(String method) {
     toHead = method.equals("HEAD");
     excess = false;
+    endedByConnection = false;
     beginHead();
   }
 
@@ -77,12 +80,28 @@
    */
   void read(ByteBuffer buffer, int from, int to) throws InvalidFramingException {
     int next = from;
+    headEnd = -1;
     while (next < to && state != State.COMPLETE) {
+      boolean inHead = isInHead();
       next = readPart(buffer, next, to);
+      if (inHead && !isInHead()) {
+        headEnd = next;
+      }
     }
     excess |= next < to;
   }
 
+  /**
+   * Returns the position behind the head if the last read began in it and reached its end, or -1.
+   */
+  int headEnd() {
+    return headEnd;
+  }
+
+  private boolean isInHead() {
+    return state == State.STATUS_LINE || state == State.FIELDS;
+  }
+
   private int readPart(ByteBuffer buffer, int from, int to) throws InvalidFramingException {
     return switch (state) {
       case CHUNKS -> {
@@ -110,9 +129,15 @@
   void end() {
     if (state == State.UNTIL_END) {
       state = State.COMPLETE;
+      endedByConnection = true;
     }
   }
 
+  /** Returns whether the response had no length and ended with its connection. */
+  boolean endedByConnection() {
+    return endedByConnection;
+  }
+
   private void readLine() throws InvalidFramingException {
     if (state == State.STATUS_LINE) {
       readStatusLine();
