Pipelined requests: no pooled buffer is held between reads

Seen: kept connections closed without an answer after their request had been passed on (LOST) while other callers sent pipelined requests. The router's process went on.

Cause: of each connection with bytes behind its request, two pooled buffers were in use: the one with these bytes, until a task of the I/O thread copies them, and that of its response, which Undertow keeps while there are such bytes. 500 or more such connections read in one turn of the I/O thread used up all 1,024 buffers. None of them counted as slow, so none was given up, and whoever needed a buffer next was closed, sound callers included.

Change: the bytes are copied before a response begins, and at once if buffers are short. They are then read as all that was read ahead, so two things had to be right there: a connection takes little of them at a time, and gives others a turn after 8 requests.

--- a/router/src/main/java/io/jacinthquay/router/adapter/http/CallerServer.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/CallerServer.java
@@ -94,7 +94,7 @@
     this.connectionTracker = new ConnectionTracker(limits, memory);
     this.shortages = new ShortageGuard(connectionTracker, memory, limits.peerSharePercent());
     memory.setReclaimer(shortages::freeMemory);
-    buffers.setOnShortage(() -> shortages.freeBuffers(MAX_BUFFERS));
+    buffers.setOnShortage(this::freeBuffers);
   }
 
   /** Starts the I/O threads, and listens now or, if another socket holds the address, later. */
@@ -110,6 +110,13 @@
     listener = listen(address, this::onAccepted);
   }
 
+  private void freeBuffers() {
+    connectionTracker.freeHeldBuffers();
+    if (buffers.inUse() >= MAX_BUFFERS) {
+      shortages.freeBuffers(MAX_BUFFERS);
+    }
+  }
+
   private RetryingListener listen(
       InetSocketAddress listenAddress, ChannelListener<StreamConnection> onConnection) {
     RetryingListener opened =
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/ConnectionTracker.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/ConnectionTracker.java
@@ -29,6 +29,13 @@
   private static final Logger log = LogManager.getLogger();
 
   private final Map<StreamConnection, TrackedConnection> open = new ConcurrentHashMap<>();
+
+  /**
+   * Connections whose pooled buffer holds what came behind their request, until a task frees it.
+   */
+  private final Map<TrackedConnection, AbstractServerConnection> heldBuffers =
+      new ConcurrentHashMap<>();
+
   private final AtomicInteger busy = new AtomicInteger();
   private final AtomicLong slowBodies = new AtomicLong();
   private final FairBound<TrackedConnection> unfinishedHeads;
@@ -65,6 +72,7 @@
     if (closed == null) {
       return;
     }
+    heldBuffers.remove(closed);
     closed.closed();
     if (closed.endRequest()) {
       busy.decrementAndGet();
@@ -84,7 +92,8 @@
     }
     long headBytes = tracked.completeHead();
     if (connection.getExtraBytes() != null) {
-      connection.getIoThread().execute(() -> tracked.freeBuffer(connection));
+      heldBuffers.put(tracked, connection);
+      connection.getIoThread().execute(() -> freeBuffer(tracked));
     }
     if (tracked.beginRequest()) {
       busy.incrementAndGet();
@@ -102,6 +111,37 @@
     return headBytes;
   }
 
+  /**
+   * Frees the pooled buffer with what came behind a request, before its response begins: while
+   * there is one, Undertow keeps the buffer of the response as well until a later response.
+   */
+  void freeBuffer(HttpServerExchange exchange) {
+    AbstractServerConnection connection = (AbstractServerConnection) exchange.getConnection();
+    TrackedConnection tracked = open.get(connection.getChannel());
+    if (tracked != null && connection.getExtraBytes() != null) {
+      tracked.freeBuffer(connection);
+    }
+  }
+
+  private void freeBuffer(TrackedConnection tracked) {
+    AbstractServerConnection connection = heldBuffers.remove(tracked);
+    if (connection != null) {
+      tracked.freeBuffer(connection);
+    }
+  }
+
+  /**
+   * Frees the pooled buffers that tasks of this thread are about to free. So many connections may
+   * be read before these tasks run that no buffer is left for anybody else.
+   */
+  void freeHeldBuffers() {
+    for (TrackedConnection tracked : heldBuffers.keySet()) {
+      if (tracked.thread() == Thread.currentThread()) {
+        freeBuffer(tracked);
+      }
+    }
+  }
+
   /** Returns the bytes of memory that unfinished heads take. */
   long unfinishedHeadBytes() {
     return unfinishedHeads.held();
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/ReadAheadSource.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/ReadAheadSource.java
@@ -34,6 +34,15 @@
   /** Most bytes of a head that are read before other connections get a turn. */
   private static final int HEAD_BYTES_PER_TURN = 8 * 1024;
 
+  /**
+   * Most bytes of a head that are taken at once of what was read ahead. Most heads are smaller, and
+   * what belongs to later requests is copied back for each request.
+   */
+  private static final int HEAD_BYTES_PER_TAKE = 1024;
+
+  /** Most requests that begin before other connections get a turn. */
+  private static final int REQUESTS_PER_TURN = 8;
+
   /** Most bytes of a body that are read before other connections get a turn. */
   private static final int BODY_BYTES_PER_TURN = 64 * 1024;
 
@@ -55,6 +64,8 @@
   private boolean inRequest;
   private final HeadCost headCost = new HeadCost();
   private int turnBytes;
+  private int turnRequests;
+  private boolean turnGoesOn;
 
   /**
    * Wraps a conduit.
@@ -135,6 +146,7 @@
   /** Records that a head is complete and returns the memory that it takes, in bytes. */
   long beginRequest() {
     inRequest = true;
+    turnRequests++;
     return headCost.reset();
   }
 
@@ -184,8 +196,12 @@
   private final class ReadyHandler implements ReadReadyHandler {
     @Override
     public void readReady() {
-      turnBytes = 0;
-      turnEnded = false;
+      if (!turnGoesOn) {
+        turnBytes = 0;
+        turnRequests = 0;
+        turnEnded = false;
+      }
+      turnGoesOn = false;
       if (readsResumed) {
         readerHandler.readReady();
       } else {
@@ -247,7 +263,12 @@
 
   private int readHead(ByteBuffer dst) throws IOException {
     int start = dst.position();
+    int limit = dst.limit();
+    if (!ahead.isEmpty()) {
+      dst.limit(Math.min(limit, start + HEAD_BYTES_PER_TAKE));
+    }
     int count = readTurn(dst, HEAD_BYTES_PER_TURN);
+    dst.limit(limit);
     if (count > 0) {
       onHeadCost.accept(headCost.add(dst, start, dst.position()));
     }
@@ -309,11 +330,14 @@
     readsResumed = true;
     if (ahead.isEmpty() && !ended) {
       next.resumeReads();
-    } else if (turnEnded) {
+    } else if (turnEnded || turnRequests >= REQUESTS_PER_TURN) {
       turnEnded = false;
+      turnRequests = 0;
       var unused =
           getReadThread().executeAfter(this::startTurn, turns.add(), TimeUnit.MILLISECONDS);
     } else {
+      // The I/O thread runs this before it looks at other connections.
+      turnGoesOn = true;
       next.wakeupReads();
     }
   }
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowCaller.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowCaller.java
@@ -89,6 +89,7 @@
       // response is truncated.
       exchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, "chunked");
     }
+    connections.freeBuffer(exchange);
     sink = exchange.getResponseChannel();
     sink.getWriteSetter()
         .set(
