Memory of the process in metrics and in the log

Before: the JVM's last line names the kind of shortage only, and nothing said what a process held at its end, how many requests ended with it, or that it neither serves nor ends while the collector runs.

Now /proc, heap, direct buffers and time of collections are metrics of both programs, read when they are asked for, and so are the bytes of whole answers. `MemoryWatch` logs them with the budgets and the requests in progress: once a second while the heap is over 85 % full or collections take 30 % of the time, else once a minute, and at a stop. It has a thread of its own, as the I/O thread may be what doesn't run.

--- a/router/src/main/java/io/jacinthquay/router/ForwardRouter.java
+++ b/router/src/main/java/io/jacinthquay/router/ForwardRouter.java
@@ -14,7 +14,9 @@
 import io.jacinthquay.router.service.forward.ForwardIntake;
 import io.jacinthquay.router.service.forward.ForwardMetrics;
 import io.jacinthquay.router.service.forward.ForwardOptions;
+import io.jacinthquay.router.service.report.MemoryWatch;
 import io.jacinthquay.router.service.report.MetricsIntake;
+import io.jacinthquay.router.service.report.ProcessMemory;
 import io.jacinthquay.runtime.Service;
 import io.vavr.control.Either;
 import java.net.InetSocketAddress;
@@ -57,11 +59,25 @@
   /** Time between two checks whether requests are in progress. */
   private static final long POLL_MILLIS = 50;
 
+  /** What a router holds, and how many requests end with it. */
+  private static final List<String> LOGGED_GAUGES =
+      List.of(
+          "jq_forward_in_progress",
+          "jq_forward_caller_connections",
+          "jq_forward_upstream_connections",
+          "jq_forward_caller_memory_bytes",
+          "jq_forward_unfinished_head_bytes",
+          "jq_forward_answer_head_bytes",
+          "jq_forward_answer_bytes",
+          "jq_forward_caller_buffers",
+          "jq_forward_upstream_buffers");
+
   private final Endpoints endpoints;
   private final UndertowUpstreamClient client;
   private final ForwardCore core;
   private final CallerServer server;
   private final ControlLink link;
+  private final MemoryWatch memoryWatch;
   private final Function<ForwardCore, RequestIntake> ready;
 
   /**
@@ -120,6 +136,7 @@
     core.metrics().gauge("jq_forward_upstream_connections", client::openConnections);
     server = new CallerServer(endpoints.callers(), 1, limits, new ForwardIntake(core));
     registerMemory();
+    memoryWatch = new MemoryWatch(processMemory(), core.metrics().registry(), LOGGED_GAUGES);
     link =
         new ControlLink(
             endpoints.name(), options.domain(), endpoints.control(), core, decoder, directory);
@@ -141,8 +158,22 @@
     metrics.gauge("jq_forward_slow_bodies_total", server::slowBodies);
   }
 
+  private ProcessMemory processMemory() {
+    ProcessMemory memory = new ProcessMemory();
+    ForwardMetrics metrics = core.metrics();
+    metrics.gauge("jq_forward_heap_bytes", memory::heapBytes);
+    metrics.gauge("jq_forward_direct_bytes", memory::directBytes);
+    metrics.gauge("jq_forward_collection_milliseconds_total", memory::collectionMillis);
+    metrics.gauge("jq_forward_resident_bytes", memory::residentBytes);
+    metrics.gauge("jq_forward_resident_peak_bytes", memory::peakResidentBytes);
+    metrics.gauge("jq_forward_threads", memory::threads);
+    metrics.gauge("jq_forward_descriptors", memory::descriptors);
+    return memory;
+  }
+
   @Override
   public void start() {
+    memoryWatch.start();
     server.start();
     core.thread(server.thread());
     core.listening(server::isListening);
@@ -190,6 +221,7 @@
     link.stop();
     server.stop();
     client.close();
+    memoryWatch.stop();
     log.info("router {} stopped with {} requests in progress", endpoints.name(), core.inProgress());
   }
 
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
@@ -126,6 +126,7 @@
     this.retryBudgets = new RetryBudgets(options, metrics, clock);
     metrics.gauge("jq_forward_in_progress", active::size);
     metrics.gauge("jq_forward_held", startupQueue::size);
+    metrics.gauge("jq_forward_answer_bytes", answerMemory::heldBytes);
     metrics.gauge("jq_forward_quarantined_parts", quarantine::size);
     metrics.gauge("jq_forward_document_version", this::version);
     metrics.gauge("jq_forward_ready", () -> isReady() ? 1 : 0);
