Messages between VMs: charge elements by their memory

The bound of 200,000 elements counted numbers as structures. By reading: a view may name 400 prompts with all their parts, as two lists of numbers each, so 250 parts a prompt would have been over it and no router would have read a view any more. Numbers now count with 24 bytes, all else with 250, and a message may have 50 MB of them: the same 200,000 structures, or 2,000,000 numbers.

--- a/wire/src/main/java/io/jacinthquay/wire/transport/BoundedProtocol.java
+++ b/wire/src/main/java/io/jacinthquay/wire/transport/BoundedProtocol.java
@@ -9,6 +9,7 @@
 import org.apache.thrift.protocol.TProtocolException;
 import org.apache.thrift.protocol.TProtocolFactory;
 import org.apache.thrift.protocol.TSet;
+import org.apache.thrift.protocol.TType;
 import org.apache.thrift.transport.TTransport;
 
 /**
@@ -20,12 +21,18 @@
  */
 final class BoundedProtocol extends TCompactProtocol {
   /**
-   * Most elements of all containers of a message. An element takes up to 250 bytes of memory, and
-   * programs have a heap of 96 MB or more.
+   * Most memory that the elements of all containers of a message may take, in bytes; programs have
+   * a heap of 96 MB or more.
    */
-  static final int MAX_ELEMENTS = 200_000;
+  private static final long MAX_ELEMENT_BYTES = 50L * 1024 * 1024;
 
-  private int elements;
+  /** Memory of a structure, a container or a text, and of its reference, in bytes. */
+  private static final int OBJECT_BYTES = 250;
+
+  /** Memory of a boxed number and of its reference, in bytes. */
+  private static final int NUMBER_BYTES = 24;
+
+  private long elementBytes;
 
   private BoundedProtocol(TTransport transport) {
     super(transport);
@@ -48,43 +55,50 @@
 
   @Override
   public TMessage readMessageBegin() throws TException {
-    elements = 0;
+    elementBytes = 0;
     return super.readMessageBegin();
   }
 
   @Override
   public TList readListBegin() throws TException {
     TList list = super.readListBegin();
-    count(list.size);
+    count(list.size, bytesOf(list.elemType));
     return list;
   }
 
   @Override
   public TSet readSetBegin() throws TException {
     TSet set = super.readSetBegin();
-    count(set.size);
+    count(set.size, bytesOf(set.elemType));
     return set;
   }
 
   @Override
   public TMap readMapBegin() throws TException {
     TMap map = super.readMapBegin();
-    count(map.size);
+    count(map.size, bytesOf(map.keyType) + bytesOf(map.valueType));
     return map;
   }
 
+  private static int bytesOf(byte type) {
+    return switch (type) {
+      case TType.STRUCT, TType.STRING, TType.LIST, TType.SET, TType.MAP -> OBJECT_BYTES;
+      default -> NUMBER_BYTES;
+    };
+  }
+
   /** Checks a container; each of its elements takes one byte of the message or more. */
-  private void count(int size) throws TProtocolException {
+  private void count(int size, int bytesEach) throws TProtocolException {
     int remaining = getTransport().getBytesRemainingInBuffer();
     if (size < 0 || (remaining >= 0 && size > remaining)) {
       throw new TProtocolException(
           TProtocolException.SIZE_LIMIT,
           "a container states " + size + " elements in " + remaining + " bytes");
     }
-    if (size > MAX_ELEMENTS - elements) {
+    elementBytes += (long) size * bytesEach;
+    if (elementBytes > MAX_ELEMENT_BYTES) {
       throw new TProtocolException(
-          TProtocolException.SIZE_LIMIT, "a message has more than " + MAX_ELEMENTS + " elements");
+          TProtocolException.SIZE_LIMIT, "the elements of a message take too much memory");
     }
-    elements += size;
   }
 }
