--- a/faultsoak/src/main/java/io/jacinthquay/soak/EvacuationLoop.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/EvacuationLoop.java
@@ -35,6 +35,7 @@
       while (keepRunning.getAsBoolean()) {
         pause(random.nextInt(MAX_PAUSE_MILLIS));
         evacuatedDomain = Deployment.domain(random.nextInt(Deployment.DOMAINS));
+        history.add(new History.DomainChange(System.nanoTime(), evacuatedDomain, true));
         if (calls.sendUntilAcknowledged("POST", PATH + evacuatedDomain, "", keepRunning)) {
           history.add(new History.Evacuation(System.nanoTime(), evacuatedDomain, true));
           pause(random.nextInt(MIN_OUT_MILLIS, MAX_OUT_MILLIS));
@@ -67,6 +68,7 @@
     boolean acknowledged =
         calls.sendUntilAcknowledged("DELETE", PATH + evacuatedDomain, "", keepTrying);
     if (acknowledged) {
+      history.add(new History.DomainChange(System.nanoTime(), evacuatedDomain, false));
       evacuatedDomain = "";
     }
     return acknowledged;
--- a/faultsoak/src/main/java/io/jacinthquay/soak/History.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/History.java
@@ -21,6 +21,7 @@
   private final Collection<Proposed> proposed = new ConcurrentLinkedQueue<>();
   private final Collection<Acknowledged> acknowledged = new ConcurrentLinkedQueue<>();
   private final Collection<Evacuation> evacuations = new ConcurrentLinkedQueue<>();
+  private final Collection<DomainChange> domainChanges = new ConcurrentLinkedQueue<>();
   private final Collection<Disconnect> disconnects = new ConcurrentLinkedQueue<>();
   private final Collection<Duty> duties = new ConcurrentLinkedQueue<>();
   private final Collection<OwnEnd> ownEnds = new ConcurrentLinkedQueue<>();
@@ -111,6 +112,21 @@
    */
   record Evacuation(long atNanos, String domain, boolean out) {}
 
+  /**
+   * A change of whether requests may be kept out of a failure domain.
+   *
+   * @param atNanos when its evacuation was first requested, or the end of one acknowledged
+   */
+  record DomainChange(long atNanos, String domain, boolean mayBeOut) {}
+
+  void add(DomainChange change) {
+    domainChanges.add(change);
+  }
+
+  List<DomainChange> domainChanges() {
+    return List.copyOf(domainChanges);
+  }
+
   /**
    * A scaling or usage call that the platform received from the holder of a duty.
    *
--- a/faultsoak/src/main/java/io/jacinthquay/soak/TakeUpCheck.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/TakeUpCheck.java
@@ -19,9 +19,6 @@
   /** Time in which the control VMs and routers follow a change of the list or of its upstreams. */
   private static final long FOLLOW_NANOS = TimeUnit.MILLISECONDS.toNanos(3_000);
 
-  /** Longest time by which an evacuation may be in force before or after what was recorded. */
-  private static final long EVACUATION_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(5_000);
-
   @Override
   public String guarantee() {
     return "streams that are taken up go on half as often as new ones begin";
@@ -90,7 +87,7 @@
     private final Disturbances disturbances;
     private final VersionsInForce documents;
     private final List<History.Listed> listed;
-    private final List<History.Evacuation> evacuations;
+    private final List<History.DomainChange> domainChanges;
     private final int upstreams;
 
     Circumstances(History history) {
@@ -101,7 +98,10 @@
           history.listed().stream()
               .sorted(Comparator.comparingLong(History.Listed::atNanos))
               .toList();
-      evacuations = history.evacuations();
+      domainChanges =
+          history.domainChanges().stream()
+              .sorted(Comparator.comparingLong(History.DomainChange::atNanos))
+              .toList();
       upstreams = 1 + listed.stream().mapToInt(History.Listed::upstream).max().orElse(-1);
     }
 
@@ -156,15 +156,17 @@
     }
 
     private boolean mayBeOut(String domain, Call call) {
-      long until = call.endNanos() + EVACUATION_MARGIN_NANOS;
-      Optional<History.Evacuation> last =
-          evacuations.stream()
-              .filter(order -> order.domain().equals(domain))
-              .filter(order -> order.atNanos() - until <= 0)
-              .max(Comparator.comparingLong(order -> order.atNanos() - until));
-      return last.isPresent()
-          && (last.get().out()
-              || call.sentNanos() - last.get().atNanos() < EVACUATION_MARGIN_NANOS);
+      boolean mayBeOut = false;
+      for (History.DomainChange change : domainChanges) {
+        if (!change.domain().equals(domain) || change.atNanos() - call.endNanos() > 0) {
+          continue;
+        }
+        if (change.atNanos() - (call.sentNanos() - FOLLOW_NANOS) > 0) {
+          return true;
+        }
+        mayBeOut = change.mayBeOut();
+      }
+      return mayBeOut;
     }
   }
 }
--- a/faultsoak/src/test/java/io/jacinthquay/soak/StreamChecksTest.java
+++ b/faultsoak/src/test/java/io/jacinthquay/soak/StreamChecksTest.java
@@ -195,6 +195,19 @@
     assertEquals(judged, new TakeUpCheck().judge(history).judged());
   }
 
+  /** The domain of an upstream of the version is out, or has been until a moment ago. */
+  @ParameterizedTest
+  @CsvSource({"2, -9000, 2000, 0", "2, -9000, -1900, 0", "2, -9000, -2100, 1", "1, -9000, 2000, 1"})
+  void takeUpIsNotJudgedWhileADomainIsOut(
+      int upstream, long outMillis, long backMillis, int judged) {
+    listUpstreams("v1");
+    addTakenUpStreams(12, 6, TakeUp.Named.FIRST_EVENT);
+    String domain = Deployment.domain(upstream);
+    history.add(new History.DomainChange(nanos(outMillis), domain, true));
+    history.add(new History.DomainChange(nanos(backMillis), domain, false));
+    assertEquals(judged, new TakeUpCheck().judge(history).judged());
+  }
+
   @ParameterizedTest
   @CsvSource({"v1, 0", "' ', 1"})
   void truncatedEventHasToBeTheNextOne(String version, int violations) {
