--- a/runtime/src/main/java/io/jacinthquay/runtime/http/BoundedSource.java
+++ b/runtime/src/main/java/io/jacinthquay/runtime/http/BoundedSource.java
@@ -45,6 +45,7 @@
   private final SocketAddress server;
   private final HeadCost cost = new HeadCost();
   private final ResponseFraming framing = new ResponseFraming();
+  private InvalidFramingException invalidBody;
   private boolean inHead;
   private long allowedBytes = MAX_HEAD_BYTES;
 
@@ -73,6 +74,7 @@
   public void beginHead(String method) {
     release();
     framing.begin(method);
+    invalidBody = null;
     inHead = true;
     allowedBytes = MAX_HEAD_BYTES;
   }
@@ -117,10 +119,13 @@
 
   @Override
   public int read(ByteBuffer target) throws IOException {
+    if (invalidBody != null) {
+      throw givenUp(invalidBody.getMessage());
+    }
     int start = target.position();
     int count = super.read(target);
     deductAllowed(count);
-    checkFraming(target, start, count);
+    count = checkFraming(target, start, count);
     if (inHead && count > 0) {
       holdHead(cost.add(target, start, target.position()));
     }
@@ -137,15 +142,23 @@
     return 0;
   }
 
-  private void checkFraming(ByteBuffer read, int start, int count) throws IOException {
+  /** Returns how many bytes may be passed on: a whole head counts even if its body is invalid. */
+  private int checkFraming(ByteBuffer read, int start, int count) throws IOException {
     if (count < 0) {
       framing.end();
-      return;
+      return count;
     }
     try {
       framing.read(read, start, start + count);
+      return count;
     } catch (InvalidFramingException e) {
-      throw givenUp(e.getMessage());
+      int headEnd = framing.headEnd();
+      if (headEnd < 0) {
+        throw givenUp(e.getMessage());
+      }
+      invalidBody = e;
+      read.position(headEnd);
+      return headEnd - start;
     }
   }
 
