--- a/faultsoak/src/main/java/io/jacinthquay/soak/FakeUpstream.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/FakeUpstream.java
@@ -12,15 +12,12 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 
 /**
  * A fake upstream that draws its behavior from a seed, fails some requests on purpose and records
  * each run.
  */
 final class FakeUpstream implements AutoCloseable {
-  private static final Logger log = LogManager.getLogger();
   private static final int MAX_WORK_MILLIS = 80;
 
   /** Work of a slow request. */
@@ -349,38 +346,6 @@
     acceptor.close();
   }
 
-  /** Writes responses to a connection; a late copy never falls within one. */
-  private static final class ResponseWriter {
-    private final Socket socket;
-    private boolean withinResponse;
-
-    ResponseWriter(Socket socket) {
-      this.socket = socket;
-    }
-
-    synchronized void beginResponse() {
-      withinResponse = true;
-    }
-
-    synchronized void endResponse() {
-      withinResponse = false;
-    }
-
-    synchronized void send(String text) throws IOException {
-      socket.getOutputStream().write(HttpCodec.encode(text));
-    }
-
-    synchronized void sendBetweenResponses(String text) {
-      try {
-        if (!withinResponse) {
-          send(text);
-        }
-      } catch (IOException e) {
-        log.debug("a copy of a response could not be sent: {}", e.getMessage());
-      }
-    }
-  }
-
   /** A received request and its connection. */
   private final class ReceivedRequest {
     private final Socket socket;
@@ -417,6 +382,11 @@
       return streamOf(head);
     }
 
+    /** Returns whether the path is that of the request or of the first attempt at it. */
+    private boolean isAttemptAt(RequestId stream) {
+      return id().equals(stream) || id().value().startsWith(stream.value() + "-t");
+    }
+
     StreamEvent event(int event) {
       return new StreamEvent(stream(), event, Documents.serviceOf(number), lifetime.version(), run);
     }
@@ -425,7 +395,7 @@
       boolean unaltered =
           head.field("Tenant").equals(Documents.Customer.of(id()).label())
               && head.field("Authorization").isEmpty()
-              && id().value().startsWith(stream().value())
+              && isAttemptAt(stream())
               && body.equals(CallerLoop.body(stream()));
       return new Run(
           id(),
