Name the only version of a pool from a recent list of the leader's term

Callers could get a stream of two versions: a leader that was new or cut off from the platform named the only version of its list, up to 5 s old, for a stream of a newer version that another router had begun with a more recent list and had not reported before it was lost.

Cause: the only version was used before the time of recovery was looked at, and the bound on the list's age allowed a list that a standby had polled. Now a recovering leader names no only version, a router uses none from an answer that says so, and the list may be 1.2 s old, three polls.

Evidence: on the code before, PoolVersionMonitorTest failed with lists of 1,200 and 4,999 ms ("v1" instead of none), and OriginAnswerTest in two cases (ONLY_VERSION while the leader recovers). Two cases of OriginAnswerTest and the bound of PoolVersionMonitorTest asked for the fault; they are replaced by stricter ones.

--- a/control/src/main/java/io/jacinthquay/control/service/PoolVersionMonitor.java
+++ b/control/src/main/java/io/jacinthquay/control/service/PoolVersionMonitor.java
@@ -42,8 +42,12 @@
   /** Time after which no caller takes up a stream of a version that has left. */
   static final Duration MEMORY = StreamOrigin.LIFETIME.plus(LATE_BEGIN);
 
-  /** Age of the list from which it may lack a version that other VMs have seen. */
-  static final Duration MAX_LIST_AGE = Duration.ofSeconds(5);
+  /**
+   * Age of the list from which it may lack a version that other VMs have seen: three polls of a
+   * leader. It is shorter than the time of recovery, so that after this time only a list counts
+   * that was polled in the leader's own term.
+   */
+  static final Duration MAX_LIST_AGE = Duration.ofMillis(1_200);
 
   /**
    * Time for which a version must be missing in the list before that is recorded. A list that lacks
--- a/control/src/main/java/io/jacinthquay/control/service/StreamOriginAnswers.java
+++ b/control/src/main/java/io/jacinthquay/control/service/StreamOriginAnswers.java
@@ -48,7 +48,11 @@
     return "jq_control_stream_origin_questions_total{result=\"" + result + "\"}";
   }
 
-  /** Answers questions; a VM that doesn't lead says only that. */
+  /**
+   * Answers questions; a VM that doesn't lead says only that. While the leader recovers it names no
+   * only versions: its list may be that of a follower, older than the one with which a stream of
+   * another version began.
+   */
   public StreamOriginsMessage answer(List<StreamQuestionMessage> questions) {
     StreamOriginsMessage answer =
         new StreamOriginsMessage(leadership.isConfirmed(), new ArrayList<>(), new HashMap<>());
@@ -62,6 +66,9 @@
       addStream(answer, OriginMessages.stream(question));
       pools.add(question.getPool());
     }
+    if (answer.isRecovering()) {
+      return answer;
+    }
     for (String pool : pools) {
       versions
           .onlyVersion(new PoolName(pool))
--- a/control/src/test/java/io/jacinthquay/control/service/PoolVersionMonitorTest.java
+++ b/control/src/test/java/io/jacinthquay/control/service/PoolVersionMonitorTest.java
@@ -156,7 +156,7 @@
 
   /** The list may lack a version that other VMs have seen since. */
   @ParameterizedTest
-  @CsvSource({"4999, v1", "5000, none"})
+  @CsvSource({"1199, v1", "1200, none", "4999, none"})
   void oldListNamesNoVersion(long ageMillis, String expected) {
     play("v1:1");
     nowMillis += ageMillis;
--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/OriginAnswer.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/OriginAnswer.java
@@ -65,13 +65,16 @@
               ? new Resolution(OriginMonitor.Outcome.FOUND, Origin.of(origin.get().version()))
               : new Resolution(OriginMonitor.Outcome.OTHER_POOL, Origin.UNKNOWN));
     }
+    if (recovering) {
+      return Optional.empty();
+    }
     SoftwareVersion only = onlyVersions.get(question.pool());
     if (only != null) {
       return Optional.of(new Resolution(OriginMonitor.Outcome.ONLY_VERSION, Origin.of(only)));
     }
     boolean reportMayCome =
         question.stream().isPresent() && atNanos - question.askedNanos() < REPORT_NANOS;
-    return recovering || reportMayCome
+    return reportMayCome
         ? Optional.empty()
         : Optional.of(new Resolution(OriginMonitor.Outcome.UNKNOWN, Origin.UNKNOWN));
   }
--- a/router/src/test/java/io/jacinthquay/router/adapter/thrift/OriginAnswerTest.java
+++ b/router/src/test/java/io/jacinthquay/router/adapter/thrift/OriginAnswerTest.java
@@ -28,11 +28,13 @@
     "true, p, v2, true, 0, FOUND, v1",
     "true, other, , false, 0, OTHER_POOL,",
     "true, other, v2, false, 0, OTHER_POOL,",
-    "true, , v2, true, 0, ONLY_VERSION, v2",
+    "true, , v2, false, 0, ONLY_VERSION, v2",
+    "true, , v2, true, 0, ,",
     "true, , , false, 499, ,",
     "true, , , false, 500, UNKNOWN,",
     "true, , , true, 900, ,",
-    "false, , v2, true, 0, ONLY_VERSION, v2",
+    "false, , v2, false, 0, ONLY_VERSION, v2",
+    "false, , v2, true, 0, ,",
     "false, , , false, 0, UNKNOWN,",
     "false, , , true, 900, ,"
   })
