Deliver each answer for a stream at most once

An answer that could not be delivered left the answers before it in the list of pending questions, which were delivered again; outside the try block, it ended the thread of the questions, and all later take-ups waited without an end.

Cause: the list was replaced only after all deliveries, and the second pass over it was outside the try block. Now the list is replaced first, each delivery and each pass has a try block of its own, and what is thrown is logged.

Evidence: OriginFinderTest.failedDeliveryLeavesOtherQuestionsAnsweredOnce failed on the code before in both cases: 3 answers to 1 question that could be answered, and a timeout of 60 s.

--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/OriginFinder.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/OriginFinder.java
@@ -168,12 +168,20 @@
     if (pending.isEmpty()) {
       return;
     }
+    tryRun(() -> askLeader().ifPresent(leader -> resolve(leader::resolve)));
+    tryRun(this::resolveExpired);
+  }
+
+  private void tryRun(Runnable step) {
     try {
-      askLeader().ifPresent(leader -> resolve(question -> leader.resolve(question)));
+      step.run();
     } catch (RuntimeException | Error e) {
       log.error("the question for the versions of streams failed", e);
       disconnect();
     }
+  }
+
+  private void resolveExpired() {
     long now = System.nanoTime();
     resolve(
         question ->
@@ -182,16 +190,26 @@
                 : Optional.empty());
   }
 
+  /** Delivers what the resolver returns. A question leaves the pending ones before its delivery. */
   private void resolve(Function<OriginQuestion, Optional<OriginAnswer.Resolution>> resolver) {
     List<OriginQuestion> open = new ArrayList<>();
+    List<Runnable> deliveries = new ArrayList<>();
     for (OriginQuestion question : pending) {
-      Optional<OriginAnswer.Resolution> resolution = resolver.apply(question);
-      resolution.ifPresent(result -> deliver(question, result));
-      if (resolution.isEmpty()) {
-        open.add(question);
-      }
+      resolver
+          .apply(question)
+          .ifPresentOrElse(
+              result -> deliveries.add(() -> deliver(question, result)), () -> open.add(question));
     }
     pending = open;
+    deliveries.forEach(this::tryDeliver);
+  }
+
+  private void tryDeliver(Runnable delivery) {
+    try {
+      delivery.run();
+    } catch (RuntimeException | Error e) {
+      log.error("the answer for the version of a stream could not be delivered", e);
+    }
   }
 
   private void deliver(OriginQuestion question, OriginAnswer.Resolution resolution) {
--- a/router/src/test/java/io/jacinthquay/router/adapter/thrift/OriginFinderTest.java
+++ b/router/src/test/java/io/jacinthquay/router/adapter/thrift/OriginFinderTest.java
@@ -30,6 +30,8 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.apache.thrift.ProcessFunction;
@@ -167,13 +169,17 @@
   }
 
   private void startFinder(List<String> addresses, Duration limit) {
+    startFinder(addresses, limit, Runnable::run);
+  }
+
+  private void startFinder(List<String> addresses, Duration limit, Executor ioThread) {
     finder =
         new OriginFinder(
             new KnownControls(() -> addresses),
             origins,
             new OriginMonitor(new ForwardMetrics(), origins, System::nanoTime),
             limit,
-            Runnable::run);
+            ioThread);
     finder.start();
   }
 
@@ -212,6 +218,35 @@
     assertEquals(expected == Knowledge.KNOWN, origins.find(STREAM).isPresent());
   }
 
+  /** An answer that could not be delivered ended the thread, or delivered others twice. */
+  @ParameterizedTest
+  @CsvSource({"KNOWS", "GONE"})
+  void failedDeliveryLeavesOtherQuestionsAnsweredOnce(Behaviour behaviour) throws Exception {
+    AtomicInteger deliveries = new AtomicInteger();
+    startFinder(
+        List.of(start(behaviour)),
+        SHORT_LIMIT,
+        task -> {
+          if (deliveries.incrementAndGet() == 3) {
+            throw new RejectedExecutionException("the third delivery fails");
+          }
+          task.run();
+        });
+    askAndAwait();
+    AtomicInteger answers = new AtomicInteger();
+    finder.ask(Optional.of(STREAM), POOL, origin -> answers.incrementAndGet());
+    finder.ask(Optional.of(STREAM), POOL, origin -> answers.incrementAndGet());
+    askAndAwait();
+    assertEquals(1, answers.get());
+    assertEquals(4, deliveries.get());
+  }
+
+  private void askAndAwait() throws Exception {
+    CompletableFuture<Origin> found = new CompletableFuture<>();
+    finder.ask(Optional.of(STREAM), POOL, found::complete);
+    found.get(HANG_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+  }
+
   /** Questions that nobody answers must neither be held without bound nor be forgotten. */
   @Test
   void floodOfQuestionsIsAnsweredOnceEach() throws Exception {
