Count the head behind an interim response

Cause: HeadCost took the empty line behind an interim head for the end of the head.

Evidence: HeadCostTest.headBehindAnInterimResponseCounts states the count of a read with two interim heads and a final one.

Fix: a head whose first line is that of an interim response doesn't end the count; the head that follows begins anew.

--- a/runtime/src/main/java/io/jacinthquay/runtime/http/HeadCost.java
+++ b/runtime/src/main/java/io/jacinthquay/runtime/http/HeadCost.java
@@ -2,7 +2,11 @@
 
 import java.nio.ByteBuffer;
 
-/** Estimates the memory that the parser takes for a head, from above. */
+/**
+ * Estimates the memory that the parser takes for a head, from above.
+ *
+ * <p>The head of an interim response counts with the head that follows it.
+ */
 public final class HeadCost {
   /** The parser's text grows by doubling. */
   private static final int BYTES_PER_BYTE = 2;
@@ -10,10 +14,15 @@
   private static final int BYTES_PER_HEADER = 220;
   private static final int BYTES_PER_PARAMETER = 160;
 
+  /** How an interim response begins; {@code ?} stands for any character. */
+  private static final String INTERIM_START = "HTTP/1.? 1";
+
   private long costBytes;
   private boolean started;
   private boolean lineEmpty;
   private boolean ended;
+  private int interimMatched;
+  private int endPosition;
 
   /**
    * Adds the part of a buffer between two positions, up to the empty line that ends the head, and
@@ -27,27 +36,55 @@
       addByte(read.get(next));
       next++;
     }
+    endPosition = next;
     costBytes += (long) BYTES_PER_BYTE * (next - from);
     return costBytes;
   }
 
+  /** Returns the position up to which the last call of {@link #add} counted. */
+  int endPosition() {
+    return endPosition;
+  }
+
   private void addByte(byte next) {
     switch (next) {
       case '\n' -> {
         costBytes += BYTES_PER_HEADER;
-        ended |= started && lineEmpty;
-        lineEmpty = true;
+        endLine();
       }
       case '\r' -> {}
       case '&', ';' -> {
         costBytes += BYTES_PER_PARAMETER;
-        lineEmpty = false;
-        started = true;
-      }
-      default -> {
-        lineEmpty = false;
-        started = true;
+        addText(next);
       }
+      default -> addText(next);
+    }
+  }
+
+  private void addText(byte next) {
+    boolean matches = interimMatched >= 0 && interimMatched < INTERIM_START.length();
+    if (matches) {
+      char expected = INTERIM_START.charAt(interimMatched);
+      interimMatched = expected == '?' || expected == next ? interimMatched + 1 : -1;
+    }
+    lineEmpty = false;
+    started = true;
+  }
+
+  private void endLine() {
+    if (!started) {
+      return;
+    }
+    boolean interim = interimMatched == INTERIM_START.length();
+    if (!lineEmpty) {
+      interimMatched = interim ? interimMatched : -1;
+      lineEmpty = true;
+    } else if (interim) {
+      started = false;
+      lineEmpty = false;
+      interimMatched = 0;
+    } else {
+      ended = true;
     }
   }
 
@@ -58,6 +95,7 @@
     started = false;
     lineEmpty = false;
     ended = false;
+    interimMatched = 0;
     return headBytes;
   }
 }
--- a/runtime/src/test/java/io/jacinthquay/runtime/http/HeadCostTest.java
+++ b/runtime/src/test/java/io/jacinthquay/runtime/http/HeadCostTest.java
@@ -46,4 +46,13 @@
     long before = add("");
     assertEquals(before + 3 * 222 + 2, add("\n\n\nb"));
   }
+
+  /** The head behind an interim response wasn't counted if it came in the same read. */
+  @Test
+  void headBehindAnInterimResponseCounts() {
+    String interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    String read = interim + interim + "HTTP/1.1 200 OK\r\na:b\r\n\r\n";
+    long expectedBytes = 2L * read.length() + 7 * 220;
+    assertEquals(expectedBytes, add(read + "body\n"));
+  }
 }
