Hold an answer that comes in small pieces in shared blocks

Callers saw: a router with the heap of a deployment ended with code 3, and with it the requests of all its callers, while one upstream answered 95 of them with chunks of one byte (120,000 of them, 120 KB of content).

Cause: BufferedAnswer kept one buffer and one array for each piece that was read, about 80 bytes for a byte, and reserved only the bytes of the content. The class is memory that is bounded by bytes on the wire and held as objects.

Fix: an answer is kept in blocks that grow with it (BodyBuffer, as bodies of callers already were), and what the blocks take is reserved.

--- a/router/src/main/java/io/jacinthquay/router/adapter/http/BodyReader.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/BodyReader.java
@@ -2,6 +2,7 @@
 
 import io.jacinthquay.model.Failure;
 import io.jacinthquay.model.ResultCode;
+import io.jacinthquay.runtime.http.BodyBuffer;
 import io.jacinthquay.runtime.http.BufferBudget;
 import io.jacinthquay.runtime.http.ListenerGuard;
 import io.undertow.connector.PooledByteBuffer;
--- a/router/src/main/java/io/jacinthquay/router/service/forward/BufferedAnswer.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/BufferedAnswer.java
@@ -3,10 +3,9 @@
 import io.jacinthquay.router.port.Caller;
 import io.jacinthquay.router.port.ForwardProtocol;
 import io.jacinthquay.router.port.ResponseHead;
+import io.jacinthquay.runtime.http.BodyBuffer;
 import io.jacinthquay.runtime.http.BufferBudget;
 import java.nio.ByteBuffer;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.OptionalLong;
 
 /** Buffers an answer and sends it when it is complete, so that callers get no partial answer. */
@@ -17,8 +16,7 @@
   private final ForwardProtocol protocol;
   private final Caller caller;
   private final BufferBudget.Reservation memory;
-  private final Deque<ByteBuffer> parts = new ArrayDeque<>();
-  private int size;
+  private final BodyBuffer body = new BodyBuffer(MAX_BYTES);
   private ResponseHead head;
 
   BufferedAnswer(ForwardProtocol protocol, Caller caller, BufferBudget.Reservation memory) {
@@ -35,21 +33,19 @@
 
   @Override
   public boolean data(ByteBuffer data) {
-    int newSize = size + data.remaining();
-    if (newSize > MAX_BYTES || !memory.tryResize(newSize)) {
+    int count = data.remaining();
+    if (body.size() + count > MAX_BYTES || !memory.tryResize(body.memoryBytesWith(count))) {
       return false;
     }
-    size = newSize;
-    parts.addLast(ByteBuffer.allocate(data.remaining()).put(data).flip());
+    body.add(data);
     return true;
   }
 
   @Override
   public boolean end() {
-    caller.begin(new ResponseHead(head.status(), protocol.toCaller(head)), OptionalLong.of(size));
-    while (!parts.isEmpty()) {
-      boolean unused = caller.write(parts.removeFirst());
-    }
+    caller.begin(
+        new ResponseHead(head.status(), protocol.toCaller(head)), OptionalLong.of(body.size()));
+    body.drainTo(caller::write);
     discard();
     caller.end();
     return true;
@@ -57,8 +53,7 @@
 
   @Override
   public void discard() {
-    parts.clear();
-    size = 0;
+    body.clear();
     head = null;
     memory.release();
   }
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/BodyBuffer.java
+++ b/runtime/src/main/java/io/jacinthquay/runtime/http/BodyBuffer.java
@@ -1,14 +1,15 @@
-package io.jacinthquay.router.adapter.http;
+package io.jacinthquay.runtime.http;
 
 import java.nio.ByteBuffer;
-import java.util.ArrayList;
-import java.util.List;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.function.Consumer;
 
 /**
  * A body that arrives in parts of any size; small parts share a block of memory, so that many parts
  * take hardly more memory than their bytes.
  */
-final class BodyBuffer {
+public final class BodyBuffer {
   private static final int MIN_BLOCK_BYTES = 1_024;
   private static final int MAX_BLOCK_BYTES = 64 * 1024;
 
@@ -18,7 +19,7 @@
   /** Memory of a block besides its bytes. */
   private static final int BLOCK_OVERHEAD_BYTES = 80;
 
-  private final List<ByteBuffer> blocks = new ArrayList<>();
+  private final Deque<ByteBuffer> blocks = new ArrayDeque<>();
   private final long expectedBytes;
   private ByteBuffer last = ByteBuffer.allocate(0);
   private int size;
@@ -29,24 +30,24 @@
    *
    * @param expectedBytes its length, or the largest length if it is not known
    */
-  BodyBuffer(long expectedBytes) {
+  public BodyBuffer(long expectedBytes) {
     this.expectedBytes = expectedBytes;
   }
 
   /** Returns the number of bytes. */
-  int size() {
+  public int size() {
     return size;
   }
 
   /** Returns the bytes of memory that the body takes once a number of bytes is added. */
-  long memoryBytesWith(int count) {
+  public long memoryBytesWith(int count) {
     return count <= last.remaining()
         ? memoryBytes
         : memoryBytes + blockBytes(count - last.remaining()) + BLOCK_OVERHEAD_BYTES;
   }
 
   /** Adds bytes. */
-  void add(ByteBuffer data) {
+  public void add(ByteBuffer data) {
     int count = data.remaining();
     if (count > last.remaining()) {
       long memoryAfter = memoryBytesWith(count);
@@ -71,8 +72,16 @@
     return (int) Math.max(count, Math.min(grown, remaining));
   }
 
+  /** Passes on all bytes, in parts, each of which is forgotten before the next. */
+  public void drainTo(Consumer<ByteBuffer> parts) {
+    while (!blocks.isEmpty()) {
+      parts.accept(blocks.removeFirst().flip());
+    }
+    clear();
+  }
+
   /** Returns all bytes and forgets them. */
-  byte[] takeAll() {
+  public byte[] takeAll() {
     byte[] body;
     if (blocks.size() == 1 && !last.hasRemaining()) {
       body = last.array();
@@ -86,7 +95,7 @@
   }
 
   /** Forgets all bytes. */
-  void clear() {
+  public void clear() {
     blocks.clear();
     last = ByteBuffer.allocate(0);
     size = 0;
--- a/router/src/test/java/io/jacinthquay/router/adapter/http/BodyBufferTest.java
+++ b/runtime/src/test/java/io/jacinthquay/runtime/http/BodyBufferTest.java
@@ -1,4 +1,4 @@
-package io.jacinthquay.router.adapter.http;
+package io.jacinthquay.runtime.http;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
