Count trailers, and give up the largest answers when memory is short

Callers saw: a router with the heap of a deployment ended with code 3 while one upstream answered 95 callers with 9,000 small lines of trailers. And once the memory for heads was used up, the next answer failed whatever its size, was counted against its upstream, and its prompt was reported as one that may crash upstreams.

Cause: the client's parser keeps trailers as objects, a hundred times their bytes; they were bounded for each connection by their bytes and counted in no sum. A failure of the router's own memory looked like a connection that the upstream had broken. Answers of up to 32 KiB each didn't count at all.

Fix: TrailerCost finds the trailers as the parser does, and BoundedSource counts them with the head of their answer. AnswerMemory gives up the largest answers, not the one that asks, unless it is among them; what they hold counts until it is dropped, and answers of a usual size may exceed the memory by a quarter meanwhile. All bytes of an answer count. UpstreamFailure.NO_MEMORY ends a send without counting it against the upstream or its prompt.

--- a/router/src/main/java/io/jacinthquay/router/adapter/http/ConnectionPool.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/ConnectionPool.java
@@ -57,7 +57,7 @@
    * Returns a pool without connections.
    *
    * @param openConnections counts the open connections of all pools
-   * @param memory for the heads of responses, over all pools
+   * @param memory for the heads and trailers of responses, over all pools
    */
   ConnectionPool(
       XnioIoThread thread,
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowUpstreamCall.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowUpstreamCall.java
@@ -104,7 +104,7 @@
     }
     mayHaveRun = true;
     opened.recordRequest(request.id());
-    opened.source().beginHead();
+    opened.source().beginHead(this::onBroken);
     opened.http().sendRequest(clientRequest(), callback(this::onRequestStarted, this::onBroken));
   }
 
@@ -170,8 +170,8 @@
     if (done) {
       return;
     }
-    connection.source().allowSkipped();
     ClientResponse response = exchange.getResponse();
+    connection.source().beginContent(response.getResponseHeaders());
     String echoed = response.getResponseHeaders().getFirst(pool.idHeader());
     int status = response.getResponseCode();
     if (status < FIRST_FINAL_STATUS || status > LAST_STATUS) {
@@ -278,7 +278,8 @@
   }
 
   private void onBroken() {
-    fail(UpstreamFailure.BROKE);
+    boolean noMemory = connection != null && connection.source().isGivenUp();
+    fail(noMemory ? UpstreamFailure.NO_MEMORY : UpstreamFailure.BROKE);
   }
 
   private void fail(UpstreamFailure failure) {
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowUpstreamClient.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowUpstreamClient.java
@@ -75,7 +75,7 @@
     return buffers.inUse();
   }
 
-  /** Returns the memory that the heads of responses take, until these have ended. */
+  /** Returns the memory that heads and trailers of responses take, until these have ended. */
   public AnswerMemory answerMemory() {
     return memory;
   }
--- a/router/src/main/java/io/jacinthquay/router/port/UpstreamFailure.java
+++ b/router/src/main/java/io/jacinthquay/router/port/UpstreamFailure.java
@@ -7,5 +7,7 @@
   /** The connection broke after the request may have been sent. */
   BROKE,
   /** The response names another request; the connection is closed. */
-  MISMATCH
+  MISMATCH,
+  /** The response was given up as no memory is left for it, which is not the upstream's fault. */
+  NO_MEMORY
 }
--- a/router/src/main/java/io/jacinthquay/router/service/forward/AnswerSink.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/AnswerSink.java
@@ -15,10 +15,13 @@
   /**
    * Adds a part of the body.
    *
-   * @return false if the answer is invalid
+   * @return false if the answer is invalid, or no memory is left for it
    */
   boolean data(ByteBuffer data);
 
+  /** Returns whether no memory is left for the answer, until it is discarded. */
+  boolean isOutOfMemory();
+
   /** Returns whether the caller can take more data now. */
   default boolean writable() {
     return true;
--- a/router/src/main/java/io/jacinthquay/router/service/forward/BufferedAnswer.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/BufferedAnswer.java
@@ -3,8 +3,8 @@
 import io.jacinthquay.router.port.Caller;
 import io.jacinthquay.router.port.ForwardProtocol;
 import io.jacinthquay.router.port.ResponseHead;
+import io.jacinthquay.runtime.http.AnswerMemory;
 import io.jacinthquay.runtime.http.BodyBuffer;
-import io.jacinthquay.runtime.http.BufferBudget;
 import java.nio.ByteBuffer;
 import java.util.OptionalLong;
 
@@ -15,11 +15,11 @@
 
   private final ForwardProtocol protocol;
   private final Caller caller;
-  private final BufferBudget.Reservation memory;
+  private final AnswerMemory.Holding memory;
   private final BodyBuffer body = new BodyBuffer(MAX_BYTES);
   private ResponseHead head;
 
-  BufferedAnswer(ForwardProtocol protocol, Caller caller, BufferBudget.Reservation memory) {
+  BufferedAnswer(ForwardProtocol protocol, Caller caller, AnswerMemory.Holding memory) {
     this.protocol = protocol;
     this.caller = caller;
     this.memory = memory;
@@ -41,6 +41,11 @@
     return true;
   }
 
+  @Override
+  public boolean isOutOfMemory() {
+    return memory.isGivenUp();
+  }
+
   @Override
   public boolean end() {
     caller.begin(
--- a/router/src/main/java/io/jacinthquay/router/service/forward/EventStreamAnswer.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/EventStreamAnswer.java
@@ -4,7 +4,7 @@
 import io.jacinthquay.router.port.ForwardProtocol;
 import io.jacinthquay.router.port.ResponseHead;
 import io.jacinthquay.router.service.request.SseSplitter;
-import io.jacinthquay.runtime.http.BufferBudget;
+import io.jacinthquay.runtime.http.AnswerMemory;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.OptionalLong;
@@ -25,7 +25,7 @@
 
   private final ForwardProtocol protocol;
   private final Caller caller;
-  private final BufferBudget.Reservation memory;
+  private final AnswerMemory.Holding memory;
   private final IntConsumer onEvents;
   private SseSplitter splitter = new SseSplitter();
   private ResponseHead head;
@@ -51,7 +51,7 @@
       ForwardProtocol protocol,
       Caller caller,
       OptionalLong lastId,
-      BufferBudget.Reservation memory,
+      AnswerMemory.Holding memory,
       IntConsumer onEvents) {
     this.memory = memory;
     this.protocol = protocol;
@@ -87,6 +87,11 @@
     return memory.tryResize(splitter.capacity()) && !invalid;
   }
 
+  @Override
+  public boolean isOutOfMemory() {
+    return memory.isGivenUp();
+  }
+
   @Override
   public boolean writable() {
     return writable;
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardAttempt.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardAttempt.java
@@ -28,6 +28,8 @@
   /** Time from the begin of an answer until it counts as established, in nanoseconds. */
   private static final long ESTABLISHED_NANOS = 500_000_000L;
 
+  private static final String NO_MEMORY = "no memory is left for the answer";
+
   private final ForwardExchange exchange;
   private final ForwardCore core;
   private final SentRequest sending;
@@ -254,12 +256,25 @@
 
   private void handleData(ByteBuffer data) {
     recordContact();
-    if (!closed && !exchange.onData(this, data)) {
+    if (closed || exchange.onData(this, data)) {
+      return;
+    }
+    if (exchange.isOutOfMemory()) {
+      endForMemory();
+    } else {
       cancel(SendOutcome.FAILED);
       exchange.onFailed(this, "invalid body");
     }
   }
 
+  /** Ends the send as no memory is left for its answer, which says nothing of the upstream. */
+  void endForMemory() {
+    if (!closed) {
+      cancel(SendOutcome.UNDECIDED);
+      runStep(() -> exchange.onFailed(this, NO_MEMORY));
+    }
+  }
+
   /** Resumes reading once the caller has received what was written. */
   void resume() {
     if (call != null) {
@@ -302,6 +317,9 @@
     if (failure == UpstreamFailure.UNREACHABLE) {
       release(SendOutcome.UNREACHABLE);
       exchange.onUnreachable(this);
+    } else if (failure == UpstreamFailure.NO_MEMORY) {
+      release(SendOutcome.UNDECIDED);
+      exchange.onFailed(this, NO_MEMORY);
     } else {
       release(SendOutcome.FAILED);
       if (failure == UpstreamFailure.BROKE) {
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
@@ -18,7 +18,7 @@
 import io.jacinthquay.router.port.EventThread;
 import io.jacinthquay.router.port.ForwardProtocol;
 import io.jacinthquay.router.port.UpstreamClient;
-import io.jacinthquay.runtime.http.BufferBudget;
+import io.jacinthquay.runtime.http.AnswerMemory;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -50,8 +50,8 @@
   /** Share of the heap for answers that are buffered, and for events that are incomplete. */
   private static final double ANSWER_HEAP_SHARE = 0.2;
 
-  /** Bytes of an answer that don't count; usual answers and events are smaller. */
-  private static final int OWN_ANSWER_BYTES = 32 * 1024;
+  /** Bytes that an answer may hold while others hold all of it; usual ones are smaller. */
+  private static final int SMALL_ANSWER_BYTES = 32 * 1024;
 
   private record SyncedTime(long wallMillis, long syncedNanos) {}
 
@@ -78,8 +78,8 @@
   private volatile Optional<SyncedTime> syncedTime = Optional.empty();
   private EventThread thread;
   private final RouterIsolation contact = new RouterIsolation();
-  private final BufferBudget answerMemory =
-      new BufferBudget((long) (Runtime.getRuntime().maxMemory() * ANSWER_HEAP_SHARE));
+  private final AnswerMemory answerMemory =
+      new AnswerMemory((long) (Runtime.getRuntime().maxMemory() * ANSWER_HEAP_SHARE));
   private final PromptQuarantine quarantine = new PromptQuarantine(contact);
   private volatile boolean upstreamsKnown;
   private boolean silenceCheckScheduled;
@@ -368,18 +368,28 @@
     return protocol;
   }
 
-  /** Returns a sink that buffers an answer within the memory for answers. */
-  AnswerSink newBufferedAnswer(Caller caller) {
-    return new BufferedAnswer(protocol, caller, newAnswerMemory());
+  /**
+   * Returns a sink that buffers an answer within the memory for answers.
+   *
+   * @param onGivenUp called once the answer was given up for others
+   */
+  AnswerSink newBufferedAnswer(Caller caller, Runnable onGivenUp) {
+    return new BufferedAnswer(protocol, caller, newAnswerMemory(caller, onGivenUp));
   }
 
-  /** Returns a sink for a stream of events, each within the memory for answers. */
-  AnswerSink newStreamAnswer(Caller caller, OptionalLong lastId, IntConsumer onEvents) {
-    return new EventStreamAnswer(protocol, caller, lastId, newAnswerMemory(), onEvents);
+  /**
+   * Returns a sink for a stream of events, each within the memory for answers.
+   *
+   * @param onGivenUp called once the answer was given up for others
+   */
+  AnswerSink newStreamAnswer(
+      Caller caller, OptionalLong lastId, Runnable onGivenUp, IntConsumer onEvents) {
+    return new EventStreamAnswer(
+        protocol, caller, lastId, newAnswerMemory(caller, onGivenUp), onEvents);
   }
 
-  private BufferBudget.Reservation newAnswerMemory() {
-    return new BufferBudget.Reservation(answerMemory, OWN_ANSWER_BYTES);
+  private AnswerMemory.Holding newAnswerMemory(Caller caller, Runnable onGivenUp) {
+    return answerMemory.newHolding(SMALL_ANSWER_BYTES, caller.thread(), onGivenUp);
   }
 
   UpstreamClient client() {
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardExchange.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardExchange.java
@@ -66,8 +66,9 @@
     this.trial = new PromptTrial(core.quarantine(), work.sharedParts());
     this.regularSink =
         request.route().kind() == RequestKind.STREAMING
-            ? core.newStreamAnswer(caller, request.facts().lastEventId(), this::onEvents)
-            : core.newBufferedAnswer(caller);
+            ? core.newStreamAnswer(
+                caller, request.facts().lastEventId(), () -> attempt.endForMemory(), this::onEvents)
+            : core.newBufferedAnswer(caller, () -> attempt.endForMemory());
     this.sink = regularSink;
   }
 
@@ -262,7 +263,7 @@
         return;
       }
       // The body of a failure is no event stream.
-      sink = core.newBufferedAnswer(caller);
+      sink = core.newBufferedAnswer(caller, () -> attempt.endForMemory());
     }
     if (!streaming) {
       from.markBegun();
@@ -283,6 +284,11 @@
     return from != attempt || done || sink.data(data);
   }
 
+  /** Returns whether no memory is left for the answer of the current send. */
+  boolean isOutOfMemory() {
+    return sink.isOutOfMemory();
+  }
+
   /** Returns whether more of the answer can be read now, as the caller keeps up with it. */
   boolean acceptsData() {
     return done || sink.writable();
@@ -366,16 +372,13 @@
     }
     sink.discard();
     long now = System.nanoTime();
-    if (mayCrash(from) || !tryAcquireRetry(now) || !tryDispatch(now)) {
+    boolean mayCrashOthers =
+        !from.isEstablished() && trial.mayCrashBeside(from.upstream().listing().upstream());
+    if (mayCrashOthers || !tryAcquireRetry(now) || !tryDispatch(now)) {
       giveUp(ResultCode.UPSTREAM_BROKE);
     }
   }
 
-  /** Returns whether the prompt of a send that broke might crash another upstream too. */
-  private boolean mayCrash(ForwardAttempt from) {
-    return !from.isEstablished() && trial.mayCrashBeside(from.upstream().listing().upstream());
-  }
-
   /** Retries the request after a failure; the retry was already taken from the budget. */
   void retry(String reason) {
     note("repeats", reason);
--- a/runtime/src/main/java/io/jacinthquay/runtime/http/BodyReader.java
+++ b/runtime/src/main/java/io/jacinthquay/runtime/http/BodyReader.java
@@ -19,7 +19,7 @@
   private static final int MEMORY_PER_BYTE = 4;
 
   /** Memory of a usual body, in bytes; it may be held while others hold all of the memory. */
-  private static final int SMALL_BODY_BYTES = MEMORY_PER_BYTE * 8 * 1024;
+  static final int SMALL_BODY_BYTES = MEMORY_PER_BYTE * 8 * 1024;
 
   /** Consecutive reads before other calls get a turn. */
   private static final int READS_PER_TURN = 8;
@@ -27,7 +27,7 @@
   private final ByteBufferPool buffers;
   private final Consumer<String> chunkListener;
   private final BoundedSource source;
-  private final BufferBudget.Reservation memory;
+  private final AnswerMemory.Holding memory;
   private ByteArrayOutputStream body = new ByteArrayOutputStream();
   private boolean released;
 
@@ -35,11 +35,11 @@
       ByteBufferPool buffers,
       Consumer<String> chunkListener,
       BoundedSource source,
-      AnswerMemory memory) {
+      AnswerMemory.Holding memory) {
     this.buffers = buffers;
     this.chunkListener = chunkListener;
     this.source = source;
-    this.memory = memory.newReservation(SMALL_BODY_BYTES);
+    this.memory = memory;
   }
 
   /** Drops the body and releases its memory; nothing is read after that. */
--- a/runtime/src/main/java/io/jacinthquay/runtime/http/BoundedOpener.java
+++ b/runtime/src/main/java/io/jacinthquay/runtime/http/BoundedOpener.java
@@ -22,7 +22,7 @@
   /**
    * Returns an opener of connections on a thread.
    *
-   * @param memory for the heads of the responses on these connections
+   * @param memory for the heads and trailers of the responses on these connections
    */
   public BoundedOpener(XnioIoThread delegate, AnswerMemory memory) {
     super(delegate.getWorker(), delegate.getNumber());
--- a/runtime/src/main/java/io/jacinthquay/runtime/http/BoundedSource.java
+++ b/runtime/src/main/java/io/jacinthquay/runtime/http/BoundedSource.java
@@ -1,8 +1,11 @@
 package io.jacinthquay.runtime.http;
 
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
 import java.io.IOException;
 import java.net.SocketAddress;
 import java.nio.ByteBuffer;
+import java.util.concurrent.Executor;
 import org.xnio.StreamConnection;
 import org.xnio.conduits.AbstractStreamSourceConduit;
 import org.xnio.conduits.ConduitStreamSourceChannel;
@@ -10,12 +13,12 @@
 
 /**
  * Limits the bytes that a server may send outside the content of a response, and the memory that
- * the heads of responses take in sum.
+ * the heads and trailers of responses take in sum.
  *
  * <p>The parser above this conduit has no limits of its own: it reads a head until it ends, without
  * returning if bytes arrive fast enough, and skips chunk framing and trailers. Here, reading more
- * than the limit fails in the same way as a broken connection. So does a head for which no memory
- * is left: a head of many small lines takes a hundred times its bytes as objects.
+ * than the limit fails in the same way as a broken connection. So does a head or a trailer for
+ * which no memory is left: many small lines take a hundred times their bytes as objects.
  */
 public final class BoundedSource extends AbstractStreamSourceConduit<StreamSourceConduit> {
   /**
@@ -39,17 +42,24 @@
    */
   private static final int SMALL_HEAD_BYTES = COPIES * 8 * 1024;
 
+  private static final ByteBuffer EMPTY = ByteBuffer.allocate(0);
+
   private final AnswerMemory memory;
-  private final BufferBudget.Reservation head;
+  private final AnswerMemory.Holding held;
   private final SocketAddress server;
-  private final HeadCost cost = new HeadCost();
+  private final HeadCost head = new HeadCost();
+  private TrailerCost trailers;
+  private long headBytes;
+  private ByteBuffer behindHead = EMPTY;
+  private Runnable onGivenUp = () -> {};
   private boolean inHead;
   private long allowedBytes = MAX_HEAD_BYTES;
 
-  private BoundedSource(StreamSourceConduit next, AnswerMemory memory, SocketAddress server) {
+  private BoundedSource(
+      StreamSourceConduit next, AnswerMemory memory, SocketAddress server, Executor thread) {
     super(next);
     this.memory = memory;
-    this.head = memory.newReservation(SMALL_HEAD_BYTES);
+    this.held = memory.newHolding(SMALL_HEAD_BYTES, thread, () -> onGivenUp.run());
     this.server = server;
   }
 
@@ -58,29 +68,62 @@
     ListenerGuard.install(connection);
     ConduitStreamSourceChannel channel = connection.getSourceChannel();
     BoundedSource bounded =
-        new BoundedSource(channel.getConduit(), memory, connection.getPeerAddress());
+        new BoundedSource(
+            channel.getConduit(), memory, connection.getPeerAddress(), connection.getIoThread());
     channel.setConduit(bounded);
     return bounded;
   }
 
-  /** Limits the bytes of a head that is going to be read, and the memory that it takes. */
-  public void beginHead() {
+  /**
+   * Limits the bytes of a head that is going to be read, and the memory that it takes.
+   *
+   * @param listener called on the connection's thread once the response was given up for others; it
+   *     must close the connection and call {@link #release}
+   */
+  public void beginHead(Runnable listener) {
     release();
+    onGivenUp = listener;
     inHead = true;
     allowedBytes = MAX_HEAD_BYTES;
   }
 
-  /** Limits the bytes that are read until the next content; the memory of the head stays held. */
-  public void allowSkipped() {
+  /**
+   * Ends the head, whose memory stays held, and limits the bytes until the first content.
+   *
+   * @param headers the headers of the response; trailers may follow chunked content
+   */
+  public void beginContent(HeaderMap headers) {
     inHead = false;
+    allowSkipped();
+    ByteBuffer read = behindHead;
+    behindHead = EMPTY;
+    String encoding = headers.getLast(Headers.TRANSFER_ENCODING);
+    if (encoding != null && Headers.CHUNKED.equalToString(encoding)) {
+      trailers = new TrailerCost();
+      // What is given up here fails by the next read.
+      boolean unused = tryHold(trailers.add(read, 0, read.limit()));
+    }
+  }
+
+  /** Limits the bytes that are read until the next content. */
+  public void allowSkipped() {
     allowedBytes = MAX_SKIPPED_BYTES;
   }
 
-  /** Releases the memory of the head, once nothing refers to it any more. */
+  /** Returns whether no memory is left for the response. */
+  public boolean isGivenUp() {
+    return held.isGivenUp();
+  }
+
+  /** Releases the memory of the response, once nothing refers to it any more. */
   public void release() {
     inHead = false;
-    cost.reset();
-    head.release();
+    head.reset();
+    headBytes = 0;
+    trailers = null;
+    behindHead = EMPTY;
+    onGivenUp = () -> {};
+    held.release();
   }
 
   /** Returns whether an idle connection is open and has received no unsolicited data. */
@@ -97,12 +140,31 @@
     int start = target.position();
     int count = super.read(target);
     deductAllowed(count);
-    if (inHead && count > 0) {
-      holdHead(cost.add(target, start, target.position()));
+    if (count > 0 && !holdRead(target, start)) {
+      throw givenUp("no memory is left for its head or its trailers");
     }
     return count;
   }
 
+  private boolean holdRead(ByteBuffer read, int start) {
+    int end = read.position();
+    if (inHead) {
+      headBytes = COPIES * head.add(read, start, end);
+      int headEnd = head.endPosition();
+      behindHead = headEnd < end ? copyOf(read, headEnd, end) : EMPTY;
+      return tryHold(0);
+    }
+    return trailers == null || tryHold(trailers.add(read, start, end));
+  }
+
+  private boolean tryHold(long trailerBytes) {
+    return held.tryResize(headBytes + trailerBytes);
+  }
+
+  private static ByteBuffer copyOf(ByteBuffer read, int from, int to) {
+    return ByteBuffer.allocate(to - from).put(read.duplicate().limit(to).position(from)).flip();
+  }
+
   @Override
   public long read(ByteBuffer[] targets, int offset, int count) throws IOException {
     for (int i = offset; i < offset + count; i++) {
@@ -120,12 +182,6 @@
     }
   }
 
-  private void holdHead(long bytes) throws IOException {
-    if (!head.tryResize(COPIES * bytes)) {
-      throw givenUp("no memory is left for its head");
-    }
-  }
-
   /** Counts and logs that the response is given up, and returns the exception to throw. */
   IOException givenUp(String reason) {
     memory.recordGivenUp(server, reason);
--- a/runtime/src/main/java/io/jacinthquay/runtime/http/BufferBudget.java
+++ b/runtime/src/main/java/io/jacinthquay/runtime/http/BufferBudget.java
@@ -87,27 +87,16 @@
   /**
    * The reservation of one request, which grows and shrinks; used by one thread at a time.
    *
-   * <p>A small part isn't counted, or counted with {@link #tryReserveSmall}, so that requests of a
+   * <p>A small number of bytes is reserved with {@link #tryReserveSmall}, so that requests of a
    * usual size don't depend on the others.
    */
   public static final class Reservation {
     private final BufferBudget budget;
-    private final long ownBytes;
     private final long smallBytes;
     private long reservedBytes;
 
-    /**
-     * Returns an empty reservation.
-     *
-     * @param ownBytes bytes that the request may hold outside the budget
-     */
-    public Reservation(BufferBudget budget, long ownBytes) {
-      this(budget, ownBytes, 0);
-    }
-
-    private Reservation(BufferBudget budget, long ownBytes, long smallBytes) {
+    private Reservation(BufferBudget budget, long smallBytes) {
       this.budget = budget;
-      this.ownBytes = ownBytes;
       this.smallBytes = smallBytes;
     }
 
@@ -117,7 +106,7 @@
      * @param smallBytes bytes that may exceed the budget
      */
     public static Reservation ofAll(BufferBudget budget, long smallBytes) {
-      return new Reservation(budget, 0, smallBytes);
+      return new Reservation(budget, smallBytes);
     }
 
     /**
@@ -127,23 +116,22 @@
      *     smaller number than before always fits
      */
     public boolean tryResize(long heldBytes) {
-      long neededBytes = Math.max(0, heldBytes - ownBytes);
-      long addedBytes = neededBytes - reservedBytes;
+      long addedBytes = heldBytes - reservedBytes;
       if (addedBytes > 0) {
         // Adds rather than sets: the budget may release this reservation to make room.
-        boolean reserved = reserve(addedBytes, neededBytes);
+        boolean reserved = reserve(addedBytes, heldBytes);
         reservedBytes += reserved ? addedBytes : 0;
         return reserved;
       }
-      if (neededBytes < reservedBytes) {
-        budget.release(reservedBytes - neededBytes);
+      if (heldBytes < reservedBytes) {
+        budget.release(reservedBytes - heldBytes);
       }
-      reservedBytes = neededBytes;
+      reservedBytes = heldBytes;
       return true;
     }
 
-    private boolean reserve(long addedBytes, long neededBytes) {
-      return neededBytes <= smallBytes
+    private boolean reserve(long addedBytes, long heldBytes) {
+      return heldBytes <= smallBytes
           ? budget.tryReserveSmall(addedBytes)
           : budget.tryReserve(addedBytes);
     }
--- a/runtime/src/main/java/io/jacinthquay/runtime/http/JsonHttpClient.java
+++ b/runtime/src/main/java/io/jacinthquay/runtime/http/JsonHttpClient.java
@@ -201,7 +201,7 @@
         fail(notSent(), "the call was abandoned or is no longer allowed");
         return;
       }
-      source.beginHead();
+      source.beginHead(this::failForMemory);
       opened.sendRequest(request(), new Exchange());
     }
 
@@ -231,6 +231,14 @@
       Optional.ofNullable(connection.get()).ifPresent(ClientConnections::close);
     }
 
+    private AnswerMemory.Holding newBodyMemory() {
+      return memory.newHolding(BodyReader.SMALL_BODY_BYTES, opener, this::failForMemory);
+    }
+
+    private void failForMemory() {
+      fail(ResultCode.UPSTREAM_BROKE, "its response was given up for others");
+    }
+
     private void fail(ResultCode code, String detail) {
       close();
       result.complete(Either.left(Failure.of(code, String.valueOf(detail))));
@@ -260,9 +268,9 @@
           return;
         }
         int status = exchange.getResponse().getResponseCode();
-        source.allowSkipped();
+        source.beginContent(exchange.getResponse().getResponseHeaders());
         body =
-            new BodyReader(BUFFERS, chunkListener, source, memory) {
+            new BodyReader(BUFFERS, chunkListener, source, newBodyMemory()) {
               @Override
               void done(String body) {
                 result.complete(Either.right(new HttpResponse(status, body)));
