Count what relays of model and plain answers hold

JsonRelay, PlainRelay, BufferedErrorAnswer and StreamRelay bounded each answer (8 MB, 64 KB, 64 KB, and an event of 1 MB beside 256 K characters of text) but not all of them in sum, so a dozen model answers without an end fill a small heap.

Fix: what a relay holds counts in one AnswerMemory of the router, an eighth of its heap. An answer that is given up ends its attempt with the new code 1307 ANSWER_DROPPED, which isn't counted against the upstream; retries go by the same rules as for other failures.

--- a/model/src/main/java/io/jacinthquay/model/ResultCode.java
+++ b/model/src/main/java/io/jacinthquay/model/ResultCode.java
@@ -197,6 +197,13 @@
       Outcome.UNKNOWN,
       "The attempt failed and the retry budget is spent.",
       "Retry after a pause if the request is idempotent."),
+  /** The router had no memory left for the response and discarded it. */
+  ANSWER_DROPPED(
+      1307,
+      502,
+      Outcome.UNKNOWN,
+      "The router had no memory left for the answer and dropped it.",
+      "Retry only if the request is idempotent."),
   /** No quorum could record the idempotency key. */
   CLAIM_UNAVAILABLE(
       1400,
--- a/router/src/main/java/io/jacinthquay/router/service/RouterService.java
+++ b/router/src/main/java/io/jacinthquay/router/service/RouterService.java
@@ -44,6 +44,7 @@
 import io.jacinthquay.router.service.request.RouterIntake;
 import io.jacinthquay.router.service.request.StatusPages;
 import io.jacinthquay.runtime.Service;
+import io.jacinthquay.runtime.http.AnswerMemory;
 import java.net.InetSocketAddress;
 import java.security.SecureRandom;
 import java.time.Duration;
@@ -147,7 +148,13 @@
         };
     RequestServices services =
         new RequestServices(
-            dispatcher, upstreams, ports.claims(), active, reporter, options.stall().toMillis());
+            dispatcher,
+            upstreams,
+            ports.claims(),
+            active,
+            reporter,
+            new AnswerMemory(),
+            options.stall().toMillis());
     StatusPages pages = new StatusPages(this::notReadyReason, new MetricsPage(registry));
     RouterIntake intake =
         new RouterIntake(incarnation, policies, keys, pages, services, () -> draining);
--- a/router/src/main/java/io/jacinthquay/router/service/request/Attempt.java
+++ b/router/src/main/java/io/jacinthquay/router/service/request/Attempt.java
@@ -151,10 +151,16 @@
     switch (failure) {
       case UNREACHABLE -> fail(ResultCode.UPSTREAM_UNREACHABLE);
       case MISMATCH -> fail(ResultCode.ANSWER_MISMATCH);
+      case NO_MEMORY -> fail(ResultCode.ANSWER_DROPPED);
       default -> fail(ResultCode.UPSTREAM_BROKE);
     }
   }
 
+  /** Ends the attempt, whose answer was given up for those of others. */
+  void endForMemory() {
+    fail(ResultCode.ANSWER_DROPPED);
+  }
+
   private void fail(ResultCode code) {
     if (ended) {
       return;
--- a/router/src/main/java/io/jacinthquay/router/service/request/BufferedErrorAnswer.java
+++ b/router/src/main/java/io/jacinthquay/router/service/request/BufferedErrorAnswer.java
@@ -4,7 +4,7 @@
 import io.jacinthquay.model.ResultCode;
 import io.jacinthquay.router.port.Header;
 import io.jacinthquay.router.port.ResponseHead;
-import java.io.ByteArrayOutputStream;
+import io.jacinthquay.runtime.http.BodyBuffer;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
@@ -18,7 +18,7 @@
 
   private final RelayContext context;
   private final ResponseHead head;
-  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private final BodyBuffer body = new BodyBuffer(MAX_BYTES);
 
   BufferedErrorAnswer(RelayContext context, ResponseHead head) {
     this.context = context;
@@ -29,9 +29,10 @@
     if (body.size() + data.remaining() > MAX_BYTES) {
       return Optional.of(ResultCode.UPSTREAM_BROKE);
     }
-    byte[] bytes = new byte[data.remaining()];
-    data.get(bytes);
-    body.writeBytes(bytes);
+    if (!context.memory().tryResize(body.memoryBytesWith(data.remaining()))) {
+      return Optional.of(ResultCode.ANSWER_DROPPED);
+    }
+    body.add(data);
     return Optional.empty();
   }
 
@@ -39,7 +40,7 @@
     List<Header> headers = new ArrayList<>(ErrorAnswers.headers(context.id(), Outcome.UNKNOWN));
     headers.addAll(HeaderRules.toCaller(head.headers()));
     context.caller().begin(new ResponseHead(head.status(), headers), OptionalLong.of(body.size()));
-    context.caller().write(ByteBuffer.wrap(body.toByteArray()));
+    context.caller().write(ByteBuffer.wrap(body.takeAll()));
     context.caller().end();
     return Optional.empty();
   }
--- a/router/src/main/java/io/jacinthquay/router/service/request/JsonRelay.java
+++ b/router/src/main/java/io/jacinthquay/router/service/request/JsonRelay.java
@@ -5,7 +5,7 @@
 import io.jacinthquay.model.ResultCode;
 import io.jacinthquay.router.port.Header;
 import io.jacinthquay.router.port.ResponseHead;
-import java.io.ByteArrayOutputStream;
+import io.jacinthquay.runtime.http.BodyBuffer;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
@@ -19,7 +19,7 @@
   private static final int MAX_BYTES = 8 * 1024 * 1024;
 
   private final RelayContext context;
-  private ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private final BodyBuffer body = new BodyBuffer(MAX_BYTES);
   private Optional<BufferedErrorAnswer> errorAnswer = Optional.empty();
   private Usage usage = Usage.NONE;
   private ResponseHead answerHead;
@@ -30,7 +30,8 @@
 
   @Override
   public void beginAttempt() {
-    body = new ByteArrayOutputStream();
+    body.clear();
+    context.memory().release();
     errorAnswer = Optional.empty();
   }
 
@@ -52,9 +53,10 @@
     if (body.size() + data.remaining() > MAX_BYTES) {
       return Optional.of(ResultCode.UPSTREAM_BROKE);
     }
-    byte[] bytes = new byte[data.remaining()];
-    data.get(bytes);
-    body.writeBytes(bytes);
+    if (!context.memory().tryResize(body.memoryBytesWith(data.remaining()))) {
+      return Optional.of(ResultCode.ANSWER_DROPPED);
+    }
+    body.add(data);
     return Optional.empty();
   }
 
@@ -63,7 +65,7 @@
     if (errorAnswer.isPresent()) {
       return errorAnswer.get().onEnd();
     }
-    byte[] bytes = body.toByteArray();
+    byte[] bytes = body.takeAll();
     StreamEvent answer = StreamEvent.ofAnswer(bytes);
     if (answer.kind() != StreamEvent.Kind.PART) {
       return Optional.of(ResultCode.UPSTREAM_BROKE);
--- a/router/src/main/java/io/jacinthquay/router/service/request/PlainRelay.java
+++ b/router/src/main/java/io/jacinthquay/router/service/request/PlainRelay.java
@@ -6,7 +6,7 @@
 import io.jacinthquay.router.port.Header;
 import io.jacinthquay.router.port.RecordedResponse;
 import io.jacinthquay.router.port.ResponseHead;
-import java.io.ByteArrayOutputStream;
+import io.jacinthquay.runtime.http.BodyBuffer;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
@@ -25,10 +25,10 @@
   private static final int MAX_BUFFERED_BYTES = 64 * 1024;
 
   private final RelayContext context;
-  private ByteArrayOutputStream buffered = new ByteArrayOutputStream();
+  private final BodyBuffer buffered = new BodyBuffer(MAX_BUFFERED_BYTES);
+  private Optional<byte[]> wholeBody = Optional.empty();
   private ResponseHead answerHead;
   private boolean writable = true;
-  private boolean ended;
 
   PlainRelay(RelayContext context) {
     this.context = context;
@@ -36,7 +36,8 @@
 
   @Override
   public void beginAttempt() {
-    buffered = new ByteArrayOutputStream();
+    buffered.clear();
+    context.memory().release();
   }
 
   @Override
@@ -51,12 +52,14 @@
       writable = context.caller().write(data);
       return Optional.empty();
     }
-    byte[] bytes = new byte[data.remaining()];
-    data.get(bytes);
-    buffered.writeBytes(bytes);
+    if (!context.memory().tryResize(buffered.memoryBytesWith(data.remaining()))) {
+      return Optional.of(ResultCode.ANSWER_DROPPED);
+    }
+    buffered.add(data);
     if (buffered.size() > MAX_BUFFERED_BYTES) {
       begin(declaredLength());
-      writable = context.caller().write(ByteBuffer.wrap(buffered.toByteArray()));
+      writable = context.caller().write(ByteBuffer.wrap(buffered.takeAll()));
+      context.memory().release();
     }
     return Optional.empty();
   }
@@ -76,10 +79,11 @@
 
   @Override
   public Optional<ResultCode> onEnd() {
-    ended = true;
     if (!context.caller().hasBegun()) {
-      begin(OptionalLong.of(buffered.size()));
-      context.caller().write(ByteBuffer.wrap(buffered.toByteArray()));
+      byte[] body = buffered.takeAll();
+      wholeBody = Optional.of(body);
+      begin(OptionalLong.of(body.length));
+      context.caller().write(ByteBuffer.wrap(body));
     }
     context.caller().end();
     return Optional.empty();
@@ -87,11 +91,10 @@
 
   /** Returns the complete answer for a later replay, unless it was too long to be buffered. */
   Optional<RecordedResponse> recordedAnswer() {
-    if (!ended || buffered.size() > MAX_BUFFERED_BYTES) {
-      return Optional.empty();
-    }
-    String type = answerHead.header("content-type").orElse("");
-    return Optional.of(new RecordedResponse(answerHead.status(), type, buffered.toByteArray()));
+    return wholeBody.map(
+        body ->
+            new RecordedResponse(
+                answerHead.status(), answerHead.header("content-type").orElse(""), body));
   }
 
   @Override
--- a/router/src/main/java/io/jacinthquay/router/service/request/RelayContext.java
+++ b/router/src/main/java/io/jacinthquay/router/service/request/RelayContext.java
@@ -2,6 +2,7 @@
 
 import io.jacinthquay.model.RequestId;
 import io.jacinthquay.router.port.Caller;
+import io.jacinthquay.runtime.http.AnswerMemory;
 
 /**
  * The context of an answer relay.
@@ -9,8 +10,10 @@
  * @param id the id of the request
  * @param caller the connection to the caller
  * @param progress receives the token counts
+ * @param memory what the relay holds of answers counts here
  */
-record RelayContext(RequestId id, Caller caller, ProgressListener progress) {
+record RelayContext(
+    RequestId id, Caller caller, ProgressListener progress, AnswerMemory.Holding memory) {
   /** Receives the token counts of an upstream's answer. */
   interface ProgressListener {
     /**
--- a/router/src/main/java/io/jacinthquay/router/service/request/RequestRun.java
+++ b/router/src/main/java/io/jacinthquay/router/service/request/RequestRun.java
@@ -17,6 +17,7 @@
 import io.jacinthquay.router.service.dispatch.DispatchListener;
 import io.jacinthquay.router.service.dispatch.DispatchRequest;
 import io.jacinthquay.router.service.dispatch.Grant;
+import io.jacinthquay.runtime.http.AnswerMemory;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -29,12 +30,16 @@
  */
 final class RequestRun
     implements DispatchListener, CallerListener, Attempt.Observer, RelayContext.ProgressListener {
+  /** Bytes that an answer may hold while others hold all of the memory; usual ones are smaller. */
+  private static final int SMALL_ANSWER_BYTES = 32 * 1024;
+
   private final RequestServices services;
   private final RequestContext context;
   private final RequestSpec spec;
   private final Caller caller;
   private final RequestEndListener endListener;
   private final AnswerRelay relay;
+  private final AnswerMemory.Holding answerMemory;
   private final Set<UpstreamId> failedUpstreams = new HashSet<>();
   private Optional<Attempt> attempt = Optional.empty();
   private Optional<UpstreamId> lastUpstream = Optional.empty();
@@ -56,7 +61,12 @@
     this.spec = spec;
     this.caller = caller;
     this.endListener = endListener;
-    this.relay = spec.relay(new RelayContext(context.id(), caller, this));
+    this.answerMemory =
+        services
+            .answerMemory()
+            .newHolding(
+                SMALL_ANSWER_BYTES, thread(), () -> attempt.ifPresent(Attempt::endForMemory));
+    this.relay = spec.relay(new RelayContext(context.id(), caller, this, answerMemory));
   }
 
   /** Starts the request; must be called on the request's thread. */
@@ -140,8 +150,7 @@
     boolean mayHaveRunBefore = mayHaveRun;
     mayHaveRun |= bytesWritten && !refused;
     failedUpstreams.add(current.grant().upstream());
-    Completion.End attemptEnd = refused ? Completion.End.REFUSED : Completion.End.FAILED;
-    services.dispatcher().recordEnd(current.grant(), report(attemptEnd, current));
+    services.dispatcher().recordEnd(current.grant(), report(endOf(code, refused), current));
     FailedAttempt failedAttempt =
         new FailedAttempt(
             code,
@@ -158,6 +167,13 @@
     applyDecision(services.dispatcher().decideRetry(spec.dispatchRequest(), failedAttempt), code);
   }
 
+  private static Completion.End endOf(ResultCode code, boolean refused) {
+    if (code == ResultCode.ANSWER_DROPPED) {
+      return Completion.End.CANCELLED;
+    }
+    return refused ? Completion.End.REFUSED : Completion.End.FAILED;
+  }
+
   private void applyDecision(RetryDecision decision, ResultCode cause) {
     if (decision instanceof RetryDecision.GiveUp giveUp) {
       finishWith(failure(giveUp.code(), cause), giveUp.outcome(), 0);
@@ -301,6 +317,7 @@
     }
     ended = true;
     cancelDeadline.run();
+    answerMemory.release();
     services.active().remove(this);
     AnswerRelay.Usage usage = relay.usage();
     long inputTokens = usage.inputTokens();
--- a/router/src/main/java/io/jacinthquay/router/service/request/RequestServices.java
+++ b/router/src/main/java/io/jacinthquay/router/service/request/RequestServices.java
@@ -4,6 +4,7 @@
 import io.jacinthquay.router.port.UpstreamClient;
 import io.jacinthquay.router.service.dispatch.Dispatcher;
 import io.jacinthquay.router.service.report.RequestReporter;
+import io.jacinthquay.runtime.http.AnswerMemory;
 import java.util.Objects;
 
 /**
@@ -14,6 +15,7 @@
  * @param claims stores idempotency claims
  * @param active the requests in progress
  * @param reporter receives the record of each ended request
+ * @param answerMemory the memory for answers until they are passed on
  * @param stallMillis time without data after which an upstream is considered stalled, in
  *     milliseconds
  */
@@ -23,6 +25,7 @@
     ClaimStore claims,
     ActiveRequests active,
     RequestReporter reporter,
+    AnswerMemory answerMemory,
     long stallMillis) {
   /**
    * Creates the services.
@@ -35,5 +38,6 @@
     Objects.requireNonNull(claims, "claims");
     Objects.requireNonNull(active, "active");
     Objects.requireNonNull(reporter, "reporter");
+    Objects.requireNonNull(answerMemory, "answerMemory");
   }
 }
--- a/router/src/main/java/io/jacinthquay/router/service/request/StreamRelay.java
+++ b/router/src/main/java/io/jacinthquay/router/service/request/StreamRelay.java
@@ -42,6 +42,7 @@
   @Override
   public void beginAttempt() {
     splitter = new SseSplitter();
+    context.memory().release();
     failure = Optional.empty();
     errorAnswer = Optional.empty();
     resumed = tokens > 0;
@@ -63,6 +64,9 @@
     if (errorAnswer.isPresent()) {
       return errorAnswer.get().onData(data);
     }
+    if (!holdsMemory(splitter.capacityWith(data.remaining()))) {
+      return Optional.of(ResultCode.ANSWER_DROPPED);
+    }
     if (!splitter.add(data)) {
       return Optional.of(ResultCode.UPSTREAM_BROKE);
     }
@@ -73,9 +77,17 @@
     if (newTokens > 0) {
       context.progress().onTokens(newTokens);
     }
+    if (failure.isEmpty() && !done && !holdsMemory(splitter.capacity())) {
+      return Optional.of(ResultCode.ANSWER_DROPPED);
+    }
     return failure;
   }
 
+  private boolean holdsMemory(int splitterBytes) {
+    long textBytes = (long) Character.BYTES * text.capacity();
+    return context.memory().tryResize(splitterBytes + textBytes);
+  }
+
   /** Merges adjacent events into a single write. */
   private final class EventBatch implements SseSplitter.EventSink {
     private byte[] bytes;
