--- a/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowUpstreamCall.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowUpstreamCall.java
@@ -101,7 +101,7 @@
     }
     mayHaveRun = true;
     opened.recordRequest(request.id());
-    opened.source().beginHead(request.method());
+    opened.source().beginHead(request.method(), this::onBroken);
     opened.http().sendRequest(clientRequest(), callback(this::onRequestStarted, this::onBroken));
   }
 
@@ -167,8 +167,8 @@
     if (done) {
       return;
     }
-    connection.source().allowSkipped();
     ClientResponse response = exchange.getResponse();
+    connection.source().beginContent(response.getResponseHeaders());
     String echoed = response.getResponseHeaders().getFirst(pool.idHeader());
     int status = response.getResponseCode();
     if (status < FIRST_FINAL_STATUS) {
@@ -283,7 +283,8 @@
   }
 
   private void onBroken() {
-    fail(UpstreamFailure.BROKE);
+    boolean noMemory = connection != null && connection.source().isGivenUp();
+    fail(noMemory ? UpstreamFailure.NO_MEMORY : UpstreamFailure.BROKE);
   }
 
   private void fail(UpstreamFailure failure) {
--- a/runtime/src/main/java/io/jacinthquay/runtime/http/BoundedSource.java
+++ b/runtime/src/main/java/io/jacinthquay/runtime/http/BoundedSource.java
@@ -1,8 +1,11 @@
 package io.jacinthquay.runtime.http;
 
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
 import java.io.IOException;
 import java.net.SocketAddress;
 import java.nio.ByteBuffer;
+import java.util.concurrent.Executor;
 import org.xnio.StreamConnection;
 import org.xnio.conduits.AbstractStreamSourceConduit;
 import org.xnio.conduits.ConduitStreamSourceChannel;
@@ -10,13 +13,13 @@
 
 /**
  * Limits the bytes that a server may send outside the content of a response, and the memory that
- * the heads of responses take in sum.
+ * the heads and trailers of responses take in sum.
  *
  * <p>The parser above this conduit has no limits of its own: it reads a head until it ends, without
  * returning if bytes arrive fast enough, and skips chunk framing and trailers. Here, reading more
- * than the limit fails in the same way as a broken connection. So does a head for which no memory
- * is left: a head of many small lines takes a hundred times its bytes as objects. A response whose
- * framing is invalid fails too, as the parser may take it for complete.
+ * than the limit fails in the same way as a broken connection. So does a head or a trailer for
+ * which no memory is left: many small lines take a hundred times their bytes as objects. A response
+ * whose framing is invalid fails too, as the parser may take it for complete.
  */
 public final class BoundedSource extends AbstractStreamSourceConduit<StreamSourceConduit> {
   /**
@@ -40,19 +43,26 @@
    */
   private static final int SMALL_HEAD_BYTES = COPIES * 8 * 1024;
 
+  private static final ByteBuffer EMPTY = ByteBuffer.allocate(0);
+
   private final AnswerMemory memory;
-  private final BufferBudget.Reservation head;
+  private final AnswerMemory.Holding held;
   private final SocketAddress server;
-  private final HeadCost cost = new HeadCost();
   private final ResponseFraming framing = new ResponseFraming();
+  private final HeadCost head = new HeadCost();
   private InvalidFramingException invalidBody;
+  private TrailerCost trailers;
+  private long headBytes;
+  private ByteBuffer behindHead = EMPTY;
+  private Runnable onGivenUp = () -> {};
   private boolean inHead;
   private long allowedBytes = MAX_HEAD_BYTES;
 
-  private BoundedSource(StreamSourceConduit next, AnswerMemory memory, SocketAddress server) {
+  private BoundedSource(
+      StreamSourceConduit next, AnswerMemory memory, SocketAddress server, Executor thread) {
     super(next);
     this.memory = memory;
-    this.head = memory.newReservation(SMALL_HEAD_BYTES);
+    this.held = memory.newHolding(SMALL_HEAD_BYTES, thread, () -> onGivenUp.run());
     this.server = server;
   }
 
@@ -61,7 +71,8 @@
     ListenerGuard.install(connection);
     ConduitStreamSourceChannel channel = connection.getSourceChannel();
     BoundedSource bounded =
-        new BoundedSource(channel.getConduit(), memory, connection.getPeerAddress());
+        new BoundedSource(
+            channel.getConduit(), memory, connection.getPeerAddress(), connection.getIoThread());
     channel.setConduit(bounded);
     return bounded;
   }
@@ -70,26 +81,55 @@
    * Limits the bytes of a head that is going to be read, and the memory that it takes.
    *
    * @param method the method of the request that it responds to
+   * @param listener called on the connection's thread once the response was given up for others; it
+   *     must close the connection and call {@link #release}
    */
-  public void beginHead(String method) {
+  public void beginHead(String method, Runnable listener) {
     release();
     framing.begin(method);
     invalidBody = null;
+    onGivenUp = listener;
     inHead = true;
     allowedBytes = MAX_HEAD_BYTES;
   }
 
-  /** Limits the bytes that are read until the next content; the memory of the head stays held. */
-  public void allowSkipped() {
+  /**
+   * Ends the head, whose memory stays held, and limits the bytes until the first content.
+   *
+   * @param headers the headers of the response; trailers may follow chunked content
+   */
+  public void beginContent(HeaderMap headers) {
     inHead = false;
+    allowSkipped();
+    ByteBuffer read = behindHead;
+    behindHead = EMPTY;
+    String encoding = headers.getLast(Headers.TRANSFER_ENCODING);
+    if (encoding != null && Headers.CHUNKED.equalToString(encoding)) {
+      trailers = new TrailerCost();
+      // What is given up here fails by the next read.
+      boolean unused = tryHold(trailers.add(read, 0, read.limit()));
+    }
+  }
+
+  /** Limits the bytes that are read until the next content. */
+  public void allowSkipped() {
     allowedBytes = MAX_SKIPPED_BYTES;
   }
 
-  /** Releases the memory of the head, once nothing refers to it any more. */
+  /** Returns whether no memory is left for the response. */
+  public boolean isGivenUp() {
+    return held.isGivenUp();
+  }
+
+  /** Releases the memory of the response, once nothing refers to it any more. */
   public void release() {
     inHead = false;
-    cost.reset();
-    head.release();
+    head.reset();
+    headBytes = 0;
+    trailers = null;
+    behindHead = EMPTY;
+    onGivenUp = () -> {};
+    held.release();
   }
 
   /** Returns whether an idle connection is open and has received no unsolicited data. */
@@ -126,12 +166,31 @@
     int count = super.read(target);
     deductAllowed(count);
     count = checkFraming(target, start, count);
-    if (inHead && count > 0) {
-      holdHead(cost.add(target, start, target.position()));
+    if (count > 0 && !holdRead(target, start)) {
+      throw givenUp("no memory is left for its head or its trailers");
     }
     return count;
   }
 
+  private boolean holdRead(ByteBuffer read, int start) {
+    int end = read.position();
+    if (inHead) {
+      headBytes = COPIES * head.add(read, start, end);
+      int headEnd = head.endPosition();
+      behindHead = headEnd < end ? copyOf(read, headEnd, end) : EMPTY;
+      return tryHold(0);
+    }
+    return trailers == null || tryHold(trailers.add(read, start, end));
+  }
+
+  private boolean tryHold(long trailerBytes) {
+    return held.tryResize(headBytes + trailerBytes);
+  }
+
+  private static ByteBuffer copyOf(ByteBuffer read, int from, int to) {
+    return ByteBuffer.allocate(to - from).put(read.duplicate().limit(to).position(from)).flip();
+  }
+
   @Override
   public long read(ByteBuffer[] targets, int offset, int count) throws IOException {
     for (int i = offset; i < offset + count; i++) {
@@ -169,12 +228,6 @@
     }
   }
 
-  private void holdHead(long bytes) throws IOException {
-    if (!head.tryResize(COPIES * bytes)) {
-      throw givenUp("no memory is left for its head");
-    }
-  }
-
   /** Counts and logs that the response is given up, and returns the exception to throw. */
   IOException givenUp(String reason) {
     memory.recordGivenUp(server, reason);
