--- a/router/src/test/java/io/jacinthquay/router/service/forward/ForwardSimulation.java
+++ b/router/src/test/java/io/jacinthquay/router/service/forward/ForwardSimulation.java
@@ -169,6 +169,8 @@
       case END -> pick(ScriptedCall.State.ANSWERING, step, ScriptedCall::end);
       case MISMATCH ->
           pick(ScriptedCall.State.SENT, step, call -> call.fail(UpstreamFailure.MISMATCH));
+      case NO_MEMORY ->
+          pick(ForwardSimulation::mayBreak, step, call -> call.fail(UpstreamFailure.NO_MEMORY));
       default -> pick(ForwardSimulation::mayBreak, step, call -> call.fail(UpstreamFailure.BROKE));
     }
   }
--- a/router/src/test/java/io/jacinthquay/router/service/forward/ForwardStep.java
+++ b/router/src/test/java/io/jacinthquay/router/service/forward/ForwardStep.java
@@ -29,6 +29,7 @@
     END(4),
     BREAK(3),
     MISMATCH(1),
+    NO_MEMORY(1),
     LEAVE(2),
     BREAK_AT_WRITE(1),
     UPSTREAMS(2),
