--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
@@ -388,20 +388,12 @@
     return protocol;
   }
 
-  /**
-   * Returns a sink that buffers an answer within the memory for answers.
-   *
-   * @param onGivenUp called once the answer was given up for others
-   */
+  /** Returns a sink that buffers an answer, which may be given up when memory is short. */
   AnswerSink newBufferedAnswer(Caller caller, Runnable onGivenUp) {
     return new BufferedAnswer(protocol, caller, newAnswerMemory(caller, onGivenUp));
   }
 
-  /**
-   * Returns a sink for a stream of events, each within the memory for answers.
-   *
-   * @param onGivenUp called once the answer was given up for others
-   */
+  /** Returns a sink for a stream of events, each of which may be given up when memory is short. */
   AnswerSink newStreamAnswer(
       Caller caller, OptionalLong lastId, Runnable onGivenUp, IntConsumer onEvents) {
     return new EventStreamAnswer(
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardExchange.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardExchange.java
@@ -307,11 +307,7 @@
     return done || sink.writable();
   }
 
-  /**
-   * Completes the answer when it has fully arrived from an attempt.
-   *
-   * @return false if the answer is incomplete
-   */
+  /** Completes the answer when it has fully arrived from an attempt; false if it is incomplete. */
   boolean onEnd(ForwardAttempt from) {
     if (from != attempt || done) {
       return true;
