--- a/decision/src/main/java/io/jacinthquay/decision/origin/OriginTable.java
+++ b/decision/src/main/java/io/jacinthquay/decision/origin/OriginTable.java
@@ -22,6 +22,12 @@
   /** Time between two removals of all streams that have ended, in nanoseconds. */
   private static final long SWEEP_INTERVAL_NANOS = 1_000_000_000L;
 
+  /**
+   * Time between two removals while there is no room, in nanoseconds. Each goes through all
+   * streams, and a full table may get thousands of new ones a second.
+   */
+  private static final long FULL_SWEEP_INTERVAL_NANOS = 100_000_000L;
+
   /** What became of a record. */
   public enum Result {
     /** The origin is new or replaces that of an older stream of the same id. */
@@ -82,7 +88,7 @@
       }
       remove(known);
     } else if (!hasRoom(source)) {
-      sweep(now, 0);
+      sweep(now, FULL_SWEEP_INTERVAL_NANOS);
       if (!hasRoom(source)) {
         return Result.FULL;
       }
--- a/decision/src/test/java/io/jacinthquay/decision/origin/OriginTableTest.java
+++ b/decision/src/test/java/io/jacinthquay/decision/origin/OriginTableTest.java
@@ -80,6 +80,19 @@
     assertEquals(1, table.size());
   }
 
+  /** Each record to a full table went through all streams, under the lock of the table. */
+  @ParameterizedTest
+  @CsvSource({"99, FULL", "100, RECORDED"})
+  void fullTableIsSweptOnceInAWhile(long afterMillis, Result expected) {
+    for (int i = 0; i < CAPACITY_PER_SOURCE; i++) {
+      record("a" + i, "v1", "r", 59_980);
+    }
+    now += 19 * NANOS_PER_MILLI;
+    table.streams(now);
+    now += afterMillis * NANOS_PER_MILLI;
+    assertEquals(expected, record("b", "v1", "r", 0));
+  }
+
   @ParameterizedTest
   @CsvSource({"10, v2, UNCHANGED, v1", "3, v2, RECORDED, v2", "3, v1, UNCHANGED, v1"})
   void laterStreamOfTheSameIdCounts(
