Treat a stream id with two reported versions as unknown

If a caller gave two streams the same id, or two callers of open routes did, a take-up of the one went on at the version of the other: the later stream counted.

Cause: the table held one origin an id. Now it keeps a second one that differs, and finds neither; such a stream goes on only where the pool had one version. Routers report both, so that the leader finds the conflict also if one router began both.

Evidence: OriginTableTest.streamOfTwoVersionsIsNotKnown failed before in two cases ("v2" found instead of none). It replaces laterStreamOfTheSameIdCounts, which asked for the fault, with the same cases and stricter results; that an ended stream doesn't count is a test of its own.

--- a/decision/src/main/java/io/jacinthquay/decision/origin/OriginTable.java
+++ b/decision/src/main/java/io/jacinthquay/decision/origin/OriginTable.java
@@ -30,7 +30,7 @@
 
   /** What became of a record. */
   public enum Result {
-    /** The origin is new or replaces that of an older stream of the same id. */
+    /** The origin is new, or differs from that of another stream of the same id. */
     RECORDED,
     /** The origin was known, or belongs to a stream that callers can't take up any more. */
     UNCHANGED,
@@ -45,7 +45,17 @@
    */
   public record Aged(StreamOrigin origin, long ageMillis) {}
 
-  private record Entry(StreamOrigin origin, String source, long firstEventNanos) {}
+  /**
+   * An entry.
+   *
+   * @param other another origin that was reported for the same id
+   */
+  private record Entry(
+      StreamOrigin origin, Optional<StreamOrigin> other, String source, long firstEventNanos) {
+    private boolean holds(StreamOrigin reported) {
+      return origin.equals(reported) || other.equals(Optional.of(reported));
+    }
+  }
 
   private final int capacity;
   private final int capacityPerSource;
@@ -67,8 +77,8 @@
   }
 
   /**
-   * Records an origin. Of two streams with one id, the one that began later counts, as its caller
-   * is the one that still reads.
+   * Records an origin. If another one was reported for the same id, neither counts, as nobody can
+   * tell which of the streams a caller takes up.
    *
    * @param source who reports it
    * @param ageMillis time since the first event, in milliseconds
@@ -79,34 +89,59 @@
     if (age >= StreamOrigin.LIFETIME.toMillis()) {
       return Result.UNCHANGED;
     }
-    Entry entry = new Entry(origin, source, now - age * NANOS_PER_MILLI);
+    long firstEventNanos = now - age * NANOS_PER_MILLI;
     Entry known = entries.get(origin.stream());
-    if (known != null) {
-      boolean newer = entry.firstEventNanos() - known.firstEventNanos() > 0;
-      if (known.origin().equals(origin) || !newer) {
-        return Result.UNCHANGED;
-      }
+    if (known != null && !isLive(known, now)) {
       remove(known);
-    } else if (!hasRoom(source)) {
+      known = null;
+    }
+    if (known != null) {
+      return known.holds(origin) ? Result.UNCHANGED : recordOther(known, origin, firstEventNanos);
+    }
+    if (!hasRoom(source)) {
       sweep(now, FULL_SWEEP_INTERVAL_NANOS);
       if (!hasRoom(source)) {
         return Result.FULL;
       }
     }
-    entries.put(origin.stream(), entry);
+    entries.put(origin.stream(), new Entry(origin, Optional.empty(), source, firstEventNanos));
     countBySource.merge(source, 1, Integer::sum);
     return Result.RECORDED;
   }
 
+  private Result recordOther(Entry known, StreamOrigin other, long firstEventNanos) {
+    boolean later = firstEventNanos - known.firstEventNanos() > 0;
+    entries.put(
+        other.stream(),
+        new Entry(
+            known.origin(),
+            Optional.of(other),
+            known.source(),
+            later ? firstEventNanos : known.firstEventNanos()));
+    return Result.RECORDED;
+  }
+
   private boolean hasRoom(String source) {
     return entries.size() < capacity && countBySource.getOrDefault(source, 0) < capacityPerSource;
   }
 
-  /** Returns the origin of a stream that callers may still take up. */
+  /** Returns the origin of a stream that callers may still take up; empty if there are several. */
   public Optional<Aged> find(StreamId stream, long now) {
-    return Optional.ofNullable(entries.get(stream))
-        .filter(entry -> isLive(entry, now))
-        .map(entry -> aged(entry, now));
+    return Optional.of(reported(stream, now))
+        .filter(origins -> origins.size() == 1)
+        .map(origins -> origins.get(0));
+  }
+
+  /** Returns the origins that were reported for a stream that callers may still take up. */
+  public List<Aged> reported(StreamId stream, long now) {
+    List<Aged> origins = new ArrayList<>();
+    Entry entry = entries.get(stream);
+    if (entry != null && isLive(entry, now)) {
+      long ageMillis = (now - entry.firstEventNanos()) / NANOS_PER_MILLI;
+      origins.add(new Aged(entry.origin(), ageMillis));
+      entry.other().ifPresent(other -> origins.add(new Aged(other, ageMillis)));
+    }
+    return origins;
   }
 
   /** Returns the ids of all streams that callers may still take up. */
@@ -124,10 +159,6 @@
     return now - entry.firstEventNanos() < LIFETIME_NANOS;
   }
 
-  private static Aged aged(Entry entry, long now) {
-    return new Aged(entry.origin(), (now - entry.firstEventNanos()) / NANOS_PER_MILLI);
-  }
-
   private void sweep(long now, long minIntervalNanos) {
     if (now - sweptNanos < minIntervalNanos) {
       return;
--- a/decision/src/test/java/io/jacinthquay/decision/origin/OriginTableTest.java
+++ b/decision/src/test/java/io/jacinthquay/decision/origin/OriginTableTest.java
@@ -93,13 +93,30 @@
     assertEquals(expected, record("b", "v1", "r", 0));
   }
 
+  /** A stream went on at the version of another one to which a caller had given the same id. */
   @ParameterizedTest
-  @CsvSource({"10, v2, UNCHANGED, v1", "3, v2, RECORDED, v2", "3, v1, UNCHANGED, v1"})
-  void laterStreamOfTheSameIdCounts(
-      long ageMillis, String version, Result result, String expected) {
+  @CsvSource({
+    "10, v2, RECORDED, none, 2",
+    "3, v2, RECORDED, none, 2",
+    "3, v1, UNCHANGED, v1, 1",
+    "60000, v2, UNCHANGED, v1, 1"
+  })
+  void streamOfTwoVersionsIsNotKnown(
+      long ageMillis, String version, Result result, String expected, int reported) {
     record("a", "v1", "r1", 5);
     assertEquals(result, record("a", version, "r2", ageMillis));
+    assertEquals(Result.UNCHANGED, record("a", version, "r2", ageMillis));
+    assertEquals(Result.UNCHANGED, record("a", "v1", "r2", ageMillis));
     assertEquals(expected, version("a"));
+    assertEquals(reported, table.reported(origin("a", "v1").stream(), now).size());
     assertEquals(1, table.size());
   }
+
+  @Test
+  void streamReplacesAnEndedOneOfTheSameId() {
+    record("a", "v1", "r1", 59_999);
+    now += NANOS_PER_MILLI;
+    assertEquals(Result.RECORDED, record("a", "v2", "r2", 0));
+    assertEquals("v2", version("a"));
+  }
 }
--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/StreamOriginLog.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/StreamOriginLog.java
@@ -78,7 +78,7 @@
         break;
       }
       reported.add(stream);
-      table.find(stream, now).ifPresent(origin -> messages.add(OriginMessages.toMessage(origin)));
+      table.reported(stream, now).forEach(origin -> messages.add(OriginMessages.toMessage(origin)));
     }
     underWay = reported;
     return messages;
