Report the newest streams first after a loss

Cause: the order of the table. Now streams that were never reported go first, then the others by age.

Evidence: StreamOriginLogTest.reportsTheNewestStreamsFirstAfterALoss failed on the code before: the first stream reported was another one than the last that began.

--- a/decision/src/main/java/io/jacinthquay/decision/origin/OriginTable.java
+++ b/decision/src/main/java/io/jacinthquay/decision/origin/OriginTable.java
@@ -3,6 +3,7 @@
 import io.jacinthquay.model.StreamId;
 import io.jacinthquay.model.StreamOrigin;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -144,10 +145,13 @@
     return origins;
   }
 
-  /** Returns the ids of all streams that callers may still take up. */
+  /** Returns the ids of all streams that callers may still take up, the newest ones first. */
   public List<StreamId> streams(long now) {
     sweep(now, 0);
-    return new ArrayList<>(entries.keySet());
+    return entries.values().stream()
+        .sorted(Comparator.comparingLong(entry -> now - entry.firstEventNanos()))
+        .map(entry -> entry.origin().stream())
+        .toList();
   }
 
   /** Returns the number of streams that are held. */
--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/StreamOriginLog.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/StreamOriginLog.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.LongSupplier;
+import java.util.stream.Stream;
 
 /**
  * The origins of streams that this router began or asked for, and which of them the leader still
@@ -31,7 +32,13 @@
 
   private final LongSupplier clock;
   private final OriginTable table;
+
+  /** Streams that were never reported. */
   private final Set<StreamId> unreported = new LinkedHashSet<>();
+
+  /** Older streams that are reported again, the newest ones first. */
+  private final Set<StreamId> again = new LinkedHashSet<>();
+
   private List<StreamId> underWay = List.of();
   private long epoch;
 
@@ -73,11 +80,8 @@
     long now = clock.getAsLong();
     List<StreamOriginMessage> messages = new ArrayList<>();
     List<StreamId> reported = new ArrayList<>();
-    for (StreamId stream : unreported) {
-      if (reported.size() >= MAX_REPORTED) {
-        break;
-      }
-      reported.add(stream);
+    Stream.concat(unreported.stream(), again.stream()).limit(MAX_REPORTED).forEach(reported::add);
+    for (StreamId stream : reported) {
       table.reported(stream, now).forEach(origin -> messages.add(OriginMessages.toMessage(origin)));
     }
     underWay = reported;
@@ -92,6 +96,7 @@
   synchronized int recordView(long newEpoch) {
     int reported = underWay.size();
     underWay.forEach(unreported::remove);
+    underWay.forEach(again::remove);
     underWay = List.of();
     if (newEpoch != epoch) {
       epoch = newEpoch;
@@ -100,8 +105,13 @@
     return reported;
   }
 
-  /** Reports all streams again, after a relay was lost that may not have passed some on. */
+  /**
+   * Reports all streams again, after a relay was lost that may not have passed some on. The newest
+   * are reported first, as most callers return soon.
+   */
   synchronized void reportAllAgain() {
-    unreported.addAll(table.streams(clock.getAsLong()));
+    unreported.clear();
+    again.clear();
+    again.addAll(table.streams(clock.getAsLong()));
   }
 }
--- a/router/src/test/java/io/jacinthquay/router/adapter/thrift/StreamOriginLogTest.java
+++ b/router/src/test/java/io/jacinthquay/router/adapter/thrift/StreamOriginLogTest.java
@@ -7,6 +7,8 @@
 import io.jacinthquay.model.SoftwareVersion;
 import io.jacinthquay.model.StreamId;
 import io.jacinthquay.model.StreamOrigin;
+import io.jacinthquay.wire.gen.StreamOriginMessage;
+import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
@@ -75,6 +77,30 @@
     assertEquals(0, exchange(epoch));
   }
 
+  /** The streams that callers are most likely to take up must not wait for all older ones. */
+  @Test
+  void reportsTheNewestStreamsFirstAfterALoss() {
+    exchange(EPOCH);
+    for (int i = 0; i < 2 * StreamOriginLog.MAX_REPORTED; i++) {
+      begin("stream-" + i);
+      now += 1_000_000L;
+    }
+    log.reportAllAgain();
+    begin("last");
+    List<StreamOriginMessage> first = log.report();
+    assertEquals(message(origin("last")), first.get(0).bufferForStream());
+    assertEquals(
+        message(origin("stream-" + (2 * StreamOriginLog.MAX_REPORTED - 1))),
+        first.get(1).bufferForStream());
+    assertEquals(StreamOriginLog.MAX_REPORTED, exchange(EPOCH));
+    assertEquals(StreamOriginLog.MAX_REPORTED, exchange(EPOCH));
+    assertEquals(1, exchange(EPOCH));
+  }
+
+  private static ByteBuffer message(StreamOrigin origin) {
+    return ByteBuffer.wrap(origin.stream().bytes());
+  }
+
   /** A report of many streams would hold up the exchange, so they follow in parts. */
   @Test
   void floodOfStreamsIsBoundedAndReportedInParts() {
