Soak: a router whose callers are reset counts as in touch

The proxy that resets them stands between the router and its callers only. Checks of routing and of an evacuated failure domain become stricter by this as well.

StreamChecksTest failed before with the new case (0 judged, 1 expected), and holds.

--- a/faultsoak/src/main/java/io/jacinthquay/soak/ContactLoss.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/ContactLoss.java
@@ -21,7 +21,8 @@
         .anyMatch(
             period ->
                 switch (period.kind().where()) {
-                  case ROUTER -> period.affects(router);
+                  // A router whose callers lose their connections stays in touch itself.
+                  case ROUTER -> period.kind() != FaultKind.CALLERS_RESET && period.affects(router);
                   case CONTROL, OBSERVER -> true;
                   default -> false;
                 });
--- a/faultsoak/src/test/java/io/jacinthquay/soak/StreamChecksTest.java
+++ b/faultsoak/src/test/java/io/jacinthquay/soak/StreamChecksTest.java
@@ -183,6 +183,7 @@
     "ROUTERS_KILLED, -1, -2200, 1",
     "ROUTER_KILLED, 3, -1500, 0",
     "ROUTER_KILLED, 2, -1500, 1",
+    "CALLERS_RESET, 3, -1500, 1",
     "CONTROL_KILLED, 0, 500, 0",
     "UPSTREAM_SILENT, 2, 500, 0",
     "UPSTREAM_SILENT, 1, 500, 1"
