Trailers of answers: found by the framing, without a second reader of chunks

Trailers were found by TrailerCost, a second and laxer reader of chunks beside ChunkedFraming, which was fed from a copy of what came behind each head. Two readers may disagree on where trailers begin, and the copy was made for each answer.

ResponseFraming and ChunkedFraming now say where the trailers of a read begin, and BoundedSource counts them from there in the read itself. The copy, TrailerCost and the headers handed to beginContent are gone; memory is charged and given up as before, except that trailers that come with a head are charged in that read and no longer when the head was parsed.

The cases of TrailerCostTest moved to ChunkedFramingTest.

--- a/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowUpstreamCall.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowUpstreamCall.java
@@ -168,7 +168,7 @@
       return;
     }
     ClientResponse response = exchange.getResponse();
-    connection.source().beginContent(response.getResponseHeaders());
+    connection.source().allowSkipped();
     String echoed = response.getResponseHeaders().getFirst(pool.idHeader());
     int status = response.getResponseCode();
     if (status < FIRST_FINAL_STATUS) {
--- a/runtime/src/main/java/io/jacinthquay/runtime/http/BoundedSource.java
+++ b/runtime/src/main/java/io/jacinthquay/runtime/http/BoundedSource.java
@@ -1,7 +1,5 @@
 package io.jacinthquay.runtime.http;
 
-import io.undertow.util.HeaderMap;
-import io.undertow.util.Headers;
 import java.io.IOException;
 import java.net.SocketAddress;
 import java.nio.ByteBuffer;
@@ -43,19 +41,17 @@
    */
   private static final int SMALL_HEAD_BYTES = COPIES * 8 * 1024;
 
-  private static final ByteBuffer EMPTY = ByteBuffer.allocate(0);
-
   private final AnswerMemory memory;
   private final AnswerMemory.Holding held;
   private final SocketAddress server;
   private final ResponseFraming framing = new ResponseFraming();
   private final HeadCost head = new HeadCost();
+  private final HeadCost trailers = new HeadCost();
   private InvalidFramingException invalidBody;
-  private TrailerCost trailers;
   private long headBytes;
-  private ByteBuffer behindHead = EMPTY;
   private Runnable onGivenUp = () -> {};
   private boolean inHead;
+  private boolean released = true;
   private long allowedBytes = MAX_HEAD_BYTES;
 
   private BoundedSource(
@@ -90,28 +86,11 @@
     invalidBody = null;
     onGivenUp = listener;
     inHead = true;
+    released = false;
     allowedBytes = MAX_HEAD_BYTES;
   }
 
-  /**
-   * Ends the head, whose memory stays held, and limits the bytes until the first content.
-   *
-   * @param headers the headers of the response; trailers may follow chunked content
-   */
-  public void beginContent(HeaderMap headers) {
-    inHead = false;
-    allowSkipped();
-    ByteBuffer read = behindHead;
-    behindHead = EMPTY;
-    String encoding = headers.getLast(Headers.TRANSFER_ENCODING);
-    if (encoding != null && Headers.CHUNKED.equalToString(encoding)) {
-      trailers = new TrailerCost();
-      // What is given up here fails by the next read.
-      boolean unused = tryHold(trailers.add(read, 0, read.limit()));
-    }
-  }
-
-  /** Limits the bytes that are read until the next content. */
+  /** Limits the bytes that are read until the next content, once the head or content was read. */
   public void allowSkipped() {
     allowedBytes = MAX_SKIPPED_BYTES;
   }
@@ -123,11 +102,11 @@
 
   /** Releases the memory of the response, once nothing refers to it any more. */
   public void release() {
+    released = true;
     inHead = false;
     head.reset();
+    trailers.reset();
     headBytes = 0;
-    trailers = null;
-    behindHead = EMPTY;
     onGivenUp = () -> {};
     held.release();
   }
@@ -174,23 +153,19 @@
 
   private boolean holdRead(ByteBuffer read, int start) {
     int end = read.position();
+    int headEnd = framing.headEnd();
+    int trailersStart = framing.trailersStart();
+    if (released || (!inHead && trailersStart < 0)) {
+      return true;
+    }
     if (inHead) {
-      headBytes = COPIES * head.add(read, start, end);
-      int headEnd = head.endPosition();
-      behindHead = headEnd < end ? copyOf(read, headEnd, end) : EMPTY;
-      return tryHold(0);
+      headBytes = COPIES * head.add(read, start, headEnd < 0 ? end : headEnd);
+      inHead = headEnd < 0;
     }
-    return trailers == null || tryHold(trailers.add(read, start, end));
-  }
-
-  private boolean tryHold(long trailerBytes) {
+    long trailerBytes = trailersStart < 0 ? 0 : trailers.add(read, trailersStart, end);
     return held.tryResize(headBytes + trailerBytes);
   }
 
-  private static ByteBuffer copyOf(ByteBuffer read, int from, int to) {
-    return ByteBuffer.allocate(to - from).put(read.duplicate().limit(to).position(from)).flip();
-  }
-
   @Override
   public long read(ByteBuffer[] targets, int offset, int count) throws IOException {
     for (int i = offset; i < offset + count; i++) {
--- a/runtime/src/main/java/io/jacinthquay/runtime/http/ChunkedFraming.java
+++ b/runtime/src/main/java/io/jacinthquay/runtime/http/ChunkedFraming.java
@@ -33,6 +33,7 @@
   private State state = State.SIZE;
   private int digits;
   private long remainingBytes;
+  private int trailersStart = -1;
 
   /** Begins another body. */
   void restart() {
@@ -59,6 +60,7 @@
    */
   public int read(ByteBuffer buffer, int from, int to) throws InvalidFramingException {
     int next = from;
+    trailersStart = state == State.TRAILERS ? from : -1;
     while (next < to && state != State.COMPLETE) {
       if (state == State.CONTENT) {
         int skipped = (int) Math.min(remainingBytes, to - next);
@@ -68,13 +70,22 @@
           state = State.CONTENT_RETURN;
         }
       } else {
+        boolean inSize = state == State.SIZE_END;
         readByte(buffer.get(next));
         next++;
+        if (inSize && state == State.TRAILERS) {
+          trailersStart = next;
+        }
       }
     }
     return next;
   }
 
+  /** Returns the position from which the last read was of trailers, or -1 if there was none. */
+  int trailersStart() {
+    return trailersStart;
+  }
+
   private void readByte(byte next) throws InvalidFramingException {
     switch (state) {
       case SIZE -> readSize(next);
--- a/runtime/src/main/java/io/jacinthquay/runtime/http/HeadCost.java
+++ b/runtime/src/main/java/io/jacinthquay/runtime/http/HeadCost.java
@@ -22,7 +22,6 @@
   private boolean lineEmpty;
   private boolean ended;
   private int interimMatched;
-  private int endPosition;
 
   /**
    * Adds the part of a buffer between two positions, up to the empty line that ends the head, and
@@ -36,16 +35,10 @@
       addByte(read.get(next));
       next++;
     }
-    endPosition = next;
     costBytes += (long) BYTES_PER_BYTE * (next - from);
     return costBytes;
   }
 
-  /** Returns the position up to which the last call of {@link #add} counted. */
-  int endPosition() {
-    return endPosition;
-  }
-
   private void addByte(byte next) {
     switch (next) {
       case '\n' -> {
--- a/runtime/src/main/java/io/jacinthquay/runtime/http/JsonHttpClient.java
+++ b/runtime/src/main/java/io/jacinthquay/runtime/http/JsonHttpClient.java
@@ -270,7 +270,7 @@
           return;
         }
         int status = exchange.getResponse().getResponseCode();
-        source.beginContent(exchange.getResponse().getResponseHeaders());
+        source.allowSkipped();
         body =
             new BodyReader(BUFFERS, chunkListener, source, newBodyMemory()) {
               @Override
--- a/runtime/src/main/java/io/jacinthquay/runtime/http/ResponseFraming.java
+++ b/runtime/src/main/java/io/jacinthquay/runtime/http/ResponseFraming.java
@@ -42,6 +42,7 @@
   private long length;
   private boolean excess;
   private int headEnd;
+  private int trailersStart;
   private boolean endedByConnection;
 
   /**
@@ -81,6 +82,7 @@
   void read(ByteBuffer buffer, int from, int to) throws InvalidFramingException {
     int next = from;
     headEnd = -1;
+    trailersStart = -1;
     while (next < to && state != State.COMPLETE) {
       boolean inHead = isInHead();
       next = readPart(buffer, next, to);
@@ -98,6 +100,11 @@
     return headEnd;
   }
 
+  /** Returns the position from which the last read was of trailers, or -1 if there was none. */
+  int trailersStart() {
+    return trailersStart;
+  }
+
   private boolean isInHead() {
     return state == State.STATUS_LINE || state == State.FIELDS;
   }
@@ -106,6 +113,7 @@
     return switch (state) {
       case CHUNKS -> {
         int next = chunks.read(buffer, from, to);
+        trailersStart = chunks.trailersStart();
         state = chunks.isComplete() ? State.COMPLETE : State.CHUNKS;
         yield next;
       }
--- a/runtime/src/test/java/io/jacinthquay/runtime/http/ChunkedFramingTest.java
+++ b/runtime/src/test/java/io/jacinthquay/runtime/http/ChunkedFramingTest.java
@@ -8,6 +8,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests the end of chunked bodies, read at once and byte by byte. */
@@ -91,4 +92,32 @@
     assertThrows(InvalidFramingException.class, () -> readSingly(body));
     assertFalse(framing.isComplete());
   }
+
+  private long trailerCost(HeadCost cost, String text) throws InvalidFramingException {
+    ByteBuffer buffer = ByteBuffer.wrap(text.getBytes(StandardCharsets.ISO_8859_1));
+    int end = framing.read(buffer, 0, buffer.limit());
+    int start = framing.trailersStart();
+    return cost.add(buffer, start < 0 ? end : start, end);
+  }
+
+  /** Trailers of few bytes take far more memory than their bytes, content and framing take none. */
+  @ParameterizedTest
+  @CsvSource({
+    "'5\r\nhello\r\n', 0",
+    "'a;x=y\r\n0\n\n0\n\n0\n\n0\r\n0\r\n', 0",
+    "'2\r\n\r\n\r\nf\r\n0123456789abcde\r\n0\r\na:b\r\n', 230",
+    "'0\r\na:b\r\n', 230",
+    "'5\r\nhello\r\n0;x\r\na:b\r\nc:', 234",
+    "'0\r\na:b\r\n\r\nHTTP/1.1', 454"
+  })
+  void onlyTrailersCostMemory(String body, long expectedBytes) throws Exception {
+    assertEquals(expectedBytes, trailerCost(new HeadCost(), body));
+    framing.restart();
+    HeadCost singly = new HeadCost();
+    long costBytes = 0;
+    for (int i = 0; i < body.length(); i++) {
+      costBytes = trailerCost(singly, body.substring(i, i + 1));
+    }
+    assertEquals(expectedBytes, costBytes);
+  }
 }
