Polled JSON: lists are read entry by entry, and trees are bounded

Engines, and the platform's lists of VMs and prices, are polled for JSON of up to 4 MB. The tree that was made of the whole text takes up to 30 times its bytes, so a faulty engine that answers with many small values ended the router, and every request on it, with code 3.

JsonEntries reads a list one entry after the other, skips what is beside it and bounds the values of an entry, so a call holds its text, one small tree and the values that it keeps: 10,000 at most. Four threads poll engines and one the list, which bounds the sum. A page with more events than one poll takes is read on by the next poll; a longer list of VMs or prices fails as a whole, as a part of it would remove VMs.

Before: ManyPolledValuesTest, a process with the heap of a deployment, 5 of 5 cases ended with code 3. After: 5 of 5 hold. JsonEntriesTest (19), HttpPlatformTest (9), CloudFleetTest (42), RoutingDocumentParserTest (11), DispatchTest (2), WholePathTest (6) and PeersTest (3) hold. HttpPlatform was not run in a small heap.

--- a/controller/src/main/java/io/jacinthquay/controller/adapter/http/HttpPlatform.java
+++ b/controller/src/main/java/io/jacinthquay/controller/adapter/http/HttpPlatform.java
@@ -1,8 +1,6 @@
 package io.jacinthquay.controller.adapter.http;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import io.jacinthquay.controller.port.Order;
 import io.jacinthquay.controller.port.Platform;
 import io.jacinthquay.controller.port.PlatformVm;
@@ -18,7 +16,9 @@
 import io.jacinthquay.runtime.http.HttpHeader;
 import io.jacinthquay.runtime.http.HttpResponse;
 import io.jacinthquay.runtime.http.JsonHttpClient;
+import io.jacinthquay.runtime.json.JsonEntries;
 import io.vavr.control.Either;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -35,7 +35,9 @@
   private static final int STATUS_REQUEST_TIMEOUT = 408;
   private static final int STATUS_CONFLICT = 409;
   private static final int MIN_STATUS_SERVER_ERROR = 500;
-  private static final ObjectMapper MAPPER = new ObjectMapper();
+
+  /** Most entries of a list, each of which is kept. */
+  private static final int MAX_ENTRIES = 10_000;
 
   private final InetSocketAddress address;
   private final JsonHttpClient http;
@@ -119,11 +121,12 @@
       String body, String field, Function<JsonNode, T> parser) {
     try {
       List<T> values = new ArrayList<>();
-      for (JsonNode node : MAPPER.readTree(body).path(field)) {
-        values.add(parser.apply(node));
+      JsonEntries entries = JsonEntries.of(body, field, MAX_ENTRIES);
+      for (Optional<JsonNode> node = entries.next(); node.isPresent(); node = entries.next()) {
+        values.add(parser.apply(node.get()));
       }
       return Either.right(values);
-    } catch (JsonProcessingException | IllegalArgumentException e) {
+    } catch (IOException | IllegalArgumentException e) {
       return Either.left(
           Failure.of(ResultCode.UPSTREAM_BROKE, "the platform's answer has no valid " + field));
     }
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/HttpEngineMonitor.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/HttpEngineMonitor.java
@@ -8,15 +8,24 @@
 import io.jacinthquay.router.port.EngineLoad;
 import io.jacinthquay.router.port.EngineMonitor;
 import io.jacinthquay.router.port.VmEntry;
+import io.jacinthquay.runtime.json.BoundedJson;
+import io.jacinthquay.runtime.json.JsonEntries;
 import io.vavr.control.Either;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 /** Polls engines over HTTP. */
 public final class HttpEngineMonitor implements EngineMonitor {
-  private static final ObjectMapper MAPPER = new ObjectMapper();
+  /** Most names and values of a load report, the names of its models included. */
+  private static final int MAX_LOAD_TOKENS = 10_000;
+
+  /** Most events that one poll takes; the next poll takes those behind them. */
+  private static final int MAX_EVENTS = 10_000;
+
+  private static final ObjectMapper MAPPER = BoundedJson.mapper(MAX_LOAD_TOKENS);
   private static final int HEX_RADIX = 16;
 
   private final JsonHttp http;
@@ -52,10 +61,12 @@
   public Either<Failure, List<CacheEvent>> cacheEvents(VmEntry engine, long since) {
     try {
       String target = "/cache-events?since=" + since;
-      JsonNode page = MAPPER.readTree(http.get(engine.address(), target));
+      JsonEntries page = JsonEntries.of(http.get(engine.address(), target), "events");
       List<CacheEvent> events = new ArrayList<>();
-      for (JsonNode event : page.path("events")) {
-        events.add(event(engine, event));
+      Optional<JsonNode> next = page.next();
+      while (next.isPresent() && events.size() < MAX_EVENTS) {
+        events.add(event(engine, next.get()));
+        next = page.next();
       }
       return Either.right(events);
     } catch (IOException | IllegalArgumentException e) {
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/HttpVmDirectory.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/HttpVmDirectory.java
@@ -1,7 +1,6 @@
 package io.jacinthquay.router.adapter.http;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import io.jacinthquay.model.DomainId;
 import io.jacinthquay.model.Failure;
 import io.jacinthquay.model.ModelName;
@@ -10,6 +9,7 @@
 import io.jacinthquay.model.UpstreamId;
 import io.jacinthquay.router.port.VmDirectory;
 import io.jacinthquay.router.port.VmEntry;
+import io.jacinthquay.runtime.json.JsonEntries;
 import io.vavr.control.Either;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -23,7 +23,9 @@
 /** Reads the platform's list of VMs over HTTP. */
 public final class HttpVmDirectory implements VmDirectory {
   private static final Logger log = LogManager.getLogger();
-  private static final ObjectMapper MAPPER = new ObjectMapper();
+
+  /** Most entries of a list, each of which is kept. */
+  private static final int MAX_ENTRIES = 10_000;
 
   private final JsonHttp http;
   private final InetSocketAddress platform;
@@ -42,10 +44,10 @@
   @Override
   public Either<Failure, List<VmEntry>> list() {
     try {
-      JsonNode root = MAPPER.readTree(http.get(platform, "/vms"));
+      JsonEntries list = JsonEntries.of(http.get(platform, "/vms"), "vms", MAX_ENTRIES);
       List<VmEntry> entries = new ArrayList<>();
-      for (JsonNode vm : root.path("vms")) {
-        entry(vm).ifPresent(entries::add);
+      for (Optional<JsonNode> vm = list.next(); vm.isPresent(); vm = list.next()) {
+        entry(vm.get()).ifPresent(entries::add);
       }
       return Either.right(entries);
     } catch (IOException e) {
