Cached prefixes: the parts that a view holds are bounded

Control VMs pass on the shared prefixes that routers report, 400 at most in a response, but with any number of parts. 400 prompts of some thousand parts made a view above the limits of a message, which no router could read: all of them lost their lead for as long as the entries stayed.

The log of a control VM keeps entries of 100,000 parts at most and drops the oldest beyond, whoever reported them: a response takes 1.5 MB at most. Routers report the first 64 parts of a prefix.

Before: RouterRegistryTest, 2 of 3 cases of prefixesOfAViewHaveABoundedNumberOfParts failed, with 2,000,000 and 1,000,000 parts. After: 3 of 3, RouterRegistryTest (10) and DomainRelayTest (9) hold. The bound of the routers has no test of its own.

--- a/control/src/main/java/io/jacinthquay/control/service/CachedPrefixLog.java
+++ b/control/src/main/java/io/jacinthquay/control/service/CachedPrefixLog.java
@@ -20,10 +20,17 @@
   /** Maximum number of entries in one response; the oldest are left out, since they matter less. */
   private static final int MAX_PER_RESPONSE = 400;
 
+  /**
+   * Most parts of prompts in all entries, so that a response fits into a message: it takes 1.5 MB
+   * at most, and 5 MB as objects.
+   */
+  private static final int MAX_PARTS = 100_000;
+
   private record Entry(long number, String source, PrefixReadMessage message) {}
 
   private final Deque<Entry> entries = new ArrayDeque<>();
   private long lastNumber;
+  private int parts;
 
   /**
    * Adds the cached prefixes that a router or relay reported.
@@ -34,9 +41,10 @@
     for (PrefixReadMessage message : messages) {
       lastNumber++;
       entries.addLast(new Entry(lastNumber, source, message));
-    }
-    while (entries.size() > MAX_ENTRIES) {
-      entries.pollFirst();
+      parts += message.getPartsSize();
+      while (entries.size() > MAX_ENTRIES || parts > MAX_PARTS) {
+        parts -= entries.removeFirst().message().getPartsSize();
+      }
     }
   }
 
--- a/control/src/test/java/io/jacinthquay/control/service/RouterRegistryTest.java
+++ b/control/src/test/java/io/jacinthquay/control/service/RouterRegistryTest.java
@@ -11,14 +11,21 @@
 import io.jacinthquay.wire.gen.RouterReportMessage;
 import io.jacinthquay.wire.gen.UpstreamLoadMessage;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 final class RouterRegistryTest {
   private static final long NANOS_PER_SECOND = 1_000_000_000L;
 
+  /** About half of the parts that fit into the largest message, in bytes and as objects. */
+  private static final int MAX_PARTS_PER_VIEW = 500_000;
+
   private final AtomicLong clock = new AtomicLong();
   private final RouterRegistry registry = new RouterRegistry(clock::get);
 
@@ -143,4 +150,22 @@
     assertEquals(List.of(second), prefixes.entriesAfter(seen, "c"));
     assertTrue(prefixes.entriesAfter(prefixes.lastNumber(), "c").isEmpty());
   }
+
+  /**
+   * Views with the prefixes of long prompts exceeded the limits of a message, and none was read.
+   */
+  @ParameterizedTest
+  @CsvSource({"400, 20, 400", "400, 5000, 20", "2, 500000, 0"})
+  void prefixesOfAViewHaveABoundedNumberOfParts(int prompts, int parts, int least) {
+    CachedPrefixLog prefixes = new CachedPrefixLog();
+    List<Long> ids = LongStream.range(0, parts).boxed().toList();
+    List<Integer> tokens = Collections.nCopies(parts, 9_000);
+    for (int i = 0; i < prompts; i++) {
+      prefixes.add("a", List.of(new PrefixReadMessage("u", ids, tokens)));
+    }
+    List<PrefixReadMessage> passedOn = prefixes.entriesAfter(0, "b");
+    int sum = passedOn.stream().mapToInt(PrefixReadMessage::getPartsSize).sum();
+    assertTrue(passedOn.size() >= least, "only " + passedOn.size() + " prefixes");
+    assertTrue(sum <= MAX_PARTS_PER_VIEW, "a view has " + sum + " parts");
+  }
 }
--- a/router/src/main/java/io/jacinthquay/router/service/forward/CachedPrefixLog.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/CachedPrefixLog.java
@@ -17,6 +17,12 @@
   /** Maximum number of shared prefixes in one report. */
   private static final int MAX_REPORTED_PREFIXES = 256;
 
+  /**
+   * Most parts of a prefix that are reported. What other routers know of a longer one is enough to
+   * find the upstream that holds it.
+   */
+  private static final int MAX_PARTS_PER_PREFIX = 64;
+
   private final List<CachedPrefix> unreported = new ArrayList<>();
 
   /** Records the shared prefix of a request that was sent, if it is long enough. */
@@ -24,7 +30,8 @@
     List<PromptPart> shared = work.sharedParts();
     int tokens = shared.stream().mapToInt(PromptPart::tokens).sum();
     if (tokens >= MIN_REPORTED_PREFIX_TOKENS && unreported.size() < MAX_REPORTED_PREFIXES) {
-      unreported.add(new CachedPrefix(upstream, shared));
+      int reported = Math.min(shared.size(), MAX_PARTS_PER_PREFIX);
+      unreported.add(new CachedPrefix(upstream, shared.subList(0, reported)));
     }
   }
 
