Take-ups go on at the only version of their pool while nobody leads

What callers saw: while nobody led, and for 1.5 s after an election, a take-up at a router that didn't begin the stream was refused with 1209, also where the pool has had one version only all the time.

Cause: only a leader that has recovered names the only version of a pool, and nothing of what it named before counted.

Change: a router follows the lists that it gets, and the leader confirms once, at a call of its own, that the version which they show is the only one that counts. While no leader answers or a new one recovers, a take-up goes on at that version as soon as a list polled 1 s after the question still shows it alone.

--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/ControlLink.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/ControlLink.java
@@ -173,7 +173,7 @@
         new LeaderSearch(
             () -> seeds.get().stream().map(SocketAddresses::format).toList(),
             new SplittableRandom());
-    this.list = new ListInForce(this::applyListings);
+    this.list = new ListInForce(this::applyListings, origins.versions());
     this.monitor = new ControlLinkMonitor(core.metrics(), list, System::nanoTime);
     this.poller =
         directory.map(
--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/ControlStreamOrigins.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/ControlStreamOrigins.java
@@ -25,6 +25,7 @@
  */
 public final class ControlStreamOrigins implements StreamOrigins, Service {
   private final StreamOriginLog origins = new StreamOriginLog(System::nanoTime);
+  private final PoolVersionRuns versions = new PoolVersionRuns();
   private final KnownControls controls;
   private final OriginMonitor monitor;
   private final OriginFinder finder;
@@ -44,7 +45,12 @@
     monitor = new OriginMonitor(metrics, origins, System::nanoTime);
     finder =
         new OriginFinder(
-            controls, origins, monitor, OriginFinder.LIMIT, task -> ioThread.get().execute(task));
+            controls,
+            origins,
+            versions,
+            monitor,
+            OriginFinder.LIMIT,
+            task -> ioThread.get().execute(task));
   }
 
   @Override
@@ -86,6 +92,11 @@
     return controls;
   }
 
+  /** Returns what the lists show of the versions of pools; the link records its lists there. */
+  PoolVersionRuns versions() {
+    return versions;
+  }
+
   /** Returns the streams that the next report carries. */
   List<StreamOriginMessage> report() {
     return origins.report();
--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/ListInForce.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/ListInForce.java
@@ -100,6 +100,7 @@
   private static final String PLATFORM = "the platform";
 
   private final Consumer<List<UpstreamListing>> apply;
+  private final PoolVersionRuns versions;
   private final Map<String, Received> lastByVm = new HashMap<>();
   private Set<UpstreamListing> inForce = Set.of();
 
@@ -118,9 +119,11 @@
    * Returns an instance without a list.
    *
    * @param apply receives each list that differs from the one in force before, in order
+   * @param versions receives each list, also those that don't come into force
    */
-  ListInForce(Consumer<List<UpstreamListing>> apply) {
+  ListInForce(Consumer<List<UpstreamListing>> apply, PoolVersionRuns versions) {
     this.apply = apply;
+    this.versions = versions;
   }
 
   /** Returns the number of the list that a VM sent last; empty if it sent none. */
@@ -149,6 +152,7 @@
     // The stated age is cut to whole milliseconds.
     long earliestNanos = answer.requestNanos() - ageNanos - NANOS_PER_MILLI;
     long latestNanos = answer.answerNanos() - ageNanos;
+    versions.record(last.listings(), earliestNanos, latestNanos);
     if (isNewer(answer.vm(), earliestNanos, latestNanos)) {
       // Most views confirm the list in force, and are many a second.
       boolean confirms = inForceOfVm.filter(received -> received == last).isPresent();
@@ -166,6 +170,7 @@
   /** Applies a list that the platform returned to this router. */
   synchronized void recordPlatform(
       List<UpstreamListing> listings, long requestNanos, long answerNanos) {
+    versions.record(listings, requestNanos, answerNanos);
     if (isNewer(PLATFORM, requestNanos, answerNanos)) {
       replace(listings);
       inForceOfVm = Optional.empty();
--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/OriginAnswer.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/OriginAnswer.java
@@ -36,6 +36,10 @@
   record Resolution(OriginMonitor.Outcome outcome, Origin origin) {
     static final Resolution NO_ANSWER =
         new Resolution(OriginMonitor.Outcome.NO_ANSWER, Origin.NO_ANSWER);
+
+    static Resolution onlyVersion(SoftwareVersion version) {
+      return new Resolution(OriginMonitor.Outcome.ONLY_VERSION, Origin.of(version));
+    }
   }
 
   /**
@@ -70,7 +74,7 @@
     }
     SoftwareVersion only = onlyVersions.get(question.pool());
     if (only != null) {
-      return Optional.of(new Resolution(OriginMonitor.Outcome.ONLY_VERSION, Origin.of(only)));
+      return Optional.of(Resolution.onlyVersion(only));
     }
     boolean reportMayCome =
         question.stream().isPresent() && atNanos - question.askedNanos() < REPORT_NANOS;
--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/OriginFinder.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/OriginFinder.java
@@ -48,6 +48,9 @@
    */
   static final Duration LIMIT = Duration.ofSeconds(1);
 
+  /** Further time for which the next list is awaited if that can answer a question. */
+  private static final Duration LIST_WAIT = Duration.ofMillis(1_500);
+
   /** Shortest time between two calls to the leader, in milliseconds. */
   private static final long MIN_INTERVAL_MILLIS = 50;
 
@@ -60,6 +63,14 @@
   /** Longest time between two calls, in milliseconds; a question is asked three times at least. */
   private static final long MAX_INTERVAL_MILLIS = 300;
 
+  /**
+   * Time between two calls that ask the leader to confirm the only versions that are listed, in
+   * milliseconds: the least one, and the one per router. Calls end with the confirmation.
+   */
+  private static final long CONFIRM_MILLIS = 1_000;
+
+  private static final long CONFIRM_MILLIS_PER_ROUTER = 10;
+
   /** Timeouts for connecting to and for reading from a control VM, in milliseconds. */
   private static final int CONNECT_TIMEOUT_MILLIS = 200;
 
@@ -72,6 +83,7 @@
 
   private final KnownControls controls;
   private final StreamOriginLog origins;
+  private final PoolVersionRuns versions;
   private final OriginMonitor monitor;
   private final long limitNanos;
   private final Executor ioThread;
@@ -81,6 +93,7 @@
   private String target;
   private Channel channel;
   private long calledNanos = System.nanoTime() - MAX_INTERVAL_MILLIS * NANOS_PER_MILLI;
+  private long confirmNanos = System.nanoTime();
   private volatile boolean running;
 
   /**
@@ -88,18 +101,21 @@
    *
    * @param controls the control VMs that may lead
    * @param origins receives what is found
+   * @param versions answers while no leader does
    * @param limit time after which a question gets no answer
    * @param ioThread runs what the questions get
    */
   OriginFinder(
       KnownControls controls,
       StreamOriginLog origins,
+      PoolVersionRuns versions,
       OriginMonitor monitor,
       Duration limit,
       Executor ioThread) {
     this.limitNanos = limit.toNanos();
     this.controls = controls;
     this.origins = origins;
+    this.versions = versions;
     this.monitor = monitor;
     this.ioThread = ioThread;
     thread.setDaemon(true);
@@ -140,12 +156,14 @@
     disconnect();
   }
 
-  /** Waits until there are questions and the next call is due. */
+  /** Waits until there are questions, or versions to confirm, and the next call is due. */
   private void awaitQuestions() throws InterruptedException {
     if (pending.isEmpty()) {
-      OriginQuestion first = queue.poll(IDLE_MILLIS, TimeUnit.MILLISECONDS);
+      OriginQuestion first = queue.poll(CONFIRM_MILLIS, TimeUnit.MILLISECONDS);
       if (first == null) {
-        disconnect();
+        if (System.nanoTime() - calledNanos >= IDLE_MILLIS * NANOS_PER_MILLI) {
+          disconnect();
+        }
         return;
       }
       pending.add(first);
@@ -165,13 +183,37 @@
 
   /** Asks once; nothing that is thrown may end the thread, which nothing would replace. */
   private void tryStep() {
-    if (pending.isEmpty()) {
+    List<PoolName> unconfirmed = unconfirmedPools();
+    if (pending.isEmpty() && unconfirmed.isEmpty()) {
       return;
     }
-    tryRun(() -> askLeader().ifPresent(leader -> resolve(leader::resolve)));
+    tryRun(() -> step(unconfirmed));
     tryRun(this::resolveExpired);
   }
 
+  /** Returns the pools whose only versions the leader is to confirm with the next call. */
+  private List<PoolName> unconfirmedPools() {
+    long now = System.nanoTime();
+    if (now - confirmNanos < 0) {
+      return List.of();
+    }
+    long millis = Math.max(CONFIRM_MILLIS, CONFIRM_MILLIS_PER_ROUTER * controls.routers());
+    confirmNanos = now + millis * NANOS_PER_MILLI;
+    return versions.unconfirmed();
+  }
+
+  private void step(List<PoolName> unconfirmed) {
+    Optional<OriginAnswer> leader = askLeader(unconfirmed);
+    leader.ifPresent(answer -> resolve(answer::resolve));
+    if (leader.isEmpty() || leader.get().recovering()) {
+      resolve(
+          question ->
+              versions
+                  .onlyVersion(question.pool(), question.askedNanos())
+                  .map(OriginAnswer.Resolution::onlyVersion));
+    }
+  }
+
   private void tryRun(Runnable step) {
     try {
       step.run();
@@ -185,11 +227,15 @@
     long now = System.nanoTime();
     resolve(
         question ->
-            now - question.askedNanos() >= limitNanos
+            now - question.askedNanos() >= limitNanos(question)
                 ? Optional.of(OriginAnswer.Resolution.NO_ANSWER)
                 : Optional.empty());
   }
 
+  private long limitNanos(OriginQuestion question) {
+    return versions.isConfirmed(question.pool()) ? limitNanos + LIST_WAIT.toNanos() : limitNanos;
+  }
+
   /** Delivers what the resolver returns. A question leaves the pending ones before its delivery. */
   private void resolve(Function<OriginQuestion, Optional<OriginAnswer.Resolution>> resolver) {
     List<OriginQuestion> open = new ArrayList<>();
@@ -218,27 +264,43 @@
   }
 
   /** Asks the control VMs in turn until the leader answers; empty if none of them does. */
-  private Optional<OriginAnswer> askLeader() {
+  private Optional<OriginAnswer> askLeader(List<PoolName> unconfirmed) {
     calledNanos = System.nanoTime();
     List<StreamQuestionMessage> questions = new ArrayList<>();
     pending.forEach(
         question -> questions.add(OriginMessages.toQuestion(question.stream(), question.pool())));
+    unconfirmed.forEach(pool -> questions.add(OriginMessages.toQuestion(Optional.empty(), pool)));
     Set<String> asked = new HashSet<>();
     for (Optional<String> next = next(asked); next.isPresent(); next = next(asked)) {
       asked.add(next.get());
       Optional<OriginAnswer> answer = call(next.get(), questions);
       if (answer.isPresent()) {
         answer.get().found().values().forEach(origins::recordFound);
+        recordVersions(questions, answer.get());
         return answer;
       }
       disconnect();
-      if (!running || System.nanoTime() - calledNanos >= limitNanos) {
+      boolean waitedFor = pending.isEmpty() && !queue.isEmpty();
+      if (!running || waitedFor || System.nanoTime() - calledNanos >= limitNanos) {
         break;
       }
     }
     return Optional.empty();
   }
 
+  private void recordVersions(List<StreamQuestionMessage> questions, OriginAnswer answer) {
+    if (answer.recovering()) {
+      return;
+    }
+    questions.stream()
+        .map(question -> new PoolName(question.getPool()))
+        .distinct()
+        .forEach(
+            pool ->
+                versions.recordLeader(
+                    pool, Optional.ofNullable(answer.onlyVersions().get(pool)), calledNanos));
+  }
+
   /** Returns the control VM to ask: the one that is connected, or else one not asked yet. */
   private Optional<String> next(Set<String> asked) {
     return channel != null
--- a/router/src/test/java/io/jacinthquay/router/adapter/thrift/ListInForceTest.java
+++ b/router/src/test/java/io/jacinthquay/router/adapter/thrift/ListInForceTest.java
@@ -22,7 +22,8 @@
   private static final List<UpstreamListing> DRAINING = List.of(upstream(true, 0));
 
   private final List<List<UpstreamListing>> applied = new ArrayList<>();
-  private final ListInForce list = new ListInForce(applied::add);
+  private final PoolVersionRuns versions = new PoolVersionRuns();
+  private final ListInForce list = new ListInForce(applied::add, versions);
 
   private static UpstreamListing upstream(boolean draining, long coldMillis) {
     return new UpstreamListing(
--- a/router/src/test/java/io/jacinthquay/router/adapter/thrift/ListPollerTest.java
+++ b/router/src/test/java/io/jacinthquay/router/adapter/thrift/ListPollerTest.java
@@ -28,7 +28,7 @@
   private static final int ROUTERS = 64;
 
   private final List<Integer> readers = new ArrayList<>();
-  private final ListInForce list = new ListInForce(listings -> {});
+  private final ListInForce list = new ListInForce(listings -> {}, new PoolVersionRuns());
   private long monitorNanos;
   private final ControlLinkMonitor monitor =
       new ControlLinkMonitor(new ForwardMetrics(), list, () -> monitorNanos);
--- a/router/src/test/java/io/jacinthquay/router/adapter/thrift/OriginFinderTest.java
+++ b/router/src/test/java/io/jacinthquay/router/adapter/thrift/OriginFinderTest.java
@@ -177,6 +177,7 @@
         new OriginFinder(
             new KnownControls(() -> addresses),
             origins,
+            new PoolVersionRuns(),
             new OriginMonitor(new ForwardMetrics(), origins, System::nanoTime),
             limit,
             ioThread);
--- /dev/null
+++ b/router/src/test/java/io/jacinthquay/router/adapter/thrift/PoolVersionRunsTest.java
@@ -0,0 +1,86 @@
+package io.jacinthquay.router.adapter.thrift;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.jacinthquay.decision.dispatch.UpstreamListing;
+import io.jacinthquay.model.DomainId;
+import io.jacinthquay.model.PoolName;
+import io.jacinthquay.model.SoftwareVersion;
+import io.jacinthquay.model.UpstreamId;
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+final class PoolVersionRunsTest {
+  private static final PoolName POOL = new PoolName("p");
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+
+  private final PoolVersionRuns runs = new PoolVersionRuns();
+
+  private static UpstreamListing listing(String version) {
+    return new UpstreamListing(
+        new UpstreamId("u-" + version),
+        POOL,
+        new DomainId("a"),
+        InetSocketAddress.createUnresolved("h", 1),
+        false,
+        false,
+        8,
+        0,
+        new SoftwareVersion(version));
+  }
+
+  /** Takes a list polled at a time, as in 400:v1+v2, or what a leader says, as in 400!v1. */
+  private void run(String step) {
+    String[] parts = step.split("[:!]");
+    long nanos = Long.parseLong(parts[0]) * NANOS_PER_MILLI;
+    if (step.contains("!")) {
+      Optional<SoftwareVersion> only =
+          Optional.of(parts[1]).filter(v -> !v.equals("none")).map(SoftwareVersion::new);
+      runs.recordLeader(POOL, only, nanos);
+    } else {
+      runs.record(
+          Stream.of(parts[1].split("\\+")).map(PoolVersionRunsTest::listing).toList(),
+          nanos,
+          nanos);
+    }
+  }
+
+  /** A stream must not go on at a version that may not have begun it, whatever nobody saw. */
+  @ParameterizedTest
+  @CsvSource({
+    // steps, asked at; version
+    "0:v1 100!v1 1600:v1, 600, v1",
+    "0:v1 100!v1 1600:v1, 601,",
+    "0:v1 1600:v1, 600,",
+    "0:v1 100!none 1600:v1, 600,",
+    "0:v1 100!v2 1600:v1, 600,",
+    "100:v1 100!v1 1600:v1, 600,",
+    "0:v1 100!v1 200!none 1600:v1, 600,",
+    // The router was cut off or paused.
+    "0:v1 100!v1 2000:v1, 600, v1",
+    "0:v1 100!v1 2001:v1, 600,",
+    "0:v1 100!v1 2001:v1 2100!v1 4000:v1, 600, v1",
+    // Another version was listed, and left.
+    "0:v1 100!v1 1600:v1+v2, 600,",
+    "0:v1 100!v1 1600:v2, 600,",
+    "0:v1 100!v1 800:v1+v2 1600:v1, 600,",
+    "0:v1 100!v1 800:v2 1600:v1, 600,",
+    // A later list came first.
+    "0:v1 100!v1 1600:v1 1500:v2, 600,",
+    "1000:v1 1100!v1 900:v2 2400:v1, 1200, v1",
+    // The next leader has not seen the other version.
+    "0:v1 100!v1 800:v1+v2 1600:v1 1700!v1 2800:v1, 1800,",
+    "0:v2 69990:v1 69999!v1 71500:v1, 70200,",
+    "1:v2 69999:v1 70000!v1 71500:v1, 70200,",
+    "0:v2 69999:v1 70000!v1 71500:v1, 70200, v1",
+  })
+  void onlyAVersionThatBeganEveryStreamIsNamed(String steps, long askedMillis, String version) {
+    Stream.of(steps.split(" ")).forEach(this::run);
+    assertEquals(
+        Optional.ofNullable(version).map(SoftwareVersion::new),
+        runs.onlyVersion(POOL, askedMillis * NANOS_PER_MILLI));
+  }
+}
