A second origin of a stream id that is recorded during a report is reported, too

What callers may see: a router that began two streams of one id, of two versions, told the leader of the first one only, if the second began while the report with the first was under way. A take-up elsewhere could then be joined from two versions.

Cause: the end of an exchange marked the ids that it carried as reported, also those recorded again since.

An id that is recorded during a report doesn't count as reported by it any more.

--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/StreamOriginLog.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/StreamOriginLog.java
@@ -6,6 +6,7 @@
 import io.jacinthquay.wire.convert.OriginMessages;
 import io.jacinthquay.wire.gen.StreamOriginMessage;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
@@ -39,7 +40,8 @@
   /** Older streams that are reported again, the newest ones first. */
   private final Set<StreamId> again = new LinkedHashSet<>();
 
-  private List<StreamId> underWay = List.of();
+  private final Set<StreamId> underWay = new HashSet<>();
+  private int underWayCount;
   private long epoch;
 
   /**
@@ -57,6 +59,8 @@
     OriginTable.Result result = table.record(origin, THIS_ROUTER, 0, clock.getAsLong());
     if (result == OriginTable.Result.RECORDED) {
       unreported.add(origin.stream());
+      // The report that is under way may hold another origin of the same id.
+      underWay.remove(origin.stream());
     }
     return result;
   }
@@ -84,7 +88,9 @@
     for (StreamId stream : reported) {
       table.reported(stream, now).forEach(origin -> messages.add(OriginMessages.toMessage(origin)));
     }
-    underWay = reported;
+    underWay.clear();
+    underWay.addAll(reported);
+    underWayCount = reported.size();
     return messages;
   }
 
@@ -94,10 +100,11 @@
    * @return the number of streams that were reported
    */
   synchronized int recordView(long newEpoch) {
-    int reported = underWay.size();
+    int reported = underWayCount;
+    underWayCount = 0;
     underWay.forEach(unreported::remove);
     underWay.forEach(again::remove);
-    underWay = List.of();
+    underWay.clear();
     if (newEpoch != epoch) {
       epoch = newEpoch;
       reportAllAgain();
--- a/router/src/test/java/io/jacinthquay/router/adapter/thrift/StreamOriginLogTest.java
+++ b/router/src/test/java/io/jacinthquay/router/adapter/thrift/StreamOriginLogTest.java
@@ -57,6 +57,19 @@
     assertEquals(0, exchange(EPOCH));
   }
 
+  /** A leader took a stream for known that had begun again at another version. */
+  @Test
+  void reportsAnotherOriginThatIsRecordedWhileAReportIsUnderWay() {
+    exchange(EPOCH);
+    begin("a", "b");
+    assertEquals(2, log.report().size());
+    StreamOrigin first = origin("a");
+    log.recordBegun(new StreamOrigin(first.stream(), first.pool(), new SoftwareVersion("v2")));
+    log.recordView(EPOCH);
+    assertEquals(2, exchange(EPOCH));
+    assertEquals(0, exchange(EPOCH));
+  }
+
   /** A leader was lost, or a relay that may not have passed reports on. */
   @ParameterizedTest
   @CsvSource({"true, 0, 3", "false, 1, 3", "true, 60000, 0", "true, 1000, 3"})
