A question asked while the finder of origins stops is answered

What callers saw: a take-up at a router that stops could wait without an answer, if its question was queued after the thread had taken the last ones.

Cause: the check whether the thread runs and the queueing were two steps.

Queueing and the end of the thread now exclude each other: a question is either queued before the last ones are taken, or gets no answer at once.

--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/OriginFinder.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/OriginFinder.java
@@ -135,12 +135,22 @@
 
   /** Asks a question. Called on the I/O thread, which {@code found} runs on, too. */
   void ask(Optional<StreamId> stream, PoolName pool, Consumer<Origin> found) {
-    if (!running || !queue.offer(new OriginQuestion(stream, pool, System.nanoTime(), found))) {
+    if (!offer(new OriginQuestion(stream, pool, System.nanoTime(), found))) {
       monitor.recordAnswer(OriginMonitor.Outcome.NO_ANSWER);
       found.accept(Origin.NO_ANSWER);
     }
   }
 
+  /** Queues a question, unless the thread has taken the last ones or there is no place. */
+  private synchronized boolean offer(OriginQuestion question) {
+    return running && queue.offer(question);
+  }
+
+  private synchronized void takeLastQuestions() {
+    running = false;
+    queue.drainTo(pending);
+  }
+
   private void run() {
     while (running) {
       try {
@@ -150,8 +160,7 @@
         break;
       }
     }
-    running = false;
-    queue.drainTo(pending);
+    takeLastQuestions();
     resolve(question -> Optional.of(OriginAnswer.Resolution.NO_ANSWER));
     disconnect();
   }
--- a/router/src/test/java/io/jacinthquay/router/adapter/thrift/OriginFinderTest.java
+++ b/router/src/test/java/io/jacinthquay/router/adapter/thrift/OriginFinderTest.java
@@ -248,6 +248,22 @@
     found.get(HANG_TIMEOUT_SECONDS, TimeUnit.SECONDS);
   }
 
+  /** A take-up hung until its caller left, as its question was asked while the finder stopped. */
+  @Test
+  void questionsAskedDuringTheStopAreAnswered() throws Exception {
+    for (int run = 0; run < 300; run++) {
+      startFinder(List.of(), SHORT_LIMIT);
+      CountDownLatch answered = new CountDownLatch(400);
+      Thread stopper = new Thread(finder::stop);
+      stopper.start();
+      for (int i = 0; i < 400; i++) {
+        finder.ask(Optional.of(STREAM), POOL, origin -> answered.countDown());
+      }
+      assertTrue(answered.await(5, TimeUnit.SECONDS), "no answer in run " + run);
+      stopper.join();
+    }
+  }
+
   /** Questions that nobody answers must neither be held without bound nor be forgotten. */
   @Test
   void floodOfQuestionsIsAnsweredOnceEach() throws Exception {
