Customers share the questions for origins of streams evenly

What callers saw: made-up ids of one customer, 512 or 1,024 at once, took all places for questions at a router; take-ups of other customers were refused with 1209 at once.

Cause: questions had no customer, and the places were given in order of arrival.

Change: where there is no place, the newest question of the customer with the most gives way, unless the one that asks has as many; a call takes the questions of the customers by turns. The port gains a find with the customer, which defaults to the one without.

Evidence: OriginFinderTest#floodOfOneCustomerLeavesPlacesForOthers failed before (1 of 1: no answer; run without customers, as the method had no such argument) and holds (1 of 1).

--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/ControlStreamOrigins.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/ControlStreamOrigins.java
@@ -1,6 +1,7 @@
 package io.jacinthquay.router.adapter.thrift;
 
 import io.jacinthquay.decision.origin.OriginTable;
+import io.jacinthquay.model.CustomerId;
 import io.jacinthquay.model.PoolName;
 import io.jacinthquay.model.SoftwareVersion;
 import io.jacinthquay.model.StreamId;
@@ -75,9 +76,18 @@
 
   @Override
   public void find(Optional<StreamId> stream, PoolName pool, Consumer<Origin> found) {
+    find(Optional.empty(), stream, pool, found);
+  }
+
+  @Override
+  public void find(
+      Optional<CustomerId> customer,
+      Optional<StreamId> stream,
+      PoolName pool,
+      Consumer<Origin> found) {
     Optional<StreamOrigin> own = stream.flatMap(origins::find);
     if (own.isEmpty()) {
-      finder.ask(stream, pool, found);
+      finder.ask(customer, stream, pool, found);
     } else if (own.get().pool().equals(pool)) {
       monitor.recordAnswer(OriginMonitor.Outcome.OWN);
       found.accept(Origin.of(own.get().version()));
--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/OriginFinder.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/OriginFinder.java
@@ -1,5 +1,6 @@
 package io.jacinthquay.router.adapter.thrift;
 
+import io.jacinthquay.model.CustomerId;
 import io.jacinthquay.model.PoolName;
 import io.jacinthquay.model.StreamId;
 import io.jacinthquay.router.port.StreamOrigins.Origin;
@@ -18,8 +19,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.ArrayBlockingQueue;
-import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -30,8 +29,8 @@
 import org.apache.thrift.protocol.TMultiplexedProtocol;
 
 /**
- * Asks the leading control VM which versions began streams, in a thread of its own, all pending
- * questions in one call. The connection is opened on demand and closed when it is idle.
+ * Asks the leading control VM which versions began streams, in a thread of its own, many questions
+ * in one call. The connection is opened on demand and closed when it is idle.
  */
 final class OriginFinder implements Service {
   private static final Logger log = LogManager.getLogger();
@@ -39,8 +38,11 @@
   /** Name of the Thrift service on a control VM's multiplexed port. */
   private static final String SERVICE = "control";
 
-  /** Maximum number of questions that wait; further ones get no answer at once. */
-  private static final int MAX_QUESTIONS = 512;
+  /** Maximum number of questions that wait, of all customers. */
+  private static final int MAX_QUESTIONS = 1_024;
+
+  /** Maximum number of questions in one call, about 15 KB. */
+  private static final int MAX_CALL_QUESTIONS = 512;
 
   /**
    * Time after which a question gets no answer; a call that is under way then is awaited. A caller
@@ -87,9 +89,8 @@
   private final OriginMonitor monitor;
   private final long limitNanos;
   private final Executor ioThread;
-  private final BlockingQueue<OriginQuestion> queue = new ArrayBlockingQueue<>(MAX_QUESTIONS);
+  private final OriginQuestions questions = new OriginQuestions(MAX_QUESTIONS);
   private final Thread thread = new Thread(this::run, "origin-finder");
-  private List<OriginQuestion> pending = new ArrayList<>();
   private String target;
   private Channel channel;
   private long calledNanos = System.nanoTime() - MAX_INTERVAL_MILLIS * NANOS_PER_MILLI;
@@ -134,21 +135,19 @@
   }
 
   /** Asks a question. Called on the I/O thread, which {@code found} runs on, too. */
-  void ask(Optional<StreamId> stream, PoolName pool, Consumer<Origin> found) {
-    if (!offer(new OriginQuestion(stream, pool, System.nanoTime(), found))) {
-      monitor.recordAnswer(OriginMonitor.Outcome.NO_ANSWER);
-      found.accept(Origin.NO_ANSWER);
-    }
-  }
-
-  /** Queues a question, unless the thread has taken the last ones or there is no place. */
-  private synchronized boolean offer(OriginQuestion question) {
-    return running && queue.offer(question);
-  }
-
-  private synchronized void takeLastQuestions() {
-    running = false;
-    queue.drainTo(pending);
+  void ask(
+      Optional<CustomerId> customer,
+      Optional<StreamId> stream,
+      PoolName pool,
+      Consumer<Origin> found) {
+    OriginQuestion question = new OriginQuestion(customer, stream, pool, System.nanoTime(), found);
+    Optional<OriginQuestion> withoutPlace =
+        running ? questions.add(question) : Optional.of(question);
+    withoutPlace.ifPresent(
+        refused -> {
+          monitor.recordAnswer(OriginMonitor.Outcome.NO_ANSWER);
+          refused.found().accept(Origin.NO_ANSWER);
+        });
   }
 
   private void run() {
@@ -160,28 +159,24 @@
         break;
       }
     }
-    takeLastQuestions();
-    resolve(question -> Optional.of(OriginAnswer.Resolution.NO_ANSWER));
+    running = false;
+    questions.close();
+    resolve(questions.all(), question -> Optional.of(OriginAnswer.Resolution.NO_ANSWER));
     disconnect();
   }
 
   /** Waits until there are questions, or versions to confirm, and the next call is due. */
   private void awaitQuestions() throws InterruptedException {
-    if (pending.isEmpty()) {
-      OriginQuestion first = queue.poll(CONFIRM_MILLIS, TimeUnit.MILLISECONDS);
-      if (first == null) {
-        if (System.nanoTime() - calledNanos >= IDLE_MILLIS * NANOS_PER_MILLI) {
-          disconnect();
-        }
-        return;
+    if (!questions.await(CONFIRM_MILLIS)) {
+      if (System.nanoTime() - calledNanos >= IDLE_MILLIS * NANOS_PER_MILLI) {
+        disconnect();
       }
-      pending.add(first);
+      return;
     }
     long waitNanos = calledNanos + intervalNanos() - System.nanoTime();
     if (waitNanos > 0) {
       TimeUnit.NANOSECONDS.sleep(waitNanos);
     }
-    queue.drainTo(pending, MAX_QUESTIONS - pending.size());
   }
 
   private long intervalNanos() {
@@ -193,10 +188,11 @@
   /** Asks once; nothing that is thrown may end the thread, which nothing would replace. */
   private void tryStep() {
     List<PoolName> unconfirmed = unconfirmedPools();
-    if (pending.isEmpty() && unconfirmed.isEmpty()) {
+    List<OriginQuestion> asked = questions.first(MAX_CALL_QUESTIONS);
+    if (asked.isEmpty() && unconfirmed.isEmpty()) {
       return;
     }
-    tryRun(() -> step(unconfirmed));
+    tryRun(() -> step(asked, unconfirmed));
     tryRun(this::resolveExpired);
   }
 
@@ -211,11 +207,12 @@
     return versions.unconfirmed();
   }
 
-  private void step(List<PoolName> unconfirmed) {
-    Optional<OriginAnswer> leader = askLeader(unconfirmed);
-    leader.ifPresent(answer -> resolve(answer::resolve));
+  private void step(List<OriginQuestion> asked, List<PoolName> unconfirmed) {
+    Optional<OriginAnswer> leader = askLeader(asked, unconfirmed);
+    leader.ifPresent(answer -> resolve(asked, answer::resolve));
     if (leader.isEmpty() || leader.get().recovering()) {
       resolve(
+          questions.all(),
           question ->
               versions
                   .onlyVersion(question.pool(), question.askedNanos())
@@ -235,6 +232,7 @@
   private void resolveExpired() {
     long now = System.nanoTime();
     resolve(
+        questions.all(),
         question ->
             now - question.askedNanos() >= limitNanos(question)
                 ? Optional.of(OriginAnswer.Resolution.NO_ANSWER)
@@ -245,18 +243,16 @@
     return versions.isConfirmed(question.pool()) ? limitNanos + LIST_WAIT.toNanos() : limitNanos;
   }
 
-  /** Delivers what the resolver returns. A question leaves the pending ones before its delivery. */
-  private void resolve(Function<OriginQuestion, Optional<OriginAnswer.Resolution>> resolver) {
-    List<OriginQuestion> open = new ArrayList<>();
-    List<Runnable> deliveries = new ArrayList<>();
-    for (OriginQuestion question : pending) {
+  /** Delivers what the resolver returns. A question loses its place before its delivery. */
+  private void resolve(
+      List<OriginQuestion> open,
+      Function<OriginQuestion, Optional<OriginAnswer.Resolution>> resolver) {
+    for (OriginQuestion question : open) {
       resolver
           .apply(question)
-          .ifPresentOrElse(
-              result -> deliveries.add(() -> deliver(question, result)), () -> open.add(question));
+          .filter(result -> questions.remove(question))
+          .ifPresent(result -> tryDeliver(() -> deliver(question, result)));
     }
-    pending = open;
-    deliveries.forEach(this::tryDeliver);
   }
 
   private void tryDeliver(Runnable delivery) {
@@ -273,23 +269,23 @@
   }
 
   /** Asks the control VMs in turn until the leader answers; empty if none of them does. */
-  private Optional<OriginAnswer> askLeader(List<PoolName> unconfirmed) {
+  private Optional<OriginAnswer> askLeader(List<OriginQuestion> asked, List<PoolName> unconfirmed) {
     calledNanos = System.nanoTime();
-    List<StreamQuestionMessage> questions = new ArrayList<>();
-    pending.forEach(
-        question -> questions.add(OriginMessages.toQuestion(question.stream(), question.pool())));
-    unconfirmed.forEach(pool -> questions.add(OriginMessages.toQuestion(Optional.empty(), pool)));
-    Set<String> asked = new HashSet<>();
-    for (Optional<String> next = next(asked); next.isPresent(); next = next(asked)) {
-      asked.add(next.get());
-      Optional<OriginAnswer> answer = call(next.get(), questions);
+    List<StreamQuestionMessage> messages = new ArrayList<>();
+    asked.forEach(
+        question -> messages.add(OriginMessages.toQuestion(question.stream(), question.pool())));
+    unconfirmed.forEach(pool -> messages.add(OriginMessages.toQuestion(Optional.empty(), pool)));
+    Set<String> called = new HashSet<>();
+    for (Optional<String> next = next(called); next.isPresent(); next = next(called)) {
+      called.add(next.get());
+      Optional<OriginAnswer> answer = call(next.get(), messages);
       if (answer.isPresent()) {
         answer.get().found().values().forEach(origins::recordFound);
-        recordVersions(questions, answer.get());
+        recordVersions(messages, answer.get());
         return answer;
       }
       disconnect();
-      boolean waitedFor = pending.isEmpty() && !queue.isEmpty();
+      boolean waitedFor = asked.isEmpty() && !questions.isEmpty();
       if (!running || waitedFor || System.nanoTime() - calledNanos >= limitNanos) {
         break;
       }
@@ -297,11 +293,11 @@
     return Optional.empty();
   }
 
-  private void recordVersions(List<StreamQuestionMessage> questions, OriginAnswer answer) {
+  private void recordVersions(List<StreamQuestionMessage> asked, OriginAnswer answer) {
     if (answer.recovering()) {
       return;
     }
-    questions.stream()
+    asked.stream()
         .map(question -> new PoolName(question.getPool()))
         .distinct()
         .forEach(
@@ -318,7 +314,7 @@
   }
 
   /** Asks a control VM; empty if it doesn't lead or gave no usable answer. */
-  private Optional<OriginAnswer> call(String address, List<StreamQuestionMessage> questions) {
+  private Optional<OriginAnswer> call(String address, List<StreamQuestionMessage> asked) {
     try {
       if (channel == null) {
         target = address;
@@ -328,7 +324,7 @@
       }
       StreamOriginsMessage answer =
           new Control.Client(new TMultiplexedProtocol(channel.protocol(), SERVICE))
-              .findOrigins(questions);
+              .findOrigins(asked);
       return answer.isLeads()
           ? Optional.of(OriginAnswer.of(answer, System.nanoTime()))
           : Optional.empty();
--- a/router/src/main/java/io/jacinthquay/router/port/StreamOrigins.java
+++ b/router/src/main/java/io/jacinthquay/router/port/StreamOrigins.java
@@ -1,5 +1,6 @@
 package io.jacinthquay.router.port;
 
+import io.jacinthquay.model.CustomerId;
 import io.jacinthquay.model.PoolName;
 import io.jacinthquay.model.SoftwareVersion;
 import io.jacinthquay.model.StreamId;
@@ -61,4 +62,18 @@
    * @param found called once, on the I/O thread, possibly before this method returns
    */
   void find(Optional<StreamId> stream, PoolName pool, Consumer<Origin> found);
+
+  /**
+   * Finds the version that began a stream of a customer; where room for questions is short,
+   * customers share it evenly.
+   *
+   * @param customer whose stream it is; empty if callers need no key
+   */
+  default void find(
+      Optional<CustomerId> customer,
+      Optional<StreamId> stream,
+      PoolName pool,
+      Consumer<Origin> found) {
+    find(stream, pool, found);
+  }
 }
--- a/router/src/main/java/io/jacinthquay/router/service/forward/StreamBinding.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/StreamBinding.java
@@ -75,6 +75,7 @@
     Optional<StreamId> stream = request.facts().resumedAttempt().map(this::streamId);
     core.streamOrigins()
         .find(
+            request.customer(),
             stream,
             pool,
             origin -> {
--- a/router/src/test/java/io/jacinthquay/router/adapter/thrift/OriginAnswerTest.java
+++ b/router/src/test/java/io/jacinthquay/router/adapter/thrift/OriginAnswerTest.java
@@ -59,6 +59,7 @@
     message.setRecovering(recovering);
     OriginQuestion question =
         new OriginQuestion(
+            Optional.empty(),
             named ? Optional.of(STREAM) : Optional.empty(),
             new PoolName("p"),
             now - askedMillisAgo * NANOS_PER_MILLI,
--- a/router/src/test/java/io/jacinthquay/router/adapter/thrift/OriginFinderTest.java
+++ b/router/src/test/java/io/jacinthquay/router/adapter/thrift/OriginFinderTest.java
@@ -3,7 +3,9 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.jacinthquay.model.CustomerId;
 import io.jacinthquay.model.PoolName;
+import io.jacinthquay.model.SoftwareVersion;
 import io.jacinthquay.model.StreamId;
 import io.jacinthquay.router.port.StreamOrigins.Knowledge;
 import io.jacinthquay.router.port.StreamOrigins.Origin;
@@ -45,6 +47,7 @@
 /** Tests whom a router asks for the version that began a stream. */
 final class OriginFinderTest {
   private static final StreamId STREAM = StreamId.of(Optional.empty(), "attempt");
+  private static final Optional<CustomerId> CUSTOMER = Optional.of(new CustomerId("c"));
   private static final PoolName POOL = new PoolName("p");
 
   /** Timeout that only ends a test that hangs; nothing is measured against it. */
@@ -58,6 +61,7 @@
   private final List<PlainServer> servers = new ArrayList<>();
   private final CountDownLatch testEnd = new CountDownLatch(1);
   private final StreamOriginLog origins = new StreamOriginLog(System::nanoTime);
+  private final PoolVersionRuns versions = new PoolVersionRuns();
   private OriginFinder finder;
 
   /** How a control VM behaves. */
@@ -68,6 +72,8 @@
     RECOVERS,
     /** Leads, and no router has reported the stream so far. */
     RECOVERING,
+    /** Leads, and knows no stream and no only version. */
+    UNKNOWING,
     STALLS,
     /** Answers with a stream id that is too short. */
     INVALID,
@@ -177,7 +183,7 @@
         new OriginFinder(
             new KnownControls(() -> addresses),
             origins,
-            new PoolVersionRuns(),
+            versions,
             new OriginMonitor(new ForwardMetrics(), origins, System::nanoTime),
             limit,
             ioThread);
@@ -214,11 +220,32 @@
     }
     startFinder(addresses, expected == Knowledge.KNOWN ? LONG_LIMIT : SHORT_LIMIT);
     CompletableFuture<Origin> found = new CompletableFuture<>();
-    finder.ask(Optional.of(STREAM), POOL, found::complete);
+    finder.ask(CUSTOMER, Optional.of(STREAM), POOL, found::complete);
     assertEquals(expected, found.get(HANG_TIMEOUT_SECONDS, TimeUnit.SECONDS).knowledge());
     assertEquals(expected == Knowledge.KNOWN, origins.find(STREAM).isPresent());
   }
 
+  /** Take-ups were refused while nobody led, and while a leader recovered. */
+  @ParameterizedTest
+  @CsvSource({"GONE, KNOWN", "FOLLOWS, KNOWN", "RECOVERING, KNOWN", "UNKNOWING, UNKNOWN"})
+  void listsAnswerWhileNoLeaderDoes(Behaviour behaviour, Knowledge expected) throws Exception {
+    List<String> addresses = List.of(start(behaviour));
+    long now = System.nanoTime();
+    listVersion(now - 1);
+    versions.recordLeader(POOL, Optional.of(new SoftwareVersion("v1")), now);
+    startFinder(addresses, LONG_LIMIT);
+    CompletableFuture<Origin> found = new CompletableFuture<>();
+    finder.ask(CUSTOMER, Optional.of(STREAM), POOL, found::complete);
+    for (long seconds = 1; seconds <= HANG_TIMEOUT_SECONDS; seconds++) {
+      listVersion(now + TimeUnit.SECONDS.toNanos(seconds));
+    }
+    assertEquals(expected, found.get(HANG_TIMEOUT_SECONDS, TimeUnit.SECONDS).knowledge());
+  }
+
+  private void listVersion(long polledNanos) {
+    versions.record(List.of(PoolVersionRunsTest.listing("v1")), polledNanos, polledNanos);
+  }
+
   /** An answer that could not be delivered ended the thread, or delivered others twice. */
   @ParameterizedTest
   @CsvSource({"KNOWS", "GONE"})
@@ -235,8 +262,8 @@
         });
     askAndAwait();
     AtomicInteger answers = new AtomicInteger();
-    finder.ask(Optional.of(STREAM), POOL, origin -> answers.incrementAndGet());
-    finder.ask(Optional.of(STREAM), POOL, origin -> answers.incrementAndGet());
+    finder.ask(CUSTOMER, Optional.of(STREAM), POOL, origin -> answers.incrementAndGet());
+    finder.ask(CUSTOMER, Optional.of(STREAM), POOL, origin -> answers.incrementAndGet());
     askAndAwait();
     assertEquals(1, answers.get());
     assertEquals(4, deliveries.get());
@@ -244,7 +271,7 @@
 
   private void askAndAwait() throws Exception {
     CompletableFuture<Origin> found = new CompletableFuture<>();
-    finder.ask(Optional.of(STREAM), POOL, found::complete);
+    finder.ask(CUSTOMER, Optional.of(STREAM), POOL, found::complete);
     found.get(HANG_TIMEOUT_SECONDS, TimeUnit.SECONDS);
   }
 
@@ -257,13 +284,29 @@
       Thread stopper = new Thread(finder::stop);
       stopper.start();
       for (int i = 0; i < 400; i++) {
-        finder.ask(Optional.of(STREAM), POOL, origin -> answered.countDown());
+        finder.ask(CUSTOMER, Optional.of(STREAM), POOL, origin -> answered.countDown());
       }
       assertTrue(answered.await(5, TimeUnit.SECONDS), "no answer in run " + run);
       stopper.join();
     }
   }
 
+  /** Made-up streams of one customer took the places of all take-ups of the others. */
+  @Test
+  void floodOfOneCustomerLeavesPlacesForOthers() throws Exception {
+    startFinder(List.of(start(Behaviour.KNOWS)), LONG_LIMIT);
+    for (int i = 0; i < 5_000; i++) {
+      finder.ask(
+          Optional.of(new CustomerId("flood")),
+          Optional.of(StreamId.of(Optional.empty(), "flood-" + i)),
+          POOL,
+          origin -> {});
+    }
+    CompletableFuture<Origin> found = new CompletableFuture<>();
+    finder.ask(CUSTOMER, Optional.of(STREAM), POOL, found::complete);
+    assertEquals(Knowledge.KNOWN, found.get(HANG_TIMEOUT_SECONDS, TimeUnit.SECONDS).knowledge());
+  }
+
   /** Questions that nobody answers must neither be held without bound nor be forgotten. */
   @Test
   void floodOfQuestionsIsAnsweredOnceEach() throws Exception {
@@ -273,6 +316,7 @@
     startFinder(List.of(start(Behaviour.GONE)), SHORT_LIMIT);
     for (int i = 0; i < questions; i++) {
       finder.ask(
+          Optional.empty(),
           Optional.of(StreamId.of(Optional.empty(), "flood-" + i)),
           POOL,
           origin -> {
--- a/router/src/test/java/io/jacinthquay/router/adapter/thrift/PoolVersionRunsTest.java
+++ b/router/src/test/java/io/jacinthquay/router/adapter/thrift/PoolVersionRunsTest.java
@@ -19,7 +19,7 @@
 
   private final PoolVersionRuns runs = new PoolVersionRuns();
 
-  private static UpstreamListing listing(String version) {
+  static UpstreamListing listing(String version) {
     return new UpstreamListing(
         new UpstreamId("u-" + version),
         POOL,
