--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/ControlStreamOrigins.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/ControlStreamOrigins.java
@@ -1,6 +1,7 @@
 package io.jacinthquay.router.adapter.thrift;
 
 import io.jacinthquay.decision.origin.OriginTable;
+import io.jacinthquay.model.CustomerId;
 import io.jacinthquay.model.PoolName;
 import io.jacinthquay.model.SoftwareVersion;
 import io.jacinthquay.model.StreamId;
@@ -25,6 +26,7 @@
  */
 public final class ControlStreamOrigins implements StreamOrigins, Service {
   private final StreamOriginLog origins = new StreamOriginLog(System::nanoTime);
+  private final PoolVersionRuns versions = new PoolVersionRuns();
   private final KnownControls controls;
   private final OriginMonitor monitor;
   private final OriginFinder finder;
@@ -44,7 +46,12 @@
     monitor = new OriginMonitor(metrics, origins, System::nanoTime);
     finder =
         new OriginFinder(
-            controls, origins, monitor, OriginFinder.LIMIT, task -> ioThread.get().execute(task));
+            controls,
+            origins,
+            versions,
+            monitor,
+            OriginFinder.LIMIT,
+            task -> ioThread.get().execute(task));
   }
 
   @Override
@@ -69,9 +76,18 @@
 
   @Override
   public void find(Optional<StreamId> stream, PoolName pool, Consumer<Origin> found) {
+    find(Optional.empty(), stream, pool, found);
+  }
+
+  @Override
+  public void find(
+      Optional<CustomerId> customer,
+      Optional<StreamId> stream,
+      PoolName pool,
+      Consumer<Origin> found) {
     Optional<StreamOrigin> own = stream.flatMap(origins::find);
     if (own.isEmpty()) {
-      finder.ask(stream, pool, found);
+      finder.ask(customer, stream, pool, found);
     } else if (own.get().pool().equals(pool)) {
       monitor.recordAnswer(OriginMonitor.Outcome.OWN);
       found.accept(Origin.of(own.get().version()));
@@ -86,6 +102,11 @@
     return controls;
   }
 
+  /** Returns what the lists show of the versions of pools; the link records its lists there. */
+  PoolVersionRuns versions() {
+    return versions;
+  }
+
   /** Returns the streams that the next report carries. */
   List<StreamOriginMessage> report() {
     return origins.report();
--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/OriginFinder.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/OriginFinder.java
@@ -1,5 +1,6 @@
 package io.jacinthquay.router.adapter.thrift;
 
+import io.jacinthquay.model.CustomerId;
 import io.jacinthquay.model.PoolName;
 import io.jacinthquay.model.StreamId;
 import io.jacinthquay.router.port.StreamOrigins.Origin;
@@ -18,8 +19,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.ArrayBlockingQueue;
-import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -30,8 +29,8 @@
 import org.apache.thrift.protocol.TMultiplexedProtocol;
 
 /**
- * Asks the leading control VM which versions began streams, in a thread of its own, all pending
- * questions in one call. The connection is opened on demand and closed when it is idle.
+ * Asks the leading control VM which versions began streams, in a thread of its own, many questions
+ * in one call. The connection is opened on demand and closed when it is idle.
  */
 final class OriginFinder implements Service {
   private static final Logger log = LogManager.getLogger();
@@ -39,8 +38,11 @@
   /** Name of the Thrift service on a control VM's multiplexed port. */
   private static final String SERVICE = "control";
 
-  /** Maximum number of questions that wait; further ones get no answer at once. */
-  private static final int MAX_QUESTIONS = 512;
+  /** Maximum number of questions that wait, of all customers. */
+  private static final int MAX_QUESTIONS = 1_024;
+
+  /** Maximum number of questions in one call, about 15 KB. */
+  private static final int MAX_CALL_QUESTIONS = 512;
 
   /**
    * Time after which a question gets no answer; a call that is under way then is awaited. A caller
@@ -48,6 +50,9 @@
    */
   static final Duration LIMIT = Duration.ofSeconds(1);
 
+  /** Further time for which the next list is awaited if that can answer a question. */
+  private static final Duration LIST_WAIT = Duration.ofMillis(1_500);
+
   /** Shortest time between two calls to the leader, in milliseconds. */
   private static final long MIN_INTERVAL_MILLIS = 50;
 
@@ -60,6 +65,14 @@
   /** Longest time between two calls, in milliseconds; a question is asked three times at least. */
   private static final long MAX_INTERVAL_MILLIS = 300;
 
+  /**
+   * Time between two calls that ask the leader to confirm the only versions that are listed, in
+   * milliseconds: the least one, and the one per router. Calls end with the confirmation.
+   */
+  private static final long CONFIRM_MILLIS = 1_000;
+
+  private static final long CONFIRM_MILLIS_PER_ROUTER = 10;
+
   /** Timeouts for connecting to and for reading from a control VM, in milliseconds. */
   private static final int CONNECT_TIMEOUT_MILLIS = 200;
 
@@ -72,15 +85,16 @@
 
   private final KnownControls controls;
   private final StreamOriginLog origins;
+  private final PoolVersionRuns versions;
   private final OriginMonitor monitor;
   private final long limitNanos;
   private final Executor ioThread;
-  private final BlockingQueue<OriginQuestion> queue = new ArrayBlockingQueue<>(MAX_QUESTIONS);
+  private final OriginQuestions questions = new OriginQuestions(MAX_QUESTIONS);
   private final Thread thread = new Thread(this::run, "origin-finder");
-  private List<OriginQuestion> pending = new ArrayList<>();
   private String target;
   private Channel channel;
   private long calledNanos = System.nanoTime() - MAX_INTERVAL_MILLIS * NANOS_PER_MILLI;
+  private long confirmNanos = System.nanoTime();
   private volatile boolean running;
 
   /**
@@ -88,18 +102,21 @@
    *
    * @param controls the control VMs that may lead
    * @param origins receives what is found
+   * @param versions answers while no leader does
    * @param limit time after which a question gets no answer
    * @param ioThread runs what the questions get
    */
   OriginFinder(
       KnownControls controls,
       StreamOriginLog origins,
+      PoolVersionRuns versions,
       OriginMonitor monitor,
       Duration limit,
       Executor ioThread) {
     this.limitNanos = limit.toNanos();
     this.controls = controls;
     this.origins = origins;
+    this.versions = versions;
     this.monitor = monitor;
     this.ioThread = ioThread;
     thread.setDaemon(true);
@@ -118,11 +135,19 @@
   }
 
   /** Asks a question. Called on the I/O thread, which {@code found} runs on, too. */
-  void ask(Optional<StreamId> stream, PoolName pool, Consumer<Origin> found) {
-    if (!running || !queue.offer(new OriginQuestion(stream, pool, System.nanoTime(), found))) {
-      monitor.recordAnswer(OriginMonitor.Outcome.NO_ANSWER);
-      found.accept(Origin.NO_ANSWER);
-    }
+  void ask(
+      Optional<CustomerId> customer,
+      Optional<StreamId> stream,
+      PoolName pool,
+      Consumer<Origin> found) {
+    OriginQuestion question = new OriginQuestion(customer, stream, pool, System.nanoTime(), found);
+    Optional<OriginQuestion> withoutPlace =
+        running ? questions.add(question) : Optional.of(question);
+    withoutPlace.ifPresent(
+        refused -> {
+          monitor.recordAnswer(OriginMonitor.Outcome.NO_ANSWER);
+          refused.found().accept(Origin.NO_ANSWER);
+        });
   }
 
   private void run() {
@@ -135,26 +160,23 @@
       }
     }
     running = false;
-    queue.drainTo(pending);
-    resolve(question -> Optional.of(OriginAnswer.Resolution.NO_ANSWER));
+    questions.close();
+    resolve(questions.all(), question -> Optional.of(OriginAnswer.Resolution.NO_ANSWER));
     disconnect();
   }
 
-  /** Waits until there are questions and the next call is due. */
+  /** Waits until there are questions, or versions to confirm, and the next call is due. */
   private void awaitQuestions() throws InterruptedException {
-    if (pending.isEmpty()) {
-      OriginQuestion first = queue.poll(IDLE_MILLIS, TimeUnit.MILLISECONDS);
-      if (first == null) {
+    if (!questions.await(CONFIRM_MILLIS)) {
+      if (System.nanoTime() - calledNanos >= IDLE_MILLIS * NANOS_PER_MILLI) {
         disconnect();
-        return;
       }
-      pending.add(first);
+      return;
     }
     long waitNanos = calledNanos + intervalNanos() - System.nanoTime();
     if (waitNanos > 0) {
       TimeUnit.NANOSECONDS.sleep(waitNanos);
     }
-    queue.drainTo(pending, MAX_QUESTIONS - pending.size());
   }
 
   private long intervalNanos() {
@@ -165,13 +187,39 @@
 
   /** Asks once; nothing that is thrown may end the thread, which nothing would replace. */
   private void tryStep() {
-    if (pending.isEmpty()) {
+    List<PoolName> unconfirmed = unconfirmedPools();
+    List<OriginQuestion> asked = questions.first(MAX_CALL_QUESTIONS);
+    if (asked.isEmpty() && unconfirmed.isEmpty()) {
       return;
     }
-    tryRun(() -> askLeader().ifPresent(leader -> resolve(leader::resolve)));
+    tryRun(() -> step(asked, unconfirmed));
     tryRun(this::resolveExpired);
   }
 
+  /** Returns the pools whose only versions the leader is to confirm with the next call. */
+  private List<PoolName> unconfirmedPools() {
+    long now = System.nanoTime();
+    if (now - confirmNanos < 0) {
+      return List.of();
+    }
+    long millis = Math.max(CONFIRM_MILLIS, CONFIRM_MILLIS_PER_ROUTER * controls.routers());
+    confirmNanos = now + millis * NANOS_PER_MILLI;
+    return versions.unconfirmed();
+  }
+
+  private void step(List<OriginQuestion> asked, List<PoolName> unconfirmed) {
+    Optional<OriginAnswer> leader = askLeader(asked, unconfirmed);
+    leader.ifPresent(answer -> resolve(asked, answer::resolve));
+    if (leader.isEmpty() || leader.get().recovering()) {
+      resolve(
+          questions.all(),
+          question ->
+              versions
+                  .onlyVersion(question.pool(), question.askedNanos())
+                  .map(OriginAnswer.Resolution::onlyVersion));
+    }
+  }
+
   private void tryRun(Runnable step) {
     try {
       step.run();
@@ -184,24 +232,27 @@
   private void resolveExpired() {
     long now = System.nanoTime();
     resolve(
+        questions.all(),
         question ->
-            now - question.askedNanos() >= limitNanos
+            now - question.askedNanos() >= limitNanos(question)
                 ? Optional.of(OriginAnswer.Resolution.NO_ANSWER)
                 : Optional.empty());
   }
 
-  /** Delivers what the resolver returns. A question leaves the pending ones before its delivery. */
-  private void resolve(Function<OriginQuestion, Optional<OriginAnswer.Resolution>> resolver) {
-    List<OriginQuestion> open = new ArrayList<>();
-    List<Runnable> deliveries = new ArrayList<>();
-    for (OriginQuestion question : pending) {
+  private long limitNanos(OriginQuestion question) {
+    return versions.isConfirmed(question.pool()) ? limitNanos + LIST_WAIT.toNanos() : limitNanos;
+  }
+
+  /** Delivers what the resolver returns. A question loses its place before its delivery. */
+  private void resolve(
+      List<OriginQuestion> open,
+      Function<OriginQuestion, Optional<OriginAnswer.Resolution>> resolver) {
+    for (OriginQuestion question : open) {
       resolver
           .apply(question)
-          .ifPresentOrElse(
-              result -> deliveries.add(() -> deliver(question, result)), () -> open.add(question));
+          .filter(result -> questions.remove(question))
+          .ifPresent(result -> tryDeliver(() -> deliver(question, result)));
     }
-    pending = open;
-    deliveries.forEach(this::tryDeliver);
   }
 
   private void tryDeliver(Runnable delivery) {
@@ -218,27 +269,43 @@
   }
 
   /** Asks the control VMs in turn until the leader answers; empty if none of them does. */
-  private Optional<OriginAnswer> askLeader() {
+  private Optional<OriginAnswer> askLeader(List<OriginQuestion> asked, List<PoolName> unconfirmed) {
     calledNanos = System.nanoTime();
-    List<StreamQuestionMessage> questions = new ArrayList<>();
-    pending.forEach(
-        question -> questions.add(OriginMessages.toQuestion(question.stream(), question.pool())));
-    Set<String> asked = new HashSet<>();
-    for (Optional<String> next = next(asked); next.isPresent(); next = next(asked)) {
-      asked.add(next.get());
-      Optional<OriginAnswer> answer = call(next.get(), questions);
+    List<StreamQuestionMessage> messages = new ArrayList<>();
+    asked.forEach(
+        question -> messages.add(OriginMessages.toQuestion(question.stream(), question.pool())));
+    unconfirmed.forEach(pool -> messages.add(OriginMessages.toQuestion(Optional.empty(), pool)));
+    Set<String> called = new HashSet<>();
+    for (Optional<String> next = next(called); next.isPresent(); next = next(called)) {
+      called.add(next.get());
+      Optional<OriginAnswer> answer = call(next.get(), messages);
       if (answer.isPresent()) {
         answer.get().found().values().forEach(origins::recordFound);
+        recordVersions(messages, answer.get());
         return answer;
       }
       disconnect();
-      if (!running || System.nanoTime() - calledNanos >= limitNanos) {
+      boolean waitedFor = asked.isEmpty() && !questions.isEmpty();
+      if (!running || waitedFor || System.nanoTime() - calledNanos >= limitNanos) {
         break;
       }
     }
     return Optional.empty();
   }
 
+  private void recordVersions(List<StreamQuestionMessage> asked, OriginAnswer answer) {
+    if (answer.recovering()) {
+      return;
+    }
+    asked.stream()
+        .map(question -> new PoolName(question.getPool()))
+        .distinct()
+        .forEach(
+            pool ->
+                versions.recordLeader(
+                    pool, Optional.ofNullable(answer.onlyVersions().get(pool)), calledNanos));
+  }
+
   /** Returns the control VM to ask: the one that is connected, or else one not asked yet. */
   private Optional<String> next(Set<String> asked) {
     return channel != null
@@ -247,7 +314,7 @@
   }
 
   /** Asks a control VM; empty if it doesn't lead or gave no usable answer. */
-  private Optional<OriginAnswer> call(String address, List<StreamQuestionMessage> questions) {
+  private Optional<OriginAnswer> call(String address, List<StreamQuestionMessage> asked) {
     try {
       if (channel == null) {
         target = address;
@@ -257,7 +324,7 @@
       }
       StreamOriginsMessage answer =
           new Control.Client(new TMultiplexedProtocol(channel.protocol(), SERVICE))
-              .findOrigins(questions);
+              .findOrigins(asked);
       return answer.isLeads()
           ? Optional.of(OriginAnswer.of(answer, System.nanoTime()))
           : Optional.empty();
