A take-up on a split route goes on only at the pool that alone knows its stream

What callers saw: on a route with several pools a stream that nobody remembers went on at whichever pool was asked first and has one version only, also if another pool had begun it: one text of two services.

Cause: the pools were asked one after another, and the first known version was taken. A version is also named for a stream that nobody remembers, where a pool has had one version only; with several pools that tells nothing about which pool began the stream.

Now all pools are asked together. A stream that is remembered is known to its own pool and unknown to all others, so two known versions mean that nobody remembers it, and it is refused. So is a stream that its caller doesn't name. The pools are asked at once instead of in turn, and the digest of the stream is made once.

Still open: if exactly one pool of the route has had one version only, its answer can't be told from that for a remembered stream.

--- a/router/src/main/java/io/jacinthquay/router/service/forward/StreamBinding.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/StreamBinding.java
@@ -5,12 +5,16 @@
 import io.jacinthquay.model.Failure;
 import io.jacinthquay.model.PoolName;
 import io.jacinthquay.model.ResultCode;
+import io.jacinthquay.model.SoftwareVersion;
 import io.jacinthquay.model.StreamId;
 import io.jacinthquay.model.routing.RequestKind;
 import io.jacinthquay.model.routing.WeightedPool;
-import io.jacinthquay.router.port.StreamOrigins;
+import io.jacinthquay.router.port.StreamOrigins.Knowledge;
 import io.jacinthquay.router.port.StreamOrigins.Origin;
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
@@ -56,7 +60,25 @@
    * @param refused receives the reason why the stream can't go on here
    */
   void findOrigin(Consumer<PoolRequest> found, Consumer<Failure> refused) {
-    find(pools(), found, refused);
+    List<PoolName> pools = pools();
+    Optional<StreamId> stream = request.facts().resumedAttempt().map(this::streamId);
+    if (stream.isEmpty() && pools.size() > 1) {
+      refuse(Knowledge.UNKNOWN, refused);
+      return;
+    }
+    Map<PoolName, Origin> origins = new HashMap<>();
+    for (PoolName pool : pools) {
+      core.streamOrigins()
+          .find(
+              stream,
+              pool,
+              origin -> {
+                origins.put(pool, origin);
+                if (origins.size() == pools.size()) {
+                  conclude(origins, found, refused);
+                }
+              });
+    }
   }
 
   /** Returns the pools that may have begun the stream, the drawn one first. */
@@ -70,37 +92,44 @@
         .toList();
   }
 
-  private void find(List<PoolName> pools, Consumer<PoolRequest> found, Consumer<Failure> refused) {
-    PoolName pool = pools.get(0);
-    Optional<StreamId> stream = request.facts().resumedAttempt().map(this::streamId);
-    core.streamOrigins()
-        .find(
-            stream,
-            pool,
-            origin -> {
-              if (origin.knowledge() == StreamOrigins.Knowledge.UNKNOWN && pools.size() > 1) {
-                find(pools.subList(1, pools.size()), found, refused);
-              } else {
-                conclude(pool, origin, found, refused);
-              }
-            });
-  }
-
+  /**
+   * Concludes from the answers of all pools. A stream that is remembered is known to one of them; a
+   * second answer shows that none remembers it, and that both only name the version that they have.
+   */
   private void conclude(
-      PoolName pool, Origin origin, Consumer<PoolRequest> found, Consumer<Failure> refused) {
-    core.metrics().countTakeUp(origin.knowledge());
-    trace.note("origin", origin.version().map(Object::toString).orElse("" + origin.knowledge()));
-    switch (origin.knowledge()) {
-      case KNOWN -> {
-        bound = true;
-        found.accept(request.work(pool).boundTo(origin.version().orElseThrow()));
+      Map<PoolName, Origin> origins, Consumer<PoolRequest> found, Consumer<Failure> refused) {
+    List<PoolName> known = new ArrayList<>();
+    boolean complete = true;
+    for (Map.Entry<PoolName, Origin> answer : origins.entrySet()) {
+      if (answer.getValue().knowledge() == Knowledge.KNOWN) {
+        known.add(answer.getKey());
       }
-      case UNKNOWN -> refused.accept(Failure.of(ResultCode.STREAM_ORIGIN_UNKNOWN));
-      default ->
-          refused.accept(
-              Failure.of(
-                  ResultCode.STREAM_ORIGIN_UNKNOWN, "no control VM told which version began it"));
+      complete &= answer.getValue().knowledge() != Knowledge.NO_ANSWER;
     }
+    if (known.size() > 1) {
+      refuse(Knowledge.UNKNOWN, refused);
+    } else if (!complete) {
+      refuse(Knowledge.NO_ANSWER, refused);
+    } else if (known.isEmpty()) {
+      refuse(Knowledge.UNKNOWN, refused);
+    } else {
+      PoolName pool = known.get(0);
+      SoftwareVersion version = origins.get(pool).version().orElseThrow();
+      core.metrics().countTakeUp(Knowledge.KNOWN);
+      trace.note("origin", version);
+      bound = true;
+      found.accept(request.work(pool).boundTo(version));
+    }
+  }
+
+  private void refuse(Knowledge knowledge, Consumer<Failure> refused) {
+    core.metrics().countTakeUp(knowledge);
+    trace.note("origin", knowledge);
+    refused.accept(
+        knowledge == Knowledge.NO_ANSWER
+            ? Failure.of(
+                ResultCode.STREAM_ORIGIN_UNKNOWN, "no control VM told which version began it")
+            : Failure.of(ResultCode.STREAM_ORIGIN_UNKNOWN));
   }
 
   private StreamId streamId(String attempt) {
