Selector: a method tells in its name for how long an upstream has been leaving

hasLeftFor reads as if the upstream had gone. The Javadoc of the rule says why an upstream that was leaving when it was first listed gets no take-up: requests have to end a bounded time after it began to leave, and a router that started later doesn't know when that was. No change of behaviour; VersionBoundChoiceTest guards it.

--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/Eligibility.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/Eligibility.java
@@ -31,7 +31,9 @@
 
   /**
    * Returns the upstreams that may get a request. One that is bound to a version whose upstreams
-   * all leave, as in a release, may go to those that have just begun to.
+   * all leave, as in a release, may go to those that have just begun to. One that was leaving when
+   * it was first listed gets none, as the time since it began is unknown and requests must end a
+   * bounded time after that.
    */
   List<UpstreamState> serving(List<UpstreamState> upstreams, PoolRequest work, long now) {
     List<UpstreamState> usable = new ArrayList<>(upstreams.size());
@@ -45,7 +47,7 @@
 
   private List<UpstreamState> leaving(List<UpstreamState> upstreams, PoolRequest work, long now) {
     return upstreams.stream()
-        .filter(s -> s.hasLeftFor(now) < LEAVING_NANOS && work.accepts(s.listing()))
+        .filter(s -> s.leavingNanos(now) < LEAVING_NANOS && work.accepts(s.listing()))
         .filter(s -> !isClosed(s.listing().domain()))
         .toList();
   }
--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamState.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamState.java
@@ -51,7 +51,7 @@
    * Returns for how long the upstream has been leaving, in nanoseconds; the greatest value if it
    * isn't leaving or was not seen to begin.
    */
-  long hasLeftFor(long now) {
+  long leavingNanos(long now) {
     return seenToLeave && listing.draining() ? now - leavingSince : Long.MAX_VALUE;
   }
 
