A stream isn't joined with that of an upstream started again with another version

What callers saw: an upstream that starts again under its old id and at its old address with another version is taken for the one before until the list shows it. A take-up that was sent to it meanwhile got the events of the other version with status 200. A stream that it began was recorded with its former version and went on at other upstreams of that one.

Cause: the version of a send was fixed when it was sent, though the list may tell another one before its answer arrives. No answer of an upstream names its software version, so the list alone can tell.

A take-up is now compared with the entry of its upstream as it is when the head of the answer arrives, and goes on at another upstream of its version if that has changed. If the entry of the upstream that began a stream changes, both versions are recorded for the stream, so that neither counts, and it goes on nowhere.

Not covered: events of a resumed send that arrive before the list shows the change, and a stream that ends before it.

--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardExchange.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardExchange.java
@@ -51,7 +51,7 @@
     this.work = request.work(pool);
     this.history = new SendHistory(core, request.route());
     this.trace = new RequestTrace(request, work);
-    this.binding = new StreamBinding(core, request, pool, trace);
+    this.binding = new StreamBinding(core, request, pool, trace, history);
     this.queue = new QueuePlace(core, request, work, trace);
     this.trial = new PromptTrial(core.quarantine(), work.sharedParts());
     this.regularSink =
@@ -243,7 +243,7 @@
     trace.recordEvents(!caller.hasBegun());
     if (attempt != null) {
       attempt.recordEvents(events);
-      bindTo(binding.bindFirst(work, attempt.listing()));
+      bindTo(binding.bind(work, attempt));
     }
     if (!caller.hasBegun()) {
       note("first", "event");
@@ -282,8 +282,9 @@
       from.markBegun();
       countUsage();
     }
-    if (!sink.head(head)) {
-      reject(from, "another kind of answer");
+    // The upstream may have been started again with another version since the request was sent.
+    if (!work.accepts(from.upstream().listing()) || !sink.head(head)) {
+      reject(from, "another kind of answer or version");
     }
   }
 
--- a/router/src/main/java/io/jacinthquay/router/service/forward/SendHistory.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/SendHistory.java
@@ -24,6 +24,7 @@
   private final Set<UpstreamId> triedUpstreams = new HashSet<>();
   private int sends;
   private int unexecuted;
+  private boolean ended;
 
   SendHistory(ForwardCore core, RouteRule route) {
     this.core = core;
@@ -32,7 +33,12 @@
 
   /** Returns the best upstream that has capacity now and that the request was not sent to yet. */
   Optional<UpstreamState> choose(PoolRequest work, long now) {
-    return core.selector().choose(work, triedUpstreams, now);
+    return ended ? Optional.empty() : core.selector().choose(work, triedUpstreams, now);
+  }
+
+  /** Lets the request go to no upstream any more. */
+  void end() {
+    ended = true;
   }
 
   /** Lets the request go to any upstream again if no send may have run. */
--- a/router/src/main/java/io/jacinthquay/router/service/forward/StreamBinding.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/StreamBinding.java
@@ -1,7 +1,6 @@
 package io.jacinthquay.router.service.forward;
 
 import io.jacinthquay.decision.dispatch.PoolRequest;
-import io.jacinthquay.decision.dispatch.UpstreamListing;
 import io.jacinthquay.model.Failure;
 import io.jacinthquay.model.PoolName;
 import io.jacinthquay.model.ResultCode;
@@ -32,18 +31,26 @@
   private final ForwardRequest request;
   private final PoolName drawnPool;
   private final RequestTrace trace;
+  private final SendHistory history;
   private boolean bound;
+  private Optional<ForwardAttempt> begunBy = Optional.empty();
 
   /**
    * Returns a binding to no version.
    *
    * @param drawnPool the pool that was drawn for the request among those of its route
    */
-  StreamBinding(ForwardCore core, ForwardRequest request, PoolName drawnPool, RequestTrace trace) {
+  StreamBinding(
+      ForwardCore core,
+      ForwardRequest request,
+      PoolName drawnPool,
+      RequestTrace trace,
+      SendHistory history) {
     this.core = core;
     this.request = request;
     this.drawnPool = drawnPool;
     this.trace = trace;
+    this.history = history;
   }
 
   /** Returns whether the caller takes up a stream of an earlier attempt. */
@@ -138,19 +145,33 @@
 
   /**
    * Binds the work of a stream to the version that brings its first event, unless it is bound, and
-   * records that version for take-ups by the caller.
+   * records that version for take-ups by the caller. If the upstream turns out to have been started
+   * again with another version, nobody can tell which of the two brought the events: both are
+   * recorded, so that neither counts, and the stream doesn't go on elsewhere.
    *
-   * @param upstream the upstream as it was listed when the request was sent to it
+   * @param from the send whose events are about to be written to the caller
    */
-  PoolRequest bindFirst(PoolRequest work, UpstreamListing upstream) {
-    if (bound) {
-      return work;
+  PoolRequest bind(PoolRequest work, ForwardAttempt from) {
+    SoftwareVersion sentTo = from.listing().version();
+    SoftwareVersion listed = from.upstream().listing().version();
+    PoolRequest boundWork = work;
+    if (!bound) {
+      bound = true;
+      begunBy = Optional.of(from);
+      recordBegun(work.pool(), sentTo);
+      boundWork = work.boundTo(sentTo);
+    }
+    if (!listed.equals(sentTo) && begunBy.equals(Optional.of(from))) {
+      begunBy = Optional.empty();
+      recordBegun(work.pool(), listed);
+      history.end();
     }
-    bound = true;
-    trace.note("begunBy", upstream.version());
-    core.streamOrigins()
-        .record(streamId(request.facts().attemptId()), work.pool(), upstream.version());
-    return work.boundTo(upstream.version());
+    return boundWork;
+  }
+
+  private void recordBegun(PoolName pool, SoftwareVersion version) {
+    trace.note("begunBy", version);
+    core.streamOrigins().record(streamId(request.facts().attemptId()), pool, version);
   }
 
   /** Returns why the request is rejected when no upstream is left that may serve it. */
