Selector: a send doesn't list the upstreams that may serve it once more

sent listed the serving upstreams and their reserved engines again for the home of the shared prefix, also for plain requests, which share none. A transfer comes from an engine that has read the prefix and needs no home.

--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamSelector.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamSelector.java
@@ -278,7 +278,7 @@
     reserved.ifPresent(r -> r.recordTarget(work, now));
     ChatSeparation separation = new ChatSeparation(work, reserved, rates.isLearned());
     List<UpstreamState> serving = eligibility.serving(candidates, work, now);
-    SharedPrefix prefix = sharedPrefix(work, serving, reserved, now);
+    SharedPrefix prefix = sharedPrefix(work, home(work, serving, reserved), now);
     boolean poolFails =
         rates.isLearned() && PoolFailure.isFailing(candidates, eligibility::isUsable);
     List<UpstreamState> open = new ArrayList<>();
@@ -346,14 +346,13 @@
     return share;
   }
 
-  private SharedPrefix sharedPrefix(
-      PoolRequest work, List<UpstreamState> serving, Optional<ReservedEngines> reserved, long now) {
+  private SharedPrefix sharedPrefix(PoolRequest work, UpstreamState home, long now) {
     if (work.sharedId() == 0) {
       return new SharedPrefix(null, 0, now);
     }
     double rate =
         pools.get(work.pool()).engine().map(EngineSpec::transferTokensPerMilli).orElse(0.0);
-    SharedPrefix prefix = new SharedPrefix(home(work, serving, reserved), rate, now);
+    SharedPrefix prefix = new SharedPrefix(home, rate, now);
     for (UpstreamState state : upstreams(work.pool())) {
       int read = rate > 0 ? state.prefixes().readTokens(work.sharedParts(), now) : 0;
       if (read > 0 && isTransferSource(state, now)) {
@@ -384,10 +383,13 @@
         : USED_COLD_SHARE * (stated * coldOverage + coldTolerance) / routerCount;
   }
 
-  /** Returns the home upstream of a shared prefix, the same at every router. */
+  /** Returns the home upstream of a shared prefix, the same at every router; null without one. */
   private UpstreamState home(
       PoolRequest work, List<UpstreamState> serving, Optional<ReservedEngines> reserved) {
     long shared = work.sharedId();
+    if (shared == 0) {
+      return null;
+    }
     ChatSeparation separation = new ChatSeparation(work, reserved, rates.isLearned());
     boolean chat = separation.isReservedFor();
     UpstreamState home = null;
@@ -415,13 +417,8 @@
     reachability.recordSend(state.listing().domain(), now);
     long ahead = state.load().promptTokens();
     int cached = state.prefixes().cachedTokens(work.parts());
-    SharedPrefix prefix =
-        sharedPrefix(
-            work,
-            eligibility.serving(upstreams(work.pool()), work, now),
-            Optional.ofNullable(reservations.get(work.pool())),
-            now);
-    Optional<PrefixTransfer> transfer = prefix.transferTo(state, cached);
+    // A transfer comes from any engine that has read the prefix, so its home doesn't matter.
+    Optional<PrefixTransfer> transfer = sharedPrefix(work, null, now).transferTo(state, cached);
     int unread =
         Math.max(0, work.promptTokens() - cached - transfer.map(PrefixTransfer::tokens).orElse(0));
     state.addSend(new UpstreamLoad(1, unread, work.memoryTokens(), work.pauseSensitivity()), now);
