Remove the constructors that leave out the version

The short constructors of UpstreamListing and PoolRequest served tests, and ForwardRequest alone in the product. Every place names the version now. No change of behaviour.

--- a/control/src/test/java/io/jacinthquay/control/service/UpstreamListCacheTest.java
+++ b/control/src/test/java/io/jacinthquay/control/service/UpstreamListCacheTest.java
@@ -7,6 +7,7 @@
 import io.jacinthquay.decision.dispatch.UpstreamListing;
 import io.jacinthquay.model.DomainId;
 import io.jacinthquay.model.PoolName;
+import io.jacinthquay.model.SoftwareVersion;
 import io.jacinthquay.model.UpstreamId;
 import java.net.InetSocketAddress;
 import java.util.List;
@@ -23,7 +24,8 @@
               true,
               false,
               1,
-              0));
+              0,
+              SoftwareVersion.UNSPECIFIED));
 
   private final UpstreamListCache cache = new UpstreamListCache(41);
 
--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/PoolRequest.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/PoolRequest.java
@@ -43,30 +43,6 @@
     parts = List.copyOf(parts);
   }
 
-  /** Returns a request that any version may serve. */
-  public PoolRequest(
-      PoolName pool,
-      Tier tier,
-      int promptTokens,
-      int outputTokens,
-      List<PromptPart> parts,
-      int targetMillis,
-      int gapTargetMillis,
-      long arrivedNanos,
-      long deadlineNanos) {
-    this(
-        pool,
-        tier,
-        promptTokens,
-        outputTokens,
-        parts,
-        targetMillis,
-        gapTargetMillis,
-        arrivedNanos,
-        deadlineNanos,
-        Optional.empty());
-  }
-
   /** Returns this request, to be served by one version only. */
   public PoolRequest boundTo(SoftwareVersion only) {
     return new PoolRequest(
--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamListing.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamListing.java
@@ -46,28 +46,6 @@
     }
   }
 
-  /** Returns an upstream for which the platform states no version of its software. */
-  public UpstreamListing(
-      UpstreamId upstream,
-      PoolName pool,
-      DomainId domain,
-      InetSocketAddress address,
-      boolean draining,
-      boolean cheap,
-      int slots,
-      long coldMillis) {
-    this(
-        upstream,
-        pool,
-        domain,
-        address,
-        draining,
-        cheap,
-        slots,
-        coldMillis,
-        SoftwareVersion.UNSPECIFIED);
-  }
-
   /** Returns this upstream with another time until it is warm, in milliseconds. */
   public UpstreamListing withColdMillis(long millis) {
     return new UpstreamListing(
--- a/decision/src/test/java/io/jacinthquay/decision/dispatch/ReplayedPool.java
+++ b/decision/src/test/java/io/jacinthquay/decision/dispatch/ReplayedPool.java
@@ -6,6 +6,7 @@
 import io.jacinthquay.decision.pace.SlowStart;
 import io.jacinthquay.decision.pace.SlowStartListener;
 import io.jacinthquay.model.DomainId;
+import io.jacinthquay.model.SoftwareVersion;
 import io.jacinthquay.model.UpstreamId;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -92,7 +93,15 @@
     listings.put(
         all.upstream(),
         new UpstreamListing(
-            all.upstream(), all.pool(), all.domain(), all.address(), false, false, 24, 0));
+            all.upstream(),
+            all.pool(),
+            all.domain(),
+            all.address(),
+            false,
+            false,
+            24,
+            0,
+            SoftwareVersion.UNSPECIFIED));
     Engine engine = new Engine();
     engines.put(all.upstream(), engine);
     return engine;
--- a/decision/src/test/java/io/jacinthquay/decision/dispatch/TestRequests.java
+++ b/decision/src/test/java/io/jacinthquay/decision/dispatch/TestRequests.java
@@ -2,6 +2,7 @@
 
 import io.jacinthquay.model.DomainId;
 import io.jacinthquay.model.PoolName;
+import io.jacinthquay.model.SoftwareVersion;
 import io.jacinthquay.model.Tier;
 import io.jacinthquay.model.UpstreamId;
 import io.jacinthquay.model.routing.EngineSpec;
@@ -49,18 +50,28 @@
         1_000,
         gapMillis,
         0,
-        10_000 * MILLI);
+        10_000 * MILLI,
+        Optional.empty());
   }
 
   static PoolRequest call(int tier) {
-    return new PoolRequest(PLAIN, new Tier(tier), 0, 0, List.of(), 100, 0, 0, 1_000 * MILLI);
+    return new PoolRequest(
+        PLAIN, new Tier(tier), 0, 0, List.of(), 100, 0, 0, 1_000 * MILLI, Optional.empty());
   }
 
   static UpstreamListing listing(String name, PoolName pool, DomainId domain, long coldMillis) {
     InetSocketAddress address = InetSocketAddress.createUnresolved("10.0.0.1", 80);
     int slots = pool.equals(PLAIN) ? 2 : 64;
     return new UpstreamListing(
-        new UpstreamId(name), pool, domain, address, false, false, slots, coldMillis);
+        new UpstreamId(name),
+        pool,
+        domain,
+        address,
+        false,
+        false,
+        slots,
+        coldMillis,
+        SoftwareVersion.UNSPECIFIED);
   }
 
   static List<UpstreamListing> listings(PoolName pool, int count) {
--- a/decision/src/test/java/io/jacinthquay/decision/dispatch/UpstreamSelectorTest.java
+++ b/decision/src/test/java/io/jacinthquay/decision/dispatch/UpstreamSelectorTest.java
@@ -10,6 +10,7 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.jacinthquay.model.SoftwareVersion;
 import io.jacinthquay.model.UpstreamId;
 import io.jacinthquay.model.routing.EngineSpec;
 import java.util.ArrayList;
@@ -387,7 +388,15 @@
     UpstreamListing open = TestRequests.listing("open", PLAIN, LOCAL, 0);
     UpstreamListing draining =
         new UpstreamListing(
-            new UpstreamId("draining"), PLAIN, LOCAL, open.address(), true, false, 2, 0);
+            new UpstreamId("draining"),
+            PLAIN,
+            LOCAL,
+            open.address(),
+            true,
+            false,
+            2,
+            0,
+            SoftwareVersion.UNSPECIFIED);
     selector.setListings(List.of(draining, TestRequests.listing("far", PLAIN, REMOTE, 0)), 0);
     assertEquals("far", choose(TestRequests.call(0), 0));
     selector.setClosedDomains(Set.of(REMOTE));
--- a/decision/src/test/java/io/jacinthquay/decision/dispatch/UrgencyTest.java
+++ b/decision/src/test/java/io/jacinthquay/decision/dispatch/UrgencyTest.java
@@ -5,13 +5,23 @@
 
 import io.jacinthquay.model.Tier;
 import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
 final class UrgencyTest {
   private static PoolRequest work(int tier, int targetMillis) {
     return new PoolRequest(
-        TestRequests.ENGINES, new Tier(tier), 10, 10, List.of(), targetMillis, 0, 0, 0);
+        TestRequests.ENGINES,
+        new Tier(tier),
+        10,
+        10,
+        List.of(),
+        targetMillis,
+        0,
+        0,
+        0,
+        Optional.empty());
   }
 
   @ParameterizedTest
--- a/decision/src/test/java/io/jacinthquay/decision/scaling/FleetPlannerTest.java
+++ b/decision/src/test/java/io/jacinthquay/decision/scaling/FleetPlannerTest.java
@@ -6,6 +6,7 @@
 import io.jacinthquay.decision.dispatch.UpstreamListing;
 import io.jacinthquay.model.DomainId;
 import io.jacinthquay.model.PoolName;
+import io.jacinthquay.model.SoftwareVersion;
 import io.jacinthquay.model.UpstreamId;
 import io.jacinthquay.model.routing.ScalingSpec;
 import java.net.InetSocketAddress;
@@ -48,7 +49,8 @@
               false,
               cheap,
               64,
-              0));
+              0,
+              SoftwareVersion.UNSPECIFIED));
     }
   }
 
--- a/decision/src/test/java/io/jacinthquay/decision/scaling/FleetReplay.java
+++ b/decision/src/test/java/io/jacinthquay/decision/scaling/FleetReplay.java
@@ -3,6 +3,7 @@
 import io.jacinthquay.decision.dispatch.UpstreamListing;
 import io.jacinthquay.model.DomainId;
 import io.jacinthquay.model.PoolName;
+import io.jacinthquay.model.SoftwareVersion;
 import io.jacinthquay.model.UpstreamId;
 import io.jacinthquay.model.routing.ScalingSpec;
 import java.net.InetSocketAddress;
@@ -217,7 +218,8 @@
                     false,
                     kind.cheap(),
                     SLOTS,
-                    0));
+                    0,
+                    SoftwareVersion.UNSPECIFIED));
           }
         });
     return all;
--- a/decision/src/test/java/io/jacinthquay/decision/waiting/LoadReplay.java
+++ b/decision/src/test/java/io/jacinthquay/decision/waiting/LoadReplay.java
@@ -84,7 +84,8 @@
           kind.target(),
           0,
           attemptArrived * MILLI,
-          (arrived + kind.deadline()) * MILLI);
+          (arrived + kind.deadline()) * MILLI,
+          Optional.empty());
     }
   }
 
--- a/decision/src/test/java/io/jacinthquay/decision/waiting/SharedLineTest.java
+++ b/decision/src/test/java/io/jacinthquay/decision/waiting/SharedLineTest.java
@@ -83,7 +83,8 @@
       SharedLine<String> line, String name, int tier, boolean place, long begunMillis) {
     List<PromptPart> parts = List.of(new PromptPart(1, 100));
     PoolRequest work =
-        new PoolRequest(POOL, new Tier(tier), 100, 0, parts, 300, 0, 0, 3_000 * MILLI);
+        new PoolRequest(
+            POOL, new Tier(tier), 100, 0, parts, 300, 0, 0, 3_000 * MILLI, Optional.empty());
     Waiter<String> waiter = new Waiter<>(name, work, Optional.empty(), begunMillis * MILLI);
     return line.add(waiter, () -> place, 0, new ArrayList<>()).admission();
   }
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardRequest.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardRequest.java
@@ -56,6 +56,7 @@
     return arrivedNanos + limitMillis() * NANOS_PER_MILLI;
   }
 
+  /** Returns the request to a pool, any version of which may serve it. */
   PoolRequest work(PoolName pool) {
     return new PoolRequest(
         pool,
@@ -66,7 +67,8 @@
         route.targetMillis(),
         route.gapTargetMillis(),
         arrivedNanos,
-        deadlineNanos());
+        deadlineNanos(),
+        Optional.empty());
   }
 
   /**
--- a/router/src/test/java/io/jacinthquay/router/service/forward/ForwardSimulation.java
+++ b/router/src/test/java/io/jacinthquay/router/service/forward/ForwardSimulation.java
@@ -5,6 +5,7 @@
 import io.jacinthquay.decision.dispatch.UpstreamLoad;
 import io.jacinthquay.model.DomainId;
 import io.jacinthquay.model.RequestId;
+import io.jacinthquay.model.SoftwareVersion;
 import io.jacinthquay.model.UpstreamId;
 import io.jacinthquay.model.routing.RouteRule;
 import io.jacinthquay.router.port.Header;
@@ -250,7 +251,8 @@
                 status == 1,
                 false,
                 slots.get(i),
-                0));
+                0,
+                SoftwareVersion.UNSPECIFIED));
       }
     }
     core.updateListings(listings);
--- a/router/src/test/java/io/jacinthquay/router/service/forward/SendEvidenceTest.java
+++ b/router/src/test/java/io/jacinthquay/router/service/forward/SendEvidenceTest.java
@@ -12,6 +12,7 @@
 import io.jacinthquay.decision.learning.RateUse;
 import io.jacinthquay.model.DomainId;
 import io.jacinthquay.model.PoolName;
+import io.jacinthquay.model.SoftwareVersion;
 import io.jacinthquay.model.Tier;
 import io.jacinthquay.model.UpstreamId;
 import io.jacinthquay.model.routing.EngineSpec;
@@ -40,13 +41,17 @@
         Map.of(POOL, new PoolSpec(POOL, "/health", 10, 0, 0, engine, Optional.empty())));
     InetSocketAddress address = InetSocketAddress.createUnresolved("10.0.0.1", 80);
     selector.setListings(
-        List.of(new UpstreamListing(ENGINE, POOL, DOMAIN, address, false, false, 64, 0)), 0);
+        List.of(
+            new UpstreamListing(
+                ENGINE, POOL, DOMAIN, address, false, false, 64, 0, SoftwareVersion.UNSPECIFIED)),
+        0);
   }
 
   private SendEvidence send() {
     List<PromptPart> parts = List.of(new PromptPart(1, 3_800));
     PoolRequest work =
-        new PoolRequest(POOL, new Tier(0), 3_800, 100, parts, 300, 150, 0, 9_000 * MILLI);
+        new PoolRequest(
+            POOL, new Tier(0), 3_800, 100, parts, 300, 150, 0, 9_000 * MILLI, Optional.empty());
     SentRequest sending = selector.sent(selector.choose(work, Set.of(), 0).orElseThrow(), work, 0);
     return learning.evidence(sending, false).orElseThrow();
   }
