A take-up ends once its upstream is known to be started again with another version

What callers saw: a take-up that was sent to an upstream just before the list showed its restart with another version went on to its end as a complete answer, though the router knew by then that the rest came from the other version.

Cause: the entry of the upstream was compared when the head of the answer arrived and not after that.

Data that arrives after the list has changed comes over a connection to the new run, so the send ends there. If events of it have reached the caller, the answer is aborted and goes on nowhere; else it goes on at another upstream of its version.

--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardExchange.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardExchange.java
@@ -282,8 +282,7 @@
       from.markBegun();
       countUsage();
     }
-    // The upstream may have been started again with another version since the request was sent.
-    if (!work.accepts(from.upstream().listing()) || !sink.head(head)) {
+    if (binding.mustEnd(work, from) || !sink.head(head)) {
       reject(from, "another kind of answer or version");
     }
   }
@@ -295,7 +294,7 @@
   }
 
   boolean onData(ForwardAttempt from, ByteBuffer data) {
-    return from != attempt || done || sink.data(data);
+    return from != attempt || done || (!binding.mustEnd(work, from) && sink.data(data));
   }
 
   /** Returns whether no memory is left for the answer of the current send. */
--- a/router/src/main/java/io/jacinthquay/router/service/forward/SendHistory.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/SendHistory.java
@@ -59,6 +59,11 @@
     unexecuted++;
   }
 
+  /** Returns whether the request may go to no upstream any more. */
+  boolean hasEnded() {
+    return ended;
+  }
+
   /** Returns whether a send may have run. */
   boolean hasSends() {
     return sends > 0;
--- a/router/src/main/java/io/jacinthquay/router/service/forward/StreamBinding.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/StreamBinding.java
@@ -102,6 +102,7 @@
   /**
    * Concludes from the answers of all pools. A stream that is remembered is known to one of them; a
    * second answer shows that none remembers it, and that both only name the version that they have.
+   * One answer may still be the only version of a pool beside pools that have several.
    */
   private void conclude(
       Map<PoolName, Origin> origins, Consumer<PoolRequest> found, Consumer<Failure> refused) {
@@ -161,14 +162,32 @@
       recordBegun(work.pool(), sentTo);
       boundWork = work.boundTo(sentTo);
     }
-    if (!listed.equals(sentTo) && begunBy.equals(Optional.of(from))) {
-      begunBy = Optional.empty();
+    if (!listed.equals(sentTo) && isBegunBy(from) && !history.hasEnded()) {
       recordBegun(work.pool(), listed);
       history.end();
     }
     return boundWork;
   }
 
+  /**
+   * Returns whether a send that goes on with a stream must end, as its upstream turns out to have
+   * been started again with another version. If events of that version have reached the caller, the
+   * stream doesn't go on elsewhere.
+   */
+  boolean mustEnd(PoolRequest work, ForwardAttempt from) {
+    if (work.accepts(from.upstream().listing()) || isBegunBy(from)) {
+      return false;
+    }
+    if (from.hasBegun()) {
+      history.end();
+    }
+    return true;
+  }
+
+  private boolean isBegunBy(ForwardAttempt from) {
+    return begunBy.equals(Optional.of(from));
+  }
+
   private void recordBegun(PoolName pool, SoftwareVersion version) {
     trace.note("begunBy", version);
     core.streamOrigins().record(streamId(request.facts().attemptId()), pool, version);
