A router that saw another version doesn't believe a leader that missed it

What callers may see: a version began to serve and left again while nobody led, or was in a router's list and not yet in that of the leader, which is up to 1.2 s old. The leader named the other one the only version, and a stream was joined from two.

Cause: a router took the leader's answer without regard to the lists that it got itself.

The router remembers for 70 s which versions its lists held, and an only version of the leader that they contradict doesn't count.

--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/OriginAnswer.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/OriginAnswer.java
@@ -12,6 +12,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BiPredicate;
 
 /**
  * What the leader knows of the streams that a router asked for.
@@ -60,6 +61,13 @@
     return new OriginAnswer(found, versions, message.isRecovering(), atNanos);
   }
 
+  /** Returns the answer without the only versions of pools that are not accepted. */
+  OriginAnswer withOnlyVersions(BiPredicate<PoolName, SoftwareVersion> accepted) {
+    Map<PoolName, SoftwareVersion> versions = new HashMap<>(onlyVersions);
+    versions.entrySet().removeIf(only -> !accepted.test(only.getKey(), only.getValue()));
+    return new OriginAnswer(found, versions, recovering, atNanos);
+  }
+
   /** Returns what a question gets; empty if it is to be asked again. */
   Optional<Resolution> resolve(OriginQuestion question) {
     Optional<StreamOrigin> origin = question.stream().map(found::get).map(OriginTable.Aged::origin);
--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/OriginFinder.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/OriginFinder.java
@@ -326,7 +326,7 @@
           new Control.Client(new TMultiplexedProtocol(channel.protocol(), SERVICE))
               .findOrigins(asked);
       return answer.isLeads()
-          ? Optional.of(OriginAnswer.of(answer, System.nanoTime()))
+          ? Optional.of(checked(OriginAnswer.of(answer, System.nanoTime())))
           : Optional.empty();
     } catch (IOException | TException | IllegalArgumentException e) {
       monitor.recordFailedCall(address, e);
@@ -334,6 +334,12 @@
     }
   }
 
+  /** Drops versions that are not the only ones here; a leader may have missed another. */
+  private OriginAnswer checked(OriginAnswer answer) {
+    return answer.withOnlyVersions(
+        (pool, version) -> !versions.wasOtherListed(pool, version, answer.atNanos()));
+  }
+
   private void disconnect() {
     if (channel != null) {
       channel.close();
--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/PoolVersionRuns.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/PoolVersionRuns.java
@@ -125,8 +125,12 @@
     runs.put(pool, new Run(run.version(), run.sinceNanos(), confirmed));
   }
 
-  private boolean wasOtherListed(PoolName pool, SoftwareVersion version, long now) {
-    return listedNanos.get(pool).entrySet().stream()
+  /**
+   * Returns whether this router saw a version of a pool beside a given one, a stream of which a
+   * caller may still take up.
+   */
+  synchronized boolean wasOtherListed(PoolName pool, SoftwareVersion version, long now) {
+    return listedNanos.getOrDefault(pool, Map.of()).entrySet().stream()
         .anyMatch(
             listed ->
                 !listed.getKey().equals(version) && now - listed.getValue() < MEMORY.toNanos());
--- a/router/src/test/java/io/jacinthquay/router/adapter/thrift/OriginFinderTest.java
+++ b/router/src/test/java/io/jacinthquay/router/adapter/thrift/OriginFinderTest.java
@@ -74,6 +74,8 @@
     RECOVERING,
     /** Leads, and knows no stream and no only version. */
     UNKNOWING,
+    /** Leads, and takes v1 for the only version of the pool. */
+    NAMES_ONE,
     STALLS,
     /** Answers with a stream id that is too short. */
     INVALID,
@@ -105,6 +107,7 @@
             answer.addToFound(found(STREAM.bytes()));
           }
         }
+        case NAMES_ONE -> answer.putToOnlyVersions(POOL.value(), "v1");
         case STALLS -> awaitTestEnd();
         default -> {}
       }
@@ -231,19 +234,31 @@
   void listsAnswerWhileNoLeaderDoes(Behaviour behaviour, Knowledge expected) throws Exception {
     List<String> addresses = List.of(start(behaviour));
     long now = System.nanoTime();
-    listVersion(now - 1);
+    listVersion("v1", now - 1);
     versions.recordLeader(POOL, Optional.of(new SoftwareVersion("v1")), now);
     startFinder(addresses, LONG_LIMIT);
     CompletableFuture<Origin> found = new CompletableFuture<>();
     finder.ask(CUSTOMER, Optional.of(STREAM), POOL, found::complete);
     for (long seconds = 1; seconds <= HANG_TIMEOUT_SECONDS; seconds++) {
-      listVersion(now + TimeUnit.SECONDS.toNanos(seconds));
+      listVersion("v1", now + TimeUnit.SECONDS.toNanos(seconds));
     }
     assertEquals(expected, found.get(HANG_TIMEOUT_SECONDS, TimeUnit.SECONDS).knowledge());
   }
 
-  private void listVersion(long polledNanos) {
-    versions.record(List.of(PoolVersionRunsTest.listing("v1")), polledNanos, polledNanos);
+  /** Another version appeared and left while nobody led, and the next leader took the older one. */
+  @ParameterizedTest
+  @CsvSource({"v1, KNOWN", "v2, UNKNOWN"})
+  void leaderIsNotBelievedThatMissedAVersion(String listed, Knowledge expected) throws Exception {
+    listVersion(listed, System.nanoTime() - TimeUnit.SECONDS.toNanos(3));
+    listVersion("v1", System.nanoTime());
+    startFinder(List.of(start(Behaviour.NAMES_ONE)), LONG_LIMIT);
+    CompletableFuture<Origin> found = new CompletableFuture<>();
+    finder.ask(CUSTOMER, Optional.of(STREAM), POOL, found::complete);
+    assertEquals(expected, found.get(HANG_TIMEOUT_SECONDS, TimeUnit.SECONDS).knowledge());
+  }
+
+  private void listVersion(String version, long polledNanos) {
+    versions.record(List.of(PoolVersionRunsTest.listing(version)), polledNanos, polledNanos);
   }
 
   /** An answer that could not be delivered ended the thread, or delivered others twice. */
