Pipelined requests: waiting connections no longer begin requests outside their turn

Seen: beside 1,200 clients with 2,000 pipelined requests each that read nothing, an ordinary client got no 200 in 20 s, but 503 (the connection to its upstream was not open in 500 ms) and timeouts of 2 s.

Hypotheses: (1) turns take longer than their spacing of 1 ms, so that due turns never let the I/O thread look at other connections; (2) connections that wait for a turn begin requests all the same.

A connection that waited stayed registered for reads. As the kernel held more of its bytes, it was ready in each pass of the I/O thread, and each time a new turn of 8 requests began and one more turn was added to the queue. Counted in the I/O thread of over 23 s (trial): 658,269 requests began; 58,466 of 59,438 read events came for waiting connections, up to 8 requests each; the 22,210 turns of the queue explain at most 177,680. A pass took about 300 ms (lateness of the latest turn, 254 to 464 ms), which an answer needs several of, and the spacing of the queue grew to 59 s. (1) was not seen alone: no turn was seconds late. These requests are refused at once (404), and the kernel takes their answers, so backpressure of writes doesn't set in: a next request begins only once the answer before it was handed to the kernel.

Change: a connection whose bytes were read ahead is in the queue once, isn't registered for reads until its turn, and gets 8 requests in it. The queue is one for each I/O thread; it runs turns for 1 ms and then pauses for as long as they took, counted from their end, so at least half of the thread is left to others.

--- a/router/src/main/java/io/jacinthquay/router/adapter/http/CallerServer.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/CallerServer.java
@@ -12,6 +12,8 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -25,6 +27,7 @@
 import org.xnio.Options;
 import org.xnio.StreamConnection;
 import org.xnio.Xnio;
+import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 import org.xnio.conduits.ConduitStreamSourceChannel;
 
@@ -71,7 +74,7 @@
   private final ConnectionTracker connectionTracker;
   private final BufferBudget memory;
   private final ShortageGuard shortages;
-  private final TurnQueue turns = new TurnQueue();
+  private final Map<XnioIoThread, TurnQueue> turns = new ConcurrentHashMap<>();
   private final AtomicInteger openConnections = new AtomicInteger();
   private XnioWorker worker;
   private HttpOpenListener http;
@@ -183,8 +186,11 @@
     ConduitStreamSourceChannel source = connection.getSourceChannel();
     ReadAhead ahead = new ReadAhead(memory, limits.maxHeadBytes() + limits.maxBodyBytes());
     ReadAheadSource watched =
-        new ReadAheadSource(source.getConduit(), ahead, () -> IoUtils.safeClose(connection));
-    watched.setTurns(turns);
+        new ReadAheadSource(
+            source.getConduit(),
+            ahead,
+            turns.computeIfAbsent(connection.getIoThread(), TurnQueue::new),
+            () -> IoUtils.safeClose(connection));
     watched.setReadReadyHandler(ListenerGuard.reader(connection));
     source.setConduit(watched);
     WriteWatch writes = new WriteWatch(connection.getSinkChannel().getConduit());
--- a/router/src/main/java/io/jacinthquay/router/adapter/http/ReadAheadSource.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/ReadAheadSource.java
@@ -51,7 +51,7 @@
 
   private final Runnable onEnd;
   private final ReadAhead ahead;
-  private TurnQueue turns = new TurnQueue();
+  private final TurnQueue turns;
   private boolean turnEnded;
   private final Transfer transfer = new Transfer();
   private int maxTurnBytes = BODY_BYTES_PER_TURN;
@@ -65,18 +65,20 @@
   private final HeadCost headCost = new HeadCost();
   private final RequestChunks chunks = new RequestChunks();
   private int turnBytes;
-  private int turnRequests;
-  private boolean turnGoesOn;
+  private boolean inTurn;
+  private boolean awaitsTurn;
 
   /**
    * Wraps a conduit.
    *
    * @param ahead buffers the bytes that are read ahead
+   * @param turns shares the I/O thread among its connections
    * @param onEnd called if the connection ends while reading ahead
    */
-  ReadAheadSource(StreamSourceConduit next, ReadAhead ahead, Runnable onEnd) {
+  ReadAheadSource(StreamSourceConduit next, ReadAhead ahead, TurnQueue turns, Runnable onEnd) {
     super(next);
     this.ahead = ahead;
+    this.turns = turns;
     this.onEnd = onEnd;
     next.setReadReadyHandler(new ReadyHandler());
   }
@@ -117,11 +119,6 @@
     return transfer;
   }
 
-  /** Sets the queue that the connection shares with others. */
-  void setTurns(TurnQueue queue) {
-    turns = queue;
-  }
-
   /** Returns the bytes of memory of what was read ahead. */
   long aheadBytes() {
     return ahead.memoryBytes();
@@ -154,7 +151,6 @@
   /** Records that a head is complete and returns the memory that it takes, in bytes. */
   long beginRequest() {
     inRequest = true;
-    turnRequests++;
     return headCost.reset();
   }
 
@@ -196,9 +192,7 @@
   boolean hasReceived() {
     if (!pastBoundary && ahead.isEmpty()) {
       readAhead();
-      if (readsResumed && !ahead.isEmpty()) {
-        next.wakeupReads();
-      }
+      goOnReading();
     }
     return pastBoundary || !ahead.isEmpty();
   }
@@ -215,16 +209,12 @@
   private final class ReadyHandler implements ReadReadyHandler {
     @Override
     public void readReady() {
-      if (!turnGoesOn) {
-        turnBytes = 0;
-        turnRequests = 0;
-        turnEnded = false;
-      }
-      turnGoesOn = false;
-      if (readsResumed) {
-        readerHandler.readReady();
-      } else {
+      if (!readsResumed) {
         readAhead();
+      } else if (awaitsTurn) {
+        next.suspendReads();
+      } else {
+        takeTurn(1);
       }
     }
 
@@ -356,25 +346,41 @@
   @Override
   public void resumeReads() {
     readsResumed = true;
+    if (!inTurn) {
+      goOnReading();
+    }
+  }
+
+  /** Makes sure that the server gets what comes next, without an event if it was read ahead. */
+  private void goOnReading() {
+    if (!readsResumed || awaitsTurn) {
+      return;
+    }
     if (ahead.isEmpty() && !ended) {
       next.resumeReads();
-    } else if (turnEnded || turnRequests >= REQUESTS_PER_TURN) {
-      turnEnded = false;
-      turnRequests = 0;
-      var unused =
-          getReadThread().executeAfter(this::startTurn, turns.add(), TimeUnit.MILLISECONDS);
     } else {
-      // The I/O thread runs this before it looks at other connections.
-      turnGoesOn = true;
-      next.wakeupReads();
+      awaitsTurn = true;
+      next.suspendReads();
+      turns.add(
+          () -> {
+            awaitsTurn = false;
+            takeTurn(REQUESTS_PER_TURN);
+          });
     }
   }
 
-  private void startTurn() {
-    turns.remove();
-    if (readsResumed) {
-      next.wakeupReads();
+  private void takeTurn(int maxRequests) {
+    turnBytes = 0;
+    turnEnded = false;
+    inTurn = true;
+    for (int i = 0; i < maxRequests && readsResumed && !turnEnded; i++) {
+      readerHandler.readReady();
+      if (ahead.isEmpty()) {
+        break;
+      }
     }
+    inTurn = false;
+    goOnReading();
   }
 
   @Override
--- a/router/src/test/java/io/jacinthquay/router/adapter/http/ConnectionThreadTest.java
+++ b/router/src/test/java/io/jacinthquay/router/adapter/http/ConnectionThreadTest.java
@@ -67,6 +67,7 @@
         new ReadAheadSource(
             connection.getSourceChannel().getConduit(),
             new ReadAhead(new BufferBudget(1), 1),
+            new TurnQueue(connection.getIoThread()),
             () -> {});
     TrackedConnection tracked =
         new TrackedConnection(
