Stored commands: containers state no more elements than there are

A damaged entry of some bytes, or one of a foreign peer, ends the program with "Requested array size exceeds VM limit", and again at each start, as the entry is in the log.

ThriftCodec now decodes by BoundedProtocol, which calls between VMs use already: a container states no more elements than bytes are left, and those of a command take 50 MB at most. All VMs have the same limits, so all of them refuse the same commands.

--- a/control/src/main/java/io/jacinthquay/control/state/ControlState.java
+++ b/control/src/main/java/io/jacinthquay/control/state/ControlState.java
@@ -163,7 +163,7 @@
   public void restore(long index, InputStream in) throws IOException {
     ControlSnapshot message;
     try {
-      message = ThriftCodec.decode(in.readAllBytes(), new ControlSnapshot());
+      message = ThriftCodec.decodeSnapshot(in.readAllBytes(), new ControlSnapshot());
     } catch (TException e) {
       throw new IOException("cannot decode the snapshot", e);
     }
--- a/keeper/src/main/java/io/jacinthquay/keeper/state/ThriftCodec.java
+++ b/keeper/src/main/java/io/jacinthquay/keeper/state/ThriftCodec.java
@@ -1,5 +1,6 @@
 package io.jacinthquay.keeper.state;
 
+import io.jacinthquay.wire.transport.BoundedProtocol;
 import java.io.ByteArrayOutputStream;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
@@ -38,10 +39,22 @@
    *
    * @param bytes the encoded form, from {@link #encode}
    * @param target an empty structure, which receives the fields
-   * @throws TException if the bytes are malformed
+   * @throws TException if the bytes are malformed or state too many elements of containers
    */
   public static <T extends TBase<?, ?>> T decode(byte[] bytes, T target) throws TException {
-    target.read(new TCompactProtocol(new TMemoryInputTransport(limits(), bytes)));
+    target.read(BoundedProtocol.on(new TMemoryInputTransport(limits(), bytes)));
+    return target;
+  }
+
+  /**
+   * Decodes a snapshot, which may have as many elements as its bytes hold.
+   *
+   * @param bytes the encoded form, from {@link #encode}
+   * @param target an empty structure, which receives the fields
+   * @throws TException if the bytes are malformed
+   */
+  public static <T extends TBase<?, ?>> T decodeSnapshot(byte[] bytes, T target) throws TException {
+    target.read(BoundedProtocol.ofStoredState(new TMemoryInputTransport(limits(), bytes)));
     return target;
   }
 
--- a/wire/src/main/java/io/jacinthquay/wire/transport/BoundedProtocol.java
+++ b/wire/src/main/java/io/jacinthquay/wire/transport/BoundedProtocol.java
@@ -19,7 +19,7 @@
  * each element. Thrift checks that size against the largest message only, and not at all for lists
  * of structures, so a message of a few bytes could take all of the heap.
  */
-final class BoundedProtocol extends TCompactProtocol {
+public final class BoundedProtocol extends TCompactProtocol {
   /**
    * Most memory that the elements of all containers of a message may take, in bytes; programs have
    * a heap of 96 MB or more.
@@ -32,15 +32,25 @@
   /** Memory of a boxed number and of its reference, in bytes. */
   private static final int NUMBER_BYTES = 24;
 
+  private final long maxElementBytes;
   private long elementBytes;
 
-  private BoundedProtocol(TTransport transport) {
+  private BoundedProtocol(TTransport transport, long maxElementBytes) {
     super(transport);
+    this.maxElementBytes = maxElementBytes;
   }
 
   /** Returns a protocol that reads whole messages from a transport. */
-  static BoundedProtocol on(TTransport transport) {
-    return new BoundedProtocol(transport);
+  public static BoundedProtocol on(TTransport transport) {
+    return new BoundedProtocol(transport, MAX_ELEMENT_BYTES);
+  }
+
+  /**
+   * Returns a protocol that checks only that the elements of a container are there, for a state
+   * that this program has held before.
+   */
+  public static BoundedProtocol ofStoredState(TTransport transport) {
+    return new BoundedProtocol(transport, Long.MAX_VALUE);
   }
 
   /** Creates protocols for the connections of a server. */
@@ -96,7 +106,7 @@
           "a container states " + size + " elements in " + remaining + " bytes");
     }
     elementBytes += (long) size * bytesEach;
-    if (elementBytes > MAX_ELEMENT_BYTES) {
+    if (elementBytes > maxElementBytes) {
       throw new TProtocolException(
           TProtocolException.SIZE_LIMIT, "the elements of a message take too much memory");
     }
