One service for threads that repeat a step

OriginFinder, ListPoller, MemoryWatch and ControlLink each wrote the same daemon thread with start, stop and a flag. RepeatingTask in runtime holds it once; each gives it a step that sets its pace, two of them an end. No change of what they do.

--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/ControlLink.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/ControlLink.java
@@ -14,6 +14,7 @@
 import io.jacinthquay.router.service.forward.CachedPrefix;
 import io.jacinthquay.router.service.forward.ForwardCore;
 import io.jacinthquay.router.service.forward.ForwardReport;
+import io.jacinthquay.runtime.RepeatingTask;
 import io.jacinthquay.runtime.Service;
 import io.jacinthquay.runtime.settings.SocketAddresses;
 import io.jacinthquay.wire.convert.QuarantineMessages;
@@ -126,7 +127,8 @@
   private final LeaderSearch search;
   private final ControlLinkMonitor monitor;
   private final Optional<ListPoller> poller;
-  private final Thread thread = new Thread(this::run, "control-link");
+  private final RepeatingTask task =
+      new RepeatingTask("control-link", this::exchangeAndWait, this::disconnect);
   private String target;
   private Channel channel;
   private long closedDomainsIndex = -1;
@@ -143,8 +145,6 @@
   /** The last control VM that answered and neither leads nor relays; empty if it failed since. */
   private Optional<String> informant = Optional.empty();
 
-  private volatile boolean running;
-
   /**
    * Returns a link.
    *
@@ -179,33 +179,23 @@
         directory.map(
             platform ->
                 new ListPoller(platform, list, monitor, () -> routerCount, new SplittableRandom()));
-    thread.setDaemon(true);
   }
 
   @Override
   public void start() {
-    running = true;
-    thread.start();
+    task.start();
     poller.ifPresent(ListPoller::start);
   }
 
   @Override
   public void stop() {
-    running = false;
-    thread.interrupt();
+    task.stop();
     poller.ifPresent(ListPoller::stop);
   }
 
-  private void run() {
-    while (running) {
-      try {
-        boolean succeeded = tryExchange();
-        TimeUnit.MILLISECONDS.sleep(succeeded ? exchangeMillis() : SEARCH_DELAY_MILLIS);
-      } catch (InterruptedException e) {
-        break;
-      }
-    }
-    disconnect();
+  private void exchangeAndWait() throws InterruptedException {
+    boolean succeeded = tryExchange();
+    TimeUnit.MILLISECONDS.sleep(succeeded ? exchangeMillis() : SEARCH_DELAY_MILLIS);
   }
 
   /** Exchanges once; nothing that is thrown may end the thread, which nothing would replace. */
--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/ListPoller.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/ListPoller.java
@@ -3,6 +3,7 @@
 import io.jacinthquay.decision.dispatch.UpstreamListing;
 import io.jacinthquay.model.Failure;
 import io.jacinthquay.router.port.UpstreamDirectory;
+import io.jacinthquay.runtime.RepeatingTask;
 import io.jacinthquay.runtime.Service;
 import io.vavr.control.Either;
 import java.util.List;
@@ -55,10 +56,9 @@
   private final ControlLinkMonitor monitor;
   private final IntSupplier routers;
   private final RandomGenerator random;
-  private final Thread thread = new Thread(this::run, "list-poller");
+  private final RepeatingTask task = new RepeatingTask("list-poller", this::tryStep);
   private boolean polling;
   private int failures;
-  private volatile boolean running;
 
   /**
    * Returns a poller.
@@ -78,29 +78,20 @@
     this.monitor = monitor;
     this.routers = routers;
     this.random = random;
-    thread.setDaemon(true);
   }
 
   @Override
   public void start() {
-    running = true;
-    thread.start();
+    task.start();
   }
 
   @Override
   public void stop() {
-    running = false;
-    thread.interrupt();
+    task.stop();
   }
 
-  private void run() {
-    while (running) {
-      try {
-        TimeUnit.MILLISECONDS.sleep(nextDelayMillis());
-      } catch (InterruptedException e) {
-        return;
-      }
-    }
+  private void tryStep() throws InterruptedException {
+    TimeUnit.MILLISECONDS.sleep(nextDelayMillis());
   }
 
   /** Runs one step; nothing that is thrown may end the thread, which nothing would replace. */
--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/OriginFinder.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/OriginFinder.java
@@ -4,6 +4,7 @@
 import io.jacinthquay.model.PoolName;
 import io.jacinthquay.model.StreamId;
 import io.jacinthquay.router.port.StreamOrigins.Origin;
+import io.jacinthquay.runtime.RepeatingTask;
 import io.jacinthquay.runtime.Service;
 import io.jacinthquay.runtime.settings.SocketAddresses;
 import io.jacinthquay.wire.convert.OriginMessages;
@@ -90,12 +91,12 @@
   private final long limitNanos;
   private final Executor ioThread;
   private final OriginQuestions questions = new OriginQuestions(MAX_QUESTIONS);
-  private final Thread thread = new Thread(this::run, "origin-finder");
+  private final RepeatingTask task =
+      new RepeatingTask("origin-finder", this::awaitAndTryStep, this::end);
   private String target;
   private Channel channel;
   private long calledNanos = System.nanoTime() - MAX_INTERVAL_MILLIS * NANOS_PER_MILLI;
   private long confirmNanos = System.nanoTime();
-  private volatile boolean running;
 
   /**
    * Returns a finder that has not started.
@@ -119,19 +120,16 @@
     this.versions = versions;
     this.monitor = monitor;
     this.ioThread = ioThread;
-    thread.setDaemon(true);
   }
 
   @Override
   public void start() {
-    running = true;
-    thread.start();
+    task.start();
   }
 
   @Override
   public void stop() {
-    running = false;
-    thread.interrupt();
+    task.stop();
   }
 
   /** Asks a question. Called on the I/O thread, which {@code found} runs on, too. */
@@ -142,7 +140,7 @@
       Consumer<Origin> found) {
     OriginQuestion question = new OriginQuestion(customer, stream, pool, System.nanoTime(), found);
     Optional<OriginQuestion> withoutPlace =
-        running ? questions.add(question) : Optional.of(question);
+        task.isRunning() ? questions.add(question) : Optional.of(question);
     withoutPlace.ifPresent(
         refused -> {
           monitor.recordAnswer(OriginMonitor.Outcome.NO_ANSWER);
@@ -150,16 +148,12 @@
         });
   }
 
-  private void run() {
-    while (running) {
-      try {
-        awaitQuestions();
-        tryStep();
-      } catch (InterruptedException e) {
-        break;
-      }
-    }
-    running = false;
+  private void awaitAndTryStep() throws InterruptedException {
+    awaitQuestions();
+    tryStep();
+  }
+
+  private void end() {
     questions.close();
     resolve(questions.all(), question -> Optional.of(OriginAnswer.Resolution.NO_ANSWER));
     disconnect();
@@ -286,7 +280,7 @@
       }
       disconnect();
       boolean waitedFor = asked.isEmpty() && !questions.isEmpty();
-      if (!running || waitedFor || System.nanoTime() - calledNanos >= limitNanos) {
+      if (!task.isRunning() || waitedFor || System.nanoTime() - calledNanos >= limitNanos) {
         break;
       }
     }
--- a/router/src/main/java/io/jacinthquay/router/service/report/MemoryWatch.java
+++ b/router/src/main/java/io/jacinthquay/router/service/report/MemoryWatch.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
+import io.jacinthquay.runtime.RepeatingTask;
 import io.jacinthquay.runtime.Service;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -35,11 +36,10 @@
   private final ProcessMemory memory;
   private final MetricRegistry registry;
   private final List<String> gauges;
-  private final Thread thread = new Thread(this::run, "memory-watch");
+  private final RepeatingTask task = new RepeatingTask("memory-watch", this::step);
   private long checkedNanos = System.nanoTime();
   private long loggedNanos = checkedNanos;
   private long collectionMillis;
-  private volatile boolean running;
 
   /**
    * Returns a watch that has not started.
@@ -50,32 +50,25 @@
     this.memory = memory;
     this.registry = registry;
     this.gauges = List.copyOf(gauges);
-    thread.setDaemon(true);
   }
 
   @Override
   public void start() {
-    running = true;
-    thread.start();
+    task.start();
   }
 
   @Override
   public void stop() {
-    running = false;
-    thread.interrupt();
+    task.stop();
     log.info("memory at the stop: {}", text(0));
   }
 
-  private void run() {
-    while (running) {
-      try {
-        TimeUnit.MILLISECONDS.sleep(CHECK_MILLIS);
-        check(System.nanoTime());
-      } catch (InterruptedException e) {
-        return;
-      } catch (RuntimeException e) {
-        log.warn("cannot read the memory of the process", e);
-      }
+  private void step() throws InterruptedException {
+    TimeUnit.MILLISECONDS.sleep(CHECK_MILLIS);
+    try {
+      check(System.nanoTime());
+    } catch (RuntimeException e) {
+      log.warn("cannot read the memory of the process", e);
     }
   }
 
