Answers whose status has no content end with their heads

A 204 or 304 that states a length or a transfer encoding has no content all the same, but the parser of the HTTP library waits for it or takes what follows for it. The request was repeated elsewhere, or its caller got 502.

ResponseFraming knew that such an answer is complete. The call now ends with the head if its status has no content, and closes the connection where the parser has not read the end; JsonHttpClient does so too. A 204 without either header keeps its connection, as before.

--- a/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowUpstreamCall.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowUpstreamCall.java
@@ -28,6 +28,7 @@
 /** A request and its response on one upstream connection; used on one I/O thread. */
 final class UndertowUpstreamCall implements UpstreamCall {
   private static final HttpString KEEP_ALIVE = new HttpString("Keep-Alive");
+  private static final int NO_CONTENT = 204;
 
   /** Lower statuses are interim responses; the parser would leave the final response unread. */
   private static final int FIRST_FINAL_STATUS = 200;
@@ -185,6 +186,10 @@
     if (done) {
       return;
     }
+    if (connection.source().endedByStatus() && parserExpectsContent(response)) {
+      end(false);
+      return;
+    }
     StreamSourceChannel source = exchange.getResponseChannel();
     source.getReadSetter().set(channel -> ListenerGuard.run(this::read, this::onBroken));
     source.wakeupReads();
@@ -244,16 +249,33 @@
       source.resumeReads();
       return;
     }
-    if (!connection.source().isResponseComplete(bodySent)) {
+    if (connection.source().isResponseComplete(bodySent)) {
+      end(true);
+    } else {
       onBroken();
-      return;
     }
+  }
+
+  private static boolean parserExpectsContent(ClientResponse response) {
+    HeaderMap headers = response.getResponseHeaders();
+    return response.getResponseCode() != NO_CONTENT
+        || headers.contains(Headers.CONTENT_LENGTH)
+        || headers.contains(Headers.TRANSFER_ENCODING);
+  }
+
+  /** Ends the call; the connection may be reused if the parser has read the end as well. */
+  private void end(boolean parsed) {
     if (!discarded) {
       listener.onEnd();
     }
-    if (!done) {
-      finish();
+    if (done) {
+      return;
+    }
+    finish();
+    if (parsed) {
       releaseConnection();
+    } else {
+      close();
     }
   }
 
--- a/runtime/src/main/java/io/jacinthquay/runtime/http/BodyReader.java
+++ b/runtime/src/main/java/io/jacinthquay/runtime/http/BodyReader.java
@@ -74,7 +74,7 @@
 
   private void read(StreamSourceChannel channel, ByteBuffer buffer) throws IOException {
     for (int turn = 0; turn < READS_PER_TURN && !released; turn++) {
-      int count = channel.read(buffer);
+      int count = source.endedByStatus() ? -1 : channel.read(buffer);
       if (count < 0) {
         if (!source.isResponseComplete(isRequestWritten())) {
           throw source.givenUp("its body broke off");
--- a/runtime/src/main/java/io/jacinthquay/runtime/http/BoundedSource.java
+++ b/runtime/src/main/java/io/jacinthquay/runtime/http/BoundedSource.java
@@ -131,6 +131,14 @@
     return framing.isComplete() && (requestWritten || !framing.endedByConnection());
   }
 
+  /**
+   * Returns whether the response ended with its head, as its status has no content. The parser may
+   * wait for content nevertheless.
+   */
+  public boolean endedByStatus() {
+    return framing.endedByStatus();
+  }
+
   /** Returns whether another response may follow on the connection. */
   public boolean isReusable() {
     return framing.isComplete() && !framing.hasExcess();
--- a/runtime/src/main/java/io/jacinthquay/runtime/http/ResponseFraming.java
+++ b/runtime/src/main/java/io/jacinthquay/runtime/http/ResponseFraming.java
@@ -146,6 +146,15 @@
     return endedByConnection;
   }
 
+  /** Returns whether the response ended with its head, as its status has no content. */
+  boolean endedByStatus() {
+    return isComplete() && !toHead && isStatusWithoutContent();
+  }
+
+  private boolean isStatusWithoutContent() {
+    return status == NO_CONTENT || status == NOT_MODIFIED;
+  }
+
   private void readLine() throws InvalidFramingException {
     if (state == State.STATUS_LINE) {
       readStatusLine();
@@ -199,7 +208,7 @@
     }
     if (status / STATUS_CLASS == 1) {
       beginHead();
-    } else if (toHead || status == NO_CONTENT || status == NOT_MODIFIED) {
+    } else if (toHead || isStatusWithoutContent()) {
       state = State.COMPLETE;
     } else if (chunked) {
       chunks.restart();
