Interim answers of any status are skipped

The parser of the HTTP library skips interim answers of status 100 only and takes 102, 103 and others for final ones. An upstream that sends 103 before its answer was taken for broken: the request was repeated elsewhere, or its caller got 502. JsonHttpClient returned the 103 as the response.

ResponseFraming reads each status line before the parser and now changes the status of an interim answer to 100 in what the parser is given. 101 stays invalid, as nobody asks for another protocol.

--- a/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowUpstreamCall.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowUpstreamCall.java
@@ -30,9 +30,6 @@
   private static final HttpString KEEP_ALIVE = new HttpString("Keep-Alive");
   private static final int NO_CONTENT = 204;
 
-  /** Lower statuses are interim responses; the parser would leave the final response unread. */
-  private static final int FIRST_FINAL_STATUS = 200;
-
   /** Consecutive reads before other tasks of the thread get a turn. */
   private static final int READS_PER_TURN = 8;
 
@@ -172,10 +169,6 @@
     connection.source().allowSkipped();
     String echoed = response.getResponseHeaders().getFirst(pool.idHeader());
     int status = response.getResponseCode();
-    if (status < FIRST_FINAL_STATUS) {
-      onBroken();
-      return;
-    }
     boolean idMatches =
         echoed == null ? !request.echoRequired() : echoed.equals(request.id().value());
     if (!idMatches) {
--- a/runtime/src/main/java/io/jacinthquay/runtime/http/FieldLine.java
+++ b/runtime/src/main/java/io/jacinthquay/runtime/http/FieldLine.java
@@ -60,6 +60,11 @@
     complete = false;
   }
 
+  /** Returns whether the line has a number of bytes between two, both included. */
+  boolean isBetween(int minLength, int maxLength) {
+    return !complete && length >= minLength && length <= maxLength;
+  }
+
   boolean isEmpty() {
     return length == 0;
   }
--- a/runtime/src/main/java/io/jacinthquay/runtime/http/ResponseFraming.java
+++ b/runtime/src/main/java/io/jacinthquay/runtime/http/ResponseFraming.java
@@ -17,6 +17,8 @@
   /** Digits of any length that 63 bits hold. */
   private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}");
 
+  private static final String INTERIM_START = "HTTP/1.1 1";
+
   private static final int SWITCHING_PROTOCOLS = 101;
   private static final int NO_CONTENT = 204;
   private static final int NOT_MODIFIED = 304;
@@ -75,7 +77,8 @@
   }
 
   /**
-   * Reads the part of a buffer between two positions.
+   * Reads the part of a buffer between two positions, and changes the statuses of interim responses
+   * to 100 in it, the only one that the parser skips.
    *
    * @throws InvalidFramingException if the end of the response can't be known
    */
@@ -125,14 +128,25 @@
       }
       case UNTIL_END -> to;
       default -> {
+        boolean ofInterim = isDigitOfInterimStatus();
         if (line.add(buffer.get(from))) {
           readLine();
+        } else if (ofInterim) {
+          buffer.put(from, (byte) '0');
         }
         yield from + 1;
       }
     };
   }
 
+  /** Returns whether the next byte is the second or third digit of a status from 100 to 199. */
+  private boolean isDigitOfInterimStatus() {
+    return state == State.STATUS_LINE
+        && line.isBetween(INTERIM_START.length(), INTERIM_START.length() + 1)
+        && line.text().startsWith("HTTP/1.")
+        && line.text().startsWith(" 1", INTERIM_START.length() - 2);
+  }
+
   /** Records that the connection has ended, which also ends a response without a length. */
   void end() {
     if (state == State.UNTIL_END) {
--- a/runtime/src/test/java/io/jacinthquay/runtime/http/InvalidFramingTest.java
+++ b/runtime/src/test/java/io/jacinthquay/runtime/http/InvalidFramingTest.java
@@ -99,6 +99,7 @@
         "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwholeHTTP/1.1 200 OK\r\n",
         "HTTP/1.0 200 OK\r\nContent-Length: 5\r\n\r\nwhole",
         "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole",
+        "HTTP/1.1 103 Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole",
         "HTTP/1.1 200 OK\r\n\r\nwhole"
       })
   void validResponsesAreComplete(String response) throws Exception {
