A whole answer that came before a reset of the upload is passed on

An upstream may answer with a length and reset the connection before it has read the request, as with 413. The answer waits in the socket, but the call failed with the write of the upload: the request was repeated elsewhere, or its caller got 502 for an answer that was there.

After a failed write the call now goes on reading. The socket yields what has arrived and then its end, so an answer that is whole by its length or its chunks is passed on; anything else fails with the read as it did with the write. An answer without a length still isn't whole (decision 0506).

Before: AnswerDuringUploadTest, 3 of 12 cases of aWholeAnswerBeforeAResetIsPassedOn failed, with uploads of 1.1 and 1.9 MB and a reset at once; which ones depends on the order of events. After: none of 12 in two runs.

In the first of these two runs anAnswerWithStatusZeroIsNone[1] failed once, "the connection wasn't kept": for 1 s the scripted upstream answered nothing on three new connections, beside other builds. It held in the second run, with 41 others, and isn't traced.

--- a/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowUpstreamCall.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowUpstreamCall.java
@@ -52,6 +52,7 @@
   private ClientExchange exchange;
   private ByteBuffer unsentBody;
   private boolean bodySent;
+  private boolean uploadBroken;
   private boolean mayHaveRun;
   private boolean paused;
   private boolean discarded;
@@ -138,7 +139,7 @@
   }
 
   private void sendBody() {
-    if (done || bodySent) {
+    if (done || bodySent || uploadBroken) {
       return;
     }
     StreamSinkChannel sink = exchange.getRequestChannel();
@@ -157,7 +158,9 @@
         sink.resumeWrites();
       }
     } catch (IOException e) {
-      onBroken();
+      // Reading fails in turn, unless the server has sent a whole response before.
+      uploadBroken = true;
+      sink.suspendWrites();
     }
   }
 
