--- a/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowUpstreamCall.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/UndertowUpstreamCall.java
@@ -28,9 +28,7 @@
 /** A request and its response on one upstream connection; used on one I/O thread. */
 final class UndertowUpstreamCall implements UpstreamCall {
   private static final HttpString KEEP_ALIVE = new HttpString("Keep-Alive");
-
-  /** Lower statuses are interim responses; the parser would leave the final response unread. */
-  private static final int FIRST_FINAL_STATUS = 200;
+  private static final int NO_CONTENT = 204;
 
   /** Consecutive reads before other tasks of the thread get a turn. */
   private static final int READS_PER_TURN = 8;
@@ -54,6 +52,7 @@
   private ClientExchange exchange;
   private ByteBuffer unsentBody;
   private boolean bodySent;
+  private boolean uploadBroken;
   private boolean mayHaveRun;
   private boolean paused;
   private boolean discarded;
@@ -140,7 +139,7 @@
   }
 
   private void sendBody() {
-    if (done || bodySent) {
+    if (done || bodySent || uploadBroken) {
       return;
     }
     StreamSinkChannel sink = exchange.getRequestChannel();
@@ -159,7 +158,9 @@
         sink.resumeWrites();
       }
     } catch (IOException e) {
-      onBroken();
+      // Reading fails in turn, unless the server has sent a whole response before.
+      uploadBroken = true;
+      sink.suspendWrites();
     }
   }
 
@@ -171,10 +172,6 @@
     connection.source().allowSkipped();
     String echoed = response.getResponseHeaders().getFirst(pool.idHeader());
     int status = response.getResponseCode();
-    if (status < FIRST_FINAL_STATUS) {
-      onBroken();
-      return;
-    }
     boolean idMatches =
         echoed == null ? !request.echoRequired() : echoed.equals(request.id().value());
     if (!idMatches) {
@@ -185,6 +182,10 @@
     if (done) {
       return;
     }
+    if (connection.source().endedByStatus() && parserExpectsContent(response)) {
+      end(false);
+      return;
+    }
     StreamSourceChannel source = exchange.getResponseChannel();
     source.getReadSetter().set(channel -> ListenerGuard.run(this::read, this::onBroken));
     source.wakeupReads();
@@ -244,16 +245,33 @@
       source.resumeReads();
       return;
     }
-    if (!connection.source().isResponseComplete(bodySent)) {
+    if (connection.source().isResponseComplete(bodySent)) {
+      end(true);
+    } else {
       onBroken();
-      return;
     }
+  }
+
+  private static boolean parserExpectsContent(ClientResponse response) {
+    HeaderMap headers = response.getResponseHeaders();
+    return response.getResponseCode() != NO_CONTENT
+        || headers.contains(Headers.CONTENT_LENGTH)
+        || headers.contains(Headers.TRANSFER_ENCODING);
+  }
+
+  /** Ends the call; the connection may be reused if the parser has read the end as well. */
+  private void end(boolean parsed) {
     if (!discarded) {
       listener.onEnd();
     }
-    if (!done) {
-      finish();
+    if (done) {
+      return;
+    }
+    finish();
+    if (parsed) {
       releaseConnection();
+    } else {
+      close();
     }
   }
 
