Refuse a take-up of a stream with two recorded versions at once

A caller that took its stream up again could get events of the former version after those of a new one. An upstream was started again with another version while it answered, the router recorded both versions for the stream, and the caller returned before the next report reached the leader.

Cause: ControlStreamOrigins took a conflict in its own log for a stream that it doesn't know, and asked the leader, which had been told of the first version only and named it.

Evidence: OriginFinderTest#leaderIsNotBelievedThatKnowsOneOfTwoVersions failed before in 1 of its 3 cases (expected UNKNOWN, got KNOWN); none fails now. The other two cases hold before and after.

The log now tells a conflict from an absence, and a conflict is answered as unknown without a question to the leader, whose knowledge can only be older than the conflict. The answers have an outcome of their own in the metrics.

--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/ControlStreamOrigins.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/ControlStreamOrigins.java
@@ -85,6 +85,12 @@
       Optional<StreamId> stream,
       PoolName pool,
       Consumer<Origin> found) {
+    if (stream.filter(origins::isInConflict).isPresent()) {
+      // The leader may have been told of one of the origins only.
+      monitor.recordAnswer(OriginMonitor.Outcome.CONFLICT);
+      found.accept(Origin.UNKNOWN);
+      return;
+    }
     Optional<StreamOrigin> own = stream.flatMap(origins::find);
     if (own.isEmpty()) {
       finder.ask(customer, stream, pool, found);
--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/OriginMonitor.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/OriginMonitor.java
@@ -25,6 +25,8 @@
     FOUND("found"),
     /** The pool has had one version for longer than streams last. */
     ONLY_VERSION("only_version"),
+    /** This router knows several versions that may have begun the stream. */
+    CONFLICT("conflict"),
     /** The stream belongs to another pool than its route leads to. */
     OTHER_POOL("other_pool"),
     /** Nobody knows the stream. */
@@ -106,9 +108,10 @@
       return;
     }
     log.warn(
-        "streams whose first version is not known: {} unknown, {} of another pool, {} without an"
-            + " answer; {} not recorded for lack of room; {} failed calls; since the start",
+        "streams whose first version is not known: {} unknown, {} in conflict, {} of another pool,"
+            + " {} without an answer; {} not recorded for lack of room; {} failed calls; since the start",
         answers.get(Outcome.UNKNOWN).getCount(),
+        answers.get(Outcome.CONFLICT).getCount(),
         answers.get(Outcome.OTHER_POOL).getCount(),
         answers.get(Outcome.NO_ANSWER).getCount(),
         dropped.getCount(),
--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/StreamOriginLog.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/StreamOriginLog.java
@@ -70,11 +70,16 @@
     table.record(found.origin(), THIS_ROUTER, found.ageMillis(), clock.getAsLong());
   }
 
-  /** Returns the origin of a stream. */
+  /** Returns the origin of a stream; empty if it isn't known or in conflict with another one. */
   synchronized Optional<StreamOrigin> find(StreamId stream) {
     return table.find(stream, clock.getAsLong()).map(OriginTable.Aged::origin);
   }
 
+  /** Returns whether several origins are known for a stream, so that none counts. */
+  synchronized boolean isInConflict(StreamId stream) {
+    return table.reported(stream, clock.getAsLong()).size() > 1;
+  }
+
   synchronized int size() {
     return table.size();
   }
--- a/router/src/test/java/io/jacinthquay/router/adapter/thrift/OriginFinderTest.java
+++ b/router/src/test/java/io/jacinthquay/router/adapter/thrift/OriginFinderTest.java
@@ -10,6 +10,7 @@
 import io.jacinthquay.router.port.StreamOrigins.Knowledge;
 import io.jacinthquay.router.port.StreamOrigins.Origin;
 import io.jacinthquay.router.service.forward.ForwardMetrics;
+import io.jacinthquay.runtime.Service;
 import io.jacinthquay.runtime.settings.SocketAddresses;
 import io.jacinthquay.wire.gen.Control;
 import io.jacinthquay.wire.gen.ControlViewMessage;
@@ -62,6 +63,7 @@
   private final CountDownLatch testEnd = new CountDownLatch(1);
   private final StreamOriginLog origins = new StreamOriginLog(System::nanoTime);
   private final PoolVersionRuns versions = new PoolVersionRuns();
+  private final List<Service> services = new ArrayList<>();
   private OriginFinder finder;
 
   /** How a control VM behaves. */
@@ -160,9 +162,9 @@
       if (behaviour == Behaviour.OLDER) {
         methods.remove("findOrigins");
       }
-      TMultiplexedProcessor services = new TMultiplexedProcessor();
-      services.registerProcessor("control", processor);
-      PlainServer server = new PlainServer(address, services);
+      TMultiplexedProcessor processors = new TMultiplexedProcessor();
+      processors.registerProcessor("control", processor);
+      PlainServer server = new PlainServer(address, processors);
       server.start();
       servers.add(server);
     }
@@ -191,12 +193,13 @@
             limit,
             ioThread);
     finder.start();
+    services.add(finder);
   }
 
   @AfterEach
   void stop() {
     testEnd.countDown();
-    finder.stop();
+    services.forEach(Service::stop);
     servers.forEach(PlainServer::stop);
   }
 
@@ -284,6 +287,27 @@
     assertEquals(4, deliveries.get());
   }
 
+  /**
+   * A stream of an upstream that was started again went on at its former version, which the leader
+   * knew, although this router had recorded both.
+   */
+  @ParameterizedTest
+  @CsvSource({"v1, KNOWN", "v1 v2, UNKNOWN", "'', KNOWN"})
+  void leaderIsNotBelievedThatKnowsOneOfTwoVersions(String recorded, Knowledge expected)
+      throws Exception {
+    InetSocketAddress leader = SocketAddresses.parse(start(Behaviour.KNOWS));
+    ControlStreamOrigins remembered =
+        new ControlStreamOrigins(() -> List.of(leader), () -> Runnable::run, new ForwardMetrics());
+    remembered.start();
+    services.add(remembered);
+    for (String version : recorded.isEmpty() ? new String[0] : recorded.split(" ")) {
+      remembered.record(STREAM, POOL, new SoftwareVersion(version));
+    }
+    CompletableFuture<Origin> found = new CompletableFuture<>();
+    remembered.find(Optional.of(STREAM), POOL, found::complete);
+    assertEquals(expected, found.get(HANG_TIMEOUT_SECONDS, TimeUnit.SECONDS).knowledge());
+  }
+
   private void askAndAwait() throws Exception {
     CompletableFuture<Origin> found = new CompletableFuture<>();
     finder.ask(CUSTOMER, Optional.of(STREAM), POOL, found::complete);
