Find the origin of a stream of a split route with one question

A take-up on a route with several pools was refused with 1209 although its stream was remembered: if both pools had one version and the report of the stream was still on its way, or if one pool had one version and the stream had begun at the other. If nobody knew the stream and just one pool had one version, it went on there, though the other pool may have begun it: the text of two services in one answer.

Cause: each pool was asked for on its own. The only version of a pool answered at once, before the report, and couldn't be told from a stream that is remembered; two such answers counted as a stream that nobody remembers. By reading, a pool without an answer also refused a stream that was found.

OriginAnswerTest has 5 cases of several pools, new with the interface.

A question now names all pools of the route, and the origin says which of them began the stream, so there is nothing left to conclude from several answers. The only version of a pool answers just a question for one pool; with several, the stream counts as unknown once its report had the time to arrive.

--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/ControlStreamOrigins.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/ControlStreamOrigins.java
@@ -74,16 +74,11 @@
     }
   }
 
-  @Override
-  public void find(Optional<StreamId> stream, PoolName pool, Consumer<Origin> found) {
-    find(Optional.empty(), stream, pool, found);
-  }
-
   @Override
   public void find(
       Optional<CustomerId> customer,
       Optional<StreamId> stream,
-      PoolName pool,
+      List<PoolName> pools,
       Consumer<Origin> found) {
     if (stream.filter(origins::isInConflict).isPresent()) {
       // The leader may have been told of one of the origins only.
@@ -93,10 +88,10 @@
     }
     Optional<StreamOrigin> own = stream.flatMap(origins::find);
     if (own.isEmpty()) {
-      finder.ask(customer, stream, pool, found);
-    } else if (own.get().pool().equals(pool)) {
+      finder.ask(customer, stream, pools, found);
+    } else if (pools.contains(own.get().pool())) {
       monitor.recordAnswer(OriginMonitor.Outcome.OWN);
-      found.accept(Origin.of(own.get().version()));
+      found.accept(Origin.of(own.get().pool(), own.get().version()));
     } else {
       monitor.recordAnswer(OriginMonitor.Outcome.OTHER_POOL);
       found.accept(Origin.UNKNOWN);
--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/OriginAnswer.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/OriginAnswer.java
@@ -38,8 +38,8 @@
     static final Resolution NO_ANSWER =
         new Resolution(OriginMonitor.Outcome.NO_ANSWER, Origin.NO_ANSWER);
 
-    static Resolution onlyVersion(SoftwareVersion version) {
-      return new Resolution(OriginMonitor.Outcome.ONLY_VERSION, Origin.of(version));
+    static Resolution onlyVersion(PoolName pool, SoftwareVersion version) {
+      return new Resolution(OriginMonitor.Outcome.ONLY_VERSION, Origin.of(pool, version));
     }
   }
 
@@ -73,16 +73,22 @@
     Optional<StreamOrigin> origin = question.stream().map(found::get).map(OriginTable.Aged::origin);
     if (origin.isPresent()) {
       return Optional.of(
-          origin.get().pool().equals(question.pool())
-              ? new Resolution(OriginMonitor.Outcome.FOUND, Origin.of(origin.get().version()))
+          question.pools().contains(origin.get().pool())
+              ? new Resolution(
+                  OriginMonitor.Outcome.FOUND,
+                  Origin.of(origin.get().pool(), origin.get().version()))
               : new Resolution(OriginMonitor.Outcome.OTHER_POOL, Origin.UNKNOWN));
     }
     if (recovering) {
       return Optional.empty();
     }
-    SoftwareVersion only = onlyVersions.get(question.pool());
-    if (only != null) {
-      return Optional.of(Resolution.onlyVersion(only));
+    Optional<Resolution> only =
+        question
+            .onlyPool()
+            .filter(onlyVersions::containsKey)
+            .map(pool -> Resolution.onlyVersion(pool, onlyVersions.get(pool)));
+    if (only.isPresent()) {
+      return only;
     }
     boolean reportMayCome =
         question.stream().isPresent() && atNanos - question.askedNanos() < REPORT_NANOS;
--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/OriginFinder.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/OriginFinder.java
@@ -136,9 +136,10 @@
   void ask(
       Optional<CustomerId> customer,
       Optional<StreamId> stream,
-      PoolName pool,
+      List<PoolName> pools,
       Consumer<Origin> found) {
-    OriginQuestion question = new OriginQuestion(customer, stream, pool, System.nanoTime(), found);
+    OriginQuestion question =
+        new OriginQuestion(customer, stream, List.copyOf(pools), System.nanoTime(), found);
     Optional<OriginQuestion> withoutPlace =
         task.isRunning() ? questions.add(question) : Optional.of(question);
     withoutPlace.ifPresent(
@@ -208,12 +209,16 @@
       resolve(
           questions.all(),
           question ->
-              versions
-                  .onlyVersion(question.pool(), question.askedNanos())
-                  .map(OriginAnswer.Resolution::onlyVersion));
+              question.onlyPool().flatMap(pool -> onlyVersionListed(pool, question.askedNanos())));
     }
   }
 
+  private Optional<OriginAnswer.Resolution> onlyVersionListed(PoolName pool, long askedNanos) {
+    return versions
+        .onlyVersion(pool, askedNanos)
+        .map(version -> OriginAnswer.Resolution.onlyVersion(pool, version));
+  }
+
   private void tryRun(Runnable step) {
     try {
       step.run();
@@ -234,7 +239,8 @@
   }
 
   private long limitNanos(OriginQuestion question) {
-    return versions.isConfirmed(question.pool()) ? limitNanos + LIST_WAIT.toNanos() : limitNanos;
+    boolean listMayAnswer = question.onlyPool().filter(versions::isConfirmed).isPresent();
+    return listMayAnswer ? limitNanos + LIST_WAIT.toNanos() : limitNanos;
   }
 
   /** Delivers what the resolver returns. A question loses its place before its delivery. */
@@ -267,7 +273,8 @@
     calledNanos = System.nanoTime();
     List<StreamQuestionMessage> messages = new ArrayList<>();
     asked.forEach(
-        question -> messages.add(OriginMessages.toQuestion(question.stream(), question.pool())));
+        question ->
+            messages.add(OriginMessages.toQuestion(question.stream(), question.pools().get(0))));
     unconfirmed.forEach(pool -> messages.add(OriginMessages.toQuestion(Optional.empty(), pool)));
     Set<String> called = new HashSet<>();
     for (Optional<String> next = next(called); next.isPresent(); next = next(called)) {
--- a/router/src/main/java/io/jacinthquay/router/port/StreamOrigins.java
+++ b/router/src/main/java/io/jacinthquay/router/port/StreamOrigins.java
@@ -4,6 +4,7 @@
 import io.jacinthquay.model.PoolName;
 import io.jacinthquay.model.SoftwareVersion;
 import io.jacinthquay.model.StreamId;
+import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
 
@@ -23,31 +24,35 @@
   }
 
   /**
-   * The version that began a stream.
+   * The pool and the version that began a stream.
    *
+   * @param pool present if it is known
    * @param version present if it is known
    */
-  record Origin(Knowledge knowledge, Optional<SoftwareVersion> version) {
+  record Origin(Knowledge knowledge, Optional<PoolName> pool, Optional<SoftwareVersion> version) {
     /** The version can't be learned any more. */
-    public static final Origin UNKNOWN = new Origin(Knowledge.UNKNOWN, Optional.empty());
+    public static final Origin UNKNOWN =
+        new Origin(Knowledge.UNKNOWN, Optional.empty(), Optional.empty());
 
     /** Nobody could be asked in time. */
-    public static final Origin NO_ANSWER = new Origin(Knowledge.NO_ANSWER, Optional.empty());
+    public static final Origin NO_ANSWER =
+        new Origin(Knowledge.NO_ANSWER, Optional.empty(), Optional.empty());
 
     /**
-     * Checks that a known origin has a version and no other has.
+     * Checks that a known origin has a pool and a version and no other has.
      *
      * @throws IllegalArgumentException if that isn't so
      */
     public Origin {
-      if (version.isPresent() != (knowledge == Knowledge.KNOWN)) {
-        throw new IllegalArgumentException("only a known origin has a version");
+      boolean known = knowledge == Knowledge.KNOWN;
+      if (pool.isPresent() != known || version.isPresent() != known) {
+        throw new IllegalArgumentException("only a known origin has a pool and a version");
       }
     }
 
     /** Returns a known origin. */
-    public static Origin of(SoftwareVersion version) {
-      return new Origin(Knowledge.KNOWN, Optional.of(version));
+    public static Origin of(PoolName pool, SoftwareVersion version) {
+      return new Origin(Knowledge.KNOWN, Optional.of(pool), Optional.of(version));
     }
   }
 
@@ -55,25 +60,19 @@
   void record(StreamId stream, PoolName pool, SoftwareVersion version);
 
   /**
-   * Finds the version that began a stream.
+   * Finds the pool and the version that began a stream of a customer. Where room for questions is
+   * short, customers share it evenly.
    *
+   * @param customer whose stream it is; empty if callers need no key
    * @param stream the stream; empty if the caller names none
-   * @param pool the pool that goes on with it; a stream of another pool is unknown
+   * @param pools the pools that may have begun it, at least one. A stream of another pool is
+   *     unknown. With several, so is one that nobody remembers, as a pool's only version doesn't
+   *     tell that this pool began it.
    * @param found called once, on the I/O thread, possibly before this method returns
    */
-  void find(Optional<StreamId> stream, PoolName pool, Consumer<Origin> found);
-
-  /**
-   * Finds the version that began a stream of a customer; where room for questions is short,
-   * customers share it evenly.
-   *
-   * @param customer whose stream it is; empty if callers need no key
-   */
-  default void find(
+  void find(
       Optional<CustomerId> customer,
       Optional<StreamId> stream,
-      PoolName pool,
-      Consumer<Origin> found) {
-    find(stream, pool, found);
-  }
+      List<PoolName> pools,
+      Consumer<Origin> found);
 }
--- a/router/src/main/java/io/jacinthquay/router/service/forward/ListedOrigins.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ListedOrigins.java
@@ -2,6 +2,7 @@
 
 import io.jacinthquay.decision.dispatch.UpstreamSelector;
 import io.jacinthquay.decision.dispatch.UpstreamState;
+import io.jacinthquay.model.CustomerId;
 import io.jacinthquay.model.PoolName;
 import io.jacinthquay.model.SoftwareVersion;
 import io.jacinthquay.model.StreamId;
@@ -12,7 +13,7 @@
 
 /**
  * Origins of streams for a router without control VMs: nothing is remembered, so a stream can go on
- * only while one version is listed.
+ * only while one version of its only pool is listed.
  */
 final class ListedOrigins implements StreamOrigins {
   private final UpstreamSelector selector;
@@ -27,7 +28,15 @@
   }
 
   @Override
-  public void find(Optional<StreamId> stream, PoolName pool, Consumer<Origin> found) {
+  public void find(
+      Optional<CustomerId> customer,
+      Optional<StreamId> stream,
+      List<PoolName> pools,
+      Consumer<Origin> found) {
+    found.accept(pools.size() == 1 ? onlyVersion(pools.get(0)) : Origin.UNKNOWN);
+  }
+
+  private Origin onlyVersion(PoolName pool) {
     List<SoftwareVersion> versions =
         selector.states().stream()
             .map(UpstreamState::listing)
@@ -35,6 +44,6 @@
             .map(listing -> listing.version())
             .distinct()
             .toList();
-    found.accept(versions.size() == 1 ? Origin.of(versions.get(0)) : Origin.UNKNOWN);
+    return versions.size() == 1 ? Origin.of(pool, versions.get(0)) : Origin.UNKNOWN;
   }
 }
--- a/router/src/main/java/io/jacinthquay/router/service/forward/StreamBinding.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/StreamBinding.java
@@ -10,10 +10,7 @@
 import io.jacinthquay.model.routing.WeightedPool;
 import io.jacinthquay.router.port.StreamOrigins.Knowledge;
 import io.jacinthquay.router.port.StreamOrigins.Origin;
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
@@ -73,20 +70,8 @@
       refuse(Knowledge.UNKNOWN, refused);
       return;
     }
-    Map<PoolName, Origin> origins = new HashMap<>();
-    for (PoolName pool : pools) {
-      core.streamOrigins()
-          .find(
-              request.customer(),
-              stream,
-              pool,
-              origin -> {
-                origins.put(pool, origin);
-                if (origins.size() == pools.size()) {
-                  conclude(origins, found, refused);
-                }
-              });
-    }
+    core.streamOrigins()
+        .find(request.customer(), stream, pools, origin -> conclude(origin, found, refused));
   }
 
   /** Returns the pools that may have begun the stream, the drawn one first. */
@@ -100,35 +85,17 @@
         .toList();
   }
 
-  /**
-   * Concludes from the answers of all pools. A stream that is remembered is known to one of them; a
-   * second answer shows that none remembers it, and that both only name the version that they have.
-   * One answer may still be the only version of a pool beside pools that have several.
-   */
-  private void conclude(
-      Map<PoolName, Origin> origins, Consumer<PoolRequest> found, Consumer<Failure> refused) {
-    List<PoolName> known = new ArrayList<>();
-    boolean complete = true;
-    for (Map.Entry<PoolName, Origin> answer : origins.entrySet()) {
-      if (answer.getValue().knowledge() == Knowledge.KNOWN) {
-        known.add(answer.getKey());
-      }
-      complete &= answer.getValue().knowledge() != Knowledge.NO_ANSWER;
-    }
-    if (known.size() > 1) {
-      refuse(Knowledge.UNKNOWN, refused);
-    } else if (!complete) {
-      refuse(Knowledge.NO_ANSWER, refused);
-    } else if (known.isEmpty()) {
-      refuse(Knowledge.UNKNOWN, refused);
-    } else {
-      PoolName pool = known.get(0);
-      SoftwareVersion version = origins.get(pool).version().orElseThrow();
-      core.metrics().countTakeUp(Knowledge.KNOWN);
-      trace.note("origin", version);
-      bound = true;
-      found.accept(request.work(pool).boundTo(version));
+  private void conclude(Origin origin, Consumer<PoolRequest> found, Consumer<Failure> refused) {
+    if (origin.knowledge() != Knowledge.KNOWN) {
+      refuse(origin.knowledge(), refused);
+      return;
     }
+    PoolName pool = origin.pool().orElseThrow();
+    SoftwareVersion version = origin.version().orElseThrow();
+    core.metrics().countTakeUp(Knowledge.KNOWN);
+    trace.note("origin", version);
+    bound = true;
+    found.accept(request.work(pool).boundTo(version));
   }
 
   private void refuse(Knowledge knowledge, Consumer<Failure> refused) {
--- a/router/src/test/java/io/jacinthquay/router/adapter/thrift/OriginAnswerTest.java
+++ b/router/src/test/java/io/jacinthquay/router/adapter/thrift/OriginAnswerTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -19,27 +20,35 @@
 
   /**
    * Streams of two versions were joined: a stream that isn't found is known only where one version
-   * has served, and unknown only once all routers have had the time to report it.
+   * has served, and unknown only once all routers have had the time to report it. Where several
+   * pools may have begun it, the only version of one of them tells nothing.
    */
   @ParameterizedTest
   @CsvSource({
-    // named, pool of the stream, only version, recovering, asked ms ago; outcome, version
-    "true, p, , false, 0, FOUND, v1",
-    "true, p, v2, true, 0, FOUND, v1",
-    "true, other, , false, 0, OTHER_POOL,",
-    "true, other, v2, false, 0, OTHER_POOL,",
-    "true, , v2, false, 0, ONLY_VERSION, v2",
-    "true, , v2, true, 0, ,",
-    "true, , , false, 499, ,",
-    "true, , , false, 500, UNKNOWN,",
-    "true, , , true, 900, ,",
-    "false, , v2, false, 0, ONLY_VERSION, v2",
-    "false, , v2, true, 0, ,",
-    "false, , , false, 0, UNKNOWN,",
-    "false, , , true, 900, ,"
+    // named, pools asked, pool that began it, only version, recovering, asked ms ago; outcome,
+    // version
+    "true, p, p, , false, 0, FOUND, v1",
+    "true, p, p, v2, true, 0, FOUND, v1",
+    "true, p, other, , false, 0, OTHER_POOL,",
+    "true, p, other, v2, false, 0, OTHER_POOL,",
+    "true, p, , v2, false, 0, ONLY_VERSION, v2",
+    "true, p, , v2, true, 0, ,",
+    "true, p, , , false, 499, ,",
+    "true, p, , , false, 500, UNKNOWN,",
+    "true, p, , , true, 900, ,",
+    "false, p, , v2, false, 0, ONLY_VERSION, v2",
+    "false, p, , v2, true, 0, ,",
+    "false, p, , , false, 0, UNKNOWN,",
+    "false, p, , , true, 900, ,",
+    "true, p q, q, , false, 0, FOUND, v1",
+    "true, p q, , v2, false, 499, ,",
+    "true, p q, , v2, false, 500, UNKNOWN,",
+    "true, p q, other, v2, false, 0, OTHER_POOL,",
+    "true, p q, , v2, true, 900, ,"
   })
   void resolvesAQuestion(
       boolean named,
+      String pools,
       String poolOfStream,
       String onlyVersion,
       boolean recovering,
@@ -61,7 +70,7 @@
         new OriginQuestion(
             Optional.empty(),
             named ? Optional.of(STREAM) : Optional.empty(),
-            new PoolName("p"),
+            Stream.of(pools.split(" ")).map(PoolName::new).toList(),
             now - askedMillisAgo * NANOS_PER_MILLI,
             origin -> {});
     Optional<OriginAnswer.Resolution> resolution = OriginAnswer.of(message, now).resolve(question);
--- a/router/src/test/java/io/jacinthquay/router/adapter/thrift/OriginFinderTest.java
+++ b/router/src/test/java/io/jacinthquay/router/adapter/thrift/OriginFinderTest.java
@@ -226,7 +226,7 @@
     }
     startFinder(addresses, expected == Knowledge.KNOWN ? LONG_LIMIT : SHORT_LIMIT);
     CompletableFuture<Origin> found = new CompletableFuture<>();
-    finder.ask(CUSTOMER, Optional.of(STREAM), POOL, found::complete);
+    finder.ask(CUSTOMER, Optional.of(STREAM), List.of(POOL), found::complete);
     assertEquals(expected, found.get(HANG_TIMEOUT_SECONDS, TimeUnit.SECONDS).knowledge());
     assertEquals(expected == Knowledge.KNOWN, origins.find(STREAM).isPresent());
   }
@@ -241,7 +241,7 @@
     versions.recordLeader(POOL, Optional.of(new SoftwareVersion("v1")), now);
     startFinder(addresses, LONG_LIMIT);
     CompletableFuture<Origin> found = new CompletableFuture<>();
-    finder.ask(CUSTOMER, Optional.of(STREAM), POOL, found::complete);
+    finder.ask(CUSTOMER, Optional.of(STREAM), List.of(POOL), found::complete);
     for (long seconds = 1; seconds <= HANG_TIMEOUT_SECONDS; seconds++) {
       listVersion("v1", now + TimeUnit.SECONDS.toNanos(seconds));
     }
@@ -256,7 +256,7 @@
     listVersion("v1", System.nanoTime());
     startFinder(List.of(start(Behaviour.NAMES_ONE)), LONG_LIMIT);
     CompletableFuture<Origin> found = new CompletableFuture<>();
-    finder.ask(CUSTOMER, Optional.of(STREAM), POOL, found::complete);
+    finder.ask(CUSTOMER, Optional.of(STREAM), List.of(POOL), found::complete);
     assertEquals(expected, found.get(HANG_TIMEOUT_SECONDS, TimeUnit.SECONDS).knowledge());
   }
 
@@ -280,8 +280,8 @@
         });
     askAndAwait();
     AtomicInteger answers = new AtomicInteger();
-    finder.ask(CUSTOMER, Optional.of(STREAM), POOL, origin -> answers.incrementAndGet());
-    finder.ask(CUSTOMER, Optional.of(STREAM), POOL, origin -> answers.incrementAndGet());
+    finder.ask(CUSTOMER, Optional.of(STREAM), List.of(POOL), origin -> answers.incrementAndGet());
+    finder.ask(CUSTOMER, Optional.of(STREAM), List.of(POOL), origin -> answers.incrementAndGet());
     askAndAwait();
     assertEquals(1, answers.get());
     assertEquals(4, deliveries.get());
@@ -304,13 +304,13 @@
       remembered.record(STREAM, POOL, new SoftwareVersion(version));
     }
     CompletableFuture<Origin> found = new CompletableFuture<>();
-    remembered.find(Optional.of(STREAM), POOL, found::complete);
+    remembered.find(CUSTOMER, Optional.of(STREAM), List.of(POOL), found::complete);
     assertEquals(expected, found.get(HANG_TIMEOUT_SECONDS, TimeUnit.SECONDS).knowledge());
   }
 
   private void askAndAwait() throws Exception {
     CompletableFuture<Origin> found = new CompletableFuture<>();
-    finder.ask(CUSTOMER, Optional.of(STREAM), POOL, found::complete);
+    finder.ask(CUSTOMER, Optional.of(STREAM), List.of(POOL), found::complete);
     found.get(HANG_TIMEOUT_SECONDS, TimeUnit.SECONDS);
   }
 
@@ -323,7 +323,7 @@
       Thread stopper = new Thread(finder::stop);
       stopper.start();
       for (int i = 0; i < 400; i++) {
-        finder.ask(CUSTOMER, Optional.of(STREAM), POOL, origin -> answered.countDown());
+        finder.ask(CUSTOMER, Optional.of(STREAM), List.of(POOL), origin -> answered.countDown());
       }
       assertTrue(answered.await(5, TimeUnit.SECONDS), "no answer in run " + run);
       stopper.join();
@@ -338,11 +338,11 @@
       finder.ask(
           Optional.of(new CustomerId("flood")),
           Optional.of(StreamId.of(Optional.empty(), "flood-" + i)),
-          POOL,
+          List.of(POOL),
           origin -> {});
     }
     CompletableFuture<Origin> found = new CompletableFuture<>();
-    finder.ask(CUSTOMER, Optional.of(STREAM), POOL, found::complete);
+    finder.ask(CUSTOMER, Optional.of(STREAM), List.of(POOL), found::complete);
     assertEquals(Knowledge.KNOWN, found.get(HANG_TIMEOUT_SECONDS, TimeUnit.SECONDS).knowledge());
   }
 
@@ -357,7 +357,7 @@
       finder.ask(
           Optional.empty(),
           Optional.of(StreamId.of(Optional.empty(), "flood-" + i)),
-          POOL,
+          List.of(POOL),
           origin -> {
             assertEquals(Origin.NO_ANSWER, origin);
             answers.incrementAndGet();
--- a/router/src/test/java/io/jacinthquay/router/adapter/thrift/OriginQuestionsTest.java
+++ b/router/src/test/java/io/jacinthquay/router/adapter/thrift/OriginQuestionsTest.java
@@ -22,7 +22,7 @@
     return new OriginQuestion(
         Optional.of(new CustomerId(name.substring(0, 1))),
         Optional.empty(),
-        new PoolName("p"),
+        List.of(new PoolName("p")),
         Long.parseLong(name.substring(1)),
         origin -> {});
   }
