End the version runs of a router that was suspended

Cause: PoolVersionRuns measured the gap between two polls by the monotonic clock alone, which leaves out the time of a suspension. A run outlived any suspension, and a list that was polled before it counted as recent.

Evidence: PoolVersionRunsTest with suspensions between steps; on the code before, 4 of the 5 new cases failed (the fifth shows that a run which begins after the suspension is used), now none. PoolVersionRunsTest 25, OriginFinderTest 24, ListInForceTest 12 and ListPollerTest 7 cases pass. Test cases got a list more in between, as a run needs it with a shorter gap; what they expect is the same.

Why it works: each list comes with a reading of both clocks. If they disagree since the last one, as in Leadership, all runs end, and lists that may have been polled before that moment begin none. Versions that were listed stay remembered; the clock that leaves out time only remembers them longer.

--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/PoolVersionRuns.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/PoolVersionRuns.java
@@ -4,6 +4,7 @@
 import io.jacinthquay.model.PoolName;
 import io.jacinthquay.model.SoftwareVersion;
 import io.jacinthquay.model.StreamOrigin;
+import io.jacinthquay.runtime.time.ClockReading;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -11,13 +12,15 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
 
 /**
  * The pools that, in an unbroken run of lists, this router has seen with one version only.
  *
  * <p>Handles take-ups while nobody leads. The leader confirms that no earlier version counts; from
  * then on the lists show whether another one has appeared. Nothing is kept over the end of the
- * process, and only monotonic times count. Times are in nanoseconds. Thread-safe.
+ * process, and only monotonic times count; as those leave out a suspension of the VM, it ends all
+ * runs. Times are in nanoseconds. Thread-safe.
  */
 final class PoolVersionRuns {
   /**
@@ -47,9 +50,22 @@
 
   private List<UpstreamListing> lastListings = List.of();
   private Map<PoolName, Set<SoftwareVersion>> lastVersions = Map.of();
+  private final Supplier<ClockReading> clock;
+  private ClockReading lastReading;
   private long polledNanos;
   private boolean polled;
 
+  /** Returns an instance without lists that reads the clocks of the Java runtime. */
+  PoolVersionRuns() {
+    this(ClockReading::now);
+  }
+
+  /** Returns an instance without lists. */
+  PoolVersionRuns(Supplier<ClockReading> clock) {
+    this.clock = clock;
+    this.lastReading = clock.get();
+  }
+
   /**
    * Records a list of any source.
    *
@@ -57,6 +73,7 @@
    * @param latestNanos time after which it was certainly not
    */
   synchronized void record(List<UpstreamListing> listings, long earliestNanos, long latestNanos) {
+    endRunsIfSuspended();
     boolean newer = !polled || earliestNanos - polledNanos > 0;
     if (newer) {
       if (polled && latestNanos - polledNanos > MAX_GAP.toNanos()) {
@@ -68,6 +85,20 @@
     versions(listings).forEach((pool, versions) -> recordPool(pool, versions, latestNanos, newer));
   }
 
+  /**
+   * Ends all runs if the VM was suspended since the last list; another one that was polled before
+   * this was noticed begins none.
+   */
+  private void endRunsIfSuspended() {
+    ClockReading reading = clock.get();
+    if (!lastReading.agreesWith(reading)) {
+      runs.clear();
+      polled = true;
+      polledNanos = reading.nanos();
+    }
+    lastReading = reading;
+  }
+
   private Map<PoolName, Set<SoftwareVersion>> versions(List<UpstreamListing> listings) {
     // Most views confirm the list that was recorded before.
     if (listings != lastListings) {
