Shorten the gap of version runs by the lag of the list

Cause: two polls of a run could be 2 s apart, as long as an upstream is listed at least. The platform's list lags by up to 0.8 s, and not always by the same time: with a first list that lags and a second that doesn't, an upstream that was listed for 2 s is in neither.

Evidence: PoolVersionRunsTest with two polls 1,201 ms apart failed on the code before (1 of the 2 new cases of the bound; the other, 1,200 ms, is still one run). The cases at 2,000 and 2,001 ms are replaced by these, which are stricter.

Why it works: the longest gap is the shortest time of a listing less the longest lag, 1.2 s. The price, by reading only: where routers get lists more seldom than that while nobody leads, take-ups of streams that are not known are refused until a leader confirms again.

--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/PoolVersionRuns.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/PoolVersionRuns.java
@@ -23,11 +23,17 @@
  * runs. Times are in nanoseconds. Thread-safe.
  */
 final class PoolVersionRuns {
+  /** Shortest time for which an upstream is listed, also one that crashes or drains. */
+  static final Duration MIN_LISTED = Duration.ofSeconds(2);
+
+  /** Longest time after a change until the platform's list shows it. */
+  static final Duration MAX_LAG = Duration.ofMillis(800);
+
   /**
-   * Longest time between two polls of a run. No version appears and leaves within it unseen, as an
-   * upstream is listed for seconds after it crashes, and while it drains.
+   * Longest time between two polls of a run. No version appears and leaves unseen within it, even
+   * if the first list shows changes as late as possible and the second one at once.
    */
-  static final Duration MAX_GAP = Duration.ofSeconds(2);
+  static final Duration MAX_GAP = MIN_LISTED.minus(MAX_LAG);
 
   /**
    * Time by which the platform may show a change to one reader later than to another. A list shows
--- a/router/src/test/java/io/jacinthquay/router/adapter/thrift/PoolVersionRunsTest.java
+++ b/router/src/test/java/io/jacinthquay/router/adapter/thrift/PoolVersionRunsTest.java
@@ -71,10 +71,10 @@
     "0:v1 100!v2 800:v1 1600:v1, 600,",
     "100:v1 100!v1 800:v1 1600:v1, 600,",
     "0:v1 100!v1 200!none 800:v1 1600:v1, 600,",
-    // The router was cut off or paused.
-    "0:v1 100!v1 2000:v1, 600, v1",
-    "0:v1 100!v1 2001:v1, 600,",
-    "0:v1 100!v1 2001:v1 2100!v1 4000:v1, 600, v1",
+    // The router was cut off or paused, for longer than another version may be listed unseen.
+    "0:v1 100!v1 1200:v1, 200, v1",
+    "0:v1 100!v1 1201:v1, 200,",
+    "0:v1 100!v1 1201:v1 1300!v1 2400:v1, 600, v1",
     // The router was suspended; a list may have been polled before.
     "0:v1 100!v1 800:v1 900~5000 1600:v1, 600,",
     "0:v1 100!v1 800:v1 900~-5000 1600:v1, 600,",
