Drop the version runs of pools that have left the list

Cause: a list was compared with the runs of the pools that it holds; the run of any other pool stayed. The leader names no version for a pool that isn't listed, so the run was never confirmed. A pool that came back within the longest gap also went on with its old run.

Why it works: a list newer than the last one ends the runs of pools that it doesn't hold. An older list that comes late ends none for that.

--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/PoolVersionRuns.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/PoolVersionRuns.java
@@ -88,7 +88,11 @@
       polled = true;
       polledNanos = earliestNanos;
     }
-    versions(listings).forEach((pool, versions) -> recordPool(pool, versions, latestNanos, newer));
+    Map<PoolName, Set<SoftwareVersion>> pools = versions(listings);
+    if (newer) {
+      runs.keySet().retainAll(pools.keySet());
+    }
+    pools.forEach((pool, versions) -> recordPool(pool, versions, latestNanos, newer));
   }
 
   /**
--- a/router/src/test/java/io/jacinthquay/router/adapter/thrift/PoolVersionRunsTest.java
+++ b/router/src/test/java/io/jacinthquay/router/adapter/thrift/PoolVersionRunsTest.java
@@ -54,7 +54,10 @@
       runs.recordLeader(POOL, only, nanos);
     } else {
       runs.record(
-          Stream.of(parts[1].split("\\+")).map(PoolVersionRunsTest::listing).toList(),
+          Stream.of(parts[1].split("\\+"))
+              .filter(v -> !v.equals("none"))
+              .map(PoolVersionRunsTest::listing)
+              .toList(),
           nanos,
           nanos);
     }
@@ -81,6 +84,9 @@
     "0:v1 100!v1 800:v1 900~5000 900!v1 1600:v1, 600,",
     "0:v1 100!v1 800:v1 1000~5000 900:v1 1100!v1 2000:v1 2100:v1, 1000,",
     "0:v1 100~5000 300:v1 400:v1 500!v1 900:v1 1600:v1, 600, v1",
+    // The pool was not listed.
+    "0:v1 100!v1 800:none 1600:v1, 600,",
+    "1000:v1 1100!v1 900:none 2200:v1, 1200, v1",
     // Another version was listed, and left.
     "0:v1 100!v1 800:v1 1600:v1+v2, 600,",
     "0:v1 100!v1 800:v1 1600:v2, 600,",
@@ -101,4 +107,12 @@
         Optional.ofNullable(version).map(SoftwareVersion::new),
         runs.onlyVersion(POOL, askedMillis * NANOS_PER_MILLI));
   }
+
+  /** Each router asked the leader every second, for good, about a pool that had been removed. */
+  @ParameterizedTest
+  @CsvSource({"0:v1 800:v1, 1", "0:v1 100!v1, 0", "0:v1 800:none, 0", "800:v1 0:none, 1"})
+  void removedPoolIsNotAskedFor(String steps, int unconfirmed) {
+    Stream.of(steps.split(" ")).forEach(this::run);
+    assertEquals(unconfirmed, runs.unconfirmed().size());
+  }
 }
