Count suspensions of a control VM into the age of its list

Cause: the age of the list was measured by the monotonic clock alone, which leaves out the time of a suspension. A list from before counted as under 1.2 s old until the next poll, and the age stated to routers and relays was too short by the suspension.

Why it works: the cache reads both clocks at each use. If the time of day advanced more, it moves the time of the last poll back by the difference, also for a poll that was under way. All ages come from this time: the leader's own answers, the views and the lists of relays. A step of the time of day makes a list look old until the next poll.

--- a/control/src/main/java/io/jacinthquay/control/service/UpstreamListCache.java
+++ b/control/src/main/java/io/jacinthquay/control/service/UpstreamListCache.java
@@ -1,11 +1,14 @@
 package io.jacinthquay.control.service;
 
 import io.jacinthquay.decision.dispatch.UpstreamListing;
+import io.jacinthquay.runtime.time.ClockReading;
 import java.util.List;
+import java.util.function.Supplier;
 
 /**
  * The last list of upstreams that was polled from the platform, by this VM or by the leader. An
- * older list never replaces a newer one. Thread-safe.
+ * older list never replaces a newer one. If this VM was suspended, the times of polls before are
+ * moved back by that time, which the monotonic clock doesn't count. Thread-safe.
  */
 public final class UpstreamListCache {
   private static final long NANOS_PER_MILLI = 1_000_000L;
@@ -16,6 +19,14 @@
    */
   private static final long SEARCH_NANOS = 3_000_000_000L;
 
+  private final Supplier<ClockReading> clock;
+  private ClockReading lastReading;
+
+  /** When the end of the last suspension was noticed, and how long it was. */
+  private long resumedNanos;
+
+  private long suspendedNanos;
+
   private List<UpstreamListing> listings = List.of();
   private long lastNumber;
   private long number;
@@ -37,7 +48,14 @@
    *     hold of an address.
    */
   public UpstreamListCache(long numberBefore) {
+    this(numberBefore, ClockReading::now);
+  }
+
+  /** Returns an empty cache that reads the given clocks. */
+  UpstreamListCache(long numberBefore, Supplier<ClockReading> clock) {
     this.lastNumber = numberBefore;
+    this.clock = clock;
+    this.lastReading = clock.get();
   }
 
   /**
@@ -47,7 +65,8 @@
    * @param number number that grows whenever the list changes; 0 before the first poll
    * @param measuredNanos when the remaining cold start times in it were true, on the monotonic
    *     clock
-   * @param polledNanos when the platform was last polled for it, on the monotonic clock
+   * @param polledNanos when the platform was last polled for it, on the monotonic clock; earlier by
+   *     the time for which this VM was suspended since
    */
   public record Snapshot(
       List<UpstreamListing> listings, long number, long measuredNanos, long polledNanos) {
@@ -68,11 +87,13 @@
    */
   public synchronized boolean update(
       List<UpstreamListing> newListings, long measuredAtNanos, long polledAtNanos) {
-    if (number > 0 && polledAtNanos - polledNanos < 0) {
+    noticeSuspension();
+    long polled = withSuspension(polledAtNanos);
+    if (number > 0 && polled - polledNanos < 0) {
       return false;
     }
     measuredNanos = measuredAtNanos;
-    polledNanos = polledAtNanos;
+    polledNanos = polled;
     if (number == 0 || !fingerprint(newListings).equals(fingerprint(listings))) {
       lastNumber++;
       number = lastNumber;
@@ -83,11 +104,29 @@
 
   /** Records that the platform was polled again and its list is the same. */
   public synchronized void recordUnchanged(long polledAtNanos) {
-    if (polledAtNanos - polledNanos > 0) {
-      polledNanos = polledAtNanos;
+    noticeSuspension();
+    long polled = withSuspension(polledAtNanos);
+    if (polled - polledNanos > 0) {
+      polledNanos = polled;
     }
   }
 
+  private void noticeSuspension() {
+    ClockReading reading = clock.get();
+    long missed = lastReading.nanosSuspendedUntil(reading);
+    if (missed > 0) {
+      polledNanos -= missed;
+      resumedNanos = reading.nanos();
+      suspendedNanos = missed;
+    }
+    lastReading = reading;
+  }
+
+  /** Moves the time of a poll back if it was before the end of the last suspension. */
+  private long withSuspension(long polledAtNanos) {
+    return polledAtNanos - resumedNanos < 0 ? polledAtNanos - suspendedNanos : polledAtNanos;
+  }
+
   /** Records that a router without a recent list found no leader and asked this VM. */
   public synchronized void recordSearch(long now) {
     searched = true;
@@ -118,6 +157,7 @@
 
   /** Returns the last list. */
   public synchronized Snapshot snapshot() {
+    noticeSuspension();
     return new Snapshot(listings, number, measuredNanos, polledNanos);
   }
 }
--- a/control/src/test/java/io/jacinthquay/control/service/PoolVersionMonitorTest.java
+++ b/control/src/test/java/io/jacinthquay/control/service/PoolVersionMonitorTest.java
@@ -8,6 +8,7 @@
 import io.jacinthquay.model.PoolName;
 import io.jacinthquay.model.SoftwareVersion;
 import io.jacinthquay.model.UpstreamId;
+import io.jacinthquay.runtime.time.ClockReading;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -25,8 +26,11 @@
 
   private final ControlState state = new ControlState();
   private final ImmediateLog log = new ImmediateLog(state);
-  private final UpstreamListCache list = new UpstreamListCache();
   private long nowMillis = 5_000;
+  private long suspendedMillis;
+  private final UpstreamListCache list =
+      new UpstreamListCache(
+          0, () -> new ClockReading(nowMillis * NANOS_PER_MILLI, nowMillis + suspendedMillis));
   private long wallStepMillis = HOUR_MILLIS;
   private final PoolVersionMonitor monitor = monitor(state);
 
@@ -156,10 +160,11 @@
 
   /** The list may lack a version that other VMs have seen since. */
   @ParameterizedTest
-  @CsvSource({"1199, v1", "1200, none", "4999, none"})
-  void oldListNamesNoVersion(long ageMillis, String expected) {
+  @CsvSource({"1199, 0, v1", "1200, 0, none", "4999, 0, none", "9, 1190, v1", "9, 1191, none"})
+  void oldListNamesNoVersion(long ageMillis, long suspended, String expected) {
     play("v1:1");
     nowMillis += ageMillis;
+    suspendedMillis += suspended;
     assertEquals(expected, only());
   }
 }
--- a/control/src/test/java/io/jacinthquay/control/service/UpstreamListCacheTest.java
+++ b/control/src/test/java/io/jacinthquay/control/service/UpstreamListCacheTest.java
@@ -9,11 +9,16 @@
 import io.jacinthquay.model.PoolName;
 import io.jacinthquay.model.SoftwareVersion;
 import io.jacinthquay.model.UpstreamId;
+import io.jacinthquay.runtime.time.ClockReading;
 import java.net.InetSocketAddress;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 final class UpstreamListCacheTest {
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+
   private static final List<UpstreamListing> LIST =
       List.of(
           new UpstreamListing(
@@ -28,6 +33,7 @@
               SoftwareVersion.UNSPECIFIED));
 
   private final UpstreamListCache cache = new UpstreamListCache(41);
+  private ClockReading now = new ClockReading(0, 0);
 
   /** A new leader that can't reach the platform must not undo what this VM has polled itself. */
   @Test
@@ -56,4 +62,17 @@
     assertTrue(cache.isSearched(2_000_000_000L));
     assertFalse(cache.isSearched(3_000_001_000L));
   }
+
+  /** A list from before a suspension of this VM counted as recent. */
+  @ParameterizedTest
+  @CsvSource({"5000, -1, -5001", "5000, 0, 0", "100, -1, -1", "-5000, -1, -1"})
+  void timeOfASuspensionCounts(long stepMillis, long polledMillis, long expectedMillis) {
+    UpstreamListCache suspended = new UpstreamListCache(0, () -> now);
+    suspended.update(LIST, 0, -2 * NANOS_PER_MILLI);
+    now = new ClockReading(0, stepMillis);
+    suspended.recordUnchanged(polledMillis * NANOS_PER_MILLI);
+    assertEquals(expectedMillis * NANOS_PER_MILLI, suspended.snapshot().polledNanos());
+    suspended.update(LIST, 0, NANOS_PER_MILLI);
+    assertEquals(NANOS_PER_MILLI, suspended.snapshot().polledNanos());
+  }
 }
--- a/runtime/src/main/java/io/jacinthquay/runtime/time/ClockReading.java
+++ b/runtime/src/main/java/io/jacinthquay/runtime/time/ClockReading.java
@@ -32,4 +32,13 @@
     long monotonicMillis = (later.nanos - nanos) / NANOS_PER_MILLI;
     return Math.abs(later.wallMillis - wallMillis - monotonicMillis) <= MAX_DIFFERENCE_MILLIS;
   }
+
+  /**
+   * Returns the time by which the wall clock advanced more than the monotonic clock from this
+   * reading to a later one, in nanoseconds; 0 if they agree or the wall clock was set back.
+   */
+  public long nanosSuspendedUntil(ClockReading later) {
+    long missedNanos = (later.wallMillis - wallMillis) * NANOS_PER_MILLI - (later.nanos - nanos);
+    return agreesWith(later) ? 0 : Math.max(0, missedNanos);
+  }
 }
--- a/runtime/src/test/java/io/jacinthquay/runtime/time/ClockReadingTest.java
+++ b/runtime/src/test/java/io/jacinthquay/runtime/time/ClockReadingTest.java
@@ -11,19 +11,21 @@
 
   @ParameterizedTest
   @CsvSource({
-    "0, 0, true",
-    "5000, 5000, true",
-    "5000, 5100, true",
-    "5000, 4900, true",
-    "5000, 5101, false",
-    "5000, 4899, false",
-    "10, 3010, false",
-    "10, -2990, false",
+    "0, 0, true, 0",
+    "5000, 5000, true, 0",
+    "5000, 5100, true, 0",
+    "5000, 4900, true, 0",
+    "5000, 5101, false, 101",
+    "5000, 4899, false, 0",
+    "10, 3010, false, 3000",
+    "10, -2990, false, 0",
   })
-  void agreesOnlyIfBothClocksAdvancedEqually(long monotonicMillis, long wallMillis, boolean agree) {
+  void agreesOnlyIfBothClocksAdvancedEqually(
+      long monotonicMillis, long wallMillis, boolean agree, long suspendedMillis) {
     ClockReading before = new ClockReading(7 * NANOS_PER_MILLI, 1_000_000);
     ClockReading later =
         new ClockReading((7 + monotonicMillis) * NANOS_PER_MILLI, 1_000_000 + wallMillis);
     assertEquals(agree, before.agreesWith(later));
+    assertEquals(suspendedMillis * NANOS_PER_MILLI, before.nanosSuspendedUntil(later));
   }
 }
