--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/PoolVersionRuns.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/PoolVersionRuns.java
@@ -4,6 +4,7 @@
 import io.jacinthquay.model.PoolName;
 import io.jacinthquay.model.SoftwareVersion;
 import io.jacinthquay.model.StreamOrigin;
+import io.jacinthquay.runtime.time.ClockReading;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -11,20 +12,28 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
 
 /**
  * The pools that, in an unbroken run of lists, this router has seen with one version only.
  *
  * <p>Handles take-ups while nobody leads. The leader confirms that no earlier version counts; from
  * then on the lists show whether another one has appeared. Nothing is kept over the end of the
- * process, and only monotonic times count. Times are in nanoseconds. Thread-safe.
+ * process, and only monotonic times count; as those leave out a suspension of the VM, it ends all
+ * runs. Times are in nanoseconds. Thread-safe.
  */
 final class PoolVersionRuns {
+  /** Shortest time for which an upstream is listed, also one that crashes or drains. */
+  static final Duration MIN_LISTED = Duration.ofSeconds(2);
+
+  /** Longest time after a change until the platform's list shows it. */
+  static final Duration MAX_LAG = Duration.ofMillis(800);
+
   /**
-   * Longest time between two polls of a run. No version appears and leaves within it unseen, as an
-   * upstream is listed for seconds after it crashes, and while it drains.
+   * Longest time between two polls of a run. No version appears and leaves unseen within it, even
+   * if the first list shows changes as late as possible and the second one at once.
    */
-  static final Duration MAX_GAP = Duration.ofSeconds(2);
+  static final Duration MAX_GAP = MIN_LISTED.minus(MAX_LAG);
 
   /**
    * Time by which the platform may show a change to one reader later than to another. A list shows
@@ -47,9 +56,22 @@
 
   private List<UpstreamListing> lastListings = List.of();
   private Map<PoolName, Set<SoftwareVersion>> lastVersions = Map.of();
+  private final Supplier<ClockReading> clock;
+  private ClockReading lastReading;
   private long polledNanos;
   private boolean polled;
 
+  /** Returns an instance without lists that reads the clocks of the Java runtime. */
+  PoolVersionRuns() {
+    this(ClockReading::now);
+  }
+
+  /** Returns an instance without lists. */
+  PoolVersionRuns(Supplier<ClockReading> clock) {
+    this.clock = clock;
+    this.lastReading = clock.get();
+  }
+
   /**
    * Records a list of any source.
    *
@@ -57,6 +79,7 @@
    * @param latestNanos time after which it was certainly not
    */
   synchronized void record(List<UpstreamListing> listings, long earliestNanos, long latestNanos) {
+    endRunsIfSuspended();
     boolean newer = !polled || earliestNanos - polledNanos > 0;
     if (newer) {
       if (polled && latestNanos - polledNanos > MAX_GAP.toNanos()) {
@@ -65,7 +88,25 @@
       polled = true;
       polledNanos = earliestNanos;
     }
-    versions(listings).forEach((pool, versions) -> recordPool(pool, versions, latestNanos, newer));
+    Map<PoolName, Set<SoftwareVersion>> pools = versions(listings);
+    if (newer) {
+      runs.keySet().retainAll(pools.keySet());
+    }
+    pools.forEach((pool, versions) -> recordPool(pool, versions, latestNanos, newer));
+  }
+
+  /**
+   * Ends all runs if the VM was suspended since the last list; another one that was polled before
+   * this was noticed begins none.
+   */
+  private void endRunsIfSuspended() {
+    ClockReading reading = clock.get();
+    if (!lastReading.agreesWith(reading)) {
+      runs.clear();
+      polled = true;
+      polledNanos = reading.nanos();
+    }
+    lastReading = reading;
   }
 
   private Map<PoolName, Set<SoftwareVersion>> versions(List<UpstreamListing> listings) {
