--- a/router/src/test/java/io/jacinthquay/router/service/forward/CachedPrefixLogTest.java
+++ b/router/src/test/java/io/jacinthquay/router/service/forward/CachedPrefixLogTest.java
@@ -8,6 +8,7 @@
 import io.jacinthquay.model.Tier;
 import io.jacinthquay.model.UpstreamId;
 import java.util.List;
+import java.util.Optional;
 import java.util.stream.LongStream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -24,7 +25,9 @@
     List<PromptPart> parts =
         LongStream.rangeClosed(0, shared).mapToObj(id -> new PromptPart(id, 500)).toList();
     log.record(
-        UPSTREAM, new PoolRequest(new PoolName("p"), new Tier(0), 100, 0, parts, 300, 0, 0, 0));
+        UPSTREAM,
+        new PoolRequest(
+            new PoolName("p"), new Tier(0), 100, 0, parts, 300, 0, 0, 0, Optional.empty()));
     assertEquals(List.of(new CachedPrefix(UPSTREAM, parts.subList(0, reported))), log.drain());
   }
 }
