Soak: a lost request is reported with each of its sends

The report named the last send only, so that it couldn't be told which upstream had ended the answer before. It now names when each upstream read the request, when it ran it, and whether it broke off itself.

--- a/faultsoak/src/main/java/io/jacinthquay/soak/LostRequestCheck.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/LostRequestCheck.java
@@ -29,20 +29,22 @@
     Map<RequestId, List<Run>> runs =
         history.runs().stream().collect(Collectors.groupingBy(Run::id));
     for (Call call : history.calls()) {
-      History.Arrival last =
+      List<History.Arrival> sends =
           arrivals.getOrDefault(call.id(), List.of()).stream()
-              .max(Comparator.comparingLong(arrival -> arrival.atNanos() - call.sentNanos()))
-              .orElse(null);
-      if (last == null || call.ending() == Call.Ending.LEFT) {
+              .sorted(Comparator.comparingLong(arrival -> arrival.atNanos() - call.sentNanos()))
+              .toList();
+      if (sends.isEmpty() || call.ending() == Call.Ending.LEFT) {
         continue;
       }
+      History.Arrival last = sends.get(sends.size() - 1);
+      List<Run> callRuns = runs.getOrDefault(call.id(), List.of());
       boolean excused =
           disturbances.affectRouter(call.router(), last.atNanos(), call.endNanos())
               || disturbances.affectUpstream(last.upstream(), last.atNanos(), call.endNanos())
-              || isTruncated(call, last, runs.getOrDefault(call.id(), List.of()))
+              || isTruncated(call, last, callRuns)
               || hadToEnd(call);
       verdict.judgeUnlessExplained(
-          call.ending() == Call.Ending.ANSWERED, excused, describe(call, last));
+          call.ending() == Call.Ending.ANSWERED, excused, describe(call, sends, callRuns));
     }
     return verdict;
   }
@@ -77,17 +79,43 @@
             >= TimeUnit.MILLISECONDS.toNanos(limitMillis) - TIMER_TOLERANCE_NANOS;
   }
 
-  private static String describe(Call call, History.Arrival last) {
+  private static String describe(Call call, List<History.Arrival> sends, List<Run> runs) {
     return call.id().value()
         + " ("
         + call.kind()
         + ") reached upstream "
-        + last.upstream()
+        + sends.get(sends.size() - 1).upstream()
         + ", and router "
         + call.router()
         + " closed its connection "
-        + TimeUnit.NANOSECONDS.toMillis(call.endNanos() - call.sentNanos())
+        + millisAfterSend(call, call.endNanos())
         + " ms after it was sent"
-        + (call.status() == 0 ? " without an answer" : " within the answer " + call.status());
+        + (call.status() == 0 ? " without an answer" : " within the answer " + call.status())
+        + sends.stream().map(send -> describe(call, send)).collect(Collectors.joining())
+        + runs.stream().map(run -> describe(call, run)).collect(Collectors.joining());
+  }
+
+  private static String describe(Call call, History.Arrival send) {
+    return "; at "
+        + millisAfterSend(call, send.atNanos())
+        + " ms upstream "
+        + send.upstream()
+        + " read it"
+        + (send.misdirected() ? " and was another one" : "");
+  }
+
+  private static String describe(Call call, Run run) {
+    return "; upstream "
+        + run.upstream()
+        + " ran it from "
+        + millisAfterSend(call, run.beganNanos())
+        + " to "
+        + millisAfterSend(call, run.endNanos())
+        + " ms"
+        + (run.truncated() ? " and broke off" : "");
+  }
+
+  private static long millisAfterSend(Call call, long atNanos) {
+    return TimeUnit.NANOSECONDS.toMillis(atNanos - call.sentNanos());
   }
 }
