Soak: a stream whose upstream was disturbed and that no other resumes isn't lost

The check excused a stream whose upstream had broken off by itself and that another refused, but of disturbed upstreams it knew the last only, which refused and was not disturbed.

The upstream that ran the stream last counts now, as for one that broke off. A request that was answered by nobody, and a fault before, after or elsewhere, excuse nothing: 2 of the 6 cases of the new test failed before, the other four hold on both.

--- a/faultsoak/src/main/java/io/jacinthquay/soak/LostRequestCheck.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/LostRequestCheck.java
@@ -41,7 +41,7 @@
       boolean excused =
           disturbances.affectRouter(call.router(), last.atNanos(), call.endNanos())
               || disturbances.affectUpstream(last.upstream(), last.atNanos(), call.endNanos())
-              || isTruncated(call, last, callRuns)
+              || wasEndedByUpstream(call, last, callRuns, disturbances)
               || hadToEnd(call);
       verdict.judgeUnlessExplained(
           call.ending() == Call.Ending.ANSWERED, excused, describe(call, sends, callRuns));
@@ -50,10 +50,11 @@
   }
 
   /**
-   * Returns whether the upstream broke off. Where the last one refused to go on with an answer that
-   * had begun, this is the one before it.
+   * Returns whether an upstream ended the answer. Where the last one refused to go on with an
+   * answer that had begun, this is the one before it, which broke off or was disturbed.
    */
-  private static boolean isTruncated(Call call, History.Arrival last, List<Run> runs) {
+  private static boolean wasEndedByUpstream(
+      Call call, History.Arrival last, List<Run> runs, Disturbances disturbances) {
     List<Run> lastRuns =
         runs.stream()
             .filter(run -> run.upstream() == last.upstream())
@@ -65,7 +66,11 @@
     }
     return runs.stream()
         .max(Comparator.comparingLong(run -> run.endNanos() - call.sentNanos()))
-        .filter(Run::truncated)
+        .filter(
+            run ->
+                run.truncated()
+                    || disturbances.affectUpstream(
+                        run.upstream(), run.beganNanos(), run.endNanos()))
         .isPresent();
   }
 
--- a/faultsoak/src/test/java/io/jacinthquay/soak/LossChecksTest.java
+++ b/faultsoak/src/test/java/io/jacinthquay/soak/LossChecksTest.java
@@ -129,6 +129,27 @@
     assertEquals(violations, new LostRequestCheck().judge(history).violations().size());
   }
 
+  /** The upstream that began a stream is disturbed, and the one that could resume it refuses. */
+  @ParameterizedTest
+  @CsvSource({
+    "UPSTREAM_RESET, 5, 45, 200, 0",
+    "UPSTREAM_LEAVES, 5, 45, 200, 0",
+    "UPSTREAM_RESET, 5, 45, 0, 1",
+    "UPSTREAM_RESET, 5, 0, 200, 1",
+    "UPSTREAM_RESET, 5, 55, 200, 1",
+    "UPSTREAM_RESET, 7, 45, 200, 1"
+  })
+  void streamThatADisturbedUpstreamBeganAndAnotherRefusesIsNotLost(
+      FaultKind kind, int target, long atMillis, int status, int violations) {
+    History history = new History();
+    history.add(call(CallKind.RESUME, Call.Ending.BROKEN, status, "", 100));
+    history.add(new History.Arrival(ID, UPSTREAM, nanos(10)));
+    history.add(new Run(ID, CallKind.RESUME, UPSTREAM, nanos(10), nanos(50), 10, true, false));
+    history.add(new History.Arrival(ID, UPSTREAM + 1, nanos(60)));
+    history.add(new FaultPeriod(kind, target, nanos(atMillis), nanos(atMillis + 2)));
+    assertEquals(violations, new LostRequestCheck().judge(history).violations().size());
+  }
+
   @Test
   void streamThatASoundUpstreamRanLastIsLostAlthoughAnEarlierOneBrokeOff() {
     History history = new History();
