LogThrottle for log lines at most once a second

Five classes kept the time of their last line and the shortest interval by hand. LogThrottle (runtime) holds both; its first line passes at once, as theirs did. All five had one second and a monotonic clock. The search line of ControlLinkMonitor keeps its own form, as it has three seconds and starts with the clock. ShortageGuard, UpstreamNotices and ElectionMonitor are not changed.

Neutral but for one order: a follow line now counts before it is written.

--- a/control/src/main/java/io/jacinthquay/control/service/PoolVersionMonitor.java
+++ b/control/src/main/java/io/jacinthquay/control/service/PoolVersionMonitor.java
@@ -10,6 +10,7 @@
 import io.jacinthquay.model.PoolName;
 import io.jacinthquay.model.SoftwareVersion;
 import io.jacinthquay.model.StreamOrigin;
+import io.jacinthquay.runtime.LogThrottle;
 import io.vavr.collection.Set;
 import io.vavr.collection.TreeSet;
 import io.vavr.collection.Vector;
@@ -60,15 +61,13 @@
 
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
-  /** Shortest time between two lines about failed proposals, in nanoseconds. */
-  private static final long LINE_INTERVAL_NANOS = 1_000_000_000L;
-
   private record Proposal(Set<String> versions, long atNanos) {}
 
   private final ControlStore store;
   private final UpstreamListCache list;
   private final LongSupplier clock;
   private final LongSupplier wallMillis;
+  private final LogThrottle failureLines;
   private final Map<String, Proposal> proposals = new HashMap<>();
 
   /** Since when the list lacks recorded versions of a pool, and has no other ones. */
@@ -82,7 +81,6 @@
 
   private PoolVersions lastSeen = PoolVersions.EMPTY;
   private boolean caughtUp;
-  private long lineNanos;
 
   /**
    * Returns a monitor.
@@ -98,7 +96,7 @@
     this.list = list;
     this.clock = clock;
     this.wallMillis = wallMillis;
-    this.lineNanos = clock.getAsLong() - LINE_INTERVAL_NANOS;
+    this.failureLines = new LogThrottle(clock.getAsLong());
   }
 
   /** Registers the metrics; docs/METRICS.md lists them. */
@@ -197,9 +195,7 @@
 
   private synchronized void recordFailure(String pool, Failure failure) {
     failed.inc();
-    long now = clock.getAsLong();
-    if (now - lineNanos >= LINE_INTERVAL_NANOS) {
-      lineNanos = now;
+    if (failureLines.tryAcquire(clock.getAsLong())) {
       log.warn("the versions of pool {} could not be recorded: {}", pool, failure.detail());
     }
   }
--- a/control/src/main/java/io/jacinthquay/control/service/StreamOriginsTable.java
+++ b/control/src/main/java/io/jacinthquay/control/service/StreamOriginsTable.java
@@ -7,6 +7,7 @@
 import io.jacinthquay.model.SoftwareVersion;
 import io.jacinthquay.model.StreamId;
 import io.jacinthquay.model.StreamOrigin;
+import io.jacinthquay.runtime.LogThrottle;
 import io.jacinthquay.wire.convert.OriginMessages;
 import io.jacinthquay.wire.gen.RouterReportMessage;
 import io.jacinthquay.wire.gen.StreamOriginMessage;
@@ -42,22 +43,19 @@
   /** Maximum number of pools and versions that are held once; more are rather held twice. */
   private static final int MAX_SHARED_VALUES = 1_024;
 
-  /** Shortest time between two lines about streams for which there was no room, in nanoseconds. */
-  private static final long LINE_INTERVAL_NANOS = 1_000_000_000L;
-
   private record Software(PoolName pool, SoftwareVersion version) {}
 
   private final LongSupplier clock;
   private final LongSupplier term;
   private final OriginTable table;
   private final Map<Software, Software> sharedValues = new HashMap<>();
+  private final LogThrottle lines;
   private final Counter recorded = new Counter();
   private final Counter dropped = new Counter();
   private final Counter invalid = new Counter();
   private long currentTerm = -1;
   private long termSinceNanos;
   private long epoch;
-  private long lineNanos;
 
   /**
    * Returns an empty table.
@@ -70,7 +68,7 @@
     this.term = term;
     long now = clock.getAsLong();
     this.table = new OriginTable(MAX_STREAMS, MAX_STREAMS_PER_ROUTER, now);
-    this.lineNanos = now - LINE_INTERVAL_NANOS;
+    this.lines = new LogThrottle(now);
   }
 
   /** Registers the metrics; docs/METRICS.md lists them. */
@@ -150,9 +148,7 @@
   }
 
   private void logLine(String router, String reason) {
-    long now = clock.getAsLong();
-    if (now - lineNanos >= LINE_INTERVAL_NANOS) {
-      lineNanos = now;
+    if (lines.tryAcquire(clock.getAsLong())) {
       log.warn(
           "a stream that router {} reported is not remembered ({}); {} without room, {} invalid"
               + " since the start",
--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/ControlLinkMonitor.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/ControlLinkMonitor.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.Counter;
 import io.jacinthquay.router.service.forward.ForwardMetrics;
+import io.jacinthquay.runtime.LogThrottle;
 import io.jacinthquay.wire.gen.ControlViewMessage;
 import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
@@ -18,9 +19,6 @@
   /** Time without a view after which the search is logged, in nanoseconds. */
   private static final long SEARCH_LOG_NANOS = 3_000_000_000L;
 
-  /** Shortest time between two lines of the same kind, in nanoseconds. */
-  private static final long LINE_INTERVAL_NANOS = 1_000_000_000L;
-
   private static final long NANOS_PER_MILLI = 1_000_000L;
   private static final long NONE = -1;
 
@@ -28,13 +26,13 @@
   private final ListInForce list;
   private final Counter unusableDocuments;
   private final long startNanos;
+  private final LogThrottle followLines;
+  private final LogThrottle documentLines;
   private String listKind = ListInForce.Source.NONE.kind();
   private String followed = "";
   private long followedSinceNanos;
-  private long followLineNanos;
   private long leftOutChanges;
   private long searchLineNanos;
-  private long documentLineNanos;
   private volatile boolean heard;
   private volatile long viewNanos;
   private volatile long namedVersion = NONE;
@@ -50,9 +48,9 @@
     this.clock = clock;
     this.list = list;
     this.startNanos = clock.getAsLong();
-    this.followLineNanos = startNanos - LINE_INTERVAL_NANOS;
+    this.followLines = new LogThrottle(startNanos);
     this.searchLineNanos = startNanos;
-    this.documentLineNanos = startNanos - LINE_INTERVAL_NANOS;
+    this.documentLines = new LogThrottle(startNanos);
     this.viewNanos = startNanos;
     this.unusableDocuments =
         metrics.registry().counter("jq_forward_control_unusable_documents_total");
@@ -106,7 +104,7 @@
     if (!first && source.equals(followed)) {
       return;
     }
-    if (now - followLineNanos < LINE_INTERVAL_NANOS) {
+    if (!followLines.tryAcquire(now)) {
       leftOutChanges++;
     } else {
       log.info(
@@ -121,7 +119,6 @@
           versionInForce,
           view.getMembers(),
           leftOutChanges);
-      followLineNanos = now;
       leftOutChanges = 0;
     }
     followed = source;
@@ -156,17 +153,14 @@
    */
   void recordUnusableDocument(long version, String reason) {
     unusableDocuments.inc();
-    long now = clock.getAsLong();
-    if (now - documentLineNanos >= LINE_INTERVAL_NANOS) {
-      documentLineNanos = now;
+    if (documentLines.tryAcquire(clock.getAsLong())) {
       log.error("no usable document of version {} from {}: {}", version, followed, reason);
     }
   }
 
   private void logIfOlder(ControlViewMessage view, String source, long versionInForce, long now) {
     boolean older = view.isLeads() && view.getDocumentVersion() < versionInForce;
-    if (older && now - documentLineNanos >= LINE_INTERVAL_NANOS) {
-      documentLineNanos = now;
+    if (older && documentLines.tryAcquire(now)) {
       log.error(
           "leader {} names version {}, older than {}, which is in force",
           source,
--- a/router/src/main/java/io/jacinthquay/router/adapter/thrift/OriginMonitor.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/thrift/OriginMonitor.java
@@ -3,9 +3,9 @@
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
 import io.jacinthquay.router.service.forward.ForwardMetrics;
+import io.jacinthquay.runtime.LogThrottle;
 import java.util.EnumMap;
 import java.util.Map;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -14,9 +14,6 @@
 final class OriginMonitor {
   private static final Logger log = LogManager.getLogger();
 
-  /** Shortest time between two lines, in nanoseconds. */
-  private static final long LINE_INTERVAL_NANOS = 1_000_000_000L;
-
   /** How a question was answered. */
   enum Outcome {
     /** This router knew the stream. */
@@ -51,7 +48,7 @@
   private final Counter dropped;
   private final Counter reported;
   private final Counter failedCalls;
-  private final AtomicLong lineNanos;
+  private final LogThrottle lines;
 
   /**
    * Registers the metrics.
@@ -60,7 +57,7 @@
    */
   OriginMonitor(ForwardMetrics metrics, StreamOriginLog origins, LongSupplier clock) {
     this.clock = clock;
-    this.lineNanos = new AtomicLong(clock.getAsLong() - LINE_INTERVAL_NANOS);
+    this.lines = new LogThrottle(clock.getAsLong());
     MetricRegistry registry = metrics.registry();
     metrics.gauge("jq_forward_stream_origins", origins::size);
     recorded = registry.counter("jq_forward_stream_origins_recorded_total");
@@ -102,9 +99,7 @@
   }
 
   private void logLine() {
-    long now = clock.getAsLong();
-    long last = lineNanos.get();
-    if (now - last < LINE_INTERVAL_NANOS || !lineNanos.compareAndSet(last, now)) {
+    if (!lines.tryAcquire(clock.getAsLong())) {
       return;
     }
     log.warn(
--- a/runtime/src/main/java/io/jacinthquay/runtime/http/AnswerMemory.java
+++ b/runtime/src/main/java/io/jacinthquay/runtime/http/AnswerMemory.java
@@ -1,5 +1,6 @@
 package io.jacinthquay.runtime.http;
 
+import io.jacinthquay.runtime.LogThrottle;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashSet;
@@ -7,7 +8,6 @@
 import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -33,15 +33,12 @@
   /** Each shortage frees an eighth of the whole, so that not every read has to look again. */
   private static final int FREED_PART = 8;
 
-  /** Shortest time between two log lines; a faulty server may be called often. */
-  private static final long LOG_NANOS = TimeUnit.SECONDS.toNanos(1);
-
   private final long maxBytes;
   private final Set<Holding> holdings = new HashSet<>();
   private long heldBytes;
   private long givenUpBytes;
   private final AtomicLong givenUp = new AtomicLong();
-  private final AtomicLong loggedNanos = new AtomicLong(System.nanoTime() - LOG_NANOS);
+  private final LogThrottle lines = new LogThrottle(System.nanoTime());
 
   /** Returns a memory of an eighth of the heap. */
   public AnswerMemory() {
@@ -68,14 +65,14 @@
   /** Records that a response was given up, and logs the reason unless that was done just before. */
   void recordGivenUp(Object server, String reason) {
     long count = givenUp.incrementAndGet();
-    if (mayLog()) {
+    if (lines.tryAcquire(System.nanoTime())) {
       log.warn("gave up a response of {}: {} ({} since the start)", server, reason, count);
     }
   }
 
   private void recordGivenUpForOthers(int responses) {
     long count = givenUp.addAndGet(responses);
-    if (mayLog()) {
+    if (lines.tryAcquire(System.nanoTime())) {
       log.warn(
           "short of memory for responses: gave up the {} largest ({} since the start)",
           responses,
@@ -83,12 +80,6 @@
     }
   }
 
-  private boolean mayLog() {
-    long now = System.nanoTime();
-    long last = loggedNanos.get();
-    return now - last >= LOG_NANOS && loggedNanos.compareAndSet(last, now);
-  }
-
   /** Returns how many bytes responses hold. */
   public synchronized long heldBytes() {
     return heldBytes;
