ReadAheadSource: one lookup of the source of an exchange

Five static methods repeated the same two instanceof tests. They use one private method that returns an Optional.

--- a/router/src/main/java/io/jacinthquay/router/adapter/http/ReadAheadSource.java
+++ b/router/src/main/java/io/jacinthquay/router/adapter/http/ReadAheadSource.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongConsumer;
 import org.xnio.XnioIoThread;
@@ -86,6 +87,14 @@
     next.setReadReadyHandler(new ReadyHandler());
   }
 
+  /** Returns the source of the connection of an exchange; empty for one that isn't wrapped. */
+  private static Optional<ReadAheadSource> of(HttpServerExchange exchange) {
+    return exchange.getConnection() instanceof AbstractServerConnection connection
+            && connection.getOriginalSourceConduit() instanceof ReadAheadSource source
+        ? Optional.of(source)
+        : Optional.empty();
+  }
+
   /**
    * Limits the bytes that are read until the end of the request, or until the next call.
    *
@@ -93,18 +102,12 @@
    * it keeps.
    */
   static void allow(HttpServerExchange exchange, long bytes) {
-    if (exchange.getConnection() instanceof AbstractServerConnection connection
-        && connection.getOriginalSourceConduit() instanceof ReadAheadSource source) {
-      source.allowedBytes = bytes;
-    }
+    of(exchange).ifPresent(source -> source.allowedBytes = bytes);
   }
 
   /** Returns the transfer of the connection of an exchange. */
   static Transfer transfer(HttpServerExchange exchange) {
-    return exchange.getConnection() instanceof AbstractServerConnection connection
-            && connection.getOriginalSourceConduit() instanceof ReadAheadSource source
-        ? source.transfer
-        : new Transfer();
+    return of(exchange).map(source -> source.transfer).orElseGet(Transfer::new);
   }
 
   /**
@@ -112,10 +115,7 @@
    * what is read costs more time than its number of bytes tells.
    */
   static void shortenTurns(HttpServerExchange exchange) {
-    if (exchange.getConnection() instanceof AbstractServerConnection connection
-        && connection.getOriginalSourceConduit() instanceof ReadAheadSource source) {
-      source.maxTurnBytes = COSTLY_BYTES_PER_TURN;
-    }
+    of(exchange).ifPresent(source -> source.maxTurnBytes = COSTLY_BYTES_PER_TURN);
   }
 
   Transfer transfer() {
@@ -129,16 +129,12 @@
 
   /** Returns whether the caller ended the connection while a response was awaited. */
   static boolean hasEnded(HttpServerExchange exchange) {
-    return exchange.getConnection() instanceof AbstractServerConnection connection
-        && connection.getOriginalSourceConduit() instanceof ReadAheadSource source
-        && source.ended;
+    return of(exchange).filter(source -> source.ended).isPresent();
   }
 
   /** Returns whether the chunks of a request that were read so far are invalid. */
   static boolean hasInvalidChunks(HttpServerExchange exchange) {
-    return exchange.getConnection() instanceof AbstractServerConnection connection
-        && connection.getOriginalSourceConduit() instanceof ReadAheadSource source
-        && source.chunks.isInvalid();
+    return of(exchange).filter(source -> source.chunks.isInvalid()).isPresent();
   }
 
   /** Removes the limit; the parser limits the size of a head. */
