PoolRequest.hasPlacementPreference in place of a repeated condition

RequestQueue and SharedLine both tested for no parts of a prompt and no version, to end an offer after a request that finds no place. The condition is now a method of the request, named after what it means.

--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/PoolRequest.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/PoolRequest.java
@@ -63,6 +63,15 @@
     return version.isEmpty() || version.get().equals(listing.version());
   }
 
+  /**
+   * Returns whether the request suits some upstreams better than others: parts of its prompt may be
+   * cached there, or only one version may serve it. If a request without a preference finds no
+   * place, those behind it in a queue need not be asked.
+   */
+  public boolean hasPlacementPreference() {
+    return !parts.isEmpty() || version.isPresent();
+  }
+
   /** Returns the most tokens that the request keeps in engine memory. */
   public long memoryTokens() {
     return (long) promptTokens + outputTokens;
--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/RequestQueue.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/RequestQueue.java
@@ -80,7 +80,7 @@
     for (Entry<T> entry : new ArrayList<>(entries)) {
       if (accepts.test(entry.item())) {
         entries.remove(entry);
-      } else if (entry.work().parts().isEmpty() && entry.work().version().isEmpty()) {
+      } else if (!entry.work().hasPlacementPreference()) {
         return;
       }
     }
--- a/decision/src/main/java/io/jacinthquay/decision/waiting/SharedLine.java
+++ b/decision/src/main/java/io/jacinthquay/decision/waiting/SharedLine.java
@@ -275,18 +275,13 @@
         entries.remove(entry);
         addCredit(work);
         sends++;
-      } else if (isTypical(work) || ++declined >= MAX_DECLINES) {
+      } else if (!work.hasPlacementPreference() || ++declined >= MAX_DECLINES) {
         return seen;
       }
     }
     return seen;
   }
 
-  /** Returns whether a request that finds no place shows that no other one behind it does. */
-  private static boolean isTypical(PoolRequest work) {
-    return work.parts().isEmpty() && work.version().isEmpty();
-  }
-
   /** Returns how long a request of a tier leaves places to more urgent work of other routers. */
   private double holdMillis(Tier tier, long now) {
     WaitingWork urgent = elsewhere(tier.value() - 1, now);
