UpstreamSelector: no copy of all upstreams to look for a reachable one

allUsable collected a list, which hasReachableUpstream streamed again. It returns a Stream; the update of the pacing, which needs a list, collects it. The filter has no side effects, so that ending early changes nothing.

--- a/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamSelector.java
+++ b/decision/src/main/java/io/jacinthquay/decision/dispatch/UpstreamSelector.java
@@ -20,6 +20,7 @@
 import java.util.Set;
 import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
 
 /**
  * Tracks the upstreams that this router knows and selects one for each request.
@@ -216,11 +217,8 @@
         .orElse(0);
   }
 
-  private List<UpstreamState> allUsable() {
-    return upstreamsByPool.values().stream()
-        .flatMap(List::stream)
-        .filter(eligibility::isUsable)
-        .toList();
+  private Stream<UpstreamState> allUsable() {
+    return upstreamsByPool.values().stream().flatMap(List::stream).filter(eligibility::isUsable);
   }
 
   /** Returns how fast the upstreams work, as far as it is learned. */
@@ -255,8 +253,7 @@
    * Returns whether some usable upstream belongs to a domain that isn't known to be unreachable.
    */
   public boolean hasReachableUpstream() {
-    return allUsable().stream()
-        .anyMatch(state -> !reachability.isUnreachable(state.listing().domain()));
+    return allUsable().anyMatch(state -> !reachability.isUnreachable(state.listing().domain()));
   }
 
   /**
@@ -273,7 +270,7 @@
       return Optional.empty();
     }
     rates.refresh(this::listings, now);
-    pacing.updateIfDue(this::allUsable, routerCount, now);
+    pacing.updateIfDue(() -> allUsable().toList(), routerCount, now);
     Optional<ReservedEngines> reserved = reserved(work.pool(), now);
     reserved.ifPresent(r -> r.recordTarget(work, now));
     ChatSeparation separation = new ChatSeparation(work, reserved, rates.isLearned());
