--- a/router/src/main/java/io/jacinthquay/router/service/forward/BufferedAnswer.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/BufferedAnswer.java
@@ -33,12 +33,7 @@
 
   @Override
   public boolean data(ByteBuffer data) {
-    int count = data.remaining();
-    if (body.size() + count > MAX_BYTES || !memory.tryResize(body.memoryBytesWith(count))) {
-      return false;
-    }
-    body.add(data);
-    return true;
+    return body.size() + data.remaining() <= MAX_BYTES && body.tryAdd(data, memory);
   }
 
   @Override
--- a/router/src/main/java/io/jacinthquay/router/service/request/BufferedErrorAnswer.java
+++ b/router/src/main/java/io/jacinthquay/router/service/request/BufferedErrorAnswer.java
@@ -29,11 +29,9 @@
     if (body.size() + data.remaining() > MAX_BYTES) {
       return Optional.of(ResultCode.UPSTREAM_BROKE);
     }
-    if (!context.memory().tryResize(body.memoryBytesWith(data.remaining()))) {
-      return Optional.of(ResultCode.ANSWER_DROPPED);
-    }
-    body.add(data);
-    return Optional.empty();
+    return body.tryAdd(data, context.memory())
+        ? Optional.empty()
+        : Optional.of(ResultCode.ANSWER_DROPPED);
   }
 
   Optional<ResultCode> onEnd() {
--- a/router/src/main/java/io/jacinthquay/router/service/request/PlainRelay.java
+++ b/router/src/main/java/io/jacinthquay/router/service/request/PlainRelay.java
@@ -52,10 +52,9 @@
       writable = context.caller().write(data);
       return Optional.empty();
     }
-    if (!context.memory().tryResize(buffered.memoryBytesWith(data.remaining()))) {
+    if (!buffered.tryAdd(data, context.memory())) {
       return Optional.of(ResultCode.ANSWER_DROPPED);
     }
-    buffered.add(data);
     if (buffered.size() > MAX_BUFFERED_BYTES) {
       begin(declaredLength());
       writable = context.caller().write(ByteBuffer.wrap(buffered.takeAll()));
--- a/runtime/src/main/java/io/jacinthquay/runtime/http/BodyBuffer.java
+++ b/runtime/src/main/java/io/jacinthquay/runtime/http/BodyBuffer.java
@@ -62,6 +62,19 @@
     size += count;
   }
 
+  /**
+   * Adds bytes if a holding, which holds nothing else, gets the memory for them.
+   *
+   * @return false if the response must be dropped; the bytes are not added then
+   */
+  public boolean tryAdd(ByteBuffer data, AnswerMemory.Holding holding) {
+    boolean resized = holding.tryResize(memoryBytesWith(data.remaining()));
+    if (resized) {
+      add(data);
+    }
+    return resized;
+  }
+
   /** Returns the size of a further block for at least the given bytes; as large as all before. */
   private int blockBytes(int count) {
     long remaining = expectedBytes - size;
