ResponseFraming: STATUS_OFFSET names the offset that is meant

The length of the text HTTP/1.1 1 stood for the position behind the first digit of a status, and the line was decoded twice. STATUS_OFFSET is the position of the status; the text of the line is taken once.

--- a/runtime/src/main/java/io/jacinthquay/runtime/http/ResponseFraming.java
+++ b/runtime/src/main/java/io/jacinthquay/runtime/http/ResponseFraming.java
@@ -17,7 +17,8 @@
   /** Digits of any length that 63 bits hold. */
   private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}");
 
-  private static final String INTERIM_START = "HTTP/1.1 1";
+  /** Position of the status in a status line. */
+  private static final int STATUS_OFFSET = "HTTP/1.1 ".length();
 
   private static final int SWITCHING_PROTOCOLS = 101;
   private static final int NO_CONTENT = 204;
@@ -141,10 +142,11 @@
 
   /** Returns whether the next byte is the second or third digit of a status from 100 to 199. */
   private boolean isDigitOfInterimStatus() {
-    return state == State.STATUS_LINE
-        && line.isBetween(INTERIM_START.length(), INTERIM_START.length() + 1)
-        && line.text().startsWith("HTTP/1.")
-        && line.text().startsWith(" 1", INTERIM_START.length() - 2);
+    if (state != State.STATUS_LINE || !line.isBetween(STATUS_OFFSET + 1, STATUS_OFFSET + 2)) {
+      return false;
+    }
+    String text = line.text();
+    return text.startsWith("HTTP/1.") && text.startsWith(" 1", STATUS_OFFSET - 1);
   }
 
   /** Records that the connection has ended, which also ends a response without a length. */
