--- a/control/src/main/java/io/jacinthquay/control/service/PoolVersionMonitor.java
+++ b/control/src/main/java/io/jacinthquay/control/service/PoolVersionMonitor.java
@@ -214,7 +214,7 @@
       return Optional.empty();
     }
     Set<String> newest = sets.last().versions();
-    if (newest.size() != 1 || !newest.equals(listedVersions().get(pool.value()))) {
+    if (newest.size() != 1 || !newest.equals(versions(listed, pool))) {
       return Optional.empty();
     }
     for (int i = sets.size() - 1; i > 0 && elapsedMillis(sets.get(i)) < MEMORY.toMillis(); i--) {
@@ -225,6 +225,13 @@
     return Optional.of(new SoftwareVersion(newest.head()));
   }
 
+  private static Set<String> versions(UpstreamListCache.Snapshot listed, PoolName pool) {
+    return TreeSet.ofAll(
+        listed.listings().stream()
+            .filter(listing -> listing.pool().equals(pool))
+            .map(listing -> listing.version().value()));
+  }
+
   /** Returns the time since a change, in milliseconds. */
   private long elapsedMillis(PoolVersions.Since change) {
     Long seen = seenNanos.get(change.index());
