--- a/keeper/src/main/java/io/jacinthquay/keeper/state/SnapshotCodec.java
+++ b/keeper/src/main/java/io/jacinthquay/keeper/state/SnapshotCodec.java
@@ -11,7 +11,7 @@
 import io.jacinthquay.wire.gen.StoredCounter;
 import io.jacinthquay.wire.gen.StoredIncarnation;
 import io.jacinthquay.wire.gen.StoredLease;
-import java.io.BufferedInputStream;
+import io.jacinthquay.wire.transport.BoundedProtocol;
 import java.io.BufferedOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -143,13 +143,15 @@
    * @throws IOException if the stream fails or does not hold a complete snapshot
    */
   static Tables read(InputStream stream) throws IOException {
-    InputStream buffered = new BufferedInputStream(stream, BUFFER_BYTES);
     try {
-      TIOStreamTransport transport = new TIOStreamTransport(ThriftCodec.limits(), buffered);
-      SnapshotReader reader = new SnapshotReader(new TCompactProtocol(transport), transport);
-      return reader.readAll();
+      return new SnapshotReader(protocol(stream)).readAll();
     } catch (TException | IllegalStateException | NullPointerException e) {
       throw new IOException("cannot read the snapshot: " + e.getMessage(), e);
     }
   }
+
+  /** Returns a protocol that reads the items of a snapshot from a stream. */
+  static TProtocol protocol(InputStream stream) throws TException {
+    return BoundedProtocol.ofStoredState(new StoredStreamTransport(stream));
+  }
 }
--- a/keeper/src/main/java/io/jacinthquay/keeper/state/SnapshotReader.java
+++ b/keeper/src/main/java/io/jacinthquay/keeper/state/SnapshotReader.java
@@ -14,20 +14,17 @@
 import java.util.Optional;
 import org.apache.thrift.TException;
 import org.apache.thrift.protocol.TProtocol;
-import org.apache.thrift.transport.TTransport;
 
 /** Builds the tables from the items of a snapshot. */
 final class SnapshotReader {
   private final TProtocol in;
-  private final TTransport transport;
   private final List<EditMessage> entities = new ArrayList<>();
   private Tables tables = Tables.EMPTY;
   private SnapshotItem last;
   private long version;
 
-  SnapshotReader(TProtocol in, TTransport transport) {
+  SnapshotReader(TProtocol in) {
     this.in = in;
-    this.transport = transport;
   }
 
   /**
@@ -53,7 +50,7 @@
   }
 
   private SnapshotItem next() throws TException {
-    transport.updateKnownMessageSize(-1);
+    in.getTransport().updateKnownMessageSize(-1);
     SnapshotItem item = new SnapshotItem();
     item.read(in);
     last = item;
--- a/keeper/src/test/java/io/jacinthquay/keeper/state/ThriftCodecTest.java
+++ b/keeper/src/test/java/io/jacinthquay/keeper/state/ThriftCodecTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import io.jacinthquay.wire.gen.ApplyCommand;
+import java.io.ByteArrayInputStream;
 import java.util.Arrays;
 import org.apache.thrift.TException;
 import org.apache.thrift.protocol.TCompactProtocol;
@@ -33,16 +34,24 @@
     // A structure without fields is the byte that ends it; one more ends the command.
     buffer.write(new byte[elements > 0 ? elements + 1 : 0]);
     byte[] bytes = Arrays.copyOf(buffer.getArray(), buffer.length());
-    assertEquals(asCommand, decodes(bytes, false));
-    assertEquals(asSnapshot, decodes(bytes, true));
+    assertEquals(asCommand, decodes(bytes, ThriftCodec::decode));
+    assertEquals(asSnapshot, decodes(bytes, ThriftCodec::decodeSnapshot));
+    assertEquals(asSnapshot, decodes(bytes, ThriftCodecTest::decodeItem));
   }
 
-  private static boolean decodes(byte[] bytes, boolean snapshot) {
+  /** Decodes a structure of a snapshot that is read as a stream. */
+  private static ApplyCommand decodeItem(byte[] bytes, ApplyCommand target) throws TException {
+    target.read(SnapshotCodec.protocol(new ByteArrayInputStream(bytes)));
+    return target;
+  }
+
+  private interface Decoder {
+    ApplyCommand decode(byte[] bytes, ApplyCommand target) throws TException;
+  }
+
+  private static boolean decodes(byte[] bytes, Decoder decoder) {
     try {
-      ApplyCommand target = new ApplyCommand();
-      ApplyCommand decoded =
-          snapshot ? ThriftCodec.decodeSnapshot(bytes, target) : ThriftCodec.decode(bytes, target);
-      return decoded != null;
+      return decoder.decode(bytes, new ApplyCommand()) != null;
     } catch (TException e) {
       return false;
     }
--- a/wire/src/main/java/io/jacinthquay/wire/transport/BoundedProtocol.java
+++ b/wire/src/main/java/io/jacinthquay/wire/transport/BoundedProtocol.java
@@ -98,8 +98,11 @@
   }
 
   /** Checks a container; each of its elements takes one byte of the message or more. */
-  private void count(int size, int bytesEach) throws TProtocolException {
+  private void count(int size, int bytesEach) throws TException {
     int remaining = getTransport().getBytesRemainingInBuffer();
+    if (remaining < 0 && size >= 0) {
+      getTransport().checkReadBytesAvailable(size);
+    }
     if (size < 0 || (remaining >= 0 && size > remaining)) {
       throw new TProtocolException(
           TProtocolException.SIZE_LIMIT,
