Control VMs: reject a command that no replica could apply before it is replicated

A command whose elements take more than ThriftCodec's bound was committed, and ControlState.apply threw as it decoded it: each control VM would end its process, and again at each start, as the command stays in the log. The counts of 191,347 customers in a window are such a command.

Before: the new case of ControlServiceTest ended its process (exit code 1); 'control VM vm-0 can't go on and ends its process', 'cannot decode the command at log index 4'. After: 6 of 6 cases pass, and the tests of control that propose commands (81 cases in 8 classes).

Keepers had no such fault: KeeperState.apply answers such a command with a failure, and its port refuses the message before it is proposed (by reading).

--- a/control/src/main/java/io/jacinthquay/control/service/ControlStore.java
+++ b/control/src/main/java/io/jacinthquay/control/service/ControlStore.java
@@ -8,6 +8,7 @@
 import io.jacinthquay.control.state.ControlTables;
 import io.jacinthquay.model.Failure;
 import io.jacinthquay.model.ResultCode;
+import io.jacinthquay.wire.gen.ControlCommand;
 import io.vavr.control.Either;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -58,7 +59,7 @@
   }
 
   /**
-   * Commits a command.
+   * Commits a command that every replica can apply; rejects any other before it is replicated.
    *
    * @return a stage that completes once the command is durable on a quorum and applied here, or
    *     with a failure
@@ -70,6 +71,10 @@
       return CompletableFuture.completedFuture(
           Either.left(Failure.of(ResultCode.NOT_READY, detail)));
     }
+    Either<Failure, ControlCommand> applicable = ControlState.decode(command);
+    if (applicable.isLeft()) {
+      return CompletableFuture.completedFuture(Either.left(applicable.getLeft()));
+    }
     return log.propose(command)
         .thenApply(result -> result.bimap(ControlStore::failure, applied -> null));
   }
--- a/control/src/main/java/io/jacinthquay/control/state/ControlState.java
+++ b/control/src/main/java/io/jacinthquay/control/state/ControlState.java
@@ -5,6 +5,8 @@
 import io.jacinthquay.decision.quarantine.PartId;
 import io.jacinthquay.decision.quarantine.QuarantinedPart;
 import io.jacinthquay.keeper.state.ThriftCodec;
+import io.jacinthquay.model.Failure;
+import io.jacinthquay.model.ResultCode;
 import io.jacinthquay.wire.convert.QuarantineMessages;
 import io.jacinthquay.wire.gen.CloseDomainCommand;
 import io.jacinthquay.wire.gen.ControlCommand;
@@ -19,6 +21,7 @@
 import io.vavr.collection.Map;
 import io.vavr.collection.TreeMap;
 import io.vavr.collection.TreeSet;
+import io.vavr.control.Either;
 import java.io.IOException;
 import java.io.InputStream;
 import java.util.ArrayList;
@@ -72,14 +75,31 @@
             new PoolVersionsCommand(pool, new ArrayList<>(versions), wallMillis)));
   }
 
-  @Override
-  public byte[] apply(long index, byte[] bytes) {
-    ControlCommand command;
+  /**
+   * Decodes a command. A command is proposed only if this succeeds, since a committed one that
+   * can't be decoded stops every replica.
+   *
+   * @return the command, or a failure if its elements would take too much memory
+   */
+  public static Either<Failure, ControlCommand> decode(byte[] command) {
     try {
-      command = ThriftCodec.decode(bytes, new ControlCommand());
+      return Either.right(ThriftCodec.decode(command, new ControlCommand()));
     } catch (TException e) {
-      throw new IllegalStateException("cannot decode the command at log index " + index, e);
+      return Either.left(Failure.of(ResultCode.COMMAND_TOO_LARGE, e.getMessage()));
     }
+  }
+
+  @Override
+  public byte[] apply(long index, byte[] bytes) {
+    ControlCommand command =
+        decode(bytes)
+            .getOrElseThrow(
+                failure ->
+                    new IllegalStateException(
+                        "cannot apply the command at log index "
+                            + index
+                            + ": "
+                            + failure.detail()));
     if (command.isSetDocument()) {
       DocumentCommand document = command.getDocument();
       tables = tables.withDocument(document.getVersion(), document.getContent());
--- a/control/src/test/java/io/jacinthquay/control/ControlServiceTest.java
+++ b/control/src/test/java/io/jacinthquay/control/ControlServiceTest.java
@@ -175,6 +175,28 @@
     assertEquals(SEED_COUNT, voters(leader()).size());
   }
 
+  /** A command above the bound on elements was committed and stopped every replica for good. */
+  @Test
+  void commandThatNoReplicaCouldApplyIsRejectedBeforeItIsReplicated() throws Exception {
+    for (int i = 0; i < SEED_COUNT; i++) {
+      start(i);
+    }
+    propose(ControlState.documentCommand(4, new byte[] {4}));
+    Map<String, Long> counts = new HashMap<>();
+    for (int i = 0; i < 200_000; i++) {
+      counts.put("customer " + i, 1L);
+    }
+    Either<Failure, Void> sealed =
+        leader()
+            .store()
+            .propose(ControlState.sealCommand(1, counts))
+            .toCompletableFuture()
+            .get(HANG_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    assertEquals(ResultCode.COMMAND_TOO_LARGE, sealed.getLeft().code());
+    propose(ControlState.documentCommand(5, DOCUMENT));
+    awaitTrue(() -> running.stream().allMatch(s -> s.store().tables().version() == 5));
+  }
+
   @Test
   void highestDocumentAndClosedDomainsSurviveRestart() throws Exception {
     for (int i = 0; i < SEED_COUNT; i++) {
