Model requests: bound the fields of a body

One request body of 8 MB, the default limit, with short field names could end a router: the detection of duplicate names keeps each name of an open object with about a hundred bytes of memory, and the parser's table of names another entry. The bytes of the body are charged, its names were not.

The table of names is off, as JsonEntries has it.

--- a/router/src/main/java/io/jacinthquay/router/service/request/ModelBody.java
+++ b/router/src/main/java/io/jacinthquay/router/service/request/ModelBody.java
@@ -17,7 +17,16 @@
 /** The body of a model request, parsed and copied in one pass. */
 final class ModelBody {
   private static final JsonFactory JSON =
-      JsonFactory.builder().enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION).build();
+      JsonFactory.builder()
+          .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+          .disable(JsonFactory.Feature.CANONICALIZE_FIELD_NAMES)
+          .build();
+
+  /**
+   * Most fields of all objects of a body. The detection of duplicates keeps a name of a few bytes
+   * with about a hundred bytes of memory.
+   */
+  private static final int MAX_FIELDS = 100_000;
 
   /** Fields that only the router may set; they are removed from the caller's body. */
   private static final Set<String> OWN_FIELDS = Set.of("priority", "resume_from");
@@ -32,6 +41,7 @@
 
   private final StringBuilder prompt = new StringBuilder();
   private long promptChars;
+  private int fieldCount;
   private ModelName model;
   private boolean stream;
   private long maxTokens = Long.MAX_VALUE;
@@ -45,6 +55,9 @@
     try {
       body.read(json);
     } catch (IOException | IllegalArgumentException e) {
+      if (body.fieldCount > MAX_FIELDS) {
+        return malformed("the body has more than " + MAX_FIELDS + " fields");
+      }
       return malformed("the body is not a JSON object of the model interface");
     }
     if (body.model == null) {
@@ -63,7 +76,7 @@
         JsonGenerator out = JSON.createGenerator(copy)) {
       require(in.nextToken() == JsonToken.START_OBJECT);
       out.writeStartObject();
-      while (in.nextToken() == JsonToken.FIELD_NAME) {
+      while (next(in) == JsonToken.FIELD_NAME) {
         readField(in, out);
       }
       require(in.nextToken() == null);
@@ -72,11 +85,21 @@
     unclosedJson = java.util.Arrays.copyOf(completeJson, completeJson.length - 1);
   }
 
+  /** Advances to the next token; each field counts, also one that is removed. */
+  private JsonToken next(JsonParser in) throws IOException {
+    JsonToken token = in.nextToken();
+    if (token == JsonToken.FIELD_NAME) {
+      fieldCount++;
+      require(fieldCount <= MAX_FIELDS);
+    }
+    return token;
+  }
+
   private void readField(JsonParser in, JsonGenerator out) throws IOException {
     String name = in.currentName();
-    in.nextToken();
+    JsonToken value = next(in);
     if (OWN_FIELDS.contains(name)) {
-      in.skipChildren();
+      skipValue(in, value);
       return;
     }
     out.writeFieldName(name);
@@ -105,6 +128,19 @@
     return Math.min(maxTokens, in.getLongValue());
   }
 
+  private void skipValue(JsonParser in, JsonToken first) throws IOException {
+    int depth = 0;
+    JsonToken token = first;
+    while (true) {
+      require(token != null);
+      depth += token.isStructStart() ? 1 : token.isStructEnd() ? -1 : 0;
+      if (depth == 0) {
+        return;
+      }
+      token = next(in);
+    }
+  }
+
   private void copyValue(JsonParser in, JsonGenerator out, boolean isPrompt) throws IOException {
     int depth = 0;
     do {
@@ -115,7 +151,7 @@
       }
       out.copyCurrentEvent(in);
       depth += token.isStructStart() ? 1 : token.isStructEnd() ? -1 : 0;
-    } while (depth > 0 && in.nextToken() != null);
+    } while (depth > 0 && next(in) != null);
   }
 
   private void addPrompt(String text) {
