Answers of upstreams: join the texts of an answer without copying earlier ones

An answer of 8 MB with many short texts, which an upstream may send, kept the thread that read it busy for longer than 10 s, and other requests of that thread with it: StreamEvent joined each text to a copy of all before.

Before: StreamEventTest failed with 'execution timed out after 10000 ms', 1 of 1. After: passes, the whole class in 0.15 s. The texts go into one buffer.

--- a/router/src/main/java/io/jacinthquay/router/service/request/StreamEvent.java
+++ b/router/src/main/java/io/jacinthquay/router/service/request/StreamEvent.java
@@ -26,7 +26,7 @@
 
   private Kind kind = Kind.EMPTY;
   private String id = "";
-  private String text = "";
+  private final StringBuilder text = new StringBuilder();
   private boolean finished;
   private long promptTokens = -1;
   private long completionTokens = -1;
@@ -121,7 +121,7 @@
   private void readText(JsonParser json) throws IOException {
     String name = json.currentName();
     if ("content".equals(name) || "text".equals(name)) {
-      text = text.isEmpty() ? json.getText() : text + json.getText();
+      text.append(json.getText());
     } else if ("finish_reason".equals(name)) {
       finished = true;
     }
@@ -155,7 +155,7 @@
 
   /** Returns the text of the event; empty if it has none. */
   String text() {
-    return text;
+    return text.toString();
   }
 
   /** Returns whether the event has a finish reason. */
