A router that stood still no longer takes upstreams for silent that have answered

Callers saw their request sent a second time, to another upstream, after a stall of a router's I/O thread of more than 400 ms, although the answer had arrived: the first send was cancelled and counted as a failure of its upstream, and a retry of the pool was used up. Timers run before sockets are read, so the check for silent upstreams judged by answers that had not been read yet.

SilenceCheck postpones a check that is more than 100 ms late by 10 ms, in which the thread reads its sockets; the postponed check always judges, so a router that is late all the time still finds silent upstreams.

ForwardingTest#anAnswerThatArrivedDuringAStallOfTheRouterIsRead holds the I/O thread for 700 ms while the upstream answers.

--- a/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
+++ b/router/src/main/java/io/jacinthquay/router/service/forward/ForwardCore.java
@@ -43,9 +43,6 @@
 public final class ForwardCore {
   private static final Logger log = LogManager.getLogger();
 
-  /** Interval of the check for silent upstreams, in milliseconds. */
-  private static final long SILENCE_CHECK_MILLIS = 100;
-
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
   /** Share of the heap for answers that are buffered, and for events that are incomplete. */
@@ -84,7 +81,8 @@
       new AnswerMemory((long) (Runtime.getRuntime().maxMemory() * ANSWER_HEAP_SHARE));
   private final PromptQuarantine quarantine = new PromptQuarantine(contact);
   private volatile boolean upstreamsKnown;
-  private boolean silenceCheckScheduled;
+  private final SilenceCheck silenceCheck =
+      new SilenceCheck(this::thread, this::retryRequestsOfSilentUpstreams);
   private volatile BooleanSupplier listening = () -> true;
   private volatile boolean leaving;
   private volatile boolean refusingNew;
@@ -461,20 +459,14 @@
 
   void register(ForwardExchange exchange) {
     active.add(exchange);
-    if (!silenceCheckScheduled) {
-      silenceCheckScheduled = true;
-      thread.after(SILENCE_CHECK_MILLIS, this::checkSilentUpstreams);
-    }
+    silenceCheck.schedule();
   }
 
-  /** Retries requests whose upstream is silent; runs again while any request is in progress. */
-  private void checkSilentUpstreams() {
+  /** Retries requests whose upstream is silent; returns whether any request is in progress. */
+  private boolean retryRequestsOfSilentUpstreams() {
     long now = clock.getAsLong();
     forEachActive(exchange -> exchange.retryIfSilent(now));
-    silenceCheckScheduled = !active.isEmpty();
-    if (silenceCheckScheduled) {
-      thread.after(SILENCE_CHECK_MILLIS, this::checkSilentUpstreams);
-    }
+    return !active.isEmpty();
   }
 
   /** Runs an action for each request in progress; one that fails must not prevent the others. */
