Soak: work for a caller that left is reported with the steps to its end

A broken case of DisconnectCheck told only how long the work went on.

The report now names, relative to the moment at which the router's link passed on the caller's end: when the request was sent, when its run began, when the caller closed, and when the upstream's link saw the router's close and passed it on. The time of day is that of the routers' logs, whose line says when the router ended the request. What is judged, and the bound, are the same.

LossChecksTest.workThatGoesOnIsReportedWithTheStepsToItsEnd: 3 cases pass.

--- a/faultsoak/src/main/java/io/jacinthquay/soak/DisconnectCheck.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/DisconnectCheck.java
@@ -1,6 +1,9 @@
 package io.jacinthquay.soak;
 
 import io.jacinthquay.model.RequestId;
+import java.time.Instant;
+import java.time.temporal.ChronoUnit;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -26,13 +29,14 @@
     Verdict verdict = new Verdict();
     List<FaultPeriod> faultPeriods = history.faultPeriods();
     List<History.Disconnect> disconnects = history.disconnects();
+    List<History.UpstreamClose> closes = history.upstreamCloses();
     Map<RequestId, List<Run>> runs =
         history.runs().stream().collect(Collectors.groupingBy(Run::id));
     for (Call call : history.calls()) {
       if (call.ending() == Call.Ending.LEFT) {
         long disconnectNanos = routerNoticedNanos(call, disconnects);
         for (Run run : runs.getOrDefault(call.id(), List.of())) {
-          judge(call, disconnectNanos, run, faultPeriods, verdict);
+          judge(call, disconnectNanos, run, faultPeriods, closes, verdict);
         }
       }
     }
@@ -64,7 +68,12 @@
   }
 
   private static void judge(
-      Call call, long disconnectNanos, Run run, List<FaultPeriod> faultPeriods, Verdict verdict) {
+      Call call,
+      long disconnectNanos,
+      Run run,
+      List<FaultPeriod> faultPeriods,
+      List<History.UpstreamClose> closes,
+      Verdict verdict) {
     long delayNanos = Math.max(run.beganNanos(), run.endNanos()) - disconnectNanos;
     boolean inTime = delayNanos <= MAX_DELAY_NANOS;
     boolean explained =
@@ -78,15 +87,54 @@
       verdict.skip();
       return;
     }
-    verdict.judge(
-        inTime,
-        call.id().value()
-            + " ran on upstream "
-            + run.upstream()
-            + " for "
-            + TimeUnit.NANOSECONDS.toMillis(delayNanos)
-            + " ms after its caller left router "
-            + call.router());
+    verdict.judge(inTime, inTime ? "" : describe(call, disconnectNanos, run, closes));
+  }
+
+  /** Describes a run with each step between the caller's end and that of the run. */
+  private static String describe(
+      Call call, long disconnectNanos, Run run, List<History.UpstreamClose> closes) {
+    long delayNanos = Math.max(run.beganNanos(), run.endNanos()) - disconnectNanos;
+    return call.id().value()
+        + " ("
+        + call.kind()
+        + ") ran on upstream "
+        + run.upstream()
+        + " for "
+        + TimeUnit.NANOSECONDS.toMillis(delayNanos)
+        + " ms after its caller left router "
+        + call.router()
+        + " at "
+        + timeOfDay(disconnectNanos)
+        + "; relative to that, it was sent at "
+        + millisBetween(disconnectNanos, call.sentNanos())
+        + " ms, its run began at "
+        + millisBetween(disconnectNanos, run.beganNanos())
+        + " ms, its caller closed at "
+        + millisBetween(disconnectNanos, call.endNanos())
+        + " ms, "
+        + closes.stream()
+            .filter(close -> close.upstream() == run.upstream() && close.port() == run.port())
+            .filter(close -> close.forwardedNanos() - run.beganNanos() >= 0)
+            .min(Comparator.comparingLong(close -> close.seenNanos() - disconnectNanos))
+            .map(close -> describe(close, disconnectNanos))
+            .orElse("the upstream's link saw no close");
+  }
+
+  private static String describe(History.UpstreamClose close, long disconnectNanos) {
+    return "the upstream's link saw the router's close at "
+        + millisBetween(disconnectNanos, close.seenNanos())
+        + " ms and forwarded it at "
+        + millisBetween(disconnectNanos, close.forwardedNanos())
+        + " ms";
+  }
+
+  private static long millisBetween(long fromNanos, long toNanos) {
+    return TimeUnit.NANOSECONDS.toMillis(toNanos - fromNanos);
+  }
+
+  /** Returns the time of day at which the routers' logs show what happened at the same time. */
+  private static Instant timeOfDay(long nanos) {
+    return Instant.now().plusNanos(nanos - System.nanoTime()).truncatedTo(ChronoUnit.MILLIS);
   }
 
   /**
--- a/faultsoak/src/main/java/io/jacinthquay/soak/FakeUpstream.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/FakeUpstream.java
@@ -401,6 +401,7 @@
           id(),
           kind(),
           number,
+          socket.getPort(),
           began,
           System.nanoTime(),
           head.longField("Deadline-Ms").orElse(-1),
--- a/faultsoak/src/main/java/io/jacinthquay/soak/History.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/History.java
@@ -23,6 +23,7 @@
   private final Collection<Evacuation> evacuations = new ConcurrentLinkedQueue<>();
   private final Collection<DomainChange> domainChanges = new ConcurrentLinkedQueue<>();
   private final Collection<Disconnect> disconnects = new ConcurrentLinkedQueue<>();
+  private final Collection<UpstreamClose> upstreamCloses = new ConcurrentLinkedQueue<>();
   private final Collection<Duty> duties = new ConcurrentLinkedQueue<>();
   private final Collection<OwnEnd> ownEnds = new ConcurrentLinkedQueue<>();
   private final Collection<RetryShare> retryShares = new ConcurrentLinkedQueue<>();
@@ -103,6 +104,24 @@
    */
   record Disconnect(int router, int port, long atNanos) {}
 
+  /**
+   * The end of a router's connection to an upstream. Times are on the monotonic clock.
+   *
+   * @param upstream number of the upstream
+   * @param port the port from which the link was connected to the upstream
+   * @param seenNanos when the link saw the end
+   * @param forwardedNanos when the link forwarded it to the upstream
+   */
+  record UpstreamClose(int upstream, int port, long seenNanos, long forwardedNanos) {}
+
+  void add(UpstreamClose close) {
+    upstreamCloses.add(close);
+  }
+
+  List<UpstreamClose> upstreamCloses() {
+    return List.copyOf(upstreamCloses);
+  }
+
   /**
    * An operator's evacuation of a failure domain, or its end.
    *
--- a/faultsoak/src/main/java/io/jacinthquay/soak/LinkProxy.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/LinkProxy.java
@@ -28,14 +28,20 @@
     SILENT
   }
 
+  /**
+   * The end of a client's connection. Times are on the monotonic clock.
+   *
+   * @param clientPort the client's local port
+   * @param serverPort the port from which the proxy was connected to the server
+   * @param seenNanos when the proxy saw it
+   * @param forwardedNanos when it was forwarded to the server
+   */
+  record End(int clientPort, int serverPort, long seenNanos, long forwardedNanos) {}
+
   /** Is called when the end of a client's connection was forwarded to the server. */
   interface DisconnectListener {
-    /**
-     * Called after the end of a client's connection was forwarded to the server.
-     *
-     * @param port the client's local port
-     */
-    void onDisconnect(int port);
+    /** Called after the end of a client's connection was forwarded to the server. */
+    void onDisconnect(End end);
   }
 
   private final Acceptor acceptor;
@@ -49,7 +55,7 @@
   private int cuts;
 
   LinkProxy(Supplier<InetSocketAddress> server) throws IOException {
-    this(server, port -> {});
+    this(server, end -> {});
   }
 
   LinkProxy(Supplier<InetSocketAddress> server, DisconnectListener disconnectListener)
@@ -109,31 +115,37 @@
           new Thread(() -> forward(serverSocket, client, false, cutsAtStart), "soak-link");
       responseThread.setDaemon(true);
       responseThread.start();
-      int port = client.getPort();
-      forward(client, serverSocket, true, cutsAtStart);
-      disconnectListener.onDisconnect(port);
+      int clientPort = client.getPort();
+      int serverPort = serverSocket.getLocalPort();
+      long seenNanos = forward(client, serverSocket, true, cutsAtStart);
+      disconnectListener.onDisconnect(
+          new End(clientPort, serverPort, seenNanos, System.nanoTime()));
       responseThread.join();
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
   }
 
-  private void forward(Socket from, Socket to, boolean toServer, int cutsAtStart) {
+  /** Forwards one direction until it ends, and returns when its end was seen. */
+  private long forward(Socket from, Socket to, boolean toServer, int cutsAtStart) {
     byte[] buffer = new byte[BUFFER_BYTES];
     try {
       while (true) {
         int count = from.getInputStream().read(buffer);
+        long readNanos = System.nanoTime();
         awaitForwarding(toServer, cutsAtStart);
         if (count < 0) {
           to.shutdownOutput();
-          return;
+          return readNanos;
         }
         to.getOutputStream().write(buffer, 0, count);
       }
     } catch (IOException e) {
       log.debug("a proxied connection failed: {}", e.getMessage());
+      long failedNanos = System.nanoTime();
       Acceptor.reset(from);
       Acceptor.reset(to);
+      return failedNanos;
     }
   }
 
--- a/faultsoak/src/main/java/io/jacinthquay/soak/SoakSystem.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/SoakSystem.java
@@ -58,7 +58,14 @@
               firstVersion(plan, Documents.placeInService(i)),
               history);
       upstreams.add(upstream);
-      upstreamLinks.add(new LinkProxy(upstream::address));
+      int number = i;
+      upstreamLinks.add(
+          new LinkProxy(
+              upstream::address,
+              end ->
+                  history.add(
+                      new History.UpstreamClose(
+                          number, end.serverPort(), end.seenNanos(), end.forwardedNanos()))));
       listUpstream(i, false);
     }
     for (int i = 0; i < plan.controls(); i++) {
@@ -74,7 +81,9 @@
       routerLinks.add(
           new LinkProxy(
               () -> deployment.router(number),
-              port -> history.add(new History.Disconnect(number, port, System.nanoTime()))));
+              end ->
+                  history.add(
+                      new History.Disconnect(number, end.clientPort(), end.forwardedNanos()))));
     }
   }
 
@@ -90,7 +99,7 @@
 
   private LinkProxy newInternalLink(int control) throws IOException {
     InetSocketAddress server = deployment.internalBindOf(control);
-    return new LinkProxy(deployment.internalOf(control), () -> server, port -> {});
+    return new LinkProxy(deployment.internalOf(control), () -> server, end -> {});
   }
 
   private Path settingsFile() {
--- a/faultsoak/src/test/java/io/jacinthquay/soak/LossChecksTest.java
+++ b/faultsoak/src/test/java/io/jacinthquay/soak/LossChecksTest.java
@@ -179,4 +179,27 @@
             4_000));
     assertEquals(violations, new RequestTimeoutCheck().judge(history).violations().size());
   }
+
+  /** The caller's end reaches the router at 100 ms; an earlier close on the port is another's. */
+  @ParameterizedTest
+  @CsvSource({
+    "40001, 640, the upstream's link saw the router's close at 540 ms and forwarded it at 545 ms",
+    "40002, 640, the upstream's link saw no close",
+    "40001, 19, the upstream's link saw no close"
+  })
+  void workThatGoesOnIsReportedWithTheStepsToItsEnd(int port, long seenMillis, String reported) {
+    History history = new History();
+    history.add(call(CallKind.SAFE, Call.Ending.LEFT, 0, "", 90));
+    history.add(new History.Disconnect(ROUTER, PORT, nanos(100)));
+    history.add(
+        new Run(ID, CallKind.SAFE, UPSTREAM, 40_001, nanos(30), nanos(650), 10, true, false));
+    history.add(
+        new History.UpstreamClose(UPSTREAM, port, nanos(seenMillis), nanos(seenMillis + 5)));
+    List<String> violations = new DisconnectCheck().judge(history).violations();
+    assertEquals(1, violations.size());
+    assertTrue(
+        violations.get(0).contains("its run began at -70 ms, its caller closed at -10 ms"),
+        violations.get(0));
+    assertTrue(violations.get(0).endsWith(reported), violations.get(0));
+  }
 }
