Soak: connections don't wait for new threads

Callers' ends took up to 2,044 ms to a link of a router. The soak's virtual machine took up to 1,205 ms to reach a safepoint at these times, and StallDetector, which only sleeps, saw no stall.

Each connection of a link started a thread, and each acceptor had threads of its own. As far as known of the virtual machine (read, not measured), it starts one thread at a time under a lock that safepoints need as well, and waits until the thread runs; on a busy machine connections wait for each other.

All connections share threads now, which are started before the load. An unchecked exception of a connection is logged, where it ended its thread before.

LinkProxyTest failed with the link before: "40 threads were started"; passes.

--- a/faultsoak/src/main/java/io/jacinthquay/soak/Acceptor.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/Acceptor.java
@@ -7,12 +7,12 @@
 import java.net.Socket;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.FutureTask;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
-/** A TCP server on loopback that serves each connection on its own thread. */
+/** A TCP server on loopback that serves each connection on a thread. */
 final class Acceptor implements AutoCloseable {
   private static final Logger log = LogManager.getLogger();
   private static final int BACKLOG = 256;
@@ -26,13 +26,7 @@
   private final ServerSocket listener;
   private final Server server;
   private final Set<Socket> openSockets = ConcurrentHashMap.newKeySet();
-  private final ExecutorService threads =
-      Executors.newCachedThreadPool(
-          task -> {
-            Thread thread = new Thread(task, "soak-connection");
-            thread.setDaemon(true);
-            return thread;
-          });
+  private final Set<Future<?>> tasks = ConcurrentHashMap.newKeySet();
 
   Acceptor(Server server) throws IOException {
     this(server, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
@@ -42,20 +36,41 @@
   Acceptor(Server server, InetSocketAddress address) throws IOException {
     this.server = server;
     listener = new ServerSocket(address.getPort(), BACKLOG, address.getAddress());
-    threads.execute(this::accept);
+    execute(this::accept);
   }
 
   InetSocketAddress address() {
     return new InetSocketAddress(listener.getInetAddress(), listener.getLocalPort());
   }
 
+  /** Runs a task that is interrupted when the acceptor is closed. */
+  private void execute(Runnable work) {
+    FutureTask<?> task =
+        new FutureTask<>(() -> runLogged(work), null) {
+          @Override
+          protected void done() {
+            tasks.remove(this);
+          }
+        };
+    tasks.add(task);
+    ConnectionThreads.execute(task);
+  }
+
+  private static void runLogged(Runnable work) {
+    try {
+      work.run();
+    } catch (RuntimeException e) {
+      log.error("a connection failed", e);
+    }
+  }
+
   private void accept() {
     while (!listener.isClosed()) {
       try {
         Socket socket = listener.accept();
         socket.setTcpNoDelay(true);
         openSockets.add(socket);
-        threads.execute(() -> serve(socket));
+        execute(() -> serve(socket));
       } catch (IOException e) {
         log.debug("accept failed: {}", e.getMessage());
       }
@@ -91,6 +106,6 @@
   public void close() throws IOException {
     listener.close();
     reset();
-    threads.shutdownNow();
+    tasks.forEach(task -> task.cancel(true));
   }
 }
--- a/faultsoak/src/main/java/io/jacinthquay/soak/LinkProxy.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/LinkProxy.java
@@ -4,6 +4,8 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.FutureTask;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
@@ -111,16 +113,17 @@
     try (Socket serverSocket = new Socket()) {
       serverSocket.setTcpNoDelay(true);
       serverSocket.connect(server.get(), CONNECT_TIMEOUT_MILLIS);
-      Thread responseThread =
-          new Thread(() -> forward(serverSocket, client, false, cutsAtStart), "soak-link");
-      responseThread.setDaemon(true);
-      responseThread.start();
+      FutureTask<Long> responses =
+          new FutureTask<>(() -> forward(serverSocket, client, false, cutsAtStart));
+      ConnectionThreads.execute(responses);
       int clientPort = client.getPort();
       int serverPort = serverSocket.getLocalPort();
       long seenNanos = forward(client, serverSocket, true, cutsAtStart);
       disconnectListener.onDisconnect(
           new End(clientPort, serverPort, seenNanos, System.nanoTime()));
-      responseThread.join();
+      responses.get();
+    } catch (ExecutionException e) {
+      throw new IOException("the server's direction failed", e);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
--- a/faultsoak/src/main/java/io/jacinthquay/soak/SoakRun.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/SoakRun.java
@@ -47,6 +47,9 @@
   private static final long FINISH_TIMEOUT_SECONDS = 30;
   private static final int LATENCY_DIGITS = 3;
 
+  /** Two of the link to a router, two of the link to an upstream, and the upstream's. */
+  private static final int THREADS_PER_CALLER = 5;
+
   private static final List<Check> CHECKS =
       List.of(
           new DisconnectCheck(),
@@ -174,6 +177,7 @@
   }
 
   private void runLoad(SoakSystem system, List<Runnable> operators) throws InterruptedException {
+    ConnectionThreads.prepare(THREADS_PER_CALLER * plan.callers());
     ExecutorService threads = Executors.newCachedThreadPool();
     ScheduledExecutorService faults = Executors.newScheduledThreadPool(FAULT_THREADS);
     threads.execute(new StallDetector(history, () -> underLoad));
