Control VMs: a command that can't be applied is reported with its cause

ControlState.decode turned a failure into a Failure, so that apply lost the cause and the stack trace of a command that a log from before still holds. Proposals ask ControlState.inapplicable now, which decodes as apply does; apply throws with the cause again. ControlServiceTest (6) and ControlHandlerTest (11) pass.

--- a/control/src/main/java/io/jacinthquay/control/service/ControlStore.java
+++ b/control/src/main/java/io/jacinthquay/control/service/ControlStore.java
@@ -8,7 +8,6 @@
 import io.jacinthquay.control.state.ControlTables;
 import io.jacinthquay.model.Failure;
 import io.jacinthquay.model.ResultCode;
-import io.jacinthquay.wire.gen.ControlCommand;
 import io.vavr.control.Either;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -71,9 +70,9 @@
       return CompletableFuture.completedFuture(
           Either.left(Failure.of(ResultCode.NOT_READY, detail)));
     }
-    Either<Failure, ControlCommand> applicable = ControlState.decode(command);
-    if (applicable.isLeft()) {
-      return CompletableFuture.completedFuture(Either.left(applicable.getLeft()));
+    Optional<Failure> inapplicable = ControlState.inapplicable(command);
+    if (inapplicable.isPresent()) {
+      return CompletableFuture.completedFuture(Either.left(inapplicable.get()));
     }
     return log.propose(command)
         .thenApply(result -> result.bimap(ControlStore::failure, applied -> null));
--- a/control/src/main/java/io/jacinthquay/control/state/ControlState.java
+++ b/control/src/main/java/io/jacinthquay/control/state/ControlState.java
@@ -21,7 +21,6 @@
 import io.vavr.collection.Map;
 import io.vavr.collection.TreeMap;
 import io.vavr.collection.TreeSet;
-import io.vavr.control.Either;
 import java.io.IOException;
 import java.io.InputStream;
 import java.util.ArrayList;
@@ -76,30 +75,30 @@
   }
 
   /**
-   * Decodes a command. A command is proposed only if this succeeds, since a committed one that
-   * can't be decoded stops every replica.
-   *
-   * @return the command, or a failure if its elements would take too much memory
+   * Returns why no replica could apply a command; empty if each can. A committed command that can't
+   * be decoded stops every replica, so a command is proposed only if this is empty.
    */
-  public static Either<Failure, ControlCommand> decode(byte[] command) {
+  public static Optional<Failure> inapplicable(byte[] command) {
     try {
-      return Either.right(ThriftCodec.decode(command, new ControlCommand()));
+      decode(command);
+      return Optional.empty();
     } catch (TException e) {
-      return Either.left(Failure.of(ResultCode.COMMAND_TOO_LARGE, e.getMessage()));
+      return Optional.of(Failure.of(ResultCode.COMMAND_TOO_LARGE, e.getMessage()));
     }
   }
 
+  private static ControlCommand decode(byte[] command) throws TException {
+    return ThriftCodec.decode(command, new ControlCommand());
+  }
+
   @Override
   public byte[] apply(long index, byte[] bytes) {
-    ControlCommand command =
-        decode(bytes)
-            .getOrElseThrow(
-                failure ->
-                    new IllegalStateException(
-                        "cannot apply the command at log index "
-                            + index
-                            + ": "
-                            + failure.detail()));
+    ControlCommand command;
+    try {
+      command = decode(bytes);
+    } catch (TException e) {
+      throw new IllegalStateException("cannot decode the command at log index " + index, e);
+    }
     if (command.isSetDocument()) {
       DocumentCommand document = command.getDocument();
       tables = tables.withDocument(document.getVersion(), document.getContent());
