--- a/keeper/src/main/java/io/jacinthquay/keeper/state/StoredStreamTransport.java
+++ b/keeper/src/main/java/io/jacinthquay/keeper/state/StoredStreamTransport.java
@@ -1,6 +1,7 @@
 package io.jacinthquay.keeper.state;
 
 import java.io.BufferedInputStream;
+import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
 import org.apache.thrift.transport.TIOStreamTransport;
@@ -32,9 +33,11 @@
       in.mark(Math.toIntExact(bytes));
       in.skipNBytes(bytes);
       in.reset();
-    } catch (IOException e) {
+    } catch (EOFException e) {
       throw new TTransportException(
           TTransportException.END_OF_FILE, "fewer than the " + bytes + " bytes that are stated", e);
+    } catch (IOException e) {
+      throw new TTransportException(TTransportException.UNKNOWN, e);
     }
   }
 }
