Model requests: refuse bodies that aren't UTF-8 again

Callers whose body held a byte that isn't UTF-8, such as {"p":"ab\xFFc"}, got no error since; the engine got U+FFFD in its place. Without the table of names, Jackson reads bytes through another decoder, which replaces malformed input instead of refusing it.

The table of names is on again: MAX_FIELDS bounds it to 100,000 names.

--- a/router/src/main/java/io/jacinthquay/router/service/request/ModelBody.java
+++ b/router/src/main/java/io/jacinthquay/router/service/request/ModelBody.java
@@ -17,14 +17,11 @@
 /** The body of a model request, parsed and copied in one pass. */
 final class ModelBody {
   private static final JsonFactory JSON =
-      JsonFactory.builder()
-          .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
-          .disable(JsonFactory.Feature.CANONICALIZE_FIELD_NAMES)
-          .build();
+      JsonFactory.builder().enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION).build();
 
   /**
    * Most fields of all objects of a body. The detection of duplicates keeps a name of a few bytes
-   * with about a hundred bytes of memory.
+   * with about a hundred bytes of memory, and the parser's table of names has another entry.
    */
   private static final int MAX_FIELDS = 100_000;
 
--- a/router/src/test/java/io/jacinthquay/router/service/request/ModelBodyTest.java
+++ b/router/src/test/java/io/jacinthquay/router/service/request/ModelBodyTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import io.jacinthquay.model.ResultCode;
 import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -24,4 +25,12 @@
     byte[] json = body.append(end).toString().getBytes(StandardCharsets.UTF_8);
     assertEquals(expected, ModelBody.parse(json).isRight());
   }
+
+  /** A byte that isn't UTF-8 was replaced by another character and sent to the engine. */
+  @ParameterizedTest
+  @CsvSource({"'{\"model\":\"m\",\"prompt\":\"ab\u00FFc\"}'", "'{\"model\":\"m\",\"x\u00FF\":1}'"})
+  void malformedUtf8IsRefused(String body) {
+    byte[] json = body.getBytes(StandardCharsets.ISO_8859_1);
+    assertEquals(ResultCode.MALFORMED_JSON, ModelBody.parse(json).getLeft().code());
+  }
 }
