Streams: read the text of an event once

StreamEvent#text copies the text on each call, and StreamRelay called it up to three times an event, mostly to see whether there is any; hasText says that without a copy.

--- a/router/src/main/java/io/jacinthquay/router/service/request/StreamEvent.java
+++ b/router/src/main/java/io/jacinthquay/router/service/request/StreamEvent.java
@@ -153,7 +153,12 @@
     return id;
   }
 
-  /** Returns the text of the event; empty if it has none. */
+  /** Returns whether the event has text. */
+  boolean hasText() {
+    return !text.isEmpty();
+  }
+
+  /** Returns a copy of the text of the event; empty if it has none. */
   String text() {
     return text.toString();
   }
--- a/router/src/main/java/io/jacinthquay/router/service/request/StreamRelay.java
+++ b/router/src/main/java/io/jacinthquay/router/service/request/StreamRelay.java
@@ -142,7 +142,7 @@
   }
 
   private void recordEvent(StreamEvent event) {
-    if (!event.text().isEmpty()) {
+    if (event.hasText()) {
       tokens++;
       newTokens++;
       if (text.length() <= MAX_RESUME_CHARS) {
@@ -164,7 +164,7 @@
   private boolean isRepeatedOpening(StreamEvent event) {
     boolean isOpening =
         event.kind() == StreamEvent.Kind.PART
-            && event.text().isEmpty()
+            && !event.hasText()
             && !event.finished()
             && event.completionTokens() < 0;
     return resumed && isOpening;
