Attempts: read what waits in the socket before an upstream times out

After a pause of the process as long as an upstream may stall, an attempt failed with UPSTREAM_TIMEOUT although its answer waited in the socket: the timer judged by the clock before sockets were read. It uses ArrivalTimer now, which postpones a late check once; the postponed check always judges.

--- a/router/src/main/java/io/jacinthquay/router/service/request/Attempt.java
+++ b/router/src/main/java/io/jacinthquay/router/service/request/Attempt.java
@@ -1,6 +1,7 @@
 package io.jacinthquay.router.service.request;
 
 import io.jacinthquay.model.ResultCode;
+import io.jacinthquay.router.port.ArrivalTimer;
 import io.jacinthquay.router.port.EventThread;
 import io.jacinthquay.router.port.ResponseHead;
 import io.jacinthquay.router.port.UpstreamCall;
@@ -72,7 +73,7 @@
 
   private void watchStall(long delayMillis) {
     if (!ended) {
-      cancelStallTimer = thread.after(delayMillis, this::checkStall);
+      cancelStallTimer = ArrivalTimer.after(thread, delayMillis, this::checkStall);
     }
   }
 
--- a/router/src/test/java/io/jacinthquay/router/service/forward/ManualEventThread.java
+++ b/router/src/test/java/io/jacinthquay/router/service/forward/ManualEventThread.java
@@ -7,7 +7,7 @@
 import java.util.List;
 
 /** An event thread whose tasks and timers a test runs explicitly, timers in any order. */
-final class ManualEventThread implements EventThread {
+public final class ManualEventThread implements EventThread {
   private static final class Timer {
     private final long delayMillis;
     private final Runnable task;
@@ -52,7 +52,7 @@
   }
 
   /** Fires the timers with at least the given delay, in the order in which they were set. */
-  void fireTimers(long minDelayMillis) {
+  public void fireTimers(long minDelayMillis) {
     for (Timer timer : List.copyOf(timers)) {
       if (timer.delayMillis >= minDelayMillis && timers.remove(timer)) {
         timer.task.run();
