Soak: a server that is closing serves no connection that it has just accepted

Since all connections share a pool of threads, a socket that was accepted while its server closed was still served; before, the closed pool refused it. An upstream that had left could have answered one more request. The accepted socket is added first and the flag read after that, so that either side resets it.

--- a/faultsoak/src/main/java/io/jacinthquay/soak/Acceptor.java
+++ b/faultsoak/src/main/java/io/jacinthquay/soak/Acceptor.java
@@ -27,6 +27,7 @@
   private final Server server;
   private final Set<Socket> openSockets = ConcurrentHashMap.newKeySet();
   private final Set<Future<?>> tasks = ConcurrentHashMap.newKeySet();
+  private volatile boolean closed;
 
   Acceptor(Server server) throws IOException {
     this(server, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
@@ -70,7 +71,12 @@
         Socket socket = listener.accept();
         socket.setTcpNoDelay(true);
         openSockets.add(socket);
-        execute(() -> serve(socket));
+        // Read after the socket was added, so that either this or close() resets it.
+        if (closed) {
+          reset(socket);
+        } else {
+          execute(() -> serve(socket));
+        }
       } catch (IOException e) {
         log.debug("accept failed: {}", e.getMessage());
       }
@@ -104,6 +110,7 @@
 
   @Override
   public void close() throws IOException {
+    closed = true;
     listener.close();
     reset();
     tasks.forEach(task -> task.cancel(true));
