--- a/faultsoak/src/test/java/io/jacinthquay/soak/LinkProxyTest.java
+++ b/faultsoak/src/test/java/io/jacinthquay/soak/LinkProxyTest.java
@@ -11,10 +11,7 @@
   private static final int THREADS = 60;
   private static final int CONNECTIONS = 40;
 
-  /**
-   * Threads start one after the other. With one for each connection, links of a busy machine were
-   * up to two seconds behind, which {@link DisconnectCheck} judged as the delay of a router.
-   */
+  /** Connections that wait for new threads are late on a busy machine. */
   @Test
   void connectionsDoNotWaitForNewThreads() throws Exception {
     ConnectionThreads.prepare(THREADS);
