--- a/review/support-2/PlatformApi.java
+++ b/review/support-2/PlatformApi.java
@@ -26,14 +26,15 @@
     return listener.getInetAddress().getHostAddress() + ":" + listener.getLocalPort();
   }
 
-  /** Adds a replica that is ready. */
+  /** Adds a replica that is ready, or replaces its entry. */
   public void add(
       String id, String service, String address, String zone, String version, int slots) {
+    entries.removeIf(entry -> entry.endsWith("\"id\":\"" + id + "\"}"));
     entries.add(
         String.format(
             "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":\"%s\",\"slots\":%d,"
-                + "\"state\":\"ready\",\"cold_remaining_ms\":0,\"born\":1790000000000,\"id\":\"%s\"}",
-            service, address, zone, version, slots, id));
+                + "\"state\":\"ready\",\"cold_remaining_ms\":0,\"born\":%d,\"id\":\"%s\"}",
+            service, address, zone, version, slots, System.currentTimeMillis(), id));
   }
 
   private void accept() throws IOException {
--- a/review/support-2/Replica.java
+++ b/review/support-2/Replica.java
@@ -21,6 +21,7 @@
   private final String id;
   private final Handler handler;
   private final ServerSocket listener;
+  private volatile boolean down;
   private final Set<Socket> open = ConcurrentHashMap.newKeySet();
 
   public Replica(String id, String address, Handler handler) throws IOException {
@@ -41,6 +42,10 @@
   private void accept() throws IOException {
     while (true) {
       Socket socket = listener.accept();
+      if (down) {
+        reset(socket);
+        continue;
+      }
       socket.setTcpNoDelay(true);
       open.add(socket);
       Threads.start("replica-connection", () -> serve(socket));
@@ -69,6 +74,24 @@
     }
   }
 
+  /** Ends all connections by a reset, and each new one until {@link #start}. */
+  public void crash() throws IOException {
+    down = true;
+    for (Socket socket : open) {
+      reset(socket);
+    }
+  }
+
+  /** Starts again under the same id and address. */
+  public void start() {
+    down = false;
+  }
+
+  private static void reset(Socket socket) throws IOException {
+    socket.setSoLinger(true, 0);
+    socket.close();
+  }
+
   /** Sends a whole response with a stated length. */
   public static void answer(Wire.Head request, Socket socket, String body) throws IOException {
     socket
--- a/review/support-2/Wire.java
+++ b/review/support-2/Wire.java
@@ -95,6 +95,10 @@
     return bytes;
   }
 
+  public static String text(byte[] bytes) {
+    return new String(bytes, StandardCharsets.ISO_8859_1);
+  }
+
   public static byte[] bytes(String text) {
     return text.getBytes(StandardCharsets.ISO_8859_1);
   }
