--- a/review/support-2/PlatformApi.java
+++ b/review/support-2/PlatformApi.java
@@ -37,6 +37,25 @@
             service, address, zone, version, slots, System.currentTimeMillis(), id));
   }
 
+  /** Shows a replica as leaving. */
+  public void drain(String id) {
+    entries.replaceAll(
+        entry ->
+            entry.endsWith("\"id\":\"" + id + "\"}")
+                ? entry.replace("\"state\":\"ready\"", "\"state\":\"draining\"")
+                : entry);
+  }
+
+  /** Removes a replica. */
+  public void remove(String id) {
+    entries.removeIf(entry -> entry.endsWith("\"id\":\"" + id + "\"}"));
+  }
+
+  /** Adds an entry of another writer, as it is. */
+  public void addForeign(String text) {
+    entries.add(text);
+  }
+
   private void accept() throws IOException {
     while (true) {
       Socket socket = listener.accept();
